--- /dev/null
+++ b/plumarch/__init__.py
@@ -0,0 +1,1 @@
+"""A serving system for model engines and plain services on reclaimable VMs."""
--- /dev/null
+++ b/plumarch/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command-line tool."""
--- /dev/null
+++ b/plumarch/cli/nodes.py
@@ -0,0 +1,165 @@
+"""Asking the operators' listeners of the entry nodes."""
+
+import asyncio
+import time
+from collections.abc import Callable
+from typing import Any
+
+import httpx
+import msgspec
+
+ASK_S = 2.0
+POLL_S = 0.1
+
+Found = dict[str, dict[str, Any]]
+Missing = dict[str, str]
+
+
+def _client(token: str) -> httpx.AsyncClient:
+    return httpx.AsyncClient(headers={"Authorization": f"Bearer {token}"}, timeout=ASK_S)
+
+
+async def _ask(
+    http: httpx.AsyncClient, address: str, path: str, params: dict[str, str]
+) -> tuple[Any, str]:
+    """Return a node's answer and "", or None and why there is none."""
+    try:
+        answer = await http.get(f"http://{address}{path}", params=params)
+    except httpx.HTTPError as error:
+        return None, type(error).__name__
+    if answer.status_code != httpx.codes.OK:
+        return None, f"status {answer.status_code}"
+    return msgspec.json.decode(answer.content), ""
+
+
+async def statuses(addresses: dict[str, str], token: str) -> tuple[Found, Missing]:
+    """Return each node's status, and why some could not be had."""
+    found: Found = {}
+    missing: Missing = {}
+    async with _client(token) as http:
+        asked = [_ask(http, address, "/status", {}) for address in addresses.values()]
+        for name, (status, why) in zip(addresses, await asyncio.gather(*asked), strict=True):
+            if status is None:
+                missing[name] = why
+            else:
+                found[name] = status
+    return found, missing
+
+
+async def wait_in_force(
+    addresses: dict[str, str], token: str, revision: int, timeout_s: float
+) -> tuple[dict[str, int], Missing]:
+    """Wait until a revision is in force on every node.
+
+    Returns:
+      Milliseconds until each node had it, and why some did not.
+    """
+    start = time.monotonic()
+    ages: dict[str, int] = {}
+    while True:
+        found, missing = await statuses(addresses, token)
+        waited_ms = int((time.monotonic() - start) * 1000)
+        for name, status in found.items():
+            if status["revision"] >= revision:
+                ages.setdefault(name, waited_ms)
+            else:
+                missing[name] = f"revision {status['revision']} is"
+        missing = {name: why for name, why in missing.items() if name not in ages}
+        if not missing or waited_ms > timeout_s * 1000:
+            return ages, missing
+        await asyncio.sleep(POLL_S)
+
+
+async def decisions(
+    addresses: dict[str, str], token: str, request: str
+) -> tuple[list[dict[str, Any]], Missing]:
+    """Return all nodes' decisions about a request, each node's in order."""
+    found: list[dict[str, Any]] = []
+    missing: Missing = {}
+    async with _client(token) as http:
+        for name, address in addresses.items():
+            answer, why = await _ask(http, address, "/decisions", {"request_id": request})
+            if answer is None:
+                missing[name] = why
+            else:
+                found += answer
+    return found, missing
+
+
+async def watch(
+    addresses: dict[str, str],
+    token: str,
+    workspace: str,
+    show: Callable[[dict[str, Any]], None],
+) -> None:
+    """Show decisions of all nodes until the connections end."""
+
+    async def follow(address: str) -> None:
+        async with (
+            httpx.AsyncClient(headers={"Authorization": f"Bearer {token}"}) as http,
+            http.stream(
+                "GET",
+                f"http://{address}/watch",
+                params={"workspace": workspace},
+                timeout=httpx.Timeout(ASK_S, read=None),
+            ) as answer,
+        ):
+            async for line in answer.aiter_lines():
+                show(msgspec.json.decode(line))
+
+    results = await asyncio.gather(
+        *(follow(address) for address in addresses.values()), return_exceptions=True
+    )
+    for result in results:
+        if isinstance(result, BaseException) and not isinstance(result, httpx.HTTPError):
+            raise result
+
+
+def node_row(status: dict[str, Any]) -> dict[str, Any]:
+    """Return a node's line of the status table."""
+    names = (
+        "node",
+        "data_centre",
+        "state",
+        "revision",
+        "revision_age_ms",
+        "platform_age_ms",
+        "runs",
+        "queued",
+        "copies",
+        "slots",
+        "uncertain_slots",
+    )
+    return {name: status[name] for name in names}
+
+
+def endpoint_rows(found: Found) -> list[dict[str, Any]]:
+    """Return the endpoints' lines: each endpoint's load summed over the nodes that see it."""
+    rows: dict[str, dict[str, Any]] = {}
+    for status in found.values():
+        for endpoint in status["endpoints"]:
+            row = rows.setdefault(endpoint["name"], {**endpoint, "load": 0})
+            row["load"] = max(row["load"], endpoint["load"])
+            row["targets"] = ", ".join(endpoint["targets"])
+            if endpoint["state"] != "live":
+                row["state"] = endpoint["state"]
+    return [rows[name] for name in sorted(rows)]
+
+
+def vm_rows(found: Found) -> list[dict[str, Any]]:
+    """Return the lines of the VM table."""
+    names = ("name", "data_centre", "vm_class", "reclaimable", "price", "state", "load", "capacity")
+    return [{name: row[name] for name in names} for row in endpoint_rows(found)]
+
+
+def decision_text(decision: dict[str, Any]) -> str:
+    """Return a decision as lines for people."""
+    head = (
+        f"{decision['at_ms'] / 1000:12.3f} {decision['node']:28} {decision['workspace']:20}"
+        f" {decision['kind']:8} {decision['choice']}: {decision['why']}"
+    )
+    others = [
+        f"{'':14}{c['endpoint']}: {c['note'] or format(c['score'], '.1f')}"
+        for c in decision["considered"]
+    ]
+    return "\n".join([head, *others])
--- /dev/null
+++ b/plumarch/config/__init__.py
@@ -0,0 +1,1 @@
+"""Templates, workspace parameters, and the configuration in force."""
--- /dev/null
+++ b/plumarch/config/ini.py
@@ -0,0 +1,132 @@
+"""INI texts read into validated models, with every problem at its file and line."""
+
+import configparser
+import dataclasses
+import re
+from typing import TypeVar
+
+import pydantic
+
+from plumarch.core import data
+
+SECTION_LINE = re.compile(r"^\[(?P<name>[^\]]+)\]")
+KEY_LINE = re.compile(r"^(?P<key>[A-Za-z0-9_.-]+)\s*[=:]")
+
+Model = TypeVar("Model", bound=pydantic.BaseModel)
+
+
+class Section(pydantic.BaseModel):
+    """Base of the models of sections: unknown keys are problems."""
+
+    model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
+
+
+@dataclasses.dataclass(slots=True)
+class Document:
+    """A parsed INI text, the lines of its keys, and the problems found so far."""
+
+    file: str
+    sections: dict[str, dict[str, str]]
+    lines: dict[tuple[str, str], int]
+    problems: list[data.Problem] = dataclasses.field(default_factory=list)
+
+    def problem(self, section: str, key: str, message: str, remedy: str) -> None:
+        """Collect a problem at a section's key, or at the section if key is ""."""
+        line = self.lines.get((section, key)) or self.lines.get((section, ""), 0)
+        self.problems.append(data.Problem(self.file, line, section, key, message, remedy))
+
+    def section(self, name: str, model: type[Model], required: bool = True) -> Model | None:
+        """Validate one section.
+
+        Args:
+          name: the section's name.
+          model: what it must fit.
+          required: whether a missing section is a problem; if not, defaults are taken.
+        Returns:
+          The model, or None if there were problems.
+        """
+        if name not in self.sections and required:
+            self.problem(name, "", "the section is missing", f"add a section [{name}].")
+            return None
+        try:
+            return model.model_validate(self.sections.get(name, {}))
+        except pydantic.ValidationError as error:
+            for fault in error.errors():
+                self._add_fault(name, model, fault["type"], fault["loc"], fault["msg"])
+            return None
+
+    def _add_fault(
+        self,
+        section: str,
+        model: type[pydantic.BaseModel],
+        kind: str,
+        place: tuple[int | str, ...],
+        message: str,
+    ) -> None:
+        key = str(place[0]) if place else ""
+        known = ", ".join(model.model_fields)
+        if kind == "extra_forbidden":
+            self.problem(section, key, "unknown key", f"remove it, or use one of: {known}.")
+        elif kind == "missing":
+            self.problem(section, key, "the key is missing", f"add `{key} = ...`.")
+        else:
+            said = message.removeprefix("Value error, ")
+            self.problem(section, key, said, "correct the value.")
+
+    def allow_sections(self, exact: set[str], prefixes: tuple[str, ...] = ()) -> None:
+        """Collect a problem for each section that is not known."""
+        for name in self.sections:
+            if name not in exact and not name.startswith(prefixes or ("\0",)):
+                wanted = ", ".join(sorted(exact) + [f"{p}NAME" for p in prefixes])
+                self.problem(name, "", "unknown section", f"use one of: {wanted}.")
+
+
+def parse(file: str, text: str) -> Document:
+    """Parse an INI text.
+
+    Args:
+      file: its name, for problems.
+      text: the text.
+    Returns:
+      The document; syntax errors are among its problems.
+    """
+    parser = configparser.ConfigParser(interpolation=None, strict=True, default_section="")
+    problems = []
+    try:
+        parser.read_string(text, source=file)
+    except configparser.MissingSectionHeaderError as error:
+        problems.append(_syntax(file, error.lineno, "text before the first [section]"))
+    except configparser.ParsingError as error:
+        for line, _ in error.errors:
+            problems.append(_syntax(file, line, "neither [section] nor key = value"))
+    except (configparser.DuplicateOptionError, configparser.DuplicateSectionError) as error:
+        problems.append(_syntax(file, error.lineno or 0, error.message.split("]: ")[-1]))
+    sections = {name: dict(parser[name]) for name in parser.sections()}
+    return Document(file, sections, _line_index(text), problems)
+
+
+def _syntax(file: str, line: int, message: str) -> data.Problem:
+    return data.Problem(file, line, "", "", message, "write [section] lines and key = value.")
+
+
+def _line_index(text: str) -> dict[tuple[str, str], int]:
+    """Return the line number of each section and key."""
+    lines: dict[tuple[str, str], int] = {}
+    section = ""
+    for number, line in enumerate(text.splitlines(), start=1):
+        head = SECTION_LINE.match(line)
+        if head:
+            section = head["name"]
+            lines.setdefault((section, ""), number)
+            continue
+        entry = KEY_LINE.match(line)
+        if entry:
+            lines.setdefault((section, entry["key"].lower()), number)
+    return lines
+
+
+def words(value: object) -> tuple[str, ...]:
+    """Split a comma-separated value; for use in validators."""
+    if isinstance(value, str):
+        return tuple(part.strip() for part in value.split(",") if part.strip())
+    return tuple(value) if isinstance(value, list | tuple) else ()
--- /dev/null
+++ b/plumarch/config/publishing.py
@@ -0,0 +1,165 @@
+"""Putting a configuration on the platform: one conditional write switches all of it.
+
+Documents are written first, under names made of their content, where they change
+nothing. The head object then names all documents in force. Whoever writes it
+second at the same version loses, and nothing of that change is in force.
+"""
+
+import dataclasses
+import datetime
+import uuid
+
+import msgspec
+
+from plumarch.config import files
+from plumarch.core import errors
+from plumarch.platform import protocol
+
+PREFIX = "config/"
+HEAD = "config/head"
+TRIES = 5
+
+
+class Head(msgspec.Struct, frozen=True):
+    """The object that says which documents are in force.
+
+    Attributes:
+      manifest: document name to digest.
+      token: names the change; the same for a repeated try of one change.
+    """
+
+    revision: int
+    manifest: dict[str, str]
+    author: str = ""
+    at: str = ""
+    note: str = ""
+    token: str = ""
+
+
+class ChangeConflict(errors.PlumarchError):
+    """Somebody else changed the configuration first. Nothing of this change is in force."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Current:
+    """The configuration on the platform, and the version of its head object."""
+
+    version: int
+    head: Head
+
+
+def document_name(digest: str) -> str:
+    """Return the name of the object that holds a document's text."""
+    return f"{PREFIX}doc/{digest}"
+
+
+async def read_head(platform: protocol.Platform) -> Current:
+    """Read the head. Raises PlatformUnavailable."""
+    try:
+        found = await platform.get(HEAD)
+    except errors.PlatformAbsent:
+        return Current(0, Head(0, {}))
+    return Current(found.version, msgspec.json.decode(found.value, type=Head))
+
+
+async def read_texts(platform: protocol.Platform, manifest: dict[str, str]) -> dict[str, str]:
+    """Read the texts of a manifest's documents, by document name."""
+    texts = {}
+    for name, digest in sorted(manifest.items()):
+        texts[name] = (await platform.get(document_name(digest))).value.decode()
+    return texts
+
+
+async def merged(
+    platform: protocol.Platform, current: Current, given: files.Documents, prune: bool
+) -> files.Documents:
+    """Return the whole set of documents that an apply would put in force.
+
+    Args:
+      platform: where the documents in force are read from.
+      current: the configuration in force.
+      given: the operator's documents.
+      prune: whether documents that are not among the given ones are removed.
+    """
+    kept = {} if prune else current.head.manifest
+    texts = await read_texts(platform, {n: d for n, d in kept.items() if n not in given.texts})
+    return files.Documents({**texts, **given.texts}, dict(given.files), list(given.problems))
+
+
+async def publish(
+    platform: protocol.Platform,
+    current: Current,
+    wanted: files.Documents,
+    author: str,
+    note: str,
+) -> int:
+    """Put a validated set of documents in force, all of it or nothing.
+
+    Returns:
+      The new revision; it is durable on the platform.
+    Raises:
+      ChangeConflict: the head changed since current was read.
+      PlatformUnavailable: the platform could not be reached; nothing is in force.
+      PlatformAnswerLost: it stayed unknown whether the change took effect.
+    """
+    manifest = wanted.manifest()
+    for name, digest in sorted(manifest.items()):
+        if current.head.manifest.get(name) != digest:
+            await _write_document(platform, digest, wanted.texts[name])
+    head = Head(
+        current.head.revision + 1,
+        manifest,
+        author,
+        datetime.datetime.now(datetime.UTC).isoformat(timespec="seconds"),
+        note,
+        uuid.uuid4().hex,
+    )
+    await _switch(platform, current, head)
+    return head.revision
+
+
+async def _write_document(platform: protocol.Platform, digest: str, text: str) -> None:
+    """Write a document; one that is there already has the same content."""
+    for _ in range(TRIES):
+        try:
+            await platform.put(document_name(digest), text.encode(), 0)
+        except errors.PlatformConflict:
+            return
+        except errors.PlatformAnswerLost:
+            continue
+        return
+    raise errors.PlatformUnavailable("The platform loses its answers. Apply again later.")
+
+
+async def _switch(platform: protocol.Platform, current: Current, head: Head) -> None:
+    """Write the head once, however often its answer is lost."""
+    value = msgspec.json.encode(head)
+    for _ in range(TRIES):
+        try:
+            await platform.put(HEAD, value, current.version)
+        except errors.PlatformAnswerLost:
+            # Written again at the same version: at most one of the tries can land.
+            continue
+        except errors.PlatformConflict as error:
+            now = await read_head(platform)
+            if now.head.token == head.token:
+                return
+            raise ChangeConflict(_told_apart(current, now)) from error
+        return
+    raise errors.PlatformAnswerLost(
+        "It is not known whether the change is in force. Run `plumarch diff` to see."
+    )
+
+
+def _told_apart(before: Current, now: Current) -> str:
+    """Return who changed what since a head was read, and the remedy."""
+    old = before.head.manifest
+    new = now.head.manifest
+    changed = sorted(n for n in old.keys() | new.keys() if old.get(n) != new.get(n))
+    head = now.head
+    return (
+        f"{head.author or 'Somebody'} put revision {head.revision} in force at {head.at}"
+        f" ({head.note or 'no note'}); changed: {', '.join(changed) or 'nothing'}."
+        " Nothing of this change is in force."
+        " Remedy: run `plumarch diff`, take their change into your files, apply again."
+    )
--- /dev/null
+++ b/plumarch/config/state.py
@@ -0,0 +1,97 @@
+"""The configuration in force on one node, applied by revision and only forward.
+
+Documents are told apart by digest, so a change touches only the workspaces
+whose own document or template changed. (The rule that unrelated streams are not
+replayed by one change is the point of "Data-plane triggering: why one config
+change replays everything", 2026-08-25.)
+"""
+
+import hashlib
+
+from plumarch.config import rendering
+from plumarch.core import context, data
+
+TEMPLATE = "template/"
+WORKSPACE = "workspace/"
+
+
+def digest_of(text: str) -> str:
+    """Return the name of a document's content."""
+    return hashlib.sha256(text.encode()).hexdigest()[:32]
+
+
+class ConfigState:
+    """Documents, and the workspaces rendered from them."""
+
+    def __init__(self, ctx: context.Context) -> None:
+        self.ctx = ctx
+        self.revision = 0
+        self.manifest: dict[str, str] = {}
+        self.documents: dict[str, str] = {}
+        self.workspaces: dict[str, data.Workspace] = {}
+        self.applied_ms = 0
+        self.rendered = 0
+
+    def apply(self, revision: int, manifest: dict[str, str], documents: dict[str, str]) -> bool:
+        """Put a configuration in force if it is newer and whole.
+
+        Args:
+          revision: its revision; one that is not higher is ignored.
+          manifest: document name to digest, for all documents.
+          documents: texts by digest; those known already may be left out.
+        Returns:
+          Whether it is in force now.
+        """
+        if revision <= self.revision:
+            self.ctx.count("config_ignored", label="not newer")
+            return False
+        known = {**self.documents, **documents}
+        if any(digest not in known for digest in manifest.values()):
+            return False
+        changed = {n for n, digest in manifest.items() if self.manifest.get(n) != digest}
+        changed |= {n for n in self.manifest if n not in manifest}
+        self.documents = {digest: known[digest] for digest in manifest.values()}
+        self.manifest = dict(manifest)
+        self.revision = revision
+        self.applied_ms = self.ctx.now()
+        touched = self._render(changed)
+        self.ctx.count("config_applied")
+        why = f"{len(changed)} documents changed, {len(touched)} workspaces touched"
+        self.ctx.note(None, "config", f"revision {revision}", why)
+        return True
+
+    def missing(self, manifest: dict[str, str]) -> list[str]:
+        """Return the digests of a manifest whose texts this node lacks."""
+        return sorted({d for d in manifest.values() if d not in self.documents})
+
+    def _render(self, changed: set[str]) -> list[str]:
+        """Render again only the workspaces that a change concerns."""
+        touched = []
+        for name in sorted(self.manifest):
+            if not name.startswith(WORKSPACE):
+                continue
+            workspace = name.removeprefix(WORKSPACE)
+            current = self.workspaces.get(workspace)
+            template = TEMPLATE + current.template if current else ""
+            if name in changed or template in changed or current is None:
+                self._render_one(workspace)
+                touched.append(workspace)
+        for workspace in list(self.workspaces):
+            if WORKSPACE + workspace not in self.manifest:
+                del self.workspaces[workspace]
+                touched.append(workspace)
+        return touched
+
+    def _render_one(self, workspace: str) -> None:
+        self.rendered += 1
+        text = self.documents[self.manifest[WORKSPACE + workspace]]
+        template_name = TEMPLATE + rendering.template_name(text)
+        template = self.documents.get(self.manifest.get(template_name, ""), "")
+        rendered, problems = rendering.render(workspace, text, template)
+        if rendered is None:
+            # Only validated documents are accepted, so this is another version's document.
+            why = problems[0].text() if problems else "no reason"
+            self.ctx.count("config_rejected", workspace)
+            self.ctx.note(None, "config", f"keep old {workspace}", why)
+            return
+        self.workspaces[workspace] = rendered
--- /dev/null
+++ b/plumarch/core/__init__.py
@@ -0,0 +1,1 @@
+"""Plain data types, time, hashing and errors. Depends on no other part."""
--- /dev/null
+++ b/plumarch/core/clock.py
@@ -0,0 +1,43 @@
+"""Time in milliseconds.
+
+Every decision takes its time from a Clock that is handed to it, so that tests
+and harnesses can run a node on virtual time.
+"""
+
+import time
+from typing import Protocol
+
+
+class Clock(Protocol):
+    """A source of the current time."""
+
+    def now(self) -> int:
+        """Return milliseconds since an arbitrary, fixed origin; never goes back."""
+        ...
+
+
+class MonotonicClock:
+    """The clock of a running process; its origin is that of the process's host."""
+
+    def now(self) -> int:
+        """Return milliseconds of the host's monotonic clock."""
+        return time.monotonic_ns() // 1_000_000
+
+
+class ManualClock:
+    """A clock that moves only when told to, for tests and virtual time."""
+
+    def __init__(self, start_ms: int = 0) -> None:
+        self.time_ms = start_ms
+
+    def now(self) -> int:
+        """Return the time set last, in milliseconds."""
+        return self.time_ms
+
+    def advance_to(self, time_ms: int) -> None:
+        """Move to a later time.
+
+        Args:
+          time_ms: the new time; an earlier one than now is ignored.
+        """
+        self.time_ms = max(self.time_ms, time_ms)
--- /dev/null
+++ b/plumarch/core/hashing.py
@@ -0,0 +1,27 @@
+"""Stable hashing by a library, the same in every process."""
+
+from collections.abc import Iterable
+
+import xxhash
+
+
+def digest(*parts: str | bytes) -> int:
+    """Return a 64-bit hash of the parts; their boundaries count."""
+    state = xxhash.xxh3_64()
+    for part in parts:
+        data = part.encode() if isinstance(part, str) else part
+        state.update(len(data).to_bytes(8, "big"))
+        state.update(data)
+    return state.intdigest()
+
+
+def rendezvous(subject: str, names: Iterable[str]) -> list[str]:
+    """Order names by rendezvous hashing (highest random weight) for a subject.
+
+    Args:
+      subject: what is placed, for example a slot's name.
+      names: the candidates.
+    Returns:
+      The candidates, best first. Removing a candidate moves only its subjects.
+    """
+    return sorted(names, key=lambda name: (-digest(subject, name), name))
--- /dev/null
+++ b/plumarch/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon: sockets around one node."""
--- /dev/null
+++ b/plumarch/daemon/logs.py
@@ -0,0 +1,34 @@
+"""Logs: loguru to standard error, a fixed prefix per part, other libraries routed in."""
+
+import logging
+import sys
+
+from loguru import logger
+
+FORMAT = "{time:HH:mm:ss.SSS} {level: <7} {extra[part]: <9} {message}"
+
+
+class ToLoguru(logging.Handler):
+    """Hands records of the standard logging module to loguru, httpx's at debug level."""
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Pass one record on."""
+        quiet = record.name.startswith(("httpx", "httpcore"))
+        level = "DEBUG" if quiet else record.levelname
+        part = record.name.partition(".")[0]
+        logger.bind(part=part).opt(exception=record.exc_info).log(level, record.getMessage())
+
+
+def set_up(level: str, json_lines: bool) -> None:
+    """Send all logs to standard error.
+
+    Args:
+      level: the least level to show.
+      json_lines: one JSON object a line in place of text.
+    """
+    logger.remove()
+    logger.configure(extra={"part": "main"})
+    logger.add(sys.stderr, level=level, format=FORMAT, serialize=json_lines, backtrace=False)
+    logging.basicConfig(handlers=[ToLoguru()], level=logging.DEBUG, force=True)
+    for noisy in ("httpcore", "asyncio", "uvicorn.access"):
+        logging.getLogger(noisy).setLevel(logging.WARNING)
--- /dev/null
+++ b/plumarch/daemon/settings.py
@@ -0,0 +1,149 @@
+"""The daemon's settings: an INI file, validated whole before anything starts."""
+
+import dataclasses
+import pathlib
+import re
+from typing import Annotated
+
+import pydantic
+
+from plumarch.config import ini
+from plumarch.core import data, errors
+
+ADDRESS = re.compile(r"^(?P<host>[0-9a-fA-F.:\[\]]+):(?P<port>\d{1,5})$")
+PORT_LIMIT = 65_535
+KEY_LEAST = 16
+
+
+def _address(value: str) -> str:
+    found = ADDRESS.match(value)
+    if not found or int(found["port"]) > PORT_LIMIT:
+        raise ValueError(f"{value!r} is not IP:port")
+    return value
+
+
+def _peers(value: object) -> dict[str, str]:
+    peers = {}
+    for word in ini.words(value):
+        name, _, address = word.partition("=")
+        if not name or not address:
+            raise ValueError(f"{word!r} is not NAME=IP:port")
+        peers[name.strip()] = _address(address.strip())
+    return peers
+
+
+def _url(value: str) -> str:
+    if not value.startswith(("http://", "https://")):
+        raise ValueError("must begin with http:// or https://")
+    return value.rstrip("/")
+
+
+Address = Annotated[str, pydantic.AfterValidator(_address)]
+PeerAddresses = Annotated[dict[str, str], pydantic.BeforeValidator(_peers)]
+Url = Annotated[str, pydantic.AfterValidator(_url)]
+
+
+class NodeSection(ini.Section):
+    """[node]: who this node is."""
+
+    name: Annotated[str, pydantic.Field(pattern=r"^[a-z0-9][a-z0-9-]*$")]
+    data_centre: str
+
+
+class ListenSection(ini.Section):
+    """[listen]: where it listens. Port 0 takes any free port."""
+
+    callers: Address
+    operators: Address
+    peers: Address
+
+
+class PlatformSection(ini.Section):
+    """[platform]: the platform's API."""
+
+    url: Url
+    token: str = ""
+
+
+class PeersSection(ini.Section):
+    """[peers]: the other entry nodes, and the key that all share."""
+
+    key: Annotated[str, pydantic.Field(min_length=KEY_LEAST)]
+    nodes: PeerAddresses = {}
+
+
+class OperatorsSection(ini.Section):
+    """[operators]: the token of operators' calls."""
+
+    token: Annotated[str, pydantic.Field(min_length=KEY_LEAST)]
+
+
+class LimitsSection(ini.Section):
+    """[limits]: sizes and times of the callers' side."""
+
+    body_bytes: Annotated[int, pydantic.Field(gt=0, le=64 * 1024 * 1024)] = 1024 * 1024
+    coalesce_ms: Annotated[int, pydantic.Field(ge=0, le=1000)] = 20
+    stop_s: Annotated[int, pydantic.Field(ge=0, le=3600)] = 30
+
+
+class LogSection(ini.Section):
+    """[log]: what is logged, and how."""
+
+    level: Annotated[str, pydantic.Field(pattern="^(DEBUG|INFO|WARNING|ERROR)$")] = "INFO"
+    json_lines: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Settings:
+    """All settings of one daemon."""
+
+    node: NodeSection
+    listen: ListenSection
+    platform: PlatformSection
+    peers: PeersSection
+    operators: OperatorsSection
+    limits: LimitsSection
+    log: LogSection
+
+
+def load(path: str) -> Settings:
+    """Read and validate a settings file.
+
+    Raises:
+      SettingsError: with all problems, each at its file, section and key, and a remedy.
+    """
+    try:
+        text = pathlib.Path(path).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        raise errors.SettingsError(f"{path} can't be read: {error}. Name a file.") from error
+    settings, problems = read(path, text)
+    if settings is None:
+        raise errors.SettingsError("\n".join(problem.text() for problem in problems))
+    return settings
+
+
+def read(file: str, text: str) -> tuple[Settings | None, list[data.Problem]]:
+    """Validate a settings text.
+
+    Returns:
+      The settings, or None if there are problems; and all problems.
+    """
+    document = ini.parse(file, text)
+    document.allow_sections({"node", "listen", "platform", "peers", "operators", "limits", "log"})
+    node = document.section("node", NodeSection)
+    listen = document.section("listen", ListenSection)
+    platform = document.section("platform", PlatformSection)
+    peers = document.section("peers", PeersSection)
+    operators = document.section("operators", OperatorsSection)
+    limits = document.section("limits", LimitsSection, required=False)
+    log = document.section("log", LogSection, required=False)
+    if document.problems:
+        return None, document.problems
+    assert node and listen and platform and peers and operators and limits and log
+    return Settings(node, listen, platform, peers, operators, limits, log), []
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Return host and port of an address."""
+    host, _, port = address.rpartition(":")
+    return host.strip("[]"), int(port)
--- /dev/null
+++ b/plumarch/daemon/shell.py
@@ -0,0 +1,317 @@
+"""The shell of a node: turns sockets into events, and the node's actions into calls."""
+
+import asyncio
+import collections
+import random
+import time
+from collections.abc import Coroutine
+from typing import Any
+
+import msgspec
+from loguru import logger
+
+from plumarch.config import publishing
+from plumarch.core import clock, context, data, errors, events, messages
+from plumarch.daemon import metrics, settings, streams
+from plumarch.endpoints import client as endpoint_client
+from plumarch.node import node
+from plumarch.peers import wire
+from plumarch.platform import client as platform_client
+from plumarch.platform import protocol
+
+DECISIONS_LIMIT = 4_000
+"""Decisions kept for those who ask later."""
+
+LISTENERS_LIMIT = 50
+VM_POLL_S = 1.0
+LOAD_POLL_S = 1.0
+CONFIG_WAIT_MS = 5_000
+IDLE_S = 1.0
+
+log = logger.bind(part="shell")
+
+
+class Shell:
+    """One node with its sockets."""
+
+    def __init__(self, given: settings.Settings) -> None:
+        self.settings = given
+        self.clock = clock.MonotonicClock()
+        incarnation = time.time_ns() // 1_000_000
+        self.identity = f"{given.node.name}#{incarnation}"
+        self.node = node.Node(
+            self.identity,
+            given.node.data_centre,
+            self.clock,
+            random.Random(self.identity),
+            tuple(given.peers.nodes),
+        )
+        self.metrics = metrics.Metrics()
+        self.platform = platform_client.HttpPlatform(
+            given.platform.url, given.platform.token, self.clock
+        )
+        self.endpoints = endpoint_client.HttpEndpoints()
+        self.transport = wire.WireTransport(
+            self.identity, given.peers.key.encode(), self._received, self._dropped
+        )
+        self.callers: dict[str, streams.CallerStream] = {}
+        self.calls: dict[tuple[str, int], asyncio.Task[None]] = {}
+        self.tasks: set[asyncio.Task[None]] = set()
+        self.decisions: collections.deque[data.Decision] = collections.deque(maxlen=DECISIONS_LIMIT)
+        self.listeners: set[asyncio.Queue[data.Decision]] = set()
+        self.sequence = 0
+        self.platform_seen_ms = -1
+
+    # Starting and stopping.
+
+    async def start(self) -> None:
+        """Open the peer listener, greet the peers, begin to keep time."""
+        host, port = settings.split_address(self.settings.listen.peers)
+        port = await self.transport.listen(host, port)
+        self.node.address = f"{host}:{port}"
+        for name, address in self.settings.peers.nodes.items():
+            self.transport.add_peer(name, address)
+        for loop in (self._keep_time(), self._poll_vms(), self._poll_loads()):
+            self.spawn(loop)
+        self.spawn(self._watch_config())
+        self.spawn(self._poll_notices())
+        log.info("Node {} listens for peers on {}:{}.", self.identity, host, port)
+
+    def spawn(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
+        """Run a coroutine until it ends or the shell closes."""
+        task = asyncio.get_running_loop().create_task(work)
+        self.tasks.add(task)
+        task.add_done_callback(self._ended)
+        return task
+
+    def _ended(self, task: asyncio.Task[None]) -> None:
+        self.tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            log.opt(exception=task.exception()).error("A task failed.")
+
+    async def stop(self) -> None:
+        """End as planned: hand over what is left, then wait for those who still read."""
+        self.handle(events.StopAsked())
+        limit = self.clock.now() + self.settings.limits.stop_s * 1000
+        while not (self.node.drained() and not self.callers) and self.clock.now() < limit:
+            await asyncio.sleep(node.TICK_MS / 1000)
+        left = len(self.node.table.active)
+        log.info("Node {} stops with {} requests left.", self.identity, left)
+
+    async def close(self) -> None:
+        """Close all sockets."""
+        for task in list(self.tasks):
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        await self.transport.close()
+        await self.platform.close()
+        await self.endpoints.close()
+
+    # Events and actions.
+
+    def handle(self, event: events.Event) -> None:
+        """Hand an event to the node and carry its actions out."""
+        for action in self.node.handle(event):
+            self._perform(action)
+
+    def _perform(self, action: events.Action) -> None:
+        match action:
+            case events.TellTokens():
+                stream = self.callers.get(action.watcher_id)
+                if stream is not None:
+                    stream.tell_tokens(action)
+            case events.Send():
+                self.transport.send(action.node, action.message)
+            case events.HandOver():
+                self._hand_over(action)
+            case events.Abort():
+                call = self.calls.pop((action.request_id, action.attempt), None)
+                if call is not None:
+                    call.cancel()
+            case events.PlatformGet():
+                self.spawn(self._get(action))
+            case events.PlatformPut():
+                self.spawn(self._put(action))
+            case events.TellAccepted():
+                stream = self.callers.get(action.watcher_id)
+                if stream is not None:
+                    stream.tell_accepted(action)
+            case events.TellEnd():
+                stream = self.callers.get(action.watcher_id)
+                if stream is not None:
+                    stream.tell_end(action)
+            case events.Note():
+                self._note(action.decision)
+            case events.Count():
+                self.metrics.count(action)
+            case events.Observe():
+                self.metrics.observe(action)
+
+    def _note(self, decision: data.Decision) -> None:
+        self.decisions.append(decision)
+        for listener in self.listeners:
+            if not listener.full():
+                listener.put_nowait(decision)
+
+    def _received(self, sender: str, message: messages.AnyMessage) -> None:
+        if isinstance(message, messages.Heartbeat) and message.address:
+            self._know_peer(context.name_of(sender), message.address)
+        self.handle(events.PeerMessage(sender, message))
+
+    def _know_peer(self, name: str, address: str) -> None:
+        if name == self.settings.node.name:
+            return
+        self.transport.add_peer(name, address)
+        if name not in self.node.peers:
+            self.node.peers.append(name)
+
+    def _dropped(self, why: str) -> None:
+        self.metrics.count(events.Count("peer_drops", label=why[:60]))
+        log.debug("Peer traffic dropped: {}.", why)
+
+    # Callers.
+
+    def new_stream(self) -> streams.CallerStream:
+        """Return a stream for a caller that is about to ask something."""
+        self.sequence += 1
+        stream = streams.CallerStream(f"{self.identity}/c{self.sequence}")
+        self.callers[stream.watcher_id] = stream
+        return stream
+
+    def new_request_id(self) -> str:
+        """Return an identity for a request that came in here."""
+        self.sequence += 1
+        return f"{self.identity}/{self.sequence}"
+
+    def release(self, stream: streams.CallerStream) -> None:
+        """Forget a caller's stream; the node hears that the caller is gone."""
+        if self.callers.pop(stream.watcher_id, None) is not None and stream.end is None:
+            self.handle(events.CallerGone(stream.watcher_id))
+
+    # Endpoints.
+
+    def _hand_over(self, order: events.HandOver) -> None:
+        name = (order.request.id, order.attempt)
+        task = self.spawn(self.endpoints.run(order, self.handle))
+        self.calls[name] = task
+        task.add_done_callback(lambda _: self.calls.pop(name, None))
+
+    async def _poll_loads(self) -> None:
+        while True:
+            here = [
+                e
+                for e in self.node.placement.endpoints.values()
+                if e.kind is data.EndpointKind.ENGINE
+                and e.data_centre == self.settings.node.data_centre
+            ]
+            for endpoint in here:
+                try:
+                    report = await self.endpoints.load(endpoint)
+                except errors.EndpointError:
+                    continue
+                self.handle(events.LoadSeen(report))
+            await asyncio.sleep(LOAD_POLL_S)
+
+    # The platform.
+
+    async def _get(self, action: events.PlatformGet) -> None:
+        status = events.PlatformStatus
+        try:
+            found = await self.platform.get(action.name)
+        except errors.PlatformAbsent:
+            answer = events.PlatformAnswer(action.call_id, status.ABSENT)
+        except errors.PlatformError as error:
+            self._platform_failed(error)
+            answer = events.PlatformAnswer(action.call_id, status.UNREACHED)
+        else:
+            answer = events.PlatformAnswer(action.call_id, status.OK, found.version, found.value)
+        self.handle(answer)
+
+    async def _put(self, action: events.PlatformPut) -> None:
+        status = events.PlatformStatus
+        version = 0
+        try:
+            version = await self.platform.put(action.name, action.value, action.expected_version)
+            outcome = status.OK
+        except errors.PlatformConflict:
+            outcome = status.CONFLICT
+        except errors.PlatformAnswerLost as error:
+            self._platform_failed(error)
+            outcome = status.UNKNOWN
+        except errors.PlatformError as error:
+            self._platform_failed(error)
+            outcome = status.UNREACHED
+        self.handle(events.PlatformAnswer(action.call_id, outcome, version))
+
+    def _platform_failed(self, error: errors.PlatformError) -> None:
+        self.metrics.count(events.Count("platform_errors", label=type(error).__name__))
+
+    async def _keep_time(self) -> None:
+        while True:
+            self.handle(events.Tick())
+            await asyncio.sleep(node.TICK_MS / 1000)
+
+    async def _poll_vms(self) -> None:
+        while True:
+            try:
+                listed = await self.platform.vms()
+            except errors.PlatformError as error:
+                self._platform_failed(error)
+            else:
+                self.platform_seen_ms = self.clock.now()
+                self._use_vms(listed)
+            await asyncio.sleep(VM_POLL_S)
+
+    def _use_vms(self, listed: protocol.VmList) -> None:
+        for vm in listed.vms:
+            if vm.role == "entry" and vm.address:
+                self._know_peer(vm.name, vm.address)
+        self.handle(events.EndpointsSeen(protocol.endpoints_of(listed)))
+        if listed.gone:
+            self.handle(events.NodesGone(tuple(listed.gone)))
+
+    async def _poll_notices(self) -> None:
+        since = 0
+        while True:
+            try:
+                for notice in await self.platform.notices(since):
+                    since = max(since, notice.number)
+                    self.handle(events.ReclaimNotice(tuple(notice.names), notice.left_ms))
+            except errors.PlatformError as error:
+                self._platform_failed(error)
+            await asyncio.sleep(IDLE_S)
+
+    # Configuration.
+
+    async def _watch_config(self) -> None:
+        """Follow the configuration's head on the platform."""
+        since = -1
+        while True:
+            try:
+                if since < 0:
+                    await self._read_config()
+                    since = 0
+                elif not self.node.is_watcher() and self.node.config.revision:
+                    await asyncio.sleep(IDLE_S)
+                    continue
+                change = await self.platform.watch(publishing.HEAD, since, CONFIG_WAIT_MS)
+                since = change.revision
+                if change.names:
+                    await self._read_config()
+            except errors.PlatformTooOld:
+                since = -1
+            except (errors.PlatformError, msgspec.MsgspecError) as error:
+                if isinstance(error, errors.PlatformError):
+                    self._platform_failed(error)
+                await asyncio.sleep(IDLE_S)
+
+    async def _read_config(self) -> None:
+        head = (await publishing.read_head(self.platform)).head
+        if head.revision <= self.node.config.revision:
+            return
+        documents = {}
+        for digest in self.node.config.missing(head.manifest):
+            text = await self.platform.get(publishing.document_name(digest))
+            documents[digest] = text.value.decode()
+        self.handle(events.ConfigSeen(head.revision, head.manifest, documents))
+        log.info("Configuration revision {} is in force.", self.node.config.revision)
--- /dev/null
+++ b/plumarch/endpoints/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of model engines and plain services."""
--- /dev/null
+++ b/plumarch/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Which VMs to hold."""
--- /dev/null
+++ b/plumarch/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Queues, fair shares and retry budgets."""
--- /dev/null
+++ b/plumarch/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Which entry nodes live."""
--- /dev/null
+++ b/plumarch/node/__init__.py
@@ -0,0 +1,1 @@
+"""One entry node: its decisions, put together."""
--- /dev/null
+++ b/plumarch/node/dispatch.py
@@ -0,0 +1,331 @@
+"""From the queue to an endpoint, and what comes back from there."""
+
+from collections.abc import Callable
+
+from plumarch.config import state as config_state
+from plumarch.core import context, data, events
+from plumarch.limits import fair_queue, retry_budget
+from plumarch.node import runs, watchers
+from plumarch.routing import placement
+
+QUEUE_WAIT_MS = {data.RequestClass.LOOKUP: 100, data.RequestClass.CHAT: 2_000}
+"""How long a class that can't wait stays queued before it is refused."""
+
+BACKOFF_MS = 20
+BACKOFF_LIMIT_MS = 2_000
+
+TOKEN_MS = 30
+"""Assumed time between tokens, until the run's own is known."""
+
+LEAVE_MARGIN_MS = 1_000
+"""A request is left to finish at a leaving endpoint only with this much to spare."""
+
+EndCallback = Callable[[runs.Run, data.Outcome, str, data.Reply | None], None]
+RefuseCallback = Callable[[runs.Run, data.Reason], None]
+
+
+class Dispatch:
+    """Requests of this home that wait for an endpoint or run on one."""
+
+    on_end: EndCallback
+    on_refuse: RefuseCallback
+
+    def __init__(
+        self,
+        ctx: context.Context,
+        table: runs.RunTable,
+        places: placement.Placement,
+        readers: watchers.Watchers,
+        config: config_state.ConfigState,
+    ) -> None:
+        self.ctx = ctx
+        self.table = table
+        self.places = places
+        self.readers = readers
+        self.config = config
+        self.queue = fair_queue.FairQueue()
+        self.budget = retry_budget.RetryBudget()
+        self.delayed: dict[str, runs.Run] = {}
+
+    def _allowed(self, workspace: str) -> frozenset[str]:
+        known = self.config.workspaces.get(workspace)
+        return known.data_centres if known else frozenset()
+
+    def reason_against(self, run: runs.Run) -> data.Reason | None:
+        """Return why a new request has no hope, or None."""
+        request = run.request
+        if run.waits() or self.places.has_target(request, self._allowed(request.workspace)):
+            return None
+        return data.Reason.NO_ENDPOINT
+
+    # Queueing.
+
+    def enqueue(self, run: runs.Run, bounded: bool = True) -> bool:
+        """Queue a run for an endpoint.
+
+        Args:
+          run: the run.
+          bounded: False for work that was accepted before and must not be refused now.
+        Returns:
+          False if its line is full.
+        """
+        request = run.request
+        run.phase = runs.Phase.QUEUED
+        run.queued_ms = self.ctx.now()
+        cost = float(request.prompt_tokens + request.max_tokens) or 1.0
+        entry = fair_queue.Entry(
+            request.id,
+            request.workspace,
+            request.request_class,
+            request.target,
+            cost,
+            run.accepted_ms,
+        )
+        known = self.config.workspaces.get(request.workspace)
+        self.queue.weights[request.workspace] = known.weight if known else 1.0
+        if not self.queue.push(entry):
+            if bounded:
+                return False
+            run.not_before_ms = self.ctx.now() + BACKOFF_LIMIT_MS
+            self.delayed[request.id] = run
+            return True
+        if run.tries == 0:
+            self.budget.first_try(request.workspace)
+        return True
+
+    def pump(self) -> None:
+        """Hand over every queued request that has an endpoint."""
+        chosen: data.Endpoint | None = None
+        considered: tuple[data.Considered, ...] = ()
+
+        def fits(entry: fair_queue.Entry) -> bool:
+            nonlocal chosen, considered
+            run = self.table.active.get(entry.request_id)
+            if run is None:
+                return False
+            allowed = self._allowed(entry.workspace)
+            chosen, considered = self.places.choose(run.request, allowed, frozenset(run.tried))
+            return chosen is not None
+
+        while self.queue.lines:
+            entry = self.queue.pop(self.ctx.now(), fits)
+            if entry is None or chosen is None:
+                return
+            self._hand_over(self.table.active[entry.request_id], chosen, considered)
+
+    def _hand_over(
+        self,
+        run: runs.Run,
+        endpoint: data.Endpoint,
+        considered: tuple[data.Considered, ...],
+        import_from: str = "",
+        import_attempt: int = 0,
+    ) -> None:
+        now = self.ctx.now()
+        request = run.request
+        run.tries += 1
+        run.phase = runs.Phase.RUNNING
+        run.handed_over = True
+        run.endpoint = endpoint.name
+        run.started_ms = now
+        run.leave_by_ms = 0
+        self.places.started(endpoint.name, request.prefix)
+        if run.tries == 1:
+            wait = float(now - run.accepted_ms)
+            self.ctx.act(
+                events.Observe("queue_wait", request.workspace, request.request_class, wait)
+            )
+        why = "best score" if not import_from else "its endpoint leaves; KV cache moves along"
+        self.ctx.note(request, "place", endpoint.name, why, considered)
+        self.ctx.act(
+            events.HandOver(
+                request,
+                run.attempt(),
+                endpoint,
+                tuple(run.tokens),
+                import_from,
+                import_attempt,
+                run.epoch,
+            )
+        )
+
+    # What endpoints say.
+
+    def _current(self, request_id: str, attempt: int) -> runs.Run | None:
+        """Return the run that an endpoint's event belongs to, or None if it is stale."""
+        run = self.table.active.get(request_id)
+        if run is not None and run.phase is runs.Phase.RUNNING and run.attempt() == attempt:
+            return run
+        workspace = run.request.workspace if run else ""
+        self.ctx.count("stale_replies", workspace, "endpoint")
+        return None
+
+    def tokens(self, event: events.EndpointTokens) -> None:
+        """Take in tokens of the attempt in progress; those known already are passed over."""
+        run = self._current(event.request_id, event.attempt)
+        if run is None:
+            return
+        known = len(run.tokens)
+        if event.position > known:
+            self.ctx.act(events.Abort(event.request_id, event.attempt))
+            self._failed(run, True, "tokens are missing from the stream")
+            return
+        news = event.tokens[known - event.position :]
+        self._end_superseded(run)
+        if not news:
+            return
+        self._observe_tokens(run, len(news))
+        run.tokens.extend(news)
+        self.readers.push(run)
+
+    def _observe_tokens(self, run: runs.Run, count: int) -> None:
+        now = self.ctx.now()
+        request = run.request
+        if not run.tokens:
+            self.places.measured(run.endpoint, now - run.started_ms)
+            wait = float(now - run.accepted_ms)
+            self.ctx.act(
+                events.Observe("first_token", request.workspace, request.request_class, wait)
+            )
+        elif run.last_token_ms:
+            gap = (now - run.last_token_ms) / count
+            self.ctx.act(
+                events.Observe("between_tokens", request.workspace, request.request_class, gap)
+            )
+        run.last_token_ms = now
+
+    def _end_superseded(self, run: runs.Run) -> None:
+        if run.superseded:
+            self.ctx.act(events.Abort(run.request.id, run.superseded))
+            run.superseded = 0
+
+    def done(self, event: events.EndpointDone) -> None:
+        """Take in the end of the attempt in progress."""
+        run = self._current(event.request_id, event.attempt)
+        if run is None:
+            return
+        request = run.request
+        if event.recomputed:
+            self.ctx.count("recomputed_tokens", request.workspace, amount=event.recomputed)
+        self._end_superseded(run)
+        reply = event.reply
+        if request.kind is data.EndpointKind.ENGINE:
+            reply = data.Reply(200, reply.content_type, b"", tuple(run.tokens))
+        else:
+            self.places.measured(run.endpoint, self.ctx.now() - run.started_ms)
+        self.places.ended(run.endpoint)
+        run.endpoint = ""
+        total = float(self.ctx.now() - run.accepted_ms)
+        self.ctx.act(events.Observe("total", request.workspace, request.request_class, total))
+        self.on_end(run, data.Outcome.DONE, "", reply)
+
+    def failed(self, event: events.EndpointFailed) -> None:
+        """Take in the failure of the attempt in progress."""
+        run = self._current(event.request_id, event.attempt)
+        if run is not None:
+            self._failed(run, event.delivered, event.why)
+
+    def _failed(self, run: runs.Run, delivered: bool, why: str) -> None:
+        request = run.request
+        self.places.ended(run.endpoint)
+        run.tried.add(run.endpoint)
+        run.endpoint = ""
+        run.phase = runs.Phase.QUEUED
+        first = run.tries == 1 and run.home_attempt == 1
+        if first and not delivered:
+            run.handed_over = False
+        self.ctx.note(request, "fail", f"attempt {run.attempt()}", why)
+        if delivered and not request.repeatable:
+            self.on_end(run, data.Outcome.UNKNOWN, data.Reason.INTERRUPTED, None)
+        elif run.waits() or self.budget.take(request.workspace):
+            self._retry_later(run)
+        else:
+            self.on_refuse(run, data.Reason.RETRY_BUDGET)
+
+    def _retry_later(self, run: runs.Run) -> None:
+        self.ctx.count("retries", run.request.workspace)
+        ceiling = min(BACKOFF_LIMIT_MS, BACKOFF_MS * 2 ** min(run.tries, 7))
+        run.not_before_ms = self.ctx.now() + self.ctx.rng.randrange(ceiling)
+        self.delayed[run.request.id] = run
+
+    def forget(self, run: runs.Run) -> None:
+        """Take a run out of the queue and off its endpoint."""
+        request_id = run.request.id
+        self.delayed.pop(request_id, None)
+        if run.phase is runs.Phase.QUEUED:
+            self.queue.remove(request_id)
+        if run.endpoint:
+            self.places.ended(run.endpoint)
+            if run.phase is runs.Phase.RUNNING:
+                self.ctx.act(events.Abort(request_id, run.attempt()))
+            run.endpoint = ""
+        self._end_superseded(run)
+
+    # Leaving endpoints.
+
+    def endpoint_leaves(self, name: str, left_ms: int) -> None:
+        """Move work off an endpoint under a reclaim notice, the dearest to redo first."""
+        there = [run for run in self.table.active.values() if run.endpoint == name]
+        there.sort(key=lambda run: (-redo_cost(run), run.request.id))
+        now = self.ctx.now()
+        for run in there:
+            if not run.request.repeatable or run.phase is not runs.Phase.RUNNING:
+                continue
+            if left_to_make_ms(run, now) + LEAVE_MARGIN_MS <= left_ms:
+                self.ctx.note(run.request, "stay", name, "it ends before the endpoint does")
+                continue
+            run.leave_by_ms = now + left_ms
+            self._move(run)
+
+    def _move(self, run: runs.Run) -> None:
+        """Continue a run elsewhere; if there is no room it stays, and is tried again."""
+        allowed = self._allowed(run.request.workspace)
+        tried = frozenset({run.endpoint})
+        target, considered = self.places.choose(run.request, allowed, tried)
+        if target is None or target.name == run.endpoint:
+            return
+        old = self.places.endpoints.get(run.endpoint)
+        address = old.address if old and run.request.kind is data.EndpointKind.ENGINE else ""
+        old_attempt = run.attempt()
+        self.places.ended(run.endpoint)
+        self._end_superseded(run)
+        run.superseded = old_attempt
+        self.ctx.count("moves", run.request.workspace)
+        self._hand_over(run, target, considered, address, old_attempt)
+
+    def tick(self) -> None:
+        """Requeue what waited long enough, refuse what waited too long, move what must."""
+        now = self.ctx.now()
+        for run in list(self.delayed.values()):
+            if now >= run.not_before_ms:
+                del self.delayed[run.request.id]
+                self.enqueue(run, bounded=False)
+        for run in list(self.table.active.values()):
+            if run.phase is runs.Phase.QUEUED:
+                self._refuse_if_late(run, now)
+            elif run.phase is runs.Phase.RUNNING and run.leave_by_ms > now:
+                self._move(run)
+            elif run.phase is runs.Phase.RUNNING and run.left_ms(now) <= 0:
+                self.on_end(run, data.Outcome.UNKNOWN, data.Reason.DEADLINE, None)
+
+    def _refuse_if_late(self, run: runs.Run, now: int) -> None:
+        limit = QUEUE_WAIT_MS.get(run.request.request_class)
+        waited = now - run.queued_ms
+        if run.left_ms(now) <= 0:
+            self.on_refuse(run, data.Reason.DEADLINE)
+        elif limit is not None and waited >= limit and run.request.id not in self.delayed:
+            self.on_refuse(run, data.Reason.QUEUE_FULL)
+
+
+def redo_cost(run: runs.Run) -> int:
+    """Return the tokens that would be computed again if a run started over."""
+    return run.request.prompt_tokens + len(run.tokens)
+
+
+def left_to_make_ms(run: runs.Run, now: int) -> int:
+    """Return how long a run still takes, from its own pace so far."""
+    made = len(run.tokens)
+    pace = TOKEN_MS
+    if made > 1 and run.last_token_ms > run.started_ms:
+        pace = max(1, (run.last_token_ms - run.started_ms) // made)
+    return max(0, run.request.max_tokens - made) * pace
--- /dev/null
+++ b/plumarch/node/home.py
@@ -0,0 +1,489 @@
+"""The life of a request at its home, from the claim of its key to its end."""
+
+import dataclasses
+
+from plumarch.config import state as config_state
+from plumarch.core import context, data, events, messages
+from plumarch.membership import members
+from plumarch.node import dispatch, followers, runs, watchers
+from plumarch.recovery import inquiries, keys, ledger
+
+PATIENCE_MS = {
+    data.RequestClass.LOOKUP: 150,
+    data.RequestClass.CHAT: 600,
+    data.RequestClass.DRAFT: inquiries.GIVE_UP_MS,
+    data.RequestClass.REVIEW: inquiries.GIVE_UP_MS,
+}
+"""How long a repeatable request waits for its key's slot before it runs unrecorded."""
+
+SETTLE_PATIENCE_MS = 30_000
+
+COPY_RESEND_MS = 300
+"""After this long without answer another node is asked to hold the copy."""
+
+COPY_TRIES = 3
+"""Nodes asked for a copy before the request is accepted without one."""
+
+COPY_RETRY_MS = 2_000
+"""Time between later tries to place a copy of a request accepted without one."""
+
+ABANDON_MS = 10_000
+"""How long a keyed stream goes on without a reader before it is cancelled."""
+
+UNCOPIED = "no node in another data centre could be reached to hold a copy"
+UNRECORDED = "the owner of the key's slot could not be reached"
+
+
+class Home:
+    """The requests whose home is this node."""
+
+    def __init__(
+        self,
+        ctx: context.Context,
+        membership: members.Membership,
+        slots: ledger.Ledger,
+        questions: inquiries.Inquiries,
+        table: runs.RunTable,
+        readers: watchers.Watchers,
+        dispatcher: dispatch.Dispatch,
+        follower: followers.Followers,
+        config: config_state.ConfigState,
+    ) -> None:
+        self.ctx = ctx
+        self.membership = membership
+        self.slots = slots
+        self.questions = questions
+        self.table = table
+        self.readers = readers
+        self.dispatcher = dispatcher
+        self.follower = follower
+        self.config = config
+        dispatcher.on_end = self.end
+        dispatcher.on_refuse = self.refuse
+        follower.on_rerun = self.rerun
+
+    # Arrival.
+
+    def start(self, event: events.Arrived) -> None:
+        """Take a caller's request in."""
+        request = event.request
+        run = runs.Run(request, self.ctx.now())
+        run.watchers[event.watcher_id] = runs.Watcher(event.watcher_id, "", event.position)
+        self.ctx.count("requests", request.workspace, request.request_class)
+        if self._needs_key(request) and not self._issue_key(run):
+            self._end_unclaimed(run, data.Outcome.NOT_RUN, data.Reason.NO_OWNER)
+            return
+        request = run.request
+        reason = self._reason_against(run)
+        self.table.add(run)
+        self.ctx.note(request, "arrive", self.ctx.node, f"{request.request_class} request")
+        if reason is not None:
+            self.refuse(run, reason)
+        elif not request.key:
+            self._queue(run)
+        else:
+            self._claim(run, refuse=False)
+
+    def _needs_key(self, request: data.Request) -> bool:
+        waits = request.request_class in data.WAITING_CLASSES
+        return not request.key and (waits or not request.repeatable)
+
+    def _issue_key(self, run: runs.Run) -> bool:
+        issued = self.issue_key(run.request.id)
+        if issued is None:
+            return False
+        key, epoch = issued
+        run.request = dataclasses.replace(run.request, key=key, minted_epoch=epoch)
+        run.own_key = True
+        return True
+
+    def issue_key(self, unique: str) -> tuple[str, int] | None:
+        """Make a key that proves itself not older than its slot's epoch.
+
+        Args:
+          unique: a text that no other key of this node has.
+        Returns:
+          The key and its epoch, or None if no slot's owner is known.
+        """
+        own = self.slots.owned_list()
+        if own:
+            slot, epoch = own[self.ctx.rng.randrange(len(own))]
+            return keys.issue(slot, epoch, unique), epoch
+        known = sorted(self.slots.routes)
+        if not known:
+            return None
+        slot = known[self.ctx.rng.randrange(len(known))]
+        epoch = self.slots.routes[slot].epoch
+        return keys.issue(slot, epoch, unique), epoch
+
+    def _reason_against(self, run: runs.Run) -> data.Reason | None:
+        """Return why a new request is refused before anything is asked, if it is."""
+        if self.membership.leaving:
+            return data.Reason.STOPPING
+        if self.table.full():
+            return data.Reason.RUN_TABLE_FULL
+        return self.dispatcher.reason_against(run)
+
+    def _end_unclaimed(self, run: runs.Run, outcome: data.Outcome, reason: data.Reason) -> None:
+        run.outcome = outcome
+        run.reason = reason
+        self._count_refusal(run)
+        self.readers.end(run)
+
+    # The claim of the key.
+
+    def _claim(self, run: runs.Run, refuse: bool) -> None:
+        request = run.request
+        kind = inquiries.Kind.REFUSE if refuse else inquiries.Kind.CLAIM
+        message = messages.Claim(
+            keys.slot_of(request.workspace, request.key),
+            request.workspace,
+            request.key,
+            request.minted_epoch,
+            request.id,
+            request.fingerprint,
+            refuse,
+            request.repeatable,
+            run.waits(),
+        )
+        patience = PATIENCE_MS[request.request_class]
+        if refuse or not request.repeatable:
+            patience = inquiries.GIVE_UP_MS
+        self.questions.ask(kind, request.id, message, min(patience, request.timeout_ms))
+
+    def claim_answered(self, m: messages.ClaimAnswer) -> None:
+        """Act on the slot owner's answer to a claim."""
+        kind = inquiries.Kind.REFUSE if m.refuse else inquiries.Kind.CLAIM
+        inquiry = self.questions.answered(kind, m.request_id, m.verdict)
+        run = self.table.get(m.request_id)
+        if inquiry is None:
+            self._late_grant(run, m)
+            return
+        if run is None or run.phase is runs.Phase.ENDED:
+            return
+        if m.refuse:
+            self._refusal_answered(run, m.verdict, m.record)
+        elif m.verdict is messages.Verdict.GRANTED:
+            self._granted(run, m.epoch)
+        elif m.verdict is messages.Verdict.EXISTS and m.record is not None:
+            self._join_existing(run, m.record)
+        elif m.verdict is messages.Verdict.CONFLICT:
+            self.end(run, data.Outcome.UNKNOWN, data.Reason.KEY_CONFLICT)
+        elif m.verdict is messages.Verdict.UNCERTAIN:
+            self._not_granted(run, data.Reason.SLOT_UNCERTAIN)
+        elif m.verdict is messages.Verdict.FULL:
+            self._not_granted(run, data.Reason.KEY_TABLE_FULL)
+        else:
+            self._not_granted(run, data.Reason.NO_PERMISSION)
+
+    def _late_grant(self, run: runs.Run | None, m: messages.ClaimAnswer) -> None:
+        """Settle a key whose grant came after the request was given up unrun."""
+        if run is None or m.refuse or m.verdict is not messages.Verdict.GRANTED:
+            return
+        if run.phase is runs.Phase.ENDED and not run.handed_over and not run.recorded:
+            self._settle(run, data.KeyState.REFUSED)
+
+    def _granted(self, run: runs.Run, epoch: int) -> None:
+        run.recorded = True
+        run.epoch = epoch
+        self.ctx.note(run.request, "grant", f"epoch {epoch}", "the key is new")
+        if run.waits():
+            run.phase = runs.Phase.COPYING
+            self._ask_for_copy(run)
+        else:
+            self._accept(run)
+
+    def _join_existing(self, run: runs.Run, record: data.KeyRecord) -> None:
+        """Make the callers readers of the request that the key stands for already."""
+        self.ctx.note(run.request, "join", record.home, f"the key is known: {record.state}")
+        self.table.remove(run.request.id)
+        for watcher in run.watchers.values():
+            self.follower.follow_record(watcher.watcher_id, watcher.position, record, run.request)
+
+    def _not_granted(self, run: runs.Run, reason: data.Reason) -> None:
+        """Go on without a grant where that is safe, else give the final answer."""
+        if run.own_key:
+            self.end(run, data.Outcome.NOT_RUN, reason)
+        elif run.request.repeatable:
+            run.weakened = UNRECORDED
+            self.ctx.count("weakened", run.request.workspace, "unrecorded")
+            self.ctx.note(run.request, "weaken", "run unrecorded", UNRECORDED)
+            if run.waits():
+                run.phase = runs.Phase.COPYING
+                self._ask_for_copy(run)
+            else:
+                self._accept(run)
+        else:
+            self.end(run, data.Outcome.UNKNOWN, reason)
+
+    # The copy in another data centre.
+
+    def _ask_for_copy(self, run: runs.Run) -> None:
+        now = self.ctx.now()
+        run.copy_asked_ms = now
+        holders = self.membership.live(other_than_data_centre=self.ctx.data_centre)
+        untried = [node for node in holders if node not in run.copy_tried]
+        if not untried or len(run.copy_tried) >= COPY_TRIES:
+            run.copy_holder = ""
+            run.copy_tried.clear()
+            if run.phase is runs.Phase.COPYING:
+                self._accept_uncopied(run)
+            return
+        run.copy_holder = untried[self.ctx.rng.randrange(len(untried))]
+        run.copy_tried.add(run.copy_holder)
+        self.ctx.send(run.copy_holder, messages.CopyPut(run.request, run.home_attempt))
+
+    def _renew_copy(self, run: runs.Run) -> None:
+        """Tell the holder of the copy who the home is now, or find another holder."""
+        holder = run.copy_holder
+        fit = holder in self.membership.live(other_than_data_centre=self.ctx.data_centre)
+        if holder and fit:
+            run.copy_asked_ms = self.ctx.now()
+            self.ctx.send(holder, messages.CopyPut(run.request, run.home_attempt))
+            return
+        if holder and holder != self.ctx.node:
+            self.ctx.send(holder, messages.CopyDrop(run.request.id))
+        run.copy_holder = ""
+        self._ask_for_copy(run)
+
+    def _accept_uncopied(self, run: runs.Run) -> None:
+        run.weakened = run.weakened or UNCOPIED
+        self.ctx.count("weakened", run.request.workspace, "uncopied")
+        self.ctx.note(run.request, "weaken", "accept without copy", UNCOPIED)
+        self._accept(run)
+
+    def copy_answered(self, sender: str, m: messages.CopyAck) -> None:
+        """Act on a node's answer to a request to hold a copy."""
+        run = self.table.active.get(m.request_id)
+        if run is None:
+            if m.held:
+                self.ctx.send(sender, messages.CopyDrop(m.request_id))
+            return
+        if sender != run.copy_holder:
+            return
+        if not m.held:
+            self._ask_for_copy(run)
+            return
+        run.copy_tried.clear()
+        run.copy_asked_ms = 0
+        if run.weakened == UNCOPIED:
+            run.weakened = ""
+        self.ctx.note(run.request, "copy", sender, "another data centre holds the request")
+        if run.phase is runs.Phase.COPYING:
+            self._accept(run)
+
+    def _accept(self, run: runs.Run) -> None:
+        if run.request.key:
+            run.own_key = False
+            self.readers.accepted(run)
+        self._queue(run)
+
+    def _queue(self, run: runs.Run) -> None:
+        if not self.dispatcher.enqueue(run):
+            self.refuse(run, data.Reason.QUEUE_FULL)
+
+    # Refusing.
+
+    def refuse(self, run: runs.Run, reason: data.Reason) -> None:
+        """Give a request up. "Not run" is told only once it is proven and recorded."""
+        run.refusal = reason
+        if run.handed_over:
+            self.end(run, data.Outcome.UNKNOWN, reason)
+        elif not run.request.key or run.own_key:
+            self.end(run, data.Outcome.NOT_RUN, reason)
+        elif run.recorded:
+            run.phase = runs.Phase.REFUSING
+            self._settle(run, data.KeyState.REFUSED, inquiries.GIVE_UP_MS)
+        elif run.weakened == UNRECORDED:
+            self.end(run, data.Outcome.UNKNOWN, reason)
+        else:
+            run.phase = runs.Phase.REFUSING
+            self._claim(run, refuse=True)
+
+    def _refusal_answered(
+        self, run: runs.Run, verdict: messages.Verdict, record: data.KeyRecord | None
+    ) -> None:
+        reason = run.refusal or data.Reason.SETTLED
+        if verdict is messages.Verdict.GRANTED:
+            self.end(run, data.Outcome.NOT_RUN, reason)
+        elif verdict is messages.Verdict.EXISTS and record is not None:
+            self._join_existing(run, record)
+        elif verdict is messages.Verdict.CONFLICT:
+            self.end(run, data.Outcome.UNKNOWN, data.Reason.KEY_CONFLICT)
+        else:
+            self.end(run, data.Outcome.UNKNOWN, reason)
+
+    # The end.
+
+    def end(
+        self,
+        run: runs.Run,
+        outcome: data.Outcome,
+        reason: str = "",
+        reply: data.Reply | None = None,
+    ) -> None:
+        """End a run: tell its readers, record how it ended, let its copy go."""
+        if run.phase is runs.Phase.ENDED:
+            return
+        self.dispatcher.forget(run)
+        run.outcome = outcome
+        run.reason = reason
+        run.reply = reply
+        self.table.end(run)
+        self._count_refusal(run)
+        self.ctx.note(run.request, "end", outcome, reason or "the whole answer was made")
+        self.readers.end(run)
+        if run.copy_holder:
+            self.ctx.send(run.copy_holder, messages.CopyDrop(run.request.id))
+        if run.recorded and (run.refusal is None or run.handed_over):
+            self._settle_end(run)
+
+    def _settle_end(self, run: runs.Run) -> None:
+        if run.outcome is data.Outcome.DONE:
+            self._settle(run, data.KeyState.DONE)
+        elif run.outcome is data.Outcome.UNKNOWN:
+            self._settle(run, data.KeyState.UNKNOWN)
+
+    def _count_refusal(self, run: runs.Run) -> None:
+        workspace = run.request.workspace
+        self.ctx.count("answers", workspace, run.outcome)
+        if run.outcome is not data.Outcome.DONE:
+            self.ctx.count("refusals", workspace, run.reason)
+
+    def _settle(
+        self,
+        run: runs.Run,
+        state: data.KeyState,
+        patience_ms: int = SETTLE_PATIENCE_MS,
+    ) -> None:
+        request = run.request
+        message = messages.Settle(
+            keys.slot_of(request.workspace, request.key),
+            request.workspace,
+            request.key,
+            request.id,
+            run.home_attempt,
+            state,
+            run.reply,
+        )
+        self.questions.ask(inquiries.Kind.SETTLE, request.id, message, patience_ms)
+
+    def settle_answered(self, m: messages.SettleAnswer) -> None:
+        """Act on the slot owner's answer about the end of a request."""
+        inquiry = self.questions.answered(inquiries.Kind.SETTLE, m.request_id, m.verdict)
+        run = self.table.get(m.request_id)
+        if inquiry is None or run is None or run.phase is not runs.Phase.REFUSING:
+            return
+        self._refusal_answered(run, m.verdict, m.record)
+
+    def given_up(self, inquiry: inquiries.Inquiry) -> None:
+        """Act on a question that nobody answered."""
+        run = self.table.active.get(inquiry.subject)
+        if run is None:
+            return
+        if inquiry.kind is inquiries.Kind.CLAIM:
+            self._not_granted(run, data.Reason.NO_OWNER)
+        elif run.phase is runs.Phase.REFUSING:
+            self.end(run, data.Outcome.UNKNOWN, run.refusal or data.Reason.NO_OWNER)
+
+    # Other callers of the same request.
+
+    def cancel(self, request_id: str) -> bool:
+        """Cancel a request at its home.
+
+        Returns:
+          Whether it was in progress here.
+        """
+        run = self.table.active.get(request_id)
+        if run is None:
+            return False
+        if not run.request.repeatable and run.handed_over:
+            return True
+        if run.handed_over:
+            self.end(run, data.Outcome.UNKNOWN, data.Reason.CANCELLED)
+        else:
+            self.refuse(run, data.Reason.CANCELLED)
+        return True
+
+    def caller_gone(self, watcher_id: str) -> None:
+        """Take a reader away; a stream that nobody reads is cancelled."""
+        for run in list(self.table.active.values()):
+            if run.watchers.pop(watcher_id, None) is None or run.watchers:
+                continue
+            if run.waits() or not run.request.repeatable:
+                continue
+            if run.request.key:
+                run.abandoned_ms = self.ctx.now()
+            else:
+                self.cancel(run.request.id)
+
+    def rerun(
+        self, request: data.Request, record: data.KeyRecord, watcher_id: str, position: int
+    ) -> None:
+        """Become the home of a repeatable request whose home is gone."""
+        run = runs.Run(
+            dataclasses.replace(request, id=record.request_id),
+            self.ctx.now(),
+            home_attempt=record.attempt + 1,
+            handed_over=True,
+        )
+        run.watchers[watcher_id] = runs.Watcher(watcher_id, "", position)
+        known = self.table.active.get(record.request_id)
+        if known is not None:
+            self.readers.add(known, run.watchers[watcher_id])
+            return
+        self.table.ended.pop(record.request_id, None)
+        self.table.add(run)
+        if request.key:
+            self.ask_rehome(run)
+        else:
+            self.dispatcher.enqueue(run, bounded=False)
+
+    def ask_rehome(self, run: runs.Run) -> None:
+        """Ask the slot's owner to make this node the home of a run."""
+        request = run.request
+        message = messages.Rehome(
+            keys.slot_of(request.workspace, request.key),
+            request.workspace,
+            request.key,
+            request.id,
+            request.fingerprint,
+            run.home_attempt,
+            run.waits(),
+        )
+        self.questions.ask(inquiries.Kind.REHOME, request.id, message)
+
+    def rehomed(self, run: runs.Run) -> None:
+        """Start a run whose home is this node from now on."""
+        run.recorded = True
+        run.told_accepted = True
+        if run.waits():
+            run.phase = runs.Phase.QUEUED
+            self._renew_copy(run)
+        if not self.dispatcher.enqueue(run, bounded=False):
+            self.refuse(run, data.Reason.QUEUE_FULL)
+
+    def tick(self) -> None:
+        """Place missing copies, and cancel streams that nobody reads."""
+        now = self.ctx.now()
+        self.table.tick()
+        for run in list(self.table.active.values()):
+            if run.waits() and run.phase is not runs.Phase.CLAIMING:
+                self._tend_copy(run, now)
+            if run.abandoned_ms and now - run.abandoned_ms > ABANDON_MS and not run.watchers:
+                self.cancel(run.request.id)
+
+    def _tend_copy(self, run: runs.Run, now: int) -> None:
+        if run.phase is runs.Phase.REFUSING:
+            return
+        if run.copy_asked_ms and run.copy_holder:
+            if now - run.copy_asked_ms >= COPY_RESEND_MS:
+                self._ask_for_copy(run)
+            return
+        lost = run.copy_holder and self.membership.state(run.copy_holder) in (
+            data.NodeState.GONE,
+            data.NodeState.LEAVING,
+        )
+        missing = not run.copy_holder and now - run.copy_asked_ms >= COPY_RETRY_MS
+        if lost or missing:
+            self._ask_for_copy(run)
--- /dev/null
+++ b/plumarch/node/runs.py
@@ -0,0 +1,152 @@
+"""The requests whose home is this node, running and ended."""
+
+import dataclasses
+import enum
+
+from plumarch.core import context, data
+from plumarch.recovery import keys
+
+RUNS_LIMIT = 5_000
+"""Requests in progress at most; a further one is refused as not run."""
+
+ENDED_LIMIT = 5_000
+ENDED_BYTES_LIMIT = 16 * 1024 * 1024
+ENDED_KEEP_MS = 120_000
+"""How long, and how much, of ended requests is kept for callers that reattach here."""
+
+TRIES_PER_HOME = 1_000
+"""Attempt numbers set aside for each home that a request has."""
+
+
+class Phase(enum.StrEnum):
+    """How far a request has got."""
+
+    CLAIMING = "claiming"
+    COPYING = "copying"
+    QUEUED = "queued"
+    RUNNING = "running"
+    REFUSING = "refusing"
+    ENDED = "ended"
+
+
+@dataclasses.dataclass(slots=True)
+class Watcher:
+    """Somebody who reads a request's answer; node is "" for a caller of this node."""
+
+    watcher_id: str
+    node: str
+    position: int
+
+
+@dataclasses.dataclass(slots=True)
+class Run:
+    """A request at its home.
+
+    Attributes:
+      home_attempt: counts the homes that the request has had.
+      tries: endpoint calls made by this home.
+      own_key: this node issued the key and has not told it to anybody.
+      recorded: a slot holds a record of the key that names this home.
+      handed_over: a byte of it may have reached an endpoint, here or at an earlier home.
+      superseded: attempt that goes on at a leaving endpoint until the next one answers.
+      weakened: which promise does not hold for it, or "".
+    """
+
+    request: data.Request
+    accepted_ms: int
+    phase: Phase = Phase.CLAIMING
+    home_attempt: int = 1
+    tries: int = 0
+    own_key: bool = False
+    recorded: bool = False
+    epoch: int = 0
+    handed_over: bool = False
+    told_accepted: bool = False
+    endpoint: str = ""
+    tried: set[str] = dataclasses.field(default_factory=set)
+    tokens: list[str] = dataclasses.field(default_factory=list)
+    watchers: dict[str, Watcher] = dataclasses.field(default_factory=dict)
+    queued_ms: int = 0
+    started_ms: int = 0
+    last_token_ms: int = 0
+    not_before_ms: int = 0
+    leave_by_ms: int = 0
+    superseded: int = 0
+    abandoned_ms: int = 0
+    copy_holder: str = ""
+    copy_asked_ms: int = 0
+    copy_tried: set[str] = dataclasses.field(default_factory=set)
+    adopter: str = ""
+    adopt_asked_ms: int = 0
+    weakened: str = ""
+    refusal: data.Reason | None = None
+    outcome: data.Outcome = data.Outcome.RUNNING
+    reason: str = ""
+    reply: data.Reply | None = None
+    ended_ms: int = 0
+
+    def attempt(self) -> int:
+        """Return the number of the endpoint call in progress; unique over all homes."""
+        return self.home_attempt * TRIES_PER_HOME + self.tries
+
+    def waits(self) -> bool:
+        """Return whether the request is of a class that waits and is copied."""
+        return self.request.request_class in data.WAITING_CLASSES
+
+    def left_ms(self, now: int) -> int:
+        """Return how much of the caller's time is left."""
+        return self.accepted_ms + self.request.timeout_ms - now
+
+
+class RunTable:
+    """Runs by request id; ended ones are kept for a while, within bounds."""
+
+    def __init__(self, ctx: context.Context) -> None:
+        self.ctx = ctx
+        self.active: dict[str, Run] = {}
+        self.ended: dict[str, Run] = {}
+        self.ended_bytes = 0
+
+    def get(self, request_id: str) -> Run | None:
+        """Return a run, active or ended."""
+        return self.active.get(request_id) or self.ended.get(request_id)
+
+    def full(self) -> bool:
+        """Return whether no more runs fit in."""
+        return len(self.active) >= RUNS_LIMIT
+
+    def add(self, run: Run) -> None:
+        """Take a run in."""
+        self.active[run.request.id] = run
+
+    def remove(self, request_id: str) -> None:
+        """Forget an active run: it never was, or has another home."""
+        self.active.pop(request_id, None)
+
+    def end(self, run: Run) -> None:
+        """Move a run to the ended ones."""
+        self.active.pop(run.request.id, None)
+        run.phase = Phase.ENDED
+        run.ended_ms = self.ctx.now()
+        self.ended[run.request.id] = run
+        self.ended_bytes += _size(run)
+        self._trim()
+
+    def _trim(self) -> None:
+        now = self.ctx.now()
+        while self.ended:
+            oldest = next(iter(self.ended.values()))
+            too_many = len(self.ended) > ENDED_LIMIT or self.ended_bytes > ENDED_BYTES_LIMIT
+            if not too_many and now - oldest.ended_ms <= ENDED_KEEP_MS:
+                return
+            del self.ended[oldest.request.id]
+            self.ended_bytes -= _size(oldest)
+
+    def tick(self) -> None:
+        """Drop ended runs that are past their time."""
+        self._trim()
+
+
+def _size(run: Run) -> int:
+    reply = keys.reply_size(run.reply) if run.reply else 0
+    return len(run.request.body) + reply
--- /dev/null
+++ b/plumarch/peers/__init__.py
@@ -0,0 +1,1 @@
+"""The transport between entry nodes."""
--- /dev/null
+++ b/plumarch/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's object API, cloud API and lists."""
--- /dev/null
+++ b/plumarch/platform/client.py
@@ -0,0 +1,119 @@
+"""The platform over HTTP, within this process's share of its call budget."""
+
+import httpx
+import msgspec
+
+from plumarch.core import clock, errors
+from plumarch.platform import protocol
+
+READS_PER_S = 20.0
+WRITES_PER_S = 5.0
+"""This process's share of the platform's 2,000 reads and 100 writes a second."""
+
+BURST_S = 10.0
+"""A process may save up this many seconds of calls."""
+
+TIMEOUT_S = 3.0
+
+
+class Budget:
+    """A token bucket for one kind of call."""
+
+    def __init__(self, time: clock.Clock, per_second: float) -> None:
+        self.time = time
+        self.per_second = per_second
+        self.saved = per_second * BURST_S
+        self.last_ms = time.now()
+
+    def take(self) -> None:
+        """Spend a call.
+
+        Raises:
+          BudgetExceeded: none is left.
+        """
+        now = self.time.now()
+        earned = (now - self.last_ms) / 1000 * self.per_second
+        self.saved = min(self.per_second * BURST_S, self.saved + earned)
+        self.last_ms = now
+        if self.saved < 1.0:
+            raise errors.BudgetExceeded("Too many platform calls. Wait a second.")
+        self.saved -= 1.0
+
+
+class HttpPlatform:
+    """The platform's HTTP API."""
+
+    def __init__(self, url: str, token: str, time: clock.Clock) -> None:
+        headers = {"Authorization": f"Bearer {token}"} if token else {}
+        self.http = httpx.AsyncClient(base_url=url, headers=headers, timeout=TIMEOUT_S)
+        self.reads = Budget(time, READS_PER_S)
+        self.writes = Budget(time, WRITES_PER_S)
+
+    async def _read(
+        self, path: str, params: dict[str, str | int], timeout_s: float = TIMEOUT_S
+    ) -> httpx.Response:
+        self.reads.take()
+        try:
+            answer = await self.http.get(path, params=params, timeout=timeout_s)
+        except httpx.HTTPError as error:
+            raise errors.PlatformUnavailable(f"No answer: {error!r}. Try again.") from error
+        if answer.status_code >= 500 or answer.status_code == 429:
+            raise errors.PlatformUnavailable(f"Status {answer.status_code}. Try again.")
+        return answer
+
+    async def get(self, name: str) -> protocol.Object:
+        """Read an object. Raises PlatformAbsent, PlatformUnavailable."""
+        answer = await self._read(f"/objects/{name}", {})
+        if answer.status_code == 404:
+            raise errors.PlatformAbsent(f"There is no object {name}.")
+        return protocol.Object(name, int(answer.headers["etag"]), answer.content)
+
+    async def put(self, name: str, value: bytes, expected_version: int) -> int:
+        """Write an object at an expected version (0: absent).
+
+        Returns:
+          The new version.
+        Raises:
+          PlatformConflict: the object has another version; nothing was written.
+          PlatformUnavailable: the call never arrived; nothing was written.
+          PlatformAnswerLost: it may have been written; read it back.
+        """
+        self.writes.take()
+        headers = {"If-Match": str(expected_version)}
+        if expected_version == 0:
+            headers = {"If-None-Match": "*"}
+        try:
+            answer = await self.http.put(f"/objects/{name}", content=value, headers=headers)
+        except (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout) as error:
+            raise errors.PlatformUnavailable(f"Not reached: {error!r}.") from error
+        except httpx.HTTPError as error:
+            raise errors.PlatformAnswerLost(f"Answer lost: {error!r}. Read back.") from error
+        if answer.status_code == 412:
+            raise errors.PlatformConflict(f"{name} changed since it was read. Read it again.")
+        if answer.status_code == 429:
+            raise errors.PlatformUnavailable("The platform declined the call. Try again.")
+        if answer.status_code != 200:
+            raise errors.PlatformAnswerLost(f"Status {answer.status_code}. Read back.")
+        return int(answer.headers["etag"])
+
+    async def watch(self, prefix: str, since: int, wait_ms: int) -> protocol.Change:
+        """Wait for changes after a revision. Raises PlatformTooOld, PlatformUnavailable."""
+        params: dict[str, str | int] = {"prefix": prefix, "since": since, "wait_ms": wait_ms}
+        answer = await self._read("/watch", params, wait_ms / 1000 + TIMEOUT_S)
+        if answer.status_code == 410:
+            raise errors.PlatformTooOld("The history is shorter. Read all, then watch.")
+        return msgspec.json.decode(answer.content, type=protocol.Change)
+
+    async def vms(self) -> protocol.VmList:
+        """Read the VM list. Raises PlatformUnavailable."""
+        answer = await self._read("/vms", {})
+        return msgspec.json.decode(answer.content, type=protocol.VmList)
+
+    async def notices(self, since: int) -> list[protocol.Notice]:
+        """Read the reclaim notices after a number. Raises PlatformUnavailable."""
+        answer = await self._read("/cloud/notices", {"since": since})
+        return msgspec.json.decode(answer.content, type=list[protocol.Notice])
+
+    async def close(self) -> None:
+        """Close the connections."""
+        await self.http.aclose()
--- /dev/null
+++ b/plumarch/platform/protocol.py
@@ -0,0 +1,121 @@
+"""What plumarch needs of the platform, and the types it speaks in."""
+
+from typing import Protocol
+
+import msgspec
+
+from plumarch.core import data
+
+
+class Object(msgspec.Struct, frozen=True):
+    """An object read from the platform."""
+
+    name: str
+    version: int
+    value: bytes
+
+
+class Change(msgspec.Struct, frozen=True):
+    """The answer of a watch: the revision reached, and the names that changed."""
+
+    revision: int
+    names: list[str]
+
+
+class Vm(msgspec.Struct, frozen=True):
+    """A line of the platform's VM list.
+
+    Attributes:
+      role: "entry", "engine" or "service".
+      address: base URL of an endpoint, or IP:port of an entry node's peer listener.
+      state: "live" or "leaving".
+    """
+
+    name: str
+    data_centre: str
+    role: str
+    address: str
+    targets: list[str] = []
+    capacity: int = 8
+    vm_class: str = "standard"
+    price: float = 1.0
+    checks_fencing: bool = False
+    reclaimable: bool = True
+    state: str = "live"
+    leaves_in_ms: int = 0
+
+
+class VmList(msgspec.Struct, frozen=True):
+    """The VM list; gone names node incarnations that no longer exist."""
+
+    vms: list[Vm]
+    gone: list[str] = []
+
+
+class Notice(msgspec.Struct, frozen=True):
+    """A reclaim notice of the cloud."""
+
+    number: int
+    names: list[str]
+    left_ms: int
+
+
+class Order(msgspec.Struct, frozen=True):
+    """An order to the cloud. Its token makes a repeated order the same order."""
+
+    token: str
+    data_centre: str
+    vm_class: str
+    targets: list[str]
+    reclaimable: bool
+    fencing_token: int
+
+
+class Platform(Protocol):
+    """The platform's services. Every call may raise PlatformUnavailable.
+
+    Writes may raise PlatformAnswerLost: they may then have taken effect.
+    """
+
+    async def get(self, name: str) -> Object:
+        """Read an object. Raises PlatformAbsent."""
+        ...
+
+    async def put(self, name: str, value: bytes, expected_version: int) -> int:
+        """Write an object at an expected version (0: absent). Raises PlatformConflict."""
+        ...
+
+    async def watch(self, prefix: str, since: int, wait_ms: int) -> Change:
+        """Wait for changes of objects after a revision. Raises PlatformTooOld."""
+        ...
+
+    async def vms(self) -> VmList:
+        """Read the VM list, which lags."""
+        ...
+
+    async def notices(self, since: int) -> list[Notice]:
+        """Read the reclaim notices after a number."""
+        ...
+
+
+def endpoints_of(listed: VmList) -> tuple[data.Endpoint, ...]:
+    """Return the endpoints of a VM list."""
+    kinds = {"engine": data.EndpointKind.ENGINE, "service": data.EndpointKind.SERVICE}
+    return tuple(
+        data.Endpoint(
+            vm.name,
+            vm.data_centre,
+            kinds[vm.role],
+            vm.address,
+            tuple(vm.targets),
+            vm.capacity,
+            vm.vm_class,
+            vm.price,
+            vm.checks_fencing,
+            vm.reclaimable,
+            data.EndpointState(vm.state),
+            vm.leaves_in_ms,
+        )
+        for vm in listed.vms
+        if vm.role in kinds
+    )
--- /dev/null
+++ b/plumarch/proof/__init__.py
@@ -0,0 +1,1 @@
+"""Invariants that tests and the demo check."""
--- /dev/null
+++ b/plumarch/proof/invariants.py
@@ -0,0 +1,177 @@
+"""The promises, as checks over what was observed. Used by tests and by the demo alike.
+
+A Journal takes in what endpoints did and what callers were told; violations()
+is a pure function of it.
+"""
+
+import dataclasses
+import itertools
+
+from plumarch.core import data
+
+KeyName = tuple[str, str]
+
+
+@dataclasses.dataclass(slots=True)
+class CallerView:
+    """One caller's request and what the caller was told about it.
+
+    Attributes:
+      expected: the whole answer it should get if it is done; None if not known.
+      ends: the final answers told; there must be one.
+      faults: tokens that came at a wrong place.
+    """
+
+    name: str
+    workspace: str
+    request: data.Request | None
+    expected: tuple[str, ...] | None = None
+    key: str = ""
+    request_id: str = ""
+    accepted: bool = False
+    weakened: str = ""
+    tokens: list[str] = dataclasses.field(default_factory=list)
+    ends: list[data.Outcome] = dataclasses.field(default_factory=list)
+    reasons: list[str] = dataclasses.field(default_factory=list)
+    reply: data.Reply | None = None
+    lost: bool = False
+    faults: list[str] = dataclasses.field(default_factory=list)
+
+    def told_tokens(self, position: int, tokens: tuple[str, ...]) -> None:
+        """Take in tokens, and note one that is missing or doubled."""
+        if position != len(self.tokens):
+            self.faults.append(f"tokens at {position}, wanted {len(self.tokens)}")
+        self.tokens.extend(tokens)
+
+
+@dataclasses.dataclass(slots=True)
+class Execution:
+    """A hand-over that reached an endpoint."""
+
+    workspace: str
+    key: str
+    request_id: str
+    endpoint: str
+    at_ms: int
+    repeatable: bool
+
+
+@dataclasses.dataclass(slots=True)
+class Journal:
+    """All that was observed."""
+
+    callers: list[CallerView] = dataclasses.field(default_factory=list)
+    executions: list[Execution] = dataclasses.field(default_factory=list)
+    leaving_since: dict[str, int] = dataclasses.field(default_factory=dict)
+    revisions: dict[str, list[int]] = dataclasses.field(default_factory=dict)
+
+    def leaving(self, endpoint: str, at_ms: int) -> None:
+        """Note that a notice for an endpoint was given."""
+        self.leaving_since.setdefault(endpoint, at_ms)
+
+    def revision(self, node: str, revision: int) -> None:
+        """Note the configuration revision in force on a node incarnation."""
+        seen = self.revisions.setdefault(node, [])
+        if not seen or seen[-1] != revision:
+            seen.append(revision)
+
+
+LEAVING_BOUND_MS = 3_000
+"""A leaving endpoint gets no new work after this long."""
+
+
+def violations(journal: Journal) -> list[str]:
+    """Return each broken promise as a sentence; none if all hold."""
+    found = []
+    found += at_most_once(journal)
+    found += not_run_is_true(journal)
+    found += answers_are_whole(journal)
+    found += one_final_answer(journal)
+    found += leaving_gets_no_work(journal)
+    found += configuration_goes_forward(journal)
+    return found
+
+
+def at_most_once(journal: Journal) -> list[str]:
+    """Check that no request marked not repeatable reached endpoints twice."""
+    counts: dict[KeyName, int] = {}
+    for execution in journal.executions:
+        if not execution.repeatable:
+            name = (execution.workspace, execution.key)
+            counts[name] = counts.get(name, 0) + 1
+    return [f"{name} ran {count} times" for name, count in counts.items() if count > 1]
+
+
+def not_run_is_true(journal: Journal) -> list[str]:
+    """Check that what a caller heard was "not run" never reached an endpoint."""
+    ran_keys = {(e.workspace, e.key) for e in journal.executions if e.key}
+    ran_ids = {e.request_id for e in journal.executions}
+    found = []
+    for caller in journal.callers:
+        if data.Outcome.NOT_RUN not in caller.ends:
+            continue
+        ran = caller.request_id in ran_ids
+        if caller.key:
+            ran = ran or (caller.workspace, caller.key) in ran_keys
+        if ran:
+            found.append(f"{caller.name} heard not run, but {caller.key} ran")
+    return found
+
+
+def answers_are_whole(journal: Journal) -> list[str]:
+    """Check that each answer told as done is whole, in order, and the caller's own."""
+    found = []
+    for caller in journal.callers:
+        found += [f"{caller.name}: {fault}" for fault in caller.faults]
+        if caller.expected is None:
+            continue
+        if tuple(caller.tokens) != caller.expected[: len(caller.tokens)]:
+            found.append(f"{caller.name} got tokens that are not its own")
+        elif data.Outcome.DONE in caller.ends and len(caller.tokens) != len(caller.expected):
+            got = f"{len(caller.tokens)} of {len(caller.expected)}"
+            found.append(f"{caller.name} heard done with {got} tokens")
+    return found
+
+
+def one_final_answer(journal: Journal) -> list[str]:
+    """Check that no caller heard two final answers."""
+    return [
+        f"{c.name} heard {len(c.ends)} final answers" for c in journal.callers if len(c.ends) > 1
+    ]
+
+
+def leaving_gets_no_work(journal: Journal, bound_ms: int = LEAVING_BOUND_MS) -> list[str]:
+    """Check that nothing was handed to an endpoint too long after its notice."""
+    found = []
+    for execution in journal.executions:
+        since = journal.leaving_since.get(execution.endpoint)
+        if since is not None and execution.at_ms > since + bound_ms:
+            late = execution.at_ms - since
+            found.append(f"{execution.endpoint} got work {late} ms after its notice")
+    return found
+
+
+def configuration_goes_forward(journal: Journal) -> list[str]:
+    """Check that no node ever put a lower revision in force."""
+    return [
+        f"{node} went from revision {before} to {after}"
+        for node, seen in journal.revisions.items()
+        for before, after in itertools.pairwise(seen)
+        if after < before
+    ]
+
+
+def accepted_and_unfinished(journal: Journal) -> list[str]:
+    """Return accepted requests of waiting classes that nobody was told the end of.
+
+    Meaningful only once everything has had time to finish.
+    """
+    done = {(c.workspace, c.key) for c in journal.callers if data.Outcome.DONE in c.ends and c.key}
+    return [
+        f"{c.name} ({c.key}) was accepted and never done"
+        for c in journal.callers
+        if c.accepted
+        and c.request is not None
+        and c.request.request_class in data.WAITING_CLASSES
+        and (c.workspace, c.key) not in done
+    ]
--- /dev/null
+++ b/plumarch/recovery/__init__.py
@@ -0,0 +1,1 @@
+"""Keys that run at most once, copies of accepted requests, and their takeover."""
--- /dev/null
+++ b/plumarch/recovery/ledger.py
@@ -0,0 +1,756 @@
+"""The slot protocol: who may hand a request over, once, without a consensus group.
+
+The key space is cut into slots. A slot's owner serialises its keys. A permission
+is a record that outlives the owner: its successor, in another data centre, holds
+it, or the slot's object on the platform does. Safety rests on no clock; silence
+and leases only decide when a successor takes over. docs/design/once-only.md
+gives the argument and what was weighed.
+"""
+
+import dataclasses
+
+import msgspec
+
+from plumarch.core import context, data, hashing, messages
+from plumarch.membership import members
+from plumarch.recovery import keys, slot_writer, slots
+
+ACK_WAIT_MS = 250
+"""After this long without the successor's acknowledgement the platform is asked."""
+
+RESEND_MS = 200
+"""Time between repeats of an unacknowledged message."""
+
+OPERATION_TIMEOUT_MS = 2_000
+"""After this long without permission the claimant hears that there is none."""
+
+STORE_INTERVAL_MS = 100
+"""Shortest time between two grouped writes of one slot's records."""
+
+STORED_LIMIT = 500
+"""Records that a slot's object holds at most, to stay far below 1 MB."""
+
+COPY_TIMEOUT_MS = 3_000
+"""After this long a candidate that has not taken the table is passed over."""
+
+ORPHAN_WAIT_MS = 5_000
+"""How long a third node leaves a slot without owner to the slot's successor."""
+
+ORPHAN_CHECK_MS = 500
+"""Time between looks for slots without owner."""
+
+JOIN_MS = 1_500
+"""How long a new node listens before it takes any slot."""
+
+PAIR = 2
+"""Owner and successor: the nodes that one epoch of a slot rests on."""
+
+OPERATIONS_LIMIT = 2_000
+"""Operations of one slot that may wait for permission at once."""
+
+Failable = (
+    messages.ClaimAnswer | messages.SettleAnswer | messages.RehomeAnswer | messages.LookupAnswer
+)
+
+
+class Ledger:
+    """The slots that this node owns or holds for another, and the way to all others."""
+
+    def __init__(self, ctx: context.Context, membership: members.Membership) -> None:
+        self.ctx = ctx
+        self.membership = membership
+        self.owned: dict[int, slots.OwnedSlot] = {}
+        self.held: dict[int, slots.HeldSlot] = {}
+        self.routes: dict[int, slots.Route] = {}
+        self.ownerless_since: dict[int, int] = {}
+        self.writer = slot_writer.SlotWriter(ctx, self)
+        self.operation = 0
+        self.next_resend_ms = 0
+        self.next_orphan_check_ms = ctx.now() + JOIN_MS
+
+    # What an owner answers.
+
+    def claim(self, sender: str, m: messages.Claim) -> None:
+        """Grant a request's hand-over, settle it as refused, or say what stands."""
+
+        def answer(
+            verdict: messages.Verdict, record: data.KeyRecord | None = None
+        ) -> messages.ClaimAnswer:
+            epoch = slot.epoch if slot else 0
+            return messages.ClaimAnswer(m.request_id, verdict, epoch, m.refuse, record)
+
+        slot = self.owned.get(m.slot)
+        if slot is None or m.minted_epoch > slot.epoch:
+            self.ctx.send(sender, answer(messages.Verdict.MOVED))
+            return
+        record = slot.table.get(m.workspace, m.key)
+        if record is not None:
+            if self._is_pending(slot, record):
+                return
+            verdict = _verdict_on_known(record, sender, m)
+            self.ctx.send(sender, answer(verdict, record))
+            return
+        if m.minted_epoch < slot.uncertain_epoch:
+            self.ctx.send(sender, answer(messages.Verdict.UNCERTAIN))
+            return
+        if slot.table.full() or len(slot.operations) >= OPERATIONS_LIMIT:
+            self.ctx.send(sender, answer(messages.Verdict.FULL))
+            return
+        state = data.KeyState.REFUSED if m.refuse else data.KeyState.GRANTED
+        record = data.KeyRecord(
+            m.workspace,
+            m.key,
+            m.request_id,
+            sender,
+            m.fingerprint,
+            state,
+            repeatable=m.repeatable,
+            copied=m.copied,
+        )
+        verdict = messages.Verdict.GRANTED
+        self._commit(slot, record, sender, answer(verdict), answer(messages.Verdict.CANNOT))
+
+    def settle(self, sender: str, m: messages.Settle) -> None:
+        """Record how a granted request ended."""
+
+        def answer(
+            verdict: messages.Verdict, record: data.KeyRecord | None = None
+        ) -> messages.SettleAnswer:
+            return messages.SettleAnswer(m.request_id, verdict, record)
+
+        slot = self.owned.get(m.slot)
+        if slot is None:
+            self.ctx.send(sender, answer(messages.Verdict.MOVED))
+            return
+        known = slot.table.get(m.workspace, m.key)
+        if known is None:
+            # Only facts may be written for a key whose record was lost: that the
+            # request ran, or may have run. That it did not is no fact of the sender's.
+            if m.state is data.KeyState.REFUSED:
+                self.ctx.send(sender, answer(messages.Verdict.UNCERTAIN))
+                return
+            known = data.KeyRecord(
+                m.workspace, m.key, m.request_id, sender, 0, data.KeyState.GRANTED, m.attempt
+            )
+        elif self._is_pending(slot, known):
+            return
+        elif known.request_id != m.request_id or m.attempt < known.attempt:
+            self.ctx.count("stale_replies", m.workspace, "settle")
+            self.ctx.send(sender, answer(messages.Verdict.EXISTS, known))
+            return
+        elif known.state is not data.KeyState.GRANTED:
+            same = known.state is m.state
+            verdict = messages.Verdict.GRANTED if same else messages.Verdict.EXISTS
+            self.ctx.send(sender, answer(verdict, known))
+            return
+        record = dataclasses.replace(known, state=m.state, reply=m.reply, attempt=m.attempt)
+        granted = answer(messages.Verdict.GRANTED, dataclasses.replace(record, reply=None))
+        self._commit(slot, record, sender, granted, answer(messages.Verdict.CANNOT))
+
+    def rehome(self, sender: str, m: messages.Rehome) -> None:
+        """Make the sender the home of a repeatable request in progress."""
+
+        def answer(
+            verdict: messages.Verdict, record: data.KeyRecord | None = None
+        ) -> messages.RehomeAnswer:
+            return messages.RehomeAnswer(m.request_id, verdict, record)
+
+        slot = self.owned.get(m.slot)
+        if slot is None:
+            self.ctx.send(sender, answer(messages.Verdict.MOVED))
+            return
+        known = slot.table.get(m.workspace, m.key)
+        if known is not None:
+            if self._is_pending(slot, known):
+                return
+            if known.home == sender and known.attempt == m.attempt:
+                self.ctx.send(sender, answer(messages.Verdict.GRANTED, known))
+                return
+            ended = known.state is not data.KeyState.GRANTED
+            if known.request_id != m.request_id or ended or m.attempt <= known.attempt:
+                self.ctx.send(sender, answer(messages.Verdict.EXISTS, known))
+                return
+        record = data.KeyRecord(
+            m.workspace,
+            m.key,
+            m.request_id,
+            sender,
+            m.fingerprint,
+            data.KeyState.GRANTED,
+            m.attempt,
+            copied=m.copied,
+        )
+        granted = answer(messages.Verdict.GRANTED, record)
+        self._commit(slot, record, sender, granted, answer(messages.Verdict.CANNOT))
+
+    def lookup(self, sender: str, m: messages.Lookup) -> None:
+        """Say what is known of a key."""
+        slot = self.owned.get(m.slot)
+        record = slot.table.get(m.workspace, m.key) if slot else None
+        if slot is None or (record is not None and self._is_pending(slot, record)):
+            verdict = messages.Verdict.MOVED
+            record = None
+        elif record is not None:
+            verdict = messages.Verdict.EXISTS
+        elif keys.issued_epoch(m.key) < slot.uncertain_epoch:
+            verdict = messages.Verdict.UNCERTAIN
+        else:
+            verdict = messages.Verdict.ABSENT
+        self.ctx.send(sender, messages.LookupAnswer(m.lookup_id, verdict, record))
+
+    def _is_pending(self, slot: slots.OwnedSlot, record: data.KeyRecord) -> bool:
+        return (record.workspace, record.key) in slot.pending
+
+    # How a record becomes permanent.
+
+    def _commit(
+        self,
+        slot: slots.OwnedSlot,
+        record: data.KeyRecord,
+        to_node: str,
+        answer: messages.AnyMessage,
+        failure: messages.AnyMessage,
+    ) -> None:
+        self.operation += 1
+        now = self.ctx.now()
+        previous = slot.table.get(record.workspace, record.key)
+        kept = slot.table.put(record, now)
+        operation = slots.Operation(
+            self.operation, kept, to_node, answer, failure, now, previous=previous
+        )
+        slot.operations[operation.number] = operation
+        slot.pending.add((record.workspace, record.key))
+        self._replicate(slot, operation)
+
+    def _replicate(self, slot: slots.OwnedSlot, operation: slots.Operation) -> None:
+        message = messages.Replicate(slot.number, slot.epoch, operation.number, operation.record)
+        for node in (slot.successor, slot.candidate):
+            if node and node not in operation.acks:
+                self.ctx.send(node, message)
+
+    def _required(self, slot: slots.OwnedSlot) -> set[str]:
+        """Return the nodes that must hold a record; empty if acknowledgements don't do.
+
+        While a change of successor is unresolved, either of the two may be the
+        one that will take over, so both must hold it.
+        """
+        if not slot.successor:
+            return set()
+        required = {slot.successor}
+        if self.writer.purpose(slot.number) is slots.Purpose.SWITCH:
+            required.add(slot.candidate)
+        return required
+
+    def _release_permitted(self, slot: slots.OwnedSlot, operations: list[slots.Operation]) -> None:
+        required = self._required(slot)
+        for operation in operations:
+            held = bool(required) and required <= operation.acks
+            if held or operation.stored:
+                self._finish(slot, operation)
+                self.ctx.send(operation.to_node, operation.answer)
+
+    def _finish(self, slot: slots.OwnedSlot, operation: slots.Operation) -> None:
+        del slot.operations[operation.number]
+        slot.pending.discard((operation.record.workspace, operation.record.key))
+
+    def replicate(self, sender: str, m: messages.Replicate) -> None:
+        """Hold a record for a slot's owner, unless this node can't vouch for it."""
+        held = self.held.get(m.slot)
+        if held is None or held.epoch != m.epoch or held.owner != sender:
+            self.ctx.send(sender, messages.NoTable(m.slot, m.epoch))
+            return
+        if held.sealed or held.closed:
+            return
+        held.table.put(m.record, self.ctx.now())
+        self.ctx.send(sender, messages.Replicated(m.slot, m.epoch, m.operation))
+
+    def replicated(self, sender: str, m: messages.Replicated) -> None:
+        """Count an acknowledgement."""
+        slot = self.owned.get(m.slot)
+        if slot is None or slot.epoch != m.epoch:
+            return
+        operation = slot.operations.get(m.operation)
+        if operation is not None:
+            operation.acks.add(sender)
+            self._release_permitted(slot, [operation])
+
+    def no_table(self, sender: str, m: messages.NoTable) -> None:
+        """Copy the table to a successor or candidate that says it has none."""
+        slot = self.owned.get(m.slot)
+        if slot is None or slot.epoch != m.epoch or sender != slot.successor or slot.candidate:
+            return
+        self._start_copy(slot, sender)
+
+    def table_copy(self, sender: str, m: messages.TableCopy) -> None:
+        """Take a slot's table in, to become its successor."""
+        held = self.held.get(m.slot)
+        if held is not None:
+            if held.epoch > m.epoch or (held.epoch == m.epoch and held.closed):
+                return
+            if held.epoch == m.epoch and held.copy >= m.copy:
+                if held.copy == m.copy:
+                    self.ctx.send(sender, messages.TableCopied(m.slot, m.epoch, m.copy))
+                return
+            if self.writer.busy(m.slot):
+                return
+            if held.epoch < m.epoch:
+                # The new owner may lack what this table holds from the epoch before.
+                self._send_sealed(sender, held)
+        if m.slot in self.owned:
+            if self.owned[m.slot].epoch >= m.epoch:
+                return
+            self._depose(m.slot)
+        table = keys.Table()
+        for record in m.records:
+            table.put(record, self.ctx.now())
+        self.held[m.slot] = slots.HeldSlot(m.slot, m.epoch, sender, table, m.copy)
+        self.ctx.send(sender, messages.TableCopied(m.slot, m.epoch, m.copy))
+
+    def table_copied(self, sender: str, m: messages.TableCopied) -> None:
+        """Make a candidate that holds the table the successor."""
+        slot = self.owned.get(m.slot)
+        if slot is None or slot.epoch != m.epoch:
+            return
+        if sender == slot.candidate and m.copy == slot.copy:
+            slot.copied = True
+            self._switch_successor(slot)
+
+    # Changing the successor.
+
+    def _choose_successor(self, slot: slots.OwnedSlot) -> str:
+        elsewhere = self.membership.live(other_than_data_centre=self.ctx.data_centre)
+        candidates = elsewhere or self.membership.live()
+        ranked = hashing.rendezvous(slots.object_name(slot.number), candidates)
+        for node in ranked:
+            if node != self.ctx.node:
+                return node
+        return ""
+
+    def _tend_successor(self, slot: slots.OwnedSlot) -> None:
+        now = self.ctx.now()
+        if slot.candidate:
+            if slot.copied:
+                self._switch_successor(slot)
+            elif now - slot.copy_started_ms > COPY_TIMEOUT_MS:
+                self._drop_candidate(slot)
+            return
+        state = self.membership.state(slot.successor) if slot.successor else data.NodeState.GONE
+        fit = state in (data.NodeState.LIVE, data.NodeState.SUSPECT, data.NodeState.JOINING)
+        if fit and self.membership.data_centre(slot.successor) == self.ctx.data_centre:
+            fit = not self.membership.live(other_than_data_centre=self.ctx.data_centre)
+        settled = slot.uncertain_epoch == slot.persisted_uncertain_epoch
+        if fit and settled and len(slot.object_records) <= STORED_LIMIT // 2:
+            return
+        chosen = self._choose_successor(slot)
+        if chosen:
+            self._start_copy(slot, chosen)
+
+    def _start_copy(self, slot: slots.OwnedSlot, node: str) -> None:
+        if self.writer.purpose(slot.number) is slots.Purpose.SWITCH:
+            return
+        slot.candidate = node
+        slot.copy += 1
+        slot.copied = False
+        slot.copy_started_ms = self.ctx.now()
+        slot.copy_first_operation = self.operation + 1
+        self._send_copy(slot)
+
+    def _send_copy(self, slot: slots.OwnedSlot) -> None:
+        records = slot.table.listing()
+        message = messages.TableCopy(slot.number, slot.epoch, slot.copy, records)
+        self.ctx.send(slot.candidate, message)
+
+    def _drop_candidate(self, slot: slots.OwnedSlot) -> None:
+        if self.writer.purpose(slot.number) is not slots.Purpose.SWITCH:
+            slot.candidate = ""
+            slot.copied = False
+
+    def _switch_successor(self, slot: slots.OwnedSlot) -> None:
+        if self.writer.busy(slot.number):
+            return
+        settled = slot.uncertain_epoch == slot.persisted_uncertain_epoch
+        if slot.candidate == slot.successor and settled and not slot.object_records:
+            self._drop_candidate(slot)
+            return
+        # Records of before the copy are part of the copied table. Later ones stay
+        # in the object: the candidate may have missed them.
+        kept = {n: r for n, r in slot.object_records.items() if n >= slot.copy_first_operation}
+        self._write(slot, slots.Purpose.SWITCH, successor=slot.candidate, records=kept)
+
+    def _write(
+        self,
+        slot: slots.OwnedSlot,
+        purpose: slots.Purpose,
+        successor: str,
+        records: dict[int, data.KeyRecord],
+    ) -> None:
+        slot.object_records_in_flight = records
+        copied = purpose is slots.Purpose.SWITCH
+        uncertain = slot.uncertain_epoch if copied else slot.persisted_uncertain_epoch
+        wanted = data.SlotObject(
+            slot.epoch,
+            self.ctx.node,
+            successor,
+            uncertain,
+            slot.former,
+            tuple(dataclasses.replace(record, reply=None) for record in records.values()),
+        )
+        self.writer.write(slot.number, purpose, wanted, slot.version)
+
+    def _store_records(self, slot: slots.OwnedSlot) -> None:
+        """Ask the platform for what the successor did not acknowledge, in one write."""
+        now = self.ctx.now()
+        if self.writer.busy(slot.number) or now - slot.last_store_ms < STORE_INTERVAL_MS:
+            return
+        state = self.membership.state(slot.successor) if slot.successor else data.NodeState.GONE
+        patience = ACK_WAIT_MS if state is data.NodeState.LIVE else 0
+        waiting = {
+            op.number: op.record
+            for op in slot.operations.values()
+            if now - op.started_ms >= patience and not op.stored
+        }
+        if not waiting:
+            return
+        room = STORED_LIMIT - len(slot.object_records)
+        chosen = dict(list(waiting.items())[: max(0, room)])
+        if not chosen:
+            return
+        slot.last_store_ms = now
+        records = {**slot.object_records, **chosen}
+        self._write(slot, slots.Purpose.STORE, slot.successor, records)
+
+    # Taking a slot over.
+
+    def _tend_held(self) -> None:
+        for held in list(self.held.values()):
+            if held.closed or held.sealed or self.writer.busy(held.number):
+                continue
+            if self._owner_is_out(held.owner):
+                self.writer.load(held.number)
+
+    def _owner_is_out(self, owner: str) -> bool:
+        return self.membership.state(owner) in (data.NodeState.GONE, data.NodeState.LEAVING)
+
+    def _tend_takeovers(self) -> None:
+        now = self.ctx.now()
+        if now < self.next_orphan_check_ms or self.membership.leaving:
+            return
+        self.next_orphan_check_ms = now + ORPHAN_CHECK_MS
+        self._tend_held()
+        self._tend_ownerless(now)
+
+    def _tend_ownerless(self, now: int) -> None:
+        live = self.membership.live()
+        for number in range(keys.SLOTS):
+            if number in self.owned:
+                self.ownerless_since.pop(number, None)
+                continue
+            route = self.routes.get(number)
+            if route is not None and not self._owner_is_out(route.owner):
+                self.ownerless_since.pop(number, None)
+                continue
+            self.ownerless_since.setdefault(number, now)
+            first = hashing.rendezvous(slots.object_name(number), live)[0]
+            if first == self.ctx.node and not self.writer.busy(number):
+                self.writer.load(number)
+
+    def loaded(self, number: int, version: int, found: data.SlotObject | None) -> None:
+        """Decide what to do with a slot after reading its object."""
+        if number in self.owned:
+            return
+        if found is None:
+            first = data.SlotObject(1, self.ctx.node, "")
+            self.writer.write(number, slots.Purpose.TAKE, first, 0)
+            return
+        held = self.held.get(number)
+        if held is not None and held.epoch < found.epoch:
+            held.closed = True
+            held = None
+        if not self._owner_is_out(found.owner):
+            self._learn_route(number, found.epoch, found.owner)
+            return
+        if self.membership.leaving:
+            return
+        if held is not None and not held.closed and found.successor == self.ctx.node:
+            self._take_as_successor(held, version, found)
+        elif self._is_orphan(number, found):
+            self._take_as_stranger(number, version, found)
+
+    def _is_orphan(self, number: int, found: data.SlotObject) -> bool:
+        since = self.ownerless_since.get(number)
+        if since is None:
+            return False
+        waited = self.ctx.now() - since
+        if self.membership.state(found.owner) is data.NodeState.LEAVING:
+            return False
+        successor_out = not found.successor or self._owner_is_out(found.successor)
+        return waited >= ORPHAN_WAIT_MS and (successor_out or waited >= 3 * ORPHAN_WAIT_MS)
+
+    def _take_as_successor(
+        self, held: slots.HeldSlot, version: int, found: data.SlotObject
+    ) -> None:
+        # Sealed before the write leaves: an acknowledgement after it would be a
+        # permission that this node, as next owner, might not have in its table.
+        held.sealed = True
+        wanted = dataclasses.replace(
+            found, epoch=found.epoch + 1, owner=self.ctx.node, successor=""
+        )
+        self.writer.write(held.number, slots.Purpose.TAKE, wanted, version)
+
+    def _take_as_stranger(self, number: int, version: int, found: data.SlotObject) -> None:
+        former = (*found.former, found.owner, found.successor)
+        wanted = data.SlotObject(
+            found.epoch + 1,
+            self.ctx.node,
+            "",
+            found.epoch + 1,
+            tuple(node for node in former if node),
+            found.records,
+        )
+        self.writer.write(number, slots.Purpose.TAKE, wanted, version)
+
+    def load_failed(self, number: int) -> None:
+        """A read failed: nothing was started, the next tick tries again."""
+
+    def written(
+        self, number: int, purpose: slots.Purpose, version: int, landed: data.SlotObject
+    ) -> None:
+        """Act on a write that took effect."""
+        if purpose is slots.Purpose.TAKE:
+            self._taken(number, version, landed)
+            return
+        slot = self.owned.get(number)
+        if slot is None:
+            return
+        slot.version = version
+        slot.persisted_uncertain_epoch = landed.uncertain_epoch
+        slot.object_records = dict(slot.object_records_in_flight)
+        if purpose is slots.Purpose.SWITCH:
+            slot.successor = landed.successor
+            self._drop_candidate(slot)
+        if purpose is slots.Purpose.STORE:
+            for operation in slot.operations.values():
+                if operation.number in slot.object_records:
+                    operation.stored = True
+        self._release_permitted(slot, list(slot.operations.values()))
+
+    def _taken(self, number: int, version: int, landed: data.SlotObject) -> None:
+        held = self.held.pop(number, None)
+        records: list[data.KeyRecord] = []
+        # A table of another epoch is no part of this slot's truth.
+        if held is not None and held.epoch == landed.epoch - 1:
+            records = held.table.listing()
+        table = keys.Table(records)
+        table.merge(list(landed.records), self.ctx.now())
+        slot = slots.OwnedSlot(
+            number,
+            landed.epoch,
+            version,
+            "",
+            table,
+            uncertain_epoch=landed.uncertain_epoch,
+            persisted_uncertain_epoch=landed.uncertain_epoch,
+            former=landed.former,
+        )
+        for record in landed.records:
+            self.operation += 1
+            slot.object_records[self.operation] = record
+        self.owned[number] = slot
+        self.ownerless_since.pop(number, None)
+        self._learn_route(number, landed.epoch, self.ctx.node)
+        self.ctx.count("slot_takeovers", label="uncertain" if landed.uncertain_epoch else "whole")
+        why = "it had no owner yet" if landed.epoch == 1 else "its owner is out"
+        self.ctx.note(None, "slot", f"own slot {number} at epoch {landed.epoch}", why)
+        self._ask_former(slot)
+        self._tend_successor(slot)
+
+    def lost(
+        self, number: int, purpose: slots.Purpose, version: int, found: data.SlotObject
+    ) -> None:
+        """Act on a write that another one came before."""
+        if purpose is slots.Purpose.TAKE:
+            held = self.held.get(number)
+            if held is not None:
+                held.sealed = False
+                held.closed = held.closed or held.epoch < found.epoch
+            if not self._owner_is_out(found.owner):
+                self._learn_route(number, found.epoch, found.owner)
+            return
+        slot = self.owned.get(number)
+        if slot is None:
+            return
+        if found.epoch > slot.epoch or found.owner != self.ctx.node:
+            self._depose(number)
+            self._learn_route(number, found.epoch, found.owner)
+        else:
+            slot.version = version
+
+    def unreached(self, number: int, purpose: slots.Purpose) -> None:
+        """Act on a write that certainly did not take effect."""
+        if purpose is slots.Purpose.TAKE:
+            held = self.held.get(number)
+            if held is not None:
+                held.sealed = False
+
+    def _depose(self, number: int) -> None:
+        """Stop owning a slot; its table is kept for the new owner to ask for."""
+        slot = self.owned.pop(number)
+        for operation in slot.operations.values():
+            assert isinstance(operation.failure, Failable)
+            moved = msgspec.structs.replace(operation.failure, verdict=messages.Verdict.MOVED)
+            self.ctx.send(operation.to_node, moved)
+        self.held[number] = slots.HeldSlot(
+            number, slot.epoch, self.ctx.node, slot.table, closed=True
+        )
+        self.ctx.note(None, "slot", f"gave up slot {number}", "a higher epoch rules it")
+
+    # Uncertainty after owner and successor vanished together.
+
+    def _ask_former(self, slot: slots.OwnedSlot) -> None:
+        if not slot.uncertain_epoch:
+            return
+        for node in slot.former:
+            self.ctx.send(node, messages.Seal(slot.number, slot.uncertain_epoch))
+
+    def _tend_uncertainty(self, slot: slots.OwnedSlot) -> None:
+        if not slot.uncertain_epoch:
+            return
+        now = self.ctx.now()
+        if slot.certain_at_ms < 0:
+            if self._former_can_not_grant(slot):
+                slot.certain_at_ms = now + keys.KEEP_MS
+            return
+        if now >= slot.certain_at_ms:
+            self._end_uncertainty(slot)
+
+    def _former_can_not_grant(self, slot: slots.OwnedSlot) -> bool:
+        """Return whether it is proven that nothing more is granted in an older epoch.
+
+        A grant takes an owner and its successor, so one of a pair is enough; where
+        several pairs vanished in turn, all of them must be gone.
+        """
+        gone = [self.membership.confirmed_gone(node) for node in slot.former]
+        return all(gone) if len(gone) > PAIR else any(gone) or not gone
+
+    def _end_uncertainty(self, slot: slots.OwnedSlot) -> None:
+        slot.uncertain_epoch = 0
+
+    def seal(self, sender: str, m: messages.Seal) -> None:
+        """Stop granting and acknowledging below an epoch, and give the table held."""
+        owned = self.owned.get(m.slot)
+        if owned is not None and owned.epoch < m.epoch:
+            self._depose(m.slot)
+        held = self.held.get(m.slot)
+        if held is not None and held.epoch == m.epoch - 1:
+            held.closed = True
+            self._send_sealed(sender, held)
+
+    def _send_sealed(self, node: str, held: slots.HeldSlot) -> None:
+        held.closed = True
+        message = messages.Sealed(held.number, held.epoch + 1, held.table.listing())
+        self.ctx.send(node, message)
+
+    def sealed(self, sender: str, m: messages.Sealed) -> None:
+        """Take in the table of a former owner or successor: the uncertainty ends."""
+        slot = self.owned.get(m.slot)
+        if slot is None or sender not in slot.former or not slot.uncertain_epoch:
+            return
+        slot.table.merge(m.records, self.ctx.now())
+        # One table of a pair is whole. After several pairs it is only a part.
+        if slot.uncertain_epoch == m.epoch and len(slot.former) <= PAIR:
+            self._end_uncertainty(slot)
+        # A table copied before this one came in is no longer whole.
+        if slot.candidate:
+            self._start_copy(slot, slot.candidate)
+
+    # Routes and time.
+
+    def _learn_route(self, number: int, epoch: int, owner: str) -> None:
+        known = self.routes.get(number)
+        if known is None or epoch >= known.epoch:
+            self.routes[number] = slots.Route(epoch, owner, self.ctx.now())
+
+    def heard(self, sender: str, owned: list[tuple[int, int]]) -> None:
+        """Learn from a heartbeat which slots its sender owns."""
+        for number, epoch in owned:
+            mine = self.owned.get(number)
+            if mine is not None and mine.epoch < epoch:
+                self._depose(number)
+            held = self.held.get(number)
+            if held is not None and held.epoch < epoch:
+                held.closed = True
+            self._learn_route(number, epoch, sender)
+
+    def owner_of(self, slot: int) -> slots.Route | None:
+        """Return who owns a slot, or None while no owner is known."""
+        return self.routes.get(slot)
+
+    def owned_list(self) -> list[tuple[int, int]]:
+        """Return this node's slots and their epochs, for its heartbeat."""
+        return [(slot.number, slot.epoch) for slot in self.owned.values()]
+
+    def handed_off(self) -> bool:
+        """Return whether this node owns no slot any more."""
+        return not self.owned
+
+    def tick(self) -> None:
+        """Repeat what is unanswered, give up what is too old, take over what is free."""
+        now = self.ctx.now()
+        self.writer.tick()
+        resend = now >= self.next_resend_ms
+        if resend:
+            self.next_resend_ms = now + RESEND_MS
+        for slot in list(self.owned.values()):
+            self._tend_owned(slot, resend)
+        self._tend_takeovers()
+
+    def _tend_owned(self, slot: slots.OwnedSlot, resend: bool) -> None:
+        slot.table.expire(self.ctx.now())
+        self._tend_uncertainty(slot)
+        if resend:
+            for operation in slot.operations.values():
+                self._replicate(slot, operation)
+            if slot.candidate and not slot.copied:
+                self._send_copy(slot)
+            self._ask_former(slot)
+        self._fail_old_operations(slot)
+        self._tend_successor(slot)
+        self._store_records(slot)
+
+    def _fail_old_operations(self, slot: slots.OwnedSlot) -> None:
+        now = self.ctx.now()
+        for operation in list(slot.operations.values()):
+            if now - operation.started_ms < OPERATION_TIMEOUT_MS:
+                continue
+            self._finish(slot, operation)
+            self._undo(slot, operation)
+            self.ctx.count("permissions_failed", operation.record.workspace)
+            self.ctx.send(operation.to_node, operation.failure)
+
+    def _undo(self, slot: slots.OwnedSlot, operation: slots.Operation) -> None:
+        """Take back a record that did not become permanent.
+
+        That a request ran is a fact and stays; a grant or a refusal that nobody
+        else holds must not be answered with later.
+        """
+        record = operation.record
+        if record.state in (data.KeyState.DONE, data.KeyState.UNKNOWN):
+            return
+        if operation.previous is not None:
+            slot.table.put(operation.previous, self.ctx.now())
+        else:
+            slot.table.drop(record.workspace, record.key)
+
+
+def _verdict_on_known(record: data.KeyRecord, sender: str, m: messages.Claim) -> messages.Verdict:
+    """Return what a claim on a recorded key is answered."""
+    if record.request_id != m.request_id:
+        known = record.fingerprint and m.fingerprint
+        if known and record.fingerprint != m.fingerprint:
+            return messages.Verdict.CONFLICT
+        return messages.Verdict.EXISTS
+    if m.refuse:
+        settled = record.state is data.KeyState.REFUSED
+        return messages.Verdict.GRANTED if settled else messages.Verdict.EXISTS
+    granted = record.state is data.KeyState.GRANTED and record.home == sender
+    return messages.Verdict.GRANTED if granted else messages.Verdict.EXISTS
--- /dev/null
+++ b/plumarch/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Where a request runs."""
--- /dev/null
+++ b/plumarch/routing/placement.py
@@ -0,0 +1,225 @@
+"""Where a request runs: a score for each endpoint that could take it.
+
+Scores are in milliseconds of expected wait for the first token, with prices
+turned into milliseconds at a fixed rate, so that one number decides. Reported
+loads are old; this node's own counts of what it has in flight are exact.
+"""
+
+import dataclasses
+
+from plumarch.core import context, data
+
+PREFILL_MS_PER_TOKEN = 0.25
+"""Assumed time to compute one prompt token, until an engine's own rate is known."""
+
+WAIT_MS_PER_REQUEST = 40.0
+"""Assumed delay that each request already there adds."""
+
+OTHER_DATA_CENTRE_MS = 15.0
+PRICE_MS = 20.0
+"""How many milliseconds of wait a price difference of 1 an hour is worth."""
+
+CACHE_ENTRIES = 512
+"""Prefixes remembered for each endpoint."""
+
+EJECT_FACTOR = 4.0
+"""An endpoint this many times slower than the median of its peers is ejected."""
+
+EJECT_MS = 10_000
+"""How long it stays out before one request probes it."""
+
+EJECT_SHARE = 0.3
+"""At most this share of a target's endpoints is out at once."""
+
+SMOOTHING = 0.2
+MEASURED_LEAST = 5
+
+
+@dataclasses.dataclass(slots=True)
+class Seen:
+    """What this node knows of an endpoint besides its description."""
+
+    in_flight: int = 0
+    reported: int = 0
+    reported_own: int = 0
+    delay_ms: float = 0.0
+    measured: int = 0
+    out_until_ms: int = 0
+    cached: dict[int, int] = dataclasses.field(default_factory=dict)
+
+
+class Placement:
+    """The endpoints a node can reach, and the choice among them."""
+
+    def __init__(self, ctx: context.Context) -> None:
+        self.ctx = ctx
+        self.endpoints: dict[str, data.Endpoint] = {}
+        self.seen: dict[str, Seen] = {}
+        self.leaving: dict[str, int] = {}
+
+    def update(self, listed: tuple[data.Endpoint, ...]) -> list[str]:
+        """Take in the platform's list.
+
+        Returns:
+          Names of endpoints that were there and are gone from it.
+        """
+        now_there = {endpoint.name: endpoint for endpoint in listed}
+        gone = [name for name in self.endpoints if name not in now_there]
+        for name in gone:
+            self.seen.pop(name, None)
+            self.leaving.pop(name, None)
+        for name, endpoint in now_there.items():
+            known = self.endpoints.get(name)
+            if known is not None and known.address != endpoint.address:
+                self.seen.pop(name, None)
+                self.leaving.pop(name, None)
+            self.seen.setdefault(name, Seen())
+        self.endpoints = now_there
+        return gone
+
+    def leave(self, name: str, at_ms: int) -> bool:
+        """Mark an endpoint as leaving: it gets no new work from now on.
+
+        Returns:
+          Whether that is news.
+        """
+        if name in self.leaving or name not in self.endpoints:
+            return False
+        self.leaving[name] = at_ms
+        return True
+
+    def report(self, report: data.LoadReport) -> None:
+        """Take in a load report; it is some seconds old."""
+        seen = self.seen.get(report.endpoint)
+        if seen is not None:
+            seen.reported = report.running + report.queued
+            seen.reported_own = seen.in_flight
+
+    def started(self, name: str, prefix: int) -> None:
+        """Count a request handed to an endpoint."""
+        seen = self.seen.setdefault(name, Seen())
+        seen.in_flight += 1
+        if prefix:
+            seen.cached.pop(prefix, None)
+            seen.cached[prefix] = self.ctx.now()
+            if len(seen.cached) > CACHE_ENTRIES:
+                del seen.cached[next(iter(seen.cached))]
+
+    def ended(self, name: str) -> None:
+        """Count a request that is no longer at an endpoint."""
+        seen = self.seen.get(name)
+        if seen is not None and seen.in_flight > 0:
+            seen.in_flight -= 1
+
+    def measured(self, name: str, delay_ms: int) -> None:
+        """Take in how long an endpoint took to its first answer."""
+        seen = self.seen.get(name)
+        if seen is None:
+            return
+        seen.measured += 1
+        if seen.measured == 1 or seen.out_until_ms:
+            seen.delay_ms = float(delay_ms)
+            seen.out_until_ms = 0
+        else:
+            seen.delay_ms += SMOOTHING * (delay_ms - seen.delay_ms)
+        self._eject_if_slow(name, seen)
+
+    def _eject_if_slow(self, name: str, seen: Seen) -> None:
+        endpoint = self.endpoints.get(name)
+        if endpoint is None or seen.measured < MEASURED_LEAST:
+            return
+        peers = [e for e in self.endpoints.values() if e.targets == endpoint.targets]
+        delays = sorted(
+            self.seen[p.name].delay_ms
+            for p in peers
+            if p.name != name and self.seen[p.name].measured >= MEASURED_LEAST
+        )
+        if len(delays) < 2:
+            return
+        median = delays[len(delays) // 2]
+        out = sum(1 for p in peers if self.seen[p.name].out_until_ms)
+        slow = seen.delay_ms > EJECT_FACTOR * max(median, 1.0)
+        if slow and out + 1 <= EJECT_SHARE * len(peers):
+            seen.out_until_ms = self.ctx.now() + EJECT_MS
+            seen.measured = 0
+            self.ctx.count("endpoints_ejected", label=name)
+            self.ctx.note(None, "eject", name, f"{seen.delay_ms:.0f} ms against {median:.0f} ms")
+
+    def choose(
+        self, request: data.Request, allowed: frozenset[str], tried: frozenset[str] = frozenset()
+    ) -> tuple[data.Endpoint | None, tuple[data.Considered, ...]]:
+        """Choose the endpoint for a request.
+
+        Args:
+          request: what is to run.
+          allowed: data centres that its workspace may use; empty means all.
+          tried: endpoints that failed it, used again only if there is no other.
+        Returns:
+          The endpoint with the best score, or None if no one has room; and all
+          that were considered.
+        """
+        considered = []
+        best: data.Endpoint | None = None
+        best_score = 0.0
+        for endpoint in sorted(self.endpoints.values(), key=lambda e: e.name):
+            if request.target not in endpoint.targets or endpoint.kind is not request.kind:
+                continue
+            note = self._unfit(endpoint, request, allowed)
+            if note:
+                considered.append(data.Considered(endpoint.name, -1.0, note))
+                continue
+            score = self._score(endpoint, request)
+            if endpoint.name in tried:
+                score += 10_000.0
+            considered.append(data.Considered(endpoint.name, round(score, 2)))
+            if best is None or score < best_score:
+                best = endpoint
+                best_score = score
+        return best, tuple(considered)
+
+    def _unfit(
+        self, endpoint: data.Endpoint, request: data.Request, allowed: frozenset[str]
+    ) -> str:
+        """Return why an endpoint can't take a request, or "" if it can."""
+        if endpoint.state is not data.EndpointState.LIVE or endpoint.name in self.leaving:
+            return "leaving"
+        if allowed and endpoint.data_centre not in allowed:
+            return "data centre not allowed"
+        seen = self.seen[endpoint.name]
+        if seen.out_until_ms > self.ctx.now():
+            return "ejected as slow"
+        if self.load(endpoint.name) >= self._room(endpoint, request):
+            return "full"
+        return ""
+
+    def _room(self, endpoint: data.Endpoint, request: data.Request) -> int:
+        """Return how many requests may be there before this one is turned away."""
+        if request.request_class is data.RequestClass.LOOKUP:
+            return endpoint.capacity
+        reserved = max(1, endpoint.capacity // 8)
+        return max(1, endpoint.capacity - reserved)
+
+    def load(self, name: str) -> int:
+        """Return the requests at an endpoint: own ones exactly, others' as last reported."""
+        seen = self.seen[name]
+        others = max(0, seen.reported - seen.reported_own)
+        return seen.in_flight + others
+
+    def _score(self, endpoint: data.Endpoint, request: data.Request) -> float:
+        seen = self.seen[endpoint.name]
+        score = self.load(endpoint.name) * WAIT_MS_PER_REQUEST * 8 / endpoint.capacity
+        if request.kind is data.EndpointKind.ENGINE and request.prefix not in seen.cached:
+            score += request.prompt_tokens * PREFILL_MS_PER_TOKEN
+        if endpoint.data_centre != self.ctx.data_centre:
+            score += OTHER_DATA_CENTRE_MS
+        return score + endpoint.price * PRICE_MS
+
+    def has_target(self, request: data.Request, allowed: frozenset[str]) -> bool:
+        """Return whether any endpoint that stays serves the request's target."""
+        return any(
+            request.target in endpoint.targets
+            and endpoint.kind is request.kind
+            and endpoint.name not in self.leaving
+            and (not allowed or endpoint.data_centre in allowed)
+            for endpoint in self.endpoints.values()
+        )
--- /dev/null
+++ b/plumarch/standins/main.py
@@ -0,0 +1,53 @@
+"""python -m plumarch.standins.main KIND ADDRESS [options]: one stand-in as a process."""
+
+import asyncio
+import signal
+
+import fire
+from litestar import Litestar
+
+from plumarch.daemon import logs, serving
+from plumarch.standins import engine_app, platform_app, service_app
+
+
+async def _serve(app: Litestar, address: str) -> None:
+    listener = serving.Listener(app, serving.bind(address))
+    await listener.start()
+    print(f"listening on port {listener.port()}", flush=True)
+    asked = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        asyncio.get_running_loop().add_signal_handler(number, asked.set)
+    await asked.wait()
+    await listener.stop()
+
+
+def platform(address: str) -> None:
+    """Serve the stand-in platform."""
+    asyncio.run(_serve(platform_app.build(platform_app.PlatformStandin()), address))
+
+
+def engine(
+    address: str, models: str, token_ms: float = 30.0, tokens_per_event: int = 1, capacity: int = 8
+) -> None:
+    """Serve a stand-in engine; models are separated by commas."""
+    names = tuple(models) if isinstance(models, list | tuple) else tuple(models.split(","))
+    state = engine_app.EngineStandin(
+        names, capacity=capacity, token_ms=token_ms, tokens_per_event=tokens_per_event
+    )
+    asyncio.run(_serve(engine_app.build(state), address))
+
+
+def service(address: str, checks_fencing: bool = False) -> None:
+    """Serve a stand-in plain service."""
+    state = service_app.ServiceStandin(checks_fencing=checks_fencing)
+    asyncio.run(_serve(service_app.build(state), address))
+
+
+def main() -> None:
+    """Run one stand-in from the command line."""
+    logs.set_up("WARNING", json_lines=False)
+    fire.Fire({"platform": platform, "engine": engine, "service": service})
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/plumarch/standins/platform_app.py
@@ -0,0 +1,225 @@
+"""The stand-in platform over HTTP: objects, watches, VM list, cloud, weight store, faults."""
+
+import asyncio
+import dataclasses
+import random
+import time
+from typing import Any
+
+import msgspec
+from litestar import Litestar, Request, Response, get, post, put
+from litestar.handlers import HTTPRouteHandler
+
+from plumarch.platform import protocol
+from plumarch.standins import objects
+
+AnyRequest = Request[Any, Any, Any]
+WEIGHT_LOADS_PER_S = 2.0
+NOTICES_KEPT = 100
+GONE_KEPT = 500
+
+
+class FaultChange(msgspec.Struct, frozen=True):
+    """Faults to switch, by the names of objects.Faults; refused_starts counts down."""
+
+    faults: dict[str, bool | float | int] = {}
+    refused_starts: int | None = None
+
+
+class VmChange(msgspec.Struct, frozen=True):
+    """VMs that start or end; for whoever sets the stand-in up."""
+
+    add: list[protocol.Vm] = []
+    remove: list[str] = []
+    gone: list[str] = []
+
+
+class NoticeOrder(msgspec.Struct, frozen=True):
+    """A reclaim to announce."""
+
+    names: list[str]
+    left_ms: int
+
+
+class PlatformStandin:
+    """The platform's state."""
+
+    def __init__(self, seed: int = 1) -> None:
+        self.store = objects.ObjectStore(random.Random(seed))
+        self.vms: dict[str, protocol.Vm] = {}
+        self.gone: list[str] = []
+        self.notices: list[protocol.Notice] = []
+        self.leaving: dict[str, float] = {}
+        self.orders: dict[str, protocol.Vm] = {}
+        self.refused_starts = 0
+        self.changed = asyncio.Event()
+        self.weights_free_at = 0.0
+
+    def poke(self) -> None:
+        """Wake all watches."""
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    async def fault(self) -> Response[Any] | None:
+        """Wait as long as the platform is slow; return an answer if it is down."""
+        faults = self.store.faults
+        if faults.slow_ms:
+            await asyncio.sleep(faults.slow_ms / 1000)
+        if faults.down or self.store.rng.random() < faults.refuse:
+            return Response("down", status_code=429)
+        return None
+
+    def change_vms(self, change: VmChange) -> None:
+        """Start and end VMs."""
+        for vm in change.add:
+            self.vms[vm.name] = vm
+        for name in change.remove:
+            self.vms.pop(name, None)
+            self.leaving.pop(name, None)
+        self.gone = (self.gone + change.gone)[-GONE_KEPT:]
+
+    def announce(self, order: NoticeOrder) -> protocol.Notice:
+        """Give notice that VMs will be reclaimed."""
+        number = self.notices[-1].number + 1 if self.notices else 1
+        notice = protocol.Notice(number, order.names, order.left_ms)
+        self.notices = [*self.notices, notice][-NOTICES_KEPT:]
+        at = time.monotonic() + order.left_ms / 1000
+        for name in order.names:
+            self.leaving[name] = min(at, self.leaving.get(name, at))
+        return notice
+
+    def listing(self) -> protocol.VmList:
+        """Return the VM list."""
+        now = time.monotonic()
+        vms = []
+        for vm in self.vms.values():
+            leaves = self.leaving.get(vm.name)
+            if leaves is not None:
+                left = max(0, int((leaves - now) * 1000))
+                vm = msgspec.structs.replace(vm, state="leaving", leaves_in_ms=left)
+            vms.append(vm)
+        return protocol.VmList(vms, self.gone)
+
+    def take_weights(self) -> bool:
+        """Return whether a load of weights fits the store's rate now."""
+        now = time.monotonic()
+        if now < self.weights_free_at:
+            return False
+        self.weights_free_at = now + 1 / WEIGHT_LOADS_PER_S
+        return True
+
+    async def watch(self, prefix: str, since: int, wait_s: float) -> protocol.Change:
+        """Wait for changes after a revision. Raises objects.TooOld."""
+        end = time.monotonic() + wait_s
+        while True:
+            names = self.store.changes_since(since, prefix)
+            left = end - time.monotonic()
+            if names or left <= 0:
+                return protocol.Change(self.store.revision, names)
+            try:
+                async with asyncio.timeout(left):
+                    await self.changed.wait()
+            except TimeoutError:
+                continue
+
+
+def handlers(state: PlatformStandin) -> list[HTTPRouteHandler]:
+    """Return the route handlers."""
+
+    @get("/objects/{name:path}")
+    async def get_object(name: str) -> Response[Any]:
+        trouble = await state.fault()
+        if trouble is not None:
+            return trouble
+        found = state.store.get(name.lstrip("/"))
+        if found is None:
+            return Response("absent", status_code=404)
+        return Response(
+            found.value,
+            headers={"ETag": str(found.version)},
+            media_type="application/octet-stream",
+        )
+
+    @put("/objects/{name:path}")
+    async def put_object(name: str, request: AnyRequest) -> Response[Any]:
+        trouble = await state.fault()
+        if trouble is not None:
+            return trouble
+        expected = int(request.headers.get("if-match", "0"))
+        try:
+            value = await request.body()
+            version = state.store.put(name.lstrip("/"), value, expected)
+        except objects.Conflict:
+            return Response("conflict", status_code=412)
+        state.poke()
+        if state.store.rng.random() < state.store.faults.lose_answers:
+            return Response("lost", status_code=500)
+        return Response("ok", headers={"ETag": str(version)})
+
+    @get("/watch")
+    async def watch(prefix: str, since: int, wait_ms: int) -> Response[Any]:
+        trouble = await state.fault()
+        if trouble is not None:
+            return trouble
+        try:
+            change = await state.watch(prefix, since, wait_ms / 1000)
+        except objects.TooOld:
+            return Response("too old", status_code=410)
+        return Response(msgspec.json.encode(change), media_type="application/json")
+
+    @get("/vms")
+    async def vms() -> Response[Any]:
+        trouble = await state.fault()
+        if trouble is not None:
+            return trouble
+        return Response(msgspec.json.encode(state.listing()), media_type="application/json")
+
+    @get("/cloud/notices")
+    async def notices(since: int = 0) -> Response[Any]:
+        trouble = await state.fault()
+        if trouble is not None:
+            return trouble
+        found = [notice for notice in state.notices if notice.number > since]
+        return Response(msgspec.json.encode(found), media_type="application/json")
+
+    @get("/weights/{name:str}")
+    async def weights(name: str) -> Response[Any]:
+        if not state.take_weights():
+            return Response("too many loads", status_code=429, headers={"Retry-After": "1"})
+        return Response(f"weights of {name}")
+
+    return [get_object, put_object, watch, vms, notices, weights]
+
+
+def controls(state: PlatformStandin) -> list[HTTPRouteHandler]:
+    """Return the handlers by which a test or the demo steers the stand-in."""
+
+    @post("/control/faults", status_code=200)
+    async def faults(request: AnyRequest) -> Response[Any]:
+        change = msgspec.json.decode(await request.body(), type=FaultChange)
+        known = dataclasses.asdict(state.store.faults)
+        unknown = sorted(set(change.faults) - set(known))
+        if unknown:
+            return Response(f"unknown faults: {unknown}", status_code=400)
+        for name, value in change.faults.items():
+            setattr(state.store.faults, name, value)
+        if change.refused_starts is not None:
+            state.refused_starts = change.refused_starts
+        return Response("ok")
+
+    @post("/control/vms", status_code=200)
+    async def change_vms(request: AnyRequest) -> Response[Any]:
+        state.change_vms(msgspec.json.decode(await request.body(), type=VmChange))
+        return Response("ok")
+
+    @post("/control/reclaim", status_code=200)
+    async def reclaim(request: AnyRequest) -> Response[Any]:
+        order = msgspec.json.decode(await request.body(), type=NoticeOrder)
+        return Response(msgspec.json.encode(state.announce(order)))
+
+    return [faults, change_vms, reclaim]
+
+
+def build(state: PlatformStandin) -> Litestar:
+    """Return the stand-in's application."""
+    return Litestar([*handlers(state), *controls(state)], openapi_config=None, logging_config=None)
--- /dev/null
+++ b/plumarch/standins/virtual.py
@@ -0,0 +1,584 @@
+"""Nodes, endpoints and a platform in one process on virtual time, without sockets.
+
+Small fakes at the interfaces of docs/SEAMS.md, for focused tests of failures:
+whatever crosses an interface can be delayed, lost, doubled or cut off.
+"""
+
+import collections
+import dataclasses
+import heapq
+import itertools
+import random
+from collections.abc import Callable
+
+from plumarch.core import clock, context, data, events, messages
+from plumarch.node import node
+from plumarch.proof import invariants
+from plumarch.recovery import keys
+from plumarch.standins import model, objects
+
+TOKEN_MS = 30
+PREFILL_MS = 40
+SERVICE_MS = 20
+
+
+@dataclasses.dataclass(slots=True)
+class Network:
+    """Delays and faults between nodes, by data centre or node name."""
+
+    delay_ms: int = 2
+    jitter_ms: int = 2
+    lose: float = 0.0
+    double: float = 0.0
+    late: float = 0.0
+    late_ms: int = 2_000
+    cuts: set[frozenset[str]] = dataclasses.field(default_factory=set)
+    platform_cuts: set[str] = dataclasses.field(default_factory=set)
+
+
+@dataclasses.dataclass(slots=True)
+class Host:
+    """A node's process: it can be paused, killed and started anew."""
+
+    name: str
+    data_centre: str
+    node: node.Node
+    alive: bool = True
+    paused: bool = False
+    inbox: list[events.Event] = dataclasses.field(default_factory=list)
+
+
+@dataclasses.dataclass(slots=True)
+class Call:
+    """A request at a fake endpoint."""
+
+    host: str
+    identity: str
+    action: events.HandOver
+    position: int
+    stopped: bool = False
+    recomputed: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class FakeEndpoint:
+    """An engine or plain service.
+
+    Attributes:
+      fencing: highest token seen for each slot.
+      break_at: where the next call is interrupted: "", "connect", "sent" or "ran".
+    """
+
+    info: data.Endpoint
+    alive: bool = True
+    slow: float = 1.0
+    fencing: dict[int, int] = dataclasses.field(default_factory=dict)
+    break_at: str = ""
+    calls: dict[tuple[str, int], Call] = dataclasses.field(default_factory=dict)
+    cached: set[int] = dataclasses.field(default_factory=set)
+
+
+class World:
+    """Everything on one virtual clock."""
+
+    def __init__(self, seed: int = 1) -> None:
+        self.rng = random.Random(seed)
+        self.clock = clock.ManualClock(1_000)
+        self.queue: list[tuple[int, int, Callable[[], None]]] = []
+        self.sequence = itertools.count()
+        self.hosts: dict[str, Host] = {}
+        self.endpoints: dict[str, FakeEndpoint] = {}
+        self.store = objects.ObjectStore(random.Random(seed + 1))
+        self.network = Network()
+        self.journal = invariants.Journal()
+        self.callers: dict[str, invariants.CallerView] = {}
+        self.entry: dict[str, str] = {}
+        self.counts: collections.Counter[str] = collections.Counter()
+        self.decisions: list[data.Decision] = []
+        self.observed: list[events.Observe] = []
+        self.incarnations: collections.Counter[str] = collections.Counter()
+        self.attempts: dict[tuple[str, int], FakeEndpoint] = {}
+        self.told: list[str] = []
+        self.bytes_sent: collections.Counter[str] = collections.Counter()
+
+    # Time.
+
+    def at(self, delay_ms: int, do: Callable[[], None]) -> None:
+        """Do something after a delay."""
+        due = self.clock.now() + max(0, delay_ms)
+        heapq.heappush(self.queue, (due, next(self.sequence), do))
+
+    def run(self, for_ms: int) -> None:
+        """Let virtual time pass."""
+        end = self.clock.now() + for_ms
+        while self.queue and self.queue[0][0] <= end:
+            due, _, do = heapq.heappop(self.queue)
+            self.clock.advance_to(due)
+            do()
+        self.clock.advance_to(end)
+
+    # Nodes.
+
+    def start(self, name: str, data_centre: str, peers: tuple[str, ...]) -> Host:
+        """Start a node, or a new incarnation of one."""
+        self.incarnations[name] += 1
+        identity = f"{name}#{self.incarnations[name]}"
+        rng = random.Random(f"{identity}/{self.rng.random()}")
+        others = tuple(peer for peer in peers if peer != name)
+        host = Host(name, data_centre, node.Node(identity, data_centre, self.clock, rng, others))
+        self.hosts[name] = host
+        self._tick(host)
+        self.deliver(host, events.EndpointsSeen(self.listed()))
+        return host
+
+    def kill(self, name: str) -> None:
+        """End a node at once; its callers lose their connections."""
+        self.hosts[name].alive = False
+        for caller, entry in self.entry.items():
+            if entry == self.hosts[name].node.ctx.node:
+                self.callers[caller].lost = True
+
+    def restart(self, name: str) -> Host:
+        """Start a new incarnation of a node."""
+        peers = tuple(self.hosts)
+        return self.start(name, self.hosts[name].data_centre, peers)
+
+    def pause(self, name: str) -> None:
+        """Freeze a node; what arrives waits."""
+        self.hosts[name].paused = True
+
+    def resume(self, name: str) -> None:
+        """Let a frozen node go on."""
+        host = self.hosts[name]
+        host.paused = False
+        inbox = host.inbox
+        host.inbox = []
+        for event in inbox:
+            self.deliver(host, event)
+
+    def _tick(self, host: Host) -> None:
+        if not host.alive:
+            return
+        if not host.paused:
+            self.deliver(host, events.Tick())
+        self.at(node.TICK_MS, lambda: self._tick(host))
+
+    def deliver(self, host: Host, event: events.Event) -> None:
+        """Hand an event to a node and carry its actions out."""
+        if not host.alive:
+            return
+        if host.paused:
+            host.inbox.append(event)
+            return
+        for action in host.node.handle(event):
+            self._perform(host, action)
+        self.journal.revision(host.node.ctx.node, host.node.config.revision)
+
+    def _perform(self, host: Host, action: events.Action) -> None:
+        match action:
+            case events.Send():
+                self._send(host, action)
+            case events.HandOver():
+                self._hand_over(host, action)
+            case events.Abort():
+                self._abort(action)
+            case events.PlatformGet() | events.PlatformPut():
+                self._platform(host, action)
+            case events.TellAccepted():
+                self._told_accepted(action)
+            case events.TellTokens():
+                self.callers[action.watcher_id].told_tokens(action.position, action.tokens)
+                upto = action.position + len(action.tokens)
+                self._tell(action.watcher_id, f"tokens {action.position} to {upto}")
+            case events.TellEnd():
+                self._told_end(action)
+            case events.Note():
+                self.decisions.append(action.decision)
+            case events.Count():
+                self.counts[action.name] += int(action.amount)
+            case events.Observe():
+                self.observed.append(action)
+
+    # The network between nodes.
+
+    def cut(self, one: str, other: str) -> None:
+        """Cut two data centres or nodes off from each other."""
+        self.network.cuts.add(frozenset((one, other)))
+
+    def heal(self) -> None:
+        """End all cuts and losses."""
+        self.network = Network()
+
+    def _is_cut(self, sender: Host, receiver: Host) -> bool:
+        ends = itertools.product(
+            (sender.name, sender.data_centre), (receiver.name, receiver.data_centre)
+        )
+        return any(frozenset(pair) in self.network.cuts for pair in ends)
+
+    def _send(self, sender: Host, action: events.Send) -> None:
+        self.bytes_sent[type(action.message).__name__] += len(node.encode(action.message))
+        receiver = self.hosts.get(context.name_of(action.node))
+        if receiver is None or self._is_cut(sender, receiver):
+            return
+        if self.rng.random() < self.network.lose:
+            return
+        copies = 2 if self.rng.random() < self.network.double else 1
+        for _ in range(copies):
+            self._send_one(sender, receiver, action)
+
+    def _send_one(self, sender: Host, receiver: Host, action: events.Send) -> None:
+        net = self.network
+        delay = net.delay_ms + self.rng.randrange(net.jitter_ms + 1)
+        if self.rng.random() < net.late:
+            delay += self.rng.randrange(net.late_ms)
+        # Through the codec, as on the wire: nothing mutable is shared by accident.
+        message = node.decode(node.encode(action.message))
+        event = events.PeerMessage(sender.node.ctx.node, message)
+        identity = action.node
+
+        def arrive() -> None:
+            # Looked up on arrival: the receiver may have been restarted meanwhile.
+            host = self.hosts[receiver.name]
+            if "#" in identity and identity != host.node.ctx.node:
+                return
+            if not self._is_cut(sender, host):
+                self.deliver(host, event)
+
+        self.at(delay, arrive)
+
+    # The platform.
+
+    def _platform(self, host: Host, action: events.PlatformGet | events.PlatformPut) -> None:
+        faults = self.store.faults
+        delay = 3 + self.rng.randrange(4) + faults.slow_ms
+        cut = host.name in self.network.platform_cuts
+        cut = cut or host.data_centre in self.network.platform_cuts
+        if cut or faults.down or self.rng.random() < faults.refuse:
+            self._answer(host, action.call_id, events.PlatformStatus.UNREACHED, delay)
+            return
+        self.at(delay, lambda: self._arrive_at_platform(host, action))
+
+    def _answer(
+        self,
+        host: Host,
+        call_id: int,
+        status: events.PlatformStatus,
+        delay: int,
+        stored: objects.Stored | None = None,
+    ) -> None:
+        version = stored.version if stored else 0
+        value = stored.value if stored else b""
+        event = events.PlatformAnswer(call_id, status, version, value)
+        self.at(delay, lambda: self.deliver(host, event))
+
+    def _arrive_at_platform(
+        self, host: Host, action: events.PlatformGet | events.PlatformPut
+    ) -> None:
+        status = events.PlatformStatus.OK
+        stored: objects.Stored | None = None
+        if isinstance(action, events.PlatformGet):
+            stored = self.store.get(action.name)
+            if stored is None:
+                status = events.PlatformStatus.ABSENT
+        else:
+            try:
+                version = self.store.put(action.name, action.value, action.expected_version)
+                stored = objects.Stored(version, b"")
+            except objects.Conflict:
+                status = events.PlatformStatus.CONFLICT
+            if self.rng.random() < self.store.faults.lose_answers:
+                status = events.PlatformStatus.UNKNOWN
+                stored = None
+        self._answer(host, action.call_id, status, 3, stored)
+
+    # Endpoints.
+
+    def add_endpoint(self, info: data.Endpoint) -> FakeEndpoint:
+        """Add an endpoint; nodes hear of it by tell_list."""
+        endpoint = FakeEndpoint(info)
+        self.endpoints[info.name] = endpoint
+        return endpoint
+
+    def listed(self) -> tuple[data.Endpoint, ...]:
+        """Return the platform's list of endpoints."""
+        return tuple(e.info for e in self.endpoints.values() if e.alive)
+
+    def tell_list(self) -> None:
+        """Give all nodes the platform's list."""
+        for host in self.hosts.values():
+            self.deliver(host, events.EndpointsSeen(self.listed()))
+
+    def kill_endpoint(self, name: str) -> None:
+        """End an endpoint at once: calls there fail after bytes were written."""
+        endpoint = self.endpoints[name]
+        endpoint.alive = False
+        for call in list(endpoint.calls.values()):
+            self._fail(call, True, "connection reset")
+        endpoint.calls.clear()
+
+    def _hand_over(self, host: Host, action: events.HandOver) -> None:
+        endpoint = self.endpoints[action.endpoint.name]
+        call = Call(host.name, host.node.ctx.node, action, len(action.tokens))
+        self.attempts[(action.request.id, action.attempt)] = endpoint
+        delay = 1 + self.rng.randrange(3)
+        self.at(delay, lambda: self._connect(endpoint, call))
+
+    def _connect(self, endpoint: FakeEndpoint, call: Call) -> None:
+        request = call.action.request
+        if not endpoint.alive or endpoint.break_at == "connect":
+            endpoint.break_at = "" if endpoint.alive else endpoint.break_at
+            self._fail(call, False, "connection refused")
+            return
+        if endpoint.info.checks_fencing and request.key:
+            slot = keys.slot_of(request.workspace, request.key)
+            if call.action.fencing_token < endpoint.fencing.get(slot, 0):
+                self._fail(call, False, "fencing token too old")
+                return
+            endpoint.fencing[slot] = call.action.fencing_token
+        self._execute(endpoint, call)
+
+    def _execute(self, endpoint: FakeEndpoint, call: Call) -> None:
+        request = call.action.request
+        if endpoint.break_at == "sent":
+            # The endpoint never acts on what it got, but the caller can't know.
+            endpoint.break_at = ""
+            self._fail(call, True, "connection reset while sending")
+            return
+        self.journal.executions.append(
+            invariants.Execution(
+                request.workspace,
+                request.key,
+                request.id,
+                endpoint.info.name,
+                self.clock.now(),
+                request.repeatable,
+            )
+        )
+        if endpoint.break_at == "ran":
+            endpoint.break_at = ""
+            self._fail(call, True, "connection reset before the answer")
+            return
+        endpoint.calls[(request.id, call.action.attempt)] = call
+        if request.kind is data.EndpointKind.SERVICE:
+            self.at(int(SERVICE_MS * endpoint.slow), lambda: self._finish(endpoint, call))
+        else:
+            self._prefill(endpoint, call)
+
+    def _prefill(self, endpoint: FakeEndpoint, call: Call) -> None:
+        action = call.action
+        if action.import_from and self._import(action):
+            self.at(5, lambda: self._make_token(endpoint, call))
+            return
+        if call.position or action.attempt % 1_000 > 1:
+            call.recomputed = action.request.prompt_tokens + call.position
+        self.at(int(PREFILL_MS * endpoint.slow), lambda: self._make_token(endpoint, call))
+
+    def _import(self, action: events.HandOver) -> bool:
+        source = self.attempts.get((action.request.id, action.import_attempt))
+        if source is None or not source.alive:
+            return False
+        old = source.calls.pop((action.request.id, action.import_attempt), None)
+        if old is not None:
+            old.stopped = True
+        return old is not None
+
+    def _make_token(self, endpoint: FakeEndpoint, call: Call) -> None:
+        if call.stopped or not endpoint.alive:
+            return
+        request = call.action.request
+        if call.position >= request.max_tokens:
+            self._finish(endpoint, call)
+            return
+        text = model.token(request.seed, call.position)
+        event = events.EndpointTokens(request.id, call.action.attempt, call.position, (text,))
+        call.position += 1
+        self._to_node(call, event)
+        self.at(int(TOKEN_MS * endpoint.slow), lambda: self._make_token(endpoint, call))
+
+    def _finish(self, endpoint: FakeEndpoint, call: Call) -> None:
+        request = call.action.request
+        if endpoint.calls.pop((request.id, call.action.attempt), None) is None:
+            return
+        body = b"" if request.kind is data.EndpointKind.ENGINE else request.id.encode()
+        reply = data.Reply(200, "text/plain", body)
+        event = events.EndpointDone(request.id, call.action.attempt, reply, call.recomputed)
+        self._to_node(call, event)
+
+    def _fail(self, call: Call, delivered: bool, why: str) -> None:
+        request = call.action.request
+        event = events.EndpointFailed(request.id, call.action.attempt, delivered, why)
+        self._to_node(call, event)
+
+    def _to_node(self, call: Call, event: events.Event) -> None:
+        def arrive() -> None:
+            host = self.hosts[call.host]
+            # A restarted node has no connection of its former self.
+            if host.node.ctx.node == call.identity:
+                self.deliver(host, event)
+
+        self.at(1, arrive)
+
+    def _abort(self, action: events.Abort) -> None:
+        endpoint = self.attempts.get((action.request_id, action.attempt))
+        if endpoint is not None:
+            call = endpoint.calls.pop((action.request_id, action.attempt), None)
+            if call is not None:
+                call.stopped = True
+
+    # Reclaims.
+
+    def reclaim(self, names: tuple[str, ...], left_ms: int, told: tuple[str, ...]) -> None:
+        """Give notice for VMs to some nodes, and take the VMs away in time."""
+        for name in names:
+            if name in self.endpoints:
+                self.journal.leaving(name, self.clock.now())
+        for name in told:
+            self.deliver(self.hosts[name], events.ReclaimNotice(names, left_ms))
+        self.at(left_ms, lambda: self._take_away(names))
+
+    def _take_away(self, names: tuple[str, ...]) -> None:
+        for name in names:
+            if name in self.endpoints:
+                self.kill_endpoint(name)
+            elif name in self.hosts:
+                self.kill(name)
+        self.tell_list()
+
+    # Callers.
+
+    def call(self, name: str, request: data.Request) -> invariants.CallerView:
+        """Send a caller's request in by a node."""
+        caller = self._new_caller(name, request.workspace, request)
+        caller.key = request.key
+        caller.request_id = request.id
+        self.deliver(self.hosts[name], events.Arrived(caller.name, request))
+        return caller
+
+    def reattach(self, name: str, former: invariants.CallerView) -> invariants.CallerView:
+        """Let a caller whose connection broke ask for the rest by another node."""
+        caller = self._new_caller(name, former.workspace, former.request)
+        caller.key = former.key
+        caller.tokens = list(former.tokens)
+        caller.accepted = former.accepted
+        host = self.hosts[name]
+        position = len(caller.tokens)
+        if former.request is not None and former.request.key:
+            request = dataclasses.replace(
+                former.request, id=f"{host.node.ctx.node}/again{len(self.callers)}"
+            )
+            self.deliver(host, events.Arrived(caller.name, request, position))
+        else:
+            attach = events.Attach(caller.name, caller.workspace, caller.key, position)
+            self.deliver(host, attach)
+        return caller
+
+    def _new_caller(
+        self, name: str, workspace: str, request: data.Request | None
+    ) -> invariants.CallerView:
+        expected: tuple[str, ...] | None = None
+        if request is not None and request.kind is data.EndpointKind.ENGINE:
+            expected = tuple(model.answer(request.seed, request.max_tokens))
+        caller = invariants.CallerView(f"caller{len(self.callers)}", workspace, request, expected)
+        self.callers[caller.name] = caller
+        self.journal.callers.append(caller)
+        self.entry[caller.name] = self.hosts[name].node.ctx.node
+        return caller
+
+    def _tell(self, caller: str, what: str) -> None:
+        self.told.append(f"{self.clock.now():7} {caller:9} {what}")
+
+    def _told_accepted(self, action: events.TellAccepted) -> None:
+        weakened = f", weakened: {action.weakened}" if action.weakened else ""
+        self._tell(action.watcher_id, f"accepted as {action.key}{weakened}")
+        caller = self.callers[action.watcher_id]
+        caller.accepted = True
+        caller.key = action.key
+        caller.request_id = action.request_id
+        caller.weakened = action.weakened
+
+    def _told_end(self, action: events.TellEnd) -> None:
+        reason = f" ({action.reason})" if action.reason else ""
+        self._tell(action.watcher_id, f"{action.outcome}{reason}")
+        caller = self.callers[action.watcher_id]
+        caller.ends.append(action.outcome)
+        caller.reasons.append(action.reason)
+        caller.reply = action.reply
+        caller.request_id = action.request_id or caller.request_id
+
+
+def build(
+    nodes: dict[str, str], engines_each: int = 2, services_each: int = 1, seed: int = 1
+) -> World:
+    """Build a world.
+
+    Args:
+      nodes: node name to data centre.
+      engines_each: engines in each data centre, serving the model "writer".
+      services_each: plain services "tickets" in each data centre.
+      seed: of all chance in it.
+    Returns:
+      The world, its nodes started and acquainted.
+    """
+    world = World(seed)
+    for centre in sorted(set(nodes.values())):
+        for number in range(engines_each):
+            world.add_endpoint(
+                data.Endpoint(
+                    f"{centre}-engine-{number}",
+                    centre,
+                    data.EndpointKind.ENGINE,
+                    f"engine://{centre}/{number}",
+                    ("writer",),
+                )
+            )
+        for number in range(services_each):
+            world.add_endpoint(
+                data.Endpoint(
+                    f"{centre}-tickets-{number}",
+                    centre,
+                    data.EndpointKind.SERVICE,
+                    f"service://{centre}/{number}",
+                    ("tickets",),
+                    checks_fencing=number % 2 == 1,
+                )
+            )
+    for name, centre in nodes.items():
+        world.start(name, centre, tuple(nodes))
+    world.run(6_000)
+    return world
+
+
+def request(
+    world: World,
+    entry: str,
+    request_class: data.RequestClass,
+    key: str = "",
+    repeatable: bool = True,
+    max_tokens: int = 20,
+    workspace: str = "okefenokee",
+    timeout_ms: int = 120_000,
+) -> data.Request:
+    """Make a request as the shell of a node would."""
+    unique = f"{world.hosts[entry].node.ctx.node}/{len(world.callers)}"
+    is_service = request_class is data.RequestClass.LOOKUP
+    seed_text = f"{workspace}/{key or unique}"
+    return data.Request(
+        unique,
+        workspace,
+        "tickets" if is_service else "writer",
+        data.EndpointKind.SERVICE if is_service else data.EndpointKind.ENGINE,
+        request_class,
+        key=key,
+        minted_epoch=keys.issued_epoch(key),
+        fingerprint=1,
+        repeatable=repeatable,
+        prompt_tokens=100,
+        max_tokens=0 if is_service else max_tokens,
+        seed=sum(seed_text.encode()),
+        timeout_ms=timeout_ms,
+    )
+
+
+def heartbeat_bytes(beat: messages.Heartbeat) -> int:
+    """Return the size of a heartbeat on the wire, without its frame."""
+    return len(node.encode(beat))
