--- a/plumarch/recovery/ledger.py
+++ b/plumarch/recovery/ledger.py
@@ -701,22 +701,27 @@
         if resend:
             self.next_resend_ms = now + RESEND_MS
         for slot in list(self.owned.values()):
-            self._tend_owned(slot, resend)
+            # A slot at rest is looked at only now and then: most are, most of the time.
+            if resend or slot.operations or slot.candidate:
+                self._tend_owned(slot, resend)
         self._tend_takeovers()
 
     def _tend_owned(self, slot: slots.OwnedSlot, resend: bool) -> None:
-        slot.table.expire(self.ctx.now())
-        self._tend_uncertainty(slot)
         if resend:
-            for operation in slot.operations.values():
-                self._replicate(slot, operation)
-            if slot.candidate and not slot.copied:
-                self._send_copy(slot)
-            self._ask_former(slot)
+            slot.table.expire(self.ctx.now())
+            self._tend_uncertainty(slot)
+            self._resend(slot)
         self._fail_old_operations(slot)
         self._tend_successor(slot)
         self._store_records(slot)
 
+    def _resend(self, slot: slots.OwnedSlot) -> None:
+        for operation in slot.operations.values():
+            self._replicate(slot, operation)
+        if slot.candidate and not slot.copied:
+            self._send_copy(slot)
+        self._ask_former(slot)
+
     def _fail_old_operations(self, slot: slots.OwnedSlot) -> None:
         now = self.ctx.now()
         for operation in list(slot.operations.values()):
--- a/plumarch/standins/virtual.py
+++ b/plumarch/standins/virtual.py
@@ -99,6 +99,7 @@
         self.incarnations: collections.Counter[str] = collections.Counter()
         self.attempts: dict[tuple[str, int], FakeEndpoint] = {}
         self.told: list[str] = []
+        self.interfere: Callable[[Host, events.Action], bool] | None = None
         self.bytes_sent: collections.Counter[str] = collections.Counter()
 
     # Time.
@@ -171,10 +172,14 @@
             host.inbox.append(event)
             return
         for action in host.node.handle(event):
-            self._perform(host, action)
+            # A test may act at an exact point, and keep the action from happening.
+            if self.interfere is None or self.interfere(host, action):
+                self._perform(host, action)
         self.journal.revision(host.node.ctx.node, host.node.config.revision)
 
     def _perform(self, host: Host, action: events.Action) -> None:
+        if not host.alive:
+            return
         match action:
             case events.Send():
                 self._send(host, action)
