Prove the promises under reclaims, deaths, cuts and outages; show the checks can fail

Change: sessions for reclaims (whole data centre, second notice, handler dying, platform out), deaths, rolling restarts, isolation; ledger and reply tests aimed at each guard; the demo.

--- a/plumarch/core/data.py
+++ b/plumarch/core/data.py
@@ -50,7 +50,6 @@
     KEY_CONFLICT = "key_conflict"
     CANCELLED = "cancelled"
     UNKNOWN_KEY = "unknown_key"
-    STOPPING = "stopping"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/plumarch/core/messages.py
+++ b/plumarch/core/messages.py
@@ -34,7 +34,7 @@
 
 
 class Verdict(enum.StrEnum):
-    """A slot owner's answer about a key."""
+    """A slot owner's answer about a key. After MOVED the same is asked again, soon."""
 
     GRANTED = "granted"
     EXISTS = "exists"
@@ -213,7 +213,12 @@
 
 
 class Adopt(Message, frozen=True):
-    """Hands a request in progress to another node, with the tokens made so far."""
+    """Hands a request in progress to another node, with the tokens made so far.
+
+    Attributes:
+      import_from: address of the engine that runs it now and can export its KV cache.
+      import_attempt: the attempt under which that engine knows it.
+    """
 
     request: data.Request
     attempt: int
@@ -221,6 +226,8 @@
     handed_over: bool
     elapsed_ms: int
     copy_holder: str = ""
+    import_from: str = ""
+    import_attempt: int = 0
 
 
 class Adopted(Message, frozen=True):
--- a/plumarch/daemon/logs.py
+++ b/plumarch/daemon/logs.py
@@ -1,5 +1,6 @@
 """Logs: loguru to standard error, a fixed prefix per part, other libraries routed in."""
 
+import asyncio
 import logging
 import sys
 
@@ -12,7 +13,9 @@
     """Hands records of the standard logging module to loguru, httpx's at debug level."""
 
     def emit(self, record: logging.LogRecord) -> None:
-        """Pass one record on."""
+        """Pass one record on. A request ended by closing its socket is no error."""
+        if record.exc_info and isinstance(record.exc_info[1], asyncio.CancelledError):
+            return
         quiet = record.name.startswith(("httpx", "httpcore"))
         level = "DEBUG" if quiet else record.levelname
         part = record.name.partition(".")[0]
@@ -28,7 +31,14 @@
     """
     logger.remove()
     logger.configure(extra={"part": "main"})
-    logger.add(sys.stderr, level=level, format=FORMAT, serialize=json_lines, backtrace=False)
+    logger.add(
+        sys.stderr,
+        level=level,
+        format=FORMAT,
+        serialize=json_lines,
+        backtrace=False,
+        diagnose=False,
+    )
     logging.basicConfig(handlers=[ToLoguru()], level=logging.DEBUG, force=True)
     for noisy in ("httpcore", "asyncio", "uvicorn.access"):
         logging.getLogger(noisy).setLevel(logging.WARNING)
--- a/plumarch/daemon/serving.py
+++ b/plumarch/daemon/serving.py
@@ -74,6 +74,15 @@
         while not self.server.started and not self.task.done():
             await asyncio.sleep(0.005)
 
+    async def abort(self) -> None:
+        """End at once, connections included, as if the VM had vanished."""
+        self.server.force_exit = True
+        for connection in list(self.server.server_state.connections):
+            transport = getattr(connection, "transport", None)
+            if transport is not None:
+                transport.abort()
+        await self.stop()
+
     async def stop(self) -> None:
         """Stop taking connections and end those that are idle."""
         self.server.should_exit = True
--- /dev/null
+++ b/plumarch/demo/__main__.py
@@ -0,0 +1,204 @@
+"""make demo: two deployments under load, a data centre reclaimed, every promise checked."""
+
+import asyncio
+import random
+import sys
+import time
+from collections.abc import Awaitable
+
+import tabulate
+
+from plumarch.core import data
+from plumarch.daemon import logs
+from plumarch.demo import deployment
+from plumarch.load import callers, report
+from plumarch.proof import invariants
+
+PLANS = (
+    deployment.Plan(
+        "okefenokee", ("hall-a", "hall-b"), "firmware-writer", "queue-api", "examples/okefenokee"
+    ),
+    deployment.Plan(
+        "leasquell", ("wien-a", "linz-one"), "contract-writer", "quote-api", "examples/leasquell"
+    ),
+)
+WORKSPACES = {
+    "okefenokee": ("release", "pumps", "valves", "sensors", "medical"),
+    "leasquell": ("vienna", "linz", "graz", "salzburg", "tyrol"),
+}
+TICKETS = {"okefenokee": "/tickets", "leasquell": "/credit-checks"}
+WAITING = {"okefenokee": data.RequestClass.REVIEW, "leasquell": data.RequestClass.DRAFT}
+ROUNDS = 8
+ROUND_S = 1.5
+RECLAIM_ROUND = 3
+NOTICE_MS = 5_000
+CHAT_TOKENS = 60
+WAITING_TOKENS = 150
+SHOWN = 3
+"""Decisions of one kind and workspace that are printed; the rest is counted."""
+
+
+class Demo:
+    """One deployment under load."""
+
+    def __init__(self, plan: deployment.Plan, seed: int) -> None:
+        self.plan = plan
+        self.deployment = deployment.Deployment(plan)
+        self.seed = seed
+        self.rng = random.Random(seed)
+        self.tasks: list[asyncio.Task[callers.Outcome]] = []
+        self.started = time.monotonic()
+
+    def targets(self) -> list[callers.Target]:
+        """Return the workspaces as their callers know them."""
+        name = self.plan.name
+        return [
+            callers.Target(
+                f"{name}-{part}",
+                f"{name}-{part}-token",
+                self.plan.model,
+                self.plan.service,
+                TICKETS[name],
+            )
+            for part in WORKSPACES[name]
+        ]
+
+    async def run(self) -> list[callers.Outcome]:
+        """Send a mixed load through a reclaim.
+
+        Returns:
+          What became of each request.
+        """
+        balancer = callers.Balancer(list(self.deployment.urls().values()), self.seed)
+        async with callers.client() as http:
+            lanes = [callers.Caller(http, balancer, target) for target in self.targets()]
+            for number in range(ROUNDS):
+                for lane in lanes:
+                    self._send_round(lane, number)
+                if number == RECLAIM_ROUND:
+                    self.tasks_of_reclaim = asyncio.ensure_future(self._reclaim(balancer))
+                await asyncio.sleep(ROUND_S)
+            outcomes = await asyncio.gather(*self.tasks)
+            await self.tasks_of_reclaim
+        return outcomes
+
+    def _send_round(self, lane: callers.Caller, number: int) -> None:
+        name = lane.target.workspace
+        seed = self.seed * 1000 + number
+        waiting = WAITING[self.plan.name]
+        self._start(lane.chat(f"{name}-chat-{number}", seed, CHAT_TOKENS))
+        self._start(lane.ticket(f"{name}-once-{number}"))
+        for part in range(3):
+            self._start(lane.lookup(f"{name}-status-{number}-{part}"))
+        if number % 2 == 1:
+            key = f"{name}-{waiting}-{number}"
+            self._start(lane.submit(key, waiting, seed, WAITING_TOKENS))
+
+    def _start(self, work: Awaitable[callers.Outcome]) -> None:
+        """Send a request at some moment of the round."""
+        delay = self.rng.uniform(0, ROUND_S)
+
+        async def later() -> callers.Outcome:
+            await asyncio.sleep(delay)
+            return await work
+
+        self.tasks.append(asyncio.ensure_future(later()))
+
+    async def _reclaim(self, balancer: callers.Balancer) -> None:
+        centre = self.plan.centres[0]
+        say(f"--- {centre} will be reclaimed in {NOTICE_MS} ms: nodes, engines and services")
+        self.deployment.announce(centre, NOTICE_MS)
+        leaving = [
+            url
+            for name, url in self.deployment.urls().items()
+            if self.deployment.daemons[name].settings.node.data_centre == centre
+        ]
+        # The platform's balancer notices after a while that they are no longer ready.
+        await asyncio.sleep(1.0)
+        for url in leaving:
+            balancer.remove(url)
+        await asyncio.sleep(NOTICE_MS / 1000 - 1.0)
+        await self.deployment.take_away(centre)
+        say(f"--- {centre} is gone")
+
+    def journal(self, outcomes: list[callers.Outcome]) -> invariants.Journal:
+        """Return what was observed, for the checks of the promises."""
+        journal = invariants.Journal([outcome.view for outcome in outcomes])
+        for (workspace, key), count in self.deployment.executions().items():
+            for _ in range(count):
+                once = "-once-" in key
+                journal.executions.append(
+                    invariants.Execution(workspace, key if once else "", "", "", 0, not once)
+                )
+        return journal
+
+
+async def show_decisions(name: str, queue: asyncio.Queue[data.Decision]) -> None:
+    """Print decisions as they happen, a few of each kind and workspace."""
+    shown: dict[tuple[str, str, str], int] = {}
+    while True:
+        decision = await queue.get()
+        if decision.kind not in deployment.WATCHED or decision.kind == "slot":
+            continue
+        place = (decision.workspace, decision.kind, decision.why)
+        shown[place] = shown.get(place, 0) + 1
+        if shown[place] > SHOWN:
+            continue
+        others = ", ".join(f"{c.endpoint} {c.note or round(c.score)}" for c in decision.considered)
+        node = decision.node.partition("#")[0]
+        say(
+            f"{node:11} {decision.workspace or name:20} {decision.kind:7}"
+            f" {decision.choice.partition('#')[0]}: {decision.why}"
+            + (f" [{others}]" if others else "")
+        )
+
+
+def say(text: str) -> None:
+    """Print a line at once."""
+    print(text, flush=True)
+
+
+async def main() -> int:
+    """Run the demo.
+
+    Returns:
+      0 if every promise held, else 1.
+    """
+    logs.set_up("ERROR", json_lines=False)
+    start = time.monotonic()
+    demos = [Demo(plan, number + 1) for number, plan in enumerate(PLANS)]
+    await asyncio.gather(*(demo.deployment.start() for demo in demos))
+    say(f"Two deployments are ready after {time.monotonic() - start:.1f} s.")
+    watchers = [
+        asyncio.ensure_future(show_decisions(demo.plan.name, demo.deployment.listen()))
+        for demo in demos
+    ]
+    results = await asyncio.gather(*(demo.run() for demo in demos))
+    broken: list[str] = []
+    table = []
+    hours = (time.monotonic() - start) / 3600
+    for demo, outcomes in zip(demos, results, strict=True):
+        journal = demo.journal(outcomes)
+        broken += invariants.violations(journal)
+        broken += invariants.accepted_and_unfinished(journal)
+        broken += [f"{o.view.name} got no answer" for o in outcomes if not o.view.ends]
+        more = {
+            f"{demo.plan.name}-{WORKSPACES[demo.plan.name][0]}": {
+                "recomputed tokens (all)": demo.deployment.recomputed(),
+                "cost (all)": round(demo.deployment.cost(hours), 4),
+            }
+        }
+        table += report.rows(outcomes, more)
+    for watcher in watchers:
+        watcher.cancel()
+    await asyncio.gather(*(demo.deployment.stop() for demo in demos))
+    say("\n" + tabulate.tabulate(table, headers="keys"))
+    for text in broken:
+        say(f"PROMISE BROKEN: {text}")
+    took = time.monotonic() - start
+    say(f"\n{'Every promise held' if not broken else 'Promises were broken'}, in {took:.0f} s.")
+    return 1 if broken else 0
+
+
+if __name__ == "__main__":
+    sys.exit(asyncio.run(main()))
--- /dev/null
+++ b/plumarch/load/__init__.py
@@ -0,0 +1,1 @@
+"""A load tool: callers that behave as callers should, and what they found."""
--- /dev/null
+++ b/plumarch/load/callers.py
@@ -0,0 +1,232 @@
+"""One caller over HTTP: it streams, reconnects by its key, and notes what it was told."""
+
+import asyncio
+import dataclasses
+import json
+import random
+import time
+from typing import Any
+
+import httpx
+
+from plumarch.core import data
+from plumarch.proof import invariants
+from plumarch.standins import model
+
+TRIES = 12
+RETRY_S = 0.2
+TIMEOUT_S = 30.0
+CONNECT_S = 1.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Target:
+    """A workspace as its callers know it."""
+
+    workspace: str
+    token: str
+    model: str
+    service: str
+    ticket_path: str
+
+
+@dataclasses.dataclass(slots=True)
+class Outcome:
+    """What became of one request, besides what its CallerView holds."""
+
+    view: invariants.CallerView
+    target: Target
+    request_class: data.RequestClass
+    first_token_ms: float = -1.0
+    total_ms: float = -1.0
+    reconnects: int = 0
+
+
+class Balancer:
+    """The entry nodes as callers see them: any that answers, the last good one first."""
+
+    def __init__(self, urls: list[str], seed: int) -> None:
+        self.urls = list(urls)
+        self.rng = random.Random(seed)
+
+    def pick(self) -> str:
+        """Return the base URL of an entry node."""
+        return self.rng.choice(self.urls)
+
+    def remove(self, url: str) -> None:
+        """Stop sending callers to a node."""
+        if url in self.urls and len(self.urls) > 1:
+            self.urls.remove(url)
+
+
+class Caller:
+    """Sends requests of one target through a balancer."""
+
+    def __init__(self, http: httpx.AsyncClient, balancer: Balancer, target: Target) -> None:
+        self.http = http
+        self.balancer = balancer
+        self.target = target
+
+    def _headers(self, key: str = "", **more: str) -> dict[str, str]:
+        headers = {"Authorization": f"Bearer {self.target.token}"}
+        if key:
+            headers["Idempotency-Key"] = key
+        return {**headers, **more}
+
+    def _outcome(
+        self, key: str, request_class: data.RequestClass, seed: int, tokens: int
+    ) -> Outcome:
+        expected = tuple(model.answer(seed, tokens)) if tokens else None
+        request = None
+        if tokens:
+            request = data.Request(
+                key, self.target.workspace, "", data.EndpointKind.ENGINE, request_class, key=key
+            )
+        view = invariants.CallerView(
+            key, self.target.workspace, request, expected, key=key, request_id=key
+        )
+        return Outcome(view, self.target, request_class)
+
+    def _body(self, seed: int, tokens: int, prompt: str) -> dict[str, Any]:
+        messages = [
+            {"role": "system", "content": f"You work for {self.target.workspace}. " * 8},
+            {"role": "user", "content": prompt},
+        ]
+        return {
+            "model": self.target.model,
+            "messages": messages,
+            "max_tokens": tokens,
+            "seed": seed,
+        }
+
+    async def chat(self, key: str, seed: int, tokens: int) -> Outcome:
+        """Stream a chat answer; reconnect by the key if the connection breaks."""
+        outcome = self._outcome(key, data.RequestClass.CHAT, seed, tokens)
+        body = {**self._body(seed, tokens, f"Explain {key}."), "stream": True}
+        start = time.monotonic()
+        for _ in range(TRIES):
+            try:
+                if await self._stream(outcome, key, body, start):
+                    break
+            except httpx.HTTPError:
+                outcome.reconnects += 1
+            await asyncio.sleep(RETRY_S)
+        outcome.total_ms = (time.monotonic() - start) * 1000
+        return outcome
+
+    async def _stream(self, outcome: Outcome, key: str, body: dict[str, Any], start: float) -> bool:
+        """Read one connection's part of a stream. Returns whether the answer is final."""
+        view = outcome.view
+        url = self.balancer.pick() + "/v1/chat/completions"
+        headers = self._headers(key, **{"Last-Event-ID": str(len(view.tokens))})
+        async with self.http.stream("POST", url, json=body, headers=headers) as answer:
+            if answer.status_code != httpx.codes.OK:
+                text = await answer.aread()
+                return self._problem(outcome, answer.status_code, text)
+            view.accepted = True
+            async for line in answer.aiter_lines():
+                if line.startswith("data: ") and self._event(outcome, line, start):
+                    return True
+        return False
+
+    def _event(self, outcome: Outcome, line: str, start: float) -> bool:
+        """Take in one event. Returns whether the answer is final."""
+        view = outcome.view
+        if line == "data: [DONE]":
+            view.ends.append(data.Outcome.DONE)
+            return True
+        event = json.loads(line.removeprefix("data: "))
+        if "error" in event:
+            view.ends.append(data.Outcome(event["error"]["outcome"]))
+            return True
+        content = event["choices"][0]["delta"].get("content") or ""
+        if content and outcome.first_token_ms < 0:
+            outcome.first_token_ms = (time.monotonic() - start) * 1000
+        view.tokens += [word + " " for word in content.split()]
+        return False
+
+    def _problem(self, outcome: Outcome, status: int, text: bytes) -> bool:
+        """Take in an error. Returns whether it is a final answer."""
+        try:
+            problem = json.loads(text)
+        except ValueError:
+            return False
+        outcome.view.reasons.append(problem.get("reason", str(status)))
+        if problem.get("outcome"):
+            outcome.view.ends.append(data.Outcome(problem["outcome"]))
+            return True
+        return False
+
+    async def submit(
+        self, key: str, request_class: data.RequestClass, seed: int, tokens: int
+    ) -> Outcome:
+        """Submit a request that waits, then fetch its result by whichever node answers."""
+        outcome = self._outcome(key, request_class, seed, tokens)
+        body = self._body(seed, tokens, f"Work on {key}.")
+        start = time.monotonic()
+        headers = self._headers(key, **{"Plumarch-Class": request_class})
+        for _ in range(TRIES):
+            try:
+                url = self.balancer.pick()
+                answer = await self.http.post(url + "/v1/requests", json=body, headers=headers)
+                if answer.status_code == httpx.codes.ACCEPTED:
+                    outcome.view.accepted = True
+                    break
+                if self._problem(outcome, answer.status_code, answer.content):
+                    return outcome
+            except httpx.HTTPError:
+                outcome.reconnects += 1
+            await asyncio.sleep(RETRY_S)
+        await self._fetch(outcome, key)
+        outcome.total_ms = (time.monotonic() - start) * 1000
+        return outcome
+
+    async def _fetch(self, outcome: Outcome, key: str) -> None:
+        for _ in range(TRIES):
+            try:
+                url = f"{self.balancer.pick()}/v1/requests/{key}/result"
+                answer = await self.http.get(url, headers=self._headers())
+                if answer.status_code == httpx.codes.OK:
+                    text = answer.json()["choices"][0]["message"]["content"]
+                    outcome.view.tokens = [word + " " for word in text.split()]
+                    outcome.view.ends.append(data.Outcome.DONE)
+                    return
+                if self._problem(outcome, answer.status_code, answer.content):
+                    return
+            except httpx.HTTPError:
+                outcome.reconnects += 1
+            await asyncio.sleep(RETRY_S)
+
+    async def lookup(self, key: str) -> Outcome:
+        """Ask a plain service for a status; the call may be repeated."""
+        return await self._call(key, "GET", "/status", keyed=False)
+
+    async def ticket(self, key: str) -> Outcome:
+        """Make a call that must not run twice; ask again by the same key if unsure."""
+        return await self._call(key, "POST", self.target.ticket_path, keyed=True)
+
+    async def _call(self, key: str, method: str, path: str, keyed: bool) -> Outcome:
+        outcome = self._outcome(key, data.RequestClass.LOOKUP, 0, 0)
+        start = time.monotonic()
+        headers = self._headers(key if keyed else "")
+        for _ in range(TRIES):
+            try:
+                url = f"{self.balancer.pick()}/v1/services/{self.target.service}{path}"
+                answer = await self.http.request(method, url, headers=headers)
+                if answer.status_code == httpx.codes.OK:
+                    outcome.view.ends.append(data.Outcome.DONE)
+                    break
+                if self._problem(outcome, answer.status_code, answer.content):
+                    break
+            except httpx.HTTPError:
+                outcome.reconnects += 1
+            await asyncio.sleep(RETRY_S)
+        outcome.total_ms = (time.monotonic() - start) * 1000
+        return outcome
+
+
+def client() -> httpx.AsyncClient:
+    """Return an HTTP client for callers."""
+    timeout = httpx.Timeout(TIMEOUT_S, connect=CONNECT_S)
+    limits = httpx.Limits(max_connections=500, max_keepalive_connections=0)
+    return httpx.AsyncClient(timeout=timeout, limits=limits)
--- a/plumarch/node/adoption.py
+++ b/plumarch/node/adoption.py
@@ -107,6 +107,8 @@
             run.handed_over,
             now - run.accepted_ms,
             run.copy_holder,
+            self.dispatcher.engine_of(run),
+            run.attempt(),
         )
         self.ctx.send(run.adopter, message)
 
@@ -117,7 +119,7 @@
             return
         self.ctx.count("handed_over_runs", run.request.workspace)
         self.ctx.note(run.request, "rehome", sender, "this node leaves")
-        self.dispatcher.forget(run)
+        self.dispatcher.linger(run)
         self.table.remove(m.request_id)
         self.moved[m.request_id] = sender
         for watcher in run.watchers.values():
@@ -156,6 +158,8 @@
             handed_over=m.handed_over,
             tokens=list(m.tokens),
             copy_holder=m.copy_holder,
+            import_from=m.import_from,
+            import_attempt=m.import_attempt,
         )
         self.table.add(run)
         self.copies.drop(request.id)
--- a/plumarch/node/dispatch.py
+++ b/plumarch/node/dispatch.py
@@ -17,6 +17,9 @@
 TOKEN_MS = 30
 """Assumed time between tokens, until the run's own is known."""
 
+LINGER_MS = 2_000
+"""How long the call of a run that moved to another home is kept up."""
+
 LEAVE_MARGIN_MS = 1_000
 """A request is left to finish at a leaving endpoint only with this much to spare."""
 
@@ -46,6 +49,7 @@
         self.queue = fair_queue.FairQueue()
         self.budget = retry_budget.RetryBudget()
         self.delayed: dict[str, runs.Run] = {}
+        self.lingering: list[tuple[int, str, int]] = []
 
     def _allowed(self, workspace: str) -> frozenset[str]:
         known = self.config.workspaces.get(workspace)
@@ -111,7 +115,9 @@
             entry = self.queue.pop(self.ctx.now(), fits)
             if entry is None or chosen is None:
                 return
-            self._hand_over(self.table.active[entry.request_id], chosen, considered)
+            run = self.table.active[entry.request_id]
+            self._hand_over(run, chosen, considered, run.import_from, run.import_attempt)
+            run.import_from = ""
 
     def _hand_over(
         self,
@@ -248,6 +254,26 @@
         run.not_before_ms = self.ctx.now() + self.ctx.rng.randrange(ceiling)
         self.delayed[run.request.id] = run
 
+    def engine_of(self, run: runs.Run) -> str:
+        """Return the address of the engine that runs a run now, or ""."""
+        endpoint = self.places.endpoints.get(run.endpoint)
+        if endpoint is None or endpoint.kind is not data.EndpointKind.ENGINE:
+            return ""
+        return endpoint.address if run.phase is runs.Phase.RUNNING else ""
+
+    def linger(self, run: runs.Run) -> None:
+        """Let go of a run that another home continues.
+
+        Its call here is kept up for a while: ending it would drop the KV cache that
+        the next engine is about to import.
+        """
+        if run.phase is runs.Phase.RUNNING and run.endpoint:
+            self.places.ended(run.endpoint)
+            run.endpoint = ""
+            until = self.ctx.now() + LINGER_MS
+            self.lingering.append((until, run.request.id, run.attempt()))
+        self.forget(run)
+
     def forget(self, run: runs.Run) -> None:
         """Take a run out of the queue and off its endpoint."""
         request_id = run.request.id
@@ -296,6 +322,9 @@
     def tick(self) -> None:
         """Requeue what waited long enough, refuse what waited too long, move what must."""
         now = self.ctx.now()
+        while self.lingering and self.lingering[0][0] <= now:
+            _, request_id, attempt = self.lingering.pop(0)
+            self.ctx.act(events.Abort(request_id, attempt))
         for run in list(self.delayed.values()):
             if now >= run.not_before_ms:
                 del self.delayed[run.request.id]
--- a/plumarch/node/home.py
+++ b/plumarch/node/home.py
@@ -118,8 +118,6 @@
 
     def _reason_against(self, run: runs.Run) -> data.Reason | None:
         """Return why a new request is refused before anything is asked, if it is."""
-        if self.membership.leaving:
-            return data.Reason.STOPPING
         if self.table.full():
             return data.Reason.RUN_TABLE_FULL
         return self.dispatcher.reason_against(run)
@@ -156,11 +154,10 @@
         kind = inquiries.Kind.REFUSE if m.refuse else inquiries.Kind.CLAIM
         inquiry = self.questions.answered(kind, m.request_id, m.verdict)
         run = self.table.get(m.request_id)
-        if inquiry is None:
+        over = (runs.Phase.ENDED,) if m.refuse else (runs.Phase.ENDED, runs.Phase.REFUSING)
+        if inquiry is None or run is None or run.phase in over:
             self._late_grant(run, m)
             return
-        if run is None or run.phase is runs.Phase.ENDED:
-            return
         if m.refuse:
             self._refusal_answered(run, m.verdict, m.record)
         elif m.verdict is messages.Verdict.GRANTED:
@@ -202,9 +199,7 @@
 
     def _not_granted(self, run: runs.Run, reason: data.Reason) -> None:
         """Go on without a grant where that is safe, else give the final answer."""
-        if run.own_key:
-            self.end(run, data.Outcome.NOT_RUN, reason)
-        elif run.request.repeatable:
+        if run.request.repeatable:
             run.weakened = UNRECORDED
             self.ctx.count("weakened", run.request.workspace, "unrecorded")
             self.ctx.note(run.request, "weaken", "run unrecorded", UNRECORDED)
@@ -214,7 +209,8 @@
             else:
                 self._accept(run)
         else:
-            self.end(run, data.Outcome.UNKNOWN, reason)
+            outcome = data.Outcome.NOT_RUN if run.own_key else data.Outcome.UNKNOWN
+            self.end(run, outcome, reason)
 
     # The copy in another data centre.
 
@@ -298,6 +294,7 @@
             self.end(run, data.Outcome.UNKNOWN, reason)
         else:
             run.phase = runs.Phase.REFUSING
+            self.questions.forget(inquiries.Kind.CLAIM, run.request.id)
             self._claim(run, refuse=True)
 
     def _refusal_answered(
--- a/plumarch/node/runs.py
+++ b/plumarch/node/runs.py
@@ -49,6 +49,7 @@
       recorded: a slot holds a record of the key that names this home.
       handed_over: a byte of it may have reached an endpoint, here or at an earlier home.
       superseded: attempt that goes on at a leaving endpoint until the next one answers.
+      import_from: address of the engine at which its former home ran it, for its KV cache.
       weakened: which promise does not hold for it, or "".
     """
 
@@ -72,6 +73,8 @@
     not_before_ms: int = 0
     leave_by_ms: int = 0
     superseded: int = 0
+    import_from: str = ""
+    import_attempt: int = 0
     abandoned_ms: int = 0
     copy_holder: str = ""
     copy_asked_ms: int = 0
--- a/plumarch/proof/sessions.py
+++ b/plumarch/proof/sessions.py
@@ -9,7 +9,7 @@
   at 300 cut a b | heal | cut-platform a | down | up | lose-answers 0.5
   at 400 break a-tickets-0 sent   interrupt the next call there (connect, sent, ran)
   at 500 reclaim 5000 told=b1 a1 a-engine-0
-  at 500 kill-endpoint a-engine-0 | stop a1 | config 3
+  at 500 kill-endpoint a-engine-0 | stop a1 | cancel a1 caller0 | slow a-engine-0 4
   run 9000                         let this much virtual time pass
   expect caller0 done | not_run | unknown | pending
   expect reason caller0 queue_full | expect tokens caller0 5 | expect weakened caller0
@@ -115,6 +115,11 @@
             faults.lose_answers = float(share)
         case ["break", endpoint, where]:
             world.endpoints[endpoint].break_at = where
+        case ["slow", endpoint, factor]:
+            world.endpoints[endpoint].slow = float(factor)
+        case ["cancel", node, caller]:
+            found = world.callers[caller]
+            world.deliver(world.hosts[node], events.CancelAsked(found.workspace, found.key))
         case ["stop", node]:
             world.deliver(world.hosts[node], events.StopAsked())
         case ["reclaim", left, told, *names]:
--- a/plumarch/recovery/ledger.py
+++ b/plumarch/recovery/ledger.py
@@ -86,6 +86,13 @@
         record = slot.table.get(m.workspace, m.key)
         if record is not None:
             if self._is_pending(slot, record):
+                self.ctx.send(sender, answer(messages.Verdict.MOVED))
+                return
+            if m.refuse and _is_granted_to(record, sender, m.request_id):
+                # Its home gives it up unrun: only the home could have run it.
+                refused = dataclasses.replace(record, state=data.KeyState.REFUSED)
+                granted = answer(messages.Verdict.GRANTED)
+                self._commit(slot, refused, sender, granted, answer(messages.Verdict.CANNOT))
                 return
             verdict = _verdict_on_known(record, sender, m)
             self.ctx.send(sender, answer(verdict, record))
@@ -133,6 +140,7 @@
                 m.workspace, m.key, m.request_id, sender, 0, data.KeyState.GRANTED, m.attempt
             )
         elif self._is_pending(slot, known):
+            self.ctx.send(sender, answer(messages.Verdict.MOVED))
             return
         elif known.request_id != m.request_id or m.attempt < known.attempt:
             self.ctx.count("stale_replies", m.workspace, "settle")
@@ -162,6 +170,7 @@
         known = slot.table.get(m.workspace, m.key)
         if known is not None:
             if self._is_pending(slot, known):
+                self.ctx.send(sender, answer(messages.Verdict.MOVED))
                 return
             if known.home == sender and known.attempt == m.attempt:
                 self.ctx.send(sender, answer(messages.Verdict.GRANTED, known))
@@ -584,6 +593,7 @@
             self._learn_route(number, found.epoch, found.owner)
         else:
             slot.version = version
+            slot.successor = found.successor
 
     def unreached(self, number: int, purpose: slots.Purpose) -> None:
         """Act on a write that certainly did not take effect."""
@@ -747,6 +757,11 @@
             slot.table.drop(record.workspace, record.key)
 
 
+def _is_granted_to(record: data.KeyRecord, home: str, request_id: str) -> bool:
+    granted = record.state is data.KeyState.GRANTED
+    return granted and record.home == home and record.request_id == request_id
+
+
 def _verdict_on_known(record: data.KeyRecord, sender: str, m: messages.Claim) -> messages.Verdict:
     """Return what a claim on a recorded key is answered."""
     if record.request_id != m.request_id:
@@ -757,5 +772,5 @@
     if m.refuse:
         settled = record.state is data.KeyState.REFUSED
         return messages.Verdict.GRANTED if settled else messages.Verdict.EXISTS
-    granted = record.state is data.KeyState.GRANTED and record.home == sender
+    granted = _is_granted_to(record, sender, m.request_id)
     return messages.Verdict.GRANTED if granted else messages.Verdict.EXISTS
--- a/plumarch/standins/virtual.py
+++ b/plumarch/standins/virtual.py
@@ -371,14 +371,15 @@
 
     def _prefill(self, endpoint: FakeEndpoint, call: Call) -> None:
         action = call.action
-        if action.import_from and self._import(action):
+        if action.import_from and self._import(call):
             self.at(5, lambda: self._make_token(endpoint, call))
             return
         if call.position or action.attempt % 1_000 > 1:
             call.recomputed = action.request.prompt_tokens + call.position
         self.at(int(PREFILL_MS * endpoint.slow), lambda: self._make_token(endpoint, call))
 
-    def _import(self, action: events.HandOver) -> bool:
+    def _import(self, call: Call) -> bool:
+        action = call.action
         source = self.attempts.get((action.request.id, action.import_attempt))
         if source is None or not source.alive:
             return False
--- /dev/null
+++ b/tests/ledger_test.py
@@ -0,0 +1,216 @@
+"""The slot protocol at the places where a missing guard would let a ticket run twice."""
+
+import handover_test
+import pytest
+
+from plumarch.core import clock, data, events, messages
+from plumarch.node import node
+from plumarch.proof import invariants
+from plumarch.recovery import keys
+from plumarch.standins import virtual
+
+HOME = handover_test.HOME
+
+
+def one_owner_each(world: virtual.World) -> list[int]:
+    """Return the slots that not exactly one live node owns."""
+    count = dict.fromkeys(range(keys.SLOTS), 0)
+    for host in world.hosts.values():
+        if host.alive:
+            for number in host.node.ledger.owned:
+                count[number] += 1
+    return [number for number, owners in count.items() if owners != 1]
+
+
+def ends(caller: invariants.CallerView) -> list[str]:
+    return [str(end) for end in caller.ends]
+
+
+def test_a_refusal_settles_the_key_for_all_nodes() -> None:
+    scene = handover_test.scene_with_remote_owner(checks_fencing=False)
+    world = scene.world
+    world.hosts[HOME].node.placement.update(())
+    refused = world.call(HOME, handover_test.ticket(scene, HOME))
+    world.run(1_000)
+    late = world.call("c2", handover_test.ticket(scene, "c2"))
+    world.run(1_000)
+    assert ends(refused) == ends(late) == ["not_run"]
+    assert world.journal.executions == []
+
+
+def test_a_refusal_that_nobody_else_holds_is_not_told_later() -> None:
+    world = virtual.build({"a1": "a", "b1": "b", "c1": "c"}, engines_each=0)
+    key = key_owned_by(world, "a1")
+    world.cut("a", "b")
+    world.cut("a", "c")
+    world.store.faults.down = True
+    world.hosts["a1"].node.placement.update(())
+    first = call(world, "a1", key)
+    world.run(4_000)
+    second = call(world, "a1", key)
+    world.run(4_000)
+    assert ends(first) == ends(second) == ["unknown"]
+
+
+def key_owned_by(world: virtual.World, name: str) -> str:
+    owned = world.hosts[name].node.ledger.owned
+    for number in range(10_000):
+        key = f"ticket-{number}"
+        slot = owned.get(keys.slot_of("okefenokee", key))
+        if slot is not None and slot.successor:
+            return key
+    raise AssertionError(f"{name} owns no slot")
+
+
+def call(world: virtual.World, name: str, key: str) -> invariants.CallerView:
+    request = virtual.request(world, name, data.RequestClass.LOOKUP, key, repeatable=False)
+    return world.call(name, request)
+
+
+def test_keys_are_uncertain_after_owner_successor_and_home_are_lost() -> None:
+    scene = handover_test.scene_with_remote_owner(checks_fencing=False)
+    world = scene.world
+    done = world.call(HOME, handover_test.ticket(scene, HOME))
+    world.run(500)
+    for name in {scene.owner, scene.successor, HOME}:
+        world.kill(name)
+    world.run(20_000)
+    survivors = [name for name, host in world.hosts.items() if host.alive]
+    again = world.call(survivors[0], handover_test.ticket(scene, survivors[0]))
+    issued = call(world, survivors[0], "")
+    world.run(3_000)
+    assert ends(done) == ["done"]
+    assert ends(again) == ["unknown"]
+    assert ends(issued) == ["done"]
+    assert invariants.violations(world.journal) == []
+    assert one_owner_each(world) == []
+
+
+def test_the_uncertainty_ends_when_a_former_owner_is_heard_again() -> None:
+    scene = handover_test.scene_with_remote_owner(checks_fencing=False)
+    world = scene.world
+    world.call(HOME, handover_test.ticket(scene, HOME))
+    world.run(500)
+    for name in (scene.owner, scene.successor):
+        world.pause(name)
+    world.run(20_000)
+    for name in (scene.owner, scene.successor):
+        world.resume(name)
+    world.run(6_000)
+    again = world.call("a2", handover_test.ticket(scene, "a2"))
+    other = call(world, "a2", "never-seen")
+    world.run(3_000)
+    assert ends(again) == ["done"]
+    assert ends(other) == ["done"]
+    assert all(not s.uncertain_epoch for h in world.hosts.values() for s in owned(h))
+    assert invariants.violations(world.journal) == []
+
+
+def owned(host: virtual.Host) -> list:  # type: ignore[type-arg]
+    return list(host.node.ledger.owned.values())
+
+
+def test_permissions_in_the_object_reach_the_next_owner() -> None:
+    """The successor can't be reached, so the platform holds the record; the owner dies."""
+    scene = handover_test.scene_with_remote_owner(checks_fencing=False)
+    world = scene.world
+    world.cut(scene.owner, scene.successor)
+    done = world.call(HOME, handover_test.ticket(scene, HOME))
+    world.run(700)
+    assert ends(done) == ["done"]
+    assert world.counts["permissions_failed"] == 0
+    world.kill(scene.owner)
+    world.kill(HOME)
+    world.run(10_000)
+    again = world.call("a2", handover_test.ticket(scene, "a2"))
+    world.run(3_000)
+    assert ends(again) == ["unknown"]
+    assert invariants.violations(world.journal) == []
+    assert one_owner_each(world) == []
+
+
+@pytest.mark.parametrize("lost_on_the_way", [True, False])
+def test_while_a_change_of_successor_is_unresolved_both_must_hold(lost_on_the_way: bool) -> None:
+    """The change landed but its answer was lost; the candidate misses a record."""
+    scene = handover_test.scene_with_remote_owner(checks_fencing=False)
+    world = scene.world
+    number = keys.slot_of("okefenokee", scene.key)
+    slot = world.hosts[scene.owner].node.ledger.owned[number]
+    candidate = next(
+        host.node.ctx.node
+        for name, host in world.hosts.items()
+        if handover_test.NODES[name] not in ("a", handover_test.NODES[scene.owner])
+        and name != scene.successor
+    )
+    world.store.faults.lose_answers = 1.0 if lost_on_the_way else 0.0
+    world.hosts[scene.owner].node.ledger._start_copy(slot, candidate)
+
+    def keep_from_candidate(host: virtual.Host, action: events.Action) -> bool:
+        if isinstance(action, events.Send) and isinstance(action.message, messages.Replicate):
+            return action.node != candidate
+        if host.name == scene.owner and isinstance(action, events.PlatformGet):
+            return not lost_on_the_way
+        return True
+
+    world.interfere = keep_from_candidate
+    for action in world.hosts[scene.owner].node._take_actions():
+        world._perform(world.hosts[scene.owner], action)
+    world.run(100)
+    caller = world.call(HOME, handover_test.ticket(scene, HOME))
+    world.run(5_000)
+    world.kill(scene.owner)
+    world.kill(HOME)
+    world.store.faults.lose_answers = 0.0
+    world.interfere = None
+    world.run(12_000)
+    again = world.call("a2", handover_test.ticket(scene, "a2"))
+    world.run(4_000)
+    assert len(ends(caller)) == 1
+    assert len(ends(again)) == 1
+    assert invariants.violations(world.journal) == []
+    assert one_owner_each(world) == []
+
+
+def test_a_takeover_whose_answer_was_lost_is_found_by_reading_back() -> None:
+    scene = handover_test.scene_with_remote_owner(checks_fencing=False)
+    world = scene.world
+    world.store.faults.lose_answers = 1.0
+    world.kill(scene.owner)
+    world.run(20_000)
+    assert one_owner_each(world) == []
+    assert world.counts["ambiguous_writes_resolved"] > 0
+
+
+def lone_node(name: str = "b1#1") -> node.Node:
+    import random
+
+    return node.Node(name, "b", clock.ManualClock(1_000), random.Random(1), ("a1", "c1"))
+
+
+def sent(actions: list[events.Action]) -> list[messages.AnyMessage]:
+    return [action.message for action in actions if isinstance(action, events.Send)]
+
+
+RECORD = data.KeyRecord("w", "k", "a1#1/1", "a1#1", 1, data.KeyState.GRANTED)
+
+
+def test_a_holder_acknowledges_only_the_epoch_and_owner_of_its_table() -> None:
+    holder = lone_node()
+    copy = messages.TableCopy(3, 2, 1, [])
+    assert sent(holder.handle(events.PeerMessage("c1#1", copy))) == [messages.TableCopied(3, 2, 1)]
+    old = messages.Replicate(3, 1, 7, RECORD)
+    assert sent(holder.handle(events.PeerMessage("a1#1", old))) == [messages.NoTable(3, 1)]
+    other = messages.Replicate(3, 2, 7, RECORD)
+    assert sent(holder.handle(events.PeerMessage("a1#1", other))) == [messages.NoTable(3, 2)]
+    right = sent(holder.handle(events.PeerMessage("c1#1", other)))
+    assert right == [messages.Replicated(3, 2, 7)]
+    holder.handle(events.PeerMessage("c1#1", messages.Seal(3, 3)))
+    assert sent(holder.handle(events.PeerMessage("c1#1", other))) == []
+
+
+def test_an_older_table_copy_that_arrives_late_changes_nothing() -> None:
+    holder = lone_node()
+    holder.handle(events.PeerMessage("c1#1", messages.TableCopy(3, 2, 2, [RECORD])))
+    late = holder.handle(events.PeerMessage("c1#1", messages.TableCopy(3, 2, 1, [])))
+    assert sent(late) == []
+    assert holder.ledger.held[3].table.listing()[0].key == "k"
--- a/tests/promises_test.py
+++ b/tests/promises_test.py
@@ -4,6 +4,7 @@
 PLUMARCH_EXAMPLES=2000 PLUMARCH_SEED=7 .venv/bin/python -m pytest tests/promises_test.py
 """
 
+import dataclasses
 import os
 
 import hypothesis
@@ -38,12 +39,50 @@
     @stateful.initialize(seed=st.integers(0, 1_000))
     def build(self, seed: int) -> None:
         self.world = virtual.build(NODES, engines_each=1, seed=seed)
-
-    @stateful.rule(node=nodes, key=st.sampled_from(KEYS))
-    def call_once(self, node: str, key: str) -> None:
+        for endpoint in self.world.endpoints.values():
+            if endpoint.info.kind is data.EndpointKind.SERVICE:
+                # Small and slow, so that refusals happen.
+                endpoint.info = dataclasses.replace(endpoint.info, capacity=1)
+                endpoint.slow = 8.0
+        self.world.tell_list()
+
+    @stateful.rule(
+        names=st.lists(nodes, min_size=1, max_size=4),
+        key=st.sampled_from(KEYS),
+        gap=st.sampled_from([0, 1, 5, 30]),
+    )
+    def call_once(self, names: list[str], key: str, gap: int) -> None:
         """A ticket: not repeatable. The same key may come by several nodes at once."""
-        request = virtual.request(self.world, node, data.RequestClass.LOOKUP, key, repeatable=False)
-        self.world.call(node, request)
+        for node in names:
+            request = virtual.request(
+                self.world, node, data.RequestClass.LOOKUP, key, repeatable=False
+            )
+            self.world.call(node, request)
+            self.world.run(gap)
+
+    @stateful.rule(node=nodes, count=st.integers(2, 12))
+    def flood(self, node: str, count: int) -> None:
+        """More tickets than fit in: some are refused."""
+        for _ in range(count):
+            request = virtual.request(
+                self.world,
+                node,
+                data.RequestClass.LOOKUP,
+                f"f{len(self.world.callers)}",
+                repeatable=False,
+            )
+            self.world.call(node, request)
+
+    @stateful.rule(one=nodes, other=nodes, wait=st.sampled_from([0, 3, 6_000]))
+    def lose_two(self, one: str, other: str, wait: int) -> None:
+        """Two nodes vanish, maybe an owner and its successor; they come back later."""
+        if one == other:
+            return
+        for name in (one, other):
+            self.world.kill(name)
+        self.world.run(wait)
+        for name in (one, other):
+            self.world.restart(name)
 
     @stateful.rule(node=nodes)
     def call_once_without_key(self, node: str) -> None:
