--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks. Bounds are counts or ratios within one run, never times."""
--- a/plumarch/config/state.py
+++ b/plumarch/config/state.py
@@ -9,11 +9,14 @@
 import hashlib
 
 from plumarch.config import rendering
-from plumarch.core import context, data
+from plumarch.core import context, data, messages
 
 TEMPLATE = "template/"
 WORKSPACE = "workspace/"
 
+HISTORY = 64
+"""Changes remembered, so that a peer a little behind gets only what it lacks."""
+
 
 def digest_of(text: str) -> str:
     """Return the name of a document's content."""
@@ -29,6 +32,7 @@
         self.manifest: dict[str, str] = {}
         self.documents: dict[str, str] = {}
         self.workspaces: dict[str, data.Workspace] = {}
+        self.history: dict[int, dict[str, str]] = {}
         self.applied_ms = 0
         self.rendered = 0
 
@@ -50,6 +54,7 @@
             return False
         changed = {n for n, digest in manifest.items() if self.manifest.get(n) != digest}
         changed |= {n for n in self.manifest if n not in manifest}
+        self._remember({name: manifest.get(name, "") for name in sorted(changed)})
         self.documents = {digest: known[digest] for digest in manifest.values()}
         self.manifest = dict(manifest)
         self.revision = revision
@@ -60,6 +65,38 @@
         self.ctx.note(None, "config", f"revision {revision}", why)
         return True
 
+    def _remember(self, changes: dict[str, str]) -> None:
+        """Keep what the next revision changes, against the one in force until now."""
+        self.history[self.revision] = changes
+        while len(self.history) > HISTORY:
+            del self.history[next(iter(self.history))]
+
+    def give(self, revision: int) -> messages.ConfigGive:
+        """Return what a node at an older revision lacks: the changes since, if known."""
+        if revision not in self.history:
+            return messages.ConfigGive(self.revision, 0, self.manifest, self.documents)
+        changes: dict[str, str] = {}
+        for base, step in self.history.items():
+            if base >= revision:
+                changes.update(step)
+        documents = {d: self.documents[d] for d in changes.values() if d in self.documents}
+        return messages.ConfigGive(self.revision, revision, changes, documents)
+
+    def take(self, given: messages.ConfigGive) -> bool:
+        """Put in force what a peer gave.
+
+        Returns:
+          Whether it is in force now; False if it is not newer, or a change to another
+          revision than the one in force here.
+        """
+        if given.base and given.base != self.revision:
+            return False
+        manifest = dict(given.manifest)
+        if given.base:
+            manifest = {**self.manifest, **given.manifest}
+            manifest = {name: digest for name, digest in manifest.items() if digest}
+        return self.apply(given.revision, manifest, given.documents)
+
     def missing(self, manifest: dict[str, str]) -> list[str]:
         """Return the digests of a manifest whose texts this node lacks."""
         return sorted({d for d in manifest.values() if d not in self.documents})
--- a/plumarch/core/data.py
+++ b/plumarch/core/data.py
@@ -179,7 +179,6 @@
     Attributes:
       epoch: grows by one with each change of owner: the fencing token.
       uncertain_epoch: not 0 while keys issued before this epoch may have run unrecorded.
-      former: owner and successor of before, whose tables would end the uncertainty.
       records: permissions that the owner wrote here since its successor could not hold them.
       writer: unique per write, so that a writer can recognise its own after a lost answer.
     """
@@ -188,7 +187,6 @@
     owner: str
     successor: str
     uncertain_epoch: int = 0
-    former: tuple[str, ...] = ()
     records: tuple[KeyRecord, ...] = ()
     writer: str = ""
 
--- a/plumarch/core/messages.py
+++ b/plumarch/core/messages.py
@@ -171,21 +171,6 @@
     copy: int
 
 
-class Seal(Message, frozen=True):
-    """Tells a former owner or successor that a higher epoch rules; asks for its table."""
-
-    slot: int
-    epoch: int
-
-
-class Sealed(Message, frozen=True):
-    """Says that nothing more is granted below the epoch, and gives the table held."""
-
-    slot: int
-    epoch: int
-    records: list[data.KeyRecord]
-
-
 class CopyPut(Message, frozen=True):
     """Asks a node in another data centre to hold a copy of an accepted request."""
 
@@ -286,14 +271,17 @@
 
 
 class ConfigGive(Message, frozen=True):
-    """Gives documents of a configuration.
+    """Gives a configuration, whole or as what changed since a revision.
 
     Attributes:
-      manifest: document name to digest, whole.
+      base: the revision that it is a change to; 0 if it is whole.
+      manifest: document name to digest, of all documents or of those that changed;
+        a removed document has the digest "".
       documents: the texts of those that the receiver may lack, by digest.
     """
 
     revision: int
+    base: int
     manifest: dict[str, str]
     documents: dict[str, str]
 
@@ -313,8 +301,6 @@
     | NoTable
     | TableCopy
     | TableCopied
-    | Seal
-    | Sealed
     | CopyPut
     | CopyAck
     | CopyDrop
--- a/plumarch/node/node.py
+++ b/plumarch/node/node.py
@@ -191,10 +191,6 @@
                 self.ledger.table_copy(sender, m)
             case messages.TableCopied():
                 self.ledger.table_copied(sender, m)
-            case messages.Seal():
-                self.ledger.seal(sender, m)
-            case messages.Sealed():
-                self.ledger.sealed(sender, m)
             case _:
                 self._message_about_runs(sender, m)
 
@@ -227,7 +223,7 @@
             case messages.ConfigAsk():
                 self._give_config(sender, m.revision)
             case messages.ConfigGive():
-                self.config.apply(m.revision, m.manifest, m.documents)
+                self.config.take(m)
 
     def _heard(self, sender: str, beat: messages.Heartbeat) -> None:
         self.membership.heard(sender, beat)
@@ -239,10 +235,8 @@
             self.ctx.send(sender, messages.ConfigAsk(self.config.revision))
 
     def _give_config(self, sender: str, revision: int) -> None:
-        state = self.config
-        if state.revision > revision:
-            give = messages.ConfigGive(state.revision, state.manifest, state.documents)
-            self.ctx.send(sender, give)
+        if self.config.revision > revision:
+            self.ctx.send(sender, self.config.give(revision))
 
     def _cancel(self, event: events.CancelAsked) -> None:
         for run in list(self.table.active.values()):
--- a/plumarch/recovery/ledger.py
+++ b/plumarch/recovery/ledger.py
@@ -33,18 +33,12 @@
 COPY_TIMEOUT_MS = 3_000
 """After this long a candidate that has not taken the table is passed over."""
 
-ORPHAN_WAIT_MS = 5_000
-"""How long a third node leaves a slot without owner to the slot's successor."""
-
 ORPHAN_CHECK_MS = 500
 """Time between looks for slots without owner."""
 
 JOIN_MS = 1_500
 """How long a new node listens before it takes any slot."""
 
-PAIR = 2
-"""Owner and successor: the nodes that one epoch of a slot rests on."""
-
 OPERATIONS_LIMIT = 2_000
 """Operations of one slot that may wait for permission at once."""
 
@@ -62,7 +56,6 @@
         self.owned: dict[int, slots.OwnedSlot] = {}
         self.held: dict[int, slots.HeldSlot] = {}
         self.routes: dict[int, slots.Route] = {}
-        self.ownerless_since: dict[int, int] = {}
         self.writer = slot_writer.SlotWriter(ctx, self)
         self.operation = 0
         self.next_resend_ms = 0
@@ -302,9 +295,6 @@
                 return
             if self.writer.busy(m.slot):
                 return
-            if held.epoch < m.epoch:
-                # The new owner may lack what this table holds from the epoch before.
-                self._send_sealed(sender, held)
         if m.slot in self.owned:
             if self.owned[m.slot].epoch >= m.epoch:
                 return
@@ -401,7 +391,6 @@
             self.ctx.node,
             successor,
             uncertain,
-            slot.former,
             tuple(dataclasses.replace(record, reply=None) for record in records.values()),
         )
         self.writer.write(slot.number, purpose, wanted, slot.version)
@@ -434,7 +423,10 @@
         for held in list(self.held.values()):
             if held.closed or held.sealed or self.writer.busy(held.number):
                 continue
-            if self._owner_is_out(held.owner):
+            state = self.membership.state(held.owner)
+            # A leaving successor takes over from a lost owner, to pass the slot on.
+            leaving = state is data.NodeState.LEAVING and not self.membership.leaving
+            if leaving or state is data.NodeState.GONE:
                 self.writer.load(held.number)
 
     def _owner_is_out(self, owner: str) -> bool:
@@ -442,23 +434,20 @@
 
     def _tend_takeovers(self) -> None:
         now = self.ctx.now()
-        if now < self.next_orphan_check_ms or self.membership.leaving:
+        if now < self.next_orphan_check_ms:
             return
         self.next_orphan_check_ms = now + ORPHAN_CHECK_MS
         self._tend_held()
-        self._tend_ownerless(now)
+        if not self.membership.leaving:
+            self._tend_ownerless()
 
-    def _tend_ownerless(self, now: int) -> None:
+    def _tend_ownerless(self) -> None:
         live = self.membership.live()
         for number in range(keys.SLOTS):
-            if number in self.owned:
-                self.ownerless_since.pop(number, None)
-                continue
             route = self.routes.get(number)
-            if route is not None and not self._owner_is_out(route.owner):
-                self.ownerless_since.pop(number, None)
+            served = route is not None and not self._owner_is_out(route.owner)
+            if served or number in self.owned:
                 continue
-            self.ownerless_since.setdefault(number, now)
             first = hashing.rendezvous(slots.object_name(number), live)[0]
             if first == self.ctx.node and not self.writer.busy(number):
                 self.writer.load(number)
@@ -478,22 +467,19 @@
         if not self._owner_is_out(found.owner):
             self._learn_route(number, found.epoch, found.owner)
             return
-        if self.membership.leaving:
-            return
         if held is not None and not held.closed and found.successor == self.ctx.node:
             self._take_as_successor(held, version, found)
-        elif self._is_orphan(number, found):
+        elif self._is_orphan(found) and not self.membership.leaving:
             self._take_as_stranger(number, version, found)
 
-    def _is_orphan(self, number: int, found: data.SlotObject) -> bool:
-        since = self.ownerless_since.get(number)
-        if since is None:
-            return False
-        waited = self.ctx.now() - since
-        if self.membership.state(found.owner) is data.NodeState.LEAVING:
-            return False
-        successor_out = not found.successor or self._owner_is_out(found.successor)
-        return waited >= ORPHAN_WAIT_MS and (successor_out or waited >= 3 * ORPHAN_WAIT_MS)
+    def _is_orphan(self, found: data.SlotObject) -> bool:
+        """Return whether neither owner nor successor can act any more, by proof.
+
+        Silence is no proof: in a data centre cut off from them, both seem lost while
+        they go on serving the slot. Taking it over there would make keys uncertain.
+        """
+        pair = (found.owner, found.successor)
+        return all(self.membership.confirmed_gone(node) for node in pair if node)
 
     def _take_as_successor(
         self, held: slots.HeldSlot, version: int, found: data.SlotObject
@@ -507,15 +493,8 @@
         self.writer.write(held.number, slots.Purpose.TAKE, wanted, version)
 
     def _take_as_stranger(self, number: int, version: int, found: data.SlotObject) -> None:
-        former = (*found.former, found.owner, found.successor)
-        wanted = data.SlotObject(
-            found.epoch + 1,
-            self.ctx.node,
-            "",
-            found.epoch + 1,
-            tuple(node for node in former if node),
-            found.records,
-        )
+        epoch = found.epoch + 1
+        wanted = data.SlotObject(epoch, self.ctx.node, "", epoch, found.records)
         self.writer.write(number, slots.Purpose.TAKE, wanted, version)
 
     def load_failed(self, number: int) -> None:
@@ -559,18 +538,16 @@
             table,
             uncertain_epoch=landed.uncertain_epoch,
             persisted_uncertain_epoch=landed.uncertain_epoch,
-            former=landed.former,
+            certain_at_ms=self.ctx.now() + keys.KEEP_MS,
         )
         for record in landed.records:
             self.operation += 1
             slot.object_records[self.operation] = record
         self.owned[number] = slot
-        self.ownerless_since.pop(number, None)
         self._learn_route(number, landed.epoch, self.ctx.node)
         self.ctx.count("slot_takeovers", label="uncertain" if landed.uncertain_epoch else "whole")
         why = "it had no owner yet" if landed.epoch == 1 else "its owner is out"
         self.ctx.note(None, "slot", f"own slot {number} at epoch {landed.epoch}", why)
-        self._ask_former(slot)
         self._tend_successor(slot)
 
     def lost(
@@ -614,64 +591,10 @@
         )
         self.ctx.note(None, "slot", f"gave up slot {number}", "a higher epoch rules it")
 
-    # Uncertainty after owner and successor vanished together.
-
-    def _ask_former(self, slot: slots.OwnedSlot) -> None:
-        if not slot.uncertain_epoch:
-            return
-        for node in slot.former:
-            self.ctx.send(node, messages.Seal(slot.number, slot.uncertain_epoch))
-
     def _tend_uncertainty(self, slot: slots.OwnedSlot) -> None:
-        if not slot.uncertain_epoch:
-            return
-        now = self.ctx.now()
-        if slot.certain_at_ms < 0:
-            if self._former_can_not_grant(slot):
-                slot.certain_at_ms = now + keys.KEEP_MS
-            return
-        if now >= slot.certain_at_ms:
-            self._end_uncertainty(slot)
-
-    def _former_can_not_grant(self, slot: slots.OwnedSlot) -> bool:
-        """Return whether it is proven that nothing more is granted in an older epoch.
-
-        A grant takes an owner and its successor, so one of a pair is enough; where
-        several pairs vanished in turn, all of them must be gone.
-        """
-        gone = [self.membership.confirmed_gone(node) for node in slot.former]
-        return all(gone) if len(gone) > PAIR else any(gone) or not gone
-
-    def _end_uncertainty(self, slot: slots.OwnedSlot) -> None:
-        slot.uncertain_epoch = 0
-
-    def seal(self, sender: str, m: messages.Seal) -> None:
-        """Stop granting and acknowledging below an epoch, and give the table held."""
-        owned = self.owned.get(m.slot)
-        if owned is not None and owned.epoch < m.epoch:
-            self._depose(m.slot)
-        held = self.held.get(m.slot)
-        if held is not None and held.epoch == m.epoch - 1:
-            held.closed = True
-            self._send_sealed(sender, held)
-
-    def _send_sealed(self, node: str, held: slots.HeldSlot) -> None:
-        held.closed = True
-        message = messages.Sealed(held.number, held.epoch + 1, held.table.listing())
-        self.ctx.send(node, message)
-
-    def sealed(self, sender: str, m: messages.Sealed) -> None:
-        """Take in the table of a former owner or successor: the uncertainty ends."""
-        slot = self.owned.get(m.slot)
-        if slot is None or sender not in slot.former or not slot.uncertain_epoch:
-            return
-        slot.table.merge(m.records, self.ctx.now())
-        # One table of a pair is whole. After several pairs it is only a part.
-        if slot.uncertain_epoch == m.epoch and len(slot.former) <= PAIR:
-            self._end_uncertainty(slot)
-        # A table copied before this one came in is no longer whole.
-        if slot.candidate:
-            self._start_copy(slot, slot.candidate)
+        """End the uncertainty once no caller may ask again for a key of before."""
+        if slot.uncertain_epoch and self.ctx.now() >= slot.certain_at_ms:
+            slot.uncertain_epoch = 0
 
     # Routes and time.
 
@@ -730,7 +653,6 @@
             self._replicate(slot, operation)
         if slot.candidate and not slot.copied:
             self._send_copy(slot)
-        self._ask_former(slot)
 
     def _fail_old_operations(self, slot: slots.OwnedSlot) -> None:
         now = self.ctx.now()
--- a/plumarch/recovery/slots.py
+++ b/plumarch/recovery/slots.py
@@ -61,8 +61,7 @@
     table: keys.Table
     uncertain_epoch: int = 0
     persisted_uncertain_epoch: int = 0
-    certain_at_ms: int = -1
-    former: tuple[str, ...] = ()
+    certain_at_ms: int = 0
     candidate: str = ""
     copy: int = 0
     copied: bool = False
--- a/plumarch/standins/virtual.py
+++ b/plumarch/standins/virtual.py
@@ -20,6 +20,7 @@
 TOKEN_MS = 30
 PREFILL_MS = 40
 SERVICE_MS = 20
+VM_LIST_LAG_MS = 4_000
 
 
 @dataclasses.dataclass(slots=True)
@@ -134,11 +135,22 @@
 
     def kill(self, name: str) -> None:
         """End a node at once; its callers lose their connections."""
-        self.hosts[name].alive = False
+        host = self.hosts[name]
+        host.alive = False
+        self.at(VM_LIST_LAG_MS, lambda: self._list_gone(host.node.ctx.node))
         for caller, entry in self.entry.items():
             if entry == self.hosts[name].node.ctx.node:
                 self.callers[caller].lost = True
 
+    def _list_gone(self, identity: str) -> None:
+        """Let the platform's list say that a node is gone, to those whom it reaches."""
+        if self.store.faults.down:
+            self.at(VM_LIST_LAG_MS, lambda: self._list_gone(identity))
+            return
+        for host in self.hosts.values():
+            if not {host.name, host.data_centre} & self.network.platform_cuts:
+                self.deliver(host, events.NodesGone((identity,)))
+
     def restart(self, name: str) -> Host:
         """Start a new incarnation of a node."""
         peers = tuple(self.hosts)
