--- a/plumarch/daemon/settings.py
+++ b/plumarch/daemon/settings.py
@@ -82,7 +82,7 @@
     """[limits]: sizes and times of the callers' side."""
 
     body_bytes: Annotated[int, pydantic.Field(gt=0, le=64 * 1024 * 1024)] = 1024 * 1024
-    coalesce_ms: Annotated[int, pydantic.Field(ge=0, le=1000)] = 20
+    coalesce_ms: Annotated[int, pydantic.Field(ge=0, le=1000)] = 0
     stop_s: Annotated[int, pydantic.Field(ge=0, le=3600)] = 30
 
 
--- a/plumarch/endpoints/client.py
+++ b/plumarch/endpoints/client.py
@@ -1,9 +1,17 @@
-"""Model engines and plain services over HTTP."""
+"""Model engines and plain services over HTTP.
+
+Two clients: reading an engine's stream by httpx cost over half of a node's processor
+time, so engines and repeatable calls go by aiohttp, which hands on all that has
+arrived at once. It may send a call again by itself when a kept connection breaks,
+though; a call that must not run twice goes by httpx, which never does.
+"""
 
 from collections.abc import AsyncIterator
 
+import aiohttp
 import httpx
 import msgspec
+import yarl
 
 from plumarch.core import data, errors, events
 from plumarch.endpoints import protocol
@@ -16,8 +24,29 @@
 
 PRIORITY = {name: number for number, name in enumerate(data.RequestClass)}
 
-NEVER_SENT = (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout)
-"""Errors that come before a byte of the request is written."""
+NEVER_SENT = (
+    httpx.ConnectError,
+    httpx.ConnectTimeout,
+    httpx.PoolTimeout,
+    aiohttp.ClientConnectorError,
+    aiohttp.ConnectionTimeoutError,
+    errors.NotDelivered,
+)
+"""Errors that prove that no byte of the request was acted on."""
+
+FAILED = (
+    httpx.HTTPError,
+    httpx.StreamError,
+    aiohttp.ClientError,
+    TimeoutError,
+    OSError,
+    errors.EndpointError,
+)
+
+CONNECTIONS = 4_000
+KEEP_ALIVE_S = 2.0
+JSON = {"Content-Type": "application/json"}
+OCTETS = "application/octet-stream"
 
 
 class Continuation(msgspec.Struct, frozen=True):
@@ -76,16 +105,22 @@
     """The client of all endpoints."""
 
     def __init__(self) -> None:
-        timeout = httpx.Timeout(READ_S, connect=CONNECT_S)
-        limits = httpx.Limits(max_connections=4_000, max_keepalive_connections=200)
         # Idle connections are closed before servers usually do: a request sent on a
         # connection that the server has just closed could neither be called run nor not.
-        limits = httpx.Limits(
-            max_connections=limits.max_connections,
-            max_keepalive_connections=limits.max_keepalive_connections,
-            keepalive_expiry=2.0,
-        )
-        self.http = httpx.AsyncClient(timeout=timeout, limits=limits)
+        limits = httpx.Limits(max_connections=CONNECTIONS, keepalive_expiry=KEEP_ALIVE_S)
+        timeout = httpx.Timeout(READ_S, connect=CONNECT_S)
+        self.once = httpx.AsyncClient(timeout=timeout, limits=limits)
+        self.session: aiohttp.ClientSession | None = None
+
+    def repeatable(self) -> aiohttp.ClientSession:
+        """Return the session for engines and repeatable calls; it needs a running loop."""
+        if self.session is None:
+            connector = aiohttp.TCPConnector(limit=CONNECTIONS, keepalive_timeout=KEEP_ALIVE_S)
+            timeout = aiohttp.ClientTimeout(total=None, connect=CONNECT_S, sock_read=READ_S)
+            self.session = aiohttp.ClientSession(
+                connector=connector, timeout=timeout, auto_decompress=False
+            )
+        return self.session
 
     async def run(self, order: events.HandOver, sink: protocol.Sink) -> None:
         """Hand a request over and report on it."""
@@ -93,67 +128,85 @@
         try:
             if request.kind is data.EndpointKind.ENGINE:
                 await self._run_engine(order, sink)
-            else:
+            elif request.repeatable:
                 await self._run_service(order, sink)
+            else:
+                await self._run_once(order, sink)
         except NEVER_SENT as error:
             sink(events.EndpointFailed(request.id, order.attempt, False, repr(error)))
-        except errors.NotDelivered as error:
-            sink(events.EndpointFailed(request.id, order.attempt, False, str(error)))
-        except (httpx.HTTPError, httpx.StreamError, errors.EndpointError) as error:
+        except FAILED as error:
             sink(events.EndpointFailed(request.id, order.attempt, True, repr(error)))
         except (msgspec.MsgspecError, UnicodeDecodeError) as error:
             why = f"not an engine's stream: {error}"
             sink(events.EndpointFailed(request.id, order.attempt, True, why))
 
-    async def _run_service(self, order: events.HandOver, sink: protocol.Sink) -> None:
+    async def _run_once(self, order: events.HandOver, sink: protocol.Sink) -> None:
         request = order.request
-        headers = {
-            "Content-Type": request.content_type,
-            "Idempotency-Key": request.key or request.id,
-            "Plumarch-Workspace": request.workspace,
-            "Plumarch-Fencing-Token": str(order.fencing_token),
-        }
         url = order.endpoint.address + request.path
-        answer = await self.http.request(request.method, url, content=request.body, headers=headers)
-        if answer.status_code == httpx.codes.PRECONDITION_FAILED:
-            raise errors.NotDelivered("The endpoint refused the fencing token as too old.")
-        content_type = answer.headers.get("content-type", "application/octet-stream")
-        reply = data.Reply(answer.status_code, content_type, answer.content)
-        sink(events.EndpointDone(request.id, order.attempt, reply))
+        answer = await self.once.request(
+            request.method, url, content=request.body, headers=_service_headers(order)
+        )
+        content_type = answer.headers.get("content-type", OCTETS)
+        _tell_reply(order, sink, answer.status_code, content_type, answer.content)
+
+    async def _run_service(self, order: events.HandOver, sink: protocol.Sink) -> None:
+        request = order.request
+        url = yarl.URL(order.endpoint.address + request.path, encoded=True)
+        asked = self.repeatable().request(
+            request.method,
+            url,
+            data=request.body,
+            headers=_service_headers(order),
+            allow_redirects=False,
+        )
+        async with asked as answer:
+            content = await answer.read()
+            content_type = answer.headers.get("content-type", OCTETS)
+            _tell_reply(order, sink, answer.status, content_type, content)
 
     async def _run_engine(self, order: events.HandOver, sink: protocol.Sink) -> None:
         request = order.request
         name = attempt_name(request.id, order.attempt)
-        body = self._engine_body(order, name)
         url = order.endpoint.address + "/v1/chat/completions"
-        headers = {"Content-Type": "application/json"}
-        position = len(order.tokens)
-        recomputed = 0
-        async with self.http.stream("POST", url, content=body, headers=headers) as answer:
-            if answer.status_code == httpx.codes.SERVICE_UNAVAILABLE:
+        body = self._engine_body(order, name)
+        async with self.repeatable().post(url, data=body, headers=JSON) as answer:
+            if answer.status == httpx.codes.SERVICE_UNAVAILABLE:
                 raise errors.NotDelivered("The engine refused the request.")
-            if answer.status_code != httpx.codes.OK:
-                raise errors.EndpointError(f"The engine answered {answer.status_code}.")
-            finished = False
-            async for batch in _event_batches(answer):
-                tokens: list[str] = []
-                for event in batch:
-                    if event.id != name:
-                        raise errors.EndpointError("The stream is another attempt's.")
-                    if event.position >= 0 and event.position != position + len(tokens):
-                        raise errors.EndpointError("Tokens are missing from the stream.")
-                    tokens += _tokens_of(event)
-                    recomputed = max(recomputed, event.recomputed)
-                    finished = finished or _is_finished(event)
-                if tokens:
-                    news = tuple(tokens)
-                    sink(events.EndpointTokens(request.id, order.attempt, position, news))
-                    position += len(tokens)
-            if not finished:
-                raise errors.DeliveryUnknown("The stream ended before the answer did.")
+            if answer.status != httpx.codes.OK:
+                raise errors.EndpointError(f"The engine answered {answer.status}.")
+            recomputed = await self._read_stream(order, name, answer, sink)
         reply = data.Reply(200, "text/event-stream")
         sink(events.EndpointDone(request.id, order.attempt, reply, recomputed))
 
+    async def _read_stream(
+        self,
+        order: events.HandOver,
+        name: str,
+        answer: aiohttp.ClientResponse,
+        sink: protocol.Sink,
+    ) -> int:
+        """Tell the sink a stream's tokens. Returns the tokens computed again for it."""
+        position = len(order.tokens)
+        recomputed = 0
+        finished = False
+        async for batch in _event_batches(answer):
+            tokens: list[str] = []
+            for event in batch:
+                if event.id != name:
+                    raise errors.EndpointError("The stream is another attempt's.")
+                if event.position >= 0 and event.position != position + len(tokens):
+                    raise errors.EndpointError("Tokens are missing from the stream.")
+                tokens += _tokens_of(event)
+                recomputed = max(recomputed, event.recomputed)
+                finished = finished or _is_finished(event)
+            if tokens:
+                news = tuple(tokens)
+                sink(events.EndpointTokens(order.request.id, order.attempt, position, news))
+                position += len(tokens)
+        if not finished:
+            raise errors.DeliveryUnknown("The stream ended before the answer did.")
+        return recomputed
+
     def _engine_body(self, order: events.HandOver, name: str) -> bytes:
         request = order.request
         asked = msgspec.json.decode(request.body) if request.body else {}
@@ -172,15 +225,36 @@
     async def load(self, endpoint: data.Endpoint) -> data.LoadReport:
         """Read an endpoint's load. Raises EndpointError."""
         try:
-            answer = await self.http.get(endpoint.address + "/load", timeout=CONNECT_S)
-            found = msgspec.json.decode(answer.content, type=LoadAnswer)
-        except (httpx.HTTPError, msgspec.MsgspecError) as error:
+            async with self.repeatable().get(endpoint.address + "/load") as answer:
+                found = msgspec.json.decode(await answer.read(), type=LoadAnswer)
+        except (aiohttp.ClientError, TimeoutError, msgspec.MsgspecError) as error:
             raise errors.EndpointError(f"{endpoint.name} reports no load: {error!r}.") from error
         return data.LoadReport(endpoint.name, found.running, found.queued)
 
     async def close(self) -> None:
         """Close the connections."""
-        await self.http.aclose()
+        await self.once.aclose()
+        if self.session is not None:
+            await self.session.close()
+
+
+def _service_headers(order: events.HandOver) -> dict[str, str]:
+    request = order.request
+    return {
+        "Content-Type": request.content_type,
+        "Idempotency-Key": request.key or request.id,
+        "Plumarch-Workspace": request.workspace,
+        "Plumarch-Fencing-Token": str(order.fencing_token),
+    }
+
+
+def _tell_reply(
+    order: events.HandOver, sink: protocol.Sink, status: int, content_type: str, body: bytes
+) -> None:
+    if status == httpx.codes.PRECONDITION_FAILED:
+        raise errors.NotDelivered("The endpoint refused the fencing token as too old.")
+    reply = data.Reply(status, content_type, body)
+    sink(events.EndpointDone(order.request.id, order.attempt, reply))
 
 
 def _tokens_of(event: StreamEvent) -> list[str]:
@@ -193,14 +267,14 @@
     return any(choice.finish_reason is not None for choice in event.choices)
 
 
-async def _event_batches(answer: httpx.Response) -> AsyncIterator[list[StreamEvent]]:
+async def _event_batches(answer: aiohttp.ClientResponse) -> AsyncIterator[list[StreamEvent]]:
     """Yield the events of a stream, all that arrived together at once.
 
     Decoding what is there in one go keeps the decisions from being woken for each
     event when an engine sends several in one packet.
     """
     rest = b""
-    async for part in answer.aiter_raw():
+    async for part in answer.content.iter_any():
         *whole, rest = (rest + part).split(EVENT_END)
         batch = [
             STREAM_DECODER.decode(text[len(DATA) :])
--- a/plumarch/proof/processes.py
+++ b/plumarch/proof/processes.py
@@ -54,7 +54,7 @@
         }
         self.service_ms = 5.0
         self.engine_options: tuple[str, ...] = ()
-        self.coalesce_ms = 20
+        self.coalesce_ms = 0
         self.listed_capacity = 8
         self.endpoint_processes: dict[str, subprocess.Popen[bytes]] = {}
         self.engines: dict[str, int] = {}
