Bound what a node spends on control, whatever the size of the fleet

Change: of many endpoints a placement scores a sample of 32 and the one that had the prefix last; heartbeats grow rarer with the number of peers, news is told at once; one load report each half second in turn; the VM list is read conditionally. Conclusion: what is bounded now does not grow with the fleet; the price is slower notice.

--- a/plumarch/daemon/shell.py
+++ b/plumarch/daemon/shell.py
@@ -23,8 +23,10 @@
 """Decisions kept for those who ask later."""
 
 LISTENERS_LIMIT = 50
-VM_POLL_S = 1.0
-LOAD_POLL_S = 1.0
+VM_POLL_S = 2.0
+LOAD_POLL_S = 0.5
+"""Time between two engines' load reports: a bounded cost, however many engines there are."""
+
 CONFIG_WAIT_MS = 5_000
 IDLE_S = 1.0
 
@@ -197,6 +199,8 @@
         task.add_done_callback(lambda _: self.calls.pop(name, None))
 
     async def _poll_loads(self) -> None:
+        """Ask the engines of this data centre in turn."""
+        turn = 0
         while True:
             here = [
                 e
@@ -204,14 +208,18 @@
                 if e.kind is data.EndpointKind.ENGINE
                 and e.data_centre == self.settings.node.data_centre
             ]
-            for endpoint in here:
-                try:
-                    report = await self.endpoints.load(endpoint)
-                except errors.EndpointError:
-                    continue
-                self.handle(events.LoadSeen(report))
+            if here:
+                turn += 1
+                await self._poll_load(here[turn % len(here)])
             await asyncio.sleep(LOAD_POLL_S)
 
+    async def _poll_load(self, endpoint: data.Endpoint) -> None:
+        try:
+            report = await self.endpoints.load(endpoint)
+        except errors.EndpointError:
+            return
+        self.handle(events.LoadSeen(report))
+
     # The platform.
 
     async def _get(self, action: events.PlatformGet) -> None:
@@ -259,7 +267,8 @@
                 self._platform_failed(error)
             else:
                 self.platform_seen_ms = self.clock.now()
-                self._use_vms(listed)
+                if listed is not None:
+                    self._use_vms(listed)
             await asyncio.sleep(VM_POLL_S)
 
     def _use_vms(self, listed: protocol.VmList) -> None:
--- a/plumarch/membership/members.py
+++ b/plumarch/membership/members.py
@@ -9,8 +9,14 @@
 from plumarch.core import context, data, messages
 
 HEARTBEAT_MS = 500
-SUSPECT_MS = 1_500
-GONE_MS = 3_000
+"""Shortest time between two heartbeats; news is told at once all the same."""
+
+HEARTBEAT_BYTES = 80
+HEARTBEAT_BYTES_PER_S = 1_500
+"""What heartbeats may cost a node: with many peers they become rarer."""
+
+SUSPECT_BEATS = 3
+GONE_BEATS = 5
 FORGET_MS = 600_000
 
 
@@ -26,6 +32,12 @@
     revision: int = 0
 
 
+def interval_ms(peers: int) -> int:
+    """Return the time between heartbeats for a number of peers."""
+    afforded = peers * HEARTBEAT_BYTES * 1_000 // HEARTBEAT_BYTES_PER_S
+    return max(HEARTBEAT_MS, afforded)
+
+
 class Membership:
     """The members of a region's entry nodes, by identity."""
 
@@ -33,6 +45,7 @@
         self.ctx = ctx
         self.members: dict[str, Member] = {}
         self.leaving = False
+        self.beat_ms = HEARTBEAT_MS
 
     def heard(self, sender: str, beat: messages.Heartbeat) -> bool:
         """Take in a heartbeat.
@@ -96,10 +109,10 @@
             if member.state is data.NodeState.GONE:
                 continue
             silence = now - member.heard_ms
-            if silence >= GONE_MS:
+            if silence >= GONE_BEATS * self.beat_ms:
                 member.state = data.NodeState.GONE
                 gone.append(member.node)
-            elif silence >= SUSPECT_MS:
+            elif silence >= SUSPECT_BEATS * self.beat_ms:
                 member.state = data.NodeState.SUSPECT
         self._forget(now)
         return gone
--- a/plumarch/node/node.py
+++ b/plumarch/node/node.py
@@ -154,7 +154,8 @@
             case events.NodesGone():
                 self._nodes_gone(event.nodes)
             case events.ConfigSeen():
-                self.config.apply(event.revision, event.manifest, event.documents)
+                if self.config.apply(event.revision, event.manifest, event.documents):
+                    self._beat()
             case events.StopAsked():
                 self.adoption.leave(adoption.STOP_PATIENCE_MS, whole_data_centre=False)
                 self._beat()
@@ -223,7 +224,8 @@
             case messages.ConfigAsk():
                 self._give_config(sender, m.revision)
             case messages.ConfigGive():
-                self.config.take(m)
+                if self.config.take(m):
+                    self._beat()
 
     def _heard(self, sender: str, beat: messages.Heartbeat) -> None:
         self.membership.heard(sender, beat)
@@ -310,7 +312,8 @@
         self.adoption.tick()
         self.copies.expire()
         if now >= self.next_beat_ms:
-            self.next_beat_ms = now + members.HEARTBEAT_MS
+            self.membership.beat_ms = members.interval_ms(len(self.peers))
+            self.next_beat_ms = now + self.membership.beat_ms
             self._beat()
             self._take_lost_again()
         if now >= self.next_progress_ms:
--- a/plumarch/platform/client.py
+++ b/plumarch/platform/client.py
@@ -46,15 +46,20 @@
     def __init__(self, url: str, token: str, time: clock.Clock) -> None:
         headers = {"Authorization": f"Bearer {token}"} if token else {}
         self.http = httpx.AsyncClient(base_url=url, headers=headers, timeout=TIMEOUT_S)
+        self.vms_tag = ""
         self.reads = Budget(time, READS_PER_S)
         self.writes = Budget(time, WRITES_PER_S)
 
     async def _read(
-        self, path: str, params: dict[str, str | int], timeout_s: float = TIMEOUT_S
+        self,
+        path: str,
+        params: dict[str, str | int],
+        timeout_s: float = TIMEOUT_S,
+        headers: dict[str, str] | None = None,
     ) -> httpx.Response:
         self.reads.take()
         try:
-            answer = await self.http.get(path, params=params, timeout=timeout_s)
+            answer = await self.http.get(path, params=params, timeout=timeout_s, headers=headers)
         except httpx.HTTPError as error:
             raise errors.PlatformUnavailable(f"No answer: {error!r}. Try again.") from error
         if answer.status_code >= 500 or answer.status_code == 429:
@@ -104,9 +109,13 @@
             raise errors.PlatformTooOld("The history is shorter. Read all, then watch.")
         return msgspec.json.decode(answer.content, type=protocol.Change)
 
-    async def vms(self) -> protocol.VmList:
-        """Read the VM list. Raises PlatformUnavailable."""
-        answer = await self._read("/vms", {})
+    async def vms(self) -> protocol.VmList | None:
+        """Read the VM list; None if it has not changed. Raises PlatformUnavailable."""
+        headers = {"If-None-Match": self.vms_tag} if self.vms_tag else {}
+        answer = await self._read("/vms", {}, headers=headers)
+        if answer.status_code == httpx.codes.NOT_MODIFIED:
+            return None
+        self.vms_tag = answer.headers.get("etag", "")
         return msgspec.json.decode(answer.content, type=protocol.VmList)
 
     async def notices(self, since: int) -> list[protocol.Notice]:
--- a/plumarch/platform/protocol.py
+++ b/plumarch/platform/protocol.py
@@ -89,8 +89,8 @@
         """Wait for changes of objects after a revision. Raises PlatformTooOld."""
         ...
 
-    async def vms(self) -> VmList:
-        """Read the VM list, which lags."""
+    async def vms(self) -> VmList | None:
+        """Read the VM list, which lags; None if it is the same as at the last read."""
         ...
 
     async def notices(self, since: int) -> list[Notice]:
--- a/plumarch/routing/placement.py
+++ b/plumarch/routing/placement.py
@@ -31,6 +31,17 @@
 EJECT_SHARE = 0.3
 """At most this share of a target's endpoints is out at once."""
 
+SAMPLE = 32
+"""Endpoints scored for one placement at most."""
+
+SHOWN = 10
+"""Endpoints kept in the record of a placement."""
+
+TRIED_MS = 10_000.0
+"""Added to the score of an endpoint that failed the request before."""
+
+PREFIXES_LIMIT = 10_000
+
 SMOOTHING = 0.2
 MEASURED_LEAST = 5
 
@@ -56,6 +67,8 @@
         self.endpoints: dict[str, data.Endpoint] = {}
         self.seen: dict[str, Seen] = {}
         self.leaving: dict[str, int] = {}
+        self.by_target: dict[tuple[data.EndpointKind, str], list[data.Endpoint]] = {}
+        self.by_prefix: dict[int, str] = {}
 
     def update(self, listed: tuple[data.Endpoint, ...]) -> list[str]:
         """Take in the platform's list.
@@ -75,8 +88,15 @@
                 self.leaving.pop(name, None)
             self.seen.setdefault(name, Seen())
         self.endpoints = now_there
+        self._index()
         return gone
 
+    def _index(self) -> None:
+        self.by_target = {}
+        for _, endpoint in sorted(self.endpoints.items()):
+            for target in endpoint.targets:
+                self.by_target.setdefault((endpoint.kind, target), []).append(endpoint)
+
     def leave(self, name: str, at_ms: int) -> bool:
         """Mark an endpoint as leaving: it gets no new work from now on.
 
@@ -104,6 +124,10 @@
             seen.cached[prefix] = self.ctx.now()
             if len(seen.cached) > CACHE_ENTRIES:
                 del seen.cached[next(iter(seen.cached))]
+            self.by_prefix.pop(prefix, None)
+            self.by_prefix[prefix] = name
+            if len(self.by_prefix) > PREFIXES_LIMIT:
+                del self.by_prefix[next(iter(self.by_prefix))]
 
     def ended(self, name: str) -> None:
         """Count a request that is no longer at an endpoint."""
@@ -158,24 +182,43 @@
           The endpoint with the best score, or None if no one has room; and all
           that were considered.
         """
-        considered = []
-        best: data.Endpoint | None = None
-        best_score = 0.0
-        for endpoint in sorted(self.endpoints.values(), key=lambda e: e.name):
-            if request.target not in endpoint.targets or endpoint.kind is not request.kind:
-                continue
+        fit: list[tuple[float, str]] = []
+        unfit: list[data.Considered] = []
+        for endpoint in self._candidates(request, allowed):
             note = self._unfit(endpoint, request, allowed)
             if note:
-                considered.append(data.Considered(endpoint.name, -1.0, note))
+                unfit.append(data.Considered(endpoint.name, -1.0, note))
                 continue
             score = self._score(endpoint, request)
             if endpoint.name in tried:
-                score += 10_000.0
-            considered.append(data.Considered(endpoint.name, round(score, 2)))
-            if best is None or score < best_score:
-                best = endpoint
-                best_score = score
-        return best, tuple(considered)
+                score += TRIED_MS
+            fit.append((score, endpoint.name))
+        fit.sort()
+        shown = [data.Considered(name, round(score, 2)) for score, name in fit[:SHOWN]]
+        considered = (*shown, *unfit[: SHOWN - len(shown)])
+        if not fit:
+            return None, considered
+        return self.endpoints[fit[0][1]], considered
+
+    def _candidates(self, request: data.Request, allowed: frozenset[str]) -> list[data.Endpoint]:
+        """Return the endpoints to score: all, or of many a sample and the likely one.
+
+        A sample of SAMPLE is nearly as good as all and bounds the cost of a placement;
+        the endpoint that was given the request's prefix last is always among them.
+        """
+        serving = self.by_target.get((request.kind, request.target), [])
+        if len(serving) <= SAMPLE:
+            return serving
+        here = [e for e in serving if e.data_centre == self.ctx.data_centre]
+        if here and (not allowed or self.ctx.data_centre in allowed):
+            serving = here
+        if len(serving) <= SAMPLE:
+            return serving
+        sample = self.ctx.rng.sample(serving, SAMPLE)
+        likely = self.endpoints.get(self.by_prefix.get(request.prefix, ""))
+        if likely is not None and likely not in sample:
+            sample.append(likely)
+        return sample
 
     def _unfit(
         self, endpoint: data.Endpoint, request: data.Request, allowed: frozenset[str]
@@ -217,9 +260,6 @@
     def has_target(self, request: data.Request, allowed: frozenset[str]) -> bool:
         """Return whether any endpoint that stays serves the request's target."""
         return any(
-            request.target in endpoint.targets
-            and endpoint.kind is request.kind
-            and endpoint.name not in self.leaving
-            and (not allowed or endpoint.data_centre in allowed)
-            for endpoint in self.endpoints.values()
+            endpoint.name not in self.leaving and (not allowed or endpoint.data_centre in allowed)
+            for endpoint in self.by_target.get((request.kind, request.target), [])
         )
--- a/plumarch/standins/platform_app.py
+++ b/plumarch/standins/platform_app.py
@@ -10,6 +10,7 @@
 from litestar import Litestar, Request, Response, get, post, put
 from litestar.handlers import HTTPRouteHandler
 
+from plumarch.core import hashing
 from plumarch.platform import protocol
 from plumarch.standins import objects
 
@@ -168,11 +169,15 @@
         return Response(msgspec.json.encode(change), media_type="application/json")
 
     @get("/vms")
-    async def vms() -> Response[Any]:
+    async def vms(request: AnyRequest) -> Response[Any]:
         trouble = await state.fault()
         if trouble is not None:
             return trouble
-        return Response(msgspec.json.encode(state.listing()), media_type="application/json")
+        body = msgspec.json.encode(state.listing())
+        tag = f'"{hashing.digest(body):x}"'
+        if request.headers.get("if-none-match") == tag:
+            return Response(b"", status_code=304, headers={"ETag": tag})
+        return Response(body, headers={"ETag": tag}, media_type="application/json")
 
     @get("/cloud/notices")
     async def notices(since: int = 0) -> Response[Any]:
