--- a/plumarch/daemon/shell.py
+++ b/plumarch/daemon/shell.py
@@ -280,16 +280,23 @@
             self.handle(events.NodesGone(tuple(listed.gone)))
 
     async def _poll_notices(self) -> None:
+        """Read reclaim notices, if this node watches; others hear them from peers."""
         since = 0
         while True:
-            try:
-                for notice in await self.platform.notices(since):
-                    since = max(since, notice.number)
-                    self.handle(events.ReclaimNotice(tuple(notice.names), notice.left_ms))
-            except errors.PlatformError as error:
-                self._platform_failed(error)
+            if self.node.is_watcher():
+                since = await self._read_notices(since)
             await asyncio.sleep(IDLE_S)
 
+    async def _read_notices(self, since: int) -> int:
+        """Act on the notices after a number. Returns the number of the last one."""
+        try:
+            for notice in await self.platform.notices(since):
+                since = max(since, notice.number)
+                self.handle(events.ReclaimNotice(tuple(notice.names), notice.left_ms))
+        except errors.PlatformError as error:
+            self._platform_failed(error)
+        return since
+
     # Configuration.
 
     async def _watch_config(self) -> None:
