--- /dev/null
+++ b/tests/docs_test.py
@@ -0,0 +1,47 @@
+"""What the pages show is what runs."""
+
+import pathlib
+import re
+import subprocess
+import sys
+
+ROOT = pathlib.Path(__file__).parent.parent
+
+
+def test_the_example_of_the_seams_page_runs_and_is_the_one_shown() -> None:
+    example = ROOT / "examples" / "drive_one_node.py"
+    assert example.read_text() in (ROOT / "docs" / "SEAMS.md").read_text()
+    done = subprocess.run(
+        [sys.executable, str(example)],
+        capture_output=True,
+        text=True,
+        check=True,
+        cwd=ROOT,
+        env={"PYTHONPATH": str(ROOT)},
+    )
+    lines = done.stdout.splitlines()
+    assert "HandOver" in lines
+    assert lines[-1] == "done all is well"
+
+
+def test_every_page_and_file_that_pages_link_to_exists() -> None:
+    for page in [ROOT / "README.md", *sorted((ROOT / "docs").rglob("*.md"))]:
+        for target in re.findall(r"\]\(([^)#:]+)\)", page.read_text()):
+            assert (page.parent / target).exists(), f"{page.name} links to {target}"
+
+
+def test_every_metric_is_on_the_operators_page() -> None:
+    from plumarch.daemon import metrics
+
+    page = (ROOT / "docs" / "OPERATIONS.md").read_text()
+    missing = [n for n in (*metrics.COUNTERS, *metrics.HISTOGRAMS) if f"{n}`" not in page]
+    assert missing == []
+
+
+def test_example_configurations_are_valid() -> None:
+    from plumarch.config import files
+
+    for name in ("okefenokee", "leasquell"):
+        documents = files.read([str(ROOT / "examples" / name)])
+        assert files.validate(documents) == []
+        assert len(documents.texts) == 6
