Decide which VMs to hold, with orders that are carried out once

Cause: nothing held or released VMs. Change: a pure plan from demand, prices, reclaims seen and refused starts; one decider a region by a conditional write; each order is written before it is given and repeated under its token. Tests: lost answers, a decider that dies or wakes, outage, refused starts. Figures, virtual time, 60 drafts before 3 engines: 6 VMs ordered, also with 60% of the cloud's and 50% of the platform's answers lost, and all 6 released after.

--- a/plumarch/cli/main.py
+++ b/plumarch/cli/main.py
@@ -211,10 +211,15 @@
         asyncio.run(nodes.watch(given.nodes, given.token, workspace, show))
 
     def vms(self, json: bool = False) -> None:
-        """Show the VMs that are held, their class and price, and their load."""
+        """Show the VMs that are held, and what is wanted and why, by the node that decides."""
         given = self._settings()
         found, missing = asyncio.run(nodes.statuses(given.nodes, given.token))
         _table(nodes.vm_rows(found), json)
+        decider = nodes.decider(found)
+        if decider is not None and not json:
+            print(f"\nDecided by {decider['node']}:\n")
+            _table(decider["wanted"], False)
+            print("\n" + "\n".join(decider["orders"]))
         if missing and not found:
             raise Stop(EXIT_PARTIAL)
 
--- a/plumarch/cli/nodes.py
+++ b/plumarch/cli/nodes.py
@@ -152,6 +152,14 @@
     return [{name: row[name] for name in names} for row in endpoint_rows(found)]
 
 
+def decider(found: Found) -> dict[str, Any] | None:
+    """Return the status of the node that decides on VMs, if one does."""
+    for status in found.values():
+        if status["decides"]:
+            return status
+    return None
+
+
 def decision_text(decision: dict[str, Any]) -> str:
     """Return a decision as lines for people."""
     head = (
--- a/plumarch/core/data.py
+++ b/plumarch/core/data.py
@@ -131,6 +131,17 @@
     leaves_in_ms: int = 0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Offer:
+    """A VM class that the cloud sells in a data centre, and its price per hour."""
+
+    name: str
+    data_centre: str
+    price: float
+    capacity: int
+    reclaimable: bool
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class LoadReport:
     """What an engine says of itself; it is some seconds old when it arrives."""
--- a/plumarch/core/events.py
+++ b/plumarch/core/events.py
@@ -118,6 +118,31 @@
     value: bytes = b""
 
 
+class CloudStatus(enum.StrEnum):
+    """How an order to the cloud ended."""
+
+    DONE = "done"
+    REFUSED = "refused"
+    FENCED = "fenced"
+    UNKNOWN = "unknown"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CloudAnswer:
+    """The answer to a CloudOrder; name is that of a started VM."""
+
+    call_id: int
+    status: CloudStatus
+    name: str = ""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OffersSeen:
+    """What the cloud sells now, and at which price."""
+
+    offers: tuple[data.Offer, ...]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class EndpointsSeen:
     """The platform's list of endpoint VMs, which lags."""
@@ -172,6 +197,8 @@
     | EndpointDone
     | EndpointFailed
     | PlatformAnswer
+    | CloudAnswer
+    | OffersSeen
     | EndpointsSeen
     | LoadSeen
     | ReclaimNotice
@@ -236,6 +263,25 @@
     expected_version: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class CloudOrder:
+    """Start a VM for a target, or release one by name.
+
+    Attributes:
+      token: makes a repeated order the same order.
+      fencing_token: epoch of whoever decides; the cloud refuses lower ones.
+    """
+
+    call_id: int
+    token: str
+    start: bool
+    name: str
+    target: str
+    data_centre: str
+    vm_class: str
+    fencing_token: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class TellAccepted:
     """Tell a caller that its request is accepted under a key, before it runs."""
@@ -301,6 +347,7 @@
     | Abort
     | PlatformGet
     | PlatformPut
+    | CloudOrder
     | TellAccepted
     | TellTokens
     | TellEnd
--- a/plumarch/core/messages.py
+++ b/plumarch/core/messages.py
@@ -23,6 +23,7 @@
       owned: pairs of slot number and epoch.
       leaving: names of VMs (endpoints or nodes) under a reclaim notice, with milliseconds left.
       revision: revision of the configuration in force.
+      demand: target, places in use or waited for, and of these those that must not wait.
     """
 
     data_centre: str
@@ -31,6 +32,7 @@
     owned: list[tuple[int, int]] = []
     leaving: list[tuple[str, int]] = []
     revision: int = 0
+    demand: list[tuple[str, int, int]] = []
 
 
 class Verdict(enum.StrEnum):
--- a/plumarch/daemon/metrics.py
+++ b/plumarch/daemon/metrics.py
@@ -30,6 +30,7 @@
     "permissions_failed": "Hand-overs for which no permission could be recorded.",
     "ambiguous_writes_resolved": "Platform writes whose lost answer was found by reading back.",
     "endpoints_ejected": "Endpoints taken out as slow, by name.",
+    "fleet_orders": "Orders to the cloud, by how they ended.",
     "config_applied": "Configurations put in force.",
     "config_ignored": "Configurations not put in force, by why.",
     "config_rejected": "Documents that could not be rendered.",
--- a/plumarch/daemon/operators.py
+++ b/plumarch/daemon/operators.py
@@ -13,6 +13,7 @@
 
 from plumarch.core import data
 from plumarch.daemon import problems, shell
+from plumarch.fleet import orders
 
 AnyRequest = Request[Any, Any, Any]
 WATCH_QUEUE = 1_000
@@ -43,6 +44,15 @@
     reclaimable: bool
 
 
+class WantedStatus(msgspec.Struct, frozen=True):
+    """Places wanted and held for a target in a data centre, as this node sees it."""
+
+    target: str
+    data_centre: str
+    wanted: int
+    held: int
+
+
 class Status(msgspec.Struct, frozen=True):
     """All that `plumarch status` shows of one node."""
 
@@ -60,6 +70,9 @@
     members: list[MemberStatus]
     endpoints: list[EndpointStatus]
     workspaces: list[str]
+    decides: bool
+    wanted: list[WantedStatus]
+    orders: list[str]
 
 
 def status_of(owner: shell.Shell) -> Status:
@@ -102,9 +115,20 @@
         members,
         endpoints,
         sorted(node.config.workspaces),
+        node.orders.decides(),
+        [WantedStatus(*row) for row in node.decider.wanted()],
+        [order_text(order) for order in node.orders.book.orders] if node.orders.book else [],
     )
 
 
+def order_text(order: orders.Order) -> str:
+    """Return an order to the cloud as one line."""
+    what = f"release {order.name}"
+    if order.start:
+        what = f"start {order.vm_class} in {order.data_centre} for {order.target}"
+    return f"{what}: {order.state}; {order.why}"
+
+
 class OperatorsApi:
     """The handlers, around one shell."""
 
--- a/plumarch/daemon/shell.py
+++ b/plumarch/daemon/shell.py
@@ -27,6 +27,7 @@
 LOAD_POLL_S = 0.5
 """Time between two engines' load reports: a bounded cost, however many engines there are."""
 
+OFFER_POLL_S = 30.0
 CONFIG_WAIT_MS = 5_000
 IDLE_S = 1.0
 
@@ -77,6 +78,7 @@
             self.spawn(loop)
         self.spawn(self._watch_config())
         self.spawn(self._poll_notices())
+        self.spawn(self._poll_offers())
         log.info("Node {} listens for peers on {}:{}.", self.identity, host, port)
 
     def spawn(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
@@ -134,6 +136,8 @@
                 self.spawn(self._get(action))
             case events.PlatformPut():
                 self.spawn(self._put(action))
+            case events.CloudOrder():
+                self.spawn(self._order(action))
             case events.TellAccepted():
                 stream = self.callers.get(action.watcher_id)
                 if stream is not None:
@@ -251,6 +255,34 @@
             outcome = status.UNREACHED
         self.handle(events.PlatformAnswer(action.call_id, outcome, version))
 
+    async def _order(self, action: events.CloudOrder) -> None:
+        order = protocol.Order(
+            action.token,
+            action.start,
+            action.name,
+            action.target,
+            action.data_centre,
+            action.vm_class,
+            action.fencing_token,
+        )
+        try:
+            told = await self.platform.order(order)
+            answer = events.CloudAnswer(action.call_id, events.CloudStatus(told.status), told.name)
+        except errors.PlatformError as error:
+            self._platform_failed(error)
+            answer = events.CloudAnswer(action.call_id, events.CloudStatus.UNKNOWN)
+        self.handle(answer)
+
+    async def _poll_offers(self) -> None:
+        """Read the cloud's offers, if this node may have to decide by them."""
+        while True:
+            if self.node.is_watcher():
+                try:
+                    self.handle(events.OffersSeen(tuple(await self.platform.offers())))
+                except errors.PlatformError as error:
+                    self._platform_failed(error)
+            await asyncio.sleep(OFFER_POLL_S)
+
     def _platform_failed(self, error: errors.PlatformError) -> None:
         self.metrics.count(events.Count("platform_errors", label=type(error).__name__))
 
--- /dev/null
+++ b/plumarch/fleet/decider.py
@@ -0,0 +1,196 @@
+"""From what a region's nodes report to a plan for each target, when this node decides."""
+
+import dataclasses
+
+from plumarch.config import state as config_state
+from plumarch.core import context, data
+from plumarch.fleet import orders, plan
+from plumarch.membership import members
+from plumarch.node import runs
+from plumarch.routing import placement
+
+PEAK_MS = 60_000
+"""Demand is the highest of this long: VMs take about as long to start."""
+
+RECLAIM_MEMORY_MS = 6 * 3_600_000
+"""Reclaims seen in this long make up a class's rate."""
+
+MUST_NOT_WAIT = frozenset({data.RequestClass.LOOKUP, data.RequestClass.CHAT})
+MS_PER_H = 3_600_000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Sample:
+    """A target's demand in the region at one time."""
+
+    at_ms: int
+    places: int
+    must_not_wait: int
+
+
+class Decider:
+    """Demand, prices and reclaims as this node knows them, and the plan from these."""
+
+    def __init__(
+        self,
+        ctx: context.Context,
+        membership: members.Membership,
+        table: runs.RunTable,
+        places: placement.Placement,
+        config: config_state.ConfigState,
+        book: orders.Orders,
+    ) -> None:
+        self.ctx = ctx
+        self.membership = membership
+        self.table = table
+        self.places = places
+        self.config = config
+        self.orders = book
+        self.offers: tuple[data.Offer, ...] = ()
+        self.samples: dict[str, list[Sample]] = {}
+        self.reclaims: list[tuple[int, str, str]] = []
+
+    def own_demand(self) -> list[tuple[str, int, int]]:
+        """Return this node's demand by target: places, and those that must not wait."""
+        found: dict[str, list[int]] = {}
+        for run in self.table.active.values():
+            if run.phase not in (runs.Phase.QUEUED, runs.Phase.RUNNING):
+                continue
+            counts = found.setdefault(run.request.target, [0, 0])
+            counts[0] += 1
+            counts[1] += run.request.request_class in MUST_NOT_WAIT
+        return [(target, total, urgent) for target, (total, urgent) in sorted(found.items())]
+
+    def observe(self) -> None:
+        """Add the region's demand now to the samples."""
+        now = self.ctx.now()
+        totals: dict[str, list[int]] = {}
+        reports = [self.own_demand()]
+        reports += [list(member.demand) for member in self.membership.members.values()]
+        for report in reports:
+            for target, total, urgent in report:
+                counts = totals.setdefault(target, [0, 0])
+                counts[0] += total
+                counts[1] += urgent
+        for target, (total, urgent) in totals.items():
+            self.samples.setdefault(target, []).append(Sample(now, total, urgent))
+        for target, samples in list(self.samples.items()):
+            kept = [s for s in samples if now - s.at_ms <= PEAK_MS]
+            self.samples[target] = kept
+            if not kept:
+                del self.samples[target]
+
+    def demand(self, target: str) -> plan.Demand:
+        """Return the highest demand for a target of the last PEAK_MS."""
+        samples = self.samples.get(target, [])
+        places = max((s.places for s in samples), default=0)
+        urgent = max((s.must_not_wait for s in samples), default=0)
+        return plan.Demand(target, float(places), float(urgent))
+
+    def reclaimed(self, name: str) -> None:
+        """Remember that a VM was reclaimed."""
+        endpoint = self.places.endpoints.get(name)
+        if endpoint is not None:
+            self.reclaims.append((self.ctx.now(), endpoint.data_centre, endpoint.vm_class))
+            del self.reclaims[:-1_000]
+
+    def _reclaims_per_h(self, offer: data.Offer) -> float:
+        """Return how often a VM of a class was reclaimed an hour, of late."""
+        now = self.ctx.now()
+        count = sum(
+            1
+            for at, centre, name in self.reclaims
+            if (centre, name) == (offer.data_centre, offer.name) and now - at <= RECLAIM_MEMORY_MS
+        )
+        held = sum(
+            1
+            for e in self.places.endpoints.values()
+            if (e.data_centre, e.vm_class) == (offer.data_centre, offer.name)
+        )
+        return count / max(1, held) / (RECLAIM_MEMORY_MS / MS_PER_H)
+
+    def classes(self) -> list[plan.VmClass]:
+        """Return what the cloud sells, with the reclaim rates seen."""
+        return [
+            plan.VmClass(
+                offer.name,
+                offer.data_centre,
+                offer.price,
+                offer.capacity,
+                offer.reclaimable,
+                self._reclaims_per_h(offer),
+            )
+            for offer in self.offers
+        ]
+
+    def held(self, target: str) -> list[plan.Held]:
+        """Return a target's VMs, those that are ordered and not listed yet included."""
+        found = [
+            plan.Held(
+                e.name,
+                target,
+                e.data_centre,
+                e.vm_class,
+                e.capacity,
+                e.price,
+                self.places.load(e.name),
+                e.name in self.places.leaving or e.state is not data.EndpointState.LIVE,
+            )
+            for _, e in sorted(self.places.endpoints.items())
+            if target in e.targets
+        ]
+        capacity = {(o.data_centre, o.name): o.capacity for o in self.offers}
+        for order in self.orders.on_their_way():
+            if order.target != target or order.name in self.places.endpoints:
+                continue
+            centre = order.data_centre
+            places = capacity.get((centre, order.vm_class), 0)
+            found.append(plan.Held(order.token, target, centre, order.vm_class, places, 0.0, 1))
+        return found
+
+    def targets(self) -> list[str]:
+        """Return the models and services that the workspaces use."""
+        found = set(self.samples)
+        for workspace in self.config.workspaces.values():
+            found.add(workspace.model)
+            found |= set(workspace.services)
+        return sorted(found)
+
+    def _centres(self, target: str) -> list[str]:
+        """Return the data centres that a target's workspaces allow and the cloud sells in."""
+        sold = {offer.data_centre for offer in self.offers}
+        allowed: set[str] = set()
+        for workspace in self.config.workspaces.values():
+            if target == workspace.model or target in workspace.services:
+                allowed |= workspace.data_centres or sold
+        return sorted(sold & (allowed or sold))
+
+    def changes(self) -> list[plan.Change]:
+        """Return what to change now, over all targets."""
+        found: list[plan.Change] = []
+        refusals = list(self.orders.book.refusals) if self.orders.book else []
+        for target in self.targets():
+            centres = self._centres(target)
+            if not centres:
+                continue
+            found += plan.plan(
+                self.demand(target),
+                centres,
+                self.classes(),
+                self.held(target),
+                refusals,
+                self.ctx.now(),
+            )
+        return found
+
+    def wanted(self) -> list[tuple[str, str, int, int]]:
+        """Return target, data centre, places wanted and places held, for operators."""
+        rows = []
+        for target in self.targets():
+            centres = self._centres(target)
+            wanted = plan.wanted_places(self.demand(target), centres) if centres else {}
+            held = self.held(target)
+            for centre, places in wanted.items():
+                have = sum(v.capacity for v in held if v.data_centre == centre and not v.leaving)
+                rows.append((target, centre, places, have))
+        return rows
--- /dev/null
+++ b/plumarch/fleet/plan.py
@@ -0,0 +1,212 @@
+"""Which VMs to hold: a pure function of demand, prices, reclaims and refused starts.
+
+Demand is in places: requests that run or wait at once. Enough is held that all demand
+fits with room, and that demand which must not wait still fits when any one data centre
+is lost. Of the VM classes the cheapest is taken by effective price: the price and what
+its reclaims cost.
+"""
+
+import dataclasses
+import math
+
+ROOM = 1.2
+"""Places held for each place of demand."""
+
+LOSS_ROOM = 1.1
+"""Places that are left after the loss of a data centre for each that must not wait."""
+
+IDLE_SHARE = 0.7
+"""VMs are released only while demand is under this share of what would be left."""
+
+RECLAIM_COST_H = 0.15
+"""Hours of a VM's price that each of its reclaims costs: start, and work done again."""
+
+COOLDOWN_MS = 30_000
+COOLDOWN_LIMIT_MS = 600_000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class VmClass:
+    """A class of VMs that the cloud sells in a data centre."""
+
+    name: str
+    data_centre: str
+    price: float
+    capacity: int
+    reclaimable: bool
+    reclaims_per_h: float = 0.0
+
+    def effective_price(self) -> float:
+        """Return the hourly price of a place, reclaims included."""
+        loss = self.reclaims_per_h * RECLAIM_COST_H if self.reclaimable else 0.0
+        return self.price * (1.0 + loss) / self.capacity
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Held:
+    """A VM that is held, or ordered and on its way."""
+
+    name: str
+    target: str
+    data_centre: str
+    vm_class: str
+    capacity: int
+    price: float
+    load: int = 0
+    leaving: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Demand:
+    """Places that a target's requests take: all, and of these those that must not wait."""
+
+    target: str
+    places: float
+    must_not_wait: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Refusal:
+    """Starts of a class that the cloud refused, one after the other."""
+
+    data_centre: str
+    vm_class: str
+    count: int
+    last_ms: int
+
+    def until_ms(self) -> int:
+        """Return when the class is worth another try."""
+        doublings = max(0, min(self.count - 1, 10))
+        wait = COOLDOWN_MS << doublings
+        return self.last_ms + min(COOLDOWN_LIMIT_MS, wait)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Start:
+    """Start a VM."""
+
+    target: str
+    data_centre: str
+    vm_class: str
+    why: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Release:
+    """Release a VM."""
+
+    name: str
+    why: str
+
+
+Change = Start | Release
+
+
+def wanted_places(demand: Demand, centres: list[str]) -> dict[str, int]:
+    """Return the places to hold in each data centre.
+
+    Args:
+      demand: a target's demand.
+      centres: the data centres it may use.
+    """
+    count = len(centres)
+    each = demand.places * ROOM / count
+    if count > 1:
+        each = max(each, demand.must_not_wait * LOSS_ROOM / (count - 1))
+    return {centre: math.ceil(each) for centre in centres}
+
+
+def plan(
+    demand: Demand,
+    centres: list[str],
+    classes: list[VmClass],
+    held: list[Held],
+    refusals: list[Refusal],
+    now: int,
+) -> list[Change]:
+    """Return what to change for one target.
+
+    Args:
+      demand: what is asked of it.
+      centres: the data centres it may use and that are reachable.
+      classes: what the cloud sells.
+      held: the target's VMs, those on their way included.
+      refusals: refused starts.
+      now: the time in milliseconds.
+    Returns:
+      Starts and releases; none if what is held is right.
+    """
+    wanted = wanted_places(demand, centres)
+    missing = 0
+    changes: list[Change] = []
+    for centre in centres:
+        here = [vm for vm in held if vm.data_centre == centre and not vm.leaving]
+        places = sum(vm.capacity for vm in here)
+        if places < wanted[centre]:
+            started, left = _starts(
+                demand.target, centre, wanted[centre] - places, classes, refusals, now
+            )
+            changes += started
+            missing += left
+        else:
+            changes += _releases(wanted[centre], here)
+    if missing:
+        changes += _starts_elsewhere(demand.target, centres, missing, classes, refusals, now)
+    return changes
+
+
+def _open_classes(
+    centre: str, classes: list[VmClass], refusals: list[Refusal], now: int
+) -> list[VmClass]:
+    """Return the classes that can be had in a data centre, cheapest first."""
+    closed = {
+        (refusal.data_centre, refusal.vm_class) for refusal in refusals if now < refusal.until_ms()
+    }
+    found = [c for c in classes if c.data_centre == centre and (centre, c.name) not in closed]
+    return sorted(found, key=lambda c: (c.effective_price(), c.name))
+
+
+def _starts(
+    target: str,
+    centre: str,
+    places: int,
+    classes: list[VmClass],
+    refusals: list[Refusal],
+    now: int,
+) -> tuple[list[Change], int]:
+    """Return starts for missing places, and the places for which no class can be had."""
+    open_classes = _open_classes(centre, classes, refusals, now)
+    if not open_classes:
+        return [], places
+    cheapest = open_classes[0]
+    count = math.ceil(places / cheapest.capacity)
+    why = f"{places} places missing in {centre}; cheapest that can be had"
+    return [Start(target, centre, cheapest.name, why)] * count, 0
+
+
+def _starts_elsewhere(
+    target: str,
+    centres: list[str],
+    places: int,
+    classes: list[VmClass],
+    refusals: list[Refusal],
+    now: int,
+) -> list[Change]:
+    """Return starts in other data centres for places that could not be had in their own."""
+    options = [c for centre in centres for c in _open_classes(centre, classes, refusals, now)]
+    if not options:
+        return []
+    best = min(options, key=lambda c: (c.effective_price(), c.data_centre, c.name))
+    count = math.ceil(places / best.capacity)
+    why = f"{places} places refused elsewhere"
+    return [Start(target, best.data_centre, best.name, why)] * count
+
+
+def _releases(wanted: int, here: list[Held]) -> list[Change]:
+    """Return at most one release: the dearest idle VM without which enough is left."""
+    places = sum(vm.capacity for vm in here)
+    for vm in sorted(here, key=lambda vm: (vm.load, -vm.price, vm.name)):
+        left = places - vm.capacity
+        if vm.load == 0 and left > 0 and wanted <= left * IDLE_SHARE:
+            return [Release(vm.name, f"{wanted} places wanted, {places} held")]
+    return []
--- a/plumarch/membership/members.py
+++ b/plumarch/membership/members.py
@@ -30,6 +30,7 @@
     heard_ms: int
     address: str = ""
     revision: int = 0
+    demand: tuple[tuple[str, int, int], ...] = ()
 
 
 def interval_ms(peers: int) -> int:
@@ -63,7 +64,13 @@
             return False
         was_live = known is not None and known.state is data.NodeState.LIVE
         self.members[sender] = Member(
-            sender, beat.data_centre, beat.state, self.ctx.now(), beat.address, beat.revision
+            sender,
+            beat.data_centre,
+            beat.state,
+            self.ctx.now(),
+            beat.address,
+            beat.revision,
+            tuple(beat.demand),
         )
         self._end_older(sender)
         return not was_live and beat.state is data.NodeState.LIVE
--- a/plumarch/node/node.py
+++ b/plumarch/node/node.py
@@ -10,6 +10,7 @@
 
 from plumarch.config import state as config_state
 from plumarch.core import clock, context, data, events, messages
+from plumarch.fleet import decider, orders
 from plumarch.membership import members
 from plumarch.node import adoption, dispatch, followers, home, runs, watchers
 from plumarch.recovery import copies, inquiries, ledger
@@ -90,6 +91,10 @@
             self.inquiries,
             self.watchers,
         )
+        self.orders = orders.Orders(ctx, self.membership)
+        self.decider = decider.Decider(
+            ctx, self.membership, self.table, self.placement, self.config, self.orders
+        )
         self.notices: dict[str, int] = {}
         self.next_beat_ms = 0
         self.next_config_ask_ms = 0
@@ -143,7 +148,12 @@
             case events.CancelAsked():
                 self._cancel(event)
             case events.PlatformAnswer():
-                self.ledger.writer.answered(event)
+                if not self.orders.platform_answered(event):
+                    self.ledger.writer.answered(event)
+            case events.CloudAnswer():
+                self.orders.cloud_answered(event)
+            case events.OffersSeen():
+                self.decider.offers = event.offers
             case events.EndpointsSeen():
                 self.placement.update(event.endpoints)
                 self._leaving_by_list(event.endpoints)
@@ -278,6 +288,7 @@
         self.notices[name] = at
         self.ctx.note(None, "leave", name, f"reclaim notice, {left_ms} ms left")
         if self.placement.leave(name, at) or name in self.placement.leaving:
+            self.decider.reclaimed(name)
             self.dispatch.endpoint_leaves(name, left_ms)
         if name == context.name_of(self.ctx.node):
             self.adoption.leave(left_ms, self._whole_data_centre_leaves())
@@ -311,15 +322,25 @@
         self.followers.tick()
         self.adoption.tick()
         self.copies.expire()
+        self._tend_fleet()
         if now >= self.next_beat_ms:
             self.membership.beat_ms = members.interval_ms(len(self.peers))
             self.next_beat_ms = now + self.membership.beat_ms
+            self.decider.observe()
             self._beat()
             self._take_lost_again()
         if now >= self.next_progress_ms:
             self.next_progress_ms = now + PROGRESS_MS
             self._send_progress()
 
+    def _tend_fleet(self) -> None:
+        """Decide on VMs, if the cloud's offers are known; without the platform nothing moves."""
+        if not self.decider.offers:
+            return
+        deciding = self.orders.decides() and self.ctx.now() >= self.orders.next_look_ms
+        changes = self.decider.changes() if deciding else []
+        self.orders.tick(changes, frozenset(self.placement.endpoints))
+
     def _take_lost_again(self) -> None:
         """Take up copies whose home was lost before they arrived here."""
         homes = {copy.home for copy in self.copies.held.values()}
@@ -348,6 +369,7 @@
             self.ledger.owned_list(),
             leaving,
             self.config.revision,
+            self.decider.own_demand(),
         )
         for name in self.peers:
             self.ctx.send(name, beat)
--- a/plumarch/platform/client.py
+++ b/plumarch/platform/client.py
@@ -3,7 +3,7 @@
 import httpx
 import msgspec
 
-from plumarch.core import clock, errors
+from plumarch.core import clock, data, errors
 from plumarch.platform import protocol
 
 READS_PER_S = 20.0
@@ -123,6 +123,30 @@
         answer = await self._read("/cloud/notices", {"since": since})
         return msgspec.json.decode(answer.content, type=list[protocol.Notice])
 
+    async def order(self, order: protocol.Order) -> protocol.OrderAnswer:
+        """Give the cloud an order.
+
+        Raises:
+          PlatformUnavailable: it was not reached.
+          PlatformAnswerLost: it may have carried the order out. Give it again.
+        """
+        self.writes.take()
+        body = msgspec.json.encode(order)
+        try:
+            answer = await self.http.post("/cloud/orders", content=body)
+        except (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout) as error:
+            raise errors.PlatformUnavailable(f"Not reached: {error!r}.") from error
+        except httpx.HTTPError as error:
+            raise errors.PlatformAnswerLost(f"Answer lost: {error!r}.") from error
+        if answer.status_code != httpx.codes.OK:
+            raise errors.PlatformAnswerLost(f"Status {answer.status_code}. Give it again.")
+        return msgspec.json.decode(answer.content, type=protocol.OrderAnswer)
+
+    async def offers(self) -> list[data.Offer]:
+        """Read what the cloud sells. Raises PlatformUnavailable."""
+        answer = await self._read("/cloud/offers", {})
+        return msgspec.json.decode(answer.content, type=list[data.Offer])
+
     async def close(self) -> None:
         """Close the connections."""
         await self.http.aclose()
--- a/plumarch/platform/protocol.py
+++ b/plumarch/platform/protocol.py
@@ -61,16 +61,29 @@
 
 
 class Order(msgspec.Struct, frozen=True):
-    """An order to the cloud. Its token makes a repeated order the same order."""
+    """An order to the cloud. Its token makes a repeated order the same order.
+
+    Attributes:
+      start: whether a VM is to be started (or else released, by name).
+      fencing_token: an order with a lower one than seen is not carried out.
+    """
 
     token: str
+    start: bool
+    name: str
+    target: str
     data_centre: str
     vm_class: str
-    targets: list[str]
-    reclaimable: bool
     fencing_token: int
 
 
+class OrderAnswer(msgspec.Struct, frozen=True):
+    """The cloud's answer: "done", "refused" or "fenced"; name is a started VM's."""
+
+    status: str
+    name: str = ""
+
+
 class Platform(Protocol):
     """The platform's services. Every call may raise PlatformUnavailable.
 
@@ -93,6 +106,14 @@
         """Read the VM list, which lags; None if it is the same as at the last read."""
         ...
 
+    async def order(self, order: Order) -> OrderAnswer:
+        """Give the cloud an order. The same token is never carried out twice."""
+        ...
+
+    async def offers(self) -> list[data.Offer]:
+        """Read which VM classes the cloud sells, where, and at which price."""
+        ...
+
     async def notices(self, since: int) -> list[Notice]:
         """Read the reclaim notices after a number."""
         ...
--- a/plumarch/standins/platform_app.py
+++ b/plumarch/standins/platform_app.py
@@ -10,7 +10,7 @@
 from litestar import Litestar, Request, Response, get, post, put
 from litestar.handlers import HTTPRouteHandler
 
-from plumarch.core import hashing
+from plumarch.core import data, hashing
 from plumarch.platform import protocol
 from plumarch.standins import objects
 
@@ -35,6 +35,13 @@
     gone: list[str] = []
 
 
+class CloudChange(msgspec.Struct, frozen=True):
+    """What the cloud sells, and the VMs that it starts when asked for their class."""
+
+    offers: list[data.Offer] = []
+    spares: list[protocol.Vm] = []
+
+
 class NoticeOrder(msgspec.Struct, frozen=True):
     """A reclaim to announce."""
 
@@ -51,7 +58,10 @@
         self.gone: list[str] = []
         self.notices: list[protocol.Notice] = []
         self.leaving: dict[str, float] = {}
-        self.orders: dict[str, protocol.Vm] = {}
+        self.orders: dict[str, protocol.OrderAnswer] = {}
+        self.offers: list[data.Offer] = []
+        self.spares: list[protocol.Vm] = []
+        self.newest_token = 0
         self.refused_starts = 0
         self.changed = asyncio.Event()
         self.weights_free_at = 0.0
@@ -89,6 +99,36 @@
             self.leaving[name] = min(at, self.leaving.get(name, at))
         return notice
 
+    def order(self, order: protocol.Order) -> protocol.OrderAnswer:
+        """Carry an order out, once for each token."""
+        known = self.orders.get(order.token)
+        if known is not None:
+            return known
+        if order.fencing_token < self.newest_token:
+            return protocol.OrderAnswer("fenced")
+        self.newest_token = order.fencing_token
+        answer = self._start(order) if order.start else self._release(order)
+        self.orders[order.token] = answer
+        return answer
+
+    def _start(self, order: protocol.Order) -> protocol.OrderAnswer:
+        if self.refused_starts > 0:
+            self.refused_starts -= 1
+            return protocol.OrderAnswer("refused")
+        for spare in self.spares:
+            place = (spare.data_centre, spare.vm_class)
+            if place == (order.data_centre, order.vm_class) and order.target in spare.targets:
+                self.spares.remove(spare)
+                self.vms[spare.name] = spare
+                return protocol.OrderAnswer("done", spare.name)
+        return protocol.OrderAnswer("refused")
+
+    def _release(self, order: protocol.Order) -> protocol.OrderAnswer:
+        released = self.vms.pop(order.name, None)
+        if released is not None:
+            self.spares.append(released)
+        return protocol.OrderAnswer("done", order.name)
+
     def listing(self) -> protocol.VmList:
         """Return the VM list."""
         now = time.monotonic()
@@ -187,13 +227,30 @@
         found = [notice for notice in state.notices if notice.number > since]
         return Response(msgspec.json.encode(found), media_type="application/json")
 
+    @get("/cloud/offers")
+    async def offers() -> Response[Any]:
+        trouble = await state.fault()
+        if trouble is not None:
+            return trouble
+        return Response(msgspec.json.encode(state.offers), media_type="application/json")
+
+    @post("/cloud/orders", status_code=200)
+    async def orders(request: AnyRequest) -> Response[Any]:
+        trouble = await state.fault()
+        if trouble is not None:
+            return trouble
+        answer = state.order(msgspec.json.decode(await request.body(), type=protocol.Order))
+        if state.store.rng.random() < state.store.faults.lose_answers:
+            return Response("lost", status_code=500)
+        return Response(msgspec.json.encode(answer), media_type="application/json")
+
     @get("/weights/{name:str}")
     async def weights(name: str) -> Response[Any]:
         if not state.take_weights():
             return Response("too many loads", status_code=429, headers={"Retry-After": "1"})
         return Response(f"weights of {name}")
 
-    return [get_object, put_object, watch, vms, notices, weights]
+    return [get_object, put_object, watch, vms, notices, offers, orders, weights]
 
 
 def controls(state: PlatformStandin) -> list[HTTPRouteHandler]:
@@ -217,12 +274,19 @@
         state.change_vms(msgspec.json.decode(await request.body(), type=VmChange))
         return Response("ok")
 
+    @post("/control/cloud", status_code=200)
+    async def cloud(request: AnyRequest) -> Response[Any]:
+        change = msgspec.json.decode(await request.body(), type=CloudChange)
+        state.offers = change.offers or state.offers
+        state.spares += change.spares
+        return Response("ok")
+
     @post("/control/reclaim", status_code=200)
     async def reclaim(request: AnyRequest) -> Response[Any]:
         order = msgspec.json.decode(await request.body(), type=NoticeOrder)
         return Response(msgspec.json.encode(state.announce(order)))
 
-    return [faults, change_vms, reclaim]
+    return [faults, change_vms, cloud, reclaim]
 
 
 def build(state: PlatformStandin) -> Litestar:
--- a/plumarch/standins/virtual.py
+++ b/plumarch/standins/virtual.py
@@ -79,6 +79,25 @@
     cached: set[int] = dataclasses.field(default_factory=set)
 
 
+@dataclasses.dataclass(slots=True)
+class FakeCloud:
+    """Starts and releases VMs on order.
+
+    Attributes:
+      refused: data centre and class of which no VM can be had.
+      lose_answers: share of orders carried out whose answer is lost.
+      answers: what was answered, by the order's token.
+    """
+
+    start_ms: int = 30_000
+    refused: set[tuple[str, str]] = dataclasses.field(default_factory=set)
+    lose_answers: float = 0.0
+    newest_token: int = 0
+    answers: dict[str, tuple[events.CloudStatus, str]] = dataclasses.field(default_factory=dict)
+    starts: int = 0
+    releases: int = 0
+
+
 class World:
     """Everything on one virtual clock."""
 
@@ -91,6 +110,8 @@
         self.endpoints: dict[str, FakeEndpoint] = {}
         self.store = objects.ObjectStore(random.Random(seed + 1))
         self.network = Network()
+        self.cloud = FakeCloud()
+        self.offers: tuple[data.Offer, ...] = ()
         self.journal = invariants.Journal()
         self.callers: dict[str, invariants.CallerView] = {}
         self.entry: dict[str, str] = {}
@@ -201,6 +222,8 @@
                 self._abort(action)
             case events.PlatformGet() | events.PlatformPut():
                 self._platform(host, action)
+            case events.CloudOrder():
+                self._order(host, action)
             case events.TellAccepted():
                 self._told_accepted(action)
             case events.TellTokens():
@@ -308,6 +331,71 @@
                 stored = None
         self._answer(host, action.call_id, status, 3, stored)
 
+    # The cloud.
+
+    def _order(self, host: Host, order: events.CloudOrder) -> None:
+        status = events.CloudStatus
+        if self.store.faults.down or host.data_centre in self.network.platform_cuts:
+            answer = events.CloudAnswer(order.call_id, status.UNKNOWN)
+            self.at(5, lambda: self.deliver(host, answer))
+            return
+        told, name = self._carry_out(order)
+        if self.rng.random() < self.cloud.lose_answers:
+            told = status.UNKNOWN
+        answer = events.CloudAnswer(order.call_id, told, name)
+        self.at(10, lambda: self.deliver(host, answer))
+
+    def _carry_out(self, order: events.CloudOrder) -> tuple[events.CloudStatus, str]:
+        cloud = self.cloud
+        if order.token in cloud.answers:
+            return cloud.answers[order.token]
+        if order.fencing_token < cloud.newest_token:
+            return events.CloudStatus.FENCED, ""
+        cloud.newest_token = order.fencing_token
+        answer = (events.CloudStatus.DONE, order.name)
+        if order.start and (order.data_centre, order.vm_class) in cloud.refused:
+            answer = (events.CloudStatus.REFUSED, "")
+        elif order.start:
+            cloud.starts += 1
+            name = f"{order.data_centre}-vm-{cloud.starts}"
+            answer = (events.CloudStatus.DONE, name)
+            self.at(cloud.start_ms, lambda: self._start_vm(name, order))
+        else:
+            cloud.releases += 1
+            self.at(1_000, lambda: self._release_vm(order.name))
+        cloud.answers[order.token] = answer
+        return answer
+
+    def _start_vm(self, name: str, order: events.CloudOrder) -> None:
+        offer = next(
+            o for o in self.offers if (o.data_centre, o.name) == (order.data_centre, order.vm_class)
+        )
+        self.add_endpoint(
+            data.Endpoint(
+                name,
+                order.data_centre,
+                data.EndpointKind.ENGINE,
+                f"engine://{name}",
+                (order.target,),
+                offer.capacity,
+                offer.name,
+                offer.price,
+                reclaimable=offer.reclaimable,
+            )
+        )
+        self.tell_list()
+
+    def _release_vm(self, name: str) -> None:
+        if name in self.endpoints:
+            self.kill_endpoint(name)
+            self.tell_list()
+
+    def tell_offers(self, offers: tuple[data.Offer, ...]) -> None:
+        """Tell all nodes what the cloud sells."""
+        self.offers = offers
+        for host in self.hosts.values():
+            self.deliver(host, events.OffersSeen(offers))
+
     # Endpoints.
 
     def add_endpoint(self, info: data.Endpoint) -> FakeEndpoint:
--- a/tests/bounds_test.py
+++ b/tests/bounds_test.py
@@ -1,4 +1,4 @@
-"""Every table and queue has a limit; past it there is a clear refusal and nothing accepted is lost."""
+"""Every table and queue has a limit: past it a clear refusal, and nothing accepted is lost."""
 
 import asyncio
 
--- /dev/null
+++ b/tests/fleet_test.py
@@ -0,0 +1,190 @@
+"""Which VMs to hold: the plan, and orders that are carried out once whatever fails."""
+
+import dataclasses
+
+import config_test
+import pytest
+
+from plumarch.core import data, events
+from plumarch.fleet import plan
+from plumarch.standins import virtual
+
+NODES = {"a1": "a", "b1": "b", "c1": "c"}
+CENTRES = ["a", "b", "c"]
+CHEAP = "reclaimable"
+DEAR = "on-demand"
+OFFERS = tuple(
+    offer
+    for centre in CENTRES
+    for offer in (
+        data.Offer(CHEAP, centre, 0.3, 8, True),
+        data.Offer(DEAR, centre, 1.0, 8, False),
+    )
+)
+
+
+def classes(reclaims: float = 0.0) -> list[plan.VmClass]:
+    return [
+        plan.VmClass(o.name, o.data_centre, o.price, o.capacity, o.reclaimable, reclaims)
+        for o in OFFERS
+    ]
+
+
+def held(centre: str, count: int, load: int = 0) -> list[plan.Held]:
+    return [plan.Held(f"{centre}-{n}", "writer", centre, CHEAP, 8, 0.3, load) for n in range(count)]
+
+
+def starts(changes: list[plan.Change]) -> list[tuple[str, str]]:
+    return [(c.data_centre, c.vm_class) for c in changes if isinstance(c, plan.Start)]
+
+
+def test_any_one_data_centre_may_be_lost() -> None:
+    demand = plan.Demand("writer", 60.0, 40.0)
+    changes = plan.plan(demand, CENTRES, classes(), [], [], 0)
+    for lost in CENTRES:
+        left = sum(8 for centre, _ in starts(changes) if centre != lost)
+        assert left >= 40
+    assert len(starts(changes)) * 8 >= 60 * plan.ROOM
+
+
+def test_what_is_enough_is_left_alone() -> None:
+    demand = plan.Demand("writer", 10.0, 5.0)
+    everything = [vm for centre in CENTRES for vm in held(centre, 1)]
+    assert plan.plan(demand, CENTRES, classes(), everything, [], 0) == []
+
+
+def test_the_cheapest_class_is_taken_reclaims_counted() -> None:
+    demand = plan.Demand("writer", 10.0, 0.0)
+    assert starts(plan.plan(demand, ["a"], classes(0.5), [], [], 0))[0] == ("a", CHEAP)
+    assert starts(plan.plan(demand, ["a"], classes(20.0), [], [], 0))[0] == ("a", DEAR)
+
+
+def test_a_refused_class_rests_and_others_are_tried() -> None:
+    demand = plan.Demand("writer", 10.0, 0.0)
+    refused = [plan.Refusal("a", CHEAP, 1, 0)]
+    assert starts(plan.plan(demand, ["a"], classes(), [], refused, 1_000))[0] == ("a", DEAR)
+    both = [*refused, plan.Refusal("a", DEAR, 1, 0)]
+    elsewhere = starts(plan.plan(demand, ["a", "b"], classes(), [], both, 1_000))
+    assert {centre for centre, _ in elsewhere} == {"b"}
+    later = starts(plan.plan(demand, ["a"], classes(), [], both, plan.COOLDOWN_MS))
+    assert later[0] == ("a", CHEAP)
+
+
+def test_refusals_in_a_row_rest_longer_up_to_a_limit() -> None:
+    waits = [plan.Refusal("a", CHEAP, count, 0).until_ms() for count in (1, 2, 3, 50)]
+    assert waits == [30_000, 60_000, 120_000, 600_000]
+
+
+def test_the_dearest_idle_vm_is_released_one_at_a_time() -> None:
+    demand = plan.Demand("writer", 2.0, 0.0)
+    here = [*held("a", 3), plan.Held("a-dear", "writer", "a", DEAR, 8, 1.0)]
+    changes = plan.plan(demand, ["a"], classes(), here, [], 0)
+    assert [c.name for c in changes if isinstance(c, plan.Release)] == ["a-dear"]
+    busy = [dataclasses.replace(vm, load=1) for vm in here]
+    assert plan.plan(demand, ["a"], classes(), busy, [], 0) == []
+
+
+def test_a_leaving_vm_is_replaced_before_it_is_gone() -> None:
+    demand = plan.Demand("writer", 4.0, 0.0)
+    here = [dataclasses.replace(vm, leaving=True) for vm in held("a", 1)]
+    assert starts(plan.plan(demand, ["a"], classes(), here, [], 0)) == [("a", CHEAP)]
+
+
+def busy_world(seed: int = 1) -> virtual.World:
+    """Return a world with one engine a data centre and more demand than that."""
+    world = virtual.build(NODES, engines_each=1, services_each=0, seed=seed)
+    texts = {
+        "template/desk": config_test.TEMPLATE,
+        "workspace/w0": config_test.workspace("w0"),
+    }
+    for host in world.hosts.values():
+        world.deliver(host, config_test.seen(1, texts))
+    world.tell_offers(OFFERS)
+    for _ in range(60):
+        asked = virtual.request(world, "c1", data.RequestClass.DRAFT, max_tokens=1_500)
+        world.call("c1", dataclasses.replace(asked, timeout_ms=600_000))
+    return world
+
+
+def engines(world: virtual.World) -> int:
+    return sum(1 for endpoint in world.endpoints.values() if endpoint.alive)
+
+
+def test_vms_are_started_for_demand_and_released_after_it() -> None:
+    world = busy_world()
+    world.run(60_000)
+    assert world.cloud.starts == 6
+    assert engines(world) == 9
+    world.run(300_000)
+    assert world.cloud.releases == 6
+    assert engines(world) == 3
+
+
+def deciders(world: virtual.World) -> list[str]:
+    return [n for n, h in world.hosts.items() if h.alive and h.node.orders.decides()]
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_lost_answers_start_nothing_twice(seed: int) -> None:
+    world = busy_world(seed)
+    world.cloud.lose_answers = 0.6
+    world.store.faults.lose_answers = 0.5
+    world.run(120_000)
+    assert world.cloud.starts == 6
+    assert len(deciders(world)) == 1
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_a_decider_that_dies_leaves_its_orders_to_the_next(seed: int) -> None:
+    world = busy_world(seed)
+
+    def kill_at_order(host: virtual.Host, action: events.Action) -> bool:
+        if isinstance(action, events.CloudOrder) and host.name == "a1":
+            world.pause("a1")
+            return True
+        return True
+
+    world.interfere = kill_at_order
+    world.run(40_000)
+    world.interfere = None
+    world.resume("a1")
+    world.run(60_000)
+    # Every order of the paused decider was given again under its own token, or fenced.
+    assert world.cloud.starts == 6
+    assert len(deciders(world)) == 1
+
+
+def test_a_former_decider_that_wakes_orders_nothing() -> None:
+    world = busy_world()
+    world.run(20_000)
+    former = world.hosts[deciders(world)[0]]
+    world.pause(former.name)
+    world.run(30_000)
+    assert deciders(world) != [former.name]
+    before = dict(world.cloud.answers)
+    world.resume(former.name)
+    world.run(30_000)
+    assert [token for token in world.cloud.answers if former.name in token] == list(before)
+    newer = events.CloudOrder(1, "newer", False, "none", "", "", "", 9)
+    stale = events.CloudOrder(1, "stale", True, "", "writer", "a", CHEAP, 8)
+    assert world._carry_out(newer)[0] is events.CloudStatus.DONE
+    assert world._carry_out(stale)[0] is events.CloudStatus.FENCED
+
+
+def test_without_the_platform_nothing_is_started_or_released() -> None:
+    world = busy_world()
+    world.store.faults.down = True
+    world.run(20_000)
+    assert (world.cloud.starts, world.cloud.releases) == (0, 0)
+    world.store.faults.down = False
+    world.run(15_000)
+    assert world.cloud.starts == 6
+
+
+def test_refused_starts_are_made_up_for_elsewhere() -> None:
+    world = busy_world()
+    world.cloud.refused = {("a", CHEAP), ("a", DEAR), ("b", CHEAP)}
+    world.run(120_000)
+    started = [e.info for e in world.endpoints.values() if "-vm-" in e.info.name]
+    assert sum(info.capacity for info in started) >= 6 * 8
+    assert {info.data_centre for info in started} == {"b", "c"}
--- a/tests/publishing_test.py
+++ b/tests/publishing_test.py
@@ -7,7 +7,7 @@
 import pytest
 
 from plumarch.config import files, publishing
-from plumarch.core import errors
+from plumarch.core import data, errors
 from plumarch.platform import protocol
 from plumarch.standins import objects
 
@@ -47,6 +47,12 @@
     async def vms(self) -> protocol.VmList:
         raise NotImplementedError
 
+    async def order(self, order: protocol.Order) -> protocol.OrderAnswer:
+        raise NotImplementedError
+
+    async def offers(self) -> list[data.Offer]:
+        raise NotImplementedError
+
     async def notices(self, since: int) -> list[protocol.Notice]:
         raise NotImplementedError
 
