Give each endpoint's admission to one node; keep room for other workspaces

Each node counted its own requests up to an engine's capacity, so engines were overrun unseen: at six times the load chats waited 12 s inside engines. A flood by one workspace took every place. Change: each endpoint has one owner among the live nodes, shares even, near ones first; others use it only by a fresh report that shows it idle. A workspace that holds its share leaves the last 15% of places free. An endpoint that can't be connected to rests 2 s. Queued requests are looked at only when room may have come. Ruled out: the fair queue's order (places came free in bunches, so being first did not help).

--- a/plumarch/node/dispatch.py
+++ b/plumarch/node/dispatch.py
@@ -1,5 +1,6 @@
 """From the queue to an endpoint, and what comes back from there."""
 
+import collections
 from collections.abc import Callable
 
 from plumarch.config import state as config_state
@@ -17,6 +18,9 @@
 TOKEN_MS = 30
 """Assumed time between tokens, until the run's own is known."""
 
+ROOM_SHARE = 0.15
+"""Share of places that a workspace leaves free once it holds its own share."""
+
 LINGER_MS = 2_000
 """How long the call of a run that moved to another home is kept up."""
 
@@ -49,7 +53,10 @@
         self.queue = fair_queue.FairQueue()
         self.budget = retry_budget.RetryBudget()
         self.delayed: dict[str, runs.Run] = {}
+        self.running: collections.Counter[tuple[str, str]] = collections.Counter()
         self.lingering: list[tuple[int, str, int]] = []
+        # Whether a queued request may find room that it did not find before.
+        self.dirty = False
 
     def _allowed(self, workspace: str) -> frozenset[str]:
         known = self.config.workspaces.get(workspace)
@@ -93,12 +100,17 @@
             run.not_before_ms = self.ctx.now() + BACKOFF_LIMIT_MS
             self.delayed[request.id] = run
             return True
+        self.dirty = True
         if run.tries == 0:
             self.budget.first_try(request.workspace)
         return True
 
     def pump(self) -> None:
-        """Hand over every queued request that has an endpoint."""
+        """Hand over every queued request that has an endpoint, if any could have got one."""
+        if not self.dirty:
+            return
+        self.dirty = False
+        full: set[tuple[str, bool, frozenset[str]]] = set()
         chosen: data.Endpoint | None = None
         considered: tuple[data.Considered, ...] = ()
 
@@ -108,7 +120,13 @@
             if run is None:
                 return False
             allowed = self._allowed(entry.workspace)
+            urgent = entry.request_class is data.RequestClass.LOOKUP
+            kind = (entry.target, urgent, allowed)
+            if kind in full or (not urgent and self._must_leave_room(run)):
+                return False
             chosen, considered = self.places.choose(run.request, allowed, frozenset(run.tried))
+            if chosen is None:
+                full.add(kind)
             return chosen is not None
 
         while self.queue.lines:
@@ -119,6 +137,21 @@
             self._hand_over(run, chosen, considered, run.import_from, run.import_attempt)
             run.import_from = ""
 
+    def _must_leave_room(self, run: runs.Run) -> bool:
+        """Return whether a workspace that has its share must leave the last places free.
+
+        Otherwise one workspace's flood would take every place, and another's request
+        would wait for one of its long answers to end.
+        """
+        request = run.request
+        total, used = self.places.owned_places(request)
+        if total - used > total * ROOM_SHARE:
+            return False
+        weights = self.queue.weights
+        share = weights.get(request.workspace, 1.0) / max(1.0, sum(weights.values()))
+        held = self.running[(request.target, request.workspace)]
+        return held >= max(1.0, total * share)
+
     def _hand_over(
         self,
         run: runs.Run,
@@ -136,6 +169,7 @@
         run.started_ms = now
         run.leave_by_ms = 0
         self.places.started(endpoint.name, request.prefix)
+        self.running[(request.target, request.workspace)] += 1
         if run.tries == 1:
             wait = float(now - run.accepted_ms)
             self.ctx.act(
@@ -219,7 +253,7 @@
             reply = data.Reply(200, reply.content_type, b"", tuple(run.tokens))
         else:
             self.places.measured(run.endpoint, self.ctx.now() - run.started_ms)
-        self.places.ended(run.endpoint)
+        self._free(run)
         run.endpoint = ""
         total = float(self.ctx.now() - run.accepted_ms)
         self.ctx.act(events.Observe("total", request.workspace, request.request_class, total))
@@ -231,15 +265,24 @@
         if run is not None:
             self._failed(run, event.delivered, event.why)
 
+    def _free(self, run: runs.Run) -> None:
+        """Count a run's place as free again."""
+        self.places.ended(run.endpoint)
+        self.running[(run.request.target, run.request.workspace)] -= 1
+        self.dirty = True
+
     def _failed(self, run: runs.Run, delivered: bool, why: str) -> None:
         request = run.request
-        self.places.ended(run.endpoint)
-        run.tried.add(run.endpoint)
+        endpoint = run.endpoint
+        self._free(run)
+        run.tried.add(endpoint)
         run.endpoint = ""
         run.phase = runs.Phase.QUEUED
         first = run.tries == 1 and run.home_attempt == 1
         if first and not delivered:
             run.handed_over = False
+        if not delivered:
+            self.places.unreachable(endpoint)
         self.ctx.note(request, "fail", f"attempt {run.attempt()}", why)
         if delivered and not request.repeatable:
             self.on_end(run, data.Outcome.UNKNOWN, data.Reason.INTERRUPTED, None)
@@ -268,7 +311,7 @@
         the next engine is about to import.
         """
         if run.phase is runs.Phase.RUNNING and run.endpoint:
-            self.places.ended(run.endpoint)
+            self._free(run)
             run.endpoint = ""
             until = self.ctx.now() + LINGER_MS
             self.lingering.append((until, run.request.id, run.attempt()))
@@ -281,7 +324,7 @@
         if run.phase is runs.Phase.QUEUED:
             self.queue.remove(request_id)
         if run.endpoint:
-            self.places.ended(run.endpoint)
+            self._free(run)
             if run.phase is runs.Phase.RUNNING:
                 self.ctx.act(events.Abort(request_id, run.attempt()))
             run.endpoint = ""
@@ -313,7 +356,7 @@
         old = self.places.endpoints.get(run.endpoint)
         address = old.address if old and run.request.kind is data.EndpointKind.ENGINE else ""
         old_attempt = run.attempt()
-        self.places.ended(run.endpoint)
+        self._free(run)
         self._end_superseded(run)
         run.superseded = old_attempt
         self.ctx.count("moves", run.request.workspace)
@@ -322,6 +365,7 @@
     def tick(self) -> None:
         """Requeue what waited long enough, refuse what waited too long, move what must."""
         now = self.ctx.now()
+        self.dirty = True
         while self.lingering and self.lingering[0][0] <= now:
             _, request_id, attempt = self.lingering.pop(0)
             self.ctx.act(events.Abort(request_id, attempt))
--- a/plumarch/node/node.py
+++ b/plumarch/node/node.py
@@ -96,6 +96,7 @@
             ctx, self.membership, self.table, self.placement, self.config, self.orders
         )
         self.notices: dict[str, int] = {}
+        self.shared_out: tuple[tuple[str, ...], tuple[str, ...]] = ((), ())
         self.next_beat_ms = 0
         self.next_config_ask_ms = 0
         self.next_progress_ms = 0
@@ -326,6 +327,7 @@
         if now >= self.next_beat_ms:
             self.membership.beat_ms = members.interval_ms(len(self.peers))
             self.next_beat_ms = now + self.membership.beat_ms
+            self._share_out_endpoints()
             self.decider.observe()
             self._beat()
             self._take_lost_again()
@@ -341,6 +343,16 @@
         changes = self.decider.changes() if deciding else []
         self.orders.tick(changes, frozenset(self.placement.endpoints))
 
+    def _share_out_endpoints(self) -> None:
+        """Settle who admits requests to which endpoint, if nodes or endpoints changed."""
+        live = self.membership.live()
+        staying = [n for n in self.placement.endpoints if n not in self.placement.leaving]
+        state = (tuple(live), tuple(staying))
+        if state == self.shared_out:
+            return
+        self.shared_out = state
+        self.placement.share_out({name: self.membership.data_centre(name) for name in live})
+
     def _take_lost_again(self) -> None:
         """Take up copies whose home was lost before they arrived here."""
         homes = {copy.home for copy in self.copies.held.values()}
--- /dev/null
+++ b/plumarch/routing/ownership.py
@@ -0,0 +1,65 @@
+"""Which node admits requests to which endpoint, the same at all nodes that see the same.
+
+An owner's counts of its endpoint are exact, so it is neither overrun nor left idle by
+nodes that see each other's work late. Owners are in the endpoint's data centre as far as
+the shares stay even: callers come evenly over the nodes.
+"""
+
+from collections.abc import Iterable
+
+from plumarch.core import data, hashing
+
+
+def owners(endpoints: Iterable[data.Endpoint], centre_of: dict[str, str]) -> dict[str, str]:
+    """Return the owner of each endpoint.
+
+    Args:
+      endpoints: all endpoints known.
+      centre_of: live nodes and their data centres.
+    Returns:
+      Endpoint name to node; endpoints of one kind and target are shared out evenly.
+    """
+    groups: dict[tuple[data.EndpointKind, tuple[str, ...]], list[data.Endpoint]] = {}
+    for endpoint in endpoints:
+        groups.setdefault((endpoint.kind, endpoint.targets), []).append(endpoint)
+    found: dict[str, str] = {}
+    for group in groups.values():
+        found |= _share(sorted(group, key=lambda e: e.name), centre_of)
+    return found
+
+
+def _share(group: list[data.Endpoint], centre_of: dict[str, str]) -> dict[str, str]:
+    if not centre_of:
+        return {}
+    least, more = divmod(len(group), len(centre_of))
+    load = dict.fromkeys(centre_of, 0)
+    found: dict[str, str] = {}
+    # Near nodes first, each up to an even share; what is left goes wherever there is room.
+    for limit in (least, least + 1 if more else least):
+        for near in (True, False):
+            for endpoint in group:
+                if endpoint.name not in found:
+                    nodes = _nodes_for(endpoint, centre_of, near)
+                    _assign(endpoint, nodes, limit, load, found)
+    return found
+
+
+def _nodes_for(endpoint: data.Endpoint, centre_of: dict[str, str], near: bool) -> list[str]:
+    if not near:
+        return list(centre_of)
+    return [node for node, centre in centre_of.items() if centre == endpoint.data_centre]
+
+
+def _assign(
+    endpoint: data.Endpoint,
+    nodes: list[str],
+    limit: int,
+    load: dict[str, int],
+    found: dict[str, str],
+) -> None:
+    """Give an endpoint to the first node by rendezvous hashing that is under a limit."""
+    for node in hashing.rendezvous(endpoint.name, nodes):
+        if load[node] < limit:
+            load[node] += 1
+            found[endpoint.name] = node
+            return
--- a/plumarch/routing/placement.py
+++ b/plumarch/routing/placement.py
@@ -8,6 +8,7 @@
 import dataclasses
 
 from plumarch.core import context, data
+from plumarch.routing import ownership
 
 PREFILL_MS_PER_TOKEN = 0.25
 """Assumed time to compute one prompt token, until an engine's own rate is known."""
@@ -28,6 +29,9 @@
 EJECT_MS = 10_000
 """How long it stays out before one request probes it."""
 
+UNREACHABLE_MS = 2_000
+"""How long an endpoint rests that could not be connected to."""
+
 EJECT_SHARE = 0.3
 """At most this share of a target's endpoints is out at once."""
 
@@ -37,6 +41,15 @@
 SHOWN = 10
 """Endpoints kept in the record of a placement."""
 
+REPORT_AGE_MS = 15_000
+"""A load report older than this says nothing."""
+
+SPILL_SHARE = 0.5
+"""An endpoint that another node owns is used only while reported under this share."""
+
+NOT_OWNED_MS = 200.0
+"""Added to the score of an endpoint that another node owns."""
+
 TRIED_MS = 10_000.0
 """Added to the score of an endpoint that failed the request before."""
 
@@ -53,6 +66,7 @@
     in_flight: int = 0
     reported: int = 0
     reported_own: int = 0
+    reported_ms: int = 0
     delay_ms: float = 0.0
     measured: int = 0
     out_until_ms: int = 0
@@ -69,6 +83,8 @@
         self.leaving: dict[str, int] = {}
         self.by_target: dict[tuple[data.EndpointKind, str], list[data.Endpoint]] = {}
         self.by_prefix: dict[int, str] = {}
+        self.owned: frozenset[str] = frozenset()
+        self.sharers = 1
 
     def update(self, listed: tuple[data.Endpoint, ...]) -> list[str]:
         """Take in the platform's list.
@@ -97,6 +113,21 @@
             for target in endpoint.targets:
                 self.by_target.setdefault((endpoint.kind, target), []).append(endpoint)
 
+    def share_out(self, centre_of: dict[str, str]) -> None:
+        """Find out which endpoints this node admits requests to alone.
+
+        Args:
+          centre_of: live nodes of the region and their data centres.
+        """
+        staying = [
+            e
+            for e in self.endpoints.values()
+            if e.name not in self.leaving and e.state is data.EndpointState.LIVE
+        ]
+        owners = ownership.owners(staying, centre_of)
+        self.owned = frozenset(name for name, node in owners.items() if node == self.ctx.node)
+        self.sharers = max(1, len(centre_of))
+
     def leave(self, name: str, at_ms: int) -> bool:
         """Mark an endpoint as leaving: it gets no new work from now on.
 
@@ -114,6 +145,7 @@
         if seen is not None:
             seen.reported = report.running + report.queued
             seen.reported_own = seen.in_flight
+            seen.reported_ms = self.ctx.now()
 
     def started(self, name: str, prefix: int) -> None:
         """Count a request handed to an endpoint."""
@@ -135,6 +167,12 @@
         if seen is not None and seen.in_flight > 0:
             seen.in_flight -= 1
 
+    def unreachable(self, name: str) -> None:
+        """Leave an endpoint alone for a while that could not even be connected to."""
+        seen = self.seen.get(name)
+        if seen is not None:
+            seen.out_until_ms = self.ctx.now() + UNREACHABLE_MS
+
     def measured(self, name: str, delay_ms: int) -> None:
         """Take in how long an endpoint took to its first answer."""
         seen = self.seen.get(name)
@@ -182,10 +220,11 @@
           The endpoint with the best score, or None if no one has room; and all
           that were considered.
         """
+        alone = not self._serves_itself(request)
         fit: list[tuple[float, str]] = []
         unfit: list[data.Considered] = []
         for endpoint in self._candidates(request, allowed):
-            note = self._unfit(endpoint, request, allowed)
+            note = self._unfit(endpoint, request, allowed, alone)
             if note:
                 unfit.append(data.Considered(endpoint.name, -1.0, note))
                 continue
@@ -221,20 +260,47 @@
         return sample
 
     def _unfit(
-        self, endpoint: data.Endpoint, request: data.Request, allowed: frozenset[str]
+        self,
+        endpoint: data.Endpoint,
+        request: data.Request,
+        allowed: frozenset[str],
+        alone: bool,
     ) -> str:
-        """Return why an endpoint can't take a request, or "" if it can."""
+        """Return why an endpoint can't take a request, or "" if it can.
+
+        Args:
+          endpoint: the endpoint.
+          request: the request.
+          allowed: data centres that its workspace may use; empty means all.
+          alone: this node owns no endpoint of the target, so it shares the others'.
+        """
         if endpoint.state is not data.EndpointState.LIVE or endpoint.name in self.leaving:
             return "leaving"
         if allowed and endpoint.data_centre not in allowed:
             return "data centre not allowed"
         seen = self.seen[endpoint.name]
         if seen.out_until_ms > self.ctx.now():
-            return "ejected as slow"
-        if self.load(endpoint.name) >= self._room(endpoint, request):
-            return "full"
+            return "ejected as slow or not reached"
+        if endpoint.name in self.owned:
+            if seen.in_flight >= self._room(endpoint, request):
+                return "full"
+            return ""
+        if seen.in_flight >= max(1, endpoint.capacity // self.sharers):
+            return "this node's share is used"
+        if alone:
+            return ""
+        age = self.ctx.now() - seen.reported_ms
+        if not seen.reported_ms or age > REPORT_AGE_MS:
+            return "another node's, its load unknown"
+        if seen.reported > endpoint.capacity * SPILL_SHARE:
+            return "another node's, in use"
         return ""
 
+    def _serves_itself(self, request: data.Request) -> bool:
+        """Return whether this node owns an endpoint of the target that stays."""
+        serving = self.by_target.get((request.kind, request.target), [])
+        return any(e.name in self.owned and e.name not in self.leaving for e in serving)
+
     def _room(self, endpoint: data.Endpoint, request: data.Request) -> int:
         """Return how many requests may be there before this one is turned away."""
         if request.request_class is data.RequestClass.LOOKUP:
@@ -245,6 +311,8 @@
     def load(self, name: str) -> int:
         """Return the requests at an endpoint: own ones exactly, others' as last reported."""
         seen = self.seen[name]
+        if name in self.owned:
+            return seen.in_flight
         others = max(0, seen.reported - seen.reported_own)
         return seen.in_flight + others
 
@@ -255,8 +323,20 @@
             score += request.prompt_tokens * PREFILL_MS_PER_TOKEN
         if endpoint.data_centre != self.ctx.data_centre:
             score += OTHER_DATA_CENTRE_MS
+        if endpoint.name not in self.owned:
+            score += NOT_OWNED_MS
         return score + endpoint.price * PRICE_MS
 
+    def owned_places(self, request: data.Request) -> tuple[int, int]:
+        """Return the places of a target that this node admits to, and those in use."""
+        total = 0
+        used = 0
+        for endpoint in self.by_target.get((request.kind, request.target), []):
+            if endpoint.name in self.owned and endpoint.name not in self.leaving:
+                total += self._room(endpoint, request)
+                used += self.seen[endpoint.name].in_flight
+        return total, used
+
     def has_target(self, request: data.Request, allowed: frozenset[str]) -> bool:
         """Return whether any endpoint that stays serves the request's target."""
         return any(
--- a/plumarch/standins/virtual.py
+++ b/plumarch/standins/virtual.py
@@ -61,6 +61,30 @@
     recomputed: int = 0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class EngineModel:
+    """How fast a fake engine is.
+
+    Attributes:
+      prefill_ms: time before the first token, whatever the prompt.
+      prefill_token_ms: more of it for each prompt token that is not in the prefix cache.
+      crowding: share by which each other request in the batch slows tokens down.
+      prefix_tokens: tokens of a prompt that a cached prefix covers.
+      cache_limit: prefixes kept.
+      tokens_per_event: tokens that come together, after the first.
+      batch: requests that run at once; further ones wait in the engine; 0 for any number.
+    """
+
+    prefill_ms: float = PREFILL_MS
+    prefill_token_ms: float = 0.0
+    token_ms: float = TOKEN_MS
+    crowding: float = 0.0
+    prefix_tokens: int = 0
+    cache_limit: int = 0
+    tokens_per_event: int = 1
+    batch: int = 0
+
+
 @dataclasses.dataclass(slots=True)
 class FakeEndpoint:
     """An engine or plain service.
@@ -76,7 +100,19 @@
     fencing: dict[int, int] = dataclasses.field(default_factory=dict)
     break_at: str = ""
     calls: dict[tuple[str, int], Call] = dataclasses.field(default_factory=dict)
-    cached: set[int] = dataclasses.field(default_factory=set)
+    cached: dict[int, None] = dataclasses.field(default_factory=dict)
+    model: EngineModel = EngineModel()
+    waiting: list[Call] = dataclasses.field(default_factory=list)
+
+    def prefill(self, request: data.Request) -> int:
+        """Return the prompt tokens to compute, after what the prefix cache holds."""
+        hit = request.prefix in self.cached
+        self.cached.pop(request.prefix, None)
+        if self.model.cache_limit and request.prefix:
+            self.cached[request.prefix] = None
+            if len(self.cached) > self.model.cache_limit:
+                del self.cached[next(iter(self.cached))]
+        return max(0, request.prompt_tokens - (self.model.prefix_tokens if hit else 0))
 
 
 @dataclasses.dataclass(slots=True)
@@ -111,6 +147,7 @@
         self.store = objects.ObjectStore(random.Random(seed + 1))
         self.network = Network()
         self.cloud = FakeCloud()
+        self.exports_kv = True
         self.offers: tuple[data.Offer, ...] = ()
         self.journal = invariants.Journal()
         self.callers: dict[str, invariants.CallerView] = {}
@@ -466,9 +503,24 @@
         endpoint.calls[(request.id, call.action.attempt)] = call
         if request.kind is data.EndpointKind.SERVICE:
             self.at(int(SERVICE_MS * endpoint.slow), lambda: self._finish(endpoint, call))
+        elif endpoint.model.batch and len(endpoint.calls) > endpoint.model.batch:
+            endpoint.waiting.append(call)
         else:
             self._prefill(endpoint, call)
 
+    def _leave_batch(self, endpoint: FakeEndpoint, request_id: str, attempt: int) -> Call | None:
+        """Take a call out of an engine; the next that waits there starts."""
+        call = endpoint.calls.pop((request_id, attempt), None)
+        if call is None:
+            return None
+        call.stopped = True
+        if call in endpoint.waiting:
+            endpoint.waiting.remove(call)
+        elif endpoint.waiting:
+            following = endpoint.waiting.pop(0)
+            self.at(0, lambda: self._prefill(endpoint, following))
+        return call
+
     def _prefill(self, endpoint: FakeEndpoint, call: Call) -> None:
         action = call.action
         if action.import_from and self._import(call):
@@ -476,16 +528,17 @@
             return
         if call.position or action.attempt % 1_000 > 1:
             call.recomputed = action.request.prompt_tokens + call.position
-        self.at(int(PREFILL_MS * endpoint.slow), lambda: self._make_token(endpoint, call))
+        speed = endpoint.model
+        tokens = endpoint.prefill(action.request) + call.position
+        delay = speed.prefill_ms + speed.prefill_token_ms * tokens
+        self.at(int(delay * endpoint.slow), lambda: self._make_token(endpoint, call))
 
     def _import(self, call: Call) -> bool:
         action = call.action
         source = self.attempts.get((action.request.id, action.import_attempt))
-        if source is None or not source.alive:
+        if source is None or not source.alive or not self.exports_kv:
             return False
-        old = source.calls.pop((action.request.id, action.import_attempt), None)
-        if old is not None:
-            old.stopped = True
+        old = self._leave_batch(source, action.request.id, action.import_attempt)
         return old is not None
 
     def _make_token(self, endpoint: FakeEndpoint, call: Call) -> None:
@@ -495,15 +548,22 @@
         if call.position >= request.max_tokens:
             self._finish(endpoint, call)
             return
-        text = model.token(request.seed, call.position)
-        event = events.EndpointTokens(request.id, call.action.attempt, call.position, (text,))
-        call.position += 1
+        speed = endpoint.model
+        start = call.position
+        first = start == len(call.action.tokens)
+        count = 1 if first else min(speed.tokens_per_event, request.max_tokens - start)
+        texts = tuple(model.token(request.seed, start + n) for n in range(count))
+        event = events.EndpointTokens(request.id, call.action.attempt, start, texts)
+        call.position += count
         self._to_node(call, event)
-        self.at(int(TOKEN_MS * endpoint.slow), lambda: self._make_token(endpoint, call))
+        left = min(speed.tokens_per_event, max(1, request.max_tokens - call.position))
+        crowd = 1.0 + speed.crowding * (len(endpoint.calls) - 1)
+        delay = speed.token_ms * crowd * left * endpoint.slow
+        self.at(int(delay), lambda: self._make_token(endpoint, call))
 
     def _finish(self, endpoint: FakeEndpoint, call: Call) -> None:
         request = call.action.request
-        if endpoint.calls.pop((request.id, call.action.attempt), None) is None:
+        if self._leave_batch(endpoint, request.id, call.action.attempt) is None:
             return
         body = b"" if request.kind is data.EndpointKind.ENGINE else request.id.encode()
         reply = data.Reply(200, "text/plain", body)
@@ -527,9 +587,7 @@
     def _abort(self, action: events.Abort) -> None:
         endpoint = self.attempts.get((action.request_id, action.attempt))
         if endpoint is not None:
-            call = endpoint.calls.pop((action.request_id, action.attempt), None)
-            if call is not None:
-                call.stopped = True
+            self._leave_batch(endpoint, action.request_id, action.attempt)
 
     # Reclaims.
 
