--- a/plumarch/routing/placement.py
+++ b/plumarch/routing/placement.py
@@ -287,7 +287,7 @@
             return ""
         if seen.in_flight >= max(1, endpoint.capacity // self.sharers):
             return "this node's share is used"
-        if alone:
+        if alone or request.request_class is data.RequestClass.LOOKUP:
             return ""
         age = self.ctx.now() - seen.reported_ms
         if not seen.reported_ms or age > REPORT_AGE_MS:
@@ -297,9 +297,14 @@
         return ""
 
     def _serves_itself(self, request: data.Request) -> bool:
-        """Return whether this node owns an endpoint of the target that stays."""
-        serving = self.by_target.get((request.kind, request.target), [])
-        return any(e.name in self.owned and e.name not in self.leaving for e in serving)
+        """Return whether this node owns an endpoint of the target that can be used."""
+        now = self.ctx.now()
+        return any(
+            e.name in self.owned
+            and e.name not in self.leaving
+            and self.seen[e.name].out_until_ms <= now
+            for e in self.by_target.get((request.kind, request.target), [])
+        )
 
     def _room(self, endpoint: data.Endpoint, request: data.Request) -> int:
         """Return how many requests may be there before this one is turned away."""
--- a/plumarch/routing/placement_test.py
+++ b/plumarch/routing/placement_test.py
@@ -105,3 +105,23 @@
     assert chosen(made, chat(prefix=9)) == "e150"
     _, considered = made.choose(chat(), frozenset())
     assert len(considered) == placement.SHOWN
+
+
+def test_other_nodes_endpoints_are_used_when_the_own_one_is_out() -> None:
+    made = places(endpoint("x"), endpoint("y", data_centre="b"))
+    made.share_out({"a1#1": "a", "b1#1": "b"})
+    assert made.owned == {"x"}
+    assert chosen(made, chat()) == "x"
+    made.unreachable("x")
+    assert chosen(made, chat()) == "y"
+
+
+def test_another_nodes_endpoint_is_used_only_by_a_fresh_report_of_little_load() -> None:
+    made = places(endpoint("x", capacity=1), endpoint("y", data_centre="b"))
+    made.share_out({"a1#1": "a", "b1#1": "b"})
+    made.started("x", 0)
+    assert chosen(made, chat()) == ""
+    made.report(data.LoadReport("y", 1, 0))
+    assert chosen(made, chat()) == "y"
+    made.report(data.LoadReport("y", 7, 0))
+    assert chosen(made, chat()) == ""
