--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -216,7 +216,7 @@
         world.run(1_000)
     sent = world.bytes_sent
     size = sent["CopyPut"] + sent["CopyAck"] + sent["CopyDrop"]
-    return {"bytes without body": round(size / 50, 1), "progress": round(sent["Progress"] / 50, 1)}
+    return {"bytes without body": round(size / 50, 1)}
 
 
 def configuring() -> dict[str, dict[int, float]]:
--- a/plumarch/cli/main.py
+++ b/plumarch/cli/main.py
@@ -103,6 +103,7 @@
     def diff(self, *paths: str, prune: bool = False) -> None:
         """Show what applying files would change."""
         given = files.read(_paths(paths))
+        _report(given.problems, False)
 
         async def compare(platform: client.HttpPlatform) -> tuple[int, list[str]]:
             current = await publishing.read_head(platform)
--- a/plumarch/core/data.py
+++ b/plumarch/core/data.py
@@ -294,5 +294,5 @@
     def text(self) -> str:
         """Return the problem as one line for people."""
         place = f"{self.file}:{self.line}" if self.line else self.file
-        where = f"[{self.section}] {self.key}".strip()
-        return f"{place}: {where}: {self.message} Remedy: {self.remedy}"
+        where = f" [{self.section}] {self.key}".rstrip() + ":" if self.section else ""
+        return f"{place}:{where} {self.message} Remedy: {self.remedy}"
--- a/plumarch/core/messages.py
+++ b/plumarch/core/messages.py
@@ -193,12 +193,6 @@
     request_id: str
 
 
-class Progress(Message, frozen=True):
-    """Batched progress marks: request and number of tokens made so far."""
-
-    marks: list[tuple[str, int]]
-
-
 class Adopt(Message, frozen=True):
     """Hands a request in progress to another node, with the tokens made so far.
 
@@ -306,7 +300,6 @@
     | CopyPut
     | CopyAck
     | CopyDrop
-    | Progress
     | Adopt
     | Adopted
     | Subscribe
--- a/plumarch/node/node.py
+++ b/plumarch/node/node.py
@@ -21,7 +21,6 @@
 
 CONFIG_ASK_MS = 1_000
 LEAVING_KEEP_MS = 60_000
-PROGRESS_MS = 2_000
 
 WATCHERS = 2
 """Nodes of a data centre that watch the platform; the others hear it from peers."""
@@ -99,7 +98,6 @@
         self.shared_out: tuple[tuple[str, ...], tuple[str, ...]] = ((), ())
         self.next_beat_ms = 0
         self.next_config_ask_ms = 0
-        self.next_progress_ms = 0
 
     def handle(self, event: events.Event) -> list[events.Action]:
         """Decide on one event.
@@ -214,8 +212,6 @@
                 self.home.copy_answered(sender, m)
             case messages.CopyDrop():
                 self.copies.drop(m.request_id)
-            case messages.Progress():
-                self.copies.progress(m.marks)
             case messages.Adopt():
                 self.adoption.adopt(sender, m)
             case messages.Adopted():
@@ -331,9 +327,6 @@
             self.decider.observe()
             self._beat()
             self._take_lost_again()
-        if now >= self.next_progress_ms:
-            self.next_progress_ms = now + PROGRESS_MS
-            self._send_progress()
 
     def _tend_fleet(self) -> None:
         """Decide on VMs, if the cloud's offers are known; without the platform nothing moves."""
@@ -386,14 +379,6 @@
         for name in self.peers:
             self.ctx.send(name, beat)
 
-    def _send_progress(self) -> None:
-        marks: dict[str, list[tuple[str, int]]] = {}
-        for run in self.table.active.values():
-            if run.copy_holder and run.tokens:
-                marks.setdefault(run.copy_holder, []).append((run.request.id, len(run.tokens)))
-        for holder, batch in marks.items():
-            self.ctx.send(holder, messages.Progress(batch))
-
     # What a shell asks besides.
 
     def is_watcher(self) -> bool:
@@ -407,7 +392,9 @@
 
     def drained(self) -> bool:
         """Return whether a stopping node may end: nobody waits for it any more."""
-        return self.adoption.drained() and self.ledger.handed_off()
+        # A node that is alone has nobody to hand its slots to.
+        handed_off = self.ledger.handed_off() or not self.membership.live()
+        return self.adoption.drained() and handed_off
 
 
 def encode(message: messages.AnyMessage) -> bytes:
--- a/plumarch/recovery/copies.py
+++ b/plumarch/recovery/copies.py
@@ -26,7 +26,6 @@
     home: str
     attempt: int
     since_ms: int
-    position: int = 0
 
 
 class Copies:
@@ -61,13 +60,6 @@
         if copy is not None:
             self.bytes -= len(copy.request.body)
 
-    def progress(self, marks: list[tuple[str, int]]) -> None:
-        """Note how far requests have got."""
-        for request_id, position in marks:
-            copy = self.held.get(request_id)
-            if copy is not None:
-                copy.position = max(copy.position, position)
-
     def of_home(self, node: str) -> list[Copy]:
         """Return the copies held for a home, oldest first."""
         return [copy for copy in self.held.values() if copy.home == node]
--- a/plumarch/standins/virtual.py
+++ b/plumarch/standins/virtual.py
@@ -11,7 +11,7 @@
 import random
 from collections.abc import Callable
 
-from plumarch.core import clock, context, data, events, messages
+from plumarch.core import clock, context, data, events
 from plumarch.node import node
 from plumarch.proof import invariants
 from plumarch.recovery import keys
@@ -741,8 +741,3 @@
         seed=sum(seed_text.encode()),
         timeout_ms=timeout_ms,
     )
-
-
-def heartbeat_bytes(beat: messages.Heartbeat) -> int:
-    """Return the size of a heartbeat on the wire, without its frame."""
-    return len(node.encode(beat))
--- a/tests/bounds_test.py
+++ b/tests/bounds_test.py
@@ -245,3 +245,10 @@
     caller = world.call("a1", virtual.request(world, "a1", data.RequestClass.CHAT))
     assert caller.ends == [data.Outcome.NOT_RUN]
     assert told[0] > 0
+
+
+def test_a_node_that_is_alone_stops_without_waiting_for_others() -> None:
+    world = virtual.build({"a1": "a"})
+    one = world.hosts["a1"]
+    world.deliver(one, events.StopAsked())
+    assert one.node.drained()
--- a/tests/whole_path_test.py
+++ b/tests/whole_path_test.py
@@ -172,7 +172,9 @@
     late = system.tool("apply", "examples/okefenokee", "--base", "0")
     assert late.returncode == 3
     assert "Remedy" in late.stderr
-    assert system.tool("diff", "examples").stdout.startswith("No difference.")
+    same = system.tool("diff", "examples/okefenokee", "examples/leasquell")
+    assert same.stdout.startswith("No difference.")
+    assert system.tool("diff", "examples").returncode == 2
     keyed = {**HEADERS, "Idempotency-Key": "explained-1"}
     url = system.url("hall-a-1") + "/v1/services/queue-api/tickets"
     httpx.post(url, json={}, headers=keyed)
