Tell "not run" when every try failed before its first byte

An unreachable endpoint was shut out for 2 s, so no retry found one, and a second refused connection counted as handed over. Change: unreachable endpoints are used last, not never; each undelivered try restores what was true before it.

--- a/plumarch/node/dispatch.py
+++ b/plumarch/node/dispatch.py
@@ -164,6 +164,7 @@
         request = run.request
         run.tries += 1
         run.phase = runs.Phase.RUNNING
+        run.handed_over_before = run.handed_over
         run.handed_over = True
         run.endpoint = endpoint.name
         run.started_ms = now
@@ -278,9 +279,8 @@
         run.tried.add(endpoint)
         run.endpoint = ""
         run.phase = runs.Phase.QUEUED
-        first = run.tries == 1 and run.home_attempt == 1
-        if first and not delivered:
-            run.handed_over = False
+        if not delivered:
+            run.handed_over = run.handed_over_before
         if not delivered:
             self.places.unreachable(endpoint)
         self.ctx.note(request, "fail", f"attempt {run.attempt()}", why)
--- a/plumarch/node/runs.py
+++ b/plumarch/node/runs.py
@@ -48,6 +48,7 @@
       own_key: this node issued the key and has not told it to anybody.
       recorded: a slot holds a record of the key that names this home.
       handed_over: a byte of it may have reached an endpoint, here or at an earlier home.
+      handed_over_before: the same before the attempt in progress.
       superseded: attempt that goes on at a leaving endpoint until the next one answers.
       import_from: address of the engine at which its former home ran it, for its KV cache.
       weakened: which promise does not hold for it, or "".
@@ -62,6 +63,7 @@
     recorded: bool = False
     epoch: int = 0
     handed_over: bool = False
+    handed_over_before: bool = False
     told_accepted: bool = False
     endpoint: str = ""
     tried: set[str] = dataclasses.field(default_factory=set)
--- a/plumarch/routing/placement.py
+++ b/plumarch/routing/placement.py
@@ -30,7 +30,7 @@
 """How long it stays out before one request probes it."""
 
 UNREACHABLE_MS = 2_000
-"""How long an endpoint rests that could not be connected to."""
+"""How long an endpoint that could not be connected to is used only if there is no other."""
 
 EJECT_SHARE = 0.3
 """At most this share of a target's endpoints is out at once."""
@@ -70,6 +70,7 @@
     delay_ms: float = 0.0
     measured: int = 0
     out_until_ms: int = 0
+    unreachable_until_ms: int = 0
     cached: dict[int, int] = dataclasses.field(default_factory=dict)
 
 
@@ -171,7 +172,7 @@
         """Leave an endpoint alone for a while that could not even be connected to."""
         seen = self.seen.get(name)
         if seen is not None:
-            seen.out_until_ms = self.ctx.now() + UNREACHABLE_MS
+            seen.unreachable_until_ms = self.ctx.now() + UNREACHABLE_MS
 
     def measured(self, name: str, delay_ms: int) -> None:
         """Take in how long an endpoint took to its first answer."""
@@ -280,7 +281,7 @@
             return "data centre not allowed"
         seen = self.seen[endpoint.name]
         if seen.out_until_ms > self.ctx.now():
-            return "ejected as slow or not reached"
+            return "ejected as slow"
         if endpoint.name in self.owned:
             if seen.in_flight >= self._room(endpoint, request):
                 return "full"
@@ -302,7 +303,7 @@
         return any(
             e.name in self.owned
             and e.name not in self.leaving
-            and self.seen[e.name].out_until_ms <= now
+            and max(self.seen[e.name].out_until_ms, self.seen[e.name].unreachable_until_ms) <= now
             for e in self.by_target.get((request.kind, request.target), [])
         )
 
@@ -330,6 +331,8 @@
             score += OTHER_DATA_CENTRE_MS
         if endpoint.name not in self.owned:
             score += NOT_OWNED_MS
+        if seen.unreachable_until_ms > self.ctx.now():
+            score += TRIED_MS
         return score + endpoint.price * PRICE_MS
 
     def owned_places(self, request: data.Request) -> tuple[int, int]:
--- a/tests/replies_test.py
+++ b/tests/replies_test.py
@@ -100,3 +100,15 @@
         world.run(60)
     assert caller.ends == [data.Outcome.UNKNOWN]
     assert invariants.violations(world.journal) == []
+
+
+def test_not_run_is_told_if_every_try_failed_before_its_first_byte() -> None:
+    world = virtual.build(NODES)
+    for endpoint in world.endpoints.values():
+        endpoint.alive = False
+    request = virtual.request(world, "a1", data.RequestClass.LOOKUP, "k", repeatable=False)
+    caller = world.call("a1", request)
+    world.run(5_000)
+    assert world.counts["retries"] > 1
+    assert caller.ends == [data.Outcome.NOT_RUN]
+    assert world.journal.executions == []
