Remove two constants and a parameter that nothing reads

Cause: a reading of the whole change: LISTENERS_LIMIT and PLATFORM_STALE_MS bounded nothing, and Adoption kept readers that it never used. Change: removed; behaviour as before.

--- a/plumarch/daemon/operators.py
+++ b/plumarch/daemon/operators.py
@@ -17,7 +17,6 @@
 
 AnyRequest = Request[Any, Any, Any]
 WATCH_QUEUE = 1_000
-PLATFORM_STALE_MS = 10_000
 
 
 class MemberStatus(msgspec.Struct, frozen=True):
--- a/plumarch/daemon/shell.py
+++ b/plumarch/daemon/shell.py
@@ -22,7 +22,6 @@
 DECISIONS_LIMIT = 4_000
 """Decisions kept for those who ask later."""
 
-LISTENERS_LIMIT = 50
 VM_POLL_S = 2.0
 LOAD_POLL_S = 0.5
 """Time between two engines' load reports: a bounded cost, however many engines there are."""
--- a/plumarch/node/adoption.py
+++ b/plumarch/node/adoption.py
@@ -28,7 +28,6 @@
         follower: followers.Followers,
         keeper: home.Home,
         questions: inquiries.Inquiries,
-        readers: watchers.Watchers,
     ) -> None:
         self.ctx = ctx
         self.membership = membership
@@ -38,7 +37,6 @@
         self.follower = follower
         self.home = keeper
         self.questions = questions
-        self.readers = readers
         self.moved: dict[str, str] = {}
         self.offers: dict[str, tuple[str, messages.Adopt]] = {}
         self.leaves_at_ms = 0
--- a/plumarch/node/node.py
+++ b/plumarch/node/node.py
@@ -88,7 +88,6 @@
             self.followers,
             self.home,
             self.inquiries,
-            self.watchers,
         )
         self.orders = orders.Orders(ctx, self.membership)
         self.decider = decider.Decider(
