--- a/plumarch/cli/main.py
+++ b/plumarch/cli/main.py
@@ -18,7 +18,7 @@
 from plumarch.cli import nodes, settings
 from plumarch.config import files, publishing
 from plumarch.core import clock, data, errors
-from plumarch.platform import client
+from plumarch.object_api import client
 
 EXIT_PARTIAL = 1
 EXIT_INPUT = 2
--- a/plumarch/config/publishing.py
+++ b/plumarch/config/publishing.py
@@ -13,7 +13,7 @@
 
 from plumarch.config import files
 from plumarch.core import errors
-from plumarch.platform import protocol
+from plumarch.object_api import protocol
 
 PREFIX = "config/"
 HEAD = "config/head"
--- a/plumarch/daemon/shell.py
+++ b/plumarch/daemon/shell.py
@@ -16,8 +16,8 @@
 from plumarch.endpoints import client as endpoint_client
 from plumarch.node import node
 from plumarch.peers import wire
-from plumarch.platform import client as platform_client
-from plumarch.platform import protocol
+from plumarch.object_api import client as platform_client
+from plumarch.object_api import protocol
 
 DECISIONS_LIMIT = 4_000
 """Decisions kept for those who ask later."""
--- a/plumarch/demo/deployment.py
+++ b/plumarch/demo/deployment.py
@@ -10,7 +10,7 @@
 from plumarch.core import clock, data, errors
 from plumarch.daemon import main as daemon_main
 from plumarch.daemon import serving, settings
-from plumarch.platform import client, protocol
+from plumarch.object_api import client, protocol
 from plumarch.standins import engine_app, platform_app, service_app
 
 ANY_PORT = "127.0.0.1:0"
--- a/plumarch/platform/client.py
+++ b/plumarch/object_api/client.py
@@ -4,7 +4,7 @@
 import msgspec
 
 from plumarch.core import clock, data, errors
-from plumarch.platform import protocol
+from plumarch.object_api import protocol
 
 READS_PER_S = 20.0
 WRITES_PER_S = 5.0
--- a/plumarch/standins/platform_app.py
+++ b/plumarch/standins/platform_app.py
@@ -11,7 +11,7 @@
 from litestar.handlers import HTTPRouteHandler
 
 from plumarch.core import data, hashing
-from plumarch.platform import protocol
+from plumarch.object_api import protocol
 from plumarch.standins import objects
 
 AnyRequest = Request[Any, Any, Any]
--- a/tests/publishing_test.py
+++ b/tests/publishing_test.py
@@ -8,7 +8,7 @@
 
 from plumarch.config import files, publishing
 from plumarch.core import data, errors
-from plumarch.platform import protocol
+from plumarch.object_api import protocol
 from plumarch.standins import objects
 
 TEMPLATE = "[template]\nname = desk\n"
