--- /dev/null
+++ b/plumarch/config/routing_table.py
@@ -0,0 +1,65 @@
+"""The configuration in force for the gateway: routes, services, workspaces, limits."""
+
+import dataclasses
+
+from plumarch.core import traffic
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Configuration:
+    """One version of the configuration, as it is handed from node to node."""
+
+    version: int
+    routes: tuple[traffic.Route, ...]
+    services: tuple[traffic.Service, ...]
+    workspaces: tuple[traffic.Workspace, ...]
+    limits: traffic.CallerLimits
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RoutingTable:
+    """One version of the configuration, indexed for look-ups.
+
+    Attributes:
+      routes_by_host: the routes of each host, longest prefix first.
+      workspaces_by_key: the workspace that holds each access key.
+    """
+
+    configuration: Configuration
+    services: dict[str, traffic.Service]
+    workspaces: dict[str, traffic.Workspace]
+    routes_by_host: dict[str, tuple[traffic.Route, ...]]
+    workspaces_by_key: dict[str, traffic.Workspace]
+
+    @property
+    def version(self) -> int:
+        """Return the configuration's version."""
+        return self.configuration.version
+
+    def match(self, host: str, path: str) -> traffic.Route | None:
+        """Return the route of a host with the longest prefix of a path.
+
+        Args:
+          host: the Host header; a port is ignored.
+          path: the path without its query.
+        """
+        name = host.rpartition(":")[0] if ":" in host else host
+        for route in self.routes_by_host.get(name.lower(), ()):
+            if path.startswith(route.path_prefix):
+                return route
+        return None
+
+
+def build(configuration: Configuration) -> RoutingTable:
+    """Index one version of the configuration."""
+    by_host: dict[str, list[traffic.Route]] = {}
+    for route in configuration.routes:
+        by_host.setdefault(route.host.lower(), []).append(route)
+    ordered = {
+        host: tuple(sorted(found, key=lambda route: -len(route.path_prefix)))
+        for host, found in by_host.items()
+    }
+    spaces = {workspace.name: workspace for workspace in configuration.workspaces}
+    by_key = {key: workspace for workspace in spaces.values() for key in workspace.keys}
+    named = {service.name: service for service in configuration.services}
+    return RoutingTable(configuration, named, spaces, ordered, by_key)
--- a/plumarch/core/clock.py
+++ b/plumarch/core/clock.py
@@ -41,3 +41,11 @@
           time_ms: the new time; an earlier one than now is ignored.
         """
         self.time_ms = max(self.time_ms, time_ms)
+
+
+class WallClock:
+    """The time of day, for what nodes and platforms must name alike; it may jump."""
+
+    def now(self) -> int:
+        """Return milliseconds since the start of 1970."""
+        return time.time_ns() // 1_000_000
--- a/plumarch/core/errors.py
+++ b/plumarch/core/errors.py
@@ -51,3 +51,15 @@
 
 class DeliveryUnknown(EndpointError):
     """The call failed after bytes were written: it may have run."""
+
+
+class PlatformNonsense(PlatformError):
+    """The platform's answer can't be read. What was known stays in force; see the log."""
+
+
+class StaleToken(PlatformError):
+    """Another node acted under a higher fencing token. Stop acting; read who holds the duty."""
+
+
+class NoneToBeHad(PlatformError):
+    """No reclaimable endpoints are to be had in that data centre now. Order others, or wait."""
--- /dev/null
+++ b/plumarch/daemon/gateway.py
@@ -0,0 +1,258 @@
+"""The gateway daemon: listeners, followers, heartbeats and duties of one process."""
+
+import asyncio
+import contextlib
+import os
+import pathlib
+import random
+import signal
+from collections.abc import Callable
+
+from plumarch.core import clock, errors
+from plumarch.daemon import gateway_settings, status_pages
+from plumarch.fleet import usage
+from plumarch.gateway import (
+    caller_connection,
+    decision_log,
+    dialect,
+    duties,
+    fleet_state,
+    follower,
+    gossiper,
+    measures,
+    ports,
+    relay,
+)
+from plumarch.limits import attempt_budget, workspace_quota
+from plumarch.membership import fleet_view, registry
+from plumarch.routing import endpoint_choice, endpoint_health
+
+LISTEN_BACKLOG = 1024
+FLUSH_MS = 100
+SETTINGS_CHECK_MS = 2_000
+NOT_READY_MS = 2_600
+"""After this time as not ready, the balancer sends no new connections."""
+
+CUT_BEFORE_KILL_MS = 500
+USAGE_EARLY_MS = 1_500
+USAGE_MARGIN_MS = 2_500
+NODES_KIND = "plumarch-nodes"
+
+
+class Gateway:
+    """One gateway process."""
+
+    def __init__(
+        self,
+        settings: gateway_settings.GatewaySettings,
+        names: dialect.Dialect,
+        store: ports.Store,
+        cloud: ports.Cloud,
+    ) -> None:
+        self.settings = settings
+        self.clock = clock.MonotonicClock()
+        self.wall = clock.WallClock()
+        self.store = store
+        self.state = self._new_state(names)
+        address = settings.listen.peers
+        incarnation = self.wall.now()
+        self.view = fleet_view.FleetView(
+            self.clock, settings.node.name, incarnation, address
+        )
+        status = gossiper.DutyStatus()
+        self.gossiper = gossiper.Gossiper(self.state, self.view, status, settings.peers.seeds)
+        self.follower = follower.Follower(self.state, store, self.gossiper.beat_soon)
+        self.duties = duties.Duties(
+            self.state, self.view, status, store, cloud, self._usage_schedule()
+        )
+        self.callers = caller_connection.CallerServer(self.clock, relay.Relay(self.state))
+        pages = status_pages.StatusPages(self.state, self.ready)
+        self.pages = caller_connection.CallerServer(self.clock, pages)
+        self.stopping = False
+        self.tasks: list[asyncio.Task[None]] = []
+        self.listeners: list[asyncio.Server] = []
+
+    def _new_state(self, names: dialect.Dialect) -> fleet_state.FleetState:
+        settings, now = self.settings, self.clock
+        bounds = settings.bounds
+        return fleet_state.FleetState(
+            node=settings.node.name,
+            data_centre=settings.node.data_centre,
+            clock=now,
+            wall=self.wall,
+            rng=random.Random(f"{settings.node.name} {self.wall.now()}"),
+            names=names,
+            log=decision_log.DecisionLog(
+                self.wall, settings.node.name, lines_per_s=settings.log.lines_per_s
+            ),
+            measures=measures.Measures(),
+            registry=registry.Registry(now),
+            chooser=endpoint_choice.EndpointChooser(now, settings.node.data_centre),
+            health=endpoint_health.EndpointHealth(now),
+            quota=workspace_quota.WorkspaceQuota(now, now.now()),
+            budget=attempt_budget.AttemptBudget(
+                now,
+                round(bounds.retry_window_s * 1000),
+                bounds.retry_ratio,
+                bounds.retry_extra,
+            ),
+            usage=usage.UsageCounter(round(bounds.usage_window_s * 1000)),
+        )
+
+    def _usage_schedule(self) -> duties.UsageSchedule:
+        bounds = self.settings.bounds
+        late = bounds.usage_delay_s * 1000 - USAGE_MARGIN_MS
+        return duties.UsageSchedule(
+            round(bounds.usage_window_s * 1000), USAGE_EARLY_MS, round(max(USAGE_EARLY_MS, late))
+        )
+
+    def ready(self) -> bool:
+        """Return whether the balancer should send connections here."""
+        return not self.stopping and self.state.table is not None
+
+    async def start(self) -> None:
+        """Open all listeners and begin to follow, tell and act."""
+        listen = self.settings.listen
+        await self.gossiper.start()
+        await self._listen(listen.callers, self.callers)
+        await self._listen(listen.readiness, self.pages)
+        await self._listen(listen.metrics, self.pages)
+        for work in (
+            self.follower.follow_configuration,
+            self.follower.follow_endpoints,
+            self.gossiper.beat_forever,
+            self.duties.run,
+            self._register,
+            self._keep_house,
+            self._watch_settings,
+        ):
+            self.tasks.append(asyncio.get_running_loop().create_task(self._guard(work)))
+        self.state.log.write(
+            "start", urgent=True, incarnation=self.view.incarnation, callers=listen.callers,
+            data_centre=self.settings.node.data_centre,
+        )
+        self.state.log.flush()
+
+    async def _guard(self, work: Callable[[], object]) -> None:
+        """Run a part; a fault in it is logged, and the part begins again."""
+        while True:
+            try:
+                await work()  # type: ignore[misc]
+                return
+            except Exception as error:
+                self.state.log.write(
+                    "fault", urgent=True, part=work.__name__, error=f"{type(error).__name__}: {error}"
+                )
+                await asyncio.sleep(0.5)
+
+    async def _listen(self, address: str, server: caller_connection.CallerServer) -> None:
+        host, _, port = address.rpartition(":")
+        loop = asyncio.get_running_loop()
+        try:
+            listener = await loop.create_server(
+                server.connection, host, int(port), backlog=LISTEN_BACKLOG
+            )
+        except OSError as error:
+            raise errors.SettingsError(
+                f"[listen] {address} can't be listened on: {error.strerror}."
+                " Remedy: end the process that uses it, or choose another port."
+            ) from error
+        self.listeners.append(listener)
+
+    async def _register(self) -> None:
+        """Write this node into the store, and learn of others that did."""
+        dependency = follower.Dependency(self.state, "store-nodes")
+        name = self.settings.node.name
+        while True:
+            try:
+                found = await self.store.list_records(NODES_KIND)
+                mine = [record for record in found if record.name == name]
+                revision = mine[0].revision if mine else 0
+                if not mine or mine[0].value != self.view.address:
+                    wanted = ports.records.Record(name, self.view.address, revision)
+                    await self.store.write_record(NODES_KIND, wanted)
+                for record in found:
+                    self.view.learn(record.name, record.value)
+                dependency.answered()
+                return
+            except errors.PlatformError as error:
+                await asyncio.sleep(dependency.failed(error) / 1000.0)
+
+    async def _keep_house(self) -> None:
+        """Write logs, and bring limits and gauges up to date."""
+        while True:
+            await asyncio.sleep(FLUSH_MS / 1000.0)
+            state = self.state
+            state.log.flush()
+            if state.table is not None:
+                self.callers.limits = state.table.configuration.limits
+            state.measures.lines_dropped.set(state.log.dropped_total)
+
+    async def _watch_settings(self) -> None:
+        """Notice a settings file that changed without a signal."""
+        path = pathlib.Path(os.environ.get(SETTINGS_VARIABLE, ""))
+        if not path.is_file():
+            return
+        seen = path.stat().st_mtime_ns
+        while True:
+            await asyncio.sleep(SETTINGS_CHECK_MS / 1000.0)
+            with contextlib.suppress(OSError):
+                changed = path.stat().st_mtime_ns
+                if changed != seen:
+                    seen = changed
+                    self.reload(str(path))
+
+    def reload(self, path: str) -> None:
+        """Take over what may change in a settings file; a bad one changes nothing."""
+        try:
+            fresh = gateway_settings.load(path)
+        except errors.SettingsError as error:
+            self.state.log.write("reload", urgent=True, outcome="kept the old", why=str(error))
+            return
+        self.gossiper.learn_seeds(fresh.peers.seeds)
+        self.state.log.write(
+            "reload", urgent=True, outcome="taken", seeds=list(fresh.peers.seeds)
+        )
+
+    async def stop(self) -> None:
+        """Stop as planned: not ready first, then finish what was read, then end."""
+        begun = self.clock.now()
+        grace_ms = self.settings.bounds.stop_s * 1000.0
+        self.stopping = True
+        self.callers.draining = True
+        self.gossiper.leaving = True
+        self.duties.leaving = True
+        self.gossiper.beat_soon()
+        self.state.log.write("stop", urgent=True, busy=self.callers.busy())
+        ends = begun + grace_ms - CUT_BEFORE_KILL_MS
+        while self.clock.now() < begun + NOT_READY_MS:
+            await asyncio.sleep(0.05)
+        self.callers.close_idle()
+        while self.callers.connections and self.clock.now() < ends:
+            await asyncio.sleep(0.05)
+            if not self.callers.busy():
+                break
+        self.state.log.write("stopped", urgent=True, cut=self.callers.busy())
+        self.state.log.flush()
+        for listener in self.listeners:
+            listener.close()
+        self.callers.close_all()
+        for task in self.tasks:
+            task.cancel()
+        self.gossiper.close()
+
+
+SETTINGS_VARIABLE = "PLUMARCH_SETTINGS"
+
+
+async def serve(gateway: Gateway, settings_path: str) -> None:
+    """Run a gateway until it is told to stop."""
+    asked = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, asked.set)
+    loop.add_signal_handler(signal.SIGHUP, lambda: gateway.reload(settings_path))
+    os.set_blocking(1, False)
+    await gateway.start()
+    await asked.wait()
+    await gateway.stop()
--- /dev/null
+++ b/plumarch/daemon/gateway_settings.py
@@ -0,0 +1,118 @@
+"""The gateway's settings: an INI file, validated whole before anything starts."""
+
+import dataclasses
+import pathlib
+from typing import Annotated
+
+import pydantic
+
+from plumarch.config import ini
+from plumarch.core import data, errors
+from plumarch.daemon import settings
+
+Words = Annotated[tuple[str, ...], pydantic.BeforeValidator(ini.words)]
+Positive = Annotated[float, pydantic.Field(gt=0)]
+NotNegative = Annotated[float, pydantic.Field(ge=0)]
+
+
+class NodeSection(ini.Section):
+    """[node]: who this node is."""
+
+    name: Annotated[str, pydantic.Field(min_length=1)]
+    data_centre: Annotated[str, pydantic.Field(min_length=1)]
+
+
+class ListenSection(ini.Section):
+    """[listen]: where it listens; peers is used for TCP and UDP."""
+
+    callers: settings.Address
+    readiness: settings.Address
+    peers: settings.Address
+    metrics: settings.Address
+
+
+class PeersSection(ini.Section):
+    """[peers]: IP or IP:port of some nodes that may exist; all listen on the same port."""
+
+    seeds: Words = ()
+
+
+class StoreSection(ini.Section):
+    """[store]: the platform's store."""
+
+    address: settings.Address
+
+
+class CloudSection(ini.Section):
+    """[cloud]: the platform's calls of one node at a time; without an address there are none."""
+
+    address: str = ""
+    duties: Words = ()
+
+
+class BoundsSection(ini.Section):
+    """[bounds]: what the deployment promises; times in ms unless named otherwise."""
+
+    stop_s: Positive = 8.0
+    retry_ratio: NotNegative = 0.2
+    retry_window_s: Positive = 10.0
+    retry_extra: NotNegative = 20.0
+    usage_window_s: Positive = 5.0
+    usage_delay_s: Positive = 10.0
+    lease_ms: Positive = 3000.0
+
+
+class LogSection(ini.Section):
+    """[log]: how many lines a second at most."""
+
+    lines_per_s: Annotated[int, pydantic.Field(gt=0)] = 500
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class GatewaySettings:
+    """All settings of one gateway."""
+
+    node: NodeSection
+    listen: ListenSection
+    peers: PeersSection
+    store: StoreSection
+    cloud: CloudSection
+    bounds: BoundsSection
+    log: LogSection
+
+
+def load(path: str) -> GatewaySettings:
+    """Read and validate a settings file.
+
+    Raises:
+      SettingsError: with all problems, each at its file, section and key, and a remedy.
+    """
+    try:
+        text = pathlib.Path(path).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        raise errors.SettingsError(f"{path} can't be read: {error}. Name a file.") from error
+    found, problems = read(path, text)
+    if found is None:
+        raise errors.SettingsError("\n".join(problem.text() for problem in problems))
+    return found
+
+
+def read(file: str, text: str) -> tuple[GatewaySettings | None, list[data.Problem]]:
+    """Validate a settings text.
+
+    Returns:
+      The settings, or None if there are problems; and all problems.
+    """
+    document = ini.parse(file, text)
+    document.allow_sections({"node", "listen", "peers", "store", "cloud", "bounds", "log"})
+    node = document.section("node", NodeSection)
+    listen = document.section("listen", ListenSection)
+    peers = document.section("peers", PeersSection, required=False)
+    store = document.section("store", StoreSection)
+    cloud = document.section("cloud", CloudSection, required=False)
+    bounds = document.section("bounds", BoundsSection, required=False)
+    log = document.section("log", LogSection, required=False)
+    if document.problems:
+        return None, document.problems
+    assert node and listen and peers and store and cloud and bounds and log
+    return GatewaySettings(node, listen, peers, store, cloud, bounds, log), []
--- a/plumarch/daemon/shell.py
+++ b/plumarch/daemon/shell.py
@@ -15,9 +15,9 @@
 from plumarch.daemon import metrics, settings, streams
 from plumarch.endpoints import client as endpoint_client
 from plumarch.node import node
-from plumarch.peers import wire
 from plumarch.object_api import client as platform_client
 from plumarch.object_api import protocol
+from plumarch.peers import wire
 
 DECISIONS_LIMIT = 4_000
 """Decisions kept for those who ask later."""
--- /dev/null
+++ b/plumarch/daemon/status_pages.py
@@ -0,0 +1,37 @@
+"""The pages that a gateway serves to the platform and to operators: readiness and metrics."""
+
+from collections.abc import Callable
+
+from plumarch.gateway import caller_connection, fleet_state
+
+METRICS_PATH = b"/metrics"
+TEXT = [(b"content-type", b"text/plain; version=0.0.4")]
+
+
+class StatusPages:
+    """Answers /metrics with all metrics, and any other path with readiness."""
+
+    def __init__(self, state: fleet_state.FleetState, ready: Callable[[], bool]) -> None:
+        self.state = state
+        self.ready = ready
+
+    async def handle(
+        self, request: caller_connection.CallerRequest, reply: caller_connection.Reply
+    ) -> None:
+        """Answer one request."""
+        if request.target.partition(b"?")[0] == METRICS_PATH:
+            self._set_gauges()
+            reply.send(200, TEXT, self.state.measures.text())
+        elif self.ready():
+            reply.send(200, TEXT, b"ready\n")
+        else:
+            reply.send(503, TEXT, b"not ready\n")
+
+    def _set_gauges(self) -> None:
+        state = self.state
+        gauge = state.measures.state
+        gauge.labels("configuration_version").set(state.table.version if state.table else -1)
+        gauge.labels("registry_revision").set(state.registry.revision)
+        gauge.labels("registry_age_ms").set(state.registry.age_ms())
+        gauge.labels("endpoints").set(len(state.registry.endpoints))
+        gauge.labels("heard_fraction").set(state.quota.fraction)
--- /dev/null
+++ b/plumarch/fleet/duty_lease.py
@@ -0,0 +1,83 @@
+"""One holder of the duties at a time, by a conditional write; its fencing token only rises.
+
+The record names the holder, its incarnation, the token, and the usage windows that were
+summed up. Time decides only when another node tries; that two never act under one token
+follows from the conditional write alone, and that an old holder's calls do nothing from the
+token that the platform checks.
+"""
+
+import dataclasses
+
+import msgspec
+
+from plumarch.core import records
+
+KIND = "plumarch-duties"
+NAME = "holder"
+WINDOWS_KEPT = 6
+
+
+class DutyRecord(msgspec.Struct, frozen=True):
+    """The duties' record in the store.
+
+    Attributes:
+      token: the holder's fencing token.
+      windows: counts of the newest usage windows, fixed before they are reported.
+    """
+
+    holder: str
+    incarnation: int
+    token: int
+    windows: dict[str, dict[str, int]] = {}
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HeldRecord:
+    """A record as it was read or written last."""
+
+    record: DutyRecord
+    revision: int
+
+
+def decode(found: records.Record | None) -> HeldRecord | None:
+    """Read a record.
+
+    Raises:
+      msgspec.DecodeError: its value is not a record.
+    """
+    if found is None:
+        return None
+    return HeldRecord(msgspec.json.decode(found.value, type=DutyRecord), found.revision)
+
+
+def encode(held: HeldRecord) -> records.Record:
+    """Return a record as the store takes it, to be written under its revision."""
+    value = msgspec.json.encode(held.record).decode()
+    return records.Record(NAME, value, held.revision)
+
+
+def taken_over(found: HeldRecord | None, node: str, incarnation: int) -> HeldRecord:
+    """Return the record that makes a node the holder, in place of the one found."""
+    if found is None:
+        return HeldRecord(DutyRecord(node, incarnation, 1), 0)
+    record = found.record
+    taken = DutyRecord(node, incarnation, record.token + 1, record.windows)
+    return HeldRecord(taken, found.revision)
+
+
+def with_window(held: HeldRecord, window: int, counts: dict[str, int]) -> HeldRecord:
+    """Return the record with a window's counts, unless the window stands there already."""
+    windows = dict(held.record.windows)
+    windows.setdefault(str(window), counts)
+    newest = sorted(windows, key=int)[-WINDOWS_KEPT:]
+    record = msgspec.structs.replace(
+        held.record, windows={number: windows[number] for number in newest}
+    )
+    return HeldRecord(record, held.revision)
+
+
+def is_mine(held: HeldRecord | None, node: str, incarnation: int) -> bool:
+    """Return whether a record names a process as the holder."""
+    if held is None:
+        return False
+    return held.record.holder == node and held.record.incarnation == incarnation
--- /dev/null
+++ b/plumarch/fleet/usage.py
@@ -0,0 +1,65 @@
+"""Requests that began to run, counted by workspace and window of true time.
+
+Each node counts its own and tells its peers; the node that holds the duty adds them up when
+a window is over. Counts of a node that is gone stay with those that heard them.
+"""
+
+import collections
+import dataclasses
+from collections.abc import Mapping
+
+WINDOWS_KEPT = 8
+
+WindowCounts = Mapping[int, Mapping[str, int]]
+
+
+@dataclasses.dataclass(slots=True)
+class UsageCounter:
+    """Counts of this node and of those that it heard.
+
+    Attributes:
+      window_ms: a window's length; window k begins k lengths after the start of 1970.
+      own: this process's counts, by window and workspace.
+      heard: other incarnations' counts, by incarnation.
+    """
+
+    window_ms: int
+    own: dict[int, collections.Counter[str]] = dataclasses.field(default_factory=dict)
+    heard: dict[str, dict[int, dict[str, int]]] = dataclasses.field(default_factory=dict)
+
+    def began(self, workspace: str, wall_ms: float) -> None:
+        """Count a request that began to run at a time of day."""
+        window = self.window_at(wall_ms)
+        self.own.setdefault(window, collections.Counter())[workspace] += 1
+        self._drop_old(window)
+
+    def window_at(self, wall_ms: float) -> int:
+        """Return the number of the window that holds a time of day."""
+        return int(wall_ms // self.window_ms)
+
+    def _drop_old(self, window: int) -> None:
+        for old in [number for number in self.own if number < window - WINDOWS_KEPT]:
+            del self.own[old]
+
+    def recent(self, wall_ms: float, windows: int) -> dict[int, dict[str, int]]:
+        """Return this node's counts of the newest windows."""
+        oldest = self.window_at(wall_ms) - windows
+        return {number: dict(counts) for number, counts in self.own.items() if number > oldest}
+
+    def heard_from(self, node: str, counts: WindowCounts) -> None:
+        """Take in what an incarnation counted; later counts of a window replace earlier ones."""
+        known = self.heard.setdefault(node, {})
+        for number, told in counts.items():
+            known[number] = dict(told)
+        newest = max(known, default=0)
+        for old in [number for number in known if number < newest - WINDOWS_KEPT]:
+            del known[old]
+        if not known:
+            del self.heard[node]
+
+    def total(self, window: int) -> dict[str, int]:
+        """Return the counts of a window over all nodes."""
+        total: collections.Counter[str] = collections.Counter(self.own.get(window, {}))
+        for counts in self.heard.values():
+            total.update(counts.get(window, {}))
+        return dict(sorted(total.items()))
--- /dev/null
+++ b/plumarch/gateway/admission.py
@@ -0,0 +1,165 @@
+"""Whether a request is taken on: route, key, allotment."""
+
+import dataclasses
+from collections.abc import Sequence
+
+from plumarch.core import hashing, traffic
+from plumarch.gateway import caller_connection, dialect, fleet_state
+
+RETRY_WITHOUT_CONFIGURATION_MS = 500.0
+DEFAULT_DEADLINE_MS = 30_000.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Refusal:
+    """A final answer of the gateway itself.
+
+    Attributes:
+      reason: one word for logs and metrics.
+      retry_after_ms: when to come back, for a request that has not run; else None.
+    """
+
+    status: int
+    reason: str
+    retry_after_ms: float | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Admitted:
+    """A request that was taken on.
+
+    Attributes:
+      units: what it was charged of its workspace's allotment.
+      ends_ms: when it is given up, by the steady clock.
+      prompt_tokens: tokens of its prompt.
+    """
+
+    request: caller_connection.CallerRequest
+    id: str
+    route: traffic.Route
+    service: str
+    workspace: traffic.Workspace | None
+    units: float
+    ends_ms: float
+    parts: tuple[traffic.PromptPart, ...]
+    prompt_tokens: int
+    version: int
+
+    def workspace_name(self) -> str:
+        """Return the workspace's name, or "" for a public route."""
+        return self.workspace.name if self.workspace else ""
+
+
+def admit(
+    state: fleet_state.FleetState, request: caller_connection.CallerRequest
+) -> Admitted | Refusal:
+    """Decide whether a request is taken on, and charge its workspace."""
+    table = state.table
+    names = state.names
+    if table is None:
+        return Refusal(503, "no_configuration", RETRY_WITHOUT_CONFIGURATION_MS)
+    path = request.target.decode("latin-1").partition("?")[0]
+    route = table.match(request.header(b"host"), path)
+    if route is None:
+        return Refusal(404, "no_route")
+    workspace = None
+    if table.workspaces and not route.public:
+        key = _key_of(request.header(b"authorization"), names.key_scheme)
+        workspace = table.workspaces_by_key.get(key)
+        if workspace is None:
+            return Refusal(401, "unknown_key")
+    prompt_tokens, most_out = _token_counts(request.header(names.token_counts))
+    units = _units(workspace, prompt_tokens + most_out)
+    if workspace is not None:
+        wait_ms = state.quota.admit(workspace, units)
+        if wait_ms > 0:
+            return Refusal(429, "quota", wait_ms)
+    request_id = request.header(names.request_id)
+    return Admitted(
+        request=request,
+        id=request_id,
+        route=route,
+        service=_service_of(route, request_id),
+        workspace=workspace,
+        units=units,
+        ends_ms=request.began_ms + _time_allowed(request, names, route),
+        parts=parse_parts(request.header(names.prompt_parts)),
+        prompt_tokens=prompt_tokens,
+        version=table.version,
+    )
+
+
+def _key_of(authorization: str, scheme: str) -> str:
+    given, _, key = authorization.partition(" ")
+    return key.strip() if given.lower() == scheme.lower() else ""
+
+
+def _token_counts(value: str) -> tuple[int, int]:
+    first, _, second = value.partition(",")
+    try:
+        return int(first), int(second)
+    except ValueError:
+        return 0, 0
+
+
+def _units(workspace: traffic.Workspace | None, tokens: int) -> float:
+    if workspace is None:
+        return 0.0
+    if not workspace.counts_tokens:
+        return 1.0
+    return float(tokens or workspace.plain_tokens)
+
+
+def _time_allowed(
+    request: caller_connection.CallerRequest, names: dialect.Dialect, route: traffic.Route
+) -> float:
+    try:
+        asked = float(request.header(names.deadline_ms))
+    except ValueError:
+        asked = DEFAULT_DEADLINE_MS
+    return min(asked, route.timeout_ms) if route.timeout_ms > 0 else asked
+
+
+def _service_of(route: traffic.Route, request_id: str) -> str:
+    """Return the service a request goes to, by weight and the same on each node."""
+    if len(route.shares) == 1:
+        return route.shares[0].service
+    total = sum(share.weight for share in route.shares)
+    point = hashing.digest(route.name, request_id) / 2**64 * total
+    for share in route.shares:
+        point -= share.weight
+        if point < 0:
+            return share.service
+    return route.shares[-1].service
+
+
+def parse_parts(value: str) -> tuple[traffic.PromptPart, ...]:
+    """Read a prompt's parts, ID:TOKENS by commas; ends at the first that is malformed."""
+    parts = []
+    for word in value.split(","):
+        name, _, tokens = word.strip().partition(":")
+        if not name or not tokens.isdigit():
+            break
+        parts.append(traffic.PromptPart(name, int(tokens)))
+    return tuple(parts)
+
+
+def forwarded_headers(
+    names: dialect.Dialect,
+    headers: Sequence[tuple[bytes, bytes]],
+    workspace: traffic.Workspace | None,
+) -> list[tuple[bytes, bytes]]:
+    """Return a caller's headers as an endpoint may see them.
+
+    Left out are those of the connection, the key, and those that only the gateway may set.
+    """
+    dropped = set(dialect.HOP_BY_HOP) | names.reserved
+    dropped |= {b"authorization", names.workspace, names.instance, names.deadline_ms}
+    dropped |= {names.urgency, names.last_event_id}
+    for name, value in headers:
+        if name == b"connection":
+            dropped |= {word.strip().lower() for word in value.split(b",")}
+    kept = [(name, value) for name, value in headers if name not in dropped]
+    if workspace is not None:
+        kept.append((names.workspace, workspace.name.encode()))
+    return kept
--- /dev/null
+++ b/plumarch/gateway/attempts.py
@@ -0,0 +1,209 @@
+"""One send of a request to one endpoint, and what is known of it afterwards."""
+
+import asyncio
+import dataclasses
+
+import h11
+
+from plumarch.core import traffic
+from plumarch.gateway import admission, dialect, errors, exchange, fleet_state
+from plumarch.routing import endpoint_choice
+
+CONNECT_TIMEOUT_MS = 250.0
+NOT_RUN_STATUS = 421
+PROMISED_NOT_RUN = frozenset({408, 421, 429, 503})
+"""Statuses that promise that a request did not run, when an endpoint says so."""
+
+QUEUE_FACTOR = 3
+"""Requests at a plain endpoint, in multiples of its slots, before it counts as full."""
+
+
+@dataclasses.dataclass(slots=True)
+class Progress:
+    """What happened to a request so far.
+
+    Attributes:
+      tried: endpoints that it was sent to or that could not be reached.
+      sends: how many endpoints bytes were sent to.
+      unresolved: sends of which it is not known that the request did not run.
+      last_event_id: of the last event that the caller got.
+    """
+
+    tried: set[str] = dataclasses.field(default_factory=set)
+    sends: int = 0
+    unresolved: int = 0
+    last_fault: str = ""
+    last_event_id: str = ""
+
+
+@dataclasses.dataclass(slots=True)
+class Attempt:
+    """A connection to an endpoint on which a request was sent."""
+
+    choice: endpoint_choice.Choice
+    exchange: exchange.Exchange
+    saw_first_token: bool = False
+
+
+class NotRun(errors.ExchangeError):
+    """The endpoint said that it did not run the request."""
+
+
+def choose(
+    state: fleet_state.FleetState, admitted: admission.Admitted, progress: Progress
+) -> endpoint_choice.Choice | None:
+    """Choose an endpoint that was not tried yet, or None if there is none with room."""
+    ready = [one for one in state.registry.ready(admitted.service) if one.id not in progress.tried]
+    candidates = [one for one in state.health.usable(ready) if _has_room(state, admitted, one)]
+    if not candidates:
+        return None
+    seed = state.rng.randrange(1 << 30)
+    if admitted.prompt_tokens:
+        return state.chooser.choose_engine(
+            candidates, admitted.parts, admitted.prompt_tokens, seed
+        )
+    return state.chooser.choose_plain(candidates, seed)
+
+
+def _has_room(
+    state: fleet_state.FleetState, admitted: admission.Admitted, endpoint: traffic.Endpoint
+) -> bool:
+    factor = 1 if admitted.prompt_tokens else QUEUE_FACTOR
+    return state.chooser.load(endpoint.id).running < factor * max(1, endpoint.slots)
+
+
+async def send(
+    state: fleet_state.FleetState,
+    admitted: admission.Admitted,
+    progress: Progress,
+    choice: endpoint_choice.Choice,
+) -> Attempt:
+    """Send a request to an endpoint over a fresh connection.
+
+    Raises:
+      ConnectFailed: no byte was sent.
+    """
+    endpoint = choice.endpoint
+    progress.tried.add(endpoint.id)
+    _log_choice(state, admitted, progress, choice)
+    time_left = admitted.ends_ms - state.clock.now()
+    try:
+        opened = await exchange.connect(endpoint.address, min(CONNECT_TIMEOUT_MS, time_left))
+    except errors.ConnectFailed:
+        state.health.failure(endpoint.id)
+        state.measures.attempts.labels(admitted.service, "no_connection").inc()
+        raise
+    headers = _headers(state, admitted, progress, endpoint)
+    request = admitted.request
+    try:
+        opened.send(request.method, request.target, headers, request.body)
+    except errors.ConnectFailed:
+        opened.close()
+        raise
+    progress.sends += 1
+    progress.unresolved += 1
+    if progress.sends == 1:
+        state.budget.first(admitted.service)
+    state.chooser.begin(choice, admitted.parts)
+    return Attempt(choice, opened)
+
+
+def _headers(
+    state: fleet_state.FleetState,
+    admitted: admission.Admitted,
+    progress: Progress,
+    endpoint: traffic.Endpoint,
+) -> list[tuple[bytes, bytes]]:
+    names = state.names
+    request = admitted.request
+    headers = admission.forwarded_headers(names, request.headers, admitted.workspace)
+    time_left = max(1, int(admitted.ends_ms - state.clock.now()))
+    headers.append((names.deadline_ms, str(time_left).encode()))
+    headers.append((names.instance, endpoint.id.encode()))
+    last_id = progress.last_event_id or request.header(names.last_event_id)
+    if last_id:
+        headers.append((names.last_event_id, last_id.encode()))
+    if request.body or request.method in (b"POST", b"PUT", b"PATCH"):
+        headers.append((b"content-length", str(len(request.body)).encode()))
+    headers.append((b"connection", b"close"))
+    return headers
+
+
+def _log_choice(
+    state: fleet_state.FleetState,
+    admitted: admission.Admitted,
+    progress: Progress,
+    choice: endpoint_choice.Choice,
+) -> None:
+    state.log.write(
+        "sent",
+        request=admitted.id,
+        endpoint=choice.endpoint.id,
+        service=admitted.service,
+        cost=round(choice.cost, 2),
+        unread_tokens=round(choice.unread_tokens),
+        candidates=choice.considered,
+        attempt=progress.sends + 1,
+        after=progress.last_fault,
+        registry_revision=state.registry.revision,
+        registry_age_ms=state.registry.age_ms(),
+        configuration=admitted.version,
+        time_left_ms=round(admitted.ends_ms - state.clock.now()),
+    )
+
+
+async def read_head(
+    state: fleet_state.FleetState, admitted: admission.Admitted, attempt: Attempt, wait_ms: float
+) -> h11.Response:
+    """Wait for the head of the answer.
+
+    Raises:
+      NotRun: the endpoint did not run the request.
+      ConnectionBroken: the answer broke off, is another request's, or can't be trusted.
+      AnswerTimeout: nothing came.
+    """
+    try:
+        async with asyncio.timeout(max(0.001, wait_ms / 1000.0)):
+            head = await attempt.exchange.next()
+    except TimeoutError as error:
+        raise errors.AnswerTimeout(f"no answer for {wait_ms:.0f} ms") from error
+    if not isinstance(head, h11.Response):
+        raise errors.ConnectionBroken("the answer has no head")
+    names = state.names
+    if head.status_code in PROMISED_NOT_RUN:
+        if head.status_code == NOT_RUN_STATUS or header_of(head, names.not_run):
+            raise NotRun(f"endpoint answered {head.status_code}, not run")
+        raise errors.ConnectionBroken(f"endpoint answered {head.status_code} without a promise")
+    if header_of(head, names.request_id) not in ("", admitted.id):
+        raise errors.ConnectionBroken("the answer is another request's")
+    if 200 <= head.status_code < 300 and not header_of(head, names.signature):
+        raise errors.ConnectionBroken("the answer has no signature")
+    return head
+
+
+def header_of(head: h11.Response, name: bytes) -> str:
+    """Return a header of an answer, or ""."""
+    for key, value in head.headers:
+        if key == name:
+            return bytes(value).decode("latin-1")
+    return ""
+
+
+def answer_headers(head: h11.Response, names: dialect.Dialect) -> list[tuple[bytes, bytes]]:
+    """Return an endpoint's headers as the caller may see them."""
+    dropped = set(dialect.HOP_BY_HOP) | {names.not_run}
+    return [
+        (bytes(name), bytes(value)) for name, value in head.headers if name not in dropped
+    ]
+
+
+def count_began(state: fleet_state.FleetState, admitted: admission.Admitted) -> None:
+    """Count the request as one that began to run."""
+    if admitted.workspace is not None:
+        state.usage.began(admitted.workspace.name, state.wall.now())
+
+
+def end(state: fleet_state.FleetState, attempt: Attempt) -> None:
+    """Close the connection, which cancels the request if it still runs."""
+    attempt.exchange.close()
+    state.chooser.end(attempt.choice, attempt.saw_first_token)
--- /dev/null
+++ b/plumarch/gateway/decision_log.py
@@ -0,0 +1,81 @@
+"""Structured logs: one JSON object a line on standard output, bounded, never blocking.
+
+Lines are kept in memory and written when the output takes them. A reader that stops reading
+stalls nothing: when the memory set aside is full, or more lines come in a second than are
+allowed, lines are dropped, counted, and the count is told as soon as a line can be written.
+"""
+
+import dataclasses
+import os
+from typing import Any
+
+import msgspec
+
+from plumarch.core import clock
+
+PENDING_BYTES = 1_048_576
+LINES_PER_S = 500
+WRITE_BYTES = 65_536
+
+
+@dataclasses.dataclass(slots=True)
+class DecisionLog:
+    """Where all parts of a process write what they decided.
+
+    Attributes:
+      node: named in each line.
+      descriptor: the file descriptor written to, set to non-blocking.
+      dropped: lines dropped since the last that told so.
+      dropped_total: lines dropped since the start.
+    """
+
+    clock: clock.Clock
+    node: str
+    descriptor: int = 1
+    lines_per_s: int = LINES_PER_S
+    dropped: int = 0
+    dropped_total: int = 0
+    pending: bytearray = dataclasses.field(default_factory=bytearray)
+    second: int = -1
+    lines_in_second: int = 0
+
+    def write(self, kind: str, *, urgent: bool = False, **fields: Any) -> None:
+        """Write a line.
+
+        Args:
+          kind: what was decided or learned.
+          urgent: keep the line even in a second that had too many.
+          fields: request id, inputs, their age or version, outcome.
+        """
+        if not self._admitted(urgent):
+            self.dropped += 1
+            self.dropped_total += 1
+            return
+        line = {"at": self.clock.now(), "node": self.node, "kind": kind, **fields}
+        if self.dropped:
+            line["lines_dropped_before"] = self.dropped
+            self.dropped = 0
+        self.pending += msgspec.json.encode(line)
+        self.pending += b"\n"
+
+    def _admitted(self, urgent: bool) -> bool:
+        if len(self.pending) > PENDING_BYTES:
+            return False
+        second = self.clock.now() // 1000
+        if second != self.second:
+            self.second = second
+            self.lines_in_second = 0
+        self.lines_in_second += 1
+        return urgent or self.lines_in_second <= self.lines_per_s
+
+    def flush(self) -> None:
+        """Write what the output takes now."""
+        while self.pending:
+            try:
+                written = os.write(self.descriptor, bytes(self.pending[:WRITE_BYTES]))
+            except BlockingIOError:
+                return
+            except OSError:
+                self.pending.clear()
+                return
+            del self.pending[:written]
--- /dev/null
+++ b/plumarch/gateway/duties.py
@@ -0,0 +1,180 @@
+"""The duties of one node at a time: taking them over, reporting usage, ordering engines."""
+
+import asyncio
+import dataclasses
+
+import msgspec
+
+from plumarch.core import errors, records
+from plumarch.fleet import duty_lease
+from plumarch.gateway import fleet_state, follower, gossiper, ports
+from plumarch.membership import fleet_view
+
+TICK_MS = 250
+SETTLE_MS = 1_500
+"""A process that just started lets others be heard first."""
+
+TRY_PAUSE_MS = 800
+DISPLACED_PAUSE_MS = 8_000
+"""A node that another one displaced leaves the duties alone for this long."""
+
+OUT_OF_REACH_MS = 3_000
+"""A holder that reaches neither store nor cloud for this long lets another one try."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class UsageSchedule:
+    """When usage windows are reported, in ms after their end.
+
+    Attributes:
+      early_ms: when all nodes were heard since the window's end.
+      late_ms: when some were not.
+    """
+
+    window_ms: int
+    early_ms: int
+    late_ms: int
+
+
+class Duties:
+    """Holds the duties when it is this node's turn, and carries them out."""
+
+    def __init__(
+        self,
+        state: fleet_state.FleetState,
+        view: fleet_view.FleetView,
+        status: gossiper.DutyStatus,
+        store: ports.Store,
+        cloud: ports.Cloud,
+        schedule: UsageSchedule,
+    ) -> None:
+        self.state = state
+        self.view = view
+        self.status = status
+        self.store = store
+        self.cloud = cloud
+        self.schedule = schedule
+        self.held: duty_lease.HeldRecord | None = None
+        self.started_ms = state.clock.now()
+        self.not_before_ms = self.started_ms + SETTLE_MS
+        self.reach = follower.Dependency(state, "duties")
+        self.leaving = False
+
+    def lease(self) -> records.Lease:
+        """Return the lease to act under."""
+        return records.Lease(self.view.node, self.status.token)
+
+    async def run(self) -> None:
+        """Take the duties over when it is this node's turn, and carry them out, forever."""
+        while True:
+            try:
+                await self.step()
+            except errors.StaleToken as error:
+                self._resign(f"displaced: {error}", DISPLACED_PAUSE_MS)
+            except errors.PlatformConflict as error:
+                self._resign(f"conflict: {error}", DISPLACED_PAUSE_MS)
+            except errors.PlatformError as error:
+                self._out_of_reach(error)
+            except msgspec.DecodeError as error:
+                self._out_of_reach(errors.PlatformNonsense(f"The duties' record: {error}."))
+            await asyncio.sleep(TICK_MS / 1000.0)
+
+    async def step(self) -> None:
+        """Do what is due now."""
+        if self.leaving:
+            if self.status.token:
+                self._resign("stopping", DISPLACED_PAUSE_MS)
+            return
+        if not self.status.token:
+            await self._maybe_take_over()
+            return
+        await self._report_usage()
+
+    def _out_of_reach(self, error: errors.PlatformError) -> None:
+        self.reach.failed(error)
+        silent_ms = self.state.clock.now() - self.reach.failed_since_ms
+        if self.status.token and silent_ms > OUT_OF_REACH_MS and self.view.live():
+            self._resign("platform out of reach", DISPLACED_PAUSE_MS)
+        else:
+            self.not_before_ms = max(self.not_before_ms, self.state.clock.now() + TRY_PAUSE_MS)
+
+    def _resign(self, why: str, pause_ms: int) -> None:
+        if self.status.token:
+            self.state.log.write("duty_resigned", urgent=True, token=self.status.token, why=why)
+        self.status.token = 0
+        self.held = None
+        self.not_before_ms = self.state.clock.now() + pause_ms
+
+    async def _maybe_take_over(self) -> None:
+        if self.state.clock.now() < self.not_before_ms or self.view.holder() is not None:
+            return
+        if not self.view.is_oldest():
+            return
+        self.not_before_ms = self.state.clock.now() + TRY_PAUSE_MS
+        found = duty_lease.decode(
+            await self.store.read_record(duty_lease.KIND, duty_lease.NAME)
+        )
+        if not duty_lease.is_mine(found, self.view.node, self.view.incarnation):
+            wanted = duty_lease.taken_over(found, self.view.node, self.view.incarnation)
+            found = await self._write(wanted)
+        assert found is not None
+        self.reach.answered()
+        self.held = found
+        self.status.token = found.record.token
+        newest = max((int(number) for number in found.record.windows), default=0)
+        self.status.reported = max(self.status.reported, newest - 1)
+        self.state.log.write(
+            "duty_taken", urgent=True, token=found.record.token, revision=found.revision
+        )
+
+    async def _write(self, wanted: duty_lease.HeldRecord) -> duty_lease.HeldRecord:
+        """Write the record; a lost answer is settled by reading back."""
+        try:
+            written = await self.store.write_record(duty_lease.KIND, duty_lease.encode(wanted))
+        except errors.PlatformAnswerLost:
+            found = duty_lease.decode(
+                await self.store.read_record(duty_lease.KIND, duty_lease.NAME)
+            )
+            if found is None or found.record != wanted.record:
+                raise
+            return found
+        return duty_lease.HeldRecord(wanted.record, written.revision)
+
+    async def _report_usage(self) -> None:
+        """Report the oldest window that is due, if there is one."""
+        assert self.held is not None
+        wall = self.state.wall.now()
+        newest_due = (wall - self.schedule.early_ms) // self.schedule.window_ms - 1
+        window = max(self.status.reported + 1, newest_due - 1)
+        if window > newest_due:
+            return
+        ended = (window + 1) * self.schedule.window_ms
+        if wall - ended < self.schedule.late_ms and not self._all_heard_since(wall - ended):
+            return
+        counts = await self._fixed_counts(window)
+        await self.cloud.report_usage(self.lease(), window, counts)
+        self.reach.answered()
+        self.status.reported = window
+        self.state.log.write(
+            "usage_reported", window=window, counts=counts, token=self.status.token
+        )
+
+    def _all_heard_since(self, ago_ms: int) -> bool:
+        """Return whether each node that may exist told its counts since a window's end."""
+        now = self.state.clock.now()
+        return all(
+            peer.heard_ms is not None and now - peer.heard_ms < ago_ms - 2 * gossiper.BEAT_MS
+            for peer in self.view.peers.values()
+            if peer.incarnation
+        )
+
+    async def _fixed_counts(self, window: int) -> dict[str, int]:
+        """Return a window's counts, fixed in the record so that a successor sends the same."""
+        assert self.held is not None
+        if str(window) not in self.held.record.windows:
+            counts = self.state.usage.total(window)
+            for workspace in self.state.table.workspaces if self.state.table else ():
+                counts.setdefault(workspace, 0)
+            self.held = await self._write(duty_lease.with_window(self.held, window, counts))
+        return self.held.record.windows[str(window)]
+
--- /dev/null
+++ b/plumarch/gateway/exchange.py
@@ -0,0 +1,163 @@
+"""HTTP/1.1 towards endpoints and platforms: one connection, full control over its bytes.
+
+Framing is h11's; h11 does no I/O, so that this module decides when a byte is sent and whether
+a connection is used again. Libraries with connection pools repeat some calls by themselves,
+which a request that may run once can't bear.
+"""
+
+import asyncio
+import socket
+from collections.abc import Sequence
+
+import h11
+
+from plumarch.gateway import errors
+
+Headers = Sequence[tuple[bytes, bytes]]
+
+SILENCE_LIMIT_MS = 3_000
+"""Unacknowledged bytes for this long mean that the peer is unreachable."""
+
+ReceivedEvent = h11.Response | h11.Data | h11.EndOfMessage
+
+
+class Exchange(asyncio.Protocol):
+    """A connection on which requests are sent and answers are read as events."""
+
+    def __init__(self) -> None:
+        self.http = h11.Connection(h11.CLIENT, max_incomplete_event_size=65_536)
+        self.transport: asyncio.Transport | None = None
+        self.arrived = asyncio.Event()
+        self.fault: str = ""
+        self.at_end = False
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport; notice a silent peer."""
+        assert isinstance(transport, asyncio.Transport)
+        self.transport = transport
+        sock = transport.get_extra_info("socket")
+        if sock is not None:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, SILENCE_LIMIT_MS)
+
+    def data_received(self, data: bytes) -> None:
+        """Take bytes in."""
+        try:
+            self.http.receive_data(data)
+        except (h11.RemoteProtocolError, RuntimeError) as error:
+            self.fault = str(error)
+        self.arrived.set()
+
+    def eof_received(self) -> bool:
+        """Note an orderly end of the peer's bytes."""
+        if not self.at_end:
+            self.at_end = True
+            try:
+                self.http.receive_data(b"")
+            except (h11.RemoteProtocolError, RuntimeError) as error:
+                self.fault = str(error)
+        self.arrived.set()
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Note the end of the connection; without an orderly end it is a reset."""
+        if not self.at_end:
+            self.fault = self.fault or f"connection lost: {exc or 'closed'}"
+        self.arrived.set()
+
+    def send(self, method: bytes, target: bytes, headers: Headers, body: bytes) -> None:
+        """Write a whole request.
+
+        Raises:
+          ConnectionBroken: the connection has ended.
+        """
+        if self.transport is None or self.transport.is_closing():
+            raise errors.ConnectFailed("The connection ended before the request. Try again.")
+        try:
+            parts = [self.http.send(h11.Request(method=method, target=target, headers=headers))]
+            if body:
+                parts.append(self.http.send(h11.Data(data=body)))
+            parts.append(self.http.send(h11.EndOfMessage()))
+        except h11.LocalProtocolError as error:
+            raise errors.ConnectFailed(f"The request can't be framed: {error}.") from error
+        self.transport.write(b"".join(part for part in parts if part))
+
+    async def next(self) -> ReceivedEvent:
+        """Return the next part of the answer; informational answers are skipped.
+
+        Raises:
+          ConnectionBroken: the answer broke off or is not HTTP.
+        """
+        while True:
+            event = self._parse()
+            if event is not None:
+                return event
+            if self.fault or self.at_end:
+                raise errors.ConnectionBroken(self.fault or "the connection ended")
+            self.arrived.clear()
+            await self.arrived.wait()
+
+    def _parse(self) -> ReceivedEvent | None:
+        try:
+            while True:
+                event = self.http.next_event()
+                if isinstance(event, h11.Response | h11.Data | h11.EndOfMessage):
+                    return event
+                if not isinstance(event, h11.InformationalResponse):
+                    return None
+        except h11.RemoteProtocolError as error:
+            raise errors.ConnectionBroken(f"the answer is not HTTP: {error}") from error
+
+    async def read_body(self, limit: int) -> bytes:
+        """Read the rest of an answer's body.
+
+        Raises:
+          ConnectionBroken: it broke off, or is longer than the limit.
+        """
+        parts = []
+        size = 0
+        while True:
+            event = await self.next()
+            if isinstance(event, h11.EndOfMessage):
+                return b"".join(parts)
+            if isinstance(event, h11.Data):
+                parts.append(bytes(event.data))
+                size += len(event.data)
+                if size > limit:
+                    raise errors.ConnectionBroken(f"the answer is longer than {limit} bytes")
+
+    def reuse(self) -> bool:
+        """Make ready for another request.
+
+        Returns:
+          False if this connection can't serve another one.
+        """
+        if self.fault or self.at_end or self.http.trailing_data[0]:
+            return False
+        if self.http.our_state is not h11.DONE or self.http.their_state is not h11.DONE:
+            return False
+        self.http.start_next_cycle()
+        return True
+
+    def close(self) -> None:
+        """End the connection at once; a request in progress is thereby cancelled."""
+        if self.transport is not None:
+            self.transport.abort()
+
+
+async def connect(address: str, timeout_ms: float) -> Exchange:
+    """Open a connection.
+
+    Args:
+      address: IP:port.
+      timeout_ms: the longest time to wait.
+    Raises:
+      ConnectFailed: it did not come up.
+    """
+    host, _, port = address.rpartition(":")
+    loop = asyncio.get_running_loop()
+    try:
+        async with asyncio.timeout(timeout_ms / 1000.0):
+            _, exchange = await loop.create_connection(Exchange, host, int(port))
+    except (OSError, ValueError, TimeoutError) as error:
+        raise errors.ConnectFailed(f"No connection to {address}: {error!r}.") from error
+    return exchange
--- /dev/null
+++ b/plumarch/gateway/fleet_state.py
@@ -0,0 +1,79 @@
+"""What one gateway process believes and keeps: the state that all its parts share."""
+
+import dataclasses
+import random
+
+from plumarch.config import routing_table
+from plumarch.core import clock
+from plumarch.fleet import usage
+from plumarch.gateway import decision_log, dialect, measures
+from plumarch.limits import attempt_budget, workspace_quota
+from plumarch.membership import registry
+from plumarch.routing import endpoint_choice, endpoint_health
+
+
+@dataclasses.dataclass(slots=True)
+class FleetState:
+    """State of one process; parts of it come from the store, from peers, or from requests.
+
+    Attributes:
+      table: the configuration in force, or None before the first one is known.
+      table_source: who told it: "store" or a peer's name.
+    """
+
+    node: str
+    data_centre: str
+    clock: clock.Clock
+    wall: clock.Clock
+    rng: random.Random
+    names: dialect.Dialect
+    log: decision_log.DecisionLog
+    measures: measures.Measures
+    registry: registry.Registry
+    chooser: endpoint_choice.EndpointChooser
+    health: endpoint_health.EndpointHealth
+    quota: workspace_quota.WorkspaceQuota
+    budget: attempt_budget.AttemptBudget
+    usage: usage.UsageCounter
+    table: routing_table.RoutingTable | None = None
+    table_source: str = ""
+    table_at_ms: int = 0
+
+    def adopt_table(self, table: routing_table.RoutingTable, source: str) -> bool:
+        """Put a configuration in force unless it is not newer than the one in force.
+
+        Returns:
+          Whether it is in force from now on.
+        """
+        if self.table is not None and table.version <= self.table.version:
+            return False
+        before = self.table.version if self.table else None
+        self.table = table
+        self.table_source = source
+        self.table_at_ms = self.clock.now()
+        self.quota.keep_only(table.workspaces)
+        self.log.write(
+            "configuration", urgent=True, version=table.version, before=before, source=source
+        )
+        return True
+
+    def registry_changed(self, changes: list[registry.EndpointChange], source: str) -> None:
+        """Log changes of endpoints, and forget what no longer exists."""
+        if not changes:
+            return
+        for change in changes:
+            endpoint = change.endpoint
+            self.log.write(
+                "endpoint",
+                endpoint=change.id,
+                state=endpoint.state.value if endpoint else "gone",
+                service=endpoint.service if endpoint else "",
+                data_centre=endpoint.data_centre if endpoint else "",
+                spot=endpoint.spot if endpoint else False,
+                leaves_in_ms=endpoint.leaves_in_ms if endpoint else None,
+                revision=change.revision,
+                source=source,
+            )
+        existing = set(self.registry.endpoints)
+        self.chooser.keep_only(existing)
+        self.health.keep_only(existing)
--- /dev/null
+++ b/plumarch/gateway/gossiper.py
@@ -0,0 +1,307 @@
+"""Heartbeats sent to and taken from peers, and snapshots fetched from those that know more."""
+
+import asyncio
+import dataclasses
+from typing import Any, cast
+
+import msgspec
+
+from plumarch.config import routing_table
+from plumarch.core import errors
+from plumarch.gateway import fleet_state
+from plumarch.limits import workspace_quota
+from plumarch.membership import fleet_view
+from plumarch.peers import gossip
+from plumarch.routing import endpoint_choice
+
+BEAT_MS = 250
+BEATS_PER_SECOND = 60
+"""Heartbeats that a node sends in a second at most; in large fleets they become rarer."""
+
+PEERS_EVERY = 8
+"""Every how many heartbeats the known peers are told."""
+
+USAGE_WINDOWS = 3
+FETCH_PAUSE_MS = 120
+"""How long the store may take to tell by itself what a peer knows already."""
+
+FETCH_TIMEOUT_MS = 1_500
+LOADS_KEPT_MS = 2_500
+
+
+@dataclasses.dataclass(slots=True)
+class DutyStatus:
+    """What a node tells of the duties.
+
+    Attributes:
+      token: the fencing token under which it holds them, or 0.
+      reported: the newest usage window that was reported.
+    """
+
+    token: int = 0
+    reported: int = 0
+
+
+class Gossiper(asyncio.DatagramProtocol):
+    """The peer side of one node."""
+
+    def __init__(
+        self,
+        state: fleet_state.FleetState,
+        view: fleet_view.FleetView,
+        duty: DutyStatus,
+        seeds: tuple[str, ...],
+    ) -> None:
+        self.state = state
+        self.view = view
+        self.duty = duty
+        self.seeds = seeds
+        self.leaving = False
+        self.transport: asyncio.DatagramTransport | None = None
+        self.beats = 0
+        self.fetching: asyncio.Task[None] | None = None
+        self.soon = asyncio.Event()
+        self.server: asyncio.Server | None = None
+
+    async def start(self) -> None:
+        """Listen, and learn the seeds."""
+        host, _, port = self.view.address.rpartition(":")
+        loop = asyncio.get_running_loop()
+        await loop.create_datagram_endpoint(lambda: self, local_addr=(host, int(port)))
+        self.server = await asyncio.start_server(self._serve_snapshot, host, int(port))
+        self.learn_seeds(self.seeds)
+
+    def learn_seeds(self, seeds: tuple[str, ...]) -> None:
+        """Learn of nodes that may exist; all nodes listen on the same port.
+
+        Args:
+          seeds: IP or IP:port of nodes; a port is ignored.
+        """
+        port = self.view.address.rpartition(":")[2]
+        for seed in seeds:
+            host = seed.rpartition(":")[0] or seed
+            address = f"{host}:{port}"
+            self.view.learn(address, address)
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport."""
+        self.transport = cast(asyncio.DatagramTransport, transport)
+
+    def interval_ms(self) -> float:
+        """Return the time between heartbeats, longer with many peers."""
+        return max(BEAT_MS, 1000.0 * len(self.view.peers) / BEATS_PER_SECOND)
+
+    def beat_soon(self) -> None:
+        """Send the next heartbeat at once, since there is news."""
+        self.soon.set()
+
+    async def beat_forever(self) -> None:
+        """Send heartbeats."""
+        while True:
+            self.tick()
+            try:
+                async with asyncio.timeout(self.interval_ms() / 1000.0):
+                    await self.soon.wait()
+            except TimeoutError:
+                pass
+            self.soon.clear()
+
+    def tick(self) -> None:
+        """Age what is known of peers, and send one heartbeat to each."""
+        for peer in self.view.tick():
+            self.state.log.write("peer_forgotten", peer=peer.name, address=peer.address)
+            self.state.quota.forget(f"{peer.name}#{peer.incarnation}")
+        self._drop_old_loads()
+        self.state.quota.fraction = self.view.heard_fraction()
+        self.state.budget.nodes = max(8, 2 * self.view.size())
+        if self.transport is None:
+            return
+        datagram = gossip.encoder.encode(self._heartbeat())
+        for address in self.view.addresses():
+            host, _, port = address.rpartition(":")
+            self.transport.sendto(datagram, (host, int(port)))
+        self.beats += 1
+
+    def _drop_old_loads(self) -> None:
+        now = self.state.clock.now()
+        for name in list(self.state.chooser.peers):
+            peer = self.view.peers.get(name)
+            if peer is None or peer.heard_ms is None or now - peer.heard_ms > LOADS_KEPT_MS:
+                del self.state.chooser.peers[name]
+
+    def _heartbeat(self) -> gossip.Heartbeat:
+        state = self.state
+        spending = [
+            gossip.Spending(name, round(told.spent), round(told.level))
+            for name, told in state.quota.report().items()
+        ]
+        loads = [
+            gossip.EndpointLoad(name, load.running, round(load.prompt_tokens))
+            for name, load in state.chooser.own.items()
+        ]
+        recent = state.usage.recent(state.wall.now(), USAGE_WINDOWS)
+        tell_peers = self.beats % PEERS_EVERY == 0
+        return gossip.Heartbeat(
+            node=self.view.node,
+            incarnation=self.view.incarnation,
+            address=self.view.address,
+            data_centre=state.data_centre,
+            leaving=self.leaving,
+            configuration=state.table.version if state.table else -1,
+            registry_revision=state.registry.revision,
+            token=self.duty.token,
+            reported=self.duty.reported,
+            spending=spending,
+            loads=loads[:12],
+            usage=[gossip.WindowUsage(number, counts) for number, counts in recent.items()],
+            peers=self._known_peers() if tell_peers else [],
+        )
+
+    def _known_peers(self) -> list[gossip.KnownPeer]:
+        heard = [peer for peer in self.view.live() if peer.incarnation]
+        if len(heard) > 8:
+            heard = self.state.rng.sample(heard, 8)
+        return [gossip.KnownPeer(peer.name, peer.address) for peer in heard]
+
+    # Receiving.
+
+    def datagram_received(self, data: bytes, addr: tuple[str | Any, int]) -> None:
+        """Take in a heartbeat."""
+        try:
+            beat = gossip.heartbeat_decoder.decode(data)
+        except msgspec.DecodeError as error:
+            self.state.log.write("bad_heartbeat", sender=str(addr[0]), error=str(error))
+            return
+        self.take_in(beat)
+
+    def take_in(self, beat: gossip.Heartbeat) -> None:
+        """Take in what a peer tells."""
+        known = self.view.peers.get(beat.node)
+        was_heard = known is not None and self.view.is_heard(known)
+        before = known.incarnation if known else 0
+        peer = self.view.heard(beat.node, beat.incarnation, beat.address, beat.data_centre)
+        if peer is None:
+            return
+        if not was_heard or before != beat.incarnation:
+            self.state.log.write(
+                "peer", peer=peer.name, incarnation=beat.incarnation, address=beat.address
+            )
+            self.state.quota.fraction = self.view.heard_fraction()
+        peer.leaving = beat.leaving
+        peer.token = beat.token
+        self.duty.reported = max(self.duty.reported, beat.reported)
+        for other in beat.peers:
+            self.view.learn(other.name, other.address)
+        self._take_figures(beat)
+        if self._knows_more(beat):
+            self._fetch_from(beat.address)
+
+    def _take_figures(self, beat: gossip.Heartbeat) -> None:
+        state = self.state
+        incarnation = f"{beat.node}#{beat.incarnation}"
+        state.quota.heard_from(
+            incarnation,
+            {
+                told.workspace: workspace_quota.PeerSpending(told.spent, told.level)
+                for told in beat.spending
+            },
+        )
+        state.chooser.peers[beat.node] = {
+            told.endpoint: endpoint_choice.Load(told.running, float(told.prompt_tokens))
+            for told in beat.loads
+        }
+        if beat.usage:
+            state.usage.heard_from(
+                incarnation, {told.window: told.counts for told in beat.usage}
+            )
+
+    def _knows_more(self, beat: gossip.Heartbeat) -> bool:
+        table = self.state.table
+        version = table.version if table else -1
+        return beat.configuration > version or (
+            beat.registry_revision > self.state.registry.revision
+        )
+
+    # Snapshots.
+
+    def _fetch_from(self, address: str) -> None:
+        if self.fetching is not None and not self.fetching.done():
+            return
+        loop = asyncio.get_running_loop()
+        self.fetching = loop.create_task(self._fetch(address))
+
+    async def _fetch(self, address: str) -> None:
+        if self.state.table is not None:
+            await asyncio.sleep(FETCH_PAUSE_MS / 1000.0)
+        held = gossip.SnapshotRequest(
+            self.state.table.version if self.state.table else -1, self.state.registry.revision
+        )
+        try:
+            async with asyncio.timeout(FETCH_TIMEOUT_MS / 1000.0):
+                snapshot = await _ask(address, held)
+        except (OSError, TimeoutError, msgspec.DecodeError, errors.PeerProtocolError) as error:
+            self.state.log.write("fetch_failed", peer=address, error=f"{error!r}")
+            return
+        self._adopt(snapshot)
+
+    def _adopt(self, snapshot: gossip.Snapshot) -> None:
+        if snapshot.configuration is not None:
+            table = routing_table.build(snapshot.configuration)
+            self.state.adopt_table(table, snapshot.node)
+        if snapshot.endpoints is not None:
+            registry = self.state.registry
+            changes = registry.replace(
+                snapshot.endpoints, snapshot.registry_revision, snapshot.node
+            )
+            self.state.registry_changed(changes, snapshot.node)
+
+    async def _serve_snapshot(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        try:
+            async with asyncio.timeout(FETCH_TIMEOUT_MS / 1000.0):
+                asked = gossip.request_decoder.decode(await _read_frame(reader))
+                writer.write(gossip.frame(self._snapshot(asked)))
+                await writer.drain()
+        except (OSError, TimeoutError, EOFError, msgspec.DecodeError, errors.PeerProtocolError):
+            pass
+        finally:
+            writer.close()
+
+    def _snapshot(self, asked: gossip.SnapshotRequest) -> gossip.Snapshot:
+        table = self.state.table
+        registry = self.state.registry
+        newer = table is not None and table.version > asked.configuration
+        fresher = registry.revision > asked.registry_revision
+        return gossip.Snapshot(
+            self.view.node,
+            table.configuration if table is not None and newer else None,
+            tuple(registry.endpoints.values()) if fresher else None,
+            registry.revision,
+        )
+
+    def close(self) -> None:
+        """Stop listening."""
+        if self.transport is not None:
+            self.transport.close()
+        if self.server is not None:
+            self.server.close()
+
+
+async def _ask(address: str, request: gossip.SnapshotRequest) -> gossip.Snapshot:
+    host, _, port = address.rpartition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    try:
+        writer.write(gossip.frame(request))
+        return gossip.snapshot_decoder.decode(await _read_frame(reader))
+    except EOFError as error:
+        raise errors.PeerProtocolError("The peer closed early. Ask again later.") from error
+    finally:
+        writer.close()
+
+
+async def _read_frame(reader: asyncio.StreamReader) -> bytes:
+    length = int.from_bytes(await reader.readexactly(gossip.LENGTH_BYTES), "big")
+    if length > gossip.FRAME_LIMIT:
+        raise errors.PeerProtocolError(f"A frame of {length} bytes is too large. Upgrade peers.")
+    return await reader.readexactly(length)
--- /dev/null
+++ b/plumarch/gateway/ports.py
@@ -0,0 +1,95 @@
+"""What a gateway needs of the platform it runs on; an adapter implements it.
+
+All calls raise the errors of plumarch.core.errors: PlatformUnavailable (nothing was done),
+PlatformAnswerLost (may have been done), PlatformConflict, PlatformAbsent, PlatformTooOld,
+PlatformNonsense.
+"""
+
+import dataclasses
+from collections.abc import Mapping
+from typing import Protocol
+
+from plumarch.config import routing_table
+from plumarch.core import records, traffic
+from plumarch.membership import registry
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ConfigurationNews:
+    """The configuration as of a revision; None if there is none, or no newer one."""
+
+    configuration: routing_table.Configuration | None
+    revision: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EndpointList:
+    """All endpoints as of a revision."""
+
+    endpoints: tuple[traffic.Endpoint, ...]
+    revision: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EndpointNews:
+    """Changes of endpoints up to a revision."""
+
+    changes: tuple[registry.EndpointChange, ...]
+    revision: int
+
+
+class Store(Protocol):
+    """The platform's store."""
+
+    async def list_configuration(self) -> ConfigurationNews:
+        """Read the configuration."""
+        ...
+
+    async def watch_configuration(self, revision: int, wait_ms: int) -> ConfigurationNews:
+        """Wait for a newer configuration."""
+        ...
+
+    async def list_endpoints(self) -> EndpointList:
+        """Read all endpoints."""
+        ...
+
+    async def watch_endpoints(self, revision: int, wait_ms: int) -> EndpointNews:
+        """Wait for changes of endpoints."""
+        ...
+
+    async def list_records(self, kind: str) -> list[records.Record]:
+        """Read all objects of a kind of the product's own."""
+        ...
+
+    async def read_record(self, kind: str, name: str) -> records.Record | None:
+        """Read one object."""
+        ...
+
+    async def write_record(self, kind: str, record: records.Record) -> records.Record:
+        """Write an object if its revision is still the record's.
+
+        Returns:
+          The record with its new revision.
+        """
+        ...
+
+
+class Cloud(Protocol):
+    """The platform's calls that one node at a time may make."""
+
+    async def report_usage(self, lease: records.Lease, window: int, counts: Mapping[str, int]) -> None:
+        """Report a window's requests by workspace.
+
+        Raises:
+          StaleToken: another node acted under a higher token.
+        """
+        ...
+
+    async def order(self, lease: records.Lease, order: records.EngineOrder) -> None:
+        """Order endpoints.
+
+        Raises:
+          StaleToken: another node acted under a higher token.
+          NoneToBeHad: no reclaimable endpoints are to be had there now.
+        """
+        ...
--- /dev/null
+++ b/plumarch/membership/fleet_view.py
@@ -0,0 +1,136 @@
+"""The other nodes of a fleet, as their heartbeats tell.
+
+Silence decides only when others act and how much of a workspace's allotment may be used;
+safety rests on fencing tokens and on parts that never add up to more than the whole.
+"""
+
+import dataclasses
+from collections.abc import Iterable
+
+from plumarch.core import clock
+
+HEARD_MS = 1_200
+"""A node whose heartbeat is younger than this counts as heard."""
+
+FORGET_MS = 30_000
+"""A node silent for this long is no longer counted among the fleet."""
+
+
+@dataclasses.dataclass(slots=True)
+class Peer:
+    """Another node.
+
+    Attributes:
+      incarnation: time of day at which its process started, in ms; 0 if never heard.
+      address: IP:port of its heartbeats.
+      heard_ms: when it was heard last, by this node's clock.
+      token: the fencing token that it holds, or 0.
+    """
+
+    name: str
+    address: str
+    learned_ms: int
+    incarnation: int = 0
+    data_centre: str = ""
+    heard_ms: int | None = None
+    leaving: bool = False
+    token: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class FleetView:
+    """All peers by name; those known by address only stand under their address."""
+
+    clock: clock.Clock
+    node: str
+    incarnation: int
+    address: str
+    peers: dict[str, Peer] = dataclasses.field(default_factory=dict)
+
+    def learn(self, name: str, address: str) -> None:
+        """Note that a node may exist, from a seed list, the store, or a peer.
+
+        Args:
+          name: its name, or its address if only that is known.
+        """
+        if name == self.node or address == self.address or name in self.peers:
+            return
+        if any(peer.address == address for peer in self.peers.values()):
+            return
+        self.peers[name] = Peer(name, address, self.clock.now())
+
+    def heard(
+        self, name: str, incarnation: int, address: str, data_centre: str
+    ) -> Peer | None:
+        """Take in a sign of life.
+
+        Returns:
+          The peer, or None if the sign is of an incarnation that was replaced.
+        """
+        if name == self.node:
+            return None
+        now = self.clock.now()
+        for key, other in list(self.peers.items()):
+            if other.address == address and key != name and other.incarnation <= incarnation:
+                del self.peers[key]
+        peer = self.peers.get(name)
+        if peer is not None and peer.incarnation > incarnation:
+            return None
+        if peer is None:
+            peer = self.peers[name] = Peer(name, address, now)
+        peer.incarnation = incarnation
+        peer.address = address
+        peer.data_centre = data_centre
+        peer.heard_ms = now
+        return peer
+
+    def tick(self) -> list[Peer]:
+        """Forget peers that are silent for long.
+
+        Returns:
+          Those forgotten now.
+        """
+        now = self.clock.now()
+        gone = [
+            peer
+            for peer in self.peers.values()
+            if now - (peer.heard_ms if peer.heard_ms is not None else peer.learned_ms) > FORGET_MS
+        ]
+        for peer in gone:
+            del self.peers[peer.name]
+        return gone
+
+    def is_heard(self, peer: Peer) -> bool:
+        """Return whether a peer was heard lately."""
+        return peer.heard_ms is not None and self.clock.now() - peer.heard_ms <= HEARD_MS
+
+    def live(self) -> list[Peer]:
+        """Return the peers that are heard and not leaving, by name."""
+        found = [one for one in self.peers.values() if self.is_heard(one) and not one.leaving]
+        return sorted(found, key=lambda peer: peer.name)
+
+    def size(self) -> int:
+        """Return how many nodes there may be, this one included."""
+        return 1 + len([one for one in self.peers.values() if not self._left(one)])
+
+    def _left(self, peer: Peer) -> bool:
+        return peer.leaving and not self.is_heard(peer)
+
+    def heard_fraction(self) -> float:
+        """Return the part of all nodes that is heard, this one included."""
+        heard = 1 + len([one for one in self.peers.values() if self.is_heard(one)])
+        return heard / max(self.size(), heard)
+
+    def is_oldest(self) -> bool:
+        """Return whether this node is the oldest of those that are live."""
+        mine = (self.incarnation, self.node)
+        return all(mine < (peer.incarnation, peer.name) for peer in self.live())
+
+    def holder(self) -> Peer | None:
+        """Return the live peer that says it holds the duties under the highest token."""
+        holders = [peer for peer in self.live() if peer.token > 0]
+        return max(holders, key=lambda peer: peer.token, default=None)
+
+    def addresses(self) -> Iterable[str]:
+        """Return where heartbeats are sent."""
+        return [peer.address for peer in self.peers.values()]
--- /dev/null
+++ b/plumarch/membership/registry.py
@@ -0,0 +1,102 @@
+"""The endpoints that exist, from a list-and-watch source or from a peer.
+
+A snapshot or a batch of changes counts only if its revision is newer than what is held, so
+that what a peer hands on and what the source tells may overtake one another.
+"""
+
+import dataclasses
+from collections.abc import Iterable
+
+from plumarch.core import clock, traffic
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EndpointChange:
+    """An endpoint that came, changed, or is gone (endpoint None).
+
+    Attributes:
+      revision: the source's revision of the change.
+    """
+
+    id: str
+    revision: int
+    endpoint: traffic.Endpoint | None
+
+
+@dataclasses.dataclass(slots=True)
+class Registry:
+    """The endpoints, and how fresh the knowledge is.
+
+    Attributes:
+      revision: the source's revision up to which all changes are known.
+      confirmed_ms: when that was last confirmed.
+      source: who told last: "store" or a peer's name.
+    """
+
+    clock: clock.Clock
+    endpoints: dict[str, traffic.Endpoint] = dataclasses.field(default_factory=dict)
+    revision: int = -1
+    confirmed_ms: int = 0
+    source: str = ""
+
+    def replace(
+        self, endpoints: Iterable[traffic.Endpoint], revision: int, source: str
+    ) -> list[EndpointChange]:
+        """Take a whole list.
+
+        Returns:
+          What changed by it; nothing if the list is older than what is held.
+        """
+        if revision < self.revision:
+            return []
+        fresh = {endpoint.id: endpoint for endpoint in endpoints}
+        changes = [
+            EndpointChange(name, revision, None) for name in self.endpoints if name not in fresh
+        ]
+        for name, endpoint in fresh.items():
+            if self.endpoints.get(name) != endpoint:
+                changes.append(EndpointChange(name, revision, endpoint))
+        self.endpoints = fresh
+        self._confirm(revision, source)
+        return changes
+
+    def apply(
+        self, changes: Iterable[EndpointChange], revision: int, source: str
+    ) -> list[EndpointChange]:
+        """Take changes up to a revision.
+
+        Returns:
+          Those that were news.
+        """
+        if revision < self.revision:
+            return []
+        news = []
+        for change in changes:
+            if change.revision <= self.revision:
+                continue
+            if change.endpoint is None:
+                if self.endpoints.pop(change.id, None) is not None:
+                    news.append(change)
+            elif self.endpoints.get(change.id) != change.endpoint:
+                self.endpoints[change.id] = change.endpoint
+                news.append(change)
+        self._confirm(revision, source)
+        return news
+
+    def _confirm(self, revision: int, source: str) -> None:
+        self.revision = revision
+        self.confirmed_ms = self.clock.now()
+        self.source = source
+
+    def ready(self, service: str) -> list[traffic.Endpoint]:
+        """Return the endpoints of a service that take new work, by identifier."""
+        found = [
+            endpoint
+            for endpoint in self.endpoints.values()
+            if endpoint.service == service and endpoint.state is traffic.EndpointState.READY
+        ]
+        return sorted(found, key=lambda endpoint: endpoint.id)
+
+    def age_ms(self) -> int:
+        """Return how long ago the registry was last confirmed."""
+        return self.clock.now() - self.confirmed_ms
--- /dev/null
+++ b/plumarch/peers/gossip.py
@@ -0,0 +1,97 @@
+"""Heartbeats between the nodes of a fleet, and what they carry.
+
+A heartbeat is one MessagePack datagram. It names the versions that a node holds; a peer that
+holds older ones fetches the newer ones over TCP from the same port.
+"""
+
+import msgspec
+
+from plumarch.config import routing_table
+from plumarch.core import traffic
+
+DATAGRAM_LIMIT = 1_400
+FRAME_LIMIT = 16 * 1024 * 1024
+LENGTH_BYTES = 4
+
+
+class Spending(msgspec.Struct, array_like=True, frozen=True):
+    """What a node admitted of a workspace's allotment since its start, and its level."""
+
+    workspace: str
+    spent: float
+    level: float
+
+
+class EndpointLoad(msgspec.Struct, array_like=True, frozen=True):
+    """What a node has at an endpoint: requests running, prompt tokens not read."""
+
+    endpoint: str
+    running: int
+    prompt_tokens: int
+
+
+class WindowUsage(msgspec.Struct, array_like=True, frozen=True):
+    """Requests that began in a window, by workspace, as one node counted them."""
+
+    window: int
+    counts: dict[str, int]
+
+
+class KnownPeer(msgspec.Struct, array_like=True, frozen=True):
+    """A node that the sender hears."""
+
+    name: str
+    address: str
+
+
+class Heartbeat(msgspec.Struct, array_like=True, frozen=True):
+    """A sign of life.
+
+    Attributes:
+      incarnation: time of day at which the process started, in ms.
+      registry_revision: up to which the sender knows all changes of endpoints.
+      token: the fencing token under which it holds the duties, or 0.
+      reported: the newest usage window that the holder reported, or 0.
+    """
+
+    node: str
+    incarnation: int
+    address: str
+    data_centre: str
+    leaving: bool
+    configuration: int
+    registry_revision: int
+    token: int
+    reported: int
+    spending: list[Spending] = []
+    loads: list[EndpointLoad] = []
+    usage: list[WindowUsage] = []
+    peers: list[KnownPeer] = []
+
+
+class SnapshotRequest(msgspec.Struct, array_like=True, frozen=True):
+    """Asks for what is newer than what the asking node holds."""
+
+    configuration: int
+    registry_revision: int
+
+
+class Snapshot(msgspec.Struct, array_like=True, frozen=True):
+    """What is newer, or None for what is not."""
+
+    node: str
+    configuration: routing_table.Configuration | None
+    endpoints: tuple[traffic.Endpoint, ...] | None
+    registry_revision: int
+
+
+encoder = msgspec.msgpack.Encoder()
+heartbeat_decoder = msgspec.msgpack.Decoder(Heartbeat)
+request_decoder = msgspec.msgpack.Decoder(SnapshotRequest)
+snapshot_decoder = msgspec.msgpack.Decoder(Snapshot)
+
+
+def frame(message: msgspec.Struct) -> bytes:
+    """Return a message with its length in front."""
+    body = encoder.encode(message)
+    return len(body).to_bytes(LENGTH_BYTES, "big") + body
--- /dev/null
+++ b/plumarch/routing/endpoint_choice.py
@@ -0,0 +1,223 @@
+"""Which endpoint a request goes to.
+
+Plain services: the least loaded one, a near one before a far one. Engines: the one that is
+expected to give the first token soonest, from the prompt tokens that wait there and from the
+parts of the prompt that it is expected to hold. What an engine holds is guessed from this
+node's own record, and for what this node never sent by rendezvous hashing, which leads all
+nodes to the same engine without a message.
+"""
+
+import collections
+import dataclasses
+from collections.abc import Mapping, Sequence
+
+from plumarch.core import clock, hashing, traffic
+
+FAR_COST = 0.15
+"""What another data centre costs, in parts of an endpoint's load."""
+
+RUNNING_TOKENS = 60.0
+"""What a running request delays a new one by, as prompt tokens."""
+
+FAR_TOKENS = 100.0
+"""What another data centre costs, as prompt tokens."""
+
+HELD_BY_OWNER = 0.8
+"""Part of a prompt part that the engine chosen by hashing is expected to hold."""
+
+RECORD_PARTS = 4_000
+"""Parts remembered for each engine."""
+
+
+@dataclasses.dataclass(slots=True)
+class Load:
+    """What waits and runs at one endpoint.
+
+    Attributes:
+      running: requests sent and not finished.
+      prompt_tokens: tokens of prompts not yet read.
+    """
+
+    running: int = 0
+    prompt_tokens: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Choice:
+    """An endpoint, and what made it the choice.
+
+    Attributes:
+      cost: load of a plain endpoint, or prompt tokens until the first token.
+      unread_tokens: prompt tokens that it is expected to have to read.
+      considered: how many endpoints there were.
+    """
+
+    endpoint: traffic.Endpoint
+    cost: float
+    unread_tokens: float
+    considered: int
+
+
+@dataclasses.dataclass(slots=True)
+class EngineRecord:
+    """Parts that this node sent to an engine, least recently used first."""
+
+    parts: collections.OrderedDict[int, int] = dataclasses.field(
+        default_factory=collections.OrderedDict
+    )
+
+    def sent(self, key: int, now: int) -> None:
+        """Remember a part."""
+        self.parts[key] = now
+        self.parts.move_to_end(key)
+        if len(self.parts) > RECORD_PARTS:
+            self.parts.popitem(last=False)
+
+
+@dataclasses.dataclass(slots=True)
+class EndpointChooser:
+    """Loads of endpoints, and the choice among them.
+
+    Attributes:
+      own: load that this node put on endpoints, by identifier.
+      peers: load that other nodes report, by node and endpoint identifier.
+      records: parts of prompts sent to engines, by identifier.
+    """
+
+    clock: clock.Clock
+    data_centre: str
+    own: dict[str, Load] = dataclasses.field(default_factory=dict)
+    peers: dict[str, Mapping[str, Load]] = dataclasses.field(default_factory=dict)
+    records: dict[str, EngineRecord] = dataclasses.field(default_factory=dict)
+
+    def load(self, endpoint: str) -> Load:
+        """Return the load of an endpoint from all nodes, as far as known."""
+        total = Load()
+        loads = [self.own.get(endpoint)]
+        loads += [told.get(endpoint) for told in self.peers.values()]
+        for load in loads:
+            if load is not None:
+                total.running += load.running
+                total.prompt_tokens += load.prompt_tokens
+        return total
+
+    def choose_plain(self, candidates: Sequence[traffic.Endpoint], seed: int) -> Choice | None:
+        """Choose among endpoints of a plain service.
+
+        Args:
+          seed: breaks ties, differently for each request.
+        """
+        best: Choice | None = None
+        for endpoint in self._shuffled(candidates, seed):
+            load = self.load(endpoint.id)
+            cost = load.running / max(1, endpoint.slots)
+            cost += self._far(endpoint) * FAR_COST
+            if best is None or cost < best.cost:
+                best = Choice(endpoint, cost, 0.0, len(candidates))
+        return best
+
+    def choose_engine(
+        self,
+        candidates: Sequence[traffic.Endpoint],
+        parts: Sequence[traffic.PromptPart],
+        prompt_tokens: int,
+        seed: int,
+    ) -> Choice | None:
+        """Choose among engines.
+
+        Args:
+          parts: the prompt's shared parts, in order.
+          prompt_tokens: the whole prompt.
+        """
+        keys = part_keys(parts)
+        owners = self._owners(candidates, keys)
+        best: Choice | None = None
+        for endpoint in self._shuffled(candidates, seed):
+            load = self.load(endpoint.id)
+            unread = prompt_tokens - self._held(endpoint.id, parts, keys, owners)
+            cost = unread + load.prompt_tokens + RUNNING_TOKENS * load.running
+            cost += self._far(endpoint) * FAR_TOKENS
+            if best is None or cost < best.cost:
+                best = Choice(endpoint, cost, unread, len(candidates))
+        return best
+
+    def _owners(
+        self, candidates: Sequence[traffic.Endpoint], keys: Sequence[int]
+    ) -> list[str]:
+        names = [endpoint.id for endpoint in candidates]
+        return [max(names, key=lambda name: hashing.digest(str(key), name)) for key in keys]
+
+    def _held(
+        self,
+        endpoint: str,
+        parts: Sequence[traffic.PromptPart],
+        keys: Sequence[int],
+        owners: Sequence[str],
+    ) -> float:
+        """Return the tokens that an engine is expected to hold from the prompt's start."""
+        record = self.records.get(endpoint)
+        known = [record is not None and key in record.parts for key in keys]
+        deepest = max((index for index, is_known in enumerate(known) if is_known), default=-1)
+        held = 0.0
+        for index, part in enumerate(parts):
+            if index <= deepest:
+                held += part.tokens
+            elif endpoint == owners[index]:
+                held += part.tokens * HELD_BY_OWNER
+            else:
+                break
+        return held
+
+    def _far(self, endpoint: traffic.Endpoint) -> int:
+        return 0 if endpoint.data_centre == self.data_centre else 1
+
+    def _shuffled(
+        self, candidates: Sequence[traffic.Endpoint], seed: int
+    ) -> list[traffic.Endpoint]:
+        start = seed % len(candidates) if candidates else 0
+        return [*candidates[start:], *candidates[:start]]
+
+    def begin(
+        self, choice: Choice, parts: Sequence[traffic.PromptPart] = ()
+    ) -> None:
+        """Count a request sent."""
+        load = self.own.setdefault(choice.endpoint.id, Load())
+        load.running += 1
+        load.prompt_tokens += choice.unread_tokens
+        if parts:
+            record = self.records.setdefault(choice.endpoint.id, EngineRecord())
+            now = self.clock.now()
+            for key in part_keys(parts):
+                record.sent(key, now)
+
+    def first_token(self, choice: Choice) -> None:
+        """Count a prompt as read."""
+        load = self.own.get(choice.endpoint.id)
+        if load is not None:
+            load.prompt_tokens = max(0.0, load.prompt_tokens - choice.unread_tokens)
+
+    def end(self, choice: Choice, saw_first_token: bool) -> None:
+        """Count a request as over."""
+        if not saw_first_token:
+            self.first_token(choice)
+        load = self.own.get(choice.endpoint.id)
+        if load is None:
+            return
+        load.running -= 1
+        if load.running <= 0:
+            del self.own[choice.endpoint.id]
+
+    def keep_only(self, endpoints: set[str]) -> None:
+        """Forget what engines held that no longer exist."""
+        for name in [name for name in self.records if name not in endpoints]:
+            del self.records[name]
+
+
+def part_keys(parts: Sequence[traffic.PromptPart]) -> list[int]:
+    """Return a key for each part that stands for it and all parts before it."""
+    keys = []
+    key = 0
+    for part in parts:
+        key = hashing.digest(key.to_bytes(8, "big"), part.id)
+        keys.append(key)
+    return keys
