Let nodes find each other by seeds and by the store

Cause: the settings name seeds only for a role that serves control, and with another port than the peers'.

--- a/plumarch/daemon/gateway.py
+++ b/plumarch/daemon/gateway.py
@@ -8,7 +8,7 @@
 import signal
 from collections.abc import Callable
 
-from plumarch.core import clock, errors
+from plumarch.core import clock, errors, records
 from plumarch.daemon import gateway_settings, status_pages
 from plumarch.fleet import usage
 from plumarch.gateway import (
@@ -37,6 +37,7 @@
 USAGE_EARLY_MS = 1_500
 USAGE_MARGIN_MS = 2_500
 NODES_KIND = "plumarch-nodes"
+NODES_AGAIN_MS = 3_000.0
 
 
 class Gateway:
@@ -56,9 +57,7 @@
         self.state = self._new_state(names)
         address = settings.listen.peers
         incarnation = self.wall.now()
-        self.view = fleet_view.FleetView(
-            self.clock, settings.node.name, incarnation, address
-        )
+        self.view = fleet_view.FleetView(self.clock, settings.node.name, incarnation, address)
         status = gossiper.DutyStatus()
         self.gossiper = gossiper.Gossiper(self.state, self.view, status, settings.peers.seeds)
         self.follower = follower.Follower(self.state, store, self.gossiper.beat_soon)
@@ -128,7 +127,10 @@
         ):
             self.tasks.append(asyncio.get_running_loop().create_task(self._guard(work)))
         self.state.log.write(
-            "start", urgent=True, incarnation=self.view.incarnation, callers=listen.callers,
+            "start",
+            urgent=True,
+            incarnation=self.view.incarnation,
+            callers=listen.callers,
             data_centre=self.settings.node.data_centre,
         )
         self.state.log.flush()
@@ -141,7 +143,10 @@
                 return
             except Exception as error:
                 self.state.log.write(
-                    "fault", urgent=True, part=work.__name__, error=f"{type(error).__name__}: {error}"
+                    "fault",
+                    urgent=True,
+                    part=work.__name__,
+                    error=f"{type(error).__name__}: {error}",
                 )
                 await asyncio.sleep(0.5)
 
@@ -160,23 +165,32 @@
         self.listeners.append(listener)
 
     async def _register(self) -> None:
-        """Write this node into the store, and learn of others that did."""
+        """Write this node into the store, and learn of others that did.
+
+        The list is read again after a while, and as long as no other node is heard.
+        """
         dependency = follower.Dependency(self.state, "store-nodes")
-        name = self.settings.node.name
         while True:
+            pause_ms = NODES_AGAIN_MS
             try:
-                found = await self.store.list_records(NODES_KIND)
-                mine = [record for record in found if record.name == name]
-                revision = mine[0].revision if mine else 0
-                if not mine or mine[0].value != self.view.address:
-                    wanted = ports.records.Record(name, self.view.address, revision)
-                    await self.store.write_record(NODES_KIND, wanted)
-                for record in found:
-                    self.view.learn(record.name, record.value)
+                await self._register_once()
                 dependency.answered()
-                return
             except errors.PlatformError as error:
-                await asyncio.sleep(dependency.failed(error) / 1000.0)
+                pause_ms = dependency.failed(error)
+            await asyncio.sleep(pause_ms / 1000.0)
+            while self.view.live():
+                await asyncio.sleep(NODES_AGAIN_MS / 1000.0)
+
+    async def _register_once(self) -> None:
+        name = self.settings.node.name
+        found = await self.store.list_records(NODES_KIND)
+        mine = [record for record in found if record.name == name]
+        revision = mine[0].revision if mine else 0
+        if not mine or mine[0].value != self.view.address:
+            wanted = records.Record(name, self.view.address, revision)
+            await self.store.write_record(NODES_KIND, wanted)
+        for record in found:
+            self.view.learn(record.name, record.value)
 
     async def _keep_house(self) -> None:
         """Write logs, and bring limits and gauges up to date."""
@@ -210,9 +224,7 @@
             self.state.log.write("reload", urgent=True, outcome="kept the old", why=str(error))
             return
         self.gossiper.learn_seeds(fresh.peers.seeds)
-        self.state.log.write(
-            "reload", urgent=True, outcome="taken", seeds=list(fresh.peers.seeds)
-        )
+        self.state.log.write("reload", urgent=True, outcome="taken", seeds=list(fresh.peers.seeds))
 
     async def stop(self) -> None:
         """Stop as planned: not ready first, then finish what was read, then end."""
--- a/plumarch/gateway/attempts.py
+++ b/plumarch/gateway/attempts.py
@@ -59,9 +59,7 @@
         return None
     seed = state.rng.randrange(1 << 30)
     if admitted.prompt_tokens:
-        return state.chooser.choose_engine(
-            candidates, admitted.parts, admitted.prompt_tokens, seed
-        )
+        return state.chooser.choose_engine(candidates, admitted.parts, admitted.prompt_tokens, seed)
     return state.chooser.choose_plain(candidates, seed)
 
 
@@ -192,9 +190,7 @@
 def answer_headers(head: h11.Response, names: dialect.Dialect) -> list[tuple[bytes, bytes]]:
     """Return an endpoint's headers as the caller may see them."""
     dropped = set(dialect.HOP_BY_HOP) | {names.not_run}
-    return [
-        (bytes(name), bytes(value)) for name, value in head.headers if name not in dropped
-    ]
+    return [(bytes(name), bytes(value)) for name, value in head.headers if name not in dropped]
 
 
 def count_began(state: fleet_state.FleetState, admitted: admission.Admitted) -> None:
--- a/plumarch/gateway/duties.py
+++ b/plumarch/gateway/duties.py
@@ -111,9 +111,7 @@
         if not self.view.is_oldest():
             return
         self.not_before_ms = self.state.clock.now() + TRY_PAUSE_MS
-        found = duty_lease.decode(
-            await self.store.read_record(duty_lease.KIND, duty_lease.NAME)
-        )
+        found = duty_lease.decode(await self.store.read_record(duty_lease.KIND, duty_lease.NAME))
         if not duty_lease.is_mine(found, self.view.node, self.view.incarnation):
             wanted = duty_lease.taken_over(found, self.view.node, self.view.incarnation)
             found = await self._write(wanted)
@@ -177,4 +175,3 @@
                 counts.setdefault(workspace, 0)
             self.held = await self._write(duty_lease.with_window(self.held, window, counts))
         return self.held.record.windows[str(window)]
-
--- a/plumarch/gateway/follower.py
+++ b/plumarch/gateway/follower.py
@@ -28,7 +28,10 @@
         if self.failures:
             lost_ms = self.state.clock.now() - self.failed_since_ms
             self.state.log.write(
-                "regained", urgent=True, dependency=self.name, after_ms=lost_ms,
+                "regained",
+                urgent=True,
+                dependency=self.name,
+                after_ms=lost_ms,
                 failures=self.failures,
             )
         self.failures = 0
--- a/plumarch/gateway/gossiper.py
+++ b/plumarch/gateway/gossiper.py
@@ -211,9 +211,7 @@
             for told in beat.loads
         }
         if beat.usage:
-            state.usage.heard_from(
-                incarnation, {told.window: told.counts for told in beat.usage}
-            )
+            state.usage.heard_from(incarnation, {told.window: told.counts for told in beat.usage})
 
     def _knows_more(self, beat: gossip.Heartbeat) -> bool:
         table = self.state.table
--- a/plumarch/gateway/measures.py
+++ b/plumarch/gateway/measures.py
@@ -40,9 +40,7 @@
             registry=self.registry,
         )
 
-    def _counter(
-        self, name: str, text: str, labels: tuple[str, ...]
-    ) -> prometheus_client.Counter:
+    def _counter(self, name: str, text: str, labels: tuple[str, ...]) -> prometheus_client.Counter:
         return prometheus_client.Counter(
             f"plumarch_gateway_{name}", text, labels, registry=self.registry
         )
--- a/plumarch/gateway/ports.py
+++ b/plumarch/gateway/ports.py
@@ -77,7 +77,9 @@
 class Cloud(Protocol):
     """The platform's calls that one node at a time may make."""
 
-    async def report_usage(self, lease: records.Lease, window: int, counts: Mapping[str, int]) -> None:
+    async def report_usage(
+        self, lease: records.Lease, window: int, counts: Mapping[str, int]
+    ) -> None:
         """Report a window's requests by workspace.
 
         Raises:
--- a/plumarch/limits/workspace_quota.py
+++ b/plumarch/limits/workspace_quota.py
@@ -80,8 +80,7 @@
     def report(self) -> dict[str, PeerSpending]:
         """Return this node's spending, for its heartbeat."""
         return {
-            name: PeerSpending(bucket.spent, bucket.level)
-            for name, bucket in self.buckets.items()
+            name: PeerSpending(bucket.spent, bucket.level) for name, bucket in self.buckets.items()
         }
 
     def heard_from(self, node: str, spending: Mapping[str, PeerSpending]) -> None:
--- a/plumarch/membership/fleet_view.py
+++ b/plumarch/membership/fleet_view.py
@@ -59,9 +59,7 @@
             return
         self.peers[name] = Peer(name, address, self.clock.now())
 
-    def heard(
-        self, name: str, incarnation: int, address: str, data_centre: str
-    ) -> Peer | None:
+    def heard(self, name: str, incarnation: int, address: str, data_centre: str) -> Peer | None:
         """Take in a sign of life.
 
         Returns:
--- a/plumarch/routing/endpoint_choice.py
+++ b/plumarch/routing/endpoint_choice.py
@@ -141,9 +141,7 @@
                 best = Choice(endpoint, cost, unread, len(candidates))
         return best
 
-    def _owners(
-        self, candidates: Sequence[traffic.Endpoint], keys: Sequence[int]
-    ) -> list[str]:
+    def _owners(self, candidates: Sequence[traffic.Endpoint], keys: Sequence[int]) -> list[str]:
         names = [endpoint.id for endpoint in candidates]
         return [max(names, key=lambda name: hashing.digest(str(key), name)) for key in keys]
 
@@ -177,9 +175,7 @@
         start = seed % len(candidates) if candidates else 0
         return [*candidates[start:], *candidates[:start]]
 
-    def begin(
-        self, choice: Choice, parts: Sequence[traffic.PromptPart] = ()
-    ) -> None:
+    def begin(self, choice: Choice, parts: Sequence[traffic.PromptPart] = ()) -> None:
         """Count a request sent."""
         load = self.own.setdefault(choice.endpoint.id, Load())
         load.running += 1
