--- /dev/null
+++ b/plumarch/fleet/engine_plan.py
@@ -0,0 +1,206 @@
+"""How many endpoints of a service are wanted where, firm or reclaimable.
+
+The plan: carry the demand on reclaimable endpoints spread over all data centres, so that the
+loss of one leaves the others; hold firm ones only while fewer than a floor are left and
+reclaimable ones can't be had. Orders are counts, so that one that is repeated, late or lost
+does no harm: what lives is compared with what is wanted, and ordered again where it differs.
+"""
+
+import dataclasses
+import math
+from collections.abc import Iterable, Mapping
+
+from plumarch.core import clock, records, traffic
+
+TOKENS_PER_ENGINE = 10_000.0
+"""Tokens a second, read and made, that one engine carries within its targets."""
+
+FLOOR = 0.7
+"""Part of the wanted endpoints below which firm ones are ordered."""
+
+REPEAT_MS = 1_500
+"""An order that was refused or not met is given again after this time."""
+
+BOOT_MARGIN_MS = 1_500.0
+DEMAND_DECAY = 0.88
+"""Weight of the past in the demand, at each sample of a second."""
+
+SETTLE_MS = 1_800
+"""Before the first order, the endpoints that are there have time to be told."""
+
+SHRINK_MARGIN = 0.8
+"""Fewer endpoints are wanted once the demand is below this part of what they carry."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Place:
+    """A kind of endpoint in a data centre."""
+
+    data_centre: str
+    spot: bool
+
+
+@dataclasses.dataclass(slots=True)
+class Given:
+    """The last order for a place.
+
+    Attributes:
+      refused: whether the platform had none.
+    """
+
+    count: int
+    at_ms: int
+    refused: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class EnginePlan:
+    """The plan for one service.
+
+    Attributes:
+      first_count: endpoints that were there when the plan began; the least that is wanted.
+      demand: tokens a second over all nodes, smoothed.
+      sized_for: endpoints that the demand asked for last.
+      began_ms: when the plan began.
+    """
+
+    clock: clock.Clock
+    service: str
+    first_count: int = 0
+    demand: float = 0.0
+    sized_for: int = 0
+    began_ms: int | None = None
+    given: dict[Place, Given] = dataclasses.field(default_factory=dict)
+
+    def sample_demand(self, tokens_per_s: float) -> None:
+        """Take in the demand of the last second."""
+        self.demand = DEMAND_DECAY * self.demand + (1.0 - DEMAND_DECAY) * tokens_per_s
+
+    def wanted_total(self, scaling: traffic.Scaling) -> int:
+        """Return how many endpoints the demand asks for."""
+        by_demand = self._by_demand()
+        places = len(scaling.prices)
+        most = scaling.maximum * places
+        least = max(1, scaling.minimum) * places
+        return min(most, max(least, by_demand, self.first_count))
+
+    def _by_demand(self) -> int:
+        """Return the endpoints that the demand asks for; falls only by a clear margin."""
+        engines = self.demand / TOKENS_PER_ENGINE
+        if engines > self.sized_for:
+            self.sized_for = math.ceil(engines)
+        elif engines < SHRINK_MARGIN * (self.sized_for - 1):
+            self.sized_for = math.ceil(engines / SHRINK_MARGIN)
+        return self.sized_for
+
+    def wanted(
+        self, scaling: traffic.Scaling, endpoints: Iterable[traffic.Endpoint]
+    ) -> dict[Place, int]:
+        """Return the wanted counts by place."""
+        ready = self._ready(endpoints)
+        total = self.wanted_total(scaling)
+        spot = spread(total, scaling)
+        wanted = {Place(name, True): count for name, count in spot.items()}
+        firm = self._firm_wanted(scaling, ready, total)
+        for name, count in firm.items():
+            wanted[Place(name, False)] = count
+        return wanted
+
+    def _firm_wanted(
+        self, scaling: traffic.Scaling, ready: Mapping[Place, int], total: int
+    ) -> dict[str, int]:
+        """Return firm counts: what lacks of the floor, in the cheapest places with room."""
+        spot_ready = sum(count for place, count in ready.items() if place.spot)
+        firm_ready = sum(count for place, count in ready.items() if not place.spot)
+        if spot_ready >= total:
+            lacking = 0
+        elif spot_ready < math.ceil(FLOOR * total):
+            lacking = math.ceil(FLOOR * total) - spot_ready
+        else:
+            lacking = min(firm_ready, total - spot_ready)
+        lacking = max(lacking, min(firm_ready, total - spot_ready))
+        counts = dict.fromkeys(scaling.prices, 0)
+        for _ in range(lacking):
+            name = self._firm_place(scaling, ready, counts)
+            if name is None:
+                break
+            counts[name] += 1
+        return counts
+
+    def _firm_place(
+        self, scaling: traffic.Scaling, ready: Mapping[Place, int], counts: Mapping[str, int]
+    ) -> str | None:
+        """Return where the next firm endpoint goes: where one runs already, else the cheapest."""
+        open_places = []
+        for name, price in scaling.prices.items():
+            room = scaling.maximum - counts[name]
+            if room <= 0:
+                continue
+            runs_already = ready.get(Place(name, False), 0) > counts[name]
+            open_places.append((not runs_already, counts[name], price, name))
+        return min(open_places)[3] if open_places else None
+
+    def _ready(self, endpoints: Iterable[traffic.Endpoint]) -> dict[Place, int]:
+        ready: dict[Place, int] = {}
+        for endpoint in endpoints:
+            if endpoint.service != self.service:
+                continue
+            if endpoint.state is not traffic.EndpointState.READY:
+                continue
+            place = Place(endpoint.data_centre, endpoint.spot)
+            ready[place] = ready.get(place, 0) + 1
+        return ready
+
+    def orders(
+        self, scaling: traffic.Scaling, endpoints: Iterable[traffic.Endpoint]
+    ) -> list[records.EngineOrder]:
+        """Return the orders that are due now, those that add endpoints first."""
+        endpoints = list(endpoints)
+        ready = self._ready(endpoints)
+        if not self._settled(sum(ready.values())):
+            return []
+        due = []
+        for place, count in self.wanted(scaling, endpoints).items():
+            if self._is_due(place, count, ready.get(place, 0), scaling):
+                due.append(records.EngineOrder(self.service, place.data_centre, count, place.spot))
+        return sorted(due, key=lambda one: (not one.spot, -one.count, one.data_centre))
+
+    def _settled(self, ready: int) -> bool:
+        """Learn how many endpoints were there at first; return whether that is known."""
+        now = self.clock.now()
+        if self.began_ms is None:
+            self.began_ms = now
+        if now - self.began_ms >= SETTLE_MS:
+            return True
+        self.first_count = max(self.first_count, ready)
+        return False
+
+    def _is_due(self, place: Place, wanted: int, ready: int, scaling: traffic.Scaling) -> bool:
+        given = self.given.get(place)
+        if given is None:
+            return wanted != ready
+        if given.count != wanted:
+            return True
+        if wanted == ready:
+            given.refused = False
+            return False
+        age = self.clock.now() - given.at_ms
+        patience = REPEAT_MS if given.refused else scaling.boot_ms + BOOT_MARGIN_MS
+        return age >= patience
+
+    def ordered(self, order: records.EngineOrder, refused: bool) -> None:
+        """Note an order that was given, and whether the platform had none."""
+        place = Place(order.data_centre, order.spot)
+        self.given[place] = Given(order.count, self.clock.now(), refused)
+
+
+def spread(total: int, scaling: traffic.Scaling) -> dict[str, int]:
+    """Spread a number evenly over the data centres, the cheapest first, within the limits."""
+    names = sorted(scaling.prices, key=lambda name: (scaling.prices[name], name))
+    counts = dict.fromkeys(names, 0)
+    for _ in range(total):
+        open_names = [name for name in names if counts[name] < scaling.maximum]
+        if not open_names:
+            break
+        counts[min(open_names, key=lambda name: counts[name])] += 1
+    return counts
--- a/plumarch/gateway/duties.py
+++ b/plumarch/gateway/duties.py
@@ -5,8 +5,8 @@
 
 import msgspec
 
-from plumarch.core import errors, records
-from plumarch.fleet import duty_lease
+from plumarch.core import errors, records, traffic
+from plumarch.fleet import duty_lease, engine_plan
 from plumarch.gateway import fleet_state, follower, gossiper, ports
 from plumarch.membership import fleet_view
 
@@ -15,6 +15,7 @@
 """A process that just started lets others be heard first."""
 
 TRY_PAUSE_MS = 800
+SAMPLE_MS = 1_000
 DISPLACED_PAUSE_MS = 8_000
 """A node that another one displaced leaves the duties alone for this long."""
 
@@ -59,6 +60,9 @@
         self.not_before_ms = self.started_ms + SETTLE_MS
         self.reach = follower.Dependency(state, "duties")
         self.leaving = False
+        self.plans: dict[str, engine_plan.EnginePlan] = {}
+        self.sampled_ms = 0
+        self.sampled_spent = 0.0
 
     def lease(self) -> records.Lease:
         """Return the lease to act under."""
@@ -89,6 +93,57 @@
             await self._maybe_take_over()
             return
         await self._report_usage()
+        await self._order_engines()
+
+    async def _order_engines(self) -> None:
+        """Order what the plans of the services ask for."""
+        table = self.state.table
+        if table is None or not self.state.registry.endpoints:
+            return
+        self._sample_demand()
+        for service in table.services.values():
+            if service.scaling is not None and service.scaling.prices:
+                await self._order_for(service.name, service.scaling)
+
+    def _sample_demand(self) -> None:
+        now = self.state.clock.now()
+        if now - self.sampled_ms < SAMPLE_MS:
+            return
+        spent = self.state.quota.total_spent()
+        rate = max(0.0, spent - self.sampled_spent) * 1000.0 / (now - self.sampled_ms)
+        if self.sampled_ms:
+            for plan in self.plans.values():
+                plan.sample_demand(rate)
+        self.sampled_ms = now
+        self.sampled_spent = spent
+
+    async def _order_for(self, service: str, scaling: traffic.Scaling) -> None:
+        plan = self.plans.get(service)
+        if plan is None:
+            plan = engine_plan.EnginePlan(self.state.clock, service)
+            self.plans[service] = plan
+        for order in plan.orders(scaling, self.state.registry.endpoints.values()):
+            refused = False
+            try:
+                await self.cloud.order(self.lease(), order)
+                self.reach.answered()
+            except errors.NoneToBeHad:
+                refused = True
+            except errors.PlatformAnswerLost:
+                plan.ordered(order, refused=True)
+                raise
+            plan.ordered(order, refused)
+            self.state.log.write(
+                "ordered",
+                service=service,
+                data_centre=order.data_centre,
+                count=order.count,
+                spot=order.spot,
+                refused=refused,
+                demand=round(plan.demand),
+                token=self.status.token,
+                registry_revision=self.state.registry.revision,
+            )
 
     def _out_of_reach(self, error: errors.PlatformError) -> None:
         self.reach.failed(error)
--- a/plumarch/gateway/event_stream.py
+++ b/plumarch/gateway/event_stream.py
@@ -29,7 +29,7 @@
           The events that are whole now, in order.
         """
         self.rest += data
-        events = []
+        events: list[Event] = []
         while True:
             end = _event_end(self.rest)
             if end < 0:
--- a/plumarch/gateway/exchange.py
+++ b/plumarch/gateway/exchange.py
@@ -73,7 +73,9 @@
         if self.transport is None or self.transport.is_closing():
             raise errors.ConnectFailed("The connection ended before the request. Try again.")
         try:
-            parts = [self.http.send(h11.Request(method=method, target=target, headers=headers))]
+            parts = [
+                self.http.send(h11.Request(method=method, target=target, headers=list(headers)))
+            ]
             if body:
                 parts.append(self.http.send(h11.Data(data=body)))
             parts.append(self.http.send(h11.EndOfMessage()))
@@ -113,7 +115,7 @@
         Raises:
           ConnectionBroken: it broke off, or is longer than the limit.
         """
-        parts = []
+        parts: list[bytes] = []
         size = 0
         while True:
             event = await self.next()
--- a/plumarch/gateway/fleet_state.py
+++ b/plumarch/gateway/fleet_state.py
@@ -4,11 +4,11 @@
 import random
 
 from plumarch.config import routing_table
-from plumarch.core import clock
+from plumarch.core.clock import Clock
 from plumarch.fleet import usage
 from plumarch.gateway import decision_log, dialect, measures
 from plumarch.limits import attempt_budget, workspace_quota
-from plumarch.membership import registry
+from plumarch.membership.registry import EndpointChange, Registry
 from plumarch.routing import endpoint_choice, endpoint_health
 
 
@@ -23,13 +23,13 @@
 
     node: str
     data_centre: str
-    clock: clock.Clock
-    wall: clock.Clock
+    clock: Clock
+    wall: Clock
     rng: random.Random
     names: dialect.Dialect
     log: decision_log.DecisionLog
     measures: measures.Measures
-    registry: registry.Registry
+    registry: Registry
     chooser: endpoint_choice.EndpointChooser
     health: endpoint_health.EndpointHealth
     quota: workspace_quota.WorkspaceQuota
@@ -57,7 +57,7 @@
         )
         return True
 
-    def registry_changed(self, changes: list[registry.EndpointChange], source: str) -> None:
+    def registry_changed(self, changes: list[EndpointChange], source: str) -> None:
         """Log changes of endpoints, and forget what no longer exists."""
         if not changes:
             return
--- a/plumarch/gateway/follower.py
+++ b/plumarch/gateway/follower.py
@@ -47,7 +47,8 @@
             self.failed_since_ms = self.state.clock.now()
             self.state.log.write("lost", urgent=True, dependency=self.name, error=str(error))
         self.failures += 1
-        pause = min(LONGEST_PAUSE_MS, FIRST_PAUSE_MS * 2 ** min(self.failures - 1, 8))
+        doublings = min(self.failures - 1, 8)
+        pause = min(LONGEST_PAUSE_MS, FIRST_PAUSE_MS * (1 << doublings))
         return pause * self.state.rng.uniform(0.7, 1.0)
 
 
--- a/plumarch/gateway/relay.py
+++ b/plumarch/gateway/relay.py
@@ -17,8 +17,10 @@
     caller_connection,
     errors,
     event_stream,
+    exchange,
     fleet_state,
 )
+from plumarch.routing import endpoint_choice
 
 ANSWER_BYTES_LIMIT = 16 * 1024 * 1024
 RETRY_AFTER_MS = {
@@ -178,7 +180,7 @@
             if not self._may_try_again():
                 return self._give_up(self.progress.last_fault, 502)
 
-    async def _attempt(self, choice: attempts.endpoint_choice.Choice) -> Outcome | None:
+    async def _attempt(self, choice: endpoint_choice.Choice) -> Outcome | None:
         """Try one endpoint.
 
         Returns:
@@ -284,7 +286,7 @@
         self.reply.finish()
         return Outcome(head.status_code, "relayed")
 
-    async def _next_part(self, attempt: attempts.Attempt) -> attempts.exchange.ReceivedEvent:
+    async def _next_part(self, attempt: attempts.Attempt) -> exchange.ReceivedEvent:
         patience = self._patience_ms()
         try:
             async with asyncio.timeout(max(0.001, patience / 1000.0)):
--- a/plumarch/limits/workspace_quota.py
+++ b/plumarch/limits/workspace_quota.py
@@ -101,6 +101,11 @@
             else:
                 bucket.level -= told.spent - known
 
+    def total_spent(self) -> float:
+        """Return what all nodes admitted, as far as heard; it may fall when one is forgotten."""
+        own = sum(bucket.spent for bucket in self.buckets.values())
+        return own + sum(self.heard.values())
+
     def forget(self, node: str) -> None:
         """Drop what is known of an incarnation that is gone."""
         for key in [key for key in self.heard if key[0] == node]:
