Refuse what arrives too late in a planned stop

Once balancers had time to notice, new connections are closed out and streams are refused as not run.

--- a/plumarch/daemon/gateway.py
+++ b/plumarch/daemon/gateway.py
@@ -239,6 +239,8 @@
         ends = begun + grace_ms - CUT_BEFORE_KILL_MS
         while self.clock.now() < begun + NOT_READY_MS:
             await asyncio.sleep(0.05)
+        self.state.stops_at_ms = round(ends)
+        self.listeners[0].close()
         self.callers.close_idle()
         while self.callers.connections and self.clock.now() < ends:
             await asyncio.sleep(0.05)
--- a/plumarch/gateway/admission.py
+++ b/plumarch/gateway/admission.py
@@ -7,6 +7,10 @@
 from plumarch.gateway import caller_connection, dialect, fleet_state
 
 RETRY_WITHOUT_CONFIGURATION_MS = 500.0
+RETRY_ELSEWHERE_MS = 10.0
+PLAIN_ANSWER_MS = 1_500.0
+"""A plain request that arrives later than this before the end of the process is refused."""
+
 DEFAULT_DEADLINE_MS = 30_000.0
 
 
@@ -68,6 +72,8 @@
         workspace = table.workspaces_by_key.get(key)
         if workspace is None:
             return Refusal(401, "unknown_key")
+    if _ends_too_soon(state, route):
+        return Refusal(503, "stopping", RETRY_ELSEWHERE_MS)
     prompt_tokens, most_out = _token_counts(request.header(names.token_counts))
     units = _units(workspace, prompt_tokens + most_out)
     if workspace is not None:
@@ -89,6 +95,15 @@
     )
 
 
+def _ends_too_soon(state: fleet_state.FleetState, route: traffic.Route) -> bool:
+    """Return whether this process ends before a request of a route is likely to be answered."""
+    if state.stops_at_ms is None:
+        return False
+    if route.kind is traffic.RouteKind.STREAMING:
+        return True
+    return state.stops_at_ms - state.clock.now() < PLAIN_ANSWER_MS
+
+
 def _key_of(authorization: str, scheme: str) -> str:
     given, _, key = authorization.partition(" ")
     return key.strip() if given.lower() == scheme.lower() else ""
@@ -116,7 +131,11 @@
     try:
         asked = float(request.header(names.deadline_ms))
     except ValueError:
-        asked = DEFAULT_DEADLINE_MS
+        asked = RETRY_ELSEWHERE_MS = 10.0
+PLAIN_ANSWER_MS = 1_500.0
+"""A plain request that arrives later than this before the end of the process is refused."""
+
+DEFAULT_DEADLINE_MS
     return min(asked, route.timeout_ms) if route.timeout_ms > 0 else asked
 
 
--- a/plumarch/gateway/fleet_state.py
+++ b/plumarch/gateway/fleet_state.py
@@ -19,6 +19,7 @@
     Attributes:
       table: the configuration in force, or None before the first one is known.
       table_source: who told it: "store" or a peer's name.
+      stops_at_ms: when the process will end, once it was told to and balancers know; or None.
     """
 
     node: str
@@ -38,6 +39,7 @@
     table: routing_table.RoutingTable | None = None
     table_source: str = ""
     table_at_ms: int = 0
+    stops_at_ms: int | None = None
 
     def adopt_table(self, table: routing_table.RoutingTable, source: str) -> bool:
         """Put a configuration in force unless it is not newer than the one in force.
