--- a/plumarch/gateway/admission.py
+++ b/plumarch/gateway/admission.py
@@ -131,11 +131,7 @@
     try:
         asked = float(request.header(names.deadline_ms))
     except ValueError:
-        asked = RETRY_ELSEWHERE_MS = 10.0
-PLAIN_ANSWER_MS = 1_500.0
-"""A plain request that arrives later than this before the end of the process is refused."""
-
-DEFAULT_DEADLINE_MS
+        asked = DEFAULT_DEADLINE_MS
     return min(asked, route.timeout_ms) if route.timeout_ms > 0 else asked
 
 
