--- /dev/null
+++ b/plumarch/fleet/engine_plan_test.py
@@ -0,0 +1,103 @@
+"""Where endpoints are wanted: spread, reclaimed, refused, late and repeated orders."""
+
+import dataclasses
+
+from plumarch.core import clock, records, traffic
+from plumarch.fleet import engine_plan
+
+PRICES = {"a": 0.85, "b": 1.2, "c": 1.0}
+SCALING = traffic.Scaling(1, 3, 4_000.0, 0.22, PRICES)
+
+
+def engines(*places: tuple[str, bool, int]) -> list[traffic.Endpoint]:
+    found = []
+    for name, spot, count in places:
+        for number in range(count):
+            kind = "spot" if spot else "firm"
+            one = traffic.Endpoint(
+                f"{name}-{kind}-{number}", "s", "1:1", name, 8, traffic.EndpointState.READY, spot
+            )
+            found.append(one)
+    return found
+
+
+FIRM_AT_FIRST = engines(("a", False, 2), ("b", False, 1), ("c", False, 2))
+ALL_SPOT = engines(("a", True, 2), ("b", True, 2), ("c", True, 1))
+
+
+def settled(time: clock.ManualClock) -> engine_plan.EnginePlan:
+    plan = engine_plan.EnginePlan(time, "s")
+    assert plan.orders(SCALING, FIRM_AT_FIRST) == []
+    time.advance_to(time.now() + engine_plan.SETTLE_MS)
+    return plan
+
+
+def by_place(orders: list[records.EngineOrder]) -> dict[tuple[str, bool], int]:
+    return {(one.data_centre, one.spot): one.count for one in orders}
+
+
+def test_reclaimable_endpoints_are_ordered_in_all_data_centres_before_firm_ones_go():
+    plan = settled(clock.ManualClock())
+    wanted = by_place(plan.orders(SCALING, FIRM_AT_FIRST))
+    assert wanted == {("a", True): 2, ("c", True): 2, ("b", True): 1}
+
+
+def test_firm_endpoints_go_when_the_reclaimable_ones_have_come():
+    plan = settled(clock.ManualClock())
+    for order in plan.orders(SCALING, FIRM_AT_FIRST):
+        plan.ordered(order, refused=False)
+    here = FIRM_AT_FIRST + engines(("a", True, 2), ("b", True, 1), ("c", True, 2))
+    wanted = by_place(plan.orders(SCALING, here))
+    assert wanted == {("a", False): 0, ("b", False): 0, ("c", False): 0}
+
+
+def test_firm_endpoints_are_ordered_when_too_few_are_left():
+    time = clock.ManualClock()
+    plan = settled(time)
+    left = engines(("b", True, 1))
+    wanted = by_place(plan.orders(SCALING, left))
+    assert sum(count for (_, spot), count in wanted.items() if not spot) == 3
+    assert wanted[("a", True)] == 2
+
+
+def test_endpoints_that_drain_do_not_count():
+    plan = settled(clock.ManualClock())
+    leaving = [
+        dataclasses.replace(one, state=traffic.EndpointState.DRAINING) for one in ALL_SPOT[:2]
+    ]
+    assert ("a", True) in by_place(plan.orders(SCALING, leaving + ALL_SPOT[2:]))
+
+
+def test_a_refused_order_is_repeated_soon_and_a_taken_one_after_the_boot():
+    time = clock.ManualClock()
+    plan = settled(time)
+    refused, taken = plan.orders(SCALING, FIRM_AT_FIRST)[:2]
+    for order in plan.orders(SCALING, FIRM_AT_FIRST):
+        plan.ordered(order, refused=order == refused)
+    assert plan.orders(SCALING, FIRM_AT_FIRST) == []
+    time.advance_to(time.now() + engine_plan.REPEAT_MS)
+    assert plan.orders(SCALING, FIRM_AT_FIRST) == [refused]
+    plan.ordered(refused, refused=True)
+    time.advance_to(time.now() + round(SCALING.boot_ms + engine_plan.BOOT_MARGIN_MS))
+    assert taken in plan.orders(SCALING, FIRM_AT_FIRST)
+
+
+def test_the_demand_asks_for_more_and_lets_go_only_by_a_margin():
+    plan = settled(clock.ManualClock())
+    for _ in range(100):
+        plan.sample_demand(75_000)
+    assert plan.wanted_total(SCALING) == 8
+    for _ in range(100):
+        plan.sample_demand(66_000)
+    assert plan.wanted_total(SCALING) == 8
+    for _ in range(200):
+        plan.sample_demand(0)
+    assert plan.wanted_total(SCALING) == 5
+
+
+def test_the_limits_hold():
+    plan = settled(clock.ManualClock())
+    for _ in range(300):
+        plan.sample_demand(1e9)
+    assert plan.wanted_total(SCALING) == 9
+    assert engine_plan.spread(50, SCALING) == {"a": 3, "b": 3, "c": 3}
--- /dev/null
+++ b/plumarch/limits/workspace_quota_test.py
@@ -0,0 +1,127 @@
+"""Allotments over all nodes: one node, several that hear each other, and cuts between them."""
+
+import random
+
+import hypothesis
+from hypothesis import strategies
+
+from plumarch.core import clock, traffic
+from plumarch.limits import workspace_quota
+
+SPACE = traffic.Workspace("w", ("k",), counts_tokens=True, rate=1_000.0, burst=2_000.0)
+TABLE = {"w": SPACE}
+
+
+def quota_of(time: clock.ManualClock, started_ms: int = -100_000) -> workspace_quota.WorkspaceQuota:
+    found = workspace_quota.WorkspaceQuota(time, started_ms)
+    found.keep_only(TABLE)
+    return found
+
+
+def test_a_workspace_without_a_rate_is_never_refused():
+    quota = workspace_quota.WorkspaceQuota(clock.ManualClock(), 0)
+    assert quota.admit(traffic.Workspace("free", ()), 1e9) == 0
+
+
+def test_beyond_the_burst_the_wait_is_the_time_to_refill():
+    quota = quota_of(clock.ManualClock())
+    assert quota.admit(SPACE, 2_000) == 0
+    assert quota.admit(SPACE, 500) == 500.0
+
+
+def test_a_process_that_starts_has_an_empty_bucket():
+    quota = quota_of(clock.ManualClock(), started_ms=0)
+    assert quota.admit(SPACE, 100) > 0
+
+
+def test_a_refund_makes_room_again():
+    quota = quota_of(clock.ManualClock())
+    quota.admit(SPACE, 2_000)
+    quota.refund(SPACE, 2_000)
+    assert quota.admit(SPACE, 2_000) == 0
+    assert quota.report()["w"].spent == 2_000
+
+
+def test_what_a_peer_admits_is_charged_once():
+    time = clock.ManualClock()
+    quota = quota_of(time)
+    quota.heard_from("b#1", {"w": workspace_quota.PeerSpending(500, 2_000)})
+    for _ in range(3):
+        quota.heard_from("b#1", {"w": workspace_quota.PeerSpending(1_500, 1_000)})
+    assert quota.report()["w"].level == 1_000
+
+
+def test_a_new_node_takes_over_the_lower_level_of_a_peer():
+    quota = quota_of(clock.ManualClock())
+    quota.heard_from("b#1", {"w": workspace_quota.PeerSpending(90_000, 300)})
+    assert quota.report()["w"].level == 300
+
+
+def test_a_node_that_hears_half_of_the_fleet_uses_half():
+    quota = quota_of(clock.ManualClock())
+    quota.fraction = 0.5
+    assert quota.admit(SPACE, 1_000) == 0
+    assert quota.admit(SPACE, 500) == 1_000.0
+
+
+NODES = 4
+
+
+@hypothesis.given(
+    strategies.lists(
+        strategies.tuples(
+            strategies.sampled_from(["ask", "ask", "ask", "step", "cut", "heal", "restart"]),
+            strategies.integers(0, NODES - 1),
+            strategies.integers(1, 400),
+        ),
+        max_size=150,
+    ),
+    strategies.integers(0, 1_000),
+)
+@hypothesis.settings(derandomize=True, max_examples=60, deadline=None)
+def test_no_window_exceeds_the_allotment_by_more_than_what_crosses_between_heartbeats(
+    steps: list[tuple[str, int, int]], seed: int
+):
+    """Random asks, cuts, and restarts; every 8 s window stays within rate, burst and slack."""
+    rng = random.Random(seed)
+    time = clock.ManualClock()
+    nodes = [quota_of(time) for _ in range(NODES)]
+    lives = [0] * NODES
+    group = [0] * NODES
+    admitted: list[tuple[int, float]] = []
+
+    def exchange() -> None:
+        for to in range(NODES):
+            heard = sum(1 for other in range(NODES) if group[other] == group[to])
+            nodes[to].fraction = heard / NODES
+            nodes[to].keep_only(TABLE)
+        reports = [node.report() for node in nodes]
+        for to in range(NODES):
+            for source in range(NODES):
+                if source != to and group[source] == group[to]:
+                    nodes[to].heard_from(f"{source}#{lives[source]}", reports[source])
+
+    for name, node, amount in steps:
+        if name == "ask":
+            for _ in range(3):
+                if nodes[node].admit(SPACE, amount) == 0:
+                    admitted.append((time.now(), amount))
+            exchange()
+        elif name == "step":
+            time.advance_to(time.now() + amount * 4)
+            exchange()
+        elif name == "cut":
+            group[node] = rng.randrange(3)
+            exchange()
+        elif name == "heal":
+            group[:] = [0] * NODES
+            exchange()
+        else:
+            lives[node] += 1
+            nodes[node] = quota_of(time, started_ms=time.now())
+            exchange()
+    window_ms = 8_000
+    slack = 3 * 400 * NODES
+    for at, _ in admitted:
+        total = sum(units for when, units in admitted if at <= when < at + window_ms)
+        assert total <= (SPACE.rate * 8 + SPACE.burst) * 1.1 + slack
--- /dev/null
+++ b/plumarch/membership/fleet_view_test.py
@@ -0,0 +1,67 @@
+"""What a node makes of heartbeats, of silence, and of processes that were replaced."""
+
+from plumarch.core import clock
+from plumarch.membership import fleet_view
+
+
+def view_at(time: clock.ManualClock) -> fleet_view.FleetView:
+    return fleet_view.FleetView(time, "a", 100, "10.0.0.1:7")
+
+
+def test_a_seed_counts_as_a_node_that_is_not_heard():
+    view = view_at(clock.ManualClock())
+    view.learn("10.0.0.2:7", "10.0.0.2:7")
+    assert view.heard_fraction() == 0.5
+
+
+def test_the_own_address_among_the_seeds_is_left_out():
+    view = view_at(clock.ManualClock())
+    view.learn("10.0.0.1:7", "10.0.0.1:7")
+    assert view.size() == 1
+
+
+def test_a_heartbeat_gives_a_seed_its_name():
+    view = view_at(clock.ManualClock())
+    view.learn("10.0.0.2:7", "10.0.0.2:7")
+    view.heard("b", 50, "10.0.0.2:7", "z")
+    assert list(view.peers) == ["b"]
+    assert view.heard_fraction() == 1.0
+
+
+def test_a_late_heartbeat_of_a_replaced_process_is_ignored():
+    view = view_at(clock.ManualClock())
+    view.heard("b", 60, "10.0.0.2:7", "z")
+    assert view.heard("b", 50, "10.0.0.2:7", "z") is None
+    assert view.peers["b"].incarnation == 60
+
+
+def test_silent_peers_still_count_until_they_are_forgotten():
+    time = clock.ManualClock()
+    view = view_at(time)
+    view.heard("b", 60, "10.0.0.2:7", "z")
+    time.advance_to(fleet_view.HEARD_MS + 1)
+    assert view.heard_fraction() == 0.5
+    time.advance_to(fleet_view.FORGET_MS + 1)
+    assert [peer.name for peer in view.tick()] == ["b"]
+    assert view.heard_fraction() == 1.0
+
+
+def test_a_node_that_left_as_planned_reserves_nothing():
+    time = clock.ManualClock()
+    view = view_at(time)
+    peer = view.heard("b", 60, "10.0.0.2:7", "z")
+    peer.leaving = True
+    time.advance_to(fleet_view.HEARD_MS + 1)
+    assert view.heard_fraction() == 1.0
+
+
+def test_the_oldest_live_node_is_the_one_to_take_the_duties():
+    time = clock.ManualClock()
+    view = view_at(time)
+    older = view.heard("b", 60, "10.0.0.2:7", "z")
+    assert not view.is_oldest()
+    older.leaving = True
+    assert view.is_oldest()
+    older.leaving = False
+    time.advance_to(fleet_view.HEARD_MS + 1)
+    assert view.is_oldest()
--- /dev/null
+++ b/plumarch/membership/registry_test.py
@@ -0,0 +1,74 @@
+"""Endpoints from the store and from peers, in any order; nothing older counts."""
+
+import dataclasses
+import random
+
+from plumarch.core import clock, traffic
+from plumarch.membership import registry
+
+
+def endpoint(name: str, state: traffic.EndpointState = traffic.EndpointState.READY):
+    return traffic.Endpoint(name, "s", f"10.0.0.1:{len(name)}", "a", 4, state)
+
+
+def change(name: str, revision: int, gone: bool = False) -> registry.EndpointChange:
+    return registry.EndpointChange(name, revision, None if gone else endpoint(name))
+
+
+def test_a_list_replaces_what_was_known_and_tells_what_changed():
+    known = registry.Registry(clock.ManualClock(5))
+    known.replace([endpoint("a"), endpoint("b")], 10, "store")
+    changes = known.replace([endpoint("b"), endpoint("c")], 12, "store")
+    assert {(one.id, one.endpoint is None) for one in changes} == {("a", True), ("c", False)}
+    assert known.revision == 12
+
+
+def test_an_older_list_from_a_peer_brings_nothing_back():
+    known = registry.Registry(clock.ManualClock())
+    known.replace([endpoint("a")], 10, "store")
+    known.apply([change("a", 11, gone=True)], 11, "store")
+    assert known.replace([endpoint("a")], 10, "peer") == []
+    assert known.ready("s") == []
+
+
+def test_a_change_that_a_peer_told_already_is_not_applied_again():
+    known = registry.Registry(clock.ManualClock())
+    known.replace([], 10, "store")
+    known.replace([], 12, "peer")
+    assert known.apply([change("a", 11)], 12, "store") == []
+    assert known.endpoints == {}
+
+
+def test_draining_endpoints_take_no_new_work():
+    known = registry.Registry(clock.ManualClock())
+    leaving = dataclasses.replace(endpoint("a"), state=traffic.EndpointState.DRAINING)
+    known.replace([leaving, endpoint("b")], 1, "store")
+    assert [one.id for one in known.ready("s")] == ["b"]
+
+
+def test_any_mix_of_batches_and_snapshots_ends_in_the_newest_state():
+    for seed in range(200):
+        rng = random.Random(seed)
+        truth: dict[str, traffic.Endpoint] = {}
+        history: list[registry.EndpointChange] = []
+        snapshots = [(0, {})]
+        for revision in range(1, 30):
+            name = rng.choice("abcd")
+            gone = rng.random() < 0.4
+            truth = {key: value for key, value in truth.items() if key != name}
+            if not gone:
+                truth = {**truth, name: endpoint(name)}
+            history.append(change(name, revision, gone))
+            snapshots.append((revision, truth))
+        known = registry.Registry(clock.ManualClock())
+        known.replace([], 0, "store")
+        watched = 0
+        while watched < 29:
+            upto = rng.randint(watched + 1, 29)
+            known.apply(history[watched:upto], upto, "store")
+            watched = upto
+            at, told = rng.choice(snapshots)
+            known.replace(told.values(), at, "peer")
+            expected = snapshots[known.revision][1]
+            assert known.endpoints == expected
+        assert known.endpoints == truth
