--- a/plumarch/routing/endpoint_choice.py
+++ b/plumarch/routing/endpoint_choice.py
@@ -143,6 +143,8 @@
 
     def _owners(self, candidates: Sequence[traffic.Endpoint], keys: Sequence[int]) -> list[str]:
         names = [endpoint.id for endpoint in candidates]
+        if not names:
+            return []
         return [max(names, key=lambda name: hashing.digest(str(key), name)) for key in keys]
 
     def _held(
--- /dev/null
+++ b/plumarch/routing/endpoint_choice_test.py
@@ -0,0 +1,86 @@
+"""Choices of endpoints: load, data centres, parts of prompts, loads of other nodes."""
+
+from plumarch.core import clock, traffic
+from plumarch.routing import endpoint_choice
+
+
+def endpoints(count: int, data_centre: str = "a") -> list[traffic.Endpoint]:
+    return [
+        traffic.Endpoint(f"e{number}", "s", "1:1", data_centre, 8, traffic.EndpointState.READY)
+        for number in range(count)
+    ]
+
+
+def chooser() -> endpoint_choice.EndpointChooser:
+    return endpoint_choice.EndpointChooser(clock.ManualClock(), "a")
+
+
+PARTS = (traffic.PromptPart("aa", 2_000), traffic.PromptPart("bb", 3_000))
+
+
+def test_nothing_to_choose_from():
+    assert chooser().choose_plain([], 1) is None
+    assert chooser().choose_engine([], PARTS, 5_500, 1) is None
+
+
+def test_plain_requests_go_to_the_least_loaded():
+    found = chooser()
+    first = found.choose_plain(endpoints(2), 0)
+    found.begin(first)
+    second = found.choose_plain(endpoints(2), 0)
+    assert first.endpoint.id != second.endpoint.id
+
+
+def test_a_near_endpoint_goes_before_a_far_one_until_it_is_loaded():
+    found = chooser()
+    near = endpoints(1, "a")
+    far = [traffic.Endpoint("far", "s", "1:1", "b", 8, traffic.EndpointState.READY)]
+    for _ in range(2):
+        choice = found.choose_plain(far + near, 0)
+        assert choice.endpoint.id == "e0"
+        found.begin(choice)
+    assert found.choose_plain(far + near, 0).endpoint.id == "far"
+
+
+def test_all_nodes_send_the_same_parts_to_the_same_engine():
+    chosen = {
+        chooser().choose_engine(endpoints(5), PARTS, 5_500, seed).endpoint.id for seed in range(20)
+    }
+    assert len(chosen) == 1
+
+
+def test_an_engine_that_was_sent_the_parts_keeps_them():
+    found = chooser()
+    everywhere = endpoints(5)
+    usual = found.choose_engine(everywhere, PARTS, 5_500, 0)
+    others = [one for one in everywhere if one.id != usual.endpoint.id]
+    stand_in = found.choose_engine(others, PARTS, 5_500, 0)
+    found.begin(stand_in, PARTS)
+    found.end(stand_in, saw_first_token=True)
+    again = found.choose_engine(others, PARTS, 5_500, 0)
+    assert again.endpoint.id == stand_in.endpoint.id
+    assert again.unread_tokens == 500
+
+
+def test_a_busy_owner_is_left_to_finish():
+    found = chooser()
+    usual = found.choose_engine(endpoints(5), PARTS, 5_500, 0)
+    found.peers["other"] = {usual.endpoint.id: endpoint_choice.Load(3, 20_000.0)}
+    assert found.choose_engine(endpoints(5), PARTS, 5_500, 0).endpoint.id != usual.endpoint.id
+
+
+def test_a_part_counts_only_behind_the_parts_before_it():
+    first, second = endpoint_choice.part_keys(PARTS)
+    assert [first, second] != endpoint_choice.part_keys(PARTS[::-1])
+    assert endpoint_choice.part_keys(PARTS[1:]) != [second]
+
+
+def test_the_load_is_gone_when_all_requests_are_over():
+    found = chooser()
+    choice = found.choose_engine(endpoints(2), PARTS, 5_500, 0)
+    found.begin(choice, PARTS)
+    found.begin(choice, PARTS)
+    found.first_token(choice)
+    found.end(choice, saw_first_token=True)
+    found.end(choice, saw_first_token=False)
+    assert found.own == {}
