--- a/plumarch/gateway/follower.py
+++ b/plumarch/gateway/follower.py
@@ -8,9 +8,9 @@
 from plumarch.core import errors
 from plumarch.gateway import fleet_state, ports
 
-WATCH_MS = 4_000
+WATCH_MS = 2_500
 FIRST_PAUSE_MS = 150.0
-LONGEST_PAUSE_MS = 1_000.0
+LONGEST_PAUSE_MS = 600.0
 STORE = "store"
 
 
@@ -85,6 +85,9 @@
                 self.state.log.write("history_gone", dependency=dependency.name, since=revision)
                 revision = None
             except errors.PlatformError as error:
+                # A list has a short time limit: a watch that begins just before the store
+                # answers again would hide that for its whole length.
+                revision = None
                 await asyncio.sleep(dependency.failed(error) / 1000.0)
 
     async def _configuration(self, revision: int | None) -> int:
--- /dev/null
+++ b/plumarch/gateway/follower_test.py
@@ -0,0 +1,97 @@
+"""Following a store that fails, forgets its history, and comes back."""
+
+import asyncio
+import contextlib
+import random
+
+from plumarch.config import routing_table
+from plumarch.core import clock, errors, traffic
+from plumarch.gateway import follower, ports
+from plumarch.standins import gateway_parts
+
+
+def configuration(version: int) -> routing_table.Configuration:
+    return routing_table.Configuration(version, (), (), (), traffic.CallerLimits())
+
+
+class Done(Exception):
+    """The script of a store is over."""
+
+
+class ScriptedStore:
+    """Answers calls from a script, and keeps what was asked."""
+
+    def __init__(self, *script: object) -> None:
+        self.script = list(script)
+        self.asked: list[str] = []
+
+    def next(self, asked: str) -> object:
+        self.asked.append(asked)
+        if not self.script:
+            raise Done
+        answer = self.script.pop(0)
+        if isinstance(answer, Exception):
+            raise answer
+        return answer
+
+    async def list_configuration(self) -> object:
+        return self.next("list")
+
+    async def watch_configuration(self, revision: int, wait_ms: int) -> object:
+        return self.next(f"watch {revision}")
+
+
+def follow(*script: object) -> tuple[list[str], gateway_parts.fleet_state.FleetState]:
+    store = ScriptedStore(*script)
+    state = gateway_parts.new_state(clock.ManualClock())
+    state.rng = random.Random(1)
+    following = follower.Follower(state, store, lambda: None)  # type: ignore[arg-type]
+
+    async def run() -> None:
+        with contextlib.suppress(Done):
+            await following.follow_configuration()
+
+    asyncio.run(run())
+    return store.asked, state
+
+
+def news(version: int | None, revision: int) -> ports.ConfigurationNews:
+    return ports.ConfigurationNews(configuration(version) if version else None, revision)
+
+
+def test_a_list_then_watches_from_where_it_ended():
+    asked, state = follow(news(1, 10), news(None, 10), news(2, 15))
+    assert asked == ["list", "watch 10", "watch 10", "watch 15"]
+    assert state.table.version == 2
+
+
+def test_a_forgotten_history_is_listed_again_at_once():
+    asked, _ = follow(news(1, 10), errors.PlatformTooOld("gone"), news(2, 30))
+    assert asked == ["list", "watch 10", "list", "watch 30"]
+
+
+def test_after_a_failure_the_short_call_comes_first(monkeypatch):
+    monkeypatch.setattr(follower, "FIRST_PAUSE_MS", 1.0)
+    lost = errors.PlatformAnswerLost("silent")
+    asked, _ = follow(news(1, 10), lost, news(1, 12))
+    assert asked == ["list", "watch 10", "list", "watch 12"]
+
+
+def test_an_older_configuration_never_comes_back():
+    _, state = follow(news(5, 10), news(4, 11))
+    assert state.table.version == 5
+
+
+def test_what_cannot_be_read_changes_nothing(monkeypatch):
+    monkeypatch.setattr(follower, "FIRST_PAUSE_MS", 1.0)
+    _, state = follow(news(5, 10), errors.PlatformNonsense("?"), news(6, 11))
+    assert state.table.version == 6
+
+
+def test_loss_and_return_are_each_told_once(monkeypatch):
+    monkeypatch.setattr(follower, "FIRST_PAUSE_MS", 1.0)
+    down = errors.PlatformUnavailable("down")
+    _, state = follow(news(1, 10), down, down, down, news(1, 10))
+    lines = bytes(state.log.pending).decode()
+    assert lines.count('"kind":"lost"') == 1
+    assert lines.count('"kind":"regained"') == 1
--- a/plumarch/gateway/relay_test.py
+++ b/plumarch/gateway/relay_test.py
@@ -2,25 +2,14 @@
 
 import asyncio
 import dataclasses
-import random
 import socket
 import struct
 from collections.abc import Awaitable, Callable
 
 from plumarch.config import routing_table
 from plumarch.core import clock, traffic
-from plumarch.fleet import usage
-from plumarch.gateway import (
-    caller_connection,
-    decision_log,
-    dialect,
-    fleet_state,
-    measures,
-    relay,
-)
-from plumarch.limits import attempt_budget, workspace_quota
-from plumarch.membership import registry
-from plumarch.routing import endpoint_choice, endpoint_health
+from plumarch.gateway import caller_connection, relay
+from plumarch.standins import gateway_parts
 from plumarch.standins import scripted_endpoint as scripted
 
 LONG_MS = 20_000
@@ -78,22 +67,7 @@
         now = clock.MonotonicClock()
         self.answering = answering
         self.endpoints: list[scripted.ScriptedEndpoint] = []
-        self.state = fleet_state.FleetState(
-            node="n",
-            data_centre="a",
-            clock=now,
-            wall=clock.WallClock(),
-            rng=random.Random(1),
-            names=dialect.Dialect(),
-            log=decision_log.DecisionLog(now, "n", descriptor=-1),
-            measures=measures.Measures(),
-            registry=registry.Registry(now),
-            chooser=endpoint_choice.EndpointChooser(now, "a"),
-            health=endpoint_health.EndpointHealth(now),
-            quota=workspace_quota.WorkspaceQuota(now, now.now() - 100_000),
-            budget=attempt_budget.AttemptBudget(now, 60_000, 1.0, 1_000.0),
-            usage=usage.UsageCounter(1_000_000_000),
-        )
+        self.state = gateway_parts.new_state(now)
         self.callers = caller_connection.CallerServer(now, relay.Relay(self.state))
         self.callers.limits = TABLE.configuration.limits
 
--- /dev/null
+++ b/plumarch/standins/gateway_parts.py
@@ -0,0 +1,39 @@
+"""A gateway's state without a process around it, for tests."""
+
+import random
+
+from plumarch.core import clock
+from plumarch.fleet import usage
+from plumarch.gateway import decision_log, dialect, fleet_state, measures
+from plumarch.limits import attempt_budget, workspace_quota
+from plumarch.membership import registry
+from plumarch.routing import endpoint_choice, endpoint_health
+
+USAGE_WINDOW_MS = 5_000
+SETTLED_MS = 100_000
+
+
+def new_state(
+    steady: clock.Clock, node: str = "n", wall: clock.Clock | None = None
+) -> fleet_state.FleetState:
+    """Return the state of a node that has run for long, with budgets that suffice.
+
+    Args:
+      wall: the time of day; the steady clock if not given.
+    """
+    return fleet_state.FleetState(
+        node=node,
+        data_centre="a",
+        clock=steady,
+        wall=wall or steady,
+        rng=random.Random(1),
+        names=dialect.Dialect(),
+        log=decision_log.DecisionLog(steady, node, descriptor=-1),
+        measures=measures.Measures(),
+        registry=registry.Registry(steady),
+        chooser=endpoint_choice.EndpointChooser(steady, "a"),
+        health=endpoint_health.EndpointHealth(steady),
+        quota=workspace_quota.WorkspaceQuota(steady, steady.now() - SETTLED_MS),
+        budget=attempt_budget.AttemptBudget(steady, 60_000, 1.0, 1_000.0),
+        usage=usage.UsageCounter(USAGE_WINDOW_MS),
+    )
