Order reclaimable engines earlier, and firm ones only when those are refused or overdue

Cause: at the first start firm engines stayed until the others had come, and the limits of a data centre clipped the first order; each growth of the demand ordered firm engines too.

--- a/plumarch/daemon/gateway.py
+++ b/plumarch/daemon/gateway.py
@@ -62,7 +62,13 @@
         self.gossiper = gossiper.Gossiper(self.state, self.view, status, settings.peers.seeds)
         self.follower = follower.Follower(self.state, store, self.gossiper.beat_soon)
         self.duties = duties.Duties(
-            self.state, self.view, status, store, cloud, self._usage_schedule()
+            self.state,
+            self.view,
+            status,
+            store,
+            cloud,
+            self._usage_schedule(),
+            settings.node.first_start,
         )
         self.callers = caller_connection.CallerServer(self.clock, relay.Relay(self.state))
         pages = status_pages.StatusPages(self.state, self.ready)
--- a/plumarch/daemon/gateway_settings.py
+++ b/plumarch/daemon/gateway_settings.py
@@ -16,10 +16,11 @@
 
 
 class NodeSection(ini.Section):
-    """[node]: who this node is."""
+    """[node]: who this node is, and whether the whole system starts for the first time."""
 
     name: Annotated[str, pydantic.Field(min_length=1)]
     data_centre: Annotated[str, pydantic.Field(min_length=1)]
+    first_start: bool = False
 
 
 class ListenSection(ini.Section):
--- a/plumarch/fleet/engine_plan.py
+++ b/plumarch/fleet/engine_plan.py
@@ -25,9 +25,12 @@
 DEMAND_DECAY = 0.88
 """Weight of the past in the demand, at each sample of a second."""
 
-SETTLE_MS = 1_800
+SETTLE_MS = 1_000
 """Before the first order, the endpoints that are there have time to be told."""
 
+LEARN_MS = 4_000
+"""Endpoints told within this time of the plan's begin were there at first."""
+
 SHRINK_MARGIN = 0.8
 """Fewer endpoints are wanted once the demand is below this part of what they carry."""
 
@@ -58,7 +61,9 @@
     """The plan for one service.
 
     Attributes:
-      first_count: endpoints that were there when the plan began; the least that is wanted.
+      first_start: whether the whole system starts for the first time: nothing runs yet, so
+        that firm endpoints may go before the reclaimable ones have come.
+      first_seen: endpoints that were there when the plan began; at least as many are wanted.
       demand: tokens a second over all nodes, smoothed.
       sized_for: endpoints that the demand asked for last.
       began_ms: when the plan began.
@@ -66,7 +71,8 @@
 
     clock: clock.Clock
     service: str
-    first_count: int = 0
+    first_start: bool = False
+    first_seen: set[str] = dataclasses.field(default_factory=set)
     demand: float = 0.0
     sized_for: int = 0
     began_ms: int | None = None
@@ -82,7 +88,7 @@
         places = len(scaling.prices)
         most = scaling.maximum * places
         least = max(1, scaling.minimum) * places
-        return min(most, max(least, by_demand, self.first_count))
+        return min(most, max(least, by_demand, len(self.first_seen)))
 
     def _by_demand(self) -> int:
         """Return the endpoints that the demand asks for; falls only by a clear margin."""
@@ -110,7 +116,9 @@
         self, scaling: traffic.Scaling, ready: Mapping[Place, int], total: int
     ) -> dict[str, int]:
         """Return firm counts: what lacks of the floor, in the cheapest places with room."""
-        spot_ready = sum(count for place, count in ready.items() if place.spot)
+        if self._nothing_runs_yet(ready):
+            return self._firm_at_first(scaling, ready)
+        spot_ready = self._spot_ready_or_coming(scaling, ready)
         firm_ready = sum(count for place, count in ready.items() if not place.spot)
         if spot_ready >= total:
             lacking = 0
@@ -127,6 +135,35 @@
             counts[name] += 1
         return counts
 
+    def _firm_at_first(
+        self, scaling: traffic.Scaling, ready: Mapping[Place, int]
+    ) -> dict[str, int]:
+        """Return firm counts while nothing runs: the least, then none.
+
+        The platform holds both kinds together to the minimum, so that the last firm one can
+        go only once reclaimable ones are ordered in its place.
+        """
+        counts = {}
+        for name in scaling.prices:
+            replaced = Place(name, True) in self.given
+            counts[name] = 0 if replaced else min(scaling.minimum, ready.get(Place(name, False), 0))
+        return counts
+
+    def _spot_ready_or_coming(self, scaling: traffic.Scaling, ready: Mapping[Place, int]) -> int:
+        """Return the reclaimable endpoints that are ready, or ordered and not yet overdue."""
+        total = 0
+        for name in scaling.prices:
+            place = Place(name, True)
+            count = ready.get(place, 0)
+            given = self.given.get(place)
+            if given is not None and not given.refused and not self._overdue(given, scaling):
+                count = max(count, given.count)
+            total += count
+        return total
+
+    def _overdue(self, given: Given, scaling: traffic.Scaling) -> bool:
+        return self.clock.now() - given.at_ms >= scaling.boot_ms + BOOT_MARGIN_MS
+
     def _firm_place(
         self, scaling: traffic.Scaling, ready: Mapping[Place, int], counts: Mapping[str, int]
     ) -> str | None:
@@ -154,26 +191,38 @@
     def orders(
         self, scaling: traffic.Scaling, endpoints: Iterable[traffic.Endpoint]
     ) -> list[records.EngineOrder]:
-        """Return the orders that are due now, those that add endpoints first."""
+        """Return the orders that are due now, first those that make room."""
         endpoints = list(endpoints)
         ready = self._ready(endpoints)
-        if not self._settled(sum(ready.values())):
+        if not self._settled(endpoints):
             return []
         due = []
         for place, count in self.wanted(scaling, endpoints).items():
             if self._is_due(place, count, ready.get(place, 0), scaling):
                 due.append(records.EngineOrder(self.service, place.data_centre, count, place.spot))
-        return sorted(due, key=lambda one: (not one.spot, -one.count, one.data_centre))
+        fewer = {one: one.count < ready.get(Place(one.data_centre, one.spot), 0) for one in due}
+        return sorted(due, key=lambda one: (not fewer[one], not one.spot, one.data_centre))
 
-    def _settled(self, ready: int) -> bool:
-        """Learn how many endpoints were there at first; return whether that is known."""
+    def _settled(self, endpoints: Iterable[traffic.Endpoint]) -> bool:
+        """Learn which endpoints were there at first; return whether orders may be given."""
         now = self.clock.now()
         if self.began_ms is None:
             self.began_ms = now
-        if now - self.began_ms >= SETTLE_MS:
-            return True
-        self.first_count = max(self.first_count, ready)
-        return False
+        age = now - self.began_ms
+        if age < LEARN_MS:
+            mine = [one for one in endpoints if one.service == self.service]
+            self.first_seen.update(
+                one.id for one in mine if one.state is traffic.EndpointState.READY
+            )
+        return age >= SETTLE_MS
+
+    def _nothing_runs_yet(self, ready: Mapping[Place, int]) -> bool:
+        """Return whether firm endpoints may go at once: first start, no demand, none refused."""
+        if not self.first_start or self.demand > 0:
+            return False
+        if any(given.refused for given in self.given.values()):
+            return False
+        return not any(place.spot for place in ready)
 
     def _is_due(self, place: Place, wanted: int, ready: int, scaling: traffic.Scaling) -> bool:
         given = self.given.get(place)
@@ -184,9 +233,9 @@
         if wanted == ready:
             given.refused = False
             return False
-        age = self.clock.now() - given.at_ms
-        patience = REPEAT_MS if given.refused else scaling.boot_ms + BOOT_MARGIN_MS
-        return age >= patience
+        if given.refused:
+            return self.clock.now() - given.at_ms >= REPEAT_MS
+        return self._overdue(given, scaling)
 
     def ordered(self, order: records.EngineOrder, refused: bool) -> None:
         """Note an order that was given, and whether the platform had none."""
--- a/plumarch/gateway/duties.py
+++ b/plumarch/gateway/duties.py
@@ -48,6 +48,7 @@
         store: ports.Store,
         cloud: ports.Cloud,
         schedule: UsageSchedule,
+        first_start: bool = False,
     ) -> None:
         self.state = state
         self.view = view
@@ -55,6 +56,7 @@
         self.store = store
         self.cloud = cloud
         self.schedule = schedule
+        self.first_start = first_start
         self.held: duty_lease.HeldRecord | None = None
         self.started_ms = state.clock.now()
         self.not_before_ms = self.started_ms + SETTLE_MS
@@ -120,7 +122,7 @@
     async def _order_for(self, service: str, scaling: traffic.Scaling) -> None:
         plan = self.plans.get(service)
         if plan is None:
-            plan = engine_plan.EnginePlan(self.state.clock, service)
+            plan = engine_plan.EnginePlan(self.state.clock, service, first_start=self.first_start)
             self.plans[service] = plan
         for order in plan.orders(scaling, self.state.registry.endpoints.values()):
             refused = False
