Hold a reserve of reclaimable engines in each data centre; keep firm ones until others have come

One change of rule for each: only running engines let firm ones go; each data centre holds half of what is needed.

--- a/plumarch/fleet/engine_plan.py
+++ b/plumarch/fleet/engine_plan.py
@@ -16,7 +16,10 @@
 """Tokens a second, read and made, that one engine carries within its targets."""
 
 FLOOR = 0.7
-"""Part of the wanted endpoints below which firm ones are ordered."""
+"""Part of the needed endpoints below which firm ones are ordered."""
+
+LEFT_AFTER_LOSS = 0.5
+"""Part of the needed endpoints that each data centre holds, so as to be left with it alone."""
 
 REPEAT_MS = 1_500
 """An order that was refused or not met is given again after this time."""
@@ -82,7 +85,7 @@
         """Take in the demand of the last second."""
         self.demand = DEMAND_DECAY * self.demand + (1.0 - DEMAND_DECAY) * tokens_per_s
 
-    def wanted_total(self, scaling: traffic.Scaling) -> int:
+    def needed(self, scaling: traffic.Scaling) -> int:
         """Return how many endpoints the demand asks for."""
         by_demand = self._by_demand()
         places = len(scaling.prices)
@@ -90,6 +93,13 @@
         least = max(1, scaling.minimum) * places
         return min(most, max(least, by_demand, len(self.first_seen)))
 
+    def spot_wanted(self, scaling: traffic.Scaling) -> int:
+        """Return how many reclaimable endpoints are wanted: what is needed, and a reserve."""
+        needed = self.needed(scaling)
+        places = len(scaling.prices)
+        reserved = math.ceil(LEFT_AFTER_LOSS * needed) * places
+        return min(scaling.maximum * places, max(needed, reserved))
+
     def _by_demand(self) -> int:
         """Return the endpoints that the demand asks for; falls only by a clear margin."""
         engines = self.demand / TOKENS_PER_ENGINE
@@ -104,29 +114,27 @@
     ) -> dict[Place, int]:
         """Return the wanted counts by place."""
         ready = self._ready(endpoints)
-        total = self.wanted_total(scaling)
-        spot = spread(total, scaling)
+        spot = spread(self.spot_wanted(scaling), scaling)
         wanted = {Place(name, True): count for name, count in spot.items()}
-        firm = self._firm_wanted(scaling, ready, total)
+        firm = self._firm_wanted(scaling, ready)
         for name, count in firm.items():
             wanted[Place(name, False)] = count
         return wanted
 
-    def _firm_wanted(
-        self, scaling: traffic.Scaling, ready: Mapping[Place, int], total: int
-    ) -> dict[str, int]:
-        """Return firm counts: what lacks of the floor, in the cheapest places with room."""
+    def _firm_wanted(self, scaling: traffic.Scaling, ready: Mapping[Place, int]) -> dict[str, int]:
+        """Return firm counts: what lacks of the floor, in the cheapest places with room.
+
+        Reclaimable endpoints that are coming make new firm ones needless; those that run stay
+        until the others have come.
+        """
         if self._nothing_runs_yet(ready):
             return self._firm_at_first(scaling, ready)
-        spot_ready = self._spot_ready_or_coming(scaling, ready)
+        needed = self.needed(scaling)
+        spot_ready = sum(count for place, count in ready.items() if place.spot)
         firm_ready = sum(count for place, count in ready.items() if not place.spot)
-        if spot_ready >= total:
-            lacking = 0
-        elif spot_ready < math.ceil(FLOOR * total):
-            lacking = math.ceil(FLOOR * total) - spot_ready
-        else:
-            lacking = min(firm_ready, total - spot_ready)
-        lacking = max(lacking, min(firm_ready, total - spot_ready))
+        lacking = math.ceil(FLOOR * needed) - self._spot_ready_or_coming(scaling, ready)
+        kept = min(firm_ready, needed - spot_ready)
+        lacking = max(lacking, kept, 0)
         counts = dict.fromkeys(scaling.prices, 0)
         for _ in range(lacking):
             name = self._firm_place(scaling, ready, counts)
--- a/plumarch/fleet/engine_plan_test.py
+++ b/plumarch/fleet/engine_plan_test.py
@@ -39,7 +39,7 @@
 def test_reclaimable_endpoints_are_ordered_in_all_data_centres_before_firm_ones_go():
     plan = settled(clock.ManualClock())
     wanted = by_place(plan.orders(SCALING, FIRM_AT_FIRST))
-    assert wanted == {("a", True): 2, ("c", True): 2, ("b", True): 1}
+    assert wanted == {("a", True): 3, ("c", True): 3, ("b", True): 3}
 
 
 def test_at_the_first_start_firm_endpoints_go_at_once_unless_there_are_no_others():
@@ -55,7 +55,8 @@
     assert [one.count for one in last] == [0, 0, 0]
     for order in last:
         plan.ordered(order, refused=False)
-    plan.ordered(orders[-1], refused=True)
+    for order in orders:
+        plan.ordered(order, refused=order.spot)
     assert any(not one.spot and one.count for one in plan.orders(SCALING, []))
 
 
@@ -65,7 +66,7 @@
     for order in plan.orders(SCALING, FIRM_AT_FIRST):
         plan.ordered(order, refused=False)
     time.advance_to(time.now() + round(SCALING.boot_ms))
-    here = FIRM_AT_FIRST + engines(("a", True, 2), ("b", True, 1), ("c", True, 2))
+    here = FIRM_AT_FIRST + engines(("a", True, 3), ("b", True, 3), ("c", True, 3))
     wanted = by_place(plan.orders(SCALING, here))
     assert wanted == {("a", False): 0, ("b", False): 0, ("c", False): 0}
 
@@ -77,7 +78,19 @@
     time.advance_to(time.now() + engine_plan.LEARN_MS)
     wanted = by_place(plan.orders(SCALING, left))
     assert sum(count for (_, spot), count in wanted.items() if not spot) == 3
-    assert wanted[("a", True)] == 2
+    assert wanted[("a", True)] == 3
+
+
+def test_firm_endpoints_stay_until_the_ordered_ones_have_come():
+    time = clock.ManualClock()
+    plan = settled(time)
+    time.advance_to(time.now() + engine_plan.LEARN_MS)
+    for order in plan.orders(SCALING, FIRM_AT_FIRST):
+        plan.ordered(order, refused=False)
+    assert plan.orders(SCALING, FIRM_AT_FIRST) == []
+    some_came = FIRM_AT_FIRST + engines(("a", True, 3))
+    firm = {one.data_centre: one.count for one in plan.orders(SCALING, some_came) if not one.spot}
+    assert firm == {"a": 1, "b": 0, "c": 1}
 
 
 def test_no_firm_endpoints_are_ordered_while_reclaimable_ones_are_coming():
@@ -119,18 +132,18 @@
     plan = settled(clock.ManualClock())
     for _ in range(100):
         plan.sample_demand(75_000)
-    assert plan.wanted_total(SCALING) == 8
+    assert plan.needed(SCALING) == 8
     for _ in range(100):
         plan.sample_demand(66_000)
-    assert plan.wanted_total(SCALING) == 8
+    assert plan.needed(SCALING) == 8
     for _ in range(200):
         plan.sample_demand(0)
-    assert plan.wanted_total(SCALING) == 5
+    assert plan.needed(SCALING) == 5
 
 
 def test_the_limits_hold():
     plan = settled(clock.ManualClock())
     for _ in range(300):
         plan.sample_demand(1e9)
-    assert plan.wanted_total(SCALING) == 9
+    assert plan.needed(SCALING) == 9
     assert engine_plan.spread(50, SCALING) == {"a": 3, "b": 3, "c": 3}
