Use a share of the tolerated excess of allotments, and take over levels from older peers

Silent nodes still reserve their part; each node may now use its share of the excess that the deployment tolerates in a window, half of it in its first window.

--- a/plumarch/daemon/gateway.py
+++ b/plumarch/daemon/gateway.py
@@ -94,7 +94,7 @@
             registry=registry.Registry(now),
             chooser=endpoint_choice.EndpointChooser(now, settings.node.data_centre),
             health=endpoint_health.EndpointHealth(now),
-            quota=workspace_quota.WorkspaceQuota(now, now.now()),
+            quota=workspace_quota.WorkspaceQuota(now, now.now(), self._tolerance()),
             budget=attempt_budget.AttemptBudget(
                 now,
                 round(bounds.retry_window_s * 1000),
@@ -104,6 +104,11 @@
             usage=usage.UsageCounter(round(bounds.usage_window_s * 1000)),
         )
 
+    def _tolerance(self) -> workspace_quota.Tolerance:
+        bounds = self.settings.bounds
+        window_ms = round(bounds.quota_window_s * 1000)
+        return workspace_quota.Tolerance(window_ms, bounds.quota_overshoot, bounds.quota_slack)
+
     def _usage_schedule(self) -> duties.UsageSchedule:
         bounds = self.settings.bounds
         late = bounds.usage_delay_s * 1000 - USAGE_MARGIN_MS
--- a/plumarch/daemon/gateway_settings.py
+++ b/plumarch/daemon/gateway_settings.py
@@ -58,6 +58,9 @@
     retry_ratio: NotNegative = 0.2
     retry_window_s: Positive = 10.0
     retry_extra: NotNegative = 20.0
+    quota_window_s: Positive = 8.0
+    quota_overshoot: NotNegative = 0.0
+    quota_slack: NotNegative = 0.0
     usage_window_s: Positive = 5.0
     usage_delay_s: Positive = 10.0
     lease_ms: Positive = 3000.0
--- a/plumarch/gateway/gossiper.py
+++ b/plumarch/gateway/gossiper.py
@@ -112,7 +112,7 @@
             self.state.log.write("peer_forgotten", peer=peer.name, address=peer.address)
             self.state.quota.forget(f"{peer.name}#{peer.incarnation}")
         self._drop_old_loads()
-        self.state.quota.fraction = self.view.heard_fraction()
+        self._hear_fraction()
         self.state.budget.nodes = max(8, 2 * self.view.size())
         if self.transport is None:
             return
@@ -122,6 +122,9 @@
             self.transport.sendto(datagram, (host, int(port)))
         self.beats += 1
 
+    def _hear_fraction(self) -> None:
+        self.state.quota.hear_fraction(self.view.heard_fraction(), self.view.size())
+
     def _drop_old_loads(self) -> None:
         now = self.state.clock.now()
         for name in list(self.state.chooser.peers):
@@ -132,7 +135,7 @@
     def _heartbeat(self) -> gossip.Heartbeat:
         state = self.state
         spending = [
-            gossip.Spending(name, round(told.spent), round(told.level))
+            gossip.Spending(name, round(told.spent), round(told.level), told.settled)
             for name, told in state.quota.report().items()
         ]
         loads = [
@@ -186,7 +189,7 @@
             self.state.log.write(
                 "peer", peer=peer.name, incarnation=beat.incarnation, address=beat.address
             )
-            self.state.quota.fraction = self.view.heard_fraction()
+            self._hear_fraction()
         peer.leaving = beat.leaving
         peer.token = beat.token
         self.duty.reported = max(self.duty.reported, beat.reported)
@@ -202,7 +205,7 @@
         state.quota.heard_from(
             incarnation,
             {
-                told.workspace: workspace_quota.PeerSpending(told.spent, told.level)
+                told.workspace: workspace_quota.PeerSpending(told.spent, told.level, told.settled)
                 for told in beat.spending
             },
         )
--- a/plumarch/limits/workspace_quota.py
+++ b/plumarch/limits/workspace_quota.py
@@ -2,11 +2,18 @@
 
 Every node holds the same token bucket for each workspace and charges it with what it admits
 itself and with what its peers' heartbeats say that they admitted. While some nodes are
-silent, the bucket refills and holds only the part of the nodes that are heard, so that groups
-of nodes that don't hear each other never add up to more than the whole. A node that starts
-has an empty bucket: it can't know what its predecessor spent.
+silent, a node admits only from the part of those that are heard, so that groups of nodes that
+don't hear each other never add up to more than the whole.
+
+The deployment tolerates a fixed excess in each window. Each node may use its share of it when
+its bucket is empty: that carries it over the moments in which silent nodes turn out to be
+lost, not cut off.
+
+A node that starts has an empty bucket, since it can't know what its predecessor spent; it
+takes over the level of a peer that runs for longer.
 """
 
+import collections
 import dataclasses
 from collections.abc import Mapping
 
@@ -15,19 +22,50 @@
 SETTLED_MS = 8_000
 """From this age of the process on, a workspace that is new starts with a full bucket."""
 
+EXCESS_USED = 0.6
+"""The part of the tolerated excess that nodes use; the rest covers what crosses unheard."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Tolerance:
+    """What a deployment tolerates beyond an allotment.
+
+    Attributes:
+      window_ms: the window in which it is counted.
+      ratio: tolerated excess, as a part of what the allotment gives in a window.
+      units: tolerated excess besides.
+    """
+
+    window_ms: int = 8_000
+    ratio: float = 0.0
+    units: float = 0.0
+
+    def excess(self, workspace: traffic.Workspace) -> float:
+        """Return the tolerated excess of a workspace in a window."""
+        allotted = workspace.rate * self.window_ms / 1000.0 + workspace.burst
+        return self.ratio * allotted + self.units
+
 
 @dataclasses.dataclass(slots=True)
 class Bucket:
     """One workspace's bucket as this node sees it.
 
     Attributes:
-      level: units left; negative after a request larger than what was left.
+      level: units left of the whole fleet's allotment; negative after a large request.
+      part: units left for the nodes that are heard; equals the level while all are.
       spent: units that this process admitted since its start.
+      settled: whether the level rests on more than this process's own short life.
+      borrowed: times and units admitted beyond the bucket, oldest first.
     """
 
     level: float
+    part: float
     updated_ms: int
+    settled: bool
     spent: float = 0.0
+    borrowed: collections.deque[tuple[int, float]] = dataclasses.field(
+        default_factory=collections.deque
+    )
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -36,6 +74,7 @@
 
     spent: float
     level: float
+    settled: bool = True
 
 
 @dataclasses.dataclass(slots=True)
@@ -44,11 +83,14 @@
 
     Attributes:
       fraction: the part of all nodes that is heard now, this one included.
+      nodes: how many nodes there may be, this one included.
     """
 
     clock: clock.Clock
     started_ms: int
+    tolerance: Tolerance = dataclasses.field(default_factory=Tolerance)
     fraction: float = 1.0
+    nodes: int = 8
     buckets: dict[str, Bucket] = dataclasses.field(default_factory=dict)
     heard: dict[tuple[str, str], float] = dataclasses.field(default_factory=dict)
 
@@ -61,28 +103,66 @@
         if workspace.rate <= 0:
             return 0.0
         bucket = self._refill(workspace)
-        capacity = workspace.burst * self.fraction
-        needed = min(units, capacity)
-        if bucket.level < needed:
+        available = bucket.level if self.fraction >= 1.0 else bucket.part
+        needed = min(units, workspace.burst * self.fraction)
+        if available < needed and not self._borrow(workspace, bucket, units):
             refill = max(workspace.rate * self.fraction, 1e-9)
-            return max(1.0, (needed - bucket.level) / refill * 1000.0)
-        bucket.level -= units
+            return max(1.0, (needed - available) / refill * 1000.0)
+        self._charge(bucket, units)
         bucket.spent += units
         return 0.0
 
+    def _borrow(self, workspace: traffic.Workspace, bucket: Bucket, units: float) -> bool:
+        """Use this node's share of the tolerated excess, if enough of it is left."""
+        now = self.clock.now()
+        while bucket.borrowed and bucket.borrowed[0][0] <= now - self.tolerance.window_ms:
+            bucket.borrowed.popleft()
+        used = sum(amount for _, amount in bucket.borrowed)
+        share = EXCESS_USED * self.tolerance.excess(workspace) / self.nodes
+        if now - self.started_ms < self.tolerance.window_ms:
+            share /= 2.0  # The process before this one may have used its share just now.
+        if used + units > share:
+            return False
+        bucket.borrowed.append((now, units))
+        # What is borrowed is no debt of the bucket: it is counted against the excess alone.
+        self._charge(bucket, -units)
+        return True
+
+    @staticmethod
+    def _charge(bucket: Bucket, units: float) -> None:
+        bucket.level -= units
+        bucket.part -= units
+
     def refund(self, workspace: traffic.Workspace, units: float) -> None:
         """Give back what a request was charged that did not run."""
         bucket = self.buckets.get(workspace.name)
         if bucket is not None and workspace.rate > 0:
-            bucket.level += units
+            self._charge(bucket, -units)
             bucket.spent -= units
 
+    def hear_fraction(self, fraction: float, nodes: int) -> None:
+        """Take in which part of how many nodes is heard from now on."""
+        self.nodes = max(1, nodes)
+        if fraction == self.fraction:
+            return
+        for bucket in self.buckets.values():
+            if self.fraction >= 1.0:
+                bucket.part = bucket.level
+            bucket.part += (fraction - self.fraction) * max(0.0, bucket.level)
+        self.fraction = fraction
+
     def report(self) -> dict[str, PeerSpending]:
         """Return this node's spending, for its heartbeat."""
         return {
-            name: PeerSpending(bucket.spent, bucket.level) for name, bucket in self.buckets.items()
+            name: PeerSpending(bucket.spent, bucket.level, bucket.settled)
+            for name, bucket in self.buckets.items()
         }
 
+    def total_spent(self) -> float:
+        """Return what all nodes admitted, as far as heard; it may fall when one is forgotten."""
+        own = sum(bucket.spent for bucket in self.buckets.values())
+        return own + sum(self.heard.values())
+
     def heard_from(self, node: str, spending: Mapping[str, PeerSpending]) -> None:
         """Charge what a peer admitted since it was heard last.
 
@@ -96,15 +176,18 @@
                 continue
             known = self.heard.get((node, name))
             self.heard[(node, name)] = told.spent
-            if known is None:
-                bucket.level = min(bucket.level, told.level)
-            else:
-                bucket.level -= told.spent - known
-
-    def total_spent(self) -> float:
-        """Return what all nodes admitted, as far as heard; it may fall when one is forgotten."""
-        own = sum(bucket.spent for bucket in self.buckets.values())
-        return own + sum(self.heard.values())
+            if known is not None:
+                self._charge(bucket, told.spent - known)
+            elif told.settled:
+                self._take_over(bucket, told.level)
+
+    def _take_over(self, bucket: Bucket, level: float) -> None:
+        """Take over the level of a peer that is heard for the first time."""
+        if bucket.settled:
+            level = min(level, bucket.level)
+        bucket.part = min(bucket.part, level) if bucket.settled else level * self.fraction
+        bucket.level = level
+        bucket.settled = True
 
     def forget(self, node: str) -> None:
         """Drop what is known of an incarnation that is gone."""
@@ -113,14 +196,17 @@
 
     def _refill(self, workspace: traffic.Workspace) -> Bucket:
         now = self.clock.now()
+        settled = now - self.started_ms >= SETTLED_MS
         bucket = self.buckets.get(workspace.name)
         if bucket is None:
-            settled = now - self.started_ms >= SETTLED_MS
-            bucket = Bucket(workspace.burst * self.fraction if settled else 0.0, now)
+            level = workspace.burst if settled else 0.0
+            bucket = Bucket(level, level * self.fraction, now, settled)
             self.buckets[workspace.name] = bucket
-        gained = workspace.rate * self.fraction * (now - bucket.updated_ms) / 1000.0
-        capacity = workspace.burst * self.fraction
-        bucket.level = min(max(capacity, 0.0), bucket.level + gained)
+        bucket.settled = bucket.settled or settled
+        gained = workspace.rate * (now - bucket.updated_ms) / 1000.0
+        bucket.level = min(workspace.burst, bucket.level + gained)
+        most = workspace.burst * self.fraction
+        bucket.part = min(most, bucket.part + gained * self.fraction)
         bucket.updated_ms = now
         return bucket
 
--- a/plumarch/peers/gossip.py
+++ b/plumarch/peers/gossip.py
@@ -15,11 +15,15 @@
 
 
 class Spending(msgspec.Struct, array_like=True, frozen=True):
-    """What a node admitted of a workspace's allotment since its start, and its level."""
+    """What a node admitted of a workspace's allotment since its start, and its level.
+
+    The level is settled if it rests on more than the sender's own short life.
+    """
 
     workspace: str
     spent: float
     level: float
+    settled: bool
 
 
 class EndpointLoad(msgspec.Struct, array_like=True, frozen=True):
