Keep the plan of engines on each node, and its size at the first start in the duties' record

All nodes sample the demand now; the record carries the first size. Refusals within allotments are logged with workspace, units and level.

--- a/plumarch/fleet/duty_lease.py
+++ b/plumarch/fleet/duty_lease.py
@@ -23,12 +23,14 @@
     Attributes:
       token: the holder's fencing token.
       windows: counts of the newest usage windows, fixed before they are reported.
+      sizes: endpoints that each service had at the first start.
     """
 
     holder: str
     incarnation: int
     token: int
     windows: dict[str, dict[str, int]] = {}
+    sizes: dict[str, int] = {}
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -61,17 +63,25 @@
     if found is None:
         return HeldRecord(DutyRecord(node, incarnation, 1), 0)
     record = found.record
-    taken = DutyRecord(node, incarnation, record.token + 1, record.windows)
+    taken = DutyRecord(node, incarnation, record.token + 1, record.windows, record.sizes)
     return HeldRecord(taken, found.revision)
 
 
-def with_window(held: HeldRecord, window: int, counts: dict[str, int]) -> HeldRecord:
-    """Return the record with a window's counts, unless the window stands there already."""
+def with_window(
+    held: HeldRecord, window: int, counts: dict[str, int], sizes: dict[str, int]
+) -> HeldRecord:
+    """Return the record with a window's counts, unless the window stands there already.
+
+    Args:
+      sizes: endpoints that services had at the first start; known ones are kept.
+    """
     windows = dict(held.record.windows)
     windows.setdefault(str(window), counts)
     newest = sorted(windows, key=int)[-WINDOWS_KEPT:]
     record = msgspec.structs.replace(
-        held.record, windows={number: windows[number] for number in newest}
+        held.record,
+        windows={number: windows[number] for number in newest},
+        sizes={**sizes, **held.record.sizes},
     )
     return HeldRecord(record, held.revision)
 
--- a/plumarch/fleet/engine_plan.py
+++ b/plumarch/fleet/engine_plan.py
@@ -66,7 +66,8 @@
     Attributes:
       first_start: whether the whole system starts for the first time: nothing runs yet, so
         that firm endpoints may go before the reclaimable ones have come.
-      first_seen: endpoints that were there when the plan began; at least as many are wanted.
+      first_seen: endpoints that were there at the first start.
+      first_count: how many those were; at least as many are needed.
       demand: tokens a second over all nodes, smoothed.
       sized_for: endpoints that the demand asked for last.
       began_ms: when the plan began.
@@ -76,6 +77,7 @@
     service: str
     first_start: bool = False
     first_seen: set[str] = dataclasses.field(default_factory=set)
+    first_count: int = 0
     demand: float = 0.0
     sized_for: int = 0
     began_ms: int | None = None
@@ -91,7 +93,7 @@
         places = len(scaling.prices)
         most = scaling.maximum * places
         least = max(1, scaling.minimum) * places
-        return min(most, max(least, by_demand, len(self.first_seen)))
+        return min(most, max(least, by_demand, self.first_count))
 
     def spot_wanted(self, scaling: traffic.Scaling) -> int:
         """Return how many reclaimable endpoints are wanted: what is needed, and a reserve."""
@@ -202,7 +204,7 @@
         """Return the orders that are due now, first those that make room."""
         endpoints = list(endpoints)
         ready = self._ready(endpoints)
-        if not self._settled(endpoints):
+        if not self._settled():
             return []
         due = []
         for place, count in self.wanted(scaling, endpoints).items():
@@ -211,18 +213,21 @@
         fewer = {one: one.count < ready.get(Place(one.data_centre, one.spot), 0) for one in due}
         return sorted(due, key=lambda one: (not fewer[one], not one.spot, one.data_centre))
 
-    def _settled(self, endpoints: Iterable[traffic.Endpoint]) -> bool:
-        """Learn which endpoints were there at first; return whether orders may be given."""
+    def learn(self, endpoints: Iterable[traffic.Endpoint]) -> None:
+        """Learn how many endpoints the operators gave the service at the first start."""
         now = self.clock.now()
         if self.began_ms is None:
             self.began_ms = now
-        age = now - self.began_ms
-        if age < LEARN_MS:
-            mine = [one for one in endpoints if one.service == self.service]
-            self.first_seen.update(
-                one.id for one in mine if one.state is traffic.EndpointState.READY
-            )
-        return age >= SETTLE_MS
+        if not self.first_start or now - self.began_ms >= LEARN_MS:
+            return
+        for one in endpoints:
+            if one.service == self.service and one.state is traffic.EndpointState.READY:
+                self.first_seen.add(one.id)
+        self.first_count = max(self.first_count, len(self.first_seen))
+
+    def _settled(self) -> bool:
+        """Return whether the endpoints had time to be told, so that orders may be given."""
+        return self.began_ms is not None and self.clock.now() - self.began_ms >= SETTLE_MS
 
     def _nothing_runs_yet(self, ready: Mapping[Place, int]) -> bool:
         """Return whether firm endpoints may go at once: first start, no demand, none refused."""
--- a/plumarch/fleet/engine_plan_test.py
+++ b/plumarch/fleet/engine_plan_test.py
@@ -26,9 +26,11 @@
 
 
 def settled(time: clock.ManualClock) -> engine_plan.EnginePlan:
-    plan = engine_plan.EnginePlan(time, "s")
+    plan = engine_plan.EnginePlan(time, "s", first_start=True)
+    plan.learn(FIRM_AT_FIRST)
     assert plan.orders(SCALING, FIRM_AT_FIRST) == []
     time.advance_to(time.now() + engine_plan.SETTLE_MS)
+    plan.first_start = False
     return plan
 
 
--- a/plumarch/gateway/admission.py
+++ b/plumarch/gateway/admission.py
@@ -21,11 +21,14 @@
     Attributes:
       reason: one word for logs and metrics.
       retry_after_ms: when to come back, for a request that has not run; else None.
+      units: what it asked of its workspace's allotment.
     """
 
     status: int
     reason: str
     retry_after_ms: float | None = None
+    workspace: str = ""
+    units: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -79,7 +82,7 @@
     if workspace is not None:
         wait_ms = state.quota.admit(workspace, units)
         if wait_ms > 0:
-            return Refusal(429, "quota", wait_ms)
+            return Refusal(429, "quota", wait_ms, workspace.name, units)
     request_id = request.header(names.request_id)
     return Admitted(
         request=request,
--- a/plumarch/gateway/duties.py
+++ b/plumarch/gateway/duties.py
@@ -19,7 +19,7 @@
 DISPLACED_PAUSE_MS = 8_000
 """A node that another one displaced leaves the duties alone for this long."""
 
-OUT_OF_REACH_MS = 3_000
+OUT_OF_REACH_MS = 1_500
 """A holder that reaches neither store nor cloud for this long lets another one try."""
 
 
@@ -87,6 +87,7 @@
 
     async def step(self) -> None:
         """Do what is due now."""
+        self._keep_plans()
         if self.leaving:
             if self.status.token:
                 self._resign("stopping", DISPLACED_PAUSE_MS)
@@ -94,17 +95,39 @@
         if not self.status.token:
             await self._maybe_take_over()
             return
-        await self._report_usage()
-        await self._order_engines()
+        try:
+            await self._report_usage()
+        except errors.PlatformConflict:
+            raise
+        except errors.PlatformError as error:
+            # Engines are ordered all the same: the store may be down while the cloud is not.
+            self._out_of_reach(error)
+        if self.status.token:
+            await self._order_engines()
+
+    def _keep_plans(self) -> None:
+        """Keep the plans of all services up to date on each node, for the day it takes over."""
+        table = self.state.table
+        endpoints = self.state.registry.endpoints
+        if table is None or not endpoints:
+            return
+        for service in table.services.values():
+            if service.scaling is None or not service.scaling.prices:
+                continue
+            if service.name not in self.plans:
+                self.plans[service.name] = engine_plan.EnginePlan(
+                    self.state.clock, service.name, first_start=self.first_start
+                )
+            self.plans[service.name].learn(endpoints.values())
+        self._sample_demand()
 
     async def _order_engines(self) -> None:
         """Order what the plans of the services ask for."""
         table = self.state.table
         if table is None or not self.state.registry.endpoints:
             return
-        self._sample_demand()
         for service in table.services.values():
-            if service.scaling is not None and service.scaling.prices:
+            if service.scaling is not None and service.name in self.plans:
                 await self._order_for(service.name, service.scaling)
 
     def _sample_demand(self) -> None:
@@ -120,10 +143,9 @@
         self.sampled_spent = spent
 
     async def _order_for(self, service: str, scaling: traffic.Scaling) -> None:
-        plan = self.plans.get(service)
-        if plan is None:
-            plan = engine_plan.EnginePlan(self.state.clock, service, first_start=self.first_start)
-            self.plans[service] = plan
+        plan = self.plans[service]
+        if self.held is not None:
+            plan.first_count = max(plan.first_count, self.held.record.sizes.get(service, 0))
         for order in plan.orders(scaling, self.state.registry.endpoints.values()):
             refused = False
             try:
@@ -230,5 +252,9 @@
             counts = self.state.usage.total(window)
             for workspace in self.state.table.workspaces if self.state.table else ():
                 counts.setdefault(workspace, 0)
-            self.held = await self._write(duty_lease.with_window(self.held, window, counts))
+            sizes = {
+                plan.service: plan.first_count for plan in self.plans.values() if plan.first_count
+            }
+            wanted = duty_lease.with_window(self.held, window, counts, sizes)
+            self.held = await self._write(wanted)
         return self.held.record.windows[str(window)]
--- a/plumarch/gateway/relay.py
+++ b/plumarch/gateway/relay.py
@@ -88,11 +88,18 @@
             reason=refusal.reason,
             retry_after_ms=refusal.retry_after_ms,
             configuration=state.table.version if state.table else None,
+            workspace=refusal.workspace,
+            units=refusal.units,
+            level=self._level(refusal.workspace),
             fraction=round(state.quota.fraction, 3),
         )
-        state.measures.answers.labels("", str(refusal.status), refusal.reason).inc()
+        state.measures.answers.labels(refusal.workspace, str(refusal.status), refusal.reason).inc()
         send_refusal(reply, request, refusal, state.names.request_id)
 
+    def _level(self, workspace: str) -> int | None:
+        bucket = self.state.quota.buckets.get(workspace)
+        return round(bucket.level) if bucket else None
+
     def _record(self, admitted: admission.Admitted, run: "_Run", outcome: Outcome) -> None:
         state = self.state
         now = state.clock.now()
