Refuse streams at once that can only come late

The time of a prompt token is learned; a stream whose first event is expected after 1.3 targets is refused as not run.

--- a/plumarch/daemon/gateway.py
+++ b/plumarch/daemon/gateway.py
@@ -25,7 +25,7 @@
 )
 from plumarch.limits import attempt_budget, workspace_quota
 from plumarch.membership import fleet_view, registry
-from plumarch.routing import endpoint_choice, endpoint_health
+from plumarch.routing import endpoint_choice, endpoint_health, first_token
 
 LISTEN_BACKLOG = 1024
 FLUSH_MS = 100
@@ -101,6 +101,7 @@
                 bounds.retry_ratio,
                 bounds.retry_extra,
             ),
+            first_token=first_token.FirstTokenEstimate(),
             usage=usage.UsageCounter(round(bounds.usage_window_s * 1000)),
         )
 
--- a/plumarch/gateway/attempts.py
+++ b/plumarch/gateway/attempts.py
@@ -42,6 +42,7 @@
 
     choice: endpoint_choice.Choice
     exchange: exchange.Exchange
+    sent_ms: int = 0
     saw_first_token: bool = False
 
 
@@ -103,7 +104,7 @@
     if progress.sends == 1:
         state.budget.first(admitted.service)
     state.chooser.begin(choice, admitted.parts)
-    return Attempt(choice, opened)
+    return Attempt(choice, opened, state.clock.now())
 
 
 def _headers(
--- a/plumarch/gateway/fleet_state.py
+++ b/plumarch/gateway/fleet_state.py
@@ -9,7 +9,7 @@
 from plumarch.gateway import decision_log, dialect, measures
 from plumarch.limits import attempt_budget, workspace_quota
 from plumarch.membership.registry import EndpointChange, Registry
-from plumarch.routing import endpoint_choice, endpoint_health
+from plumarch.routing import endpoint_choice, endpoint_health, first_token
 
 
 @dataclasses.dataclass(slots=True)
@@ -36,6 +36,7 @@
     quota: workspace_quota.WorkspaceQuota
     budget: attempt_budget.AttemptBudget
     usage: usage.UsageCounter
+    first_token: first_token.FirstTokenEstimate
     table: routing_table.RoutingTable | None = None
     table_source: str = ""
     table_at_ms: int = 0
--- a/plumarch/gateway/relay.py
+++ b/plumarch/gateway/relay.py
@@ -34,6 +34,9 @@
 STREAM_PATIENCE_MS = 2_000.0
 """A resumable stream waits at least this long for an endpoint's next event."""
 
+HOPELESS_TARGETS = 1.3
+"""A stream whose first event is expected later than this many targets is refused at once."""
+
 SERVER_ERRORS = 500
 DOUBTFUL_FAILURE = 0.3
 """Weight of an endpoint's own 5xx as a failure of the endpoint."""
@@ -112,6 +115,7 @@
             status=outcome.status,
             reason=outcome.reason,
             sends=run.progress.sends,
+            ms_per_token=round(state.first_token.ms_per_token, 4),
             first_ms=run.first_ms,
             total_ms=total_ms,
             events=run.events,
@@ -181,12 +185,21 @@
             choice = attempts.choose(self.state, self.admitted, self.progress)
             if choice is None:
                 return self._give_up(self.progress.last_fault or "no_endpoint", 502)
+            if self._hopeless(choice):
+                return self._give_up("overloaded", 502)
             outcome = await self._attempt(choice)
             if outcome is not None:
                 return outcome
             if not self._may_try_again():
                 return self._give_up(self.progress.last_fault, 502)
 
+    def _hopeless(self, choice: endpoint_choice.Choice) -> bool:
+        """Return whether a first send is expected to miss its target by far."""
+        if self.progress.sends or not self.admitted.prompt_tokens:
+            return False
+        expected_ms = self.state.first_token.expect_ms(choice.cost)
+        return expected_ms > HOPELESS_TARGETS * self.admitted.route.target_ms > 0
+
     async def _attempt(self, choice: endpoint_choice.Choice) -> Outcome | None:
         """Try one endpoint.
 
@@ -322,6 +335,9 @@
             return
         attempt.saw_first_token = True
         self.state.chooser.first_token(attempt.choice)
+        if self.admitted.prompt_tokens:
+            waited_ms = self.state.clock.now() - attempt.sent_ms
+            self.state.first_token.observe(attempt.choice.cost, waited_ms)
         if not self.reply.started:
             attempts.count_began(self.state, self.admitted)
 
--- a/plumarch/standins/gateway_parts.py
+++ b/plumarch/standins/gateway_parts.py
@@ -7,7 +7,7 @@
 from plumarch.gateway import decision_log, dialect, fleet_state, measures
 from plumarch.limits import attempt_budget, workspace_quota
 from plumarch.membership import registry
-from plumarch.routing import endpoint_choice, endpoint_health
+from plumarch.routing import endpoint_choice, endpoint_health, first_token
 
 USAGE_WINDOW_MS = 5_000
 SETTLED_MS = 100_000
@@ -35,5 +35,6 @@
         health=endpoint_health.EndpointHealth(steady),
         quota=workspace_quota.WorkspaceQuota(steady, steady.now() - SETTLED_MS),
         budget=attempt_budget.AttemptBudget(steady, 60_000, 1.0, 1_000.0),
+        first_token=first_token.FirstTokenEstimate(),
         usage=usage.UsageCounter(USAGE_WINDOW_MS),
     )
