Test what nodes hand on to each other; tell a request's story out of logs

plumarch story REQUEST LOGS prints a request's lines of all nodes in the order of time, with what its nodes learned in the three seconds before.

--- a/plumarch/cli/main.py
+++ b/plumarch/cli/main.py
@@ -7,6 +7,7 @@
 import asyncio
 import getpass
 import json
+import pathlib
 import sys
 from collections.abc import Awaitable, Callable
 from typing import Any, TypeVar
@@ -15,7 +16,7 @@
 import httpx
 import tabulate
 
-from plumarch.cli import nodes, settings
+from plumarch.cli import nodes, settings, stories
 from plumarch.config import files, publishing
 from plumarch.core import clock, data, errors
 from plumarch.object_api import client
@@ -201,6 +202,26 @@
             _say(f"No node remembers {request}. Remedy: check the id; old ones are forgotten.")
             raise Stop(EXIT_PARTIAL)
 
+    def story(self, request: str, *logs: str) -> None:
+        """Show a request's story out of the logs of gateways, by its id.
+
+        Args:
+          logs: files of log lines, of any number of nodes.
+        """
+        lines: list[stories.Line] = []
+        for name in logs:
+            try:
+                text = pathlib.Path(name).read_text(encoding="utf-8", errors="replace")
+            except OSError as error:
+                _say(f"{name} can't be read: {error.strerror}. Remedy: name a log file.")
+                raise Stop(EXIT_INPUT) from error
+            lines += stories.parse(text.splitlines())
+        found = stories.story(lines, str(request))
+        if not found:
+            _say(f"No log names {request}. Remedy: give the logs of all nodes of that time.")
+            raise Stop(EXIT_PARTIAL)
+        print(stories.render(found))
+
     def watch(self, workspace: str = "", json: bool = False) -> None:
         """Show decisions as they happen, of one workspace or all."""
         given = self._settings()
--- /dev/null
+++ b/plumarch/cli/stories.py
@@ -0,0 +1,102 @@
+"""One request's story, out of the logs of several nodes.
+
+The logs are JSON lines as plumarch.gateway.decision_log writes them; text before the JSON,
+such as a collector's time stamp, is passed over.
+"""
+
+import dataclasses
+from collections.abc import Iterable
+from typing import Any
+
+import msgspec
+
+BEFORE_MS = 3_000
+"""How long before the request's first line a node's beliefs are part of its story."""
+
+COMMON = frozenset({"at", "node", "kind", "request"})
+BELIEFS = frozenset(
+    {
+        "configuration",
+        "endpoint",
+        "lost",
+        "regained",
+        "history_gone",
+        "start",
+        "stop",
+        "stopped",
+        "reload",
+        "fault",
+    }
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Line:
+    """One line of a log.
+
+    Attributes:
+      at_ms: time of day at its node.
+    """
+
+    at_ms: int
+    node: str
+    kind: str
+    request: str
+    fields: dict[str, Any]
+
+    def text(self, since_ms: int) -> str:
+        """Return the line for a reader, with its time relative to another."""
+        shown = " ".join(f"{name}={value}" for name, value in self.fields.items() if value != "")
+        return f"{self.at_ms - since_ms:+7d} ms  {self.node}  {self.kind}  {shown}"
+
+
+def parse(lines: Iterable[str]) -> list[Line]:
+    """Read the lines that are JSON objects of a log; others are passed over."""
+    found = []
+    for line in lines:
+        start = line.find("{")
+        if start < 0:
+            continue
+        try:
+            fields = msgspec.json.decode(line[start:])
+        except msgspec.DecodeError:
+            continue
+        if isinstance(fields, dict) and "at" in fields and "kind" in fields:
+            found.append(_line(fields))
+    return found
+
+
+def _line(fields: dict[str, Any]) -> Line:
+    others = {name: value for name, value in fields.items() if name not in COMMON}
+    return Line(
+        int(fields["at"]),
+        str(fields.get("node", "")),
+        str(fields["kind"]),
+        str(fields.get("request", "")),
+        others,
+    )
+
+
+def story(lines: Iterable[Line], request: str) -> list[Line]:
+    """Return a request's lines and what its nodes learned meanwhile, in the order of time."""
+    lines = list(lines)
+    own = [line for line in lines if line.request == request]
+    if not own:
+        return []
+    nodes = {line.node for line in own}
+    endpoints = {line.fields.get("endpoint") for line in own}
+    begin = min(line.at_ms for line in own) - BEFORE_MS
+    end = max(line.at_ms for line in own)
+    beliefs = [
+        line
+        for line in lines
+        if line.kind in BELIEFS and line.node in nodes and begin <= line.at_ms <= end
+        if line.kind != "endpoint" or line.fields.get("endpoint") in endpoints
+    ]
+    return sorted(own + beliefs, key=lambda line: (line.at_ms, line.node))
+
+
+def render(lines: list[Line]) -> str:
+    """Return a story as text; times are relative to the request's first line."""
+    first = next((line.at_ms for line in lines if line.request), 0)
+    return "\n".join(line.text(first) for line in lines)
--- a/plumarch/gateway/gossiper.py
+++ b/plumarch/gateway/gossiper.py
@@ -262,7 +262,7 @@
     ) -> None:
         try:
             async with asyncio.timeout(FETCH_TIMEOUT_MS / 1000.0):
-                asked = gossip.request_decoder.decode(await _read_frame(reader))
+                asked = gossip.request_decoder.decode(await read_frame(reader))
                 writer.write(gossip.frame(self._snapshot(asked)))
                 await writer.drain()
         except (OSError, TimeoutError, EOFError, msgspec.DecodeError, errors.PeerProtocolError):
@@ -295,14 +295,19 @@
     reader, writer = await asyncio.open_connection(host, int(port))
     try:
         writer.write(gossip.frame(request))
-        return gossip.snapshot_decoder.decode(await _read_frame(reader))
+        return gossip.snapshot_decoder.decode(await read_frame(reader))
     except EOFError as error:
         raise errors.PeerProtocolError("The peer closed early. Ask again later.") from error
     finally:
         writer.close()
 
 
-async def _read_frame(reader: asyncio.StreamReader) -> bytes:
+async def read_frame(reader: asyncio.StreamReader) -> bytes:
+    """Read one message with its length in front.
+
+    Raises:
+      PeerProtocolError: the length is beyond the limit.
+    """
     length = int.from_bytes(await reader.readexactly(gossip.LENGTH_BYTES), "big")
     if length > gossip.FRAME_LIMIT:
         raise errors.PeerProtocolError(f"A frame of {length} bytes is too large. Upgrade peers.")
--- /dev/null
+++ b/plumarch/gateway/gossiper_test.py
@@ -0,0 +1,148 @@
+"""What nodes hand on to one another: configurations, endpoints, loads, spending, usage."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+import pytest
+
+from plumarch.config import routing_table
+from plumarch.core import clock, errors, traffic
+from plumarch.gateway import gossiper
+from plumarch.membership import fleet_view
+from plumarch.peers import gossip
+from plumarch.routing import endpoint_choice
+from plumarch.standins import gateway_parts
+
+
+def table(version: int) -> routing_table.RoutingTable:
+    spaces = (traffic.Workspace("w", ("k",), rate=10.0, burst=20.0),)
+    return routing_table.build(
+        routing_table.Configuration(
+            version,
+            (
+                traffic.Route(
+                    "r",
+                    "h",
+                    "/",
+                    traffic.RouteKind.STREAMING,
+                    1_000,
+                    100,
+                    (traffic.ServiceShare("s", 1.0),),
+                ),
+            ),
+            (traffic.Service("s", scaling=traffic.Scaling(1, 3, 4_000.0, 0.2, {"a": 1.0})),),
+            spaces,
+            traffic.CallerLimits(),
+        )
+    )
+
+
+ENDPOINT = traffic.Endpoint("e", "s", "1:1", "a", 4, traffic.EndpointState.DRAINING, True, 900.0)
+
+
+class Pair:
+    """Two nodes on two loopback addresses with one port."""
+
+    def __init__(self) -> None:
+        self.clock = clock.MonotonicClock()
+
+    async def __aenter__(self) -> "Pair":
+        while True:
+            self.one = self.node("one", "127.0.0.1:0")
+            await self.one.start()
+            port = self.one.server.sockets[0].getsockname()[1]
+            self.one.close()
+            self.one = self.node("one", f"127.0.0.1:{port}")
+            self.two = self.node("two", f"127.0.0.2:{port}", seeds=(f"127.0.0.1:{port}",))
+            try:
+                await self.one.start()
+                await self.two.start()
+                return self
+            except OSError:  # Another program took the port in between.
+                self.one.close()
+                self.two.close()
+
+    def node(self, name: str, address: str, seeds: tuple[str, ...] = ()) -> gossiper.Gossiper:
+        state = gateway_parts.new_state(self.clock, name)
+        view = fleet_view.FleetView(self.clock, name, 1, address)
+        return gossiper.Gossiper(state, view, gossiper.DutyStatus(), seeds)
+
+    async def __aexit__(self, *_: object) -> None:
+        self.one.close()
+        self.two.close()
+
+    async def until(self, reached: Callable[[], bool]) -> None:
+        while not reached():
+            self.one.tick()
+            self.two.tick()
+            await asyncio.sleep(0.005)
+
+
+def play(test: Callable[[Pair], Awaitable[None]]) -> None:
+    async def run() -> None:
+        async with Pair() as pair:
+            await asyncio.wait_for(test(pair), 30)
+
+    asyncio.run(run())
+
+
+def test_nodes_find_each_other_by_one_seed():
+    async def test(pair: Pair) -> None:
+        await pair.until(lambda: bool(pair.one.view.live() and pair.two.view.live()))
+        assert pair.one.state.quota.fraction == 1.0
+
+    play(test)
+
+
+def test_a_newer_configuration_and_endpoints_are_handed_on_and_never_go_back():
+    async def test(pair: Pair) -> None:
+        pair.one.state.adopt_table(table(7), "store")
+        pair.one.state.registry.replace([ENDPOINT], 40, "store")
+        two = pair.two.state
+        await pair.until(lambda: two.table is not None and two.registry.revision == 40)
+        assert two.table.configuration == table(7).configuration
+        assert two.table_source == "one"
+        assert two.registry.endpoints == {"e": ENDPOINT}
+        two.adopt_table(table(9), "store")
+        await pair.until(lambda: pair.one.state.table.version == 9)
+        assert two.table.version == 9
+
+    play(test)
+
+
+def test_loads_spending_and_usage_reach_the_other_node():
+    async def test(pair: Pair) -> None:
+        for one in (pair.one, pair.two):
+            one.state.adopt_table(table(7), "store")
+        await pair.until(lambda: bool(pair.one.view.live() and pair.two.view.live()))
+        state = pair.one.state
+        state.chooser.own["e"] = endpoint_choice.Load(2, 300.0)
+        state.usage.began("w", state.wall.now())
+        state.quota.admit(table(7).workspaces["w"], 5.0)
+        other = pair.two.state
+        await pair.until(lambda: other.chooser.load("e").running == 2)
+        assert other.chooser.load("e").prompt_tokens == 300.0
+        assert other.quota.total_spent() == 5.0
+        assert sum(sum(one.values()) for one in other.usage.heard["one#1"].values()) == 1
+
+    play(test)
+
+
+def test_what_is_no_heartbeat_is_dropped():
+    state = gateway_parts.new_state(clock.ManualClock())
+    view = fleet_view.FleetView(clock.ManualClock(), "n", 1, "127.0.0.1:1")
+    node = gossiper.Gossiper(state, view, gossiper.DutyStatus(), ())
+    for data in (b"", b"\xff" * 40, gossip.encoder.encode([1, 2, 3])):
+        node.datagram_received(data, ("127.0.0.9", 5))
+    assert view.peers == {}
+    assert b"bad_heartbeat" in bytes(state.log.pending)
+
+
+def test_a_frame_that_claims_too_much_is_refused():
+    async def test() -> None:
+        reader = asyncio.StreamReader()
+        reader.feed_data((gossip.FRAME_LIMIT + 1).to_bytes(4, "big"))
+        with pytest.raises(errors.PeerProtocolError):
+            await gossiper.read_frame(reader)
+
+    asyncio.run(test())
