--- a/plumarch/gateway/attempts.py
+++ b/plumarch/gateway/attempts.py
@@ -55,8 +55,20 @@
 ) -> endpoint_choice.Choice | None:
     """Choose an endpoint that was not tried yet, or None if there is none with room."""
     ready = [one for one in state.registry.ready(admitted.service) if one.id not in progress.tried]
-    candidates = [one for one in state.health.usable(ready) if _has_room(state, admitted, one)]
+    usable = state.health.usable(ready)
+    candidates = [one for one in usable if _has_room(state, admitted, one)]
     if not candidates:
+        state.log.write(
+            "no_endpoint",
+            request=admitted.id,
+            service=admitted.service,
+            ready=len(ready),
+            usable=len(usable),
+            tried=len(progress.tried),
+            registry_revision=state.registry.revision,
+            registry_age_ms=state.registry.age_ms(),
+            registry_source=state.registry.source,
+        )
         return None
     seed = state.rng.randrange(1 << 30)
     if admitted.prompt_tokens:
