Hear nodes for longer where heartbeats are rare; tell usage in every second heartbeat

At 77 nodes heartbeats were 1.27 s apart and a node counted as silent after 1.2 s. The test of a caller that leaves did not fail without its guard (the deadline ended the request too); it now asks for the reason.

--- a/plumarch/gateway/duties.py
+++ b/plumarch/gateway/duties.py
@@ -243,8 +243,9 @@
     def _all_heard_since(self, ago_ms: int) -> bool:
         """Return whether each node that may exist told its counts since a window's end."""
         now = self.state.clock.now()
+        two_beats = gossiper.USAGE_EVERY * max(gossiper.BEAT_MS, self.view.interval_ms)
         return all(
-            peer.heard_ms is not None and now - peer.heard_ms < ago_ms - 2 * gossiper.BEAT_MS
+            peer.heard_ms is not None and now - peer.heard_ms < ago_ms - two_beats
             for peer in self.view.peers.values()
             if peer.incarnation
         )
--- a/plumarch/gateway/duties_test.py
+++ b/plumarch/gateway/duties_test.py
@@ -58,6 +58,8 @@
 
     def exchange(self) -> None:
         """Pass heartbeats between the nodes that reach each other."""
+        for node in self.nodes:
+            node.gossiper.beats += 1
         beats = [(node.number, node.gossiper.heartbeat()) for node in self.nodes]
         for node in self.nodes:
             for number, beat in beats:
--- a/plumarch/gateway/gossiper.py
+++ b/plumarch/gateway/gossiper.py
@@ -15,12 +15,15 @@
 from plumarch.routing import endpoint_choice
 
 BEAT_MS = 250
-BEATS_PER_SECOND = 60
+BEATS_PER_SECOND = 150
 """Heartbeats that a node sends in a second at most; in large fleets they become rarer."""
 
 PEERS_EVERY = 8
 """Every how many heartbeats the known peers are told."""
 
+USAGE_EVERY = 2
+"""Every how many heartbeats usage is told; never in the same ones as the peers."""
+
 USAGE_WINDOWS = 3
 FETCH_PAUSE_MS = 120
 """How long the store may take to tell by itself what a peer knows already."""
@@ -108,6 +111,7 @@
 
     def tick(self) -> None:
         """Age what is known of peers, and send one heartbeat to each."""
+        self.view.interval_ms = self.interval_ms()
         for peer in self.view.tick():
             self.state.log.write("peer_forgotten", peer=peer.name, address=peer.address)
             self.state.quota.forget(f"{peer.name}#{peer.incarnation}")
@@ -145,6 +149,7 @@
         ]
         recent = state.usage.recent(state.wall.now(), USAGE_WINDOWS)
         tell_peers = self.beats % PEERS_EVERY == 0
+        tell_usage = self.beats % USAGE_EVERY == 1
         return gossip.Heartbeat(
             node=self.view.node,
             incarnation=self.view.incarnation,
@@ -157,7 +162,11 @@
             reported=self.duty.reported,
             spending=spending,
             loads=loads[:12],
-            usage=[gossip.WindowUsage(number, counts) for number, counts in recent.items()],
+            usage=[
+                gossip.WindowUsage(number, counts)
+                for number, counts in recent.items()
+                if tell_usage
+            ],
             peers=self._known_peers() if tell_peers else [],
         )
 
--- a/plumarch/gateway/relay_test.py
+++ b/plumarch/gateway/relay_test.py
@@ -562,6 +562,7 @@
             writer.close()
             await over.wait()
             assert gateway.state.chooser.own == {}
+            assert b"caller_left" in bytes(gateway.state.log.pending)
 
     play(test)
 
--- a/plumarch/membership/fleet_view.py
+++ b/plumarch/membership/fleet_view.py
@@ -10,7 +10,10 @@
 from plumarch.core import clock
 
 HEARD_MS = 1_200
-"""A node whose heartbeat is younger than this counts as heard."""
+"""A node whose heartbeat is younger than this counts as heard, if heartbeats are frequent."""
+
+HEARD_BEATS = 4.5
+"""Where heartbeats are rarer, a node is heard for this many intervals."""
 
 FORGET_MS = 30_000
 """A node silent for this long is no longer counted among the fleet."""
@@ -39,12 +42,17 @@
 
 @dataclasses.dataclass(slots=True)
 class FleetView:
-    """All peers by name; those known by address only stand under their address."""
+    """All peers by name; those known by address only stand under their address.
+
+    Attributes:
+      interval_ms: the time between two heartbeats of a node.
+    """
 
     clock: clock.Clock
     node: str
     incarnation: int
     address: str
+    interval_ms: float = 0.0
     peers: dict[str, Peer] = dataclasses.field(default_factory=dict)
 
     def learn(self, name: str, address: str) -> None:
@@ -100,7 +108,8 @@
 
     def is_heard(self, peer: Peer) -> bool:
         """Return whether a peer was heard lately."""
-        return peer.heard_ms is not None and self.clock.now() - peer.heard_ms <= HEARD_MS
+        limit = max(HEARD_MS, HEARD_BEATS * self.interval_ms)
+        return peer.heard_ms is not None and self.clock.now() - peer.heard_ms <= limit
 
     def live(self) -> list[Peer]:
         """Return the peers that are heard and not leaving, by name."""
--- a/plumarch/membership/fleet_view_test.py
+++ b/plumarch/membership/fleet_view_test.py
@@ -46,6 +46,17 @@
     assert view.heard_fraction() == 1.0
 
 
+def test_where_heartbeats_are_rare_a_node_is_heard_for_longer():
+    time = clock.ManualClock()
+    view = view_at(time)
+    view.interval_ms = 1_000.0
+    view.heard("b", 60, "10.0.0.2:7", "z")
+    time.advance_to(4_000)
+    assert len(view.live()) == 1
+    time.advance_to(4_501)
+    assert view.live() == []
+
+
 def test_a_node_that_left_as_planned_reserves_nothing():
     time = clock.ManualClock()
     view = view_at(time)
