--- a/plumarch/fleet/engine_plan.py
+++ b/plumarch/fleet/engine_plan.py
@@ -18,6 +18,10 @@
 FLOOR = 0.7
 """Part of the needed endpoints below which firm ones are ordered."""
 
+HEDGE = 0.4
+"""Part of the needed endpoints that firm ones make up while reclaimable ones are refused:
+data centres are reclaimed within seconds of each other, and a boot takes longer."""
+
 LEFT_AFTER_LOSS = 0.5
 """Part of the needed endpoints that each data centre holds, so as to be left with it alone."""
 
@@ -136,7 +140,8 @@
         firm_ready = sum(count for place, count in ready.items() if not place.spot)
         lacking = math.ceil(FLOOR * needed) - self._spot_ready_or_coming(scaling, ready)
         kept = min(firm_ready, needed - spot_ready)
-        lacking = max(lacking, kept, 0)
+        hedge = math.ceil(HEDGE * needed) if self._refused_now() else 0
+        lacking = max(lacking, kept, hedge, 0)
         counts = dict.fromkeys(scaling.prices, 0)
         for _ in range(lacking):
             name = self._firm_place(scaling, ready, counts)
@@ -171,6 +176,14 @@
             total += count
         return total
 
+    def _refused_now(self) -> bool:
+        """Return whether an order for reclaimable endpoints was refused lately."""
+        now = self.clock.now()
+        return any(
+            given.refused and place.spot and now - given.at_ms < 2 * REPEAT_MS
+            for place, given in self.given.items()
+        )
+
     def _overdue(self, given: Given, scaling: traffic.Scaling) -> bool:
         return self.clock.now() - given.at_ms >= scaling.boot_ms + BOOT_MARGIN_MS
 
--- a/plumarch/fleet/engine_plan_test.py
+++ b/plumarch/fleet/engine_plan_test.py
@@ -95,6 +95,19 @@
     assert firm == {"a": 1, "b": 0, "c": 1}
 
 
+def test_while_reclaimable_endpoints_are_refused_some_firm_ones_are_held():
+    time = clock.ManualClock()
+    plan = settled(time)
+    time.advance_to(time.now() + engine_plan.LEARN_MS)
+    here = engines(("b", True, 3), ("c", True, 3))
+    for order in plan.orders(SCALING, here):
+        plan.ordered(order, refused=order.spot)
+    firm = [one for one in plan.orders(SCALING, here) if not one.spot]
+    assert sum(one.count for one in firm) == 2
+    time.advance_to(time.now() + 10 * engine_plan.REPEAT_MS)
+    assert all(one.count == 0 for one in plan.orders(SCALING, here) if not one.spot)
+
+
 def test_no_firm_endpoints_are_ordered_while_reclaimable_ones_are_coming():
     time = clock.ManualClock()
     plan = settled(time)
