--- a/plumarch/config/ini.py
+++ b/plumarch/config/ini.py
@@ -2,17 +2,20 @@
 
 import configparser
 import dataclasses
+import pathlib
 import re
+from collections.abc import Callable
 from typing import TypeVar
 
 import pydantic
 
-from plumarch.core import data
+from plumarch.core import data, errors
 
 SECTION_LINE = re.compile(r"^\[(?P<name>[^\]]+)\]")
 KEY_LINE = re.compile(r"^(?P<key>[A-Za-z0-9_.-]+)\s*[=:]")
 
 Model = TypeVar("Model", bound=pydantic.BaseModel)
+Read = TypeVar("Read")
 
 
 class Section(pydantic.BaseModel):
@@ -105,6 +108,24 @@
     return Document(file, sections, _line_index(text), problems)
 
 
+def load(path: str, read: Callable[[str, str], tuple[Read | None, list[data.Problem]]]) -> Read:
+    """Read and validate a settings file.
+
+    Args:
+      read: validates a text, given the file's name and the text.
+    Raises:
+      SettingsError: with all problems, each at its file, section and key, and a remedy.
+    """
+    try:
+        text = pathlib.Path(path).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        raise errors.SettingsError(f"{path} can't be read: {error}. Name a file.") from error
+    found, problems = read(path, text)
+    if found is None:
+        raise errors.SettingsError("\n".join(problem.text() for problem in problems))
+    return found
+
+
 def _syntax(file: str, line: int, message: str) -> data.Problem:
     return data.Problem(file, line, "", "", message, "write [section] lines and key = value.")
 
--- a/plumarch/daemon/gateway_settings.py
+++ b/plumarch/daemon/gateway_settings.py
@@ -1,13 +1,12 @@
 """The gateway's settings: an INI file, validated whole before anything starts."""
 
 import dataclasses
-import pathlib
 from typing import Annotated
 
 import pydantic
 
 from plumarch.config import ini
-from plumarch.core import data, errors
+from plumarch.core import data
 from plumarch.daemon import settings
 
 Words = Annotated[tuple[str, ...], pydantic.BeforeValidator(ini.words)]
@@ -91,14 +90,7 @@
     Raises:
       SettingsError: with all problems, each at its file, section and key, and a remedy.
     """
-    try:
-        text = pathlib.Path(path).read_text(encoding="utf-8")
-    except (OSError, UnicodeDecodeError) as error:
-        raise errors.SettingsError(f"{path} can't be read: {error}. Name a file.") from error
-    found, problems = read(path, text)
-    if found is None:
-        raise errors.SettingsError("\n".join(problem.text() for problem in problems))
-    return found
+    return ini.load(path, read)
 
 
 def read(file: str, text: str) -> tuple[GatewaySettings | None, list[data.Problem]]:
--- a/plumarch/daemon/settings.py
+++ b/plumarch/daemon/settings.py
@@ -1,14 +1,13 @@
 """The daemon's settings: an INI file, validated whole before anything starts."""
 
 import dataclasses
-import pathlib
 import re
 from typing import Annotated
 
 import pydantic
 
 from plumarch.config import ini
-from plumarch.core import data, errors
+from plumarch.core import data
 
 ADDRESS = re.compile(r"^(?P<host>[0-9a-fA-F.:\[\]]+):(?P<port>\d{1,5})$")
 PORT_LIMIT = 65_535
@@ -112,14 +111,7 @@
     Raises:
       SettingsError: with all problems, each at its file, section and key, and a remedy.
     """
-    try:
-        text = pathlib.Path(path).read_text(encoding="utf-8")
-    except (OSError, UnicodeDecodeError) as error:
-        raise errors.SettingsError(f"{path} can't be read: {error}. Name a file.") from error
-    settings, problems = read(path, text)
-    if settings is None:
-        raise errors.SettingsError("\n".join(problem.text() for problem in problems))
-    return settings
+    return ini.load(path, read)
 
 
 def read(file: str, text: str) -> tuple[Settings | None, list[data.Problem]]:
--- /dev/null
+++ b/plumarch/gateway/request_run.py
@@ -0,0 +1,292 @@
+"""One request on its way: attempts until an endpoint answers, or until it is given up.
+
+A request that is given up gets its final answer at once. "Not run" (503, with when to come
+back) is told only if no byte was handed to an endpoint or each endpoint said that it did not
+run it; otherwise the answer promises nothing (502, 504).
+"""
+
+import asyncio
+import dataclasses
+
+import h11
+
+from plumarch.core import traffic
+from plumarch.gateway import (
+    admission,
+    attempts,
+    caller_connection,
+    errors,
+    event_stream,
+    exchange,
+    fleet_state,
+)
+from plumarch.routing import endpoint_choice
+
+ANSWER_BYTES_LIMIT = 16 * 1024 * 1024
+RETRY_AFTER_MS = {
+    traffic.RouteKind.SAFE: 60.0,
+    traffic.RouteKind.UNSAFE: 60.0,
+    traffic.RouteKind.STREAMING: 400.0,
+}
+PATIENCE_TARGETS = 1.6
+"""A repeatable request waits this many targets for one endpoint's answer."""
+
+STREAM_PATIENCE_MS = 2_000.0
+"""A resumable stream waits at least this long for an endpoint's next event."""
+
+HOPELESS_TARGETS = 1.3
+"""A stream whose first event is expected later than this many targets is refused at once."""
+
+SERVER_ERRORS = 500
+DOUBTFUL_FAILURE = 0.3
+"""Weight of an endpoint's own 5xx as a failure of the endpoint."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Outcome:
+    """How a request ended, for logs and metrics."""
+
+    status: int
+    reason: str
+
+
+def send_refusal(
+    reply: caller_connection.Reply,
+    request: caller_connection.CallerRequest,
+    refusal: admission.Refusal,
+    id_header: bytes,
+) -> None:
+    """Send a final answer of the gateway itself."""
+    headers = [(b"content-type", b"text/plain")]
+    request_id = request.header(id_header)
+    if request_id:
+        headers.append((id_header, request_id.encode("latin-1")))
+    if refusal.retry_after_ms is not None:
+        seconds = f"{refusal.retry_after_ms / 1000.0:.3f}"
+        headers.append((b"retry-after", seconds.encode()))
+    reply.send(refusal.status, headers, f"{refusal.reason}\n".encode())
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WholeAnswer:
+    """An endpoint's answer with its whole body."""
+
+    head: h11.Response
+    body: bytes
+
+
+class RequestRun:
+    """One request on its way."""
+
+    def __init__(
+        self,
+        state: fleet_state.FleetState,
+        admitted: admission.Admitted,
+        reply: caller_connection.Reply,
+    ) -> None:
+        self.state = state
+        self.admitted = admitted
+        self.reply = reply
+        self.progress = attempts.Progress()
+        self.first_ms: int | None = None
+        self.events = 0
+        self.failed_answer: WholeAnswer | None = None
+
+    async def serve(self) -> Outcome:
+        """Make attempts until one answers or the request is given up."""
+        time_left = (self.admitted.ends_ms - self.state.clock.now()) / 1000.0
+        try:
+            async with asyncio.timeout(max(0.0, time_left)):
+                return await self._attempt_all()
+        except TimeoutError:
+            return self._give_up("timeout", 504)
+
+    async def _attempt_all(self) -> Outcome:
+        while True:
+            choice = attempts.choose(self.state, self.admitted, self.progress)
+            if choice is None:
+                return self._give_up(self.progress.last_fault or "no_endpoint", 502)
+            if self._hopeless(choice):
+                return self._give_up("overloaded", 502)
+            outcome = await self._attempt(choice)
+            if outcome is not None:
+                return outcome
+            if not self._may_try_again():
+                return self._give_up(self.progress.last_fault, 502)
+
+    def _hopeless(self, choice: endpoint_choice.Choice) -> bool:
+        """Return whether a first send is expected to miss its target by far."""
+        if self.progress.sends or not self.admitted.prompt_tokens:
+            return False
+        expected_ms = self.state.first_token.expect_ms(choice.cost)
+        return expected_ms > HOPELESS_TARGETS * self.admitted.route.target_ms > 0
+
+    async def _attempt(self, choice: endpoint_choice.Choice) -> Outcome | None:
+        """Try one endpoint.
+
+        Returns:
+          How the request ended, or None if this endpoint did not answer it.
+        """
+        state, progress = self.state, self.progress
+        try:
+            attempt = await attempts.send(state, self.admitted, progress, choice)
+        except errors.ConnectFailed:
+            progress.last_fault = "no_connection"
+            return None
+        endpoint = choice.endpoint.id
+        label = "abandoned"
+        try:
+            outcome = await self._relay(attempt)
+            label = "answered"
+            if outcome.status >= SERVER_ERRORS:
+                state.health.failure(endpoint, DOUBTFUL_FAILURE)
+            else:
+                state.health.success(endpoint)
+            return outcome
+        except attempts.NotRun:
+            progress.unresolved -= 1
+            progress.last_fault = label = "not_run"
+        except RepeatElsewhere:
+            progress.last_fault = label = "failed"
+            state.health.failure(endpoint, DOUBTFUL_FAILURE)
+        except errors.AnswerTimeout:
+            progress.last_fault = label = "silent"
+            state.health.failure(endpoint)
+        except errors.ConnectionBroken as error:
+            progress.last_fault = label = "broken"
+            state.health.failure(endpoint)
+            state.log.write("broken", request=self.admitted.id, endpoint=endpoint, why=str(error))
+        finally:
+            attempts.end(state, attempt)
+            state.measures.attempts.labels(self.admitted.service, label).inc()
+        return None
+
+    def _may_try_again(self) -> bool:
+        """Return whether a further endpoint may be tried, and spend the budget for it."""
+        route = self.admitted.route
+        if self.progress.sends == 0:
+            return True
+        if self.progress.unresolved and not route.repeatable():
+            return False
+        if self.progress.sends >= route.max_attempts:
+            return False
+        return self.state.budget.take(self.admitted.service)
+
+    async def _relay(self, attempt: attempts.Attempt) -> Outcome:
+        head = await attempts.read_head(self.state, self.admitted, attempt, self._patience_ms())
+        media = attempts.header_of(head, b"content-type")
+        if head.status_code == 200 and media.startswith("text/event-stream"):
+            return await self._relay_events(attempt, head)
+        return await self._relay_whole(attempt, head)
+
+    def _patience_ms(self) -> float:
+        """Return how long to wait for the endpoint at hand."""
+        route = self.admitted.route
+        left = self.admitted.ends_ms - self.state.clock.now()
+        if not route.repeatable() or self.progress.sends >= route.max_attempts:
+            return left
+        wanted = PATIENCE_TARGETS * route.target_ms
+        if route.kind is traffic.RouteKind.STREAMING:
+            wanted = max(wanted, STREAM_PATIENCE_MS)
+        return min(left, wanted) if wanted > 0 else left
+
+    async def _relay_whole(self, attempt: attempts.Attempt, head: h11.Response) -> Outcome:
+        """Relay an answer that is read whole first, so that a broken one is never begun."""
+        body = await attempt.exchange.read_body(ANSWER_BYTES_LIMIT)
+        self._first_token(attempt)
+        if head.status_code >= SERVER_ERRORS and self._worth_repeating():
+            self.failed_answer = WholeAnswer(head, body)
+            raise RepeatElsewhere("the endpoint failed, and another one may answer")
+        if self.reply.started:
+            raise errors.ConnectionBroken(f"the stream can't go on: {head.status_code}")
+        return self._send_whole(WholeAnswer(head, body))
+
+    def _send_whole(self, answer: WholeAnswer) -> Outcome:
+        self.first_ms = self.state.clock.now() - self.admitted.request.began_ms
+        headers = attempts.answer_headers(answer.head, self.state.names)
+        self.reply.send(answer.head.status_code, headers, answer.body)
+        return Outcome(answer.head.status_code, "relayed")
+
+    def _worth_repeating(self) -> bool:
+        route = self.admitted.route
+        return route.repeatable() and self.progress.sends < route.max_attempts
+
+    async def _relay_events(self, attempt: attempts.Attempt, head: h11.Response) -> Outcome:
+        """Relay whole events as they come; an answer that breaks goes on or breaks visibly."""
+        splitter = event_stream.Splitter()
+        while True:
+            part = await self._next_part(attempt)
+            if isinstance(part, h11.EndOfMessage):
+                break
+            for event in splitter.feed(bytes(part.data) if isinstance(part, h11.Data) else b""):
+                await self._relay_event(attempt, head, event)
+        if splitter.rest:
+            raise errors.ConnectionBroken("the stream ended inside an event")
+        if not self.reply.started:
+            self.reply.start(head.status_code, attempts.answer_headers(head, self.state.names))
+        self.reply.finish()
+        return Outcome(head.status_code, "relayed")
+
+    async def _next_part(self, attempt: attempts.Attempt) -> exchange.ReceivedEvent:
+        patience = self._patience_ms()
+        try:
+            async with asyncio.timeout(max(0.001, patience / 1000.0)):
+                return await attempt.exchange.next()
+        except TimeoutError as error:
+            raise errors.AnswerTimeout(f"no event for {patience:.0f} ms") from error
+
+    async def _relay_event(
+        self, attempt: attempts.Attempt, head: h11.Response, event: event_stream.Event
+    ) -> None:
+        if event.id and not event_stream.follows(self.progress.last_event_id, event.id):
+            raise errors.ConnectionBroken(
+                f"event {event.id} came after {self.progress.last_event_id}"
+            )
+        self._first_token(attempt)
+        if not self.reply.started:
+            self.first_ms = self.state.clock.now() - self.admitted.request.began_ms
+            self.reply.start(head.status_code, attempts.answer_headers(head, self.state.names))
+        await self.reply.chunk(event.raw)
+        self.events += 1
+        if event.id:
+            self.progress.last_event_id = event.id
+
+    def _first_token(self, attempt: attempts.Attempt) -> None:
+        if attempt.saw_first_token:
+            return
+        attempt.saw_first_token = True
+        self.state.chooser.first_token(attempt.choice)
+        if self.admitted.prompt_tokens:
+            waited_ms = self.state.clock.now() - attempt.sent_ms
+            self.state.first_token.observe(attempt.choice.cost, waited_ms)
+        if not self.reply.started:
+            attempts.count_began(self.state, self.admitted)
+
+    def _give_up(self, reason: str, status: int) -> Outcome:
+        """Answer for good; "not run" only if that is certain."""
+        if self.reply.started:
+            self.reply.abort()
+            return Outcome(status, f"broken_off_{reason}")
+        if self.failed_answer is not None:
+            return self._send_whole(self.failed_answer)
+        if self.progress.unresolved:
+            return self.fail(Outcome(status, reason))
+        if self.admitted.workspace is not None:
+            self.state.quota.refund(self.admitted.workspace, self.admitted.units)
+        kind = self.admitted.route.kind
+        refusal = admission.Refusal(503, reason, RETRY_AFTER_MS[kind])
+        send_refusal(self.reply, self.admitted.request, refusal, self.state.names.request_id)
+        return Outcome(503, reason)
+
+    def fail(self, outcome: Outcome) -> Outcome:
+        """Send a failure that promises nothing, or break off what has begun."""
+        if self.reply.started:
+            self.reply.abort()
+            return outcome
+        refusal = admission.Refusal(outcome.status, outcome.reason)
+        send_refusal(self.reply, self.admitted.request, refusal, self.state.names.request_id)
+        return outcome
+
+
+class RepeatElsewhere(errors.ExchangeError):
+    """The endpoint answered with a failure of its own; another one may do better."""
