Let three nodes of each data centre follow the store in fleets of more than twelve

The others fetch what is newer from those three, and follow the store themselves if they hear none of them. Small fleets are as before.

--- a/plumarch/daemon/gateway.py
+++ b/plumarch/daemon/gateway.py
@@ -60,7 +60,12 @@
         self.view = fleet_view.FleetView(self.clock, settings.node.name, incarnation, address)
         status = gossiper.DutyStatus()
         self.gossiper = gossiper.Gossiper(self.state, self.view, status, settings.peers.seeds)
-        self.follower = follower.Follower(self.state, store, self.gossiper.beat_soon)
+        self.follower = follower.Follower(
+            self.state,
+            store,
+            self.gossiper.beat_soon,
+            lambda: self.view.watches_store(settings.node.data_centre),
+        )
         self.duties = duties.Duties(
             self.state,
             self.view,
--- a/plumarch/gateway/follower.py
+++ b/plumarch/gateway/follower.py
@@ -11,6 +11,9 @@
 WATCH_MS = 2_500
 FIRST_PAUSE_MS = 150.0
 LONGEST_PAUSE_MS = 600.0
+NOT_WATCHING_MS = 1_000.0
+"""How often a node that leaves watching to others asks whether it still may."""
+
 STORE = "store"
 
 
@@ -53,17 +56,22 @@
 
 
 class Follower:
-    """Keeps the state's configuration and registry up to date from the store."""
+    """Keeps the state's configuration and registry up to date from the store.
+
+    A node that leaves watching to others of its fleet gets what is newer from them.
+    """
 
     def __init__(
         self,
         state: fleet_state.FleetState,
         store: ports.Store,
         on_news: Callable[[], None],
+        watches: Callable[[], bool] = lambda: True,
     ) -> None:
         self.state = state
         self.store = store
         self.on_news = on_news
+        self.watches = watches
 
     async def follow_configuration(self) -> None:
         """Follow the configuration, forever."""
@@ -77,9 +85,15 @@
         self, dependency: Dependency, step: Callable[[int | None], Awaitable[int]]
     ) -> None:
         revision: int | None = None
+        listed = False
         while True:
+            if listed and not self.watches():
+                revision = None
+                await asyncio.sleep(NOT_WATCHING_MS / 1000.0)
+                continue
             try:
                 revision = await step(revision)
+                listed = True
                 dependency.answered()
             except errors.PlatformTooOld:
                 self.state.log.write("history_gone", dependency=dependency.name, since=revision)
--- a/plumarch/gateway/follower_test.py
+++ b/plumarch/gateway/follower_test.py
@@ -41,11 +41,19 @@
         return self.next(f"watch {revision}")
 
 
-def follow(*script: object) -> tuple[list[str], gateway_parts.fleet_state.FleetState]:
+def follow(
+    *script: object, watches: list[bool] | None = None
+) -> tuple[list[str], gateway_parts.fleet_state.FleetState]:
     store = ScriptedStore(*script)
     state = gateway_parts.new_state(clock.ManualClock())
     state.rng = random.Random(1)
-    following = follower.Follower(state, store, lambda: None)  # type: ignore[arg-type]
+    answers = iter(watches or [])
+    following = follower.Follower(
+        state,
+        store,  # type: ignore[arg-type]
+        lambda: None,
+        lambda: next(answers, True),
+    )
 
     async def run() -> None:
         with contextlib.suppress(Done):
@@ -70,6 +78,12 @@
     assert asked == ["list", "watch 10", "list", "watch 30"]
 
 
+def test_a_node_that_leaves_watching_to_others_lists_once_and_again_when_they_are_gone(monkeypatch):
+    monkeypatch.setattr(follower, "NOT_WATCHING_MS", 0.0)
+    asked, _ = follow(news(1, 10), news(2, 20), watches=[False, False, True, True])
+    assert asked == ["list", "list", "watch 20"]
+
+
 def test_after_a_failure_the_short_call_comes_first(monkeypatch):
     monkeypatch.setattr(follower, "FIRST_PAUSE_MS", 1.0)
     lost = errors.PlatformAnswerLost("silent")
--- a/plumarch/membership/fleet_view.py
+++ b/plumarch/membership/fleet_view.py
@@ -19,6 +19,13 @@
 """A node silent for this long is no longer counted among the fleet."""
 
 
+SMALL_FLEET = 12
+"""Up to this size each node follows the store."""
+
+WATCHERS = 3
+"""Nodes of each data centre that follow the store in a larger fleet."""
+
+
 @dataclasses.dataclass(slots=True)
 class Peer:
     """Another node.
@@ -133,6 +140,22 @@
         mine = (self.incarnation, self.node)
         return all(mine < (peer.incarnation, peer.name) for peer in self.live())
 
+    def watches_store(self, data_centre: str) -> bool:
+        """Return whether this node follows the store itself.
+
+        In a small fleet each node does. In a large one some of each data centre do, and the
+        others fetch from them what is newer; a node that hears none of those follows it too.
+        """
+        if self.size() <= SMALL_FLEET:
+            return True
+        mine = (self.incarnation, self.node)
+        older = [
+            peer
+            for peer in self.live()
+            if peer.data_centre == data_centre and (peer.incarnation, peer.name) < mine
+        ]
+        return len(older) < WATCHERS
+
     def holder(self) -> Peer | None:
         """Return the live peer that says it holds the duties under the highest token."""
         holders = [peer for peer in self.live() if peer.token > 0]
--- a/plumarch/membership/fleet_view_test.py
+++ b/plumarch/membership/fleet_view_test.py
@@ -57,6 +57,20 @@
     assert view.live() == []
 
 
+def test_in_a_large_fleet_the_oldest_of_each_data_centre_follow_the_store():
+    time = clock.ManualClock()
+    view = view_at(time)
+    for number in range(fleet_view.WATCHERS):
+        view.heard(f"b{number}", number, f"10.0.1.{number}:7", "z")
+    assert view.watches_store("z")
+    for number in range(fleet_view.SMALL_FLEET):
+        view.heard(f"c{number}", number, f"10.0.2.{number}:7", "y")
+    assert not view.watches_store("z")
+    assert view.watches_store("x")
+    time.advance_to(fleet_view.HEARD_MS + 1)
+    assert view.watches_store("z")
+
+
 def test_a_node_that_left_as_planned_reserves_nothing():
     time = clock.ManualClock()
     view = view_at(time)
