Carry out the duties that the settings name, and no others

Without a cloud address, or without named duties, no node takes them. Settings that nothing read are gone; all problems of a file are tested to be told at once.

--- a/plumarch/daemon/gateway.py
+++ b/plumarch/daemon/gateway.py
@@ -74,6 +74,7 @@
             cloud,
             self._usage_schedule(),
             settings.node.first_start,
+            self._duty_tasks(),
         )
         self.callers = caller_connection.CallerServer(self.clock, relay.Relay(self.state))
         pages = status_pages.StatusPages(self.state, self.ready)
@@ -110,6 +111,13 @@
             usage=usage.UsageCounter(round(bounds.usage_window_s * 1000)),
         )
 
+    def _duty_tasks(self) -> duties.DutyTasks:
+        cloud = self.settings.cloud
+        known = cloud.duties if cloud.address else ()
+        return duties.DutyTasks(
+            usage=gateway_settings.USAGE in known, scaling=gateway_settings.SCALING in known
+        )
+
     def _tolerance(self) -> workspace_quota.Tolerance:
         bounds = self.settings.bounds
         window_ms = round(bounds.quota_window_s * 1000)
--- a/plumarch/daemon/gateway_settings.py
+++ b/plumarch/daemon/gateway_settings.py
@@ -9,11 +9,25 @@
 from plumarch.core import data
 from plumarch.daemon import settings
 
+USAGE = "usage"
+SCALING = "scaling"
+
 Words = Annotated[tuple[str, ...], pydantic.BeforeValidator(ini.words)]
 Positive = Annotated[float, pydantic.Field(gt=0)]
 NotNegative = Annotated[float, pydantic.Field(ge=0)]
 
 
+def _duties(value: object) -> tuple[str, ...]:
+    words = ini.words(value)
+    unknown = sorted(set(words) - {USAGE, SCALING})
+    if unknown:
+        raise ValueError(f"unknown duties {', '.join(unknown)}; known are {USAGE}, {SCALING}")
+    return words
+
+
+Duties = Annotated[tuple[str, ...], pydantic.BeforeValidator(_duties)]
+
+
 class NodeSection(ini.Section):
     """[node]: who this node is, and whether the whole system starts for the first time."""
 
@@ -44,10 +58,13 @@
 
 
 class CloudSection(ini.Section):
-    """[cloud]: the platform's calls of one node at a time; without an address there are none."""
+    """[cloud]: the platform's calls of one node at a time; without an address there are none.
+
+    The duties are "usage", to report it, and "scaling", to order endpoints.
+    """
 
     address: str = ""
-    duties: Words = ()
+    duties: Duties = ()
 
 
 class BoundsSection(ini.Section):
@@ -62,7 +79,6 @@
     quota_slack: NotNegative = 0.0
     usage_window_s: Positive = 5.0
     usage_delay_s: Positive = 10.0
-    lease_ms: Positive = 3000.0
 
 
 class LogSection(ini.Section):
--- /dev/null
+++ b/plumarch/daemon/gateway_settings_test.py
@@ -0,0 +1,54 @@
+"""The gateway's settings: whole ones, and every problem at its place."""
+
+import pathlib
+
+import pytest
+
+from plumarch.core import errors
+from plumarch.daemon import gateway_settings
+
+WHOLE = """
+[node]
+name = a
+data_centre = z
+first_start = true
+[listen]
+callers = 127.0.0.1:1
+readiness = 127.0.0.1:2
+peers = 127.0.0.1:3
+metrics = 127.0.0.1:4
+[peers]
+seeds = 10.0.0.1:8, 10.0.0.2:8
+[store]
+address = 127.0.0.1:5
+[cloud]
+address = 127.0.0.1:6
+duties = usage, scaling
+"""
+
+
+def test_whole_settings():
+    found, problems = gateway_settings.read("g.ini", WHOLE)
+    assert problems == []
+    assert found.node.first_start
+    assert found.peers.seeds == ("10.0.0.1:8", "10.0.0.2:8")
+    assert found.cloud.duties == ("usage", "scaling")
+
+
+def test_all_problems_are_told_at_once_with_their_lines():
+    wrong = WHOLE.replace("127.0.0.1:2", "nowhere").replace("usage, scaling", "usage, dancing")
+    found, problems = gateway_settings.read("g.ini", wrong + "[bounds]\nstop_s = -1\nodd = 2\n")
+    assert found is None
+    places = {(one.section, one.key) for one in problems}
+    assert places == {
+        ("listen", "readiness"),
+        ("cloud", "duties"),
+        ("bounds", "stop_s"),
+        ("bounds", "odd"),
+    }
+    assert all(one.line > 0 and one.remedy for one in problems)
+
+
+def test_a_file_that_cannot_be_read_names_the_remedy(tmp_path: pathlib.Path):
+    with pytest.raises(errors.SettingsError, match="Name a file"):
+        gateway_settings.load(str(tmp_path / "missing.ini"))
--- a/plumarch/gateway/duties.py
+++ b/plumarch/gateway/duties.py
@@ -37,6 +37,17 @@
     late_ms: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class DutyTasks:
+    """Which duties a deployment has."""
+
+    usage: bool
+    scaling: bool
+
+
+ALL_TASKS = DutyTasks(usage=True, scaling=True)
+
+
 class Duties:
     """Holds the duties when it is this node's turn, and carries them out."""
 
@@ -49,6 +60,7 @@
         cloud: ports.Cloud,
         schedule: UsageSchedule,
         first_start: bool = False,
+        tasks: DutyTasks = ALL_TASKS,
     ) -> None:
         self.state = state
         self.view = view
@@ -57,6 +69,7 @@
         self.cloud = cloud
         self.schedule = schedule
         self.first_start = first_start
+        self.tasks = tasks
         self.held: duty_lease.HeldRecord | None = None
         self.started_ms = state.clock.now()
         self.not_before_ms = self.started_ms + SETTLE_MS
@@ -92,6 +105,8 @@
     async def step(self) -> None:
         """Do what is due now."""
         self._keep_plans()
+        if not self.tasks.usage and not self.tasks.scaling:
+            return
         if self.leaving:
             if self.status.token:
                 self._resign("stopping", DISPLACED_PAUSE_MS)
@@ -100,13 +115,14 @@
             await self._maybe_take_over()
             return
         try:
-            await self._report_usage()
+            if self.tasks.usage:
+                await self._report_usage()
         except errors.PlatformConflict:
             raise
         except errors.PlatformError as error:
             # Engines are ordered all the same: the store may be down while the cloud is not.
             self._out_of_reach(error)
-        if self.status.token:
+        if self.status.token and self.tasks.scaling:
             await self._order_engines()
 
     def _keep_plans(self) -> None:
--- a/plumarch/gateway/duties_test.py
+++ b/plumarch/gateway/duties_test.py
@@ -251,6 +251,14 @@
     assert len([node for node in world.nodes if node.duties.status.token]) == 1
 
 
+def test_without_duties_nobody_takes_them():
+    world = World(1)
+    for node in world.nodes:
+        node.duties.tasks = duties.DutyTasks(usage=False, scaling=False)
+    pass_time(world, 5_000)
+    assert world.record is None
+
+
 def test_a_heartbeat_fits_one_datagram():
     world = World(1)
     node = world.nodes[0]
