Leave the duties to nodes that reach the platform; keep them after a write carried out late

Found by reading: a holder that the store refuses lets go, but as the oldest live node it kept the others from taking over for 8 s; a conflict with its own late write made a holder resign. Nodes tell whether they could take over; a conflict is settled by reading the record.

--- a/plumarch/gateway/duties.py
+++ b/plumarch/gateway/duties.py
@@ -19,6 +19,9 @@
 DISPLACED_PAUSE_MS = 8_000
 """A node that another one displaced leaves the duties alone for this long."""
 
+NO_CANDIDATE_MS = 3_000
+"""For this long after a failed call, the duties are left to nodes that reach the platform."""
+
 OUT_OF_REACH_MS = 1_500
 """A holder that reaches neither store nor cloud for this long lets another one try."""
 
@@ -73,6 +76,7 @@
         self.held: duty_lease.HeldRecord | None = None
         self.started_ms = state.clock.now()
         self.not_before_ms = self.started_ms + SETTLE_MS
+        self.no_candidate_before_ms = 0
         self.reach = follower.Dependency(state, "duties")
         self.leaving = False
         self.plans: dict[str, engine_plan.EnginePlan] = {}
@@ -105,6 +109,7 @@
     async def step(self) -> None:
         """Do what is due now."""
         self._keep_plans()
+        self.status.candidate = self.state.clock.now() >= self.no_candidate_before_ms
         if not self.tasks.usage and not self.tasks.scaling:
             return
         if self.leaving:
@@ -191,6 +196,7 @@
 
     def _out_of_reach(self, error: errors.PlatformError) -> None:
         self.reach.failed(error)
+        self.no_candidate_before_ms = self.state.clock.now() + NO_CANDIDATE_MS
         silent_ms = self.state.clock.now() - self.reach.failed_since_ms
         if self.status.token and silent_ms > OUT_OF_REACH_MS and self.view.live():
             self._resign("platform out of reach", DISPLACED_PAUSE_MS)
@@ -203,11 +209,13 @@
         self.status.token = 0
         self.held = None
         self.not_before_ms = self.state.clock.now() + pause_ms
+        self.no_candidate_before_ms = self.not_before_ms
+        self.status.candidate = False
 
     async def _maybe_take_over(self) -> None:
         if self.state.clock.now() < self.not_before_ms or self.view.holder() is not None:
             return
-        if not self.view.is_oldest():
+        if not self.view.is_oldest_candidate():
             return
         self.not_before_ms = self.state.clock.now() + TRY_PAUSE_MS
         found = duty_lease.decode(await self.store.read_record(duty_lease.KIND, duty_lease.NAME))
@@ -225,14 +233,19 @@
         )
 
     async def _write(self, wanted: duty_lease.HeldRecord) -> duty_lease.HeldRecord:
-        """Write the record; a lost answer is settled by reading back."""
+        """Write the record; a lost answer or a conflict is settled by reading back.
+
+        A conflict may be with a write of this node that was carried out late: then the record
+        still names it under the same token, and is returned as it stands.
+        """
         try:
             written = await self.store.write_record(duty_lease.KIND, duty_lease.encode(wanted))
-        except errors.PlatformAnswerLost:
+        except (errors.PlatformAnswerLost, errors.PlatformConflict):
             found = duty_lease.decode(
                 await self.store.read_record(duty_lease.KIND, duty_lease.NAME)
             )
-            if found is None or found.record != wanted.record:
+            is_mine = duty_lease.is_mine(found, self.view.node, self.view.incarnation)
+            if found is None or not is_mine or found.record.token != wanted.record.token:
                 raise
             return found
         return duty_lease.HeldRecord(wanted.record, written.revision)
@@ -278,4 +291,6 @@
             }
             wanted = duty_lease.with_window(self.held, window, counts, sizes)
             self.held = await self._write(wanted)
+        if str(window) not in self.held.record.windows:
+            raise errors.PlatformUnavailable(f"Window {window} is not written yet. Try again.")
         return self.held.record.windows[str(window)]
--- a/plumarch/gateway/duties_test.py
+++ b/plumarch/gateway/duties_test.py
@@ -251,6 +251,32 @@
     assert len([node for node in world.nodes if node.duties.status.token]) == 1
 
 
+def test_a_write_carried_out_late_does_not_cost_the_duties():
+    world = World(1)
+    pass_time(world, 3_000)
+    [holder] = [node for node in world.nodes if node.duties.status.token]
+    token = holder.duties.status.token
+    known = set(world.usage)
+    world.delay = 1
+    while world.delay:
+        pass_time(world, 100)
+    world.run_late()
+    pass_time(world, 2_000)
+    assert holder.duties.status.token == token
+    assert set(world.usage) - known
+
+
+def test_when_the_store_refuses_the_oldest_node_another_one_takes_over():
+    world = World(1)
+    pass_time(world, 3_000)
+    [holder] = [node for node in world.nodes if node.duties.status.token]
+    world.refused[holder.number] = True
+    pass_time(world, WINDOW_MS + 8_000)
+    holders = [node for node in world.nodes if node.duties.status.token]
+    assert len(holders) == 1
+    assert holders[0] is not holder
+
+
 def test_without_duties_nobody_takes_them():
     world = World(1)
     for node in world.nodes:
--- a/plumarch/gateway/gossiper.py
+++ b/plumarch/gateway/gossiper.py
@@ -38,10 +38,12 @@
 
     Attributes:
       token: the fencing token under which it holds them, or 0.
+      candidate: whether it could take them over now.
       reported: the newest usage window that was reported.
     """
 
     token: int = 0
+    candidate: bool = True
     reported: int = 0
 
 
@@ -159,6 +161,7 @@
             configuration=state.table.version if state.table else -1,
             registry_revision=state.registry.revision,
             token=self.duty.token,
+            candidate=self.duty.candidate,
             reported=self.duty.reported,
             spending=spending,
             loads=loads[:12],
@@ -202,6 +205,7 @@
             self._hear_fraction()
         peer.leaving = beat.leaving
         peer.token = beat.token
+        peer.candidate = beat.candidate
         self.duty.reported = max(self.duty.reported, beat.reported)
         for other in beat.peers:
             self.view.learn(other.name, other.address)
--- a/plumarch/membership/fleet_view.py
+++ b/plumarch/membership/fleet_view.py
@@ -35,6 +35,7 @@
       address: IP:port of its heartbeats.
       heard_ms: when it was heard last, by this node's clock.
       token: the fencing token that it holds, or 0.
+      candidate: whether it could take the duties over now.
     """
 
     name: str
@@ -45,6 +46,7 @@
     heard_ms: int | None = None
     leaving: bool = False
     token: int = 0
+    candidate: bool = True
 
 
 @dataclasses.dataclass(slots=True)
@@ -135,10 +137,11 @@
         heard = 1 + len([one for one in self.peers.values() if self.is_heard(one)])
         return heard / max(self.size(), heard)
 
-    def is_oldest(self) -> bool:
-        """Return whether this node is the oldest of those that are live."""
+    def is_oldest_candidate(self) -> bool:
+        """Return whether this node is the oldest live one that could take the duties over."""
         mine = (self.incarnation, self.node)
-        return all(mine < (peer.incarnation, peer.name) for peer in self.live())
+        others = [peer for peer in self.live() if peer.candidate]
+        return all(mine < (peer.incarnation, peer.name) for peer in others)
 
     def watches_store(self, data_centre: str) -> bool:
         """Return whether this node follows the store itself.
--- a/plumarch/membership/fleet_view_test.py
+++ b/plumarch/membership/fleet_view_test.py
@@ -84,9 +84,12 @@
     time = clock.ManualClock()
     view = view_at(time)
     older = view.heard("b", 60, "10.0.0.2:7", "z")
-    assert not view.is_oldest()
+    assert not view.is_oldest_candidate()
     older.leaving = True
-    assert view.is_oldest()
+    assert view.is_oldest_candidate()
     older.leaving = False
+    older.candidate = False
+    assert view.is_oldest_candidate()
+    older.candidate = True
     time.advance_to(fleet_view.HEARD_MS + 1)
-    assert view.is_oldest()
+    assert view.is_oldest_candidate()
--- a/plumarch/peers/gossip.py
+++ b/plumarch/peers/gossip.py
@@ -55,6 +55,7 @@
       incarnation: time of day at which the process started, in ms.
       registry_revision: up to which the sender knows all changes of endpoints.
       token: the fencing token under which it holds the duties, or 0.
+      candidate: whether it could take the duties over now.
       reported: the newest usage window that the holder reported, or 0.
     """
 
@@ -66,6 +67,7 @@
     configuration: int
     registry_revision: int
     token: int
+    candidate: bool
     reported: int
     spending: list[Spending] = []
     loads: list[EndpointLoad] = []
