--- a/plumarch/gateway/gossiper.py
+++ b/plumarch/gateway/gossiper.py
@@ -29,6 +29,9 @@
 """How long the store may take to tell by itself what a peer knows already."""
 
 FETCH_TIMEOUT_MS = 1_500
+LOADS_TOLD = 12
+"""Endpoints whose load a heartbeat tells, the heaviest first."""
+
 LOADS_KEPT_MS = 2_500
 
 
@@ -145,9 +148,12 @@
             gossip.Spending(name, round(told.spent), round(told.level), told.settled)
             for name, told in state.quota.report().items()
         ]
+        heaviest = sorted(
+            state.chooser.own.items(), key=lambda one: (-one[1].prompt_tokens, one[0])
+        )
         loads = [
             gossip.EndpointLoad(name, load.running, round(load.prompt_tokens))
-            for name, load in state.chooser.own.items()
+            for name, load in heaviest[:LOADS_TOLD]
         ]
         recent = state.usage.recent(state.wall.now(), USAGE_WINDOWS)
         tell_peers = self.beats % PEERS_EVERY == 0
@@ -164,7 +170,7 @@
             candidate=self.duty.candidate,
             reported=self.duty.reported,
             spending=spending,
-            loads=loads[:12],
+            loads=loads,
             usage=[
                 gossip.WindowUsage(number, counts)
                 for number, counts in recent.items()
