--- a/bench/altered_sites.py
+++ b/bench/altered_sites.py
@@ -43,12 +43,47 @@
     return alter
 
 
+def zone_names(text: str) -> list[str]:
+    """Return a site's zones, in their order."""
+    return re.findall(r'\{ name = "([^"]+)", region = ', text)
+
+
+def without_last_zone(text: str) -> str:
+    """Return the site without its last zone; troubles there strike the zone before it."""
+    *_, before, last = zone_names(text)
+    text = re.sub(rf',? ?\{{ zone = "{last}", count = \d+ \}}', "", text)
+    own_lines = (f'{{ name = "{last}"', f'{{ zone = "{last}", mix')
+    kept = []
+    for line in text.split("\n"):
+        is_machine = "class = " in line and f'zone = "{last}"' in line
+        if not is_machine and not line.strip().startswith(own_lines):
+            kept.append(line)
+    return "\n".join(kept).replace(f'zone = "{last}"', f'zone = "{before}"')
+
+
+def with_one_zone_more(text: str) -> str:
+    """Return the site with a fourth zone like its last one."""
+    last = zone_names(text)[-1]
+    more = f"{last}-more"
+    text = re.sub(rf'(\{{ zone = )"{last}"(, count = \d+ \}})', rf'\g<0>, \1"{more}"\2', text)
+    lines = []
+    for line in text.split("\n"):
+        lines.append(line)
+        is_machine = "class = " in line and f'zone = "{last}"' in line
+        starts = (f'{{ name = "{last}"', f'{{ zone = "{last}", mix')
+        if is_machine or line.strip().startswith(starts):
+            lines.append(line.replace(f'"{last}"', f'"{more}"'))
+    return "\n".join(lines)
+
+
 VARIANTS: dict[str, tuple[Alteration, ...]] = {
     "one-machine-a-zone": (
         of_machines(set_field("count", "1")),
         of_machines(set_field("spare", "0")),
     ),
     "twice-the-machines": (of_machines(scale_field("count", 2)),),
+    "two-zones": (without_last_zone,),
+    "four-zones": (with_one_zone_more,),
     "other-bounds": (
         set_field("config_ms", "3000"),
         set_field("drain_ms", "3000"),
