--- a/bench/plain_relay.py
+++ b/bench/plain_relay.py
@@ -9,7 +9,7 @@
 from litestar import Litestar, Request, post
 from litestar.response import Stream
 
-from plumarch.daemon import logs, serving
+from plumarch.daemon import listening, logs, serving
 
 HTTP = httpx.AsyncClient(timeout=60, limits=httpx.Limits(max_connections=2000))
 
@@ -32,7 +32,7 @@
 
 async def main(address: str, engine_url: str) -> None:
     """Serve until killed."""
-    listener = serving.Listener(build(engine_url), serving.bind(address))
+    listener = serving.Listener(build(engine_url), listening.bind(address))
     await listener.start()
     await asyncio.Event().wait()
 
--- a/plumarch/daemon/gateway.py
+++ b/plumarch/daemon/gateway.py
@@ -6,10 +6,10 @@
 import pathlib
 import random
 import signal
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 from plumarch.core import clock, errors, records
-from plumarch.daemon import gateway_settings, status_pages
+from plumarch.daemon import gateway_settings, listening, status_pages
 from plumarch.fleet import usage
 from plumarch.gateway import (
     caller_connection,
@@ -27,7 +27,9 @@
 from plumarch.membership import fleet_view, registry
 from plumarch.routing import endpoint_choice, endpoint_health, first_token
 
-LISTEN_BACKLOG = 1024
+SETTINGS_VARIABLE = "PLUMARCH_SETTINGS"
+"""Names the settings file in the environment."""
+
 FLUSH_MS = 100
 SETTINGS_CHECK_MS = 2_000
 NOT_READY_MS = 2_600
@@ -160,33 +162,25 @@
         )
         self.state.log.flush()
 
-    async def _guard(self, work: Callable[[], object]) -> None:
+    async def _guard(self, work: Callable[[], Awaitable[None]]) -> None:
         """Run a part; a fault in it is logged, and the part begins again."""
         while True:
             try:
-                await work()  # type: ignore[misc]
+                await work()
                 return
             except Exception as error:
                 self.state.log.write(
                     "fault",
                     urgent=True,
-                    part=work.__name__,
+                    part=getattr(work, "__name__", ""),
                     error=f"{type(error).__name__}: {error}",
                 )
                 await asyncio.sleep(0.5)
 
     async def _listen(self, address: str, server: caller_connection.CallerServer) -> None:
-        host, _, port = address.rpartition(":")
         loop = asyncio.get_running_loop()
-        try:
-            listener = await loop.create_server(
-                server.connection, host, int(port), backlog=LISTEN_BACKLOG
-            )
-        except OSError as error:
-            raise errors.SettingsError(
-                f"[listen] {address} can't be listened on: {error.strerror}."
-                " Remedy: end the process that uses it, or choose another port."
-            ) from error
+        sock = listening.bind(address)
+        listener = await loop.create_server(server.connection, sock=sock, backlog=listening.BACKLOG)
         self.listeners.append(listener)
 
     async def _register(self) -> None:
@@ -267,10 +261,8 @@
         self.state.stops_at_ms = round(ends)
         self.listeners[0].close()
         self.callers.close_idle()
-        while self.callers.connections and self.clock.now() < ends:
+        while self.callers.busy() and self.clock.now() < ends:
             await asyncio.sleep(0.05)
-            if not self.callers.busy():
-                break
         self.state.log.write("stopped", urgent=True, cut=self.callers.busy())
         self.state.log.flush()
         for listener in self.listeners:
@@ -281,9 +273,6 @@
         self.gossiper.close()
 
 
-SETTINGS_VARIABLE = "PLUMARCH_SETTINGS"
-
-
 async def serve(gateway: Gateway, settings_path: str) -> None:
     """Run a gateway until it is told to stop."""
     asked = asyncio.Event()
--- a/plumarch/daemon/main.py
+++ b/plumarch/daemon/main.py
@@ -7,7 +7,7 @@
 from loguru import logger
 
 from plumarch.core import errors
-from plumarch.daemon import callers, logs, operators, serving, settings, shell
+from plumarch.daemon import callers, listening, logs, operators, serving, settings, shell
 
 EXIT_SETTINGS = 2
 USAGE = "Usage: plumarchd SETTINGS.ini"
@@ -21,9 +21,9 @@
     def __init__(self, given: settings.Settings) -> None:
         self.settings = given
         self.shell = shell.Shell(given)
-        callers_socket = serving.bind(given.listen.callers)
+        callers_socket = listening.bind(given.listen.callers)
         try:
-            operators_socket = serving.bind(given.listen.operators)
+            operators_socket = listening.bind(given.listen.operators)
         except errors.SettingsError:
             callers_socket.close()
             raise
--- a/plumarch/daemon/serving.py
+++ b/plumarch/daemon/serving.py
@@ -8,11 +8,6 @@
 import uvicorn
 from litestar import Litestar
 
-from plumarch.core import errors
-from plumarch.daemon import settings
-
-BACKLOG = 1024
-
 
 class EmbeddedServer(uvicorn.Server):
     """A uvicorn server that leaves the process's signals to the daemon."""
@@ -23,28 +18,6 @@
         yield
 
 
-def bind(address: str) -> socket.socket:
-    """Open a listening socket.
-
-    Raises:
-      SettingsError: the address can't be had.
-    """
-    host, port = settings.split_address(address)
-    family = socket.AF_INET6 if ":" in host else socket.AF_INET
-    sock = socket.socket(family, socket.SOCK_STREAM)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    try:
-        sock.bind((host, port))
-    except OSError as error:
-        sock.close()
-        raise errors.SettingsError(
-            f"[listen] {address} can't be listened on: {error.strerror}."
-            " Remedy: end the process that uses it, or choose another port."
-        ) from error
-    sock.listen(BACKLOG)
-    return sock
-
-
 class Listener:
     """One HTTP application on one socket."""
 
--- a/plumarch/daemon/settings.py
+++ b/plumarch/daemon/settings.py
@@ -133,9 +133,3 @@
         return None, document.problems
     assert node and listen and platform and peers and operators and limits and log
     return Settings(node, listen, platform, peers, operators, limits, log), []
-
-
-def split_address(address: str) -> tuple[str, int]:
-    """Return host and port of an address."""
-    host, _, port = address.rpartition(":")
-    return host.strip("[]"), int(port)
--- a/plumarch/daemon/shell.py
+++ b/plumarch/daemon/shell.py
@@ -11,7 +11,7 @@
 from loguru import logger
 
 from plumarch.config import publishing
-from plumarch.core import clock, context, data, errors, events, messages
+from plumarch.core import addresses, clock, context, data, errors, events, messages
 from plumarch.daemon import metrics, settings, streams
 from plumarch.endpoints import client as endpoint_client
 from plumarch.node import node
@@ -68,7 +68,7 @@
 
     async def start(self) -> None:
         """Open the peer listener, greet the peers, begin to keep time."""
-        host, port = settings.split_address(self.settings.listen.peers)
+        host, port = addresses.split(self.settings.listen.peers)
         port = await self.transport.listen(host, port)
         self.node.address = f"{host}:{port}"
         for name, address in self.settings.peers.nodes.items():
--- a/plumarch/demo/deployment.py
+++ b/plumarch/demo/deployment.py
@@ -8,8 +8,8 @@
 
 from plumarch.config import files, publishing
 from plumarch.core import clock, data, errors
+from plumarch.daemon import listening, serving, settings
 from plumarch.daemon import main as daemon_main
-from plumarch.daemon import serving, settings
 from plumarch.object_api import client, protocol
 from plumarch.standins import engine_app, platform_app, service_app
 
@@ -226,6 +226,6 @@
 
 
 async def _listen(app: Litestar) -> serving.Listener:
-    listener = serving.Listener(app, serving.bind(ANY_PORT))
+    listener = serving.Listener(app, listening.bind(ANY_PORT))
     await listener.start()
     return listener
--- a/plumarch/fleet/engine_plan.py
+++ b/plumarch/fleet/engine_plan.py
@@ -115,11 +115,8 @@
             self.sized_for = math.ceil(engines / SHRINK_MARGIN)
         return self.sized_for
 
-    def wanted(
-        self, scaling: traffic.Scaling, endpoints: Iterable[traffic.Endpoint]
-    ) -> dict[Place, int]:
-        """Return the wanted counts by place."""
-        ready = self._ready(endpoints)
+    def wanted(self, scaling: traffic.Scaling, ready: Mapping[Place, int]) -> dict[Place, int]:
+        """Return the wanted counts by place, given those that are ready."""
         spot = spread(self.spot_wanted(scaling), scaling)
         wanted = {Place(name, True): count for name, count in spot.items()}
         firm = self._firm_wanted(scaling, ready)
@@ -215,12 +212,11 @@
         self, scaling: traffic.Scaling, endpoints: Iterable[traffic.Endpoint]
     ) -> list[records.EngineOrder]:
         """Return the orders that are due now, first those that make room."""
-        endpoints = list(endpoints)
         ready = self._ready(endpoints)
         if not self._settled():
             return []
         due = []
-        for place, count in self.wanted(scaling, endpoints).items():
+        for place, count in self.wanted(scaling, ready).items():
             if self._is_due(place, count, ready.get(place, 0), scaling):
                 due.append(records.EngineOrder(self.service, place.data_centre, count, place.spot))
         fewer = {one: one.count < ready.get(Place(one.data_centre, one.spot), 0) for one in due}
--- a/plumarch/gateway/admission.py
+++ b/plumarch/gateway/admission.py
@@ -171,9 +171,7 @@
 
     Left out are those of the connection, the key, and those that only the gateway may set.
     """
-    dropped = set(dialect.HOP_BY_HOP) | names.reserved
-    dropped |= {b"authorization", names.workspace, names.instance, names.deadline_ms}
-    dropped |= {names.urgency, names.last_event_id}
+    dropped = dialect.not_for_endpoints(names)
     for name, value in headers:
         if name == b"connection":
             dropped |= {word.strip().lower() for word in value.split(b",")}
--- a/plumarch/gateway/attempts.py
+++ b/plumarch/gateway/attempts.py
@@ -1,6 +1,5 @@
 """One send of a request to one endpoint, and what is known of it afterwards."""
 
-import asyncio
 import dataclasses
 
 import h11
@@ -173,36 +172,24 @@
       ConnectionBroken: the answer broke off, is another request's, or can't be trusted.
       AnswerTimeout: nothing came.
     """
-    try:
-        async with asyncio.timeout(max(0.001, wait_ms / 1000.0)):
-            head = await attempt.exchange.next()
-    except TimeoutError as error:
-        raise errors.AnswerTimeout(f"no answer for {wait_ms:.0f} ms") from error
+    head = await attempt.exchange.next_within(wait_ms)
     if not isinstance(head, h11.Response):
         raise errors.ConnectionBroken("the answer has no head")
     names = state.names
     if head.status_code in PROMISED_NOT_RUN:
-        if head.status_code == NOT_RUN_STATUS or header_of(head, names.not_run):
+        if head.status_code == NOT_RUN_STATUS or dialect.header_value(head.headers, names.not_run):
             raise NotRun(f"endpoint answered {head.status_code}, not run")
         raise errors.ConnectionBroken(f"endpoint answered {head.status_code} without a promise")
-    if header_of(head, names.request_id) not in ("", admitted.id):
+    if dialect.header_value(head.headers, names.request_id) not in ("", admitted.id):
         raise errors.ConnectionBroken("the answer is another request's")
-    if 200 <= head.status_code < 300 and not header_of(head, names.signature):
+    if 200 <= head.status_code < 300 and not dialect.header_value(head.headers, names.signature):
         raise errors.ConnectionBroken("the answer has no signature")
     return head
 
 
-def header_of(head: h11.Response, name: bytes) -> str:
-    """Return a header of an answer, or ""."""
-    for key, value in head.headers:
-        if key == name:
-            return bytes(value).decode("latin-1")
-    return ""
-
-
 def answer_headers(head: h11.Response, names: dialect.Dialect) -> list[tuple[bytes, bytes]]:
     """Return an endpoint's headers as the caller may see them."""
-    dropped = set(dialect.HOP_BY_HOP) | {names.not_run}
+    dropped = dialect.not_for_callers(names)
     return [(bytes(name), bytes(value)) for name, value in head.headers if name not in dropped]
 
 
--- a/plumarch/gateway/caller_connection.py
+++ b/plumarch/gateway/caller_connection.py
@@ -13,6 +13,7 @@
 import h11
 
 from plumarch.core import clock, traffic
+from plumarch.gateway import dialect
 
 Headers = Sequence[tuple[bytes, bytes]]
 
@@ -40,10 +41,7 @@
 
     def header(self, name: bytes) -> str:
         """Return a header's value, or ""."""
-        for key, value in self.headers:
-            if key == name:
-                return value.decode("latin-1")
-        return ""
+        return dialect.header_value(self.headers, name)
 
 
 class Reply(Protocol):
--- a/plumarch/gateway/dialect.py
+++ b/plumarch/gateway/dialect.py
@@ -4,6 +4,8 @@
 """
 
 import dataclasses
+import functools
+from collections.abc import Iterable
 
 HOP_BY_HOP = frozenset(
     {
@@ -49,3 +51,24 @@
     urgency: bytes = b"x-urgency"
     key_scheme: str = "Bearer"
     reserved: frozenset[bytes] = frozenset()
+
+
+@functools.cache
+def not_for_endpoints(names: Dialect) -> frozenset[bytes]:
+    """Return the callers' headers that no endpoint sees, or that only the gateway may set."""
+    own = {names.workspace, names.instance, names.deadline_ms, names.urgency, names.last_event_id}
+    return HOP_BY_HOP | names.reserved | own | {b"authorization"}
+
+
+@functools.cache
+def not_for_callers(names: Dialect) -> frozenset[bytes]:
+    """Return the endpoints' headers that no caller sees."""
+    return HOP_BY_HOP | {names.not_run}
+
+
+def header_value(headers: Iterable[tuple[bytes, bytes]], name: bytes) -> str:
+    """Return the value of the first header of a name, or ""."""
+    for key, value in headers:
+        if key == name:
+            return bytes(value).decode("latin-1")
+    return ""
--- a/plumarch/gateway/exchange.py
+++ b/plumarch/gateway/exchange.py
@@ -11,6 +11,7 @@
 
 import h11
 
+from plumarch.core import addresses
 from plumarch.gateway import errors
 
 Headers = Sequence[tuple[bytes, bytes]]
@@ -98,6 +99,19 @@
             self.arrived.clear()
             await self.arrived.wait()
 
+    async def next_within(self, wait_ms: float) -> ReceivedEvent:
+        """Return the next part of the answer if it comes in time.
+
+        Raises:
+          ConnectionBroken: the answer broke off or is not HTTP.
+          AnswerTimeout: nothing came.
+        """
+        try:
+            async with asyncio.timeout(max(0.001, wait_ms / 1000.0)):
+                return await self.next()
+        except TimeoutError as error:
+            raise errors.AnswerTimeout(f"nothing came for {wait_ms:.0f} ms") from error
+
     def _parse(self) -> ReceivedEvent | None:
         try:
             while True:
@@ -155,11 +169,10 @@
     Raises:
       ConnectFailed: it did not come up.
     """
-    host, _, port = address.rpartition(":")
     loop = asyncio.get_running_loop()
     try:
         async with asyncio.timeout(timeout_ms / 1000.0):
-            _, exchange = await loop.create_connection(Exchange, host, int(port))
+            _, exchange = await loop.create_connection(Exchange, *addresses.split(address))
     except (OSError, ValueError, TimeoutError) as error:
         raise errors.ConnectFailed(f"No connection to {address}: {error!r}.") from error
     return exchange
--- a/plumarch/gateway/fleet_state.py
+++ b/plumarch/gateway/fleet_state.py
@@ -39,7 +39,6 @@
     first_token: first_token.FirstTokenEstimate
     table: routing_table.RoutingTable | None = None
     table_source: str = ""
-    table_at_ms: int = 0
     stops_at_ms: int | None = None
 
     def adopt_table(self, table: routing_table.RoutingTable, source: str) -> bool:
@@ -53,7 +52,6 @@
         before = self.table.version if self.table else None
         self.table = table
         self.table_source = source
-        self.table_at_ms = self.clock.now()
         self.quota.keep_only(table.workspaces)
         self.log.write(
             "configuration", urgent=True, version=table.version, before=before, source=source
--- a/plumarch/gateway/gossiper.py
+++ b/plumarch/gateway/gossiper.py
@@ -7,11 +7,11 @@
 import msgspec
 
 from plumarch.config import routing_table
-from plumarch.core import errors
+from plumarch.core import addresses, errors
 from plumarch.gateway import fleet_state
 from plumarch.limits import workspace_quota
 from plumarch.membership import fleet_view
-from plumarch.peers import gossip
+from plumarch.peers import frames, gossip
 from plumarch.routing import endpoint_choice
 
 BEAT_MS = 250
@@ -73,10 +73,10 @@
 
     async def start(self) -> None:
         """Listen, and learn the seeds."""
-        host, _, port = self.view.address.rpartition(":")
+        host, port = addresses.split(self.view.address)
         loop = asyncio.get_running_loop()
-        await loop.create_datagram_endpoint(lambda: self, local_addr=(host, int(port)))
-        self.server = await asyncio.start_server(self._serve_snapshot, host, int(port))
+        await loop.create_datagram_endpoint(lambda: self, local_addr=(host, port))
+        self.server = await asyncio.start_server(self._serve_snapshot, host, port)
         self.learn_seeds(self.seeds)
 
     def learn_seeds(self, seeds: tuple[str, ...]) -> None:
@@ -85,7 +85,7 @@
         Args:
           seeds: IP or IP:port of nodes; a port is ignored.
         """
-        port = self.view.address.rpartition(":")[2]
+        _, port = addresses.split(self.view.address)
         for seed in seeds:
             host = seed.rpartition(":")[0] or seed
             address = f"{host}:{port}"
@@ -127,8 +127,7 @@
             return
         datagram = gossip.encoder.encode(self.heartbeat())
         for address in self.view.addresses():
-            host, _, port = address.rpartition(":")
-            self.transport.sendto(datagram, (host, int(port)))
+            self.transport.sendto(datagram, addresses.split(address))
         self.beats += 1
 
     def _hear_fraction(self) -> None:
@@ -281,8 +280,8 @@
     ) -> None:
         try:
             async with asyncio.timeout(FETCH_TIMEOUT_MS / 1000.0):
-                asked = gossip.request_decoder.decode(await read_frame(reader))
-                writer.write(gossip.frame(self._snapshot(asked)))
+                asked = gossip.request_decoder.decode(await frames.read(reader, gossip.FRAME_LIMIT))
+                writer.write(frames.pack(gossip.encoder.encode(self._snapshot(asked))))
                 await writer.drain()
         except (OSError, TimeoutError, EOFError, msgspec.DecodeError, errors.PeerProtocolError):
             pass
@@ -310,24 +309,11 @@
 
 
 async def _ask(address: str, request: gossip.SnapshotRequest) -> gossip.Snapshot:
-    host, _, port = address.rpartition(":")
-    reader, writer = await asyncio.open_connection(host, int(port))
+    reader, writer = await asyncio.open_connection(*addresses.split(address))
     try:
-        writer.write(gossip.frame(request))
-        return gossip.snapshot_decoder.decode(await read_frame(reader))
+        writer.write(frames.pack(gossip.encoder.encode(request)))
+        return gossip.snapshot_decoder.decode(await frames.read(reader, gossip.FRAME_LIMIT))
     except EOFError as error:
         raise errors.PeerProtocolError("The peer closed early. Ask again later.") from error
     finally:
         writer.close()
-
-
-async def read_frame(reader: asyncio.StreamReader) -> bytes:
-    """Read one message with its length in front.
-
-    Raises:
-      PeerProtocolError: the length is beyond the limit.
-    """
-    length = int.from_bytes(await reader.readexactly(gossip.LENGTH_BYTES), "big")
-    if length > gossip.FRAME_LIMIT:
-        raise errors.PeerProtocolError(f"A frame of {length} bytes is too large. Upgrade peers.")
-    return await reader.readexactly(length)
--- a/plumarch/gateway/gossiper_test.py
+++ b/plumarch/gateway/gossiper_test.py
@@ -9,7 +9,7 @@
 from plumarch.core import clock, errors, traffic
 from plumarch.gateway import gossiper
 from plumarch.membership import fleet_view
-from plumarch.peers import gossip
+from plumarch.peers import frames, gossip
 from plumarch.routing import endpoint_choice
 from plumarch.standins import gateway_parts
 
@@ -144,6 +144,6 @@
         reader = asyncio.StreamReader()
         reader.feed_data((gossip.FRAME_LIMIT + 1).to_bytes(4, "big"))
         with pytest.raises(errors.PeerProtocolError):
-            await gossiper.read_frame(reader)
+            await frames.read(reader, gossip.FRAME_LIMIT)
 
     asyncio.run(test())
--- a/plumarch/gateway/request_run.py
+++ b/plumarch/gateway/request_run.py
@@ -15,9 +15,9 @@
     admission,
     attempts,
     caller_connection,
+    dialect,
     errors,
     event_stream,
-    exchange,
     fleet_state,
 )
 from plumarch.routing import endpoint_choice
@@ -174,7 +174,7 @@
 
     async def _relay(self, attempt: attempts.Attempt) -> Outcome:
         head = await attempts.read_head(self.state, self.admitted, attempt, self._patience_ms())
-        media = attempts.header_of(head, b"content-type")
+        media = dialect.header_value(head.headers, b"content-type")
         if head.status_code == 200 and media.startswith("text/event-stream"):
             return await self._relay_events(attempt, head)
         return await self._relay_whole(attempt, head)
@@ -215,7 +215,7 @@
         """Relay whole events as they come; an answer that breaks goes on or breaks visibly."""
         splitter = event_stream.Splitter()
         while True:
-            part = await self._next_part(attempt)
+            part = await attempt.exchange.next_within(self._patience_ms())
             if isinstance(part, h11.EndOfMessage):
                 break
             for event in splitter.feed(bytes(part.data) if isinstance(part, h11.Data) else b""):
@@ -227,14 +227,6 @@
         self.reply.finish()
         return Outcome(head.status_code, "relayed")
 
-    async def _next_part(self, attempt: attempts.Attempt) -> exchange.ReceivedEvent:
-        patience = self._patience_ms()
-        try:
-            async with asyncio.timeout(max(0.001, patience / 1000.0)):
-                return await attempt.exchange.next()
-        except TimeoutError as error:
-            raise errors.AnswerTimeout(f"no event for {patience:.0f} ms") from error
-
     async def _relay_event(
         self, attempt: attempts.Attempt, head: h11.Response, event: event_stream.Event
     ) -> None:
--- a/plumarch/peers/gossip.py
+++ b/plumarch/peers/gossip.py
@@ -11,7 +11,6 @@
 
 DATAGRAM_LIMIT = 1_400
 FRAME_LIMIT = 16 * 1024 * 1024
-LENGTH_BYTES = 4
 
 
 class Spending(msgspec.Struct, array_like=True, frozen=True):
@@ -95,9 +94,3 @@
 heartbeat_decoder = msgspec.msgpack.Decoder(Heartbeat)
 request_decoder = msgspec.msgpack.Decoder(SnapshotRequest)
 snapshot_decoder = msgspec.msgpack.Decoder(Snapshot)
-
-
-def frame(message: msgspec.Struct) -> bytes:
-    """Return a message with its length in front."""
-    body = encoder.encode(message)
-    return len(body).to_bytes(LENGTH_BYTES, "big") + body
--- a/plumarch/peers/wire.py
+++ b/plumarch/peers/wire.py
@@ -12,13 +12,13 @@
 import hashlib
 import hmac
 import os
-import struct
 from collections.abc import Callable
 
 import msgspec
 
-from plumarch.core import context, errors, messages
+from plumarch.core import addresses, context, errors, messages
 from plumarch.node import node
+from plumarch.peers import frames
 
 VERSION = 1
 FRAME_LIMIT = 8 * 1024 * 1024
@@ -31,7 +31,6 @@
 RECONNECT_S = 0.25
 DIGEST_BYTES = 16
 NONCE_BYTES = 16
-HEAD = struct.Struct(">I")
 
 Receive = Callable[[str, messages.AnyMessage], None]
 
@@ -67,7 +66,7 @@
         """Return a frame."""
         digest = self._digest(direction, self.sent, body)
         self.sent += 1
-        return HEAD.pack(len(body) + DIGEST_BYTES) + digest + body
+        return frames.pack(digest + body)
 
     def open(self, direction: bytes, frame: bytes) -> bytes:
         """Return a frame's body.
@@ -83,20 +82,6 @@
         return body
 
 
-async def read_frame(reader: asyncio.StreamReader) -> bytes:
-    """Read one frame.
-
-    Raises:
-      PeerProtocolError: it is over the limit.
-      IncompleteReadError: the connection ended.
-    """
-    head = await reader.readexactly(HEAD.size)
-    length = HEAD.unpack(head)[0]
-    if length > FRAME_LIMIT:
-        raise errors.PeerProtocolError(f"A frame of {length} bytes is over the limit.")
-    return await reader.readexactly(length)
-
-
 async def handshake(
     reader: asyncio.StreamReader,
     writer: asyncio.StreamWriter,
@@ -119,14 +104,14 @@
     """
     mine = Hello(VERSION, identity, os.urandom(NONCE_BYTES))
     _write_plain(writer, msgspec.msgpack.encode(mine))
-    theirs = msgspec.msgpack.decode(await read_frame(reader), type=Hello)
+    theirs = msgspec.msgpack.decode(await frames.read(reader, FRAME_LIMIT), type=Hello)
     if theirs.version != VERSION:
         raise errors.PeerProtocolError(
             f"{theirs.identity} speaks version {theirs.version}, not {VERSION}. Upgrade it."
         )
     other_role = b"server" if role == b"client" else b"client"
     _write_plain(writer, msgspec.msgpack.encode(Proof(_proof(secret, role, mine, theirs))))
-    proof = msgspec.msgpack.decode(await read_frame(reader), type=Proof)
+    proof = msgspec.msgpack.decode(await frames.read(reader, FRAME_LIMIT), type=Proof)
     if not hmac.compare_digest(proof.digest, _proof(secret, other_role, theirs, mine)):
         raise errors.PeerProtocolError("A peer holds another key. Check the key in [peers].")
     nonces = sorted((mine.nonce, theirs.nonce))
@@ -140,7 +125,7 @@
 
 
 def _write_plain(writer: asyncio.StreamWriter, body: bytes) -> None:
-    writer.write(HEAD.pack(len(body)) + body)
+    writer.write(frames.pack(body))
 
 
 @dataclasses.dataclass(slots=True)
@@ -212,10 +197,10 @@
         out.wake.set()
 
     async def _connect(self, name: str, out: Outgoing) -> None:
-        host, _, port = out.address.rpartition(":")
+        host, port = addresses.split(out.address)
         while True:
             try:
-                reader, writer = await asyncio.open_connection(host, int(port))
+                reader, writer = await asyncio.open_connection(host, port)
             except OSError:
                 out.waiting.clear()
                 await asyncio.sleep(RECONNECT_S)
@@ -267,7 +252,7 @@
             async with asyncio.timeout(HANDSHAKE_S):
                 session = await handshake(reader, writer, self.secret, self.identity, b"server")
             while True:
-                body = session.open(b"c", await read_frame(reader))
+                body = session.open(b"c", await frames.read(reader, FRAME_LIMIT))
                 self.receive(session.identity, node.decode(body))
         except (OSError, asyncio.IncompleteReadError, TimeoutError):
             pass
--- a/plumarch/routing/endpoint_choice.py
+++ b/plumarch/routing/endpoint_choice.py
@@ -145,7 +145,7 @@
         names = [endpoint.id for endpoint in candidates]
         if not names:
             return []
-        return [max(names, key=lambda name: hashing.digest(str(key), name)) for key in keys]
+        return [hashing.rendezvous(str(key), names)[0] for key in keys]
 
     def _held(
         self,
--- a/plumarch/standins/main.py
+++ b/plumarch/standins/main.py
@@ -6,12 +6,12 @@
 import fire
 from litestar import Litestar
 
-from plumarch.daemon import logs, serving
+from plumarch.daemon import listening, logs, serving
 from plumarch.standins import engine_app, platform_app, service_app
 
 
 async def _serve(app: Litestar, address: str) -> None:
-    listener = serving.Listener(app, serving.bind(address))
+    listener = serving.Listener(app, listening.bind(address))
     await listener.start()
     print(f"listening on port {listener.port()}", flush=True)
     asked = asyncio.Event()
--- a/tests/bounds_test.py
+++ b/tests/bounds_test.py
@@ -7,7 +7,7 @@
 from plumarch.core import data, errors, events, messages
 from plumarch.limits import fair_queue
 from plumarch.node import followers, runs
-from plumarch.peers import wire
+from plumarch.peers import frames, wire
 from plumarch.proof import invariants
 from plumarch.recovery import copies, keys, ledger
 from plumarch.routing import placement
@@ -173,9 +173,9 @@
 def test_frames_between_nodes() -> None:
     async def read() -> None:
         reader = asyncio.StreamReader()
-        reader.feed_data(wire.HEAD.pack(wire.FRAME_LIMIT + 1))
+        reader.feed_data(frames.HEAD.pack(wire.FRAME_LIMIT + 1))
         with pytest.raises(errors.PeerProtocolError, match="over the limit"):
-            await wire.read_frame(reader)
+            await frames.read(reader, wire.FRAME_LIMIT)
 
     asyncio.run(read())
 
@@ -225,7 +225,7 @@
 def test_a_changed_frame_is_not_taken() -> None:
     sender = wire.Session(b"key", "a1#1")
     receiver = wire.Session(b"key", "b1#1")
-    frame = bytearray(sender.seal(b"c", b"body")[wire.HEAD.size :])
+    frame = bytearray(sender.seal(b"c", b"body")[frames.HEAD.size :])
     frame[-1] ^= 1
     with pytest.raises(errors.PeerProtocolError):
         receiver.open(b"c", bytes(frame))
