--- a/plumarch/load/callers.py
+++ b/plumarch/load/callers.py
@@ -5,6 +5,7 @@
 import json
 import random
 import time
+from collections.abc import Awaitable, Callable
 from typing import Any
 
 import httpx
@@ -104,13 +105,7 @@
         outcome = self._outcome(key, data.RequestClass.CHAT, seed, tokens)
         body = {**self._body(seed, tokens, f"Explain {key}."), "stream": True}
         start = time.monotonic()
-        for _ in range(TRIES):
-            try:
-                if await self._stream(outcome, key, body, start):
-                    break
-            except httpx.HTTPError:
-                outcome.reconnects += 1
-            await asyncio.sleep(RETRY_S)
+        await _until_done(outcome, lambda: self._stream(outcome, key, body, start))
         outcome.total_ms = (time.monotonic() - start) * 1000
         return outcome
 
@@ -165,37 +160,31 @@
         body = self._body(seed, tokens, f"Work on {key}.")
         start = time.monotonic()
         headers = self._headers(key, **{"Plumarch-Class": request_class})
-        for _ in range(TRIES):
-            try:
-                url = self.balancer.pick()
-                answer = await self.http.post(url + "/v1/requests", json=body, headers=headers)
-                if answer.status_code == httpx.codes.ACCEPTED:
-                    outcome.view.accepted = True
-                    break
-                if self._problem(outcome, answer.status_code, answer.content):
-                    return outcome
-            except httpx.HTTPError:
-                outcome.reconnects += 1
-            await asyncio.sleep(RETRY_S)
-        await self._fetch(outcome, key)
+
+        async def submit_once() -> bool:
+            url = self.balancer.pick()
+            answer = await self.http.post(url + "/v1/requests", json=body, headers=headers)
+            outcome.view.accepted = answer.status_code == httpx.codes.ACCEPTED
+            return outcome.view.accepted or self._problem(
+                outcome, answer.status_code, answer.content
+            )
+
+        if await _until_done(outcome, submit_once) and not outcome.view.accepted:
+            return outcome
+        await _until_done(outcome, lambda: self._fetch(outcome, key))
         outcome.total_ms = (time.monotonic() - start) * 1000
         return outcome
 
-    async def _fetch(self, outcome: Outcome, key: str) -> None:
-        for _ in range(TRIES):
-            try:
-                url = f"{self.balancer.pick()}/v1/requests/{key}/result"
-                answer = await self.http.get(url, headers=self._headers())
-                if answer.status_code == httpx.codes.OK:
-                    text = answer.json()["choices"][0]["message"]["content"]
-                    outcome.view.tokens = [word + " " for word in text.split()]
-                    outcome.view.ends.append(data.Outcome.DONE)
-                    return
-                if self._problem(outcome, answer.status_code, answer.content):
-                    return
-            except httpx.HTTPError:
-                outcome.reconnects += 1
-            await asyncio.sleep(RETRY_S)
+    async def _fetch(self, outcome: Outcome, key: str) -> bool:
+        """Ask for a result once. Returns whether the answer is final."""
+        url = f"{self.balancer.pick()}/v1/requests/{key}/result"
+        answer = await self.http.get(url, headers=self._headers())
+        if answer.status_code != httpx.codes.OK:
+            return self._problem(outcome, answer.status_code, answer.content)
+        text = answer.json()["choices"][0]["message"]["content"]
+        outcome.view.tokens = [word + " " for word in text.split()]
+        outcome.view.ends.append(data.Outcome.DONE)
+        return True
 
     async def lookup(self, key: str) -> Outcome:
         """Ask a plain service for a status; the call may be repeated."""
@@ -209,22 +198,36 @@
         outcome = self._outcome(key, data.RequestClass.LOOKUP, 0, 0)
         start = time.monotonic()
         headers = self._headers(key if keyed else "")
-        for _ in range(TRIES):
-            try:
-                url = f"{self.balancer.pick()}/v1/services/{self.target.service}{path}"
-                answer = await self.http.request(method, url, headers=headers)
-                if answer.status_code == httpx.codes.OK:
-                    outcome.view.ends.append(data.Outcome.DONE)
-                    break
-                if self._problem(outcome, answer.status_code, answer.content):
-                    break
-            except httpx.HTTPError:
-                outcome.reconnects += 1
-            await asyncio.sleep(RETRY_S)
+
+        async def call_once() -> bool:
+            url = f"{self.balancer.pick()}/v1/services/{self.target.service}{path}"
+            answer = await self.http.request(method, url, headers=headers)
+            if answer.status_code == httpx.codes.OK:
+                outcome.view.ends.append(data.Outcome.DONE)
+                return True
+            return self._problem(outcome, answer.status_code, answer.content)
+
+        await _until_done(outcome, call_once)
         outcome.total_ms = (time.monotonic() - start) * 1000
         return outcome
 
 
+async def _until_done(outcome: Outcome, attempt: Callable[[], Awaitable[bool]]) -> bool:
+    """Make attempts until one is final, or there were enough; broken connections are counted.
+
+    Returns:
+      Whether one was final.
+    """
+    for _ in range(TRIES):
+        try:
+            if await attempt():
+                return True
+        except httpx.HTTPError:
+            outcome.reconnects += 1
+        await asyncio.sleep(RETRY_S)
+    return False
+
+
 def client() -> httpx.AsyncClient:
     """Return an HTTP client for callers."""
     timeout = httpx.Timeout(TIMEOUT_S, connect=CONNECT_S)
