--- a/bench/baselines.py
+++ b/bench/baselines.py
@@ -21,46 +21,45 @@
         ]
         return [e for e in found if e.name not in tried] or found
 
+    def choose(
+        self, request: data.Request, allowed: frozenset[str], tried: frozenset[str] = frozenset()
+    ) -> Choice:
+        """Choose an endpoint, or none if none may be chosen."""
+        found = self.fitting(request, tried)
+        return (self.pick(found) if found else None), ()
+
+    def pick(self, found: list[data.Endpoint]) -> data.Endpoint:
+        """Return the policy's choice among at least one endpoint."""
+        raise NotImplementedError
+
+    def least_loaded(self, found: list[data.Endpoint]) -> data.Endpoint:
+        """Return the endpoint with the fewest of this node's own requests."""
+        return min(found, key=lambda e: (self.seen[e.name].in_flight, e.name))
+
 
 class RoundRobin(Simple):
     """One after the other."""
 
-    def choose(
-        self, request: data.Request, allowed: frozenset[str], tried: frozenset[str] = frozenset()
-    ) -> Choice:
+    def pick(self, found: list[data.Endpoint]) -> data.Endpoint:
         """Choose the next endpoint in turn."""
-        found = self.fitting(request, tried)
-        if not found:
-            return None, ()
         self.turn += 1
-        return found[self.turn % len(found)], ()
+        return found[self.turn % len(found)]
 
 
 class LeastOutstanding(Simple):
     """The one with the fewest of this node's own requests."""
 
-    def choose(
-        self, request: data.Request, allowed: frozenset[str], tried: frozenset[str] = frozenset()
-    ) -> Choice:
+    def pick(self, found: list[data.Endpoint]) -> data.Endpoint:
         """Choose the endpoint with the fewest requests in flight."""
-        found = self.fitting(request, tried)
-        if not found:
-            return None, ()
-        return min(found, key=lambda e: (self.seen[e.name].in_flight, e.name)), ()
+        return self.least_loaded(found)
 
 
 class TwoChoices(Simple):
     """The better of two at random, by own counts."""
 
-    def choose(
-        self, request: data.Request, allowed: frozenset[str], tried: frozenset[str] = frozenset()
-    ) -> Choice:
+    def pick(self, found: list[data.Endpoint]) -> data.Endpoint:
         """Choose the less loaded of two random endpoints."""
-        found = self.fitting(request, tried)
-        if not found:
-            return None, ()
-        pair = self.ctx.rng.sample(found, min(2, len(found)))
-        return min(pair, key=lambda e: (self.seen[e.name].in_flight, e.name)), ()
+        return self.least_loaded(self.ctx.rng.sample(found, min(2, len(found))))
 
 
 POLICIES: dict[str, type[placement.Placement]] = {
