Size the first plan by all engines given; refill allotments by the tolerated excess; tell and call less in large fleets

Change: firm endpoints count in any state while the first start is learned; demand rises faster than it falls; buckets refill by a part of the tolerated excess instead of lending each node a share; heartbeats tell what changed; two followers of the store a data centre, others in place of those that it does not answer; 200 ms between an answer and the next watch; endpoints that vanished together are used on for 1.4 s.

The stateful test is unchanged.

--- a/plumarch/fleet/engine_plan.py
+++ b/plumarch/fleet/engine_plan.py
@@ -30,7 +30,10 @@
 
 BOOT_MARGIN_MS = 1_500.0
 DEMAND_DECAY = 0.88
-"""Weight of the past in the demand, at each sample of a second."""
+"""Weight of the past in the demand when it falls, at each sample of a second."""
+
+DEMAND_RISE = 0.75
+"""Weight of the past in the demand when it rises: a shortage costs more than a surplus."""
 
 SETTLE_MS = 1_000
 """Before the first order, the endpoints that are there have time to be told."""
@@ -88,8 +91,9 @@
     given: dict[Place, Given] = dataclasses.field(default_factory=dict)
 
     def sample_demand(self, tokens_per_s: float) -> None:
-        """Take in the demand of the last second."""
-        self.demand = DEMAND_DECAY * self.demand + (1.0 - DEMAND_DECAY) * tokens_per_s
+        """Take in the demand of the last second; it rises faster than it falls."""
+        past = DEMAND_RISE if tokens_per_s > self.demand else DEMAND_DECAY
+        self.demand = past * self.demand + (1.0 - past) * tokens_per_s
 
     def needed(self, scaling: traffic.Scaling) -> int:
         """Return how many endpoints the demand asks for."""
@@ -223,14 +227,18 @@
         return sorted(due, key=lambda one: (not fewer[one], not one.spot, one.data_centre))
 
     def learn(self, endpoints: Iterable[traffic.Endpoint]) -> None:
-        """Learn how many endpoints the operators gave the service at the first start."""
+        """Learn how many endpoints the operators gave the service at the first start.
+
+        Firm ones count in any state: those that this plan lets go while others are still being
+        told were given all the same.
+        """
         now = self.clock.now()
         if self.began_ms is None:
             self.began_ms = now
         if not self.first_start or now - self.began_ms >= LEARN_MS:
             return
         for one in endpoints:
-            if one.service == self.service and one.state is traffic.EndpointState.READY:
+            if one.service == self.service and not one.spot:
                 self.first_seen.add(one.id)
         self.first_count = max(self.first_count, len(self.first_seen))
 
--- a/plumarch/fleet/engine_plan_test.py
+++ b/plumarch/fleet/engine_plan_test.py
@@ -62,6 +62,27 @@
     assert any(not one.spot and one.count for one in plan.orders(SCALING, []))
 
 
+def test_endpoints_told_late_in_the_first_start_count_though_they_already_leave():
+    time = clock.ManualClock()
+    plan = engine_plan.EnginePlan(time, "s", first_start=True)
+    plan.learn(FIRM_AT_FIRST[:1])
+    time.advance_to(time.now() + engine_plan.SETTLE_MS)
+    plan.learn(
+        [dataclasses.replace(one, state=traffic.EndpointState.DRAINING) for one in FIRM_AT_FIRST]
+    )
+    plan.learn(ALL_SPOT)
+    assert plan.first_count == len(FIRM_AT_FIRST)
+
+
+def test_the_demand_rises_faster_than_it_falls():
+    plan = engine_plan.EnginePlan(clock.ManualClock(), "s")
+    plan.sample_demand(10_000)
+    assert plan.demand >= 2_500
+    risen = plan.demand
+    plan.sample_demand(0)
+    assert plan.demand > 0.8 * risen
+
+
 def test_firm_endpoints_go_when_the_reclaimable_ones_have_come():
     time = clock.ManualClock()
     plan = settled(time)
--- a/plumarch/gateway/fleet_state.py
+++ b/plumarch/gateway/fleet_state.py
@@ -19,6 +19,7 @@
     Attributes:
       table: the configuration in force, or None before the first one is known.
       table_source: who told it: "store" or a peer's name.
+      reaches_store: whether the platform's store answered the last call.
       stops_at_ms: when the process will end, once it was told to and balancers know; or None.
     """
 
@@ -39,6 +40,7 @@
     first_token: first_token.FirstTokenEstimate
     table: routing_table.RoutingTable | None = None
     table_source: str = ""
+    reaches_store: bool = True
     stops_at_ms: int | None = None
 
     def adopt_table(self, table: routing_table.RoutingTable, source: str) -> bool:
--- a/plumarch/gateway/follower.py
+++ b/plumarch/gateway/follower.py
@@ -11,6 +11,9 @@
 WATCH_MS = 2_500
 FIRST_PAUSE_MS = 150.0
 LONGEST_PAUSE_MS = 600.0
+NEWS_PAUSE_MS = 200.0
+"""Time between an answer and the next watch, so that changes in quick succession are one call."""
+
 NOT_WATCHING_MS = 1_000.0
 """How often a node that leaves watching to others asks whether it still may."""
 
@@ -94,7 +97,9 @@
             try:
                 revision = await step(revision)
                 listed = True
+                self.state.reaches_store = True
                 dependency.answered()
+                await asyncio.sleep(NEWS_PAUSE_MS / 1000.0)
             except errors.PlatformTooOld:
                 self.state.log.write("history_gone", dependency=dependency.name, since=revision)
                 revision = None
@@ -102,6 +107,7 @@
                 # A list has a short time limit: a watch that begins just before the store
                 # answers again would hide that for its whole length.
                 revision = None
+                self.state.reaches_store = False
                 await asyncio.sleep(dependency.failed(error) / 1000.0)
 
     async def _configuration(self, revision: int | None) -> int:
--- a/plumarch/gateway/follower_test.py
+++ b/plumarch/gateway/follower_test.py
@@ -109,3 +109,12 @@
     lines = bytes(state.log.pending).decode()
     assert lines.count('"kind":"lost"') == 1
     assert lines.count('"kind":"regained"') == 1
+
+
+def test_a_store_that_does_not_answer_counts_as_out_of_reach_until_it_does(monkeypatch):
+    monkeypatch.setattr(follower, "FIRST_PAUSE_MS", 1.0)
+    down = errors.PlatformUnavailable("down")
+    _, state = follow(news(1, 10), down)
+    assert not state.reaches_store
+    _, state = follow(news(1, 10), down, news(1, 10))
+    assert state.reaches_store
--- a/plumarch/gateway/gossiper.py
+++ b/plumarch/gateway/gossiper.py
@@ -11,7 +11,7 @@
 from plumarch.gateway import fleet_state
 from plumarch.limits import workspace_quota
 from plumarch.membership import fleet_view
-from plumarch.peers import frames, gossip
+from plumarch.peers import frames, gossip, recent_changes
 from plumarch.routing import endpoint_choice
 
 BEAT_MS = 250
@@ -25,6 +25,14 @@
 """Every how many heartbeats usage is told; never in the same ones as the peers."""
 
 USAGE_WINDOWS = 3
+USAGE_TOLD_MS = 3_000
+"""How long a usage window is told in each of those after its end; later in whole ones only."""
+
+WHOLE_EVERY = 16
+"""Every how many heartbeats all figures are told, not just those that changed lately."""
+
+WHOLE_AT_NEWCOMERS = 3
+"""How many whole heartbeats are sent once a node is heard for the first time, or again."""
 FETCH_PAUSE_MS = 120
 """How long the store may take to tell by itself what a peer knows already."""
 
@@ -67,6 +75,8 @@
         self.leaving = False
         self.transport: asyncio.DatagramTransport | None = None
         self.beats = 0
+        self.whole_beats = WHOLE_AT_NEWCOMERS
+        self.spending_news = recent_changes.RecentChanges()
         self.fetching: asyncio.Task[None] | None = None
         self.soon = asyncio.Event()
         self.server: asyncio.Server | None = None
@@ -117,6 +127,7 @@
     def tick(self) -> None:
         """Age what is known of peers, and send one heartbeat to each."""
         self.view.interval_ms = self.interval_ms()
+        self.state.quota.news_age_ms = self.view.interval_ms
         for peer in self.view.tick():
             self.state.log.write("peer_forgotten", peer=peer.name, address=peer.address)
             self.state.quota.forget(f"{peer.name}#{peer.incarnation}")
@@ -129,9 +140,10 @@
         for address in self.view.addresses():
             self.transport.sendto(datagram, addresses.split(address))
         self.beats += 1
+        self.whole_beats = max(0, self.whole_beats - 1)
 
     def _hear_fraction(self) -> None:
-        self.state.quota.hear_fraction(self.view.heard_fraction(), self.view.size())
+        self.state.quota.hear_fraction(self.view.heard_fraction())
 
     def _drop_old_loads(self) -> None:
         now = self.state.clock.now()
@@ -143,9 +155,13 @@
     def heartbeat(self) -> gossip.Heartbeat:
         """Return the heartbeat to send now."""
         state = self.state
+        whole = self.whole_beats > 0 or self.beats % WHOLE_EVERY == 0
+        report = state.quota.report()
+        changed = self.spending_news.select({name: told.spent for name, told in report.items()})
         spending = [
             gossip.Spending(name, round(told.spent), round(told.level), told.settled)
-            for name, told in state.quota.report().items()
+            for name, told in report.items()
+            if whole or name in changed
         ]
         heaviest = sorted(
             state.chooser.own.items(), key=lambda one: (-one[1].prompt_tokens, one[0])
@@ -154,9 +170,8 @@
             gossip.EndpointLoad(name, load.running, round(load.prompt_tokens))
             for name, load in heaviest[:LOADS_TOLD]
         ]
-        recent = state.usage.recent(state.wall.now(), USAGE_WINDOWS)
         tell_peers = self.beats % PEERS_EVERY == 0
-        tell_usage = self.beats % USAGE_EVERY == 1
+        tell_usage = whole or self.beats % USAGE_EVERY == 1
         return gossip.Heartbeat(
             node=self.view.node,
             incarnation=self.view.incarnation,
@@ -170,14 +185,18 @@
             reported=self.duty.reported,
             spending=spending,
             loads=loads,
-            usage=[
-                gossip.WindowUsage(number, counts)
-                for number, counts in recent.items()
-                if tell_usage
-            ],
+            usage=self._usage_told(whole) if tell_usage else [],
             peers=self._known_peers() if tell_peers else [],
+            reaches_store=state.reaches_store,
         )
 
+    def _usage_told(self, whole: bool) -> list[gossip.WindowUsage]:
+        usage = self.state.usage
+        now = self.state.wall.now()
+        windows = USAGE_WINDOWS if whole else 1 + (now % usage.window_ms < USAGE_TOLD_MS)
+        recent = usage.recent(now, windows)
+        return [gossip.WindowUsage(number, counts) for number, counts in recent.items()]
+
     def _known_peers(self) -> list[gossip.KnownPeer]:
         heard = [peer for peer in self.view.live() if peer.incarnation]
         if len(heard) > 8:
@@ -208,7 +227,9 @@
                 "peer", peer=peer.name, incarnation=beat.incarnation, address=beat.address
             )
             self._hear_fraction()
+            self.whole_beats = WHOLE_AT_NEWCOMERS
         peer.leaving = beat.leaving
+        peer.reaches_store = beat.reaches_store
         peer.token = beat.token
         peer.candidate = beat.candidate
         self.duty.reported = max(self.duty.reported, beat.reported)
--- a/plumarch/gateway/gossiper_test.py
+++ b/plumarch/gateway/gossiper_test.py
@@ -9,7 +9,7 @@
 from plumarch.core import clock, errors, traffic
 from plumarch.gateway import gossiper
 from plumarch.membership import fleet_view
-from plumarch.peers import frames, gossip
+from plumarch.peers import frames, gossip, recent_changes
 from plumarch.routing import endpoint_choice
 from plumarch.standins import gateway_parts
 
@@ -147,3 +147,29 @@
             await frames.read(reader, gossip.FRAME_LIMIT)
 
     asyncio.run(test())
+
+
+def spending_told(node: gossiper.Gossiper) -> list[str]:
+    beat = node.heartbeat()
+    node.beats += 1
+    node.whole_beats = max(0, node.whole_beats - 1)
+    return [told.workspace for told in beat.spending]
+
+
+def test_spending_is_told_while_it_is_news_and_whole_to_a_node_heard_for_the_first_time():
+    state = gateway_parts.new_state(clock.ManualClock())
+    view = fleet_view.FleetView(clock.ManualClock(), "n", 1, "127.0.0.1:1")
+    node = gossiper.Gossiper(state, view, gossiper.DutyStatus(), ())
+    state.adopt_table(table(7), "store")
+    for _ in range(gossiper.WHOLE_EVERY - 1):
+        spending_told(node)
+    assert spending_told(node) == []
+    assert spending_told(node) == ["w"]
+    assert spending_told(node) == []
+    state.quota.buckets["w"].spent += 3.0
+    assert spending_told(node) == ["w"]
+    node.beats = 1
+    for _ in range(recent_changes.TOLD_TIMES):
+        spending_told(node)
+    node.take_in(gossip.Heartbeat("m", 5, "127.0.0.2:1", "a", False, -1, -1, 0, True, 0))
+    assert spending_told(node) == ["w"]
--- a/plumarch/limits/workspace_quota.py
+++ b/plumarch/limits/workspace_quota.py
@@ -5,15 +5,15 @@
 silent, a node admits only from the part of those that are heard, so that groups of nodes that
 don't hear each other never add up to more than the whole.
 
-The deployment tolerates a fixed excess in each window. Each node may use its share of it when
-its bucket is empty: that carries it over the moments in which silent nodes turn out to be
-lost, not cut off.
+The deployment tolerates a fixed excess in each window. Buckets refill faster by a part of it,
+the same part on all nodes: in any window the fleet then admits the allotment and that part of
+the excess. The rest of it covers what nodes admit before they hear of one another, which grows
+with the time between heartbeats.
 
 A node that starts has an empty bucket, since it can't know what its predecessor spent; it
 takes over the level of a peer that runs for longer.
 """
 
-import collections
 import dataclasses
 from collections.abc import Mapping
 
@@ -23,7 +23,10 @@
 """From this age of the process on, a workspace that is new starts with a full bucket."""
 
 EXCESS_USED = 0.6
-"""The part of the tolerated excess that nodes use; the rest covers what crosses unheard."""
+"""The part of the tolerated excess that is used where news is as young as FRESH_NEWS_MS."""
+
+FRESH_NEWS_MS = 250.0
+"""Where heartbeats are rarer than this, less of the excess is used."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -45,6 +48,15 @@
         allotted = workspace.rate * self.window_ms / 1000.0 + workspace.burst
         return self.ratio * allotted + self.units
 
+    def refill(self, workspace: traffic.Workspace, news_age_ms: float) -> float:
+        """Return the units a second by which a workspace's bucket refills over all nodes.
+
+        Args:
+          news_age_ms: time between heartbeats.
+        """
+        used = EXCESS_USED * min(1.0, FRESH_NEWS_MS / max(1.0, news_age_ms))
+        return workspace.rate + used * self.excess(workspace) * 1000.0 / self.window_ms
+
 
 @dataclasses.dataclass(slots=True)
 class Bucket:
@@ -55,7 +67,6 @@
       part: units left for the nodes that are heard; equals the level while all are.
       spent: units that this process admitted since its start.
       settled: whether the level rests on more than this process's own short life.
-      borrowed: times and units admitted beyond the bucket, oldest first.
     """
 
     level: float
@@ -63,9 +74,6 @@
     updated_ms: int
     settled: bool
     spent: float = 0.0
-    borrowed: collections.deque[tuple[int, float]] = dataclasses.field(
-        default_factory=collections.deque
-    )
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -83,14 +91,14 @@
 
     Attributes:
       fraction: the part of all nodes that is heard now, this one included.
-      nodes: how many nodes there may be, this one included.
+      news_age_ms: time between heartbeats of a node.
     """
 
     clock: clock.Clock
     started_ms: int
     tolerance: Tolerance = dataclasses.field(default_factory=Tolerance)
     fraction: float = 1.0
-    nodes: int = 8
+    news_age_ms: float = FRESH_NEWS_MS
     buckets: dict[str, Bucket] = dataclasses.field(default_factory=dict)
     heard: dict[tuple[str, str], float] = dataclasses.field(default_factory=dict)
 
@@ -105,29 +113,13 @@
         bucket = self._refill(workspace)
         available = bucket.level if self.fraction >= 1.0 else bucket.part
         needed = min(units, workspace.burst * self.fraction)
-        if available < needed and not self._borrow(workspace, bucket, units):
-            refill = max(workspace.rate * self.fraction, 1e-9)
-            return max(1.0, (needed - available) / refill * 1000.0)
+        if available < needed:
+            refill = self.tolerance.refill(workspace, self.news_age_ms) * self.fraction
+            return max(1.0, (needed - available) / max(refill, 1e-9) * 1000.0)
         self._charge(bucket, units)
         bucket.spent += units
         return 0.0
 
-    def _borrow(self, workspace: traffic.Workspace, bucket: Bucket, units: float) -> bool:
-        """Use this node's share of the tolerated excess, if enough of it is left."""
-        now = self.clock.now()
-        while bucket.borrowed and bucket.borrowed[0][0] <= now - self.tolerance.window_ms:
-            bucket.borrowed.popleft()
-        used = sum(amount for _, amount in bucket.borrowed)
-        share = EXCESS_USED * self.tolerance.excess(workspace) / self.nodes
-        if now - self.started_ms < self.tolerance.window_ms:
-            share /= 2.0  # The process before this one may have used its share just now.
-        if used + units > share:
-            return False
-        bucket.borrowed.append((now, units))
-        # What is borrowed is no debt of the bucket: it is counted against the excess alone.
-        self._charge(bucket, -units)
-        return True
-
     @staticmethod
     def _charge(bucket: Bucket, units: float) -> None:
         bucket.level -= units
@@ -140,9 +132,8 @@
             self._charge(bucket, -units)
             bucket.spent -= units
 
-    def hear_fraction(self, fraction: float, nodes: int) -> None:
-        """Take in which part of how many nodes is heard from now on."""
-        self.nodes = max(1, nodes)
+    def hear_fraction(self, fraction: float) -> None:
+        """Take in which part of all nodes is heard from now on."""
         if fraction == self.fraction:
             return
         for bucket in self.buckets.values():
@@ -203,7 +194,8 @@
             bucket = Bucket(level, level * self.fraction, now, settled)
             self.buckets[workspace.name] = bucket
         bucket.settled = bucket.settled or settled
-        gained = workspace.rate * (now - bucket.updated_ms) / 1000.0
+        refill = self.tolerance.refill(workspace, self.news_age_ms)
+        gained = refill * (now - bucket.updated_ms) / 1000.0
         bucket.level = min(workspace.burst, bucket.level + gained)
         most = workspace.burst * self.fraction
         bucket.part = min(most, bucket.part + gained * self.fraction)
--- a/plumarch/membership/fleet_view.py
+++ b/plumarch/membership/fleet_view.py
@@ -22,7 +22,7 @@
 SMALL_FLEET = 12
 """Up to this size each node follows the store."""
 
-WATCHERS = 3
+WATCHERS = 2
 """Nodes of each data centre that follow the store in a larger fleet."""
 
 
@@ -36,6 +36,7 @@
       heard_ms: when it was heard last, by this node's clock.
       token: the fencing token that it holds, or 0.
       candidate: whether it could take the duties over now.
+      reaches_store: whether the platform's store answers it.
     """
 
     name: str
@@ -47,6 +48,7 @@
     leaving: bool = False
     token: int = 0
     candidate: bool = True
+    reaches_store: bool = True
 
 
 @dataclasses.dataclass(slots=True)
@@ -147,7 +149,8 @@
         """Return whether this node follows the store itself.
 
         In a small fleet each node does. In a large one some of each data centre do, and the
-        others fetch from them what is newer; a node that hears none of those follows it too.
+        others fetch from them what is newer. One that the store does not answer counts for
+        nothing here: another one follows the store in its place.
         """
         if self.size() <= SMALL_FLEET:
             return True
@@ -155,7 +158,9 @@
         older = [
             peer
             for peer in self.live()
-            if peer.data_centre == data_centre and (peer.incarnation, peer.name) < mine
+            if peer.data_centre == data_centre
+            and peer.reaches_store
+            and (peer.incarnation, peer.name) < mine
         ]
         return len(older) < WATCHERS
 
--- a/plumarch/membership/fleet_view_test.py
+++ b/plumarch/membership/fleet_view_test.py
@@ -71,6 +71,16 @@
     assert view.watches_store("z")
 
 
+def test_a_node_that_the_store_does_not_answer_leaves_following_it_to_another():
+    view = view_at(clock.ManualClock())
+    for number in range(fleet_view.SMALL_FLEET + 1):
+        view.heard(f"c{number:02}", number + 1, f"10.0.2.{number}:7", "x")
+    assert not view.watches_store("x")
+    for peer in view.live()[fleet_view.WATCHERS - 1 :]:
+        peer.reaches_store = False
+    assert view.watches_store("x")
+
+
 def test_a_node_that_left_as_planned_reserves_nothing():
     time = clock.ManualClock()
     view = view_at(time)
--- a/plumarch/membership/registry.py
+++ b/plumarch/membership/registry.py
@@ -9,6 +9,12 @@
 
 from plumarch.core import clock, traffic
 
+LAPSE_MS = 1_400
+"""How long endpoints that vanished without notice, most of a service at once, are still used."""
+
+LEAST_LAPSED = 2
+"""A single endpoint that vanishes is taken as gone at once."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class EndpointChange:
@@ -23,11 +29,23 @@
     endpoint: traffic.Endpoint | None
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Lapsed:
+    """An endpoint that took new work until its entry vanished without notice."""
+
+    endpoint: traffic.Endpoint
+    at_ms: int
+
+
 @dataclasses.dataclass(slots=True)
 class Registry:
     """The endpoints, and how fresh the knowledge is.
 
+    Entries may lapse while the source itself is away, and come back soon after it does. Where
+    fewer endpoints of a service are left than vanished just now, those are used on for a while.
+
     Attributes:
+      lapsed: endpoints that vanished without notice, by identifier.
       revision: the source's revision up to which all changes are known.
       confirmed_ms: when that was last confirmed.
       source: who told last: "store" or a peer's name.
@@ -38,6 +56,7 @@
     revision: int = -1
     confirmed_ms: int = 0
     source: str = ""
+    lapsed: dict[str, Lapsed] = dataclasses.field(default_factory=dict)
 
     def replace(
         self, endpoints: Iterable[traffic.Endpoint], revision: int, source: str
@@ -56,6 +75,9 @@
         for name, endpoint in fresh.items():
             if self.endpoints.get(name) != endpoint:
                 changes.append(EndpointChange(name, revision, endpoint))
+        for change in changes:
+            if change.endpoint is None:
+                self._note_lapse(self.endpoints[change.id])
         self.endpoints = fresh
         self._confirm(revision, source)
         return changes
@@ -75,7 +97,9 @@
             if change.revision <= self.revision:
                 continue
             if change.endpoint is None:
-                if self.endpoints.pop(change.id, None) is not None:
+                vanished = self.endpoints.pop(change.id, None)
+                if vanished is not None:
+                    self._note_lapse(vanished)
                     news.append(change)
             elif self.endpoints.get(change.id) != change.endpoint:
                 self.endpoints[change.id] = change.endpoint
@@ -88,6 +112,17 @@
         self.confirmed_ms = self.clock.now()
         self.source = source
 
+    def _note_lapse(self, vanished: traffic.Endpoint) -> None:
+        now = self.clock.now()
+        for name in [name for name, one in self.lapsed.items() if self._is_over(one, now)]:
+            del self.lapsed[name]
+        if vanished.state is traffic.EndpointState.READY:
+            self.lapsed[vanished.id] = Lapsed(vanished, now)
+
+    @staticmethod
+    def _is_over(lapsed: Lapsed, now: int) -> bool:
+        return now - lapsed.at_ms > LAPSE_MS
+
     def ready(self, service: str) -> list[traffic.Endpoint]:
         """Return the endpoints of a service that take new work, by identifier."""
         found = [
@@ -95,8 +130,23 @@
             for endpoint in self.endpoints.values()
             if endpoint.service == service and endpoint.state is traffic.EndpointState.READY
         ]
+        if self.lapsed:
+            vanished = self._vanished(service)
+            if len(vanished) >= LEAST_LAPSED and len(vanished) > len(found):
+                found += vanished
         return sorted(found, key=lambda endpoint: endpoint.id)
 
+    def _vanished(self, service: str) -> list[traffic.Endpoint]:
+        """Return the endpoints of a service that vanished just now and are not back."""
+        now = self.clock.now()
+        return [
+            one.endpoint
+            for name, one in self.lapsed.items()
+            if one.endpoint.service == service
+            and name not in self.endpoints
+            and not self._is_over(one, now)
+        ]
+
     def age_ms(self) -> int:
         """Return how long ago the registry was last confirmed."""
         return self.clock.now() - self.confirmed_ms
--- a/plumarch/membership/registry_test.py
+++ b/plumarch/membership/registry_test.py
@@ -72,3 +72,33 @@
             expected = snapshots[known.revision][1]
             assert known.endpoints == expected
         assert known.endpoints == truth
+
+
+def test_endpoints_whose_entries_lapsed_together_are_used_on_for_a_while():
+    time = clock.ManualClock()
+    known = registry.Registry(time)
+    known.replace([endpoint(name) for name in "abcd"], 10, "store")
+    known.replace([endpoint("a")], 11, "store")
+    assert [one.id for one in known.ready("s")] == ["a", "b", "c", "d"]
+    known.apply([change("b", 12)], 12, "store")
+    assert [one.id for one in known.ready("s")] == ["a", "b"]
+    time.advance_to(registry.LAPSE_MS + 1)
+    assert [one.id for one in known.ready("s")] == ["a", "b"]
+
+
+def test_lapsed_endpoints_are_gone_when_the_time_is_over():
+    time = clock.ManualClock()
+    known = registry.Registry(time)
+    known.replace([endpoint(name) for name in "abc"], 10, "store")
+    known.replace([], 11, "store")
+    assert len(known.ready("s")) == 3
+    time.advance_to(registry.LAPSE_MS + 1)
+    assert known.ready("s") == []
+
+
+def test_an_endpoint_that_was_leaving_does_not_come_back_as_lapsed():
+    known = registry.Registry(clock.ManualClock())
+    leaving = traffic.EndpointState.DRAINING
+    known.replace([endpoint(name, leaving) for name in "abc"], 10, "store")
+    known.replace([], 11, "store")
+    assert known.ready("s") == []
--- a/plumarch/peers/gossip.py
+++ b/plumarch/peers/gossip.py
@@ -56,6 +56,8 @@
       token: the fencing token under which it holds the duties, or 0.
       candidate: whether it could take the duties over now.
       reported: the newest usage window that the holder reported, or 0.
+      spending: of the workspaces in which it changed lately, in some heartbeats of all.
+      reaches_store: whether the platform's store answered the sender's last call.
     """
 
     node: str
@@ -72,6 +74,7 @@
     loads: list[EndpointLoad] = []
     usage: list[WindowUsage] = []
     peers: list[KnownPeer] = []
+    reaches_store: bool = True
 
 
 class SnapshotRequest(msgspec.Struct, array_like=True, frozen=True):
--- /dev/null
+++ b/plumarch/peers/recent_changes_test.py
@@ -0,0 +1,24 @@
+"""Changes are told several times, then no more."""
+
+from plumarch.peers import recent_changes
+
+
+def test_a_change_is_told_several_times_and_then_no_more():
+    changes = recent_changes.RecentChanges()
+    told = [changes.select({"a": 1.0}) for _ in range(recent_changes.TOLD_TIMES + 1)]
+    assert told == [{"a"}] * recent_changes.TOLD_TIMES + [set()]
+
+
+def test_a_further_change_is_told_as_often_again():
+    changes = recent_changes.RecentChanges()
+    changes.select({"a": 1.0, "b": 1.0})
+    for _ in range(recent_changes.TOLD_TIMES):
+        assert "a" in changes.select({"a": 2.0, "b": 1.0})
+    assert changes.select({"a": 2.0, "b": 1.0}) == set()
+
+
+def test_what_no_longer_exists_is_forgotten():
+    changes = recent_changes.RecentChanges()
+    changes.select({"a": 1.0})
+    assert changes.select({}) == set()
+    assert changes.select({"a": 1.0}) == {"a"}
