--- a/bench/altered_sites.py
+++ b/bench/altered_sites.py
@@ -82,6 +82,10 @@
         of_machines(set_field("spare", "0")),
     ),
     "twice-the-machines": (of_machines(scale_field("count", 2)),),
+    "third-of-the-machines": (
+        of_machines(scale_field("count", 0.34, 1)),
+        of_machines(scale_field("spare", 0.34)),
+    ),
     "two-zones": (without_last_zone,),
     "four-zones": (with_one_zone_more,),
     "other-bounds": (
--- a/plumarch/gateway/admission.py
+++ b/plumarch/gateway/admission.py
@@ -13,6 +13,11 @@
 
 DEFAULT_DEADLINE_MS = 30_000.0
 
+ROUTE_RANKS = 3
+"""Ranks of routes that are told apart within one rank of a workspace."""
+
+LEAST_URGENT = 9
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Refusal:
@@ -57,6 +62,13 @@
         return self.workspace.name if self.workspace else ""
 
 
+def urgency(admitted: Admitted) -> int:
+    """Return how urgent a request is to an engine: 0 first; a workspace's rank goes first."""
+    workspace_rank = admitted.workspace.priority if admitted.workspace else 0
+    route_rank = min(admitted.route.priority, ROUTE_RANKS - 1)
+    return min(LEAST_URGENT, max(0, workspace_rank) * ROUTE_RANKS + max(0, route_rank))
+
+
 def admit(
     state: fleet_state.FleetState, request: caller_connection.CallerRequest
 ) -> Admitted | Refusal:
--- a/plumarch/gateway/attempts.py
+++ b/plumarch/gateway/attempts.py
@@ -130,6 +130,8 @@
     time_left = max(1, int(admitted.ends_ms - state.clock.now()))
     headers.append((names.deadline_ms, str(time_left).encode()))
     headers.append((names.instance, endpoint.id.encode()))
+    if admitted.prompt_tokens:
+        headers.append((names.urgency, str(admission.urgency(admitted)).encode()))
     last_id = progress.last_event_id or request.header(names.last_event_id)
     if last_id:
         headers.append((names.last_event_id, last_id.encode()))
--- a/plumarch/gateway/relay_test.py
+++ b/plumarch/gateway/relay_test.py
@@ -234,6 +234,18 @@
     play(test)
 
 
+def test_an_engine_is_told_how_urgent_a_request_is_whatever_the_caller_said():
+    async def test() -> None:
+        async with Gateway(answers()) as gateway:
+            await gateway.ask("/safe/", extra="X-Token-Counts: 5,1\r\nX-Urgency: 9\r\n")
+            await gateway.ask("/safe/", extra="X-Urgency: 9\r\n")
+            engine, plain = gateway.endpoints[0].received
+            assert engine.headers["x-urgency"] == "0"
+            assert "x-urgency" not in plain.headers
+
+    play(test)
+
+
 def test_an_endpoints_own_failure_is_relayed_with_its_signature():
     async def test() -> None:
         async with Gateway(answers("500 Internal Server Error", body=b"sorry")) as gateway:
