Give the first orders once all engines of the first start have told themselves

An engine tells itself within its first heartbeat; orders wait until none was news for 0.9 s. Test fails without the change.

--- a/plumarch/fleet/engine_plan.py
+++ b/plumarch/fleet/engine_plan.py
@@ -41,6 +41,10 @@
 LEARN_MS = 4_000
 """Endpoints told within this time of the plan's begin were there at first."""
 
+QUIET_MS = 900
+"""At the first start, endpoints tell themselves one after the other: all are known once none was
+news for this time. One that is let go before it told itself would never be counted."""
+
 SHRINK_MARGIN = 0.8
 """Fewer endpoints are wanted once the demand is below this part of what they carry."""
 
@@ -78,6 +82,7 @@
       demand: tokens a second over all nodes, smoothed.
       sized_for: endpoints that the demand asked for last.
       began_ms: when the plan began.
+      last_new_ms: when an endpoint of the first start was told last.
     """
 
     clock: clock.Clock
@@ -88,6 +93,7 @@
     demand: float = 0.0
     sized_for: int = 0
     began_ms: int | None = None
+    last_new_ms: int = 0
     given: dict[Place, Given] = dataclasses.field(default_factory=dict)
 
     def sample_demand(self, tokens_per_s: float) -> None:
@@ -238,13 +244,20 @@
         if not self.first_start or now - self.began_ms >= LEARN_MS:
             return
         for one in endpoints:
-            if one.service == self.service and not one.spot:
+            if one.service == self.service and not one.spot and one.id not in self.first_seen:
                 self.first_seen.add(one.id)
+                self.last_new_ms = now
         self.first_count = max(self.first_count, len(self.first_seen))
 
     def _settled(self) -> bool:
         """Return whether the endpoints had time to be told, so that orders may be given."""
-        return self.began_ms is not None and self.clock.now() - self.began_ms >= SETTLE_MS
+        if self.began_ms is None:
+            return False
+        now = self.clock.now()
+        learns = self.first_start and now - self.began_ms < LEARN_MS
+        if learns and now - self.last_new_ms < QUIET_MS:
+            return False
+        return now - self.began_ms >= SETTLE_MS
 
     def _nothing_runs_yet(self, ready: Mapping[Place, int]) -> bool:
         """Return whether firm endpoints may go at once: first start, no demand, none refused."""
--- a/plumarch/fleet/engine_plan_test.py
+++ b/plumarch/fleet/engine_plan_test.py
@@ -74,6 +74,21 @@
     assert plan.first_count == len(FIRM_AT_FIRST)
 
 
+def test_at_the_first_start_nothing_is_ordered_while_endpoints_still_tell_themselves():
+    time = clock.ManualClock()
+    plan = engine_plan.EnginePlan(time, "s", first_start=True)
+    told = []
+    for one in FIRM_AT_FIRST:
+        told.append(one)
+        plan.learn(told)
+        assert plan.orders(SCALING, told) == []
+        time.advance_to(time.now() + engine_plan.QUIET_MS - 200)
+    assert plan.orders(SCALING, told) == []
+    time.advance_to(time.now() + 200)
+    assert plan.orders(SCALING, told) != []
+    assert plan.first_count == len(FIRM_AT_FIRST)
+
+
 def test_the_demand_rises_faster_than_it_falls():
     plan = engine_plan.EnginePlan(clock.ManualClock(), "s")
     plan.sample_demand(10_000)
