--- a/plumarch/limits/workspace_quota.py
+++ b/plumarch/limits/workspace_quota.py
@@ -138,6 +138,7 @@
         """Take in which part of all nodes is heard from now on."""
         if fraction == self.fraction:
             return
+        self._refill_all()
         for bucket in self.buckets.values():
             if self.fraction >= 1.0:
                 bucket.part = bucket.level
--- a/plumarch/limits/workspace_quota_test.py
+++ b/plumarch/limits/workspace_quota_test.py
@@ -112,6 +112,16 @@
     assert all(node.admit(SPACE, 1_000) == 0 for node in nodes)
 
 
+def test_when_others_fall_silent_the_part_that_is_left_is_of_the_level_as_of_now():
+    time = clock.ManualClock()
+    quota = quota_of(time)
+    quota.heard_from("b#1", {"w": workspace_quota.PeerSpending(0, 2_000)})
+    quota.heard_from("b#1", {"w": workspace_quota.PeerSpending(4_000, 2_000)})
+    time.advance_to(4_000)
+    quota.hear_fraction(0.5)
+    assert quota.admit(SPACE, 1_000) == 0
+
+
 def test_a_level_that_is_taken_over_earns_only_from_then_on():
     time = clock.ManualClock()
     quota = quota_of(time, started_ms=0)
