--- a/plumarch/gateway/attempts.py
+++ b/plumarch/gateway/attempts.py
@@ -25,7 +25,7 @@
       tried: endpoints that it was sent to or that could not be reached.
       sends: how many endpoints bytes were sent to.
       unresolved: sends of which it is not known that the request did not run.
-      last_event_id: of the last event that the caller got.
+      last_event_id: of the last event that the caller got, in this answer or by its own word.
     """
 
     tried: set[str] = dataclasses.field(default_factory=set)
@@ -132,9 +132,8 @@
     headers.append((names.instance, endpoint.id.encode()))
     if admitted.prompt_tokens:
         headers.append((names.urgency, str(admission.urgency(admitted)).encode()))
-    last_id = progress.last_event_id or request.header(names.last_event_id)
-    if last_id:
-        headers.append((names.last_event_id, last_id.encode()))
+    if progress.last_event_id:
+        headers.append((names.last_event_id, progress.last_event_id.encode()))
     if request.body or request.method in (b"POST", b"PUT", b"PATCH"):
         headers.append((b"content-length", str(len(request.body)).encode()))
     headers.append((b"connection", b"close"))
--- a/plumarch/gateway/request_run.py
+++ b/plumarch/gateway/request_run.py
@@ -87,7 +87,9 @@
         self.state = state
         self.admitted = admitted
         self.reply = reply
-        self.progress = attempts.Progress()
+        self.progress = attempts.Progress(
+            last_event_id=admitted.request.header(state.names.last_event_id)
+        )
         self.first_ms: int | None = None
         self.events = 0
         self.failed_answer: WholeAnswer | None = None
