--- /dev/null
+++ b/bench/heartbeats.py
@@ -0,0 +1,119 @@
+"""What heartbeats cost by the size of the fleet: python -m bench.heartbeats.
+
+Bytes of a datagram, and processor time to build one and to take one in, for a node that serves its
+share of the requests. The figures go into docs/CAPACITY.md by hand.
+"""
+
+import dataclasses
+import random
+import time
+
+from plumarch.config import routing_table
+from plumarch.core import clock, traffic
+from plumarch.gateway import gossiper
+from plumarch.membership import fleet_view
+from plumarch.peers import gossip
+from plumarch.routing import endpoint_choice
+from plumarch.standins import gateway_parts
+
+BEATS = 400
+RUNNING_S = 1.0
+"""How long a request runs, for the endpoints that a node has requests at."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Size:
+    """A fleet.
+
+    Attributes:
+      requests_per_s: over all nodes.
+    """
+
+    nodes: int
+    workspaces: int
+    endpoints: int
+    requests_per_s: float
+
+
+SIZES = (Size(6, 5, 8, 21.0), Size(77, 16, 50, 190.0), Size(450, 500, 3_000, 16_000.0))
+
+
+def configured(size: Size) -> routing_table.RoutingTable:
+    """Return a configuration with workspaces of a rate each."""
+    spaces = tuple(
+        traffic.Workspace(f"space{number:04}", (f"key{number}",), rate=30_000.0, burst=40_000.0)
+        for number in range(size.workspaces)
+    )
+    return routing_table.build(
+        routing_table.Configuration(1, (), (), spaces, traffic.CallerLimits())
+    )
+
+
+def node_of(size: Size, time_of: clock.ManualClock) -> gossiper.Gossiper:
+    """Return a node that knows all others of its fleet."""
+    state = gateway_parts.new_state(time_of)
+    view = fleet_view.FleetView(time_of, "front-hall-a-1", 1_700_000_000_000, "10.1.0.1:7600")
+    node = gossiper.Gossiper(state, view, gossiper.DutyStatus(), ())
+    state.adopt_table(configured(size), "store")
+    for number in range(size.nodes - 1):
+        view.heard(f"front-hall-b-{number}", 1_700_000_000_000, f"10.2.{number}.1:7600", "hall-b")
+    return node
+
+
+def serve(node: gossiper.Gossiper, size: Size, interval_ms: float, rng: random.Random) -> None:
+    """Admit a node's share of the requests of one interval."""
+    state = node.state
+    share = size.requests_per_s / size.nodes
+    count = share * interval_ms / 1000.0
+    for _ in range(int(count) + (rng.random() < count % 1.0)):
+        name = f"space{int(rng.random() ** 2 * size.workspaces):04}"
+        assert state.table is not None
+        state.quota.admit(state.table.workspaces[name], rng.uniform(200, 9_000))
+        state.usage.began(name, state.wall.now())
+    running = int(share * RUNNING_S) + 1
+    state.chooser.own = {
+        f"i-{rng.randrange(size.endpoints):010x}": endpoint_choice.Load(1, rng.uniform(0, 5_000))
+        for _ in range(running)
+    }
+
+
+def measure(size: Size) -> str:
+    """Return a line of figures for one size."""
+    now = clock.ManualClock(1_700_000_100_000)
+    rng = random.Random(1)
+    node, other = node_of(size, now), node_of(size, now)
+    other.view.node = "front-hall-c-1"
+    interval_ms = node.interval_ms()
+    sizes: list[int] = []
+    building = taking = 0.0
+    for _ in range(BEATS):
+        now.advance_to(now.now() + round(interval_ms))
+        serve(node, size, interval_ms, rng)
+        begun = time.perf_counter()
+        data = gossip.encoder.encode(node.heartbeat())
+        building += time.perf_counter() - begun
+        node.beats += 1
+        node.whole_beats = max(0, node.whole_beats - 1)
+        begun = time.perf_counter()
+        other.take_in(gossip.heartbeat_decoder.decode(data))
+        taking += time.perf_counter() - begun
+        sizes.append(len(data))
+    mean = sum(sizes) / BEATS
+    sent = mean * (size.nodes - 1) * 1000.0 / interval_ms
+    cores = (building + taking * (size.nodes - 1)) / BEATS * 1000.0 / interval_ms
+    return (
+        f"{size.nodes} nodes, {size.workspaces} workspaces: "
+        f"{mean:.0f} bytes (largest {max(sizes)}), "
+        f"build {building / BEATS * 1e6:.0f} us, take in {taking / BEATS * 1e6:.0f} us, "
+        f"every {interval_ms:.0f} ms, {sent / 1000:.1f} kB/s sent, {cores * 100:.2f}% of a core"
+    )
+
+
+def main() -> None:
+    """Print a line for each size."""
+    for size in SIZES:
+        print(measure(size))
+
+
+if __name__ == "__main__":
+    main()
--- a/plumarch/limits/workspace_quota.py
+++ b/plumarch/limits/workspace_quota.py
@@ -174,7 +174,7 @@
             if known is not None:
                 self._charge(bucket, told.spent - known)
             elif told.settled:
-                self._refill_all()
+                self._refill(self.workspaces[name])
                 self._take_over(bucket, told.level)
 
     def _take_over(self, bucket: Bucket, level: float) -> None:
