--- a/bench/heartbeats.py
+++ b/bench/heartbeats.py
@@ -95,7 +95,7 @@
         node.beats += 1
         node.whole_beats = max(0, node.whole_beats - 1)
         begun = time.perf_counter()
-        other.take_in(gossip.heartbeat_decoder.decode(data))
+        other.datagram_received(data, ("10.1.0.1", 7600))
         taking += time.perf_counter() - begun
         sizes.append(len(data))
     mean = sum(sizes) / BEATS
--- a/plumarch/gateway/attempts.py
+++ b/plumarch/gateway/attempts.py
@@ -115,6 +115,8 @@
     if progress.sends == 1:
         state.budget.first(admitted.service)
     state.chooser.begin(choice, admitted.parts)
+    if state.tell_load is not None and admitted.prompt_tokens:
+        state.tell_load(choice.endpoint.id, choice.unread_tokens)
     return Attempt(choice, opened, state.clock.now())
 
 
--- a/plumarch/gateway/fleet_state.py
+++ b/plumarch/gateway/fleet_state.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import random
+from collections.abc import Callable
 
 from plumarch.config import routing_table
 from plumarch.core.clock import Clock
@@ -19,6 +20,7 @@
     Attributes:
       table: the configuration in force, or None before the first one is known.
       table_source: who told it: "store" or a peer's name.
+      tell_load: tells the other nodes of a request sent to an engine, by its unread tokens.
       reaches_store: whether the platform's store answered the last call.
       stops_at_ms: when the process will end, once it was told to and balancers know; or None.
     """
@@ -40,6 +42,7 @@
     first_token: first_token.FirstTokenEstimate
     table: routing_table.RoutingTable | None = None
     table_source: str = ""
+    tell_load: Callable[[str, float], None] | None = None
     reaches_store: bool = True
     stops_at_ms: int | None = None
 
--- a/plumarch/gateway/gossiper.py
+++ b/plumarch/gateway/gossiper.py
@@ -1,4 +1,4 @@
-"""Heartbeats sent to and taken from peers, and snapshots fetched from those that know more."""
+"""Heartbeats and notices to and from peers, and snapshots fetched from those that know more."""
 
 import asyncio
 import dataclasses
@@ -41,6 +41,12 @@
 """Endpoints whose load a heartbeat tells, the heaviest first."""
 
 LOADS_KEPT_MS = 2_500
+NOTICE_TOKENS = 1_500.0
+"""A prompt with this many unread tokens is told at once: between two heartbeats of a large fleet
+several nodes would choose the same engine for theirs."""
+
+NOTICE_FLEET = 128
+"""In larger fleets, notices go to the nodes of the own data centre only."""
 
 
 @dataclasses.dataclass(slots=True)
@@ -80,6 +86,7 @@
         self.fetching: asyncio.Task[None] | None = None
         self.soon = asyncio.Event()
         self.server: asyncio.Server | None = None
+        state.tell_load = self.tell_load
 
     async def start(self) -> None:
         """Listen, and learn the seeds."""
@@ -197,6 +204,27 @@
         recent = usage.recent(now, windows)
         return [gossip.WindowUsage(number, counts) for number, counts in recent.items()]
 
+    def tell_load(self, endpoint: str, unread_tokens: float) -> None:
+        """Tell the peers at once of a request that was sent to an engine, if it is a long one.
+
+        Args:
+          unread_tokens: tokens of its prompt that the engine is expected to have to read.
+        """
+        load = self.state.chooser.own.get(endpoint)
+        if self.transport is None or load is None or unread_tokens < NOTICE_TOKENS:
+            return
+        told = gossip.EndpointLoad(endpoint, load.running, round(load.prompt_tokens))
+        notice = gossip.LoadNotice(self.view.node, self.view.incarnation, told)
+        datagram = gossip.encoder.encode(notice)
+        for peer in self._told_of_loads():
+            self.transport.sendto(datagram, addresses.split(peer.address))
+
+    def _told_of_loads(self) -> list[fleet_view.Peer]:
+        live = self.view.live()
+        if len(live) <= NOTICE_FLEET:
+            return live
+        return [peer for peer in live if peer.data_centre == self.state.data_centre]
+
     def _known_peers(self) -> list[gossip.KnownPeer]:
         heard = [peer for peer in self.view.live() if peer.incarnation]
         if len(heard) > 8:
@@ -208,11 +236,23 @@
     def datagram_received(self, data: bytes, addr: tuple[str | Any, int]) -> None:
         """Take in a heartbeat."""
         try:
-            beat = gossip.heartbeat_decoder.decode(data)
+            told = gossip.datagram_decoder.decode(data)
         except msgspec.DecodeError as error:
             self.state.log.write("bad_heartbeat", sender=str(addr[0]), error=str(error))
             return
-        self.take_in(beat)
+        if isinstance(told, gossip.LoadNotice):
+            self.take_notice(told)
+        else:
+            self.take_in(told)
+
+    def take_notice(self, notice: gossip.LoadNotice) -> None:
+        """Take in a peer's load at one endpoint."""
+        peer = self.view.peers.get(notice.node)
+        loads = self.state.chooser.peers.get(notice.node)
+        if peer is None or loads is None or peer.incarnation != notice.incarnation:
+            return
+        told = notice.load
+        loads[told.endpoint] = endpoint_choice.Load(told.running, float(told.prompt_tokens))
 
     def take_in(self, beat: gossip.Heartbeat) -> None:
         """Take in what a peer tells."""
--- a/plumarch/gateway/gossiper_test.py
+++ b/plumarch/gateway/gossiper_test.py
@@ -129,6 +129,35 @@
     play(test)
 
 
+def test_a_long_prompt_is_told_at_once_and_a_short_one_with_the_next_heartbeat():
+    async def test(pair: Pair) -> None:
+        await pair.until(lambda: bool(pair.one.view.live() and pair.two.view.live()))
+        other = pair.two.state
+        state = pair.one.state
+        state.chooser.own["e"] = endpoint_choice.Load(1, 9_000.0)
+        state.tell_load("e", gossiper.NOTICE_TOKENS - 1)
+        state.chooser.own["f"] = endpoint_choice.Load(2, 7_000.0)
+        state.tell_load("f", 7_000.0)
+        while other.chooser.load("f").running != 2:
+            await asyncio.sleep(0.005)
+        assert other.chooser.load("f").prompt_tokens == 7_000.0
+        assert other.chooser.load("e").running == 0
+
+    play(test)
+
+
+def test_a_notice_of_a_process_that_was_replaced_is_dropped():
+    state = gateway_parts.new_state(clock.ManualClock())
+    view = fleet_view.FleetView(clock.ManualClock(), "n", 1, "127.0.0.1:1")
+    node = gossiper.Gossiper(state, view, gossiper.DutyStatus(), ())
+    node.take_in(gossip.Heartbeat("m", 5, "127.0.0.2:1", "a", False, -1, -1, 0, True, 0))
+    load = gossip.EndpointLoad("e", 1, 3_000)
+    for incarnation, running in ((4, 0), (5, 1)):
+        notice = gossip.LoadNotice("m", incarnation, load)
+        node.datagram_received(gossip.encoder.encode(notice), ("127.0.0.2", 1))
+        assert state.chooser.load("e").running == running
+
+
 def test_what_is_no_heartbeat_is_dropped():
     state = gateway_parts.new_state(clock.ManualClock())
     view = fleet_view.FleetView(clock.ManualClock(), "n", 1, "127.0.0.1:1")
--- a/plumarch/peers/gossip.py
+++ b/plumarch/peers/gossip.py
@@ -1,4 +1,4 @@
-"""Heartbeats between the nodes of a fleet, and what they carry.
+"""Heartbeats and notices between the nodes of a fleet, and what they carry.
 
 A heartbeat is one MessagePack datagram. It names the versions that a node holds; a peer that
 holds older ones fetches the newer ones over TCP from the same port.
@@ -47,7 +47,7 @@
     address: str
 
 
-class Heartbeat(msgspec.Struct, array_like=True, frozen=True):
+class Heartbeat(msgspec.Struct, array_like=True, frozen=True, tag=1):
     """A sign of life.
 
     Attributes:
@@ -77,6 +77,18 @@
     reaches_store: bool = True
 
 
+class LoadNotice(msgspec.Struct, array_like=True, frozen=True, tag=2):
+    """A node's load at one endpoint, told at once as it grows by a long prompt.
+
+    Attributes:
+      incarnation: as in its heartbeats; a notice of another one is dropped.
+    """
+
+    node: str
+    incarnation: int
+    load: EndpointLoad
+
+
 class SnapshotRequest(msgspec.Struct, array_like=True, frozen=True):
     """Asks for what is newer than what the asking node holds."""
 
@@ -94,6 +106,6 @@
 
 
 encoder = msgspec.msgpack.Encoder()
-heartbeat_decoder = msgspec.msgpack.Decoder(Heartbeat)
+datagram_decoder = msgspec.msgpack.Decoder(Heartbeat | LoadNotice)
 request_decoder = msgspec.msgpack.Decoder(SnapshotRequest)
 snapshot_decoder = msgspec.msgpack.Decoder(Snapshot)
--- a/plumarch/routing/endpoint_choice.py
+++ b/plumarch/routing/endpoint_choice.py
@@ -9,7 +9,7 @@
 
 import collections
 import dataclasses
-from collections.abc import Mapping, Sequence
+from collections.abc import Sequence
 
 from plumarch.core import clock, hashing, traffic
 
@@ -88,7 +88,7 @@
     clock: clock.Clock
     data_centre: str
     own: dict[str, Load] = dataclasses.field(default_factory=dict)
-    peers: dict[str, Mapping[str, Load]] = dataclasses.field(default_factory=dict)
+    peers: dict[str, dict[str, Load]] = dataclasses.field(default_factory=dict)
     records: dict[str, EngineRecord] = dataclasses.field(default_factory=dict)
 
     def load(self, endpoint: str) -> Load:
