--- a/plumarch/gateway/gossiper.py
+++ b/plumarch/gateway/gossiper.py
@@ -186,7 +186,7 @@
             data_centre=state.data_centre,
             leaving=self.leaving,
             configuration=state.table.version if state.table else -1,
-            registry_revision=state.registry.revision,
+            registry_revision=state.registry.changed_revision,
             token=self.duty.token,
             candidate=self.duty.candidate,
             reported=self.duty.reported,
@@ -353,7 +353,7 @@
         table = self.state.table
         registry = self.state.registry
         newer = table is not None and table.version > asked.configuration
-        fresher = registry.revision > asked.registry_revision
+        fresher = registry.changed_revision > asked.registry_revision
         return gossip.Snapshot(
             self.view.node,
             table.configuration if table is not None and newer else None,
--- a/plumarch/gateway/gossiper_test.py
+++ b/plumarch/gateway/gossiper_test.py
@@ -146,6 +146,15 @@
     play(test)
 
 
+def test_a_node_whose_knowledge_was_only_confirmed_is_not_asked_for_it():
+    state = gateway_parts.new_state(clock.ManualClock())
+    view = fleet_view.FleetView(clock.ManualClock(), "n", 1, "127.0.0.1:1")
+    node = gossiper.Gossiper(state, view, gossiper.DutyStatus(), ())
+    state.registry.replace([ENDPOINT], 40, "store")
+    state.registry.apply([], 55, "store")
+    assert node.heartbeat().registry_revision == 40
+
+
 def test_a_notice_of_a_process_that_was_replaced_is_dropped():
     state = gateway_parts.new_state(clock.ManualClock())
     view = fleet_view.FleetView(clock.ManualClock(), "n", 1, "127.0.0.1:1")
--- a/plumarch/membership/registry.py
+++ b/plumarch/membership/registry.py
@@ -47,6 +47,8 @@
     Attributes:
       lapsed: endpoints that vanished without notice, by identifier.
       revision: the source's revision up to which all changes are known.
+      changed_revision: the revision at which something changed last; other nodes need not fetch
+        what is confirmed beyond it.
       confirmed_ms: when that was last confirmed.
       source: who told last: "store" or a peer's name.
     """
@@ -54,6 +56,7 @@
     clock: clock.Clock
     endpoints: dict[str, traffic.Endpoint] = dataclasses.field(default_factory=dict)
     revision: int = -1
+    changed_revision: int = -1
     confirmed_ms: int = 0
     source: str = ""
     lapsed: dict[str, Lapsed] = dataclasses.field(default_factory=dict)
@@ -79,7 +82,7 @@
             if change.endpoint is None:
                 self._note_lapse(self.endpoints[change.id])
         self.endpoints = fresh
-        self._confirm(revision, source)
+        self._confirm(revision, source, bool(changes))
         return changes
 
     def apply(
@@ -104,10 +107,12 @@
             elif self.endpoints.get(change.id) != change.endpoint:
                 self.endpoints[change.id] = change.endpoint
                 news.append(change)
-        self._confirm(revision, source)
+        self._confirm(revision, source, bool(news))
         return news
 
-    def _confirm(self, revision: int, source: str) -> None:
+    def _confirm(self, revision: int, source: str, changed: bool) -> None:
+        if changed:
+            self.changed_revision = revision
         self.revision = revision
         self.confirmed_ms = self.clock.now()
         self.source = source
--- a/plumarch/membership/registry_test.py
+++ b/plumarch/membership/registry_test.py
@@ -102,3 +102,13 @@
     known.replace([endpoint(name, leaving) for name in "abc"], 10, "store")
     known.replace([], 11, "store")
     assert known.ready("s") == []
+
+
+def test_a_confirmation_without_a_change_is_nothing_to_hand_on():
+    known = registry.Registry(clock.ManualClock())
+    known.replace([endpoint("a")], 10, "store")
+    known.apply([], 14, "store")
+    known.replace([endpoint("a")], 15, "store")
+    assert (known.revision, known.changed_revision) == (15, 10)
+    known.apply([change("b", 17)], 17, "store")
+    assert known.changed_revision == 17
--- a/plumarch/peers/gossip.py
+++ b/plumarch/peers/gossip.py
@@ -52,7 +52,7 @@
 
     Attributes:
       incarnation: time of day at which the process started, in ms.
-      registry_revision: up to which the sender knows all changes of endpoints.
+      registry_revision: of the last change of endpoints that the sender knows.
       token: the fencing token under which it holds the duties, or 0.
       candidate: whether it could take the duties over now.
       reported: the newest usage window that the holder reported, or 0.
