--- a/bench/heartbeats.py
+++ b/bench/heartbeats.py
@@ -10,7 +10,7 @@
 
 from plumarch.config import routing_table
 from plumarch.core import clock, traffic
-from plumarch.gateway import gossiper
+from plumarch.gateway import gossiper, heartbeats
 from plumarch.membership import fleet_view
 from plumarch.peers import gossip
 from plumarch.routing import endpoint_choice
@@ -53,7 +53,7 @@
     """Return a node that knows all others of its fleet."""
     state = gateway_parts.new_state(time_of)
     view = fleet_view.FleetView(time_of, "front-hall-a-1", 1_700_000_000_000, "10.1.0.1:7600")
-    node = gossiper.Gossiper(state, view, gossiper.DutyStatus(), ())
+    node = gossiper.Gossiper(state, view, heartbeats.DutyStatus(), ())
     state.adopt_table(configured(size), "store")
     for number in range(size.nodes - 1):
         view.heard(f"front-hall-b-{number}", 1_700_000_000_000, f"10.2.{number}.1:7600", "hall-b")
@@ -90,10 +90,8 @@
         now.advance_to(now.now() + round(interval_ms))
         serve(node, size, interval_ms, rng)
         begun = time.perf_counter()
-        data = gossip.encoder.encode(node.heartbeat())
+        data = gossip.encoder.encode(node.composer.next(leaving=False))
         building += time.perf_counter() - begun
-        node.beats += 1
-        node.whole_beats = max(0, node.whole_beats - 1)
         begun = time.perf_counter()
         other.datagram_received(data, ("10.1.0.1", 7600))
         taking += time.perf_counter() - begun
--- a/plumarch/daemon/gateway.py
+++ b/plumarch/daemon/gateway.py
@@ -19,6 +19,7 @@
     fleet_state,
     follower,
     gossiper,
+    heartbeats,
     measures,
     ports,
     relay,
@@ -60,7 +61,7 @@
         address = settings.listen.peers
         incarnation = self.wall.now()
         self.view = fleet_view.FleetView(self.clock, settings.node.name, incarnation, address)
-        status = gossiper.DutyStatus()
+        status = heartbeats.DutyStatus()
         self.gossiper = gossiper.Gossiper(self.state, self.view, status, settings.peers.seeds)
         self.follower = follower.Follower(
             self.state,
--- a/plumarch/gateway/duties.py
+++ b/plumarch/gateway/duties.py
@@ -8,7 +8,7 @@
 
 from plumarch.core import errors, records, traffic
 from plumarch.fleet import duty_lease, engine_plan
-from plumarch.gateway import fleet_state, follower, gossiper, ports
+from plumarch.gateway import fleet_state, follower, gossiper, heartbeats, ports
 from plumarch.membership import fleet_view
 
 TICK_MS = 250
@@ -59,7 +59,7 @@
         self,
         state: fleet_state.FleetState,
         view: fleet_view.FleetView,
-        status: gossiper.DutyStatus,
+        status: heartbeats.DutyStatus,
         store: ports.Store,
         cloud: ports.Cloud,
         schedule: UsageSchedule,
@@ -267,7 +267,7 @@
     def _all_heard_since(self, ago_ms: int) -> bool:
         """Return whether each node that may exist told its counts since a window's end."""
         now = self.state.clock.now()
-        two_beats = gossiper.USAGE_EVERY * max(gossiper.BEAT_MS, self.view.interval_ms)
+        two_beats = heartbeats.USAGE_EVERY * max(gossiper.BEAT_MS, self.view.interval_ms)
         return all(
             peer.heard_ms is not None and now - peer.heard_ms < ago_ms - two_beats
             for peer in self.view.peers.values()
--- a/plumarch/gateway/duties_test.py
+++ b/plumarch/gateway/duties_test.py
@@ -13,7 +13,7 @@
 from hypothesis import strategies
 
 from plumarch.core import clock, errors, records
-from plumarch.gateway import duties, gossiper
+from plumarch.gateway import duties, gossiper, heartbeats
 from plumarch.membership import fleet_view
 from plumarch.peers import gossip
 from plumarch.standins import gateway_parts
@@ -59,9 +59,9 @@
 
     def exchange(self) -> None:
         """Pass heartbeats between the nodes that reach each other."""
-        for node in self.nodes:
-            node.gossiper.beats += 1
-        beats = [(node.number, node.gossiper.heartbeat()) for node in self.nodes]
+        beats = [
+            (node.number, node.gossiper.composer.next(node.gossiper.leaving)) for node in self.nodes
+        ]
         for node in self.nodes:
             for number, beat in beats:
                 if number != node.number and self.group[number] == self.group[node.number]:
@@ -141,7 +141,7 @@
         name = f"n{number}"
         self.state = gateway_parts.new_state(time, name)
         self.view = fleet_view.FleetView(time, name, time.now() + number, f"10.0.0.{number}:7")
-        status = gossiper.DutyStatus()
+        status = heartbeats.DutyStatus()
         self.gossiper = gossiper.Gossiper(self.state, self.view, status, ())
         holder = f"{name}#{time.now()}"
         self.duties = duties.Duties(
@@ -304,4 +304,7 @@
     node = world.nodes[0]
     for number in range(200):
         node.state.usage.began(f"workspace-{number % 5}", world.time.now())
-    assert len(gossip.encoder.encode(node.gossiper.heartbeat())) < gossip.DATAGRAM_LIMIT
+    assert (
+        len(gossip.encoder.encode(node.gossiper.composer.next(leaving=False)))
+        < gossip.DATAGRAM_LIMIT
+    )
--- a/plumarch/gateway/gossiper_test.py
+++ b/plumarch/gateway/gossiper_test.py
@@ -7,7 +7,7 @@
 
 from plumarch.config import routing_table
 from plumarch.core import clock, errors, traffic
-from plumarch.gateway import gossiper
+from plumarch.gateway import gossiper, heartbeats
 from plumarch.membership import fleet_view
 from plumarch.peers import frames, gossip, recent_changes
 from plumarch.routing import endpoint_choice
@@ -65,7 +65,7 @@
     def node(self, name: str, address: str, seeds: tuple[str, ...] = ()) -> gossiper.Gossiper:
         state = gateway_parts.new_state(self.clock, name)
         view = fleet_view.FleetView(self.clock, name, 1, address)
-        return gossiper.Gossiper(state, view, gossiper.DutyStatus(), seeds)
+        return gossiper.Gossiper(state, view, heartbeats.DutyStatus(), seeds)
 
     async def __aexit__(self, *_: object) -> None:
         self.one.close()
@@ -149,16 +149,16 @@
 def test_a_node_whose_knowledge_was_only_confirmed_is_not_asked_for_it():
     state = gateway_parts.new_state(clock.ManualClock())
     view = fleet_view.FleetView(clock.ManualClock(), "n", 1, "127.0.0.1:1")
-    node = gossiper.Gossiper(state, view, gossiper.DutyStatus(), ())
+    node = gossiper.Gossiper(state, view, heartbeats.DutyStatus(), ())
     state.registry.replace([ENDPOINT], 40, "store")
     state.registry.apply([], 55, "store")
-    assert node.heartbeat().registry_revision == 40
+    assert node.composer.next(leaving=False).registry_revision == 40
 
 
 def test_a_notice_of_a_process_that_was_replaced_is_dropped():
     state = gateway_parts.new_state(clock.ManualClock())
     view = fleet_view.FleetView(clock.ManualClock(), "n", 1, "127.0.0.1:1")
-    node = gossiper.Gossiper(state, view, gossiper.DutyStatus(), ())
+    node = gossiper.Gossiper(state, view, heartbeats.DutyStatus(), ())
     node.take_in(gossip.Heartbeat("m", 5, "127.0.0.2:1", "a", False, -1, -1, 0, True, 0))
     load = gossip.EndpointLoad("e", 1, 3_000)
     for incarnation, running in ((4, 0), (5, 1)):
@@ -170,7 +170,7 @@
 def test_what_is_no_heartbeat_is_dropped():
     state = gateway_parts.new_state(clock.ManualClock())
     view = fleet_view.FleetView(clock.ManualClock(), "n", 1, "127.0.0.1:1")
-    node = gossiper.Gossiper(state, view, gossiper.DutyStatus(), ())
+    node = gossiper.Gossiper(state, view, heartbeats.DutyStatus(), ())
     for data in (b"", b"\xff" * 40, gossip.encoder.encode([1, 2, 3])):
         node.datagram_received(data, ("127.0.0.9", 5))
     assert view.peers == {}
@@ -188,25 +188,22 @@
 
 
 def spending_told(node: gossiper.Gossiper) -> list[str]:
-    beat = node.heartbeat()
-    node.beats += 1
-    node.whole_beats = max(0, node.whole_beats - 1)
-    return [told.workspace for told in beat.spending]
+    return [told.workspace for told in node.composer.next(leaving=False).spending]
 
 
 def test_spending_is_told_while_it_is_news_and_whole_to_a_node_heard_for_the_first_time():
     state = gateway_parts.new_state(clock.ManualClock())
     view = fleet_view.FleetView(clock.ManualClock(), "n", 1, "127.0.0.1:1")
-    node = gossiper.Gossiper(state, view, gossiper.DutyStatus(), ())
+    node = gossiper.Gossiper(state, view, heartbeats.DutyStatus(), ())
     state.adopt_table(table(7), "store")
-    for _ in range(gossiper.WHOLE_EVERY - 1):
+    for _ in range(heartbeats.WHOLE_EVERY - 1):
         spending_told(node)
     assert spending_told(node) == []
     assert spending_told(node) == ["w"]
     assert spending_told(node) == []
     state.quota.buckets["w"].spent += 3.0
     assert spending_told(node) == ["w"]
-    node.beats = 1
+    node.composer.beats = 1
     for _ in range(recent_changes.TOLD_TIMES):
         spending_told(node)
     node.take_in(gossip.Heartbeat("m", 5, "127.0.0.2:1", "a", False, -1, -1, 0, True, 0))
--- /dev/null
+++ b/plumarch/gateway/heartbeats.py
@@ -0,0 +1,122 @@
+"""What a node's heartbeats tell: what changed lately in most of them, all in some."""
+
+import dataclasses
+
+from plumarch.gateway import fleet_state
+from plumarch.membership import fleet_view
+from plumarch.peers import gossip, recent_changes
+
+PEERS_EVERY = 8
+"""Every how many heartbeats the known peers are told."""
+
+PEERS_TOLD = 8
+USAGE_EVERY = 2
+"""Every how many heartbeats usage is told; never in the same ones as the peers."""
+
+USAGE_WINDOWS = 3
+USAGE_TOLD_MS = 3_000
+"""How long a usage window is told in each of those after its end; later in whole ones only."""
+
+WHOLE_EVERY = 16
+"""Every how many heartbeats all figures are told, not just those that changed lately."""
+
+WHOLE_AT_NEWCOMERS = 3
+"""How many whole heartbeats are sent once a node is heard for the first time, or again."""
+
+LOADS_TOLD = 12
+"""Endpoints whose load a heartbeat tells, the heaviest first."""
+
+
+@dataclasses.dataclass(slots=True)
+class DutyStatus:
+    """What a node tells of the duties.
+
+    Attributes:
+      token: the fencing token under which it holds them, or 0.
+      candidate: whether it could take them over now.
+      reported: the newest usage window that was reported.
+    """
+
+    token: int = 0
+    candidate: bool = True
+    reported: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class HeartbeatComposer:
+    """Composes the heartbeats of one node.
+
+    Attributes:
+      beats: heartbeats composed so far.
+      whole_beats: how many of the next ones tell all figures.
+    """
+
+    state: fleet_state.FleetState
+    view: fleet_view.FleetView
+    duty: DutyStatus
+    beats: int = 0
+    whole_beats: int = WHOLE_AT_NEWCOMERS
+    spending_news: recent_changes.RecentChanges = dataclasses.field(
+        default_factory=recent_changes.RecentChanges
+    )
+
+    def tell_all(self) -> None:
+        """Make the next heartbeats whole, for a node that was not heard before."""
+        self.whole_beats = WHOLE_AT_NEWCOMERS
+
+    def next(self, leaving: bool) -> gossip.Heartbeat:
+        """Return the heartbeat to send now.
+
+        Args:
+          leaving: whether this process is about to end.
+        """
+        state = self.state
+        whole = self.whole_beats > 0 or self.beats % WHOLE_EVERY == 0
+        report = state.quota.report()
+        changed = self.spending_news.select({name: told.spent for name, told in report.items()})
+        spending = [
+            gossip.Spending(name, round(told.spent), round(told.level), told.settled)
+            for name, told in report.items()
+            if whole or name in changed
+        ]
+        heaviest = sorted(
+            state.chooser.own.items(), key=lambda one: (-one[1].prompt_tokens, one[0])
+        )
+        loads = [
+            gossip.EndpointLoad(name, load.running, round(load.prompt_tokens))
+            for name, load in heaviest[:LOADS_TOLD]
+        ]
+        tell_peers = self.beats % PEERS_EVERY == 0
+        tell_usage = whole or self.beats % USAGE_EVERY == 1
+        self.beats += 1
+        self.whole_beats = max(0, self.whole_beats - 1)
+        return gossip.Heartbeat(
+            node=self.view.node,
+            incarnation=self.view.incarnation,
+            address=self.view.address,
+            data_centre=state.data_centre,
+            leaving=leaving,
+            configuration=state.table.version if state.table else -1,
+            registry_revision=state.registry.changed_revision,
+            token=self.duty.token,
+            candidate=self.duty.candidate,
+            reported=self.duty.reported,
+            spending=spending,
+            loads=loads,
+            usage=self._usage(whole) if tell_usage else [],
+            peers=self._known_peers() if tell_peers else [],
+            reaches_store=state.reaches_store,
+        )
+
+    def _usage(self, whole: bool) -> list[gossip.WindowUsage]:
+        usage = self.state.usage
+        now = self.state.wall.now()
+        windows = USAGE_WINDOWS if whole else 1 + (now % usage.window_ms < USAGE_TOLD_MS)
+        recent = usage.recent(now, windows)
+        return [gossip.WindowUsage(number, counts) for number, counts in recent.items()]
+
+    def _known_peers(self) -> list[gossip.KnownPeer]:
+        heard = [peer for peer in self.view.live() if peer.incarnation]
+        if len(heard) > PEERS_TOLD:
+            heard = self.state.rng.sample(heard, PEERS_TOLD)
+        return [gossip.KnownPeer(peer.name, peer.address) for peer in heard]
--- /dev/null
+++ b/plumarch/gateway/snapshots.py
@@ -0,0 +1,90 @@
+"""Configurations and endpoints fetched from peers that know more, and handed to those that ask."""
+
+import asyncio
+
+import msgspec
+
+from plumarch.config import routing_table
+from plumarch.core import addresses, errors
+from plumarch.gateway import fleet_state
+from plumarch.peers import frames, gossip
+
+FETCH_PAUSE_MS = 120
+"""How long the store may take to tell by itself what a peer knows already."""
+
+FETCH_TIMEOUT_MS = 1_500
+
+
+class SnapshotExchange:
+    """One node's side of the snapshots."""
+
+    def __init__(self, state: fleet_state.FleetState) -> None:
+        self.state = state
+        self.fetching: asyncio.Task[None] | None = None
+
+    def fetch_from(self, address: str) -> None:
+        """Begin to fetch what a peer knows beyond this node, unless a fetch runs."""
+        if self.fetching is not None and not self.fetching.done():
+            return
+        loop = asyncio.get_running_loop()
+        self.fetching = loop.create_task(self._fetch(address))
+
+    async def _fetch(self, address: str) -> None:
+        if self.state.table is not None:
+            await asyncio.sleep(FETCH_PAUSE_MS / 1000.0)
+        held = gossip.SnapshotRequest(
+            self.state.table.version if self.state.table else -1, self.state.registry.revision
+        )
+        try:
+            async with asyncio.timeout(FETCH_TIMEOUT_MS / 1000.0):
+                snapshot = await _ask(address, held)
+        except (OSError, TimeoutError, msgspec.DecodeError, errors.PeerProtocolError) as error:
+            self.state.log.write("fetch_failed", peer=address, error=f"{error!r}")
+            return
+        self._adopt(snapshot)
+
+    def _adopt(self, snapshot: gossip.Snapshot) -> None:
+        if snapshot.configuration is not None:
+            table = routing_table.build(snapshot.configuration)
+            self.state.adopt_table(table, snapshot.node)
+        if snapshot.endpoints is not None:
+            registry = self.state.registry
+            changes = registry.replace(
+                snapshot.endpoints, snapshot.registry_revision, snapshot.node
+            )
+            self.state.registry_changed(changes, snapshot.node)
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Answer one peer that asks for what is newer."""
+        try:
+            async with asyncio.timeout(FETCH_TIMEOUT_MS / 1000.0):
+                asked = gossip.request_decoder.decode(await frames.read(reader, gossip.FRAME_LIMIT))
+                writer.write(frames.pack(gossip.encoder.encode(self._snapshot(asked))))
+                await writer.drain()
+        except (OSError, TimeoutError, EOFError, msgspec.DecodeError, errors.PeerProtocolError):
+            pass
+        finally:
+            writer.close()
+
+    def _snapshot(self, asked: gossip.SnapshotRequest) -> gossip.Snapshot:
+        table = self.state.table
+        registry = self.state.registry
+        newer = table is not None and table.version > asked.configuration
+        fresher = registry.changed_revision > asked.registry_revision
+        return gossip.Snapshot(
+            self.state.node,
+            table.configuration if table is not None and newer else None,
+            tuple(registry.endpoints.values()) if fresher else None,
+            registry.revision,
+        )
+
+
+async def _ask(address: str, request: gossip.SnapshotRequest) -> gossip.Snapshot:
+    reader, writer = await asyncio.open_connection(*addresses.split(address))
+    try:
+        writer.write(frames.pack(gossip.encoder.encode(request)))
+        return gossip.snapshot_decoder.decode(await frames.read(reader, gossip.FRAME_LIMIT))
+    except EOFError as error:
+        raise errors.PeerProtocolError("The peer closed early. Ask again later.") from error
+    finally:
+        writer.close()
