--- /dev/null
+++ b/bench/demo_runs.py
@@ -0,0 +1,102 @@
+"""python -m bench.demo_runs: the demo many times, alone or beside busy processes.
+
+A promise that breaks only when the processor is scarce is broken all the same. Each run's output
+is kept in a folder; a table says how many were whole and how long they took.
+"""
+
+import asyncio
+import dataclasses
+import multiprocessing
+import os
+import pathlib
+import sys
+import time
+
+import fire
+import tabulate
+
+RUN_LIMIT_S = 180.0
+"""A run that takes longer counts as broken: the demo takes 20 s alone (measured)."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Run:
+    """What became of one run."""
+
+    number: int
+    code: int
+    took_s: float
+
+
+def spin(until_s: float) -> None:
+    """Keep one core busy until a moment of the monotonic clock."""
+    while time.monotonic() < until_s:
+        pass
+
+
+async def play(number: int, folder: pathlib.Path) -> Run:
+    """Run the demo once."""
+    start = time.monotonic()
+    output = folder / f"run-{number:02}.txt"
+    with output.open("wb") as file:
+        process = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "plumarch.demo", stdout=file, stderr=asyncio.subprocess.STDOUT
+        )
+        try:
+            code = await asyncio.wait_for(process.wait(), RUN_LIMIT_S)
+        except TimeoutError:
+            process.kill()
+            code = -1
+    return Run(number, code, time.monotonic() - start)
+
+
+async def play_all(runs: int, at_once: int, folder: pathlib.Path) -> list[Run]:
+    """Run the demo a number of times, some at once."""
+    room = asyncio.Semaphore(at_once)
+
+    async def one(number: int) -> Run:
+        async with room:
+            run = await play(number, folder)
+            print(f"run {number}: exit {run.code}, {run.took_s:.0f} s", flush=True)
+            return run
+
+    return list(await asyncio.gather(*(one(number) for number in range(runs))))
+
+
+def main(folder: str, runs: int = 20, busy: int = 0, at_once: int = 1) -> None:
+    """Run the demo and print how many runs were whole.
+
+    Args:
+      folder: where each run's output goes.
+      runs: how many.
+      busy: processes that do nothing but use a core meanwhile; -1 for one a core.
+      at_once: demos that run at the same time.
+    """
+    place = pathlib.Path(folder)
+    place.mkdir(parents=True, exist_ok=True)
+    count = busy if busy >= 0 else os.cpu_count() or 1
+    until_s = time.monotonic() + runs * RUN_LIMIT_S
+    spinners = [multiprocessing.Process(target=spin, args=(until_s,)) for _ in range(count)]
+    for spinner in spinners:
+        spinner.start()
+    try:
+        found = asyncio.run(play_all(runs, at_once, place))
+    finally:
+        for spinner in spinners:
+            spinner.terminate()
+    whole = [run for run in found if run.code == 0]
+    times = sorted(run.took_s for run in found)
+    row = {
+        "runs": runs,
+        "busy processes": count,
+        "at once": at_once,
+        "whole": len(whole),
+        "median s": round(times[len(times) // 2], 1),
+        "longest s": round(times[-1], 1),
+    }
+    print(tabulate.tabulate([row], headers="keys"))
+    sys.exit(0 if len(whole) == runs else 1)
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
--- a/plumarch/cli/stories.py
+++ b/plumarch/cli/stories.py
@@ -26,6 +26,8 @@
         "stopped",
         "reload",
         "fault",
+        "leave",
+        "member",
     }
 )
 
@@ -78,9 +80,15 @@
 
 
 def story(lines: Iterable[Line], request: str) -> list[Line]:
-    """Return a request's lines and what its nodes learned meanwhile, in the order of time."""
+    """Return a request's lines and what its nodes learned meanwhile, in the order of time.
+
+    Args:
+      request: its id, or the key that its caller knows it by.
+    """
     lines = list(lines)
-    own = [line for line in lines if line.request == request]
+    ids = {line.request for line in lines if line.fields.get("key") == request} - {""}
+    ids.add(request)
+    own = [line for line in lines if line.request in ids or line.fields.get("key") == request]
     if not own:
         return []
     nodes = {line.node for line in own}
@@ -98,5 +106,5 @@
 
 def render(lines: list[Line]) -> str:
     """Return a story as text; times are relative to the request's first line."""
-    first = next((line.at_ms for line in lines if line.request), 0)
+    first = next((line.at_ms for line in lines if line.request or "key" in line.fields), 0)
     return "\n".join(line.text(first) for line in lines)
--- a/plumarch/core/context.py
+++ b/plumarch/core/context.py
@@ -46,6 +46,7 @@
         choice: str,
         why: str,
         considered: tuple[data.Considered, ...] = (),
+        key: str = "",
     ) -> None:
         """Record a decision.
 
@@ -55,11 +56,20 @@
           choice: what was chosen.
           why: a short sentence with the reason.
           considered: what else was looked at.
+          key: the key that the caller knows the request by, where no request is at hand.
         """
         request_id = request.id if request else ""
         workspace = request.workspace if request else ""
         decision = data.Decision(
-            self.now(), self.node, request_id, workspace, kind, choice, why, considered
+            self.now(),
+            self.node,
+            request_id,
+            workspace,
+            kind,
+            choice,
+            why,
+            considered,
+            request.key if request else key,
         )
         self.outbox.append(events.Note(decision))
 
--- a/plumarch/core/data.py
+++ b/plumarch/core/data.py
@@ -278,6 +278,7 @@
     choice: str
     why: str
     considered: tuple[Considered, ...] = ()
+    key: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/plumarch/demo/__main__.py
+++ b/plumarch/demo/__main__.py
@@ -1,8 +1,10 @@
 """make demo: two deployments under load, a data centre reclaimed, every promise checked."""
 
 import asyncio
+import pathlib
 import random
 import sys
+import tempfile
 import time
 from collections.abc import Awaitable
 
@@ -10,7 +12,7 @@
 
 from plumarch.core import data
 from plumarch.daemon import logs
-from plumarch.demo import deployment
+from plumarch.demo import deployment, evidence
 from plumarch.load import callers, report
 from plumarch.proof import invariants
 
@@ -34,6 +36,9 @@
 NOTICE_MS = 5_000
 CHAT_TOKENS = 60
 WAITING_TOKENS = 150
+PROGRESS_S = 2.0
+"""Time between two lines on what is waited for."""
+
 SHOWN = 3
 """Decisions of one kind and workspace that are printed; the rest is counted."""
 
@@ -41,13 +46,13 @@
 class Demo:
     """One deployment under load."""
 
-    def __init__(self, plan: deployment.Plan, seed: int) -> None:
+    def __init__(self, plan: deployment.Plan, seed: int, folder: pathlib.Path) -> None:
         self.plan = plan
         self.deployment = deployment.Deployment(plan)
         self.seed = seed
         self.rng = random.Random(seed)
         self.tasks: list[asyncio.Task[callers.Outcome]] = []
-        self.started = time.monotonic()
+        self.evidence = evidence.Evidence(folder, plan.name)
 
     def targets(self) -> list[callers.Target]:
         """Return the workspaces as their callers know them."""
@@ -78,10 +83,19 @@
                 if number == RECLAIM_ROUND:
                     self.tasks_of_reclaim = asyncio.ensure_future(self._reclaim(balancer))
                 await asyncio.sleep(ROUND_S)
+            waiting = asyncio.ensure_future(self._tell_what_is_missing())
             outcomes = await asyncio.gather(*self.tasks)
             await self.tasks_of_reclaim
+            waiting.cancel()
         return outcomes
 
+    async def _tell_what_is_missing(self) -> None:
+        """Say from time to time how many answers are waited for."""
+        while True:
+            left = sum(not task.done() for task in self.tasks)
+            say(f"{self.plan.name}: {len(self.tasks) - left} of {len(self.tasks)} answers are here")
+            await asyncio.sleep(PROGRESS_S)
+
     def _send_round(self, lane: callers.Caller, number: int) -> None:
         name = lane.target.workspace
         seed = self.seed * 1000 + number
@@ -121,6 +135,19 @@
         await self.deployment.take_away(centre)
         say(f"--- {centre} is gone")
 
+    def close(
+        self,
+        queue: asyncio.Queue[data.Decision],
+        outcomes: list[callers.Outcome],
+        broken: list[str],
+    ) -> None:
+        """Write the logs, and print the story of each request with a broken promise."""
+        self.evidence.close(queue, outcomes)
+        for outcome in outcomes:
+            if any(outcome.view.name in text for text in broken):
+                say(f"\n--- the story of {outcome.view.name}")
+                say(self.evidence.story(outcome.view.key))
+
     def journal(self, outcomes: list[callers.Outcome]) -> invariants.Journal:
         """Return what was observed, for the checks of the promises."""
         journal = invariants.Journal([outcome.view for outcome in outcomes])
@@ -166,22 +193,30 @@
     """
     logs.set_up("ERROR", json_lines=False)
     start = time.monotonic()
-    demos = [Demo(plan, number + 1) for number, plan in enumerate(PLANS)]
+    folder = pathlib.Path(tempfile.mkdtemp(prefix="plumarch-demo-"))
+    demos = [Demo(plan, number + 1, folder) for number, plan in enumerate(PLANS)]
     await asyncio.gather(*(demo.deployment.start() for demo in demos))
     say(f"Two deployments are ready after {time.monotonic() - start:.1f} s.")
     watchers = [
         asyncio.ensure_future(show_decisions(demo.plan.name, demo.deployment.listen()))
         for demo in demos
     ]
+    recorded = [demo.deployment.listen() for demo in demos]
+    watchers += [
+        asyncio.ensure_future(demo.evidence.record(queue))
+        for demo, queue in zip(demos, recorded, strict=True)
+    ]
     results = await asyncio.gather(*(demo.run() for demo in demos))
     broken: list[str] = []
     table = []
     hours = (time.monotonic() - start) / 3600
     for demo, outcomes in zip(demos, results, strict=True):
         journal = demo.journal(outcomes)
-        broken += invariants.violations(journal)
-        broken += invariants.accepted_and_unfinished(journal)
-        broken += [f"{o.view.name} got no answer" for o in outcomes if not o.view.ends]
+        found = invariants.violations(journal)
+        found += invariants.accepted_and_unfinished(journal)
+        found += [f"{o.view.name} got no answer" for o in outcomes if not o.view.ends]
+        broken += found
+        demo.close(recorded[demos.index(demo)], outcomes, found)
         more = {
             f"{demo.plan.name}-{WORKSPACES[demo.plan.name][0]}": {
                 "recomputed tokens (all)": demo.deployment.recomputed(),
@@ -197,6 +232,7 @@
         say(f"PROMISE BROKEN: {text}")
     took = time.monotonic() - start
     say(f"\n{'Every promise held' if not broken else 'Promises were broken'}, in {took:.0f} s.")
+    say(f"Logs for `plumarch story KEY LOGS`: {folder}")
     return 1 if broken else 0
 
 
--- a/plumarch/demo/deployment.py
+++ b/plumarch/demo/deployment.py
@@ -17,6 +17,9 @@
 NODES_PER_CENTRE = 2
 ENGINES_PER_CENTRE = 2
 TOKEN_MS = 15.0
+DECISIONS_WAITING = 10_000
+"""Decisions that may wait for a reader; a whole run of the demo makes fewer."""
+
 WATCHED = frozenset({"place", "rehome", "leave", "join", "weaken", "fail", "stay", "slot"})
 
 
@@ -158,7 +161,7 @@
 
     def listen(self) -> asyncio.Queue[data.Decision]:
         """Return a queue that gets every node's decisions."""
-        queue: asyncio.Queue[data.Decision] = asyncio.Queue(10_000)
+        queue: asyncio.Queue[data.Decision] = asyncio.Queue(DECISIONS_WAITING)
         for daemon in self.daemons.values():
             daemon.shell.listeners.add(queue)
         return queue
--- a/plumarch/load/callers.py
+++ b/plumarch/load/callers.py
@@ -31,6 +31,14 @@
     ticket_path: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Attempt:
+    """One try of a caller: when it ended, and what came of it."""
+
+    at_ms: int
+    result: str
+
+
 @dataclasses.dataclass(slots=True)
 class Outcome:
     """What became of one request, besides what its CallerView holds."""
@@ -41,6 +49,11 @@
     first_token_ms: float = -1.0
     total_ms: float = -1.0
     reconnects: int = 0
+    attempts: list[Attempt] = dataclasses.field(default_factory=list)
+
+    def note(self, result: str) -> None:
+        """Keep what came of a try."""
+        self.attempts.append(Attempt(time.monotonic_ns() // 1_000_000, result))
 
 
 class Balancer:
@@ -147,6 +160,7 @@
         except ValueError:
             return False
         outcome.view.reasons.append(problem.get("reason", str(status)))
+        outcome.note(f"{status} {problem.get('title', '')}: {problem.get('detail', '')}")
         if problem.get("outcome"):
             outcome.view.ends.append(data.Outcome(problem["outcome"]))
             return True
@@ -222,8 +236,9 @@
         try:
             if await attempt():
                 return True
-        except httpx.HTTPError:
+        except httpx.HTTPError as error:
             outcome.reconnects += 1
+            outcome.note(f"{type(error).__name__} {error}")
         await asyncio.sleep(RETRY_S)
     return False
 
--- a/plumarch/node/adoption.py
+++ b/plumarch/node/adoption.py
@@ -2,7 +2,7 @@
 
 from plumarch.core import context, data, messages
 from plumarch.membership import members
-from plumarch.node import dispatch, followers, home, runs, watchers
+from plumarch.node import dispatch, followers, home, late_records, runs, watchers
 from plumarch.recovery import copies, inquiries
 
 RESEND_MS = 300
@@ -187,6 +187,9 @@
 
     def rehome_answered(self, m: messages.RehomeAnswer) -> None:
         """Act on the slot owner's answer about a change of home."""
+        if self.home.late_records.awaits(m.request_id):
+            self.home.late_records.answered(m)
+            return
         inquiry = self.questions.answered(inquiries.Kind.REHOME, m.request_id, m.verdict)
         run = self.table.active.get(m.request_id)
         if inquiry is None or run is None or run.phase is not runs.Phase.CLAIMING:
@@ -209,6 +212,7 @@
         run.weakened = home.UNRECORDED
         self._start(run)
         run.recorded = False
+        self.home.late_records.ask(run, late_records.RETRY_PAUSE_MS)
 
     def _stand_back(self, run: runs.Run, record: data.KeyRecord) -> None:
         """Leave a request to the home that its record names."""
@@ -219,6 +223,10 @@
             run.home_attempt = record.attempt + 1
             self.home.ask_rehome(run)
             return
+        if self._answer_is_lost(record):
+            self.ctx.note(run.request, "rerun", self.ctx.node, "its answer is lost with its home")
+            self._start_unrecorded(run)
+            return
         if in_progress and copy is not None:
             copy.home = record.home
             copy.attempt = record.attempt
@@ -229,6 +237,12 @@
         for watcher in run.watchers.values():
             self.follower.follow_record(watcher.watcher_id, watcher.position, record, run.request)
 
+    def _answer_is_lost(self, record: data.KeyRecord) -> bool:
+        """Return whether a request ended whole, but nobody has its answer any more."""
+        if record.state is not data.KeyState.DONE or record.reply is not None:
+            return False
+        return self.membership.state(record.home) is data.NodeState.GONE
+
     def given_up(self, inquiry: inquiries.Inquiry) -> None:
         """Run a request although no slot owner could be asked: it was accepted."""
         run = self.table.active.get(inquiry.subject)
--- a/plumarch/node/dispatch.py
+++ b/plumarch/node/dispatch.py
@@ -117,7 +117,7 @@
         def fits(entry: fair_queue.Entry) -> bool:
             nonlocal chosen, considered
             run = self.table.active.get(entry.request_id)
-            if run is None:
+            if run is None or run.phase is not runs.Phase.QUEUED:
                 return False
             allowed = self._allowed(entry.workspace)
             urgent = entry.request_class is data.RequestClass.LOOKUP
--- a/plumarch/node/followers.py
+++ b/plumarch/node/followers.py
@@ -239,6 +239,8 @@
     ) -> None:
         self.follows.pop(follow.watcher_id, None)
         request_id = follow.record.request_id if follow.record else ""
+        if outcome is not data.Outcome.DONE:
+            self.ctx.note(follow.request, "unanswered", outcome, reason, key=follow.key)
         self.readers.tell_end(follow.watcher_id, request_id, outcome, reason, reply)
 
     def caller_gone(self, watcher_id: str) -> None:
--- a/plumarch/node/home.py
+++ b/plumarch/node/home.py
@@ -5,7 +5,7 @@
 from plumarch.config import state as config_state
 from plumarch.core import context, data, events, messages
 from plumarch.membership import members
-from plumarch.node import dispatch, followers, runs, watchers
+from plumarch.node import dispatch, followers, late_records, runs, watchers
 from plumarch.recovery import inquiries, keys, ledger
 
 PATIENCE_MS = {
@@ -58,6 +58,7 @@
         self.dispatcher = dispatcher
         self.follower = follower
         self.config = config
+        self.late_records = late_records.LateRecords(ctx, questions, table)
         dispatcher.on_end = self.end
         dispatcher.on_refuse = self.refuse
         follower.on_rerun = self.rerun
@@ -204,6 +205,7 @@
             self.ctx.count("weakened", run.request.workspace, "unrecorded")
             self.ctx.note(run.request, "weaken", "run unrecorded", UNRECORDED)
             if run.waits():
+                self.late_records.ask(run)
                 run.phase = runs.Phase.COPYING
                 self._ask_for_copy(run)
             else:
@@ -283,6 +285,8 @@
     def refuse(self, run: runs.Run, reason: data.Reason) -> None:
         """Give a request up. "Not run" is told only once it is proven and recorded."""
         run.refusal = reason
+        # A place that frees while the refusal is being recorded must not be given to it.
+        self.dispatcher.forget(run)
         if run.handed_over:
             self.end(run, data.Outcome.UNKNOWN, reason)
         elif not run.request.key or run.own_key:
@@ -332,7 +336,9 @@
         self.readers.end(run)
         if run.copy_holder:
             self.ctx.send(run.copy_holder, messages.CopyDrop(run.request.id))
-        if run.recorded and (run.refusal is None or run.handed_over):
+        self.late_records.forget(run)
+        known = run.recorded or late_records.must_settle(run)
+        if known and (run.refusal is None or run.handed_over):
             self._settle_end(run)
 
     def _settle_end(self, run: runs.Run) -> None:
@@ -378,7 +384,9 @@
         run = self.table.active.get(inquiry.subject)
         if run is None:
             return
-        if inquiry.kind is inquiries.Kind.CLAIM:
+        if inquiry.kind is inquiries.Kind.RECORD:
+            self.late_records.given_up(inquiry)
+        elif inquiry.kind is inquiries.Kind.CLAIM:
             self._not_granted(run, data.Reason.NO_OWNER)
         elif run.phase is runs.Phase.REFUSING:
             self.end(run, data.Outcome.UNKNOWN, run.refusal or data.Reason.NO_OWNER)
@@ -438,17 +446,8 @@
 
     def ask_rehome(self, run: runs.Run) -> None:
         """Ask the slot's owner to make this node the home of a run."""
-        request = run.request
-        message = messages.Rehome(
-            keys.slot_of(request.workspace, request.key),
-            request.workspace,
-            request.key,
-            request.id,
-            request.fingerprint,
-            run.home_attempt,
-            run.waits(),
-        )
-        self.questions.ask(inquiries.Kind.REHOME, request.id, message)
+        message = late_records.rehome_message(run)
+        self.questions.ask(inquiries.Kind.REHOME, run.request.id, message)
 
     def rehomed(self, run: runs.Run) -> None:
         """Start a run whose home is this node from now on."""
--- a/plumarch/proof/sessions.py
+++ b/plumarch/proof/sessions.py
@@ -5,6 +5,7 @@
   nodes a1=a a2=a b1=b            names and data centres; must be the first step
   at 100 call a1 chat key=k1 tokens=5 [once] [workspace=w]
   at 200 reattach b1 caller0
+  at 200 fetch b1 caller0           ask for the result by the key alone
   at 300 kill a1 | restart a1 | pause a1 | resume a1
   at 300 cut a b | heal | cut-platform a | down | up | lose-answers 0.5
   at 400 break a-tickets-0 sent   interrupt the next call there (connect, sent, ran)
@@ -103,6 +104,8 @@
             _call(world, node, request_class, rest)
         case ["reattach", node, caller]:
             world.reattach(node, world.callers[caller])
+        case ["fetch", node, caller]:
+            world.fetch(node, world.callers[caller])
         case ["cut", one, other]:
             world.cut(one, other)
         case ["heal"]:
--- a/plumarch/recovery/inquiries.py
+++ b/plumarch/recovery/inquiries.py
@@ -25,6 +25,7 @@
     REFUSE = "refuse"
     SETTLE = "settle"
     REHOME = "rehome"
+    RECORD = "record"
     LOOKUP = "lookup"
 
 
@@ -49,7 +50,12 @@
         self.open: dict[tuple[Kind, str], Inquiry] = {}
 
     def ask(
-        self, kind: Kind, subject: str, message: Question, patience_ms: int = GIVE_UP_MS
+        self,
+        kind: Kind,
+        subject: str,
+        message: Question,
+        patience_ms: int = GIVE_UP_MS,
+        delay_ms: int = 0,
     ) -> None:
         """Ask a question.
 
@@ -58,11 +64,13 @@
           subject: the request or lookup that it is for.
           message: the question; its slot says whom to ask.
           patience_ms: after this long it is given up.
+          delay_ms: how long to wait before it is sent for the first time.
         """
         now = self.ctx.now()
-        inquiry = Inquiry(kind, subject, message, now + patience_ms, now)
+        inquiry = Inquiry(kind, subject, message, now + patience_ms, now + delay_ms)
         self.open[(kind, subject)] = inquiry
-        self._send(inquiry)
+        if not delay_ms:
+            self._send(inquiry)
 
     def _send(self, inquiry: Inquiry) -> None:
         route = self.ledger.owner_of(inquiry.message.slot)
--- a/plumarch/standins/virtual.py
+++ b/plumarch/standins/virtual.py
@@ -636,6 +636,14 @@
             self.deliver(host, attach)
         return caller
 
+    def fetch(self, name: str, former: invariants.CallerView) -> invariants.CallerView:
+        """Let a caller ask for the result of a request by its key alone."""
+        caller = self._new_caller(name, former.workspace, None)
+        caller.key = former.key
+        attach = events.Attach(caller.name, caller.workspace, caller.key, 0)
+        self.deliver(self.hosts[name], attach)
+        return caller
+
     def _new_caller(
         self, name: str, workspace: str, request: data.Request | None
     ) -> invariants.CallerView:
--- a/tests/promises_test.py
+++ b/tests/promises_test.py
@@ -35,6 +35,7 @@
         super().__init__()
         self.world = virtual.World()
         self.settled = False
+        self.lost_any = False
 
     @stateful.initialize(seed=st.integers(0, 1_000))
     def build(self, seed: int) -> None:
@@ -78,6 +79,7 @@
         """Two nodes vanish, maybe an owner and its successor; they come back later."""
         if one == other:
             return
+        self.lost_any = True
         for name in (one, other):
             self.world.kill(name)
         self.world.run(wait)
@@ -110,10 +112,12 @@
     @stateful.rule(node=nodes)
     def kill(self, node: str) -> None:
         if sum(1 for host in self.world.hosts.values() if host.alive) > 1:
+            self.lost_any = True
             self.world.kill(node)
 
     @stateful.rule(node=nodes)
     def restart(self, node: str) -> None:
+        self.lost_any = True
         self.world.kill(node)
         self.world.restart(node)
 
@@ -121,12 +125,28 @@
     def pause(self, node: str) -> None:
         self.world.pause(node)
 
+    @stateful.rule(node=nodes, held_ms=st.sampled_from([300, 1_500, 2_600, 6_000]))
+    def hold_up(self, node: str, held_ms: int) -> None:
+        """One node stands still, for up to longer than until it counts as gone."""
+        self.world.pause(node)
+        self.world.run(held_ms)
+        self.world.resume(node)
+
+    @stateful.rule(node=nodes, after_ms=st.sampled_from([0, 1, 3, 6]), held=nodes)
+    def accept_and_hold_up(self, node: str, after_ms: int, held: str) -> None:
+        """A draft comes in, and a node stands still between its acceptance and its copy."""
+        key = f"r{len(self.world.callers)}"
+        self.world.call(node, virtual.request(self.world, node, data.RequestClass.DRAFT, key))
+        self.world.run(after_ms)
+        self.hold_up(held, 2_600)
+
     @stateful.rule(node=nodes)
     def resume(self, node: str) -> None:
         self.world.resume(node)
 
     @stateful.rule(node=nodes)
     def stop(self, node: str) -> None:
+        self.lost_any = True
         self.world.deliver(self.world.hosts[node], events.StopAsked())
 
     @stateful.rule(one=centres, other=centres)
@@ -195,9 +215,26 @@
         self._reattach_all()
         self.world.run(60_000)
         self.promises_hold()
+        if not self.lost_any:
+            self._accepted_are_found()
         unfinished = [c.name for c in self.world.callers.values() if not c.lost and not c.ends]
         assert unfinished == []
 
+    def _accepted_are_found(self) -> None:
+        """Where no node was lost, the result of each accepted request is found by its key."""
+        accepted = [
+            caller
+            for caller in self.world.callers.values()
+            if caller.accepted
+            and caller.request
+            and caller.key
+            and caller.request.request_class in data.WAITING_CLASSES
+        ]
+        fetched = {caller.key: self.world.fetch("b1", caller) for caller in accepted}
+        self.world.run(20_000)
+        missing = [key for key, view in fetched.items() if data.Outcome.DONE not in view.ends]
+        assert missing == []
+
     def _reattach_all(self) -> None:
         for caller in list(self.world.callers.values()):
             waiting = caller.request and caller.request.request_class in data.WAITING_CLASSES
