--- a/plumarch/daemon/gateway.py
+++ b/plumarch/daemon/gateway.py
@@ -10,7 +10,7 @@
 
 from plumarch.core import clock, errors, records
 from plumarch.daemon import gateway_settings, listening, status_pages
-from plumarch.fleet import usage
+from plumarch.fleet import engine_demand, usage
 from plumarch.gateway import (
     caller_connection,
     decision_log,
@@ -26,7 +26,7 @@
 )
 from plumarch.limits import attempt_budget, workspace_quota
 from plumarch.membership import fleet_view, registry
-from plumarch.routing import endpoint_choice, endpoint_health, first_token
+from plumarch.routing import data_centre_reach, endpoint_choice, endpoint_health
 
 SETTINGS_VARIABLE = "PLUMARCH_SETTINGS"
 """Names the settings file in the environment."""
@@ -103,6 +103,7 @@
             registry=registry.Registry(now),
             chooser=endpoint_choice.EndpointChooser(now, settings.node.data_centre),
             health=endpoint_health.EndpointHealth(now),
+            reach=data_centre_reach.DataCentreReach(now, settings.node.data_centre),
             quota=workspace_quota.WorkspaceQuota(now, now.now(), self._tolerance()),
             budget=attempt_budget.AttemptBudget(
                 now,
@@ -110,7 +111,7 @@
                 bounds.retry_ratio,
                 bounds.retry_extra,
             ),
-            first_token=first_token.FirstTokenEstimate(),
+            work=engine_demand.SentWork(now),
             usage=usage.UsageCounter(round(bounds.usage_window_s * 1000)),
         )
 
--- a/plumarch/fleet/duty_lease.py
+++ b/plumarch/fleet/duty_lease.py
@@ -73,7 +73,7 @@
     """Return the record with a window's counts, unless the window stands there already.
 
     Args:
-      sizes: endpoints that services had at the first start; known ones are kept.
+      sizes: endpoints that services need now, for a holder that comes next.
     """
     windows = dict(held.record.windows)
     windows.setdefault(str(window), counts)
@@ -81,7 +81,7 @@
     record = msgspec.structs.replace(
         held.record,
         windows={number: windows[number] for number in newest},
-        sizes={**sizes, **held.record.sizes},
+        sizes={**held.record.sizes, **sizes},
     )
     return HeldRecord(record, held.revision)
 
--- /dev/null
+++ b/plumarch/fleet/engine_demand.py
@@ -0,0 +1,75 @@
+"""How many engines the requests of a service keep busy, from what is observed of both.
+
+Reading prompts and holding places bind apart. An engine that reads prompts most of the time lets
+first tokens wait, and one whose places are all taken lets requests wait, so that only a part of
+either is used.
+"""
+
+import dataclasses
+
+from plumarch.core import clock
+
+READ_SHARE = 0.28
+"""Part of the time that engines typically spend on reading prompts at most. The first tokens of
+long prompts wait for each other beyond it (rounds in docs/design/kras-replay.md)."""
+
+PLACES_SHARE = 0.6
+"""Part of the engines' places that is taken on average at most; bursts take the rest."""
+
+HALF_LIFE_MS = 8_000.0
+"""Age at which what was sent counts half in the mix of requests."""
+
+
+def engines_for(read_tokens_per_s: float, ms_per_token: float, running: float, slots: int) -> float:
+    """Return how many engines are needed.
+
+    Args:
+      read_tokens_per_s: prompt tokens that engines have to read, over all nodes.
+      ms_per_token: how long a token typically takes to be read.
+      running: requests that hold a place, over all nodes.
+      slots: places of an engine.
+    """
+    by_reading = read_tokens_per_s * ms_per_token / 1_000.0 / READ_SHARE
+    by_places = running / (PLACES_SHARE * max(1, slots))
+    return max(by_reading, by_places)
+
+
+@dataclasses.dataclass(slots=True)
+class SentWork:
+    """What this node sent to the engines of a service lately, old sends counting less.
+
+    Attributes:
+      units: charged to allotments, over all services.
+      unread: prompt tokens that engines were expected to read, by service. Those of requests
+        that were refused since the engines were busy count as well: they are asked for.
+    """
+
+    clock: clock.Clock
+    units: float = 0.0
+    unread: dict[str, float] = dataclasses.field(default_factory=dict)
+    updated_ms: int = 0
+
+    def sent(self, service: str, units: float, unread_tokens: float) -> None:
+        """Take in a request that was sent."""
+        self._age()
+        self.units += units
+        self.unread[service] = self.unread.get(service, 0.0) + unread_tokens
+
+    def turned_away(self, service: str, unread_tokens: float) -> None:
+        """Take in a request that was refused since the engines were too busy."""
+        self._age()
+        self.unread[service] = self.unread.get(service, 0.0) + unread_tokens
+
+    def unread_per_unit(self, service: str) -> float:
+        """Return the tokens to read for each unit charged; 1 before anything was sent."""
+        if self.units <= 0:
+            return 1.0
+        return self.unread.get(service, 0.0) / self.units
+
+    def _age(self) -> None:
+        now = self.clock.now()
+        kept = 0.5 ** ((now - self.updated_ms) / HALF_LIFE_MS)
+        self.updated_ms = now
+        self.units *= kept
+        for name in self.unread:
+            self.unread[name] *= kept
--- /dev/null
+++ b/plumarch/fleet/engine_demand_test.py
@@ -0,0 +1,44 @@
+"""How many engines are asked for: by reading, by places, and by the mix of what is sent."""
+
+import pytest
+
+from plumarch.core import clock
+from plumarch.fleet import engine_demand
+
+
+def test_reading_binds_where_prompts_are_long():
+    engines = engine_demand.engines_for(100_000, 0.0064, running=5, slots=128)
+    assert engines == 0.64 / engine_demand.READ_SHARE
+
+
+def test_places_bind_where_answers_are_long():
+    engines = engine_demand.engines_for(1_000, 0.0064, running=100, slots=24)
+    assert engines == 100 / (24 * engine_demand.PLACES_SHARE)
+
+
+def test_faster_engines_are_asked_for_less():
+    slow = engine_demand.engines_for(50_000, 0.031, 5, 128)
+    fast = engine_demand.engines_for(50_000, 0.0062, 5, 128)
+    assert fast * 5 == pytest.approx(slow)
+
+
+def test_the_mix_follows_what_is_sent():
+    time = clock.ManualClock()
+    work = engine_demand.SentWork(time)
+    assert work.unread_per_unit("s") == 1.0
+    for _ in range(10):
+        work.sent("s", 1_000, 800)
+    assert abs(work.unread_per_unit("s") - 0.8) < 0.01
+    time.advance_to(time.now() + 80_000)
+    for _ in range(10):
+        work.sent("s", 1_000, 200)
+    assert abs(work.unread_per_unit("s") - 0.2) < 0.01
+
+
+def test_services_share_what_is_charged():
+    work = engine_demand.SentWork(clock.ManualClock())
+    work.sent("one", 1_000, 500)
+    work.sent("two", 1_000, 1_000)
+    assert work.unread_per_unit("one") == 0.25
+    assert work.unread_per_unit("two") == 0.5
+    assert work.unread_per_unit("three") == 0.0
--- a/plumarch/fleet/engine_plan.py
+++ b/plumarch/fleet/engine_plan.py
@@ -12,32 +12,29 @@
 
 from plumarch.core import clock, records, traffic
 
-TOKENS_PER_ENGINE = 12_500.0
-"""Tokens a second, read and made, that one engine carries within its targets."""
+FLOOR = 0.85
+"""Part of the needed endpoints below which firm ones are ordered: those that are left serve most
+of the requests in time, and a firm one costs several times as much (rounds in
+docs/design/kras-replay.md)."""
 
-FLOOR = 0.7
-"""Part of the needed endpoints below which firm ones are ordered."""
-
-HEDGE = 0.4
-"""Part of the needed endpoints that firm ones make up while reclaimable ones are refused:
-data centres are reclaimed within seconds of each other, and a boot takes longer."""
-
-LEFT_AFTER_LOSS = 0.5
-"""Part of the needed endpoints that is left when LOST_AT_ONCE data centres are reclaimed."""
-
-LOST_AT_ONCE = 2
-"""Data centres that are reclaimed within a boot's time of each other."""
+LOST_AT_ONCE = 1
+"""Data centres whose loss leaves as many endpoints as are needed. Others are reclaimed within
+seconds, but by then firm endpoints come in place of the first one's."""
 
 REPEAT_MS = 1_500
 """An order that was refused or not met is given again after this time."""
 
 BOOT_MARGIN_MS = 1_500.0
-DEMAND_DECAY = 0.88
+DEMAND_DECAY = 0.92
 """Weight of the past in the demand when it falls, at each sample of a second."""
 
 DEMAND_RISE = 0.75
 """Weight of the past in the demand when it rises: a shortage costs more than a surplus."""
 
+DEMAND_SAMPLES = 6
+"""Seconds with requests after which the demand is known: it has risen to nearly its height, and
+the engines' speed is learned. A judgement."""
+
 SETTLE_MS = 1_000
 """Before the first order, the endpoints that are there have time to be told."""
 
@@ -81,8 +78,10 @@
       first_start: whether the whole system starts for the first time: nothing runs yet, so
         that firm endpoints may go before the reclaimable ones have come.
       first_seen: endpoints that were there at the first start.
-      first_count: how many those were; at least as many are needed.
-      demand: tokens a second over all nodes, smoothed.
+      first_count: how many those were, or how many the last holder needed; as many are needed
+        until the demand is known.
+      demand: endpoints that the requests of all nodes ask for, smoothed.
+      samples: how many seconds of demand were taken in.
       sized_for: endpoints that the demand asked for last.
       began_ms: when the plan began.
       last_new_ms: when an endpoint of the first start was told last.
@@ -94,44 +93,59 @@
     first_seen: set[str] = dataclasses.field(default_factory=set)
     first_count: int = 0
     demand: float = 0.0
+    samples: int = 0
     sized_for: int = 0
     began_ms: int | None = None
     last_new_ms: int = 0
     given: dict[Place, Given] = dataclasses.field(default_factory=dict)
 
-    def sample_demand(self, tokens_per_s: float) -> None:
-        """Take in the demand of the last second; it rises faster than it falls."""
-        past = DEMAND_RISE if tokens_per_s > self.demand else DEMAND_DECAY
-        self.demand = past * self.demand + (1.0 - past) * tokens_per_s
+    def sample_demand(self, engines: float) -> None:
+        """Take in the endpoints that the last second asked for; it rises faster than it falls."""
+        if engines > 0:
+            self.samples += 1
+        past = DEMAND_RISE if engines > self.demand else DEMAND_DECAY
+        self.demand = past * self.demand + (1.0 - past) * engines
+
+    def take_over(self, size: int) -> None:
+        """Take in what the holder before needed, until this node knows the demand itself."""
+        self.first_count = max(self.first_count, size)
+
+    def size(self) -> int:
+        """Return how many endpoints are needed by what is known, within no limits."""
+        return max(self.sized_for, 0 if self._demand_known() else self.first_count)
+
+    def _demand_known(self) -> bool:
+        return self.samples >= DEMAND_SAMPLES
 
     def needed(self, scaling: traffic.Scaling) -> int:
         """Return how many endpoints the demand asks for."""
-        by_demand = self._by_demand()
+        self._follow_demand()
         places = len(scaling.prices)
         most = scaling.maximum * places
         least = max(1, scaling.minimum) * places
-        return min(most, max(least, by_demand, self.first_count))
+        return min(most, max(least, self.size()))
 
     def spot_wanted(self, scaling: traffic.Scaling) -> int:
         """Return how many reclaimable endpoints are wanted: what is needed, and a reserve."""
         needed = self.needed(scaling)
         places = len(scaling.prices)
         left = max(1, places - LOST_AT_ONCE)
-        reserved = math.ceil(LEFT_AFTER_LOSS * needed / left) * places
-        return min(scaling.maximum * places, max(needed, reserved))
-
-    def _by_demand(self) -> int:
-        """Return the endpoints that the demand asks for; falls only by a clear margin."""
-        engines = self.demand / TOKENS_PER_ENGINE
-        if engines > self.sized_for:
-            self.sized_for = math.ceil(engines)
-        elif engines < SHRINK_MARGIN * (self.sized_for - 1):
-            self.sized_for = math.ceil(engines / SHRINK_MARGIN)
-        return self.sized_for
+        reserved = math.ceil(needed / left) * places
+        return min(scaling.maximum * places, reserved)
+
+    def _follow_demand(self) -> None:
+        """Size the service for the demand; it shrinks only by a clear margin."""
+        if self.demand > self.sized_for:
+            self.sized_for = math.ceil(self.demand)
+        elif self.demand < SHRINK_MARGIN * (self.sized_for - 1):
+            self.sized_for = math.ceil(self.demand / SHRINK_MARGIN)
 
     def wanted(self, scaling: traffic.Scaling, ready: Mapping[Place, int]) -> dict[Place, int]:
         """Return the wanted counts by place, given those that are ready."""
         spot = spread(self.spot_wanted(scaling), scaling)
+        if self._refused_now():
+            # One that is let go now could not be had back.
+            spot = {name: max(spot[name], ready.get(Place(name, True), 0)) for name in spot}
         wanted = {Place(name, True): count for name, count in spot.items()}
         firm = self._firm_wanted(scaling, ready)
         for name, count in firm.items():
@@ -142,7 +156,8 @@
         """Return firm counts: what lacks of the floor, in the cheapest places with room.
 
         Reclaimable endpoints that are coming make new firm ones needless; those that run stay
-        until the others have come.
+        until the others have come. While reclaimable ones are refused, a data centre's share of
+        firm ones is held: the next one is reclaimed sooner than others boot.
         """
         if self._nothing_runs_yet(ready):
             return self._firm_at_first(scaling, ready)
@@ -151,7 +166,7 @@
         firm_ready = sum(count for place, count in ready.items() if not place.spot)
         lacking = math.ceil(FLOOR * needed) - self._spot_ready_or_coming(scaling, ready)
         kept = min(firm_ready, needed - spot_ready)
-        hedge = math.ceil(HEDGE * needed) if self._refused_now() else 0
+        hedge = math.ceil(needed / len(scaling.prices)) if self._refused_now() else 0
         lacking = max(lacking, kept, hedge, 0)
         counts = dict.fromkeys(scaling.prices, 0)
         for _ in range(lacking):
--- a/plumarch/gateway/attempts.py
+++ b/plumarch/gateway/attempts.py
@@ -16,6 +16,10 @@
 QUEUE_FACTOR = 3
 """Requests at a plain endpoint, in multiples of its slots, before it counts as full."""
 
+ENGINE_QUEUE_FACTOR = 1.5
+"""The same at engines, where a request waits for one of many places; how long it is expected to
+wait counts among the costs, and a wait beyond its target refuses it."""
+
 
 @dataclasses.dataclass(slots=True)
 class Progress:
@@ -54,7 +58,8 @@
 ) -> endpoint_choice.Choice | None:
     """Choose an endpoint that was not tried yet, or None if there is none with room."""
     ready = [one for one in state.registry.ready(admitted.service) if one.id not in progress.tried]
-    usable = state.health.usable(ready)
+    reachable = [one for one in ready if not state.reach.is_out(one.data_centre)]
+    usable = state.health.usable(reachable or ready)
     candidates = [one for one in usable if _has_room(state, admitted, one)]
     if not candidates:
         state.log.write(
@@ -78,7 +83,7 @@
 def _has_room(
     state: fleet_state.FleetState, admitted: admission.Admitted, endpoint: traffic.Endpoint
 ) -> bool:
-    factor = 1 if admitted.prompt_tokens else QUEUE_FACTOR
+    factor = ENGINE_QUEUE_FACTOR if admitted.prompt_tokens else QUEUE_FACTOR
     return state.chooser.load(endpoint.id).running < factor * max(1, endpoint.slots)
 
 
@@ -95,14 +100,17 @@
     """
     endpoint = choice.endpoint
     progress.tried.add(endpoint.id)
+    state.reach.try_again(endpoint.data_centre)
     _log_choice(state, admitted, progress, choice)
     time_left = admitted.ends_ms - state.clock.now()
     try:
         opened = await exchange.connect(endpoint.address, min(CONNECT_TIMEOUT_MS, time_left))
     except errors.ConnectFailed:
         state.health.failure(endpoint.id)
+        _note_unreached(state, endpoint)
         state.measures.attempts.labels(admitted.service, "no_connection").inc()
         raise
+    state.reach.connected(endpoint.data_centre)
     headers = _headers(state, admitted, progress, endpoint)
     request = admitted.request
     try:
@@ -115,11 +123,25 @@
     if progress.sends == 1:
         state.budget.first(admitted.service)
     state.chooser.begin(choice, admitted.parts)
+    if admitted.prompt_tokens:
+        state.work.sent(admitted.service, admitted.units, choice.unread_tokens)
     if state.tell_load is not None and admitted.prompt_tokens:
         state.tell_load(choice.endpoint.id, choice.unread_tokens)
     return Attempt(choice, opened, state.clock.now())
 
 
+def _note_unreached(state: fleet_state.FleetState, endpoint: traffic.Endpoint) -> None:
+    """Note that an endpoint could not be connected to, and perhaps its whole data centre."""
+    if state.reach.failed(endpoint.data_centre, endpoint.id):
+        reach = state.reach.known[endpoint.data_centre]
+        state.log.write(
+            "data_centre_out",
+            data_centre=endpoint.data_centre,
+            for_ms=reach.out_until_ms - state.clock.now(),
+            failed=sorted(reach.failed),
+        )
+
+
 def _headers(
     state: fleet_state.FleetState,
     admitted: admission.Admitted,
@@ -205,4 +227,7 @@
 def end(state: fleet_state.FleetState, attempt: Attempt) -> None:
     """Close the connection, which cancels the request if it still runs."""
     attempt.exchange.close()
+    if attempt.saw_first_token:
+        held_ms = state.clock.now() - attempt.sent_ms
+        state.chooser.speed(attempt.choice.endpoint.service).ended(held_ms)
     state.chooser.end(attempt.choice, attempt.saw_first_token)
--- a/plumarch/gateway/duties.py
+++ b/plumarch/gateway/duties.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from plumarch.core import errors, records, traffic
-from plumarch.fleet import duty_lease, engine_plan
+from plumarch.fleet import duty_lease, engine_demand, engine_plan
 from plumarch.gateway import fleet_state, follower, gossiper, heartbeats, ports
 from plumarch.membership import fleet_view
 
@@ -158,14 +158,27 @@
         rate = max(0.0, spent - self.sampled_spent) * 1000.0 / (now - self.sampled_ms)
         if self.sampled_ms:
             for plan in self.plans.values():
-                plan.sample_demand(rate)
+                if self.state.chooser.speed(plan.service).known():
+                    plan.sample_demand(self._engines_busy(plan.service, rate))
         self.sampled_ms = now
         self.sampled_spent = spent
 
+    def _engines_busy(self, service: str, units_per_s: float) -> float:
+        """Return how many engines of a service the requests of all nodes ask for now."""
+        state = self.state
+        endpoints = [one for one in state.registry.endpoints.values() if one.service == service]
+        slots = max((one.slots for one in endpoints), default=1)
+        return engine_demand.engines_for(
+            units_per_s * state.work.unread_per_unit(service),
+            state.chooser.speed(service).typical.value,
+            state.chooser.running(endpoints),
+            slots,
+        )
+
     async def _order_for(self, service: str, scaling: traffic.Scaling) -> None:
         plan = self.plans[service]
         if self.held is not None:
-            plan.first_count = max(plan.first_count, self.held.record.sizes.get(service, 0))
+            plan.take_over(self.held.record.sizes.get(service, 0))
         for order in plan.orders(scaling, self.state.registry.endpoints.values()):
             refused = False
             try:
@@ -184,7 +197,8 @@
                 count=order.count,
                 spot=order.spot,
                 refused=refused,
-                demand=round(plan.demand),
+                demand=round(plan.demand, 2),
+                needed=plan.needed(scaling),
                 token=self.status.token,
                 registry_revision=self.state.registry.revision,
             )
@@ -281,9 +295,7 @@
             counts = self.state.usage.total(window)
             for workspace in self.state.table.workspaces if self.state.table else ():
                 counts.setdefault(workspace, 0)
-            sizes = {
-                plan.service: plan.first_count for plan in self.plans.values() if plan.first_count
-            }
+            sizes = {plan.service: plan.size() for plan in self.plans.values() if plan.size()}
             wanted = duty_lease.with_window(self.held, window, counts, sizes)
             self.held = await self._write(wanted)
         if str(window) not in self.held.record.windows:
--- a/plumarch/gateway/fleet_state.py
+++ b/plumarch/gateway/fleet_state.py
@@ -6,11 +6,11 @@
 
 from plumarch.config import routing_table
 from plumarch.core.clock import Clock
-from plumarch.fleet import usage
+from plumarch.fleet import engine_demand, usage
 from plumarch.gateway import decision_log, dialect, measures
 from plumarch.limits import attempt_budget, workspace_quota
 from plumarch.membership.registry import EndpointChange, Registry
-from plumarch.routing import endpoint_choice, endpoint_health, first_token
+from plumarch.routing import data_centre_reach, endpoint_choice, endpoint_health
 
 
 @dataclasses.dataclass(slots=True)
@@ -20,6 +20,7 @@
     Attributes:
       table: the configuration in force, or None before the first one is known.
       table_source: who told it: "store" or a peer's name.
+      work: what this node sent to engines lately.
       tell_load: tells the other nodes of a request sent to an engine, by its unread tokens.
       reaches_store: whether the platform's store answered the last call.
       stops_at_ms: when the process will end, once it was told to and balancers know; or None.
@@ -36,10 +37,11 @@
     registry: Registry
     chooser: endpoint_choice.EndpointChooser
     health: endpoint_health.EndpointHealth
+    reach: data_centre_reach.DataCentreReach
     quota: workspace_quota.WorkspaceQuota
     budget: attempt_budget.AttemptBudget
     usage: usage.UsageCounter
-    first_token: first_token.FirstTokenEstimate
+    work: engine_demand.SentWork
     table: routing_table.RoutingTable | None = None
     table_source: str = ""
     tell_load: Callable[[str, float], None] | None = None
--- a/plumarch/gateway/relay.py
+++ b/plumarch/gateway/relay.py
@@ -1,5 +1,7 @@
 """Requests of callers served: admitted or refused, run, and recorded."""
 
+from typing import Any
+
 from plumarch.gateway import admission, caller_connection, fleet_state, request_run
 
 
@@ -73,7 +75,7 @@
             status=outcome.status,
             reason=outcome.reason,
             sends=run.progress.sends,
-            ms_per_token=round(state.first_token.ms_per_token, 4),
+            **_speed_seen(state, admitted),
             first_ms=run.first_ms,
             total_ms=total_ms,
             events=run.events,
@@ -85,3 +87,16 @@
         state.measures.total.labels(workspace, kind).observe(total_ms / 1000.0)
         if run.first_ms is not None:
             state.measures.first_byte.labels(workspace, kind).observe(run.first_ms / 1000.0)
+
+
+def _speed_seen(state: fleet_state.FleetState, admitted: admission.Admitted) -> dict[str, Any]:
+    """Return what was known of the engines when a prompt was answered, for its log line."""
+    if not admitted.prompt_tokens:
+        return {}
+    speed = state.chooser.speed(admitted.service)
+    return {
+        "base_ms": round(speed.base_ms.value, 1),
+        "ms_per_token": round(speed.typical.value, 5),
+        "mean_ms_per_token": round(speed.mean_ms_per_token, 5),
+        "run_ms": round(speed.run_ms),
+    }
--- a/plumarch/gateway/request_run.py
+++ b/plumarch/gateway/request_run.py
@@ -109,6 +109,7 @@
             if choice is None:
                 return self._give_up(self.progress.last_fault or "no_endpoint", 502)
             if self._hopeless(choice):
+                self.state.work.turned_away(self.admitted.service, choice.unread_tokens)
                 return self._give_up("overloaded", 502)
             outcome = await self._attempt(choice)
             if outcome is not None:
@@ -120,7 +121,8 @@
         """Return whether a first send is expected to miss its target by far."""
         if self.progress.sends or not self.admitted.prompt_tokens:
             return False
-        expected_ms = self.state.first_token.expect_ms(choice.cost)
+        speed = self.state.chooser.speed(self.admitted.service)
+        expected_ms = speed.expect_ms(choice.tokens_to_read(), choice.place_wait_ms)
         return expected_ms > HOPELESS_TARGETS * self.admitted.route.target_ms > 0
 
     async def _attempt(self, choice: endpoint_choice.Choice) -> Outcome | None:
@@ -252,7 +254,9 @@
         self.state.chooser.first_token(attempt.choice)
         if self.admitted.prompt_tokens:
             waited_ms = self.state.clock.now() - attempt.sent_ms
-            self.state.first_token.observe(attempt.choice.cost, waited_ms)
+            waited_ms -= round(attempt.choice.place_wait_ms)
+            speed = self.state.chooser.speed(self.admitted.service)
+            speed.first_token(attempt.choice.tokens_to_read(), waited_ms)
         if not self.reply.started:
             attempts.count_began(self.state, self.admitted)
 
--- a/plumarch/limits/workspace_quota.py
+++ b/plumarch/limits/workspace_quota.py
@@ -22,8 +22,13 @@
 SETTLED_MS = 8_000
 """From this age of the process on, a workspace that is new starts with a full bucket."""
 
-EXCESS_USED = 0.6
-"""The part of the tolerated excess that is used where news is as young as FRESH_NEWS_MS."""
+EXCESS_REFILLED = 0.35
+"""The part of the tolerated excess by which buckets refill faster, where news is as young as
+FRESH_NEWS_MS."""
+
+EXCESS_HELD = 0.3
+"""The part of it by which buckets hold more than the burst: a large prompt that follows others
+finds room for it. What is left covers nodes that admit at the same moment."""
 
 FRESH_NEWS_MS = 250.0
 """Where heartbeats are rarer than this, less of the excess is used."""
@@ -54,9 +59,19 @@
         Args:
           news_age_ms: time between heartbeats.
         """
-        used = EXCESS_USED * min(1.0, FRESH_NEWS_MS / max(1.0, news_age_ms))
+        used = EXCESS_REFILLED * self._freshness(news_age_ms)
         return workspace.rate + used * self.excess(workspace) * 1000.0 / self.window_ms
 
+    def capacity(self, workspace: traffic.Workspace, news_age_ms: float) -> float:
+        """Return the most units that a workspace's bucket holds over all nodes."""
+        used = EXCESS_HELD * self._freshness(news_age_ms)
+        return workspace.burst + used * self.excess(workspace)
+
+    @staticmethod
+    def _freshness(news_age_ms: float) -> float:
+        """Return the part of the excess that may be used by the age of news."""
+        return min(1.0, FRESH_NEWS_MS / max(1.0, news_age_ms))
+
 
 @dataclasses.dataclass(slots=True)
 class Bucket:
@@ -201,8 +216,9 @@
         bucket.settled = bucket.settled or settled
         refill = self.tolerance.refill(workspace, self.news_age_ms)
         gained = refill * (now - bucket.updated_ms) / 1000.0
-        bucket.level = min(workspace.burst, bucket.level + gained)
-        most = workspace.burst * self.fraction
+        capacity = self.tolerance.capacity(workspace, self.news_age_ms)
+        bucket.level = min(capacity, bucket.level + gained)
+        most = capacity * self.fraction
         bucket.part = min(most, bucket.part + gained * self.fraction)
         bucket.updated_ms = now
         return bucket
--- a/plumarch/load/callers.py
+++ b/plumarch/load/callers.py
@@ -14,10 +14,16 @@
 from plumarch.proof import invariants
 from plumarch.standins import model
 
-TRIES = 12
+PATIENCE_S = 90.0
+"""How long a caller tries before it gives up: by time and not by tries, since on a busy machine
+all tries of some seconds may fail to connect while the nodes stand still. Longer than any
+promise takes to be kept; a judgement."""
+
 RETRY_S = 0.2
 TIMEOUT_S = 30.0
-CONNECT_S = 1.0
+CONNECT_S = 3.0
+"""A connection to a node of a data centre that is gone is refused at once; one that is slow to
+come up belongs to a busy machine."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -227,12 +233,13 @@
 
 
 async def _until_done(outcome: Outcome, attempt: Callable[[], Awaitable[bool]]) -> bool:
-    """Make attempts until one is final, or there were enough; broken connections are counted.
+    """Make attempts until one is final or patience ends; broken connections are counted.
 
     Returns:
       Whether one was final.
     """
-    for _ in range(TRIES):
+    until = time.monotonic() + PATIENCE_S
+    while time.monotonic() < until:
         try:
             if await attempt():
                 return True
--- /dev/null
+++ b/plumarch/routing/data_centre_reach.py
@@ -0,0 +1,81 @@
+"""Which data centres can be reached from here, judged by connections to their endpoints.
+
+A data centre that is cut off fails all connections alike, and each takes until its time limit to
+fail. Endpoints are judged one by one (endpoint_health), and never more than half of them are left
+out; so a cut would cost every request a vain try or two. Here two failures in a row at endpoints
+of one data centre, with none that came up between them, leave all of it out for a while, and
+then one connection tries again.
+"""
+
+import dataclasses
+
+from plumarch.core import clock
+
+FAILURES_IN_ROW = 2
+"""One failure may be a single endpoint's, two in a row without a success hardly are."""
+
+FIRST_PAUSE_MS = 700
+"""How long a data centre is left out at first; a judgement: three times the time that a
+connection may take."""
+
+LONGEST_PAUSE_MS = 2_800
+"""The pause doubles up to this; cuts end after some seconds, and a data centre that is back is
+then used again within as long."""
+
+
+@dataclasses.dataclass(slots=True)
+class Reach:
+    """What is known of one data centre.
+
+    Attributes:
+      failed: endpoints that could not be connected to since the last connection that came up.
+      out_until_ms: none of its endpoints gets work before then.
+      pauses: how often it was left out since then.
+    """
+
+    failed: set[str] = dataclasses.field(default_factory=set)
+    out_until_ms: int = 0
+    pauses: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class DataCentreReach:
+    """The data centres other than the node's own, by name."""
+
+    clock: clock.Clock
+    own: str
+    known: dict[str, Reach] = dataclasses.field(default_factory=dict)
+
+    def connected(self, data_centre: str) -> None:
+        """Note a connection that came up."""
+        self.known.pop(data_centre, None)
+
+    def failed(self, data_centre: str, endpoint: str) -> bool:
+        """Note a connection that did not come up in time.
+
+        Returns:
+          Whether the data centre is left out from now on.
+        """
+        if data_centre == self.own:
+            return False
+        reach = self.known.setdefault(data_centre, Reach())
+        reach.failed.add(endpoint)
+        now = self.clock.now()
+        if now < reach.out_until_ms:
+            return False
+        if len(reach.failed) < FAILURES_IN_ROW and not reach.pauses:
+            return False
+        reach.out_until_ms = now + min(LONGEST_PAUSE_MS, FIRST_PAUSE_MS * 2**reach.pauses)
+        reach.pauses += 1
+        return True
+
+    def is_out(self, data_centre: str) -> bool:
+        """Return whether a data centre is left out now."""
+        reach = self.known.get(data_centre)
+        return reach is not None and self.clock.now() < reach.out_until_ms
+
+    def try_again(self, data_centre: str) -> None:
+        """Leave a data centre out until the connection that tries it again has ended."""
+        reach = self.known.get(data_centre)
+        if reach is not None and reach.pauses:
+            reach.out_until_ms = max(reach.out_until_ms, self.clock.now() + FIRST_PAUSE_MS)
--- /dev/null
+++ b/plumarch/routing/data_centre_reach_test.py
@@ -0,0 +1,64 @@
+"""A data centre that is cut off is left out as a whole, tried again by one, and used again."""
+
+from plumarch.core import clock
+from plumarch.routing import data_centre_reach
+
+
+def reach_of(time: clock.ManualClock) -> data_centre_reach.DataCentreReach:
+    return data_centre_reach.DataCentreReach(time, "a")
+
+
+def test_two_endpoints_in_a_row_leave_the_data_centre_out():
+    reach = reach_of(clock.ManualClock())
+    assert not reach.failed("b", "b1")
+    assert not reach.is_out("b")
+    assert reach.failed("b", "b2")
+    assert reach.is_out("b")
+    assert not reach.is_out("c")
+
+
+def test_one_endpoint_alone_does_not():
+    reach = reach_of(clock.ManualClock())
+    for _ in range(10):
+        reach.failed("b", "b1")
+    assert not reach.is_out("b")
+
+
+def test_a_connection_between_them_clears_the_first():
+    reach = reach_of(clock.ManualClock())
+    reach.failed("b", "b1")
+    reach.connected("b")
+    reach.failed("b", "b2")
+    assert not reach.is_out("b")
+
+
+def test_the_own_data_centre_is_never_left_out():
+    reach = reach_of(clock.ManualClock())
+    for number in range(5):
+        reach.failed("a", f"a{number}")
+    assert not reach.is_out("a")
+
+
+def test_one_connection_tries_again_and_the_others_wait_for_it():
+    time = clock.ManualClock()
+    reach = reach_of(time)
+    reach.failed("b", "b1")
+    reach.failed("b", "b2")
+    time.advance_to(time.now() + data_centre_reach.FIRST_PAUSE_MS)
+    assert not reach.is_out("b")
+    reach.try_again("b")
+    assert reach.is_out("b")
+    reach.connected("b")
+    assert not reach.is_out("b")
+
+
+def test_pauses_grow_while_it_stays_cut_off():
+    time = clock.ManualClock()
+    reach = reach_of(time)
+    reach.failed("b", "b1")
+    reach.failed("b", "b2")
+    for _ in range(10):
+        time.advance_to(reach.known["b"].out_until_ms)
+        assert reach.failed("b", "b1")
+    left = reach.known["b"].out_until_ms - time.now()
+    assert left == data_centre_reach.LONGEST_PAUSE_MS
--- a/plumarch/routing/endpoint_choice.py
+++ b/plumarch/routing/endpoint_choice.py
@@ -9,18 +9,20 @@
 
 import collections
 import dataclasses
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 
 from plumarch.core import clock, hashing, traffic
+from plumarch.routing import engine_speed
 
 FAR_COST = 0.15
 """What another data centre costs, in parts of an endpoint's load."""
 
-RUNNING_TOKENS = 60.0
-"""What a running request delays a new one by, as prompt tokens."""
+RUNNING_MS = 1.5
+"""What a running request delays a new one's first token by. Measured as 60 prompt tokens at
+engines that read 32 in a ms; it also keeps places free evenly."""
 
-FAR_TOKENS = 100.0
-"""What another data centre costs, as prompt tokens."""
+FAR_MS = 2.5
+"""What another data centre of the region costs: there and back, 1 to 2.8 ms on the sheets."""
 
 HELD_BY_OWNERS = (0.8, 0.5)
 """Part of a prompt that the engines chosen by hashing are expected to hold, the first one first:
@@ -48,8 +50,10 @@
     """An endpoint, and what made it the choice.
 
     Attributes:
-      cost: load of a plain endpoint, or prompt tokens until the first token.
+      cost: load of a plain endpoint, or ms until the first token as far as engines differ.
       unread_tokens: prompt tokens that it is expected to have to read.
+      waiting_tokens: prompt tokens of others that it has to read before.
+      place_wait_ms: how long the request waits for a place there.
       considered: how many endpoints there were.
     """
 
@@ -57,6 +61,12 @@
     cost: float
     unread_tokens: float
     considered: int
+    waiting_tokens: float = 0.0
+    place_wait_ms: float = 0.0
+
+    def tokens_to_read(self) -> float:
+        """Return the prompt tokens to be read before the first token."""
+        return self.unread_tokens + self.waiting_tokens
 
 
 @dataclasses.dataclass(slots=True)
@@ -83,6 +93,7 @@
       own: load that this node put on endpoints, by identifier.
       peers: load that other nodes report, by node and endpoint identifier.
       records: parts of prompts sent to engines, by identifier.
+      speeds: what is known of the engines of each service.
     """
 
     clock: clock.Clock
@@ -90,6 +101,15 @@
     own: dict[str, Load] = dataclasses.field(default_factory=dict)
     peers: dict[str, dict[str, Load]] = dataclasses.field(default_factory=dict)
     records: dict[str, EngineRecord] = dataclasses.field(default_factory=dict)
+    speeds: dict[str, engine_speed.EngineSpeed] = dataclasses.field(default_factory=dict)
+
+    def speed(self, service: str) -> engine_speed.EngineSpeed:
+        """Return what is known of the engines of a service."""
+        return self.speeds.setdefault(service, engine_speed.EngineSpeed())
+
+    def running(self, endpoints: Iterable[traffic.Endpoint]) -> int:
+        """Return the requests that run at endpoints, from all nodes, as far as known."""
+        return sum(self.load(endpoint.id).running for endpoint in endpoints)
 
     def load(self, endpoint: str) -> Load:
         """Return the load of an endpoint from all nodes, as far as known."""
@@ -135,11 +155,15 @@
         best: Choice | None = None
         for endpoint in self._shuffled(candidates, seed):
             load = self.load(endpoint.id)
+            speed = self.speed(endpoint.service)
             unread = prompt_tokens - self._held(endpoint.id, parts, keys, owners)
-            cost = unread + load.prompt_tokens + RUNNING_TOKENS * load.running
-            cost += self._far(endpoint) * FAR_TOKENS
+            place_wait_ms = speed.place_wait_ms(load.running, endpoint.slots)
+            cost = speed.reading_ms(unread + load.prompt_tokens) + place_wait_ms
+            cost += RUNNING_MS * load.running + self._far(endpoint) * FAR_MS
             if best is None or cost < best.cost:
-                best = Choice(endpoint, cost, unread, len(candidates))
+                best = Choice(
+                    endpoint, cost, unread, len(candidates), load.prompt_tokens, place_wait_ms
+                )
         return best
 
     def _owners(
--- /dev/null
+++ b/plumarch/routing/engine_speed_test.py
@@ -0,0 +1,75 @@
+"""What is learned of engines: the true speed, in spite of grey, cold and reclaimed ones."""
+
+import random
+
+import pytest
+
+from plumarch.routing import engine_speed
+
+
+def learned(ms_per_token: float, base_ms: float, grey: float = 0.0) -> engine_speed.EngineSpeed:
+    """Return what is learned of engines, a part of which takes ten times as long."""
+    rng = random.Random(1)
+    speed = engine_speed.EngineSpeed()
+    for _ in range(400):
+        slow = 10.0 if rng.random() < grey else 1.0
+        speed.first_token(100, base_ms * slow * rng.uniform(0.9, 1.1))
+        tokens = rng.uniform(1_000, 20_000)
+        speed.first_token(tokens, base_ms + slow * ms_per_token * tokens * rng.uniform(0.9, 1.2))
+    return speed
+
+
+def test_engines_of_any_speed_are_learned():
+    for ms_per_token, base_ms in ((0.0064, 30.0), (0.031, 60.0), (0.2, 200.0)):
+        speed = learned(ms_per_token, base_ms)
+        assert 0.8 * ms_per_token < speed.typical.value < 1.35 * ms_per_token
+        assert 0.8 * base_ms < speed.base_ms.value < 1.25 * base_ms
+
+
+def test_some_slow_engines_do_not_move_what_is_typical():
+    speed = learned(0.0064, 30.0, grey=0.25)
+    assert speed.typical.value < 1.5 * 0.0064
+    assert speed.mean_ms_per_token > 2.0 * 0.0064
+
+
+def test_twenty_first_tokens_replace_the_start():
+    speed = engine_speed.EngineSpeed()
+    for _ in range(engine_speed.KNOWN_AFTER - 1):
+        speed.first_token(10_000, engine_speed.START_BASE_MS + 64)
+    assert not speed.known()
+    speed.first_token(10_000, engine_speed.START_BASE_MS + 64)
+    assert speed.known()
+    assert speed.typical.value < 0.2 * engine_speed.START_MS_PER_TOKEN
+
+
+def test_the_mean_follows_what_callers_get():
+    speed = engine_speed.EngineSpeed()
+    for _ in range(200):
+        speed.first_token(10_000, engine_speed.START_BASE_MS + 2_000)
+    assert abs(speed.mean_ms_per_token - 0.2) < 0.01
+    assert abs(speed.expect_ms(5_000, 0.0) - (speed.base_ms.value + 1_000)) < 20
+
+
+def test_short_prompts_say_nothing_about_the_time_a_token_takes():
+    speed = engine_speed.EngineSpeed()
+    speed.first_token(engine_speed.LEAST_TOKENS - 1, 10_000)
+    assert speed.typical.value == engine_speed.START_MS_PER_TOKEN
+
+
+def test_what_is_learned_stays_within_bounds():
+    speed = engine_speed.EngineSpeed()
+    for _ in range(300):
+        speed.first_token(1_000, 10_000_000)
+    assert speed.typical.value <= engine_speed.HIGHEST_MS_PER_TOKEN
+    for _ in range(600):
+        speed.first_token(1_000_000, 0)
+    assert speed.typical.value >= engine_speed.LOWEST_MS_PER_TOKEN
+
+
+def test_a_full_engine_is_waited_for_as_long_as_its_places_take():
+    speed = engine_speed.EngineSpeed()
+    for _ in range(10):
+        speed.ended(1_200)
+    assert speed.place_wait_ms(running=23, slots=24) == 0
+    assert speed.place_wait_ms(running=24, slots=24) == pytest.approx(1_200 / 24)
+    assert speed.place_wait_ms(running=26, slots=24) == pytest.approx(3 * 1_200 / 24)
--- a/plumarch/standins/gateway_parts.py
+++ b/plumarch/standins/gateway_parts.py
@@ -3,11 +3,11 @@
 import random
 
 from plumarch.core import clock
-from plumarch.fleet import usage
+from plumarch.fleet import engine_demand, usage
 from plumarch.gateway import decision_log, dialect, fleet_state, measures
 from plumarch.limits import attempt_budget, workspace_quota
 from plumarch.membership import registry
-from plumarch.routing import endpoint_choice, endpoint_health, first_token
+from plumarch.routing import data_centre_reach, endpoint_choice, endpoint_health
 
 USAGE_WINDOW_MS = 5_000
 SETTLED_MS = 100_000
@@ -33,8 +33,9 @@
         registry=registry.Registry(steady),
         chooser=endpoint_choice.EndpointChooser(steady, "a"),
         health=endpoint_health.EndpointHealth(steady),
+        reach=data_centre_reach.DataCentreReach(steady, "a"),
         quota=workspace_quota.WorkspaceQuota(steady, steady.now() - SETTLED_MS),
         budget=attempt_budget.AttemptBudget(steady, 60_000, 1.0, 1_000.0),
-        first_token=first_token.FirstTokenEstimate(),
+        work=engine_demand.SentWork(steady),
         usage=usage.UsageCounter(USAGE_WINDOW_MS),
     )
