--- a/plumarch/config/routing_table.py
+++ b/plumarch/config/routing_table.py
@@ -23,6 +23,7 @@
     Attributes:
       routes_by_host: the routes of each host, longest prefix first.
       workspaces_by_key: the workspace that holds each access key.
+      most_urgent_stream: the lowest priority number of the routes that stream.
     """
 
     configuration: Configuration
@@ -30,6 +31,7 @@
     workspaces: dict[str, traffic.Workspace]
     routes_by_host: dict[str, tuple[traffic.Route, ...]]
     workspaces_by_key: dict[str, traffic.Workspace]
+    most_urgent_stream: int = 0
 
     @property
     def version(self) -> int:
@@ -62,4 +64,6 @@
     spaces = {workspace.name: workspace for workspace in configuration.workspaces}
     by_key = {key: workspace for workspace in spaces.values() for key in workspace.keys}
     named = {service.name: service for service in configuration.services}
-    return RoutingTable(configuration, named, spaces, ordered, by_key)
+    streams = [r.priority for r in configuration.routes if r.kind is traffic.RouteKind.STREAMING]
+    most_urgent = min(streams, default=0)
+    return RoutingTable(configuration, named, spaces, ordered, by_key, most_urgent)
--- a/plumarch/fleet/engine_demand.py
+++ b/plumarch/fleet/engine_demand.py
@@ -6,6 +6,7 @@
 """
 
 import dataclasses
+import math
 
 from plumarch.core import clock
 
@@ -66,6 +67,11 @@
             return 1.0
         return self.unread.get(service, 0.0) / self.units
 
+    def unread_per_s(self, service: str) -> float:
+        """Return the prompt tokens a second that this node gave engines to read lately."""
+        self._age()
+        return self.unread.get(service, 0.0) * math.log(2) * 1_000.0 / HALF_LIFE_MS
+
     def _age(self) -> None:
         now = self.clock.now()
         kept = 0.5 ** ((now - self.updated_ms) / HALF_LIFE_MS)
--- a/plumarch/fleet/engine_demand_test.py
+++ b/plumarch/fleet/engine_demand_test.py
@@ -42,3 +42,12 @@
     assert work.unread_per_unit("one") == 0.25
     assert work.unread_per_unit("two") == 0.5
     assert work.unread_per_unit("three") == 0.0
+
+
+def test_what_this_node_sends_is_known_without_charges():
+    time = clock.ManualClock()
+    work = engine_demand.SentWork(time)
+    for _ in range(600):
+        time.advance_to(time.now() + 100)
+        work.sent("s", 0.0, 500)
+    assert work.unread_per_s("s") == pytest.approx(5_000, rel=0.05)
--- a/plumarch/fleet/engine_plan.py
+++ b/plumarch/fleet/engine_plan.py
@@ -99,9 +99,13 @@
     last_new_ms: int = 0
     given: dict[Place, Given] = dataclasses.field(default_factory=dict)
 
-    def sample_demand(self, engines: float) -> None:
-        """Take in the endpoints that the last second asked for; it rises faster than it falls."""
-        if engines > 0:
+    def sample_demand(self, engines: float, speed_known: bool = True) -> None:
+        """Take in the endpoints that the last second asked for; it rises faster than it falls.
+
+        Args:
+          speed_known: whether the engines' speed is known; until then the demand may be more.
+        """
+        if engines > 0 and speed_known:
             self.samples += 1
         past = DEMAND_RISE if engines > self.demand else DEMAND_DECAY
         self.demand = past * self.demand + (1.0 - past) * engines
--- a/plumarch/fleet/engine_plan_test.py
+++ b/plumarch/fleet/engine_plan_test.py
@@ -201,6 +201,16 @@
     assert plan.needed(SCALING) == len(PRICES) * SCALING.minimum
 
 
+def test_without_the_engines_speed_the_size_grows_but_never_falls_below_the_first():
+    plan = settled(clock.ManualClock())
+    for _ in range(50):
+        plan.sample_demand(1.0, speed_known=False)
+    assert plan.needed(SCALING) == len(FIRM_AT_FIRST)
+    for _ in range(50):
+        plan.sample_demand(7.6, speed_known=False)
+    assert plan.needed(SCALING) == 8
+
+
 def test_a_successor_goes_on_with_what_was_needed_until_it_knows_the_demand():
     plan = engine_plan.EnginePlan(clock.ManualClock(), "s")
     plan.take_over(7)
--- a/plumarch/gateway/admission.py
+++ b/plumarch/gateway/admission.py
@@ -3,6 +3,7 @@
 import dataclasses
 from collections.abc import Sequence
 
+from plumarch.config import routing_table
 from plumarch.core import hashing, traffic
 from plumarch.gateway import caller_connection, dialect, fleet_state
 
@@ -92,7 +93,7 @@
     prompt_tokens, most_out = _token_counts(request.header(names.token_counts))
     units = _units(workspace, prompt_tokens + most_out)
     if workspace is not None:
-        wait_ms = state.quota.admit(workspace, units)
+        wait_ms = state.quota.admit(workspace, units, _quota_rank(table, route))
         if wait_ms > 0:
             return Refusal(429, "quota", wait_ms, workspace.name, units)
     request_id = request.header(names.request_id)
@@ -110,6 +111,16 @@
     )
 
 
+def _quota_rank(table: routing_table.RoutingTable, route: traffic.Route) -> int:
+    """Return how urgent a request is among those that share an allotment.
+
+    Plain calls are charged little and never stand back.
+    """
+    if route.kind is not traffic.RouteKind.STREAMING:
+        return 0
+    return max(0, route.priority - table.most_urgent_stream)
+
+
 def _ends_too_soon(state: fleet_state.FleetState, route: traffic.Route) -> bool:
     """Return whether this process ends before a request of a route is likely to be answered."""
     if state.stops_at_ms is None:
--- a/plumarch/gateway/duties.py
+++ b/plumarch/gateway/duties.py
@@ -158,8 +158,8 @@
         rate = max(0.0, spent - self.sampled_spent) * 1000.0 / (now - self.sampled_ms)
         if self.sampled_ms:
             for plan in self.plans.values():
-                if self.state.chooser.speed(plan.service).known():
-                    plan.sample_demand(self._engines_busy(plan.service, rate))
+                known = self.state.chooser.speed(plan.service).known()
+                plan.sample_demand(self._engines_busy(plan.service, rate), known)
         self.sampled_ms = now
         self.sampled_spent = spent
 
@@ -168,13 +168,26 @@
         state = self.state
         endpoints = [one for one in state.registry.endpoints.values() if one.service == service]
         slots = max((one.slots for one in endpoints), default=1)
+        speed = state.chooser.speed(service)
         return engine_demand.engines_for(
-            units_per_s * state.work.unread_per_unit(service),
-            state.chooser.speed(service).typical.value,
+            self._unread_per_s(service, units_per_s) if speed.known() else 0.0,
+            speed.typical.value,
             state.chooser.running(endpoints),
             slots,
         )
 
+    def _unread_per_s(self, service: str, units_per_s: float) -> float:
+        """Return the prompt tokens a second that all nodes give engines to read.
+
+        What is charged to allotments is told between nodes; where some workspaces have none,
+        the others are taken to send as much as this node.
+        """
+        work = self.state.work
+        workspaces = self.state.table.workspaces.values() if self.state.table else ()
+        if workspaces and all(one.rate > 0 and one.counts_tokens for one in workspaces):
+            return units_per_s * work.unread_per_unit(service)
+        return work.unread_per_s(service) * (1 + len(self.view.live()))
+
     async def _order_for(self, service: str, scaling: traffic.Scaling) -> None:
         plan = self.plans[service]
         if self.held is not None:
--- a/plumarch/gateway/relay.py
+++ b/plumarch/gateway/relay.py
@@ -97,6 +97,6 @@
     return {
         "base_ms": round(speed.base_ms.value, 1),
         "ms_per_token": round(speed.typical.value, 5),
-        "mean_ms_per_token": round(speed.mean_ms_per_token, 5),
+        "mean_ms_per_token": round(speed.mean_ms_per_token(), 5),
         "run_ms": round(speed.run_ms),
     }
--- a/plumarch/gateway/request_run.py
+++ b/plumarch/gateway/request_run.py
@@ -37,6 +37,10 @@
 HOPELESS_TARGETS = 1.3
 """A stream whose first event is expected later than this many targets is refused at once."""
 
+HOPELESS_WAITING = 0.3
+"""Part of the prompt tokens before the first event that are others', below which none is refused
+so: the engine is as good as free, and the request is late by its own length. A judgement."""
+
 SERVER_ERRORS = 500
 DOUBTFUL_FAILURE = 0.3
 """Weight of an endpoint's own 5xx as a failure of the endpoint."""
@@ -118,9 +122,15 @@
                 return self._give_up(self.progress.last_fault, 502)
 
     def _hopeless(self, choice: endpoint_choice.Choice) -> bool:
-        """Return whether a first send is expected to miss its target by far."""
+        """Return whether a first send is expected to miss its target by far, for others' sake.
+
+        A prompt that takes long to read by itself is sent all the same.
+        """
         if self.progress.sends or not self.admitted.prompt_tokens:
             return False
+        others = choice.waiting_tokens / max(1.0, choice.tokens_to_read())
+        if others < HOPELESS_WAITING and not choice.place_wait_ms:
+            return False
         speed = self.state.chooser.speed(self.admitted.service)
         expected_ms = speed.expect_ms(choice.tokens_to_read(), choice.place_wait_ms)
         return expected_ms > HOPELESS_TARGETS * self.admitted.route.target_ms > 0
--- a/plumarch/limits/workspace_quota.py
+++ b/plumarch/limits/workspace_quota.py
@@ -30,6 +30,13 @@
 """The part of it by which buckets hold more than the burst: a large prompt that follows others
 finds room for it. What is left covers nodes that admit at the same moment."""
 
+LEAST_URGENT_RANK = 2
+"""Ranks from this one on leave what a bucket holds beyond the burst to more urgent requests."""
+
+HELD_OF_BURST = 0.35
+"""What they leave is at most this part of the burst, so that it suffices where the tolerated
+excess is far larger than the allotment. A judgement."""
+
 FRESH_NEWS_MS = 250.0
 """Where heartbeats are rarer than this, less of the excess is used."""
 
@@ -119,9 +126,12 @@
     buckets: dict[str, Bucket] = dataclasses.field(default_factory=dict)
     heard: dict[tuple[str, str], float] = dataclasses.field(default_factory=dict)
 
-    def admit(self, workspace: traffic.Workspace, units: float) -> float:
+    def admit(self, workspace: traffic.Workspace, units: float, rank: int = 0) -> float:
         """Charge a request.
 
+        Args:
+          rank: how urgent it is, 0 first; the least urgent ones leave a part of the bucket to
+            the others, so that a large urgent prompt finds room after many small ones.
         Returns:
           0 if it is admitted; otherwise the milliseconds after which it may be.
         """
@@ -129,6 +139,7 @@
             return 0.0
         bucket = self._refill(workspace)
         available = bucket.level if self.fraction >= 1.0 else bucket.part
+        available -= self._left_to_others(workspace, rank)
         needed = min(units, workspace.burst * self.fraction)
         if available < needed:
             refill = self.tolerance.refill(workspace, self.news_age_ms) * self.fraction
@@ -137,6 +148,13 @@
         bucket.spent += units
         return 0.0
 
+    def _left_to_others(self, workspace: traffic.Workspace, rank: int) -> float:
+        """Return the units that requests of a rank leave in the bucket."""
+        if rank < LEAST_URGENT_RANK:
+            return 0.0
+        held = self.tolerance.capacity(workspace, self.news_age_ms) - workspace.burst
+        return min(held, HELD_OF_BURST * workspace.burst) * self.fraction
+
     @staticmethod
     def _charge(bucket: Bucket, units: float) -> None:
         bucket.level -= units
--- a/plumarch/limits/workspace_quota_test.py
+++ b/plumarch/limits/workspace_quota_test.py
@@ -185,6 +185,25 @@
     assert quota.admit(SPACE, 200) > 0
 
 
+def test_the_least_urgent_leave_the_rest_of_the_bucket_to_the_others():
+    time = clock.ManualClock()
+    quota = tolerant(time)
+    time.advance_to(8_000)
+    least = workspace_quota.LEAST_URGENT_RANK
+    while quota.admit(SPACE, 50, least) == 0:
+        pass
+    assert quota.buckets["w"].level >= HELD
+    assert quota.admit(SPACE, HELD, 1) == 0
+    assert quota.admit(SPACE, 50, 0) > 0
+
+
+def test_the_least_urgent_get_the_whole_burst():
+    time = clock.ManualClock()
+    quota = tolerant(time)
+    time.advance_to(8_000)
+    assert quota.admit(SPACE, SPACE.burst, workspace_quota.LEAST_URGENT_RANK) == 0
+
+
 def test_all_that_a_window_can_get_stays_within_what_is_tolerated():
     quota = tolerant(clock.ManualClock())
     used = workspace_quota.EXCESS_HELD + workspace_quota.EXCESS_REFILLED
--- a/plumarch/routing/data_centre_reach.py
+++ b/plumarch/routing/data_centre_reach.py
@@ -31,11 +31,13 @@
       failed: endpoints that could not be connected to since the last connection that came up.
       out_until_ms: none of its endpoints gets work before then.
       pauses: how often it was left out since then.
+      trying: whether a connection tries it again just now.
     """
 
     failed: set[str] = dataclasses.field(default_factory=set)
     out_until_ms: int = 0
     pauses: int = 0
+    trying: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -61,8 +63,9 @@
         reach = self.known.setdefault(data_centre, Reach())
         reach.failed.add(endpoint)
         now = self.clock.now()
-        if now < reach.out_until_ms:
+        if now < reach.out_until_ms and not reach.trying:
             return False
+        reach.trying = False
         if len(reach.failed) < FAILURES_IN_ROW and not reach.pauses:
             return False
         reach.out_until_ms = now + min(LONGEST_PAUSE_MS, FIRST_PAUSE_MS * 2**reach.pauses)
@@ -77,5 +80,6 @@
     def try_again(self, data_centre: str) -> None:
         """Leave a data centre out until the connection that tries it again has ended."""
         reach = self.known.get(data_centre)
-        if reach is not None and reach.pauses:
-            reach.out_until_ms = max(reach.out_until_ms, self.clock.now() + FIRST_PAUSE_MS)
+        if reach is not None and reach.pauses and self.clock.now() >= reach.out_until_ms:
+            reach.trying = True
+            reach.out_until_ms = self.clock.now() + FIRST_PAUSE_MS
--- a/plumarch/routing/data_centre_reach_test.py
+++ b/plumarch/routing/data_centre_reach_test.py
@@ -59,6 +59,8 @@
     reach.failed("b", "b2")
     for _ in range(10):
         time.advance_to(reach.known["b"].out_until_ms)
+        reach.try_again("b")
+        time.advance_to(time.now() + 250)
         assert reach.failed("b", "b1")
     left = reach.known["b"].out_until_ms - time.now()
     assert left == data_centre_reach.LONGEST_PAUSE_MS
--- a/plumarch/routing/engine_speed.py
+++ b/plumarch/routing/engine_speed.py
@@ -16,14 +16,15 @@
 START_BASE_MS = 70.0
 """Time to the first token of an empty prompt before any was seen; a judgement as well."""
 
+START_TOKENS = 1_000.0
+"""Prompt tokens that the mean at the start stands for; the first observation replaces it."""
+
 WEIGHT = 0.05
 """Weight of a new observation in the mean, once there are many."""
 
 LEAST_TOKENS = 800.0
-"""Requests with less to read say nothing about the time a token takes."""
-
-FEW_TOKENS = 300.0
-"""Requests with less to read say how long a first token takes at least."""
+"""Requests with less to read say how long a first token takes besides reading; those with more
+say how long reading takes."""
 
 LOWEST_MS_PER_TOKEN = 0.002
 HIGHEST_MS_PER_TOKEN = 1.0
@@ -81,14 +82,15 @@
     Attributes:
       base_ms: typical time to the first token of a prompt with hardly anything to read.
       typical: ms to read a prompt token, typically.
-      mean_ms_per_token: the same as callers get it on average now.
+      mean_read_ms: what first tokens took besides the base, on average now.
+      mean_tokens: prompt tokens that were to be read for them, on average now.
       run_ms: how long a request holds its place, on average.
     """
 
     base_ms: RunningMedian = dataclasses.field(default_factory=_base)
     typical: RunningMedian = dataclasses.field(default_factory=_per_token)
-    mean_ms_per_token: float = START_MS_PER_TOKEN
-    means: int = 0
+    mean_read_ms: float = START_MS_PER_TOKEN * START_TOKENS
+    mean_tokens: float = START_TOKENS
     run_ms: float = START_RUN_MS
     ends: int = 0
 
@@ -99,16 +101,19 @@
           tokens_to_read: prompt tokens that were expected to be read before it.
           first_ms: how long it took since the request was sent.
         """
-        if tokens_to_read < FEW_TOKENS:
-            self.base_ms.observe(max(1.0, first_ms))
         if tokens_to_read < LEAST_TOKENS:
+            self.base_ms.observe(max(1.0, first_ms - self.reading_ms(tokens_to_read)))
             return
-        seen = max(0.0, first_ms - self.base_ms.value) / tokens_to_read
-        self.typical.observe(seen)
-        self.means += 1
-        weight = max(WEIGHT, 1.0 / self.means)
-        learned = (1.0 - weight) * self.mean_ms_per_token + weight * seen
-        self.mean_ms_per_token = min(HIGHEST_MS_PER_TOKEN, max(LOWEST_MS_PER_TOKEN, learned))
+        read_ms = max(0.0, first_ms - self.base_ms.value)
+        self.typical.observe(read_ms / tokens_to_read)
+        weight = max(WEIGHT, 1.0 / self.typical.seen)
+        self.mean_read_ms += weight * (read_ms - self.mean_read_ms)
+        self.mean_tokens += weight * (tokens_to_read - self.mean_tokens)
+
+    def mean_ms_per_token(self) -> float:
+        """Return how long a prompt token takes on average now; long prompts weigh more."""
+        mean = self.mean_read_ms / max(1.0, self.mean_tokens)
+        return min(HIGHEST_MS_PER_TOKEN, max(LOWEST_MS_PER_TOKEN, mean))
 
     def ended(self, run_ms: float) -> None:
         """Learn from how long a request held its place."""
@@ -131,4 +136,4 @@
 
     def expect_ms(self, tokens_to_read: float, place_wait_ms: float) -> float:
         """Return when a first token is expected, in ms from now, as callers get it now."""
-        return self.base_ms.value + self.mean_ms_per_token * tokens_to_read + place_wait_ms
+        return self.base_ms.value + self.mean_ms_per_token() * tokens_to_read + place_wait_ms
--- a/plumarch/routing/engine_speed_test.py
+++ b/plumarch/routing/engine_speed_test.py
@@ -29,7 +29,7 @@
 def test_some_slow_engines_do_not_move_what_is_typical():
     speed = learned(0.0064, 30.0, grey=0.25)
     assert speed.typical.value < 1.5 * 0.0064
-    assert speed.mean_ms_per_token > 2.0 * 0.0064
+    assert speed.mean_ms_per_token() > 2.0 * 0.0064
 
 
 def test_twenty_first_tokens_replace_the_start():
@@ -46,10 +46,17 @@
     speed = engine_speed.EngineSpeed()
     for _ in range(200):
         speed.first_token(10_000, engine_speed.START_BASE_MS + 2_000)
-    assert abs(speed.mean_ms_per_token - 0.2) < 0.01
+    assert abs(speed.mean_ms_per_token() - 0.2) < 0.01
     assert abs(speed.expect_ms(5_000, 0.0) - (speed.base_ms.value + 1_000)) < 20
 
 
+def test_one_short_prompt_that_waited_hardly_moves_the_mean():
+    speed = learned(0.0064, 30.0)
+    before = speed.mean_ms_per_token()
+    speed.first_token(900, 1_500)
+    assert speed.mean_ms_per_token() < 2.5 * before
+
+
 def test_short_prompts_say_nothing_about_the_time_a_token_takes():
     speed = engine_speed.EngineSpeed()
     speed.first_token(engine_speed.LEAST_TOKENS - 1, 10_000)
