--- a/plumarch/limits/workspace_quota.py
+++ b/plumarch/limits/workspace_quota.py
@@ -139,7 +139,8 @@
             return 0.0
         bucket = self._refill(workspace)
         available = bucket.level if self.fraction >= 1.0 else bucket.part
-        available -= self._left_to_others(workspace, rank)
+        if bucket.settled:
+            available -= self._left_to_others(workspace, rank)
         needed = min(units, workspace.burst * self.fraction)
         if available < needed:
             refill = self.tolerance.refill(workspace, self.news_age_ms) * self.fraction
--- a/plumarch/limits/workspace_quota_test.py
+++ b/plumarch/limits/workspace_quota_test.py
@@ -197,6 +197,15 @@
     assert quota.admit(SPACE, 50, 0) > 0
 
 
+def test_after_a_start_of_all_nodes_the_least_urgent_wait_no_longer_than_others():
+    time = clock.ManualClock()
+    quota = tolerant(time, started_ms=0)
+    time.advance_to(100)
+    quota.keep_only(TABLE)
+    time.advance_to(200)
+    assert quota.admit(SPACE, 50, workspace_quota.LEAST_URGENT_RANK) == 0
+
+
 def test_the_least_urgent_get_the_whole_burst():
     time = clock.ManualClock()
     quota = tolerant(time)
