--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 
 $(STAMP): pyproject.toml constraints.txt
 	python3 -m venv $(VENV)
-	$(PY) -m pip install -q -c constraints.txt -e '.[test]'
+	$(PY) -m pip install -qq --disable-pip-version-check -c constraints.txt -e '.[test]'
 	touch $(STAMP)
 
 demo: $(STAMP)
