--- a/plumarch/fleet/engine_demand.py
+++ b/plumarch/fleet/engine_demand.py
@@ -12,7 +12,7 @@
 
 READ_SHARE = 0.28
 """Part of the time that engines typically spend on reading prompts at most. The first tokens of
-long prompts wait for each other beyond it."""
+long prompts wait for each other beyond it (measured: docs/design/capacity-plan.md)."""
 
 PLACES_SHARE = 0.6
 """Part of the engines' places that is taken on average at most; bursts take the rest."""
--- a/tests/refusal_test.py
+++ b/tests/refusal_test.py
@@ -59,9 +59,9 @@
     states: list[data.KeyState] = []
 
     def note_settles(_: virtual.Host, action: events.Action) -> bool:
-        if isinstance(action, events.Send) and isinstance(action.message, messages.Settle):
-            if action.message.request_id == request_id:
-                states.append(action.message.state)
+        message = action.message if isinstance(action, events.Send) else None
+        if isinstance(message, messages.Settle) and message.request_id == request_id:
+            states.append(message.state)
         return True
 
     world.interfere = note_settles
