--- a/plumarch/routing/engine_speed.py
+++ b/plumarch/routing/engine_speed.py
@@ -30,7 +30,7 @@
 LOWEST_MS_PER_TOKEN = 0.002
 HIGHEST_MS_PER_TOKEN = 1.0
 """Between these a learned time to read a token stays, in ms: three times as fast as the fastest
-engines on the sheets (0.0064), and far slower than any. Judgements, so that nonsense can't stick."""
+engines on the sheets (0.0064), and far slower than any. Judgements against nonsense."""
 
 LOWEST_BASE_MS = 5.0
 HIGHEST_BASE_MS = 500.0
