The demo's log owns the queue it reads

Queues, logs and demos stood in three lists that were joined by index; a log was made before there was anything to read. A demo run that is ended by force says so.

--- a/bench/demo_runs.py
+++ b/bench/demo_runs.py
@@ -45,6 +45,7 @@
         try:
             code = await asyncio.wait_for(process.wait(), RUN_LIMIT_S)
         except TimeoutError:
+            print(f"run {number}: ended by force after {RUN_LIMIT_S:.0f} s", flush=True)
             process.kill()
             code = -1
     return Run(number, code, time.monotonic() - start)
--- a/plumarch/demo/__main__.py
+++ b/plumarch/demo/__main__.py
@@ -46,13 +46,12 @@
 class Demo:
     """One deployment under load."""
 
-    def __init__(self, plan: deployment.Plan, seed: int, folder: pathlib.Path) -> None:
+    def __init__(self, plan: deployment.Plan, seed: int) -> None:
         self.plan = plan
         self.deployment = deployment.Deployment(plan)
         self.seed = seed
         self.rng = random.Random(seed)
         self.tasks: list[asyncio.Task[callers.Outcome]] = []
-        self.evidence = evidence.Evidence(folder, plan.name)
 
     def targets(self) -> list[callers.Target]:
         """Return the workspaces as their callers know them."""
@@ -135,19 +134,6 @@
         await self.deployment.take_away(centre)
         say(f"--- {centre} is gone")
 
-    def close(
-        self,
-        queue: asyncio.Queue[data.Decision],
-        outcomes: list[callers.Outcome],
-        broken: list[str],
-    ) -> None:
-        """Write the logs, and print the story of each request with a broken promise."""
-        self.evidence.close(queue, outcomes)
-        for outcome in outcomes:
-            if any(outcome.view.name in text for text in broken):
-                say(f"\n--- the story of {outcome.view.name}")
-                say(self.evidence.story(outcome.view.key))
-
     def journal(self, outcomes: list[callers.Outcome]) -> invariants.Journal:
         """Return what was observed, for the checks of the promises."""
         journal = invariants.Journal([outcome.view for outcome in outcomes])
@@ -160,6 +146,16 @@
         return journal
 
 
+def tell_stories(
+    kept: evidence.Evidence, outcomes: list[callers.Outcome], broken: list[str]
+) -> None:
+    """Print the story of each request with a broken promise."""
+    for outcome in outcomes:
+        if any(outcome.view.name in text for text in broken):
+            say(f"\n--- the story of {outcome.view.name}")
+            say(kept.story(outcome.view.key))
+
+
 async def show_decisions(name: str, queue: asyncio.Queue[data.Decision]) -> None:
     """Print decisions as they happen, a few of each kind and workspace."""
     shown: dict[tuple[str, str, str], int] = {}
@@ -194,29 +190,27 @@
     logs.set_up("ERROR", json_lines=False)
     start = time.monotonic()
     folder = pathlib.Path(tempfile.mkdtemp(prefix="plumarch-demo-"))
-    demos = [Demo(plan, number + 1, folder) for number, plan in enumerate(PLANS)]
+    demos = [Demo(plan, number + 1) for number, plan in enumerate(PLANS)]
     await asyncio.gather(*(demo.deployment.start() for demo in demos))
     say(f"Two deployments are ready after {time.monotonic() - start:.1f} s.")
     watchers = [
         asyncio.ensure_future(show_decisions(demo.plan.name, demo.deployment.listen()))
         for demo in demos
     ]
-    recorded = [demo.deployment.listen() for demo in demos]
-    watchers += [
-        asyncio.ensure_future(demo.evidence.record(queue))
-        for demo, queue in zip(demos, recorded, strict=True)
-    ]
+    logged = [evidence.Evidence(folder, demo.plan.name, demo.deployment.listen()) for demo in demos]
+    watchers += [asyncio.ensure_future(kept.record()) for kept in logged]
     results = await asyncio.gather(*(demo.run() for demo in demos))
     broken: list[str] = []
     table = []
     hours = (time.monotonic() - start) / 3600
-    for demo, outcomes in zip(demos, results, strict=True):
+    for demo, outcomes, kept in zip(demos, results, logged, strict=True):
         journal = demo.journal(outcomes)
         found = invariants.violations(journal)
         found += invariants.accepted_and_unfinished(journal)
         found += [f"{o.view.name} got no answer" for o in outcomes if not o.view.ends]
         broken += found
-        demo.close(recorded[demos.index(demo)], outcomes, found)
+        kept.close(outcomes)
+        tell_stories(kept, outcomes, found)
         more = {
             f"{demo.plan.name}-{WORKSPACES[demo.plan.name][0]}": {
                 "recomputed tokens (all)": demo.deployment.recomputed(),
--- a/plumarch/demo/evidence.py
+++ b/plumarch/demo/evidence.py
@@ -51,29 +51,31 @@
 
 
 class Evidence:
-    """The log of one deployment while it runs."""
+    """The log of one deployment while it runs.
 
-    def __init__(self, folder: pathlib.Path, name: str) -> None:
+    Attributes:
+      queue: gets the decisions of all its nodes.
+      lines: what was written so far.
+    """
+
+    def __init__(
+        self, folder: pathlib.Path, name: str, queue: asyncio.Queue[data.Decision]
+    ) -> None:
         self.file = folder / f"{name}.jsonl"
+        self.queue = queue
         self.lines: list[bytes] = []
 
-    async def record(self, queue: asyncio.Queue[data.Decision]) -> None:
+    async def record(self) -> None:
         """Take in decisions until cancelled."""
         while True:
-            self.lines.append(decision_line(await queue.get()))
-
-    def close(self, queue: asyncio.Queue[data.Decision], outcomes: list[callers.Outcome]) -> None:
-        """Write the log.
+            self.lines.append(decision_line(await self.queue.get()))
 
-        Args:
-          queue: decisions that were not taken in yet.
-          outcomes: what callers saw.
-        """
-        while not queue.empty():
-            self.lines.append(decision_line(queue.get_nowait()))
+    def close(self, outcomes: list[callers.Outcome]) -> None:
+        """Write the log, with what callers saw."""
+        while not self.queue.empty():
+            self.lines.append(decision_line(self.queue.get_nowait()))
         for outcome in outcomes:
             self.lines += attempt_lines(outcome)
-        self.file.parent.mkdir(parents=True, exist_ok=True)
         self.file.write_bytes(b"\n".join(self.lines) + b"\n")
 
     def story(self, key: str) -> str:
--- a/plumarch/gateway/attempts.py
+++ b/plumarch/gateway/attempts.py
@@ -18,7 +18,8 @@
 
 ENGINE_QUEUE_FACTOR = 1.5
 """The same at engines, where a request waits for one of many places; how long it is expected to
-wait counts among the costs, and a wait beyond its target refuses it."""
+wait counts among the costs, and a wait beyond its target refuses it. A judgement: half a batch
+is as long as a target lets anything wait."""
 
 
 @dataclasses.dataclass(slots=True)
