--- a/plumarch/daemon/gateway.py
+++ b/plumarch/daemon/gateway.py
@@ -26,7 +26,7 @@
     relay,
 )
 from plumarch.limits import attempt_budget, workspace_quota
-from plumarch.membership import fleet_view, registry
+from plumarch.membership import fleet_view, node_record, registry
 from plumarch.routing import data_centre_reach, endpoint_choice, endpoint_health
 
 FLUSH_MS = 100
@@ -42,7 +42,6 @@
 CUT_BEFORE_KILL_MS = 500
 USAGE_EARLY_MS = 1_500
 USAGE_MARGIN_MS = 2_500
-NODES_KIND = "plumarch-nodes"
 NODES_AGAIN_MS = 3_000.0
 
 
@@ -71,7 +70,9 @@
         self.state = self._new_state(names)
         address = settings.listen.peers
         incarnation = self.wall.now()
-        self.view = fleet_view.FleetView(self.clock, settings.node.name, incarnation, address)
+        self.view = fleet_view.FleetView(
+            self.clock, settings.node.name, incarnation, address, settings.node.data_centre
+        )
         status = heartbeats.DutyStatus()
         self.gossiper = gossiper.Gossiper(self.state, self.view, status, settings.peers.seeds)
         self.follower = follower.Follower(
@@ -162,6 +163,7 @@
             self.follower.follow_endpoints,
             self._serve_callers,
             self.gossiper.beat_forever,
+            self.gossiper.coordinate_forever,
             self.duties.run,
             self._register,
             self._keep_house,
@@ -230,15 +232,22 @@
                 await asyncio.sleep(NODES_AGAIN_MS / 1000.0)
 
     async def _register_once(self) -> None:
-        name = self.settings.node.name
-        found = await self.store.list_records(NODES_KIND)
-        mine = [record for record in found if record.name == name]
+        node = self.settings.node
+        found = await self.store.list_records(node_record.KIND)
+        wanted = node_record.encode(node_record.NodeRecord(self.view.address, node.data_centre))
+        mine = [record for record in found if record.name == node.name]
         revision = mine[0].revision if mine else 0
-        if not mine or mine[0].value != self.view.address:
-            wanted = records.Record(name, self.view.address, revision)
-            await self.store.write_record(NODES_KIND, wanted)
         for record in found:
-            self.view.learn(record.name, record.value)
+            known = node_record.decode(record)
+            if known is None:
+                self.state.log.write("bad_node_record", name=record.name, value=record.value)
+            else:
+                self.view.learn(record.name, known.address, known.data_centre)
+        self.gossiper.beat_soon()
+        if not mine or mine[0].value != wanted:
+            await self.store.write_record(
+                node_record.KIND, records.Record(node.name, wanted, revision)
+            )
 
     async def _keep_house(self) -> None:
         """Write logs, and bring limits and gauges up to date."""
--- a/plumarch/fleet/usage.py
+++ b/plumarch/fleet/usage.py
@@ -57,9 +57,29 @@
         if not known:
             del self.heard[node]
 
-    def total(self, window: int) -> dict[str, int]:
-        """Return the counts of a window over all nodes."""
+    def heard_sums(self, group: str, counts: WindowCounts) -> None:
+        """Take in what one of a group of nodes counted of all of them.
+
+        Each may have missed some of the others' counts, so that the largest sum counts.
+        """
+        known = self.heard.get(group, {})
+        largest = {
+            number: {
+                name: max(told.get(name, 0), known.get(number, {}).get(name, 0))
+                for name in told.keys() | known.get(number, {}).keys()
+            }
+            for number, told in counts.items()
+        }
+        self.heard_from(group, largest)
+
+    def total(self, window: int, without: str = "") -> dict[str, int]:
+        """Return the counts of a window over all nodes.
+
+        Args:
+          without: groups whose name begins so are left out; "" leaves none out.
+        """
         total: collections.Counter[str] = collections.Counter(self.own.get(window, {}))
-        for counts in self.heard.values():
-            total.update(counts.get(window, {}))
+        for name, counts in self.heard.items():
+            if not without or not name.startswith(without):
+                total.update(counts.get(window, {}))
         return dict(sorted(total.items()))
--- /dev/null
+++ b/plumarch/gateway/coordination.py
@@ -0,0 +1,276 @@
+"""What a coordinator sums up and tells: its data centre to others, the whole fleet to members."""
+
+import collections
+import dataclasses
+
+from plumarch.gateway import fleet_state, heartbeats
+from plumarch.limits import centre_spending, workspace_quota
+from plumarch.membership import fleet_view, tiers
+from plumarch.peers import gossip, recent_changes
+from plumarch.routing import endpoint_choice
+
+WHOLE_EVERY = 16
+"""Every how many rounds all figures are told, not just those that changed lately."""
+
+USAGE_EVERY = 4
+"""Every how many rounds usage is told."""
+
+LOADS_TOLD = 60
+"""Endpoints whose load one datagram tells, the heaviest first; some 20 bytes each."""
+
+CENTRE = "centre "
+"""What the figures of a whole data centre are kept under, before its name."""
+
+
+@dataclasses.dataclass(slots=True)
+class Coordination:
+    """A coordinator's sums.
+
+    Attributes:
+      spent: units that the nodes of the own data centre were heard to admit, this one left out.
+      taken_in: sequence of the last heartbeat of each node of it, by name.
+      rounds: news composed so far.
+      skipped: rounds left to an older coordinator since the last one told.
+      tell_all: whether the next news are whole, for a member that was not heard before.
+    """
+
+    state: fleet_state.FleetState
+    view: fleet_view.FleetView
+    duty: heartbeats.DutyStatus
+    elsewhere: centre_spending.CentreSpending
+    spent: collections.Counter[str] = dataclasses.field(default_factory=collections.Counter)
+    taken_in: dict[str, int] = dataclasses.field(default_factory=dict)
+    rounds: int = 0
+    skipped: int = 0
+    tell_all: bool = True
+    spending_news: recent_changes.RecentChanges = dataclasses.field(
+        default_factory=recent_changes.RecentChanges
+    )
+    level_news: recent_changes.RecentChanges = dataclasses.field(
+        default_factory=recent_changes.RecentChanges
+    )
+    load_news: recent_changes.RecentChanges = dataclasses.field(
+        default_factory=recent_changes.RecentChanges
+    )
+    told_fraction: float = 0.0
+
+    # Other data centres.
+
+    def take_summary(self, told: gossip.CentreSummary) -> None:
+        """Take in what a coordinator of another data centre tells."""
+        elders = tuple(_elder(one) for one in told.elders)
+        candidates = [_elder(one).age for one in told.candidate]
+        self.view.centres[told.data_centre] = tiers.CentreView(
+            nodes=told.nodes,
+            heard=told.heard,
+            elders=elders,
+            token=told.token,
+            candidate=candidates[0] if candidates else None,
+            reported=told.reported,
+            usage_age_ms=told.usage_age_ms,
+            told_ms=self.state.clock.now(),
+        )
+        self.duty.reported = max(self.duty.reported, told.reported)
+        self._charge(told)
+        loads = {one.endpoint: endpoint_choice.of_report(one) for one in told.loads}
+        self.state.chooser.tell(CENTRE + told.data_centre, loads)
+        if told.usage:
+            counts = {one.window: one.counts for one in told.usage}
+            self.state.usage.heard_sums(CENTRE + told.data_centre, counts)
+
+    def _charge(self, told: gossip.CentreSummary) -> None:
+        sums = {one.workspace: one.spent for one in told.spending}
+        author = f"{told.node}#{told.incarnation}"
+        charged = self.elsewhere.charge(told.data_centre, author, sums, self.view.silence_ms())
+        levels = {one.workspace: one.level for one in told.spending if one.settled}
+        self.state.quota.heard_sums(CENTRE + told.data_centre, charged, levels)
+
+    def summary(self) -> gossip.CentreSummary:
+        """Return what to tell the coordinators of other data centres now."""
+        view, state = self.view, self.state
+        neighbours = [one for one in view.neighbours() if view.is_heard(one)]
+        whole = self.rounds % WHOLE_EVERY == 0
+        tokens = [one.token for one in neighbours if not one.leaving]
+        return gossip.CentreSummary(
+            node=view.node,
+            incarnation=view.incarnation,
+            address=view.address,
+            data_centre=state.data_centre,
+            configuration=state.table.version if state.table else -1,
+            registry_revision=state.registry.changed_revision,
+            nodes=view.centre_size(),
+            heard=1 + len(neighbours),
+            elders=self._elders(),
+            token=max([self.duty.token, *tokens]),
+            candidate=self._candidate(neighbours),
+            reported=self.duty.reported,
+            usage_age_ms=self._usage_age_ms(),
+            spending=self._spending(whole),
+            loads=self._centre_loads(),
+            usage=self._usage(whole) if whole or self.rounds % USAGE_EVERY == 1 else [],
+        )
+
+    def _elders(self) -> list[gossip.KnownElder]:
+        return [
+            gossip.KnownElder(one.age.name, one.age.incarnation, one.address)
+            for one in self.view.elders()[: tiers.ELDERS]
+        ]
+
+    def _candidate(self, neighbours: list[fleet_view.Peer]) -> list[gossip.KnownElder]:
+        ages = [one.age() for one in neighbours if one.candidate and not one.leaving]
+        if self.duty.candidate:
+            ages.append(self.view.age())
+        return [gossip.KnownElder(age.name, age.incarnation, "") for age in sorted(ages)[:1]]
+
+    def _usage_age_ms(self) -> int:
+        """Return how old the oldest news of a node of the own data centre is."""
+        now = self.state.clock.now()
+        heard = [one.heard_ms for one in self.view.neighbours() if one.incarnation]
+        return max((now - at for at in heard if at is not None), default=0)
+
+    def _spending(self, whole: bool) -> list[gossip.CentreSpending]:
+        report = self.state.quota.report()
+        sums = {name: told.spent + self.spent[name] for name, told in report.items()}
+        changed = self.spending_news.select(sums)
+        return [
+            gossip.CentreSpending(name, round(sums[name]), round(told.level), told.settled)
+            for name, told in report.items()
+            if whole or name in changed
+        ]
+
+    def _centre_loads(self) -> list[gossip.EndpointLoad]:
+        """Return what the nodes of the own data centre have at endpoints."""
+        chooser = self.state.chooser
+        sums: dict[str, endpoint_choice.Load] = {}
+        sources = [loads for name, loads in chooser.told.items() if not name.startswith(CENTRE)]
+        for loads in [chooser.own, *sources]:
+            for endpoint, load in loads.items():
+                total = sums.setdefault(endpoint, endpoint_choice.Load())
+                total.running += load.running
+                total.prompt_tokens += load.prompt_tokens
+        heaviest = sorted(sums.items(), key=lambda one: (-one[1].prompt_tokens, one[0]))
+        return [
+            gossip.EndpointLoad(name, load.running, round(load.prompt_tokens))
+            for name, load in heaviest[:LOADS_TOLD]
+        ]
+
+    def _usage(self, whole: bool) -> list[gossip.WindowUsage]:
+        usage, now = self.state.usage, self.state.wall.now()
+        windows = heartbeats.windows_told(usage, now, whole)
+        newest = usage.window_at(now)
+        return [
+            gossip.WindowUsage(number, usage.total(number, without=CENTRE))
+            for number in range(newest - windows + 1, newest + 1)
+        ]
+
+    # The own data centre.
+
+    def take_heartbeat(self, beat: gossip.Heartbeat, charged: dict[str, float]) -> None:
+        """Count what a node of the own data centre was heard to admit."""
+        self.spent.update(charged)
+        self.taken_in[beat.node] = beat.sequence
+
+    def news(self) -> "NewsRound":
+        """Return what to tell the members of the own data centre now."""
+        quota, view = self.state.quota, self.view
+        fraction = view.heard_fraction()
+        whole = self.rounds % WHOLE_EVERY == 0 or self.tell_all or fraction != self.told_fraction
+        self.tell_all = False
+        self.told_fraction = fraction
+        self.rounds += 1
+        quota.report()
+        charged = {name: bucket.charged for name, bucket in quota.buckets.items()}
+        changed = self.level_news.select(charged)
+        levels = [
+            gossip.ToldLevel(name, round(bucket.level), round(bucket.part), bucket.settled)
+            for name, bucket in quota.buckets.items()
+            if whole or name in changed
+        ]
+        return NewsRound(
+            fraction=fraction,
+            nodes=view.size(),
+            centre_nodes=view.centre_size(),
+            levels=levels,
+            loads=self._fleet_loads(whole),
+            whole=whole,
+            elders=self._elders(),
+            followers=view.followers(self.state.reaches_store),
+        )
+
+    def _fleet_loads(self, whole: bool) -> list[gossip.EndpointLoad]:
+        """Return the loads of endpoints from all nodes that changed lately."""
+        chooser = self.state.chooser
+        loads = {name: chooser.load(name) for name in chooser.own.keys() | chooser.others.keys()}
+        before = self.load_news.known.keys() - loads.keys()
+        loads |= {name: endpoint_choice.NO_LOAD for name in before}
+        figures = {name: load.prompt_tokens * FIGURE + load.running for name, load in loads.items()}
+        changed = self.load_news.select(figures)
+        for name in [name for name in before if name not in changed]:
+            del self.load_news.known[name]
+        chosen = [(name, load) for name, load in loads.items() if whole or name in changed]
+        heaviest = sorted(chosen, key=lambda one: (-one[1].prompt_tokens, one[0]))
+        return [
+            gossip.EndpointLoad(name, load.running, round(load.prompt_tokens))
+            for name, load in heaviest[:LOADS_TOLD]
+        ]
+
+    def news_for(self, member: str, told: "NewsRound") -> gossip.FleetNews:
+        """Return a round of news as one member gets it."""
+        view, state = self.view, self.state
+        return gossip.FleetNews(
+            node=view.node,
+            incarnation=view.incarnation,
+            address=view.address,
+            data_centre=state.data_centre,
+            taken_in=self.taken_in.get(member, 0),
+            configuration=state.table.version if state.table else -1,
+            registry_revision=state.registry.changed_revision,
+            nodes=told.nodes,
+            centre_nodes=told.centre_nodes,
+            fraction=told.fraction,
+            elders=told.elders,
+            followers=told.followers,
+            levels=told.levels,
+            loads=told.loads,
+            whole=told.whole,
+        )
+
+    def forget(self, node: str) -> None:
+        """Drop what is kept of a node that is gone."""
+        self.taken_in.pop(node, None)
+
+
+FIGURE = 1_000_000.0
+"""Puts prompt tokens and running requests, fewer than this, into one figure that changes."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NewsRound:
+    """What all members are told in one round."""
+
+    fraction: float
+    nodes: int
+    centre_nodes: int
+    levels: list[gossip.ToldLevel]
+    loads: list[gossip.EndpointLoad]
+    whole: bool
+    elders: list[gossip.KnownElder]
+    followers: list[str]
+
+
+def _elder(told: gossip.KnownElder) -> tiers.Elder:
+    return tiers.Elder(tiers.Age(told.incarnation, told.name), told.address)
+
+
+def elders_of(told: list[gossip.KnownElder]) -> tuple[tiers.Elder, ...]:
+    """Return elders as a node keeps them."""
+    return tuple(_elder(one) for one in told)
+
+
+def told_bucket(one: gossip.ToldLevel, untold: float) -> workspace_quota.ToldBucket:
+    """Return a coordinator's bucket less what it does not know of yet.
+
+    Args:
+      untold: units that this node admitted since the coordinator heard of it last.
+    """
+    return workspace_quota.ToldBucket(one.level - untold, one.part - untold, one.settled)
--- a/plumarch/gateway/duties.py
+++ b/plumarch/gateway/duties.py
@@ -9,7 +9,7 @@
 from plumarch.core import errors, records, traffic
 from plumarch.fleet import duty_lease, engine_demand, engine_plan
 from plumarch.gateway import fleet_state, follower, gossiper, heartbeats, ports
-from plumarch.membership import fleet_view
+from plumarch.membership import fleet_view, tiers
 
 TICK_MS = 250
 SETTLE_MS = 1_500
@@ -109,7 +109,12 @@
     async def step(self) -> None:
         """Do what is due now."""
         self._keep_plans()
-        self.status.candidate = self.state.clock.now() >= self.no_candidate_before_ms
+        self.status.candidate = (
+            self.state.clock.now() >= self.no_candidate_before_ms
+            and self.view.role is not tiers.Role.MEMBER
+        )
+        if self.status.token and self.view.role is tiers.Role.MEMBER:
+            self._resign("no coordinator any more", DISPLACED_PAUSE_MS)
         if not self.tasks.usage and not self.tasks.scaling:
             return
         if self.leaving:
@@ -186,7 +191,7 @@
         workspaces = self.state.table.workspaces.values() if self.state.table else ()
         if workspaces and all(one.rate > 0 and one.counts_tokens for one in workspaces):
             return units_per_s * work.unread_per_unit(service)
-        return work.unread_per_s(service) * (1 + len(self.view.live()))
+        return work.unread_per_s(service) * self.view.size()
 
     async def _order_for(self, service: str, scaling: traffic.Scaling) -> None:
         plan = self.plans[service]
@@ -235,7 +240,7 @@
         self.status.candidate = False
 
     async def _maybe_take_over(self) -> None:
-        if self.state.clock.now() < self.not_before_ms or self.view.holder() is not None:
+        if self.state.clock.now() < self.not_before_ms or self.view.has_holder():
             return
         if not self.view.is_oldest_candidate():
             return
@@ -295,11 +300,10 @@
         """Return whether each node that may exist told its counts since a window's end."""
         now = self.state.clock.now()
         two_beats = heartbeats.USAGE_EVERY * max(gossiper.BEAT_MS, self.view.interval_ms)
-        return all(
-            peer.heard_ms is not None and now - peer.heard_ms < ago_ms - two_beats
-            for peer in self.view.peers.values()
-            if peer.incarnation
-        )
+        heard_ms = [peer.heard_ms for peer in self.view.known_directly() if peer.incarnation] + [
+            centre.told_ms - centre.usage_age_ms for centre in self.view.centres.values()
+        ]
+        return all(at is not None and now - at < ago_ms - two_beats for at in heard_ms)
 
     async def _fixed_counts(self, window: int) -> dict[str, int]:
         """Return a window's counts, fixed in the record so that a successor sends the same."""
--- a/plumarch/gateway/gossiper.py
+++ b/plumarch/gateway/gossiper.py
@@ -1,29 +1,46 @@
-"""Heartbeats and notices sent to peers, and what is taken in of theirs."""
+"""What nodes tell one another: heartbeats, notices, sums of data centres, news of the fleet."""
 
 import asyncio
+from collections.abc import Iterable
 from typing import Any, cast
 
 import msgspec
 
 from plumarch.core import addresses
-from plumarch.gateway import fleet_state, heartbeats, snapshots
-from plumarch.limits import workspace_quota
-from plumarch.membership import fleet_view
+from plumarch.gateway import coordination, fleet_state, heartbeats, membership_news, snapshots
+from plumarch.limits import centre_spending, workspace_quota
+from plumarch.membership import fleet_view, tiers
 from plumarch.peers import gossip
 from plumarch.routing import endpoint_choice
 
 BEAT_MS = 250
 BEATS_PER_SECOND = 150
-"""Heartbeats that a node sends in a second at most; in large fleets they become rarer."""
+"""Heartbeats that a node sends, or a coordinator takes in, in a second at most; where more nodes
+tell each other they become rarer."""
+
+NEWS_MS = 100
+"""Time between two rounds in which a coordinator tells its members, and the other coordinators."""
+
+STANDBY_ROUNDS = 4
+"""Every how many rounds a coordinator tells that is not the oldest of its data centre: its members
+follow the oldest one, and it in its place from 0.35 s of silence on."""
+
+LATE_ROUND_MS = 1_000
+"""A coordinator whose rounds were further apart than this was stopped or had no processor: what it
+knows is old, and it tells nothing until heartbeats have reached it again."""
+
+ANSWER_AGAIN_MS = 1_000
+"""A heartbeat that reaches a node that is no coordinator is answered this often at most, with who
+the coordinators are."""
+
+GREETED = 4
+"""Nodes known by name only that a coordinator greets in a round of heartbeats."""
 
 LOADS_KEPT_MS = 2_500
 NOTICE_TOKENS = 1_500.0
 """A prompt with this many unread tokens is told at once: between two heartbeats of a large fleet
 several nodes would choose the same engine for theirs."""
 
-NOTICE_FLEET = 128
-"""In larger fleets, notices go to the nodes of the own data centre only."""
-
 
 class Gossiper(asyncio.DatagramProtocol):
     """The peer side of one node."""
@@ -42,9 +59,16 @@
         self.leaving = False
         self.transport: asyncio.DatagramTransport | None = None
         self.composer = heartbeats.HeartbeatComposer(state, view, duty)
+        elsewhere = centre_spending.CentreSpending(state.clock)
+        self.coordination = coordination.Coordination(state, view, duty, elsewhere)
+        self.member = membership_news.MemberNews(state, view)
         self.snapshots = snapshots.SnapshotExchange(state)
         self.soon = asyncio.Event()
         self.server: asyncio.Server | None = None
+        self.told: set[str] = set()
+        self.answered_ms: dict[str, int] = {}
+        self.last_round_ms = state.clock.now()
+        self.quiet_until_ms = 0
         state.tell_load = self.tell_load
 
     async def start(self) -> None:
@@ -71,9 +95,19 @@
         """Keep the transport."""
         self.transport = cast(asyncio.DatagramTransport, transport)
 
+    # Sending.
+
     def interval_ms(self) -> float:
-        """Return the time between heartbeats, longer with many peers."""
-        return max(BEAT_MS, 1000.0 * len(self.view.peers) / BEATS_PER_SECOND)
+        """Return the time between heartbeats, longer where many nodes tell each other."""
+        flat = self.view.role is tiers.Role.FLAT and self.view.size() <= tiers.FLAT_FLEET
+        told = len(self.view.peers) if flat else self._centre_size()
+        return max(BEAT_MS, 1000.0 * told / BEATS_PER_SECOND)
+
+    def _centre_size(self) -> int:
+        """Return how many nodes tell a coordinator of the own data centre, as far as known."""
+        if self.view.role is tiers.Role.MEMBER and self.view.news is not None:
+            return self.view.news.centre_nodes
+        return self.view.centre_size()
 
     def beat_soon(self) -> None:
         """Send the next heartbeat at once, since there is news."""
@@ -90,32 +124,184 @@
                 pass
             self.soon.clear()
 
+    async def coordinate_forever(self) -> None:
+        """Tell sums and news as long as this node coordinates."""
+        while True:
+            self.tell_round()
+            await asyncio.sleep(NEWS_MS / 1000.0)
+
     def tick(self) -> None:
-        """Age what is known of peers, and send one heartbeat to each."""
+        """Age what is known of peers, and send one heartbeat to each that it is for."""
+        self._decide_role()
         self.view.interval_ms = self.interval_ms()
-        self.state.quota.news_age_ms = self.view.interval_ms
+        self.state.quota.news_age_ms = self._news_age_ms()
         for peer in self.view.tick():
-            self.state.log.write("peer_forgotten", peer=peer.name, address=peer.address)
-            self.state.quota.forget(f"{peer.name}#{peer.incarnation}")
+            self._forget(peer)
         self._drop_old_loads()
         self._hear_fraction()
         self.state.budget.nodes = max(8, 2 * self.view.size())
         if self.transport is None:
             return
-        datagram = gossip.encoder.encode(self.composer.next(self.leaving))
-        for address in self.view.addresses():
+        told = set(self._beat_addresses())
+        if self.view.role is not tiers.Role.FLAT and told - self.told:
+            # What one counts of a node begins with the first figure that it hears.
+            self.composer.tell_all()
+        self.told = told
+        beat = self.composer.next(self.leaving)
+        self.member.sent(beat)
+        self._send(beat, told)
+
+    def _news_age_ms(self) -> float:
+        """Return the age that news of other nodes' spending has at most, as a rule."""
+        if self.view.role is tiers.Role.FLAT:
+            return self.view.interval_ms
+        return self.view.interval_ms + 2 * NEWS_MS
+
+    def _beat_addresses(self) -> Iterable[str]:
+        if self.view.role is tiers.Role.FLAT:
+            return self._flat_addresses()
+        told = {elder.address for elder in self.view.coordinators()}
+        if self.view.role is tiers.Role.MEMBER and not self.view.hears_news():
+            told |= {elder.address for elder in self.view.elders()} - {self.view.address}
+        if self.view.role is tiers.Role.COORDINATOR:
+            unknown = [peer.address for peer in self.view.peers.values() if not peer.incarnation]
+            told |= set(self.state.rng.sample(unknown, min(GREETED, len(unknown))))
+        return told
+
+    def _flat_addresses(self) -> Iterable[str]:
+        """Return all nodes of a small fleet; of a large one the own data centre and some others.
+
+        There a node only looks for those that coordinate its data centre.
+        """
+        peers = self.view.peers.values()
+        if self.view.size() <= tiers.FLAT_FLEET:
+            return self.view.addresses()
+        near = [one.address for one in peers if one.data_centre in ("", self.state.data_centre)]
+        far = [one.address for one in peers if one.data_centre not in ("", self.state.data_centre)]
+        return near + self.state.rng.sample(far, min(GREETED, len(far)))
+
+    def _send(self, message: gossip.Datagram, to: Iterable[str]) -> None:
+        if self.transport is None:
+            return
+        datagram = gossip.encoder.encode(message)
+        for address in to:
             self.transport.sendto(datagram, addresses.split(address))
 
+    def _forget(self, peer: fleet_view.Peer) -> None:
+        apart = self.view.role is not tiers.Role.FLAT
+        if not apart or peer.data_centre == self.state.data_centre:
+            self.state.log.write("peer_forgotten", peer=peer.name, address=peer.address)
+        self.state.quota.forget(f"{peer.name}#{peer.incarnation}")
+        self.coordination.forget(peer.name)
+        self.answered_ms.pop(peer.name, None)
+
+    def _decide_role(self) -> None:
+        before = self.view.role
+        role = self.view.decide_role()
+        if role is before:
+            return
+        self.state.log.write(
+            "role",
+            urgent=True,
+            role=role.value,
+            before=before.value,
+            nodes=self.view.size(),
+            elders=[elder.age.name for elder in self.view.elders()[: tiers.ELDERS]],
+            news_age_ms=self.view.news_age_ms(),
+        )
+        self._drop_figures_of_others()
+        self.coordination.tell_all = True
+        self.beat_soon()
+
+    def _drop_figures_of_others(self) -> None:
+        """Forget figures that the nodes of the new role are no longer told one by one."""
+        chooser = self.state.chooser
+        if self.view.role is not tiers.Role.MEMBER:
+            chooser.forget(membership_news.FLEET)
+        if self.view.role is not tiers.Role.COORDINATOR:
+            for name in list(self.view.centres):
+                chooser.forget(coordination.CENTRE + name)
+            self.view.centres.clear()
+            self.coordination.elsewhere.authors.clear()
+        if self.view.role is tiers.Role.MEMBER:
+            for name in [name for name in chooser.told if name != membership_news.FLEET]:
+                chooser.forget(name)
+            # Levels come from news now, with all that the others admitted in them; counting on
+            # from these sums later would charge it twice.
+            self.state.quota.heard.clear()
+
+    def _drop_figures_of(self, data_centre: str) -> None:
+        """Forget what nodes of a data centre told one by one, now that it is summed up."""
+        for peer in self.view.peers.values():
+            if peer.data_centre == data_centre:
+                self.state.chooser.forget(peer.name)
+                self.state.usage.heard.pop(f"{peer.name}#{peer.incarnation}", None)
+
+    # Rounds of a coordinator.
+
+    def tell_round(self) -> None:
+        """Tell the own members, and the coordinators of other data centres, if this node is one."""
+        now = self.state.clock.now()
+        late = now - self.last_round_ms > LATE_ROUND_MS
+        self.last_round_ms = now
+        if late:
+            self.quiet_until_ms = now + round(2 * self.view.interval_ms)
+        if self.view.role is not tiers.Role.COORDINATOR or now < self.quiet_until_ms:
+            return
+        if self._stands_by():
+            return
+        self._drop_old_loads()
+        self._send(self.coordination.summary(), self._other_coordinators())
+        told = self.coordination.news()
+        for peer in self.view.neighbours():
+            self._send(self.coordination.news_for(peer.name, told), [peer.address])
+
+    def _stands_by(self) -> bool:
+        """Return whether this round is left to an older coordinator."""
+        self.coordination.skipped += 1
+        oldest = self.view.elders()[0]
+        if oldest.age.name != self.view.node and self.coordination.skipped < STANDBY_ROUNDS:
+            return True
+        self.coordination.skipped = 0
+        return False
+
+    def _other_coordinators(self) -> set[str]:
+        """Return where the coordinators of other data centres are, as far as known."""
+        view = self.view
+        told: set[str] = set()
+        live = view.live_centres()
+        for name, centre in view.centres.items():
+            wanted = centre.elders[: tiers.COORDINATORS] if name in live else centre.elders
+            told |= {elder.address for elder in wanted}
+        heard: dict[str, list[fleet_view.Peer]] = {}
+        for peer in view.peers.values():
+            if peer.incarnation and peer.data_centre not in (self.state.data_centre, *live):
+                heard.setdefault(peer.data_centre, []).append(peer)
+        for peers in heard.values():
+            oldest = sorted(peers, key=lambda peer: peer.age())[: tiers.ELDERS]
+            told |= {peer.address for peer in oldest}
+        return told
+
     def _hear_fraction(self) -> None:
         self.state.quota.hear_fraction(self.view.heard_fraction())
 
     def _drop_old_loads(self) -> None:
         now = self.state.clock.now()
         for name in list(self.state.chooser.told):
-            peer = self.view.peers.get(name)
-            if peer is None or peer.heard_ms is None or now - peer.heard_ms > LOADS_KEPT_MS:
+            told_ms = self._loads_told_ms(name)
+            if told_ms is None or now - told_ms > LOADS_KEPT_MS:
                 self.state.chooser.forget(name)
 
+    def _loads_told_ms(self, source: str) -> int | None:
+        """Return when the loads of a source were told, or None for one that is gone."""
+        if source == membership_news.FLEET:
+            return self.view.news.told_ms if self.view.news is not None else None
+        if source.startswith(coordination.CENTRE):
+            centre = self.view.centres.get(source.removeprefix(coordination.CENTRE))
+            return centre.told_ms if centre is not None else None
+        peer = self.view.peers.get(source)
+        return peer.heard_ms if peer is not None else None
+
     def tell_load(self, endpoint: str, unread_tokens: float) -> None:
         """Tell the peers at once of a request that was sent to an engine, if it is a long one.
 
@@ -123,33 +309,33 @@
           unread_tokens: tokens of its prompt that the engine is expected to have to read.
         """
         load = self.state.chooser.own.get(endpoint)
-        if self.transport is None or load is None or unread_tokens < NOTICE_TOKENS:
+        if load is None or unread_tokens < NOTICE_TOKENS:
             return
         told = gossip.EndpointLoad(endpoint, load.running, round(load.prompt_tokens))
         notice = gossip.LoadNotice(self.view.node, self.view.incarnation, told)
-        datagram = gossip.encoder.encode(notice)
-        for peer in self._told_of_loads():
-            self.transport.sendto(datagram, addresses.split(peer.address))
-
-    def _told_of_loads(self) -> list[fleet_view.Peer]:
-        live = self.view.live()
-        if len(live) <= NOTICE_FLEET:
-            return live
-        return [peer for peer in live if peer.data_centre == self.state.data_centre]
+        if self.view.role is tiers.Role.FLAT:
+            self._send(notice, [peer.address for peer in self.view.live()])
+        else:
+            self._send(notice, [elder.address for elder in self.view.coordinators()])
 
     # Receiving.
 
     def datagram_received(self, data: bytes, addr: tuple[str | Any, int]) -> None:
-        """Take in a heartbeat."""
+        """Take in what a peer tells."""
         try:
             told = gossip.datagram_decoder.decode(data)
         except msgspec.DecodeError as error:
             self.state.log.write("bad_heartbeat", sender=str(addr[0]), error=str(error))
             return
-        if isinstance(told, gossip.LoadNotice):
-            self.take_notice(told)
-        else:
-            self.take_in(told)
+        match told:
+            case gossip.Heartbeat():
+                self.take_in(told)
+            case gossip.LoadNotice():
+                self.take_notice(told)
+            case gossip.CentreSummary():
+                self.take_summary(told, f"{addr[0]}:{addr[1]}")
+            case gossip.FleetNews():
+                self.take_news(told)
 
     def take_notice(self, notice: gossip.LoadNotice) -> None:
         """Take in a peer's load at one endpoint."""
@@ -157,12 +343,39 @@
         chooser = self.state.chooser
         if peer is None or peer.incarnation != notice.incarnation or peer.name not in chooser.told:
             return
-        told = notice.load
-        load = endpoint_choice.Load(told.running, float(told.prompt_tokens))
-        chooser.tell_one(peer.name, told.endpoint, load)
+        chooser.tell_one(peer.name, notice.load.endpoint, endpoint_choice.of_report(notice.load))
+
+    def take_summary(self, told: gossip.CentreSummary, sender: str) -> None:
+        """Take in the sums of another data centre; a member hands them to its coordinators."""
+        if told.data_centre == self.state.data_centre:
+            return
+        if self.view.role is tiers.Role.COORDINATOR:
+            if told.data_centre not in self.view.centres:
+                self._drop_figures_of(told.data_centre)
+            self.coordination.take_summary(told)
+            if self._knows_more(told):
+                self.snapshots.fetch_from(told.address)
+        elif self.view.role is tiers.Role.MEMBER and sender == told.address:
+            self._send(told, [elder.address for elder in self.view.coordinators()])
+
+    def take_news(self, news: gossip.FleetNews) -> None:
+        """Take in what a coordinator tells of the fleet."""
+        if news.data_centre != self.state.data_centre:
+            return
+        peer = self.view.heard(news.node, news.incarnation, news.address, news.data_centre)
+        if peer is None:
+            return
+        if self._knows_more(news):
+            self.snapshots.fetch_from(news.address)
+        if not self.member.take_in(news):
+            return
+        if self.view.role is not tiers.Role.MEMBER:
+            self._decide_role()
+        if self.view.role is tiers.Role.MEMBER:
+            self.member.adopt_figures(news)
 
     def take_in(self, beat: gossip.Heartbeat) -> None:
-        """Take in what a peer tells."""
+        """Take in a node's heartbeat."""
         known = self.view.peers.get(beat.node)
         was_heard = known is not None and self.view.is_heard(known)
         before = known.incarnation if known else 0
@@ -170,11 +383,9 @@
         if peer is None:
             return
         if not was_heard or before != beat.incarnation:
-            self.state.log.write(
-                "peer", peer=peer.name, incarnation=beat.incarnation, address=beat.address
-            )
-            self._hear_fraction()
-            self.composer.tell_all()
+            self._meet(peer)
+            if self.view.role is not tiers.Role.MEMBER:
+                self._decide_role()
         peer.leaving = beat.leaving
         peer.reaches_store = beat.reaches_store
         peer.token = beat.token
@@ -182,33 +393,61 @@
         self.duty.reported = max(self.duty.reported, beat.reported)
         for other in beat.peers:
             self.view.learn(other.name, other.address)
+        near = beat.data_centre == self.state.data_centre
+        if near and beat.elders and self.view.hear_say(coordination.elders_of(beat.elders)):
+            self.beat_soon()
         self._take_figures(beat)
         if self._knows_more(beat):
             self.snapshots.fetch_from(beat.address)
+        if self.view.role is tiers.Role.MEMBER:
+            self._answer(peer)
+
+    def _meet(self, peer: fleet_view.Peer) -> None:
+        """Note a node that is heard for the first time, or again."""
+        self.state.log.write(
+            "peer", peer=peer.name, incarnation=peer.incarnation, address=peer.address
+        )
+        self._hear_fraction()
+        self.composer.tell_all()
+        self.coordination.tell_all = True
+
+    def _answer(self, peer: fleet_view.Peer) -> None:
+        """Tell a node that takes this one for a coordinator which ones are."""
+        now = self.state.clock.now()
+        if now - self.answered_ms.get(peer.name, -ANSWER_AGAIN_MS) < ANSWER_AGAIN_MS:
+            return
+        self.answered_ms[peer.name] = now
+        self._send(self.composer.greeting(self.leaving), [peer.address])
 
     def _take_figures(self, beat: gossip.Heartbeat) -> None:
+        """Take in a node's own figures, unless coordinators tell them."""
+        role = self.view.role
+        near = beat.data_centre == self.state.data_centre
+        if role is tiers.Role.MEMBER:
+            return
+        if role is tiers.Role.COORDINATOR and not near and beat.data_centre in self.view.centres:
+            return
         state = self.state
         incarnation = f"{beat.node}#{beat.incarnation}"
-        state.quota.heard_from(
+        charged = state.quota.heard_from(
             incarnation,
             {
                 told.workspace: workspace_quota.PeerSpending(told.spent, told.level, told.settled)
                 for told in beat.spending
             },
         )
-        loads = {
-            told.endpoint: endpoint_choice.Load(told.running, float(told.prompt_tokens))
-            for told in beat.loads
-        }
+        if near:
+            self.coordination.take_heartbeat(beat, charged)
+        loads = {told.endpoint: endpoint_choice.of_report(told) for told in beat.loads}
         state.chooser.tell(beat.node, loads)
         if beat.usage:
             state.usage.heard_from(incarnation, {told.window: told.counts for told in beat.usage})
 
-    def _knows_more(self, beat: gossip.Heartbeat) -> bool:
+    def _knows_more(self, told: gossip.Versions) -> bool:
         table = self.state.table
         version = table.version if table else -1
-        return beat.configuration > version or (
-            beat.registry_revision > self.state.registry.revision
+        return told.configuration > version or (
+            told.registry_revision > self.state.registry.revision
         )
 
     def close(self) -> None:
--- a/plumarch/gateway/heartbeats.py
+++ b/plumarch/gateway/heartbeats.py
@@ -1,9 +1,11 @@
 """What a node's heartbeats tell: what changed lately in most of them, all in some."""
 
+import collections
 import dataclasses
 
+from plumarch.fleet.usage import UsageCounter
 from plumarch.gateway import fleet_state
-from plumarch.membership import fleet_view
+from plumarch.membership import fleet_view, tiers
 from plumarch.peers import gossip, recent_changes
 
 PEERS_EVERY = 8
@@ -55,6 +57,7 @@
     view: fleet_view.FleetView
     duty: DutyStatus
     beats: int = 0
+    sequence: int = 0
     whole_beats: int = WHOLE_AT_NEWCOMERS
     spending_news: recent_changes.RecentChanges = dataclasses.field(
         default_factory=recent_changes.RecentChanges
@@ -89,6 +92,7 @@
         tell_peers = self.beats % PEERS_EVERY == 0
         tell_usage = whole or self.beats % USAGE_EVERY == 1
         self.beats += 1
+        self.sequence += 1
         self.whole_beats = max(0, self.whole_beats - 1)
         return gossip.Heartbeat(
             node=self.view.node,
@@ -106,17 +110,60 @@
             usage=self._usage(whole) if tell_usage else [],
             peers=self._known_peers() if tell_peers else [],
             reaches_store=state.reaches_store,
+            sequence=self.sequence,
+            elders=self._elders() if self.view.role is tiers.Role.FLAT else [],
+        )
+
+    def _elders(self) -> list[gossip.KnownElder]:
+        """Return the oldest live nodes of the own data centre, where the fleet is a large one."""
+        if self.view.size() <= tiers.FLAT_FLEET:
+            return []
+        return [
+            gossip.KnownElder(one.age.name, one.age.incarnation, one.address)
+            for one in self.view.elders()[: tiers.ELDERS]
+        ]
+
+    def greeting(self, leaving: bool) -> gossip.Heartbeat:
+        """Return a heartbeat without figures that tells who coordinates the own data centre."""
+        state = self.state
+        return gossip.Heartbeat(
+            node=self.view.node,
+            incarnation=self.view.incarnation,
+            address=self.view.address,
+            data_centre=state.data_centre,
+            leaving=leaving,
+            configuration=state.table.version if state.table else -1,
+            registry_revision=state.registry.changed_revision,
+            token=self.duty.token,
+            candidate=self.duty.candidate,
+            reported=self.duty.reported,
+            reaches_store=state.reaches_store,
+            elders=self._elders(),
         )
 
     def _usage(self, whole: bool) -> list[gossip.WindowUsage]:
         usage = self.state.usage
         now = self.state.wall.now()
-        windows = USAGE_WINDOWS if whole else 1 + (now % usage.window_ms < USAGE_TOLD_MS)
-        recent = usage.recent(now, windows)
+        recent = usage.recent(now, windows_told(usage, now, whole))
         return [gossip.WindowUsage(number, counts) for number, counts in recent.items()]
 
     def _known_peers(self) -> list[gossip.KnownPeer]:
-        heard = [peer for peer in self.view.live() if peer.incarnation]
-        if len(heard) > PEERS_TOLD:
-            heard = self.state.rng.sample(heard, PEERS_TOLD)
-        return [gossip.KnownPeer(peer.name, peer.address) for peer in heard]
+        """Return some of the peers, and of each data centre those that may coordinate it."""
+        heard = sorted(self.view.live(), key=lambda peer: peer.age())
+        if len(heard) <= PEERS_TOLD:
+            chosen = heard
+        else:
+            seen: collections.Counter[str] = collections.Counter()
+            chosen = self.state.rng.sample(heard, PEERS_TOLD)
+            for peer in heard:
+                seen[peer.data_centre] += 1
+                if seen[peer.data_centre] <= tiers.COORDINATORS and peer not in chosen:
+                    chosen.append(peer)
+        return [gossip.KnownPeer(peer.name, peer.address) for peer in chosen]
+
+
+def windows_told(usage: UsageCounter, wall_ms: int, whole: bool) -> int:
+    """Return how many usage windows are told, the newest first."""
+    if whole:
+        return USAGE_WINDOWS
+    return 1 + (wall_ms % usage.window_ms < USAGE_TOLD_MS)
--- /dev/null
+++ b/plumarch/gateway/large_fleet_test.py
@@ -0,0 +1,206 @@
+"""Large fleets: who coordinates, what everybody knows, and what failures change of it."""
+
+import collections
+
+import pytest
+
+from plumarch.membership import tiers
+from plumarch.routing import endpoint_choice
+from plumarch.standins import gossip_fleet
+
+SETTLE_MS = 4_000
+SIZE = gossip_fleet.Size(3, 12)
+
+
+def settled(size: gossip_fleet.Size = SIZE, seed: int = 1) -> gossip_fleet.GossipFleet:
+    fleet = gossip_fleet.GossipFleet(size, seed)
+    fleet.run(SETTLE_MS)
+    return fleet
+
+
+def oldest(fleet: gossip_fleet.GossipFleet, data_centre: str) -> list[gossip_fleet.Node]:
+    found = [node for node in fleet.live() if node.data_centre == data_centre]
+    return sorted(found, key=lambda node: node.view.age())
+
+
+def test_a_small_fleet_stays_flat():
+    fleet = settled(gossip_fleet.Size(3, 3))
+    assert len(fleet.with_role(tiers.Role.FLAT)) == 9
+    assert all(node.state.quota.fraction == 1.0 for node in fleet.live())
+
+
+@pytest.mark.parametrize("nodes_each", [12, 39])
+def test_the_oldest_two_of_each_data_centre_coordinate_and_all_hear_all(nodes_each: int):
+    size = gossip_fleet.Size(3 if nodes_each == 12 else 5, nodes_each)
+    fleet = settled(size)
+    coordinators = fleet.with_role(tiers.Role.COORDINATOR)
+    by_centre = collections.Counter(node.data_centre for node in coordinators)
+    assert set(by_centre.values()) == {tiers.COORDINATORS}
+    for centre in by_centre:
+        assert oldest(fleet, centre)[0] in coordinators
+    assert len(fleet.with_role(tiers.Role.MEMBER)) == len(fleet.live()) - len(coordinators)
+    for node in fleet.live():
+        assert node.view.size() == size.data_centres * nodes_each
+        assert node.state.quota.fraction == 1.0
+
+
+def test_spending_and_loads_reach_all_nodes_within_half_a_second():
+    fleet = settled()
+    nodes = fleet.live()
+    space = fleet.table.workspaces["w0"]
+    before = space.burst
+    for node in nodes[::3]:
+        assert node.state.quota.admit(space, 100.0) == 0
+        node.state.chooser.own["e"] = endpoint_choice.Load(1, 500.0)
+    fleet.run(600)
+    spent = 100.0 * len(nodes[::3])
+    for node in nodes:
+        level = node.state.quota._refill(space).level
+        refilled = node.state.quota.tolerance.refill(space, 1.0) * 0.7
+        assert before - spent - 2 <= level <= before - spent + refilled
+        assert node.state.chooser.load("e") == endpoint_choice.Load(12, 6_000.0)
+    for node in nodes:
+        node.state.chooser.own.clear()
+    fleet.run(600)
+    assert all(node.state.chooser.load("e").running == 0 for node in nodes)
+
+
+def test_the_next_oldest_coordinates_after_a_kill_and_members_stay_members():
+    fleet = settled()
+    first, second, third = oldest(fleet, "dc-a")[:3]
+    first.alive = False
+    roles = set()
+    for _ in range(30):
+        fleet.run(100)
+        roles |= {node.name for node in fleet.with_role(tiers.Role.COORDINATOR)}
+    assert third.view.role is tiers.Role.COORDINATOR
+    assert {name for name in roles if name.startswith("dc-a")} == {
+        first.name,
+        second.name,
+        third.name,
+    } - {first.name}
+
+
+def test_all_coordinators_of_a_data_centre_die_at_once():
+    fleet = settled()
+    dead = oldest(fleet, "dc-a")[:2]
+    for node in dead:
+        node.alive = False
+    fleet.run(3_500)
+    left = oldest(fleet, "dc-a")
+    assert [node.view.role for node in left[:2]] == [tiers.Role.COORDINATOR] * 2
+    assert {node.view.role for node in left[2:]} == {tiers.Role.MEMBER}
+    expected = (36 - 2) / 36
+    for node in fleet.live():
+        assert node.state.quota.fraction == pytest.approx(expected)
+
+
+def test_a_data_centre_that_is_cut_off_keeps_its_part_and_the_others_theirs():
+    fleet = settled()
+    fleet.cut = lambda one, other: (one.data_centre == "dc-a") != (other.data_centre == "dc-a")
+    fleet.run(1_600)
+    fractions = {node.data_centre: node.state.quota.fraction for node in fleet.live()}
+    assert fractions["dc-a"] == pytest.approx(1 / 3)
+    assert fractions["dc-b"] == pytest.approx(2 / 3)
+    fleet.cut = lambda one, other: False
+    fleet.run(1_000)
+    assert all(node.state.quota.fraction == 1.0 for node in fleet.live())
+
+
+def test_a_node_cut_off_alone_has_a_nodes_part():
+    fleet = settled()
+    alone = oldest(fleet, "dc-b")[-1]
+    fleet.cut = lambda one, other: alone in (one, other)
+    fleet.run(2_000)
+    assert alone.state.quota.fraction == pytest.approx(1 / 36)
+    others = [node for node in fleet.live() if node is not alone]
+    assert all(node.state.quota.fraction == pytest.approx(35 / 36) for node in others)
+
+
+def test_a_coordinator_that_was_frozen_misleads_nobody():
+    fleet = settled()
+    first = oldest(fleet, "dc-a")[0]
+    first.frozen = True
+    fleet.run(3_000)
+    fleet.thaw(first)
+    for _ in range(20):
+        fleet.run(100)
+        for node in fleet.live():
+            if node is not first:
+                assert node.state.quota.fraction > 0.9
+    assert first.view.role is tiers.Role.COORDINATOR
+
+
+def test_all_processes_start_anew_at_once():
+    fleet = settled()
+    for node in fleet.live():
+        node.alive = False
+    fleet.run(800)
+    for node in list(fleet.nodes.values()):
+        fleet.start(node.number, node.data_centre)
+    fleet.run(1_500)
+    assert all(node.state.quota.fraction > 0.9 for node in fleet.live())
+    fleet.run(2_500)
+    assert len(fleet.with_role(tiers.Role.COORDINATOR)) == 6
+    assert all(node.state.quota.fraction == 1.0 for node in fleet.live())
+
+
+def test_a_newcomer_that_knows_only_a_seed_finds_its_coordinators():
+    fleet = settled()
+    seed = fleet.nodes["dc-a-0"]
+    assert seed is not None
+    newcomer = fleet.start(50, "dc-c", knows_all=False)
+    fleet.run(3_000)
+    assert newcomer.view.role is tiers.Role.MEMBER
+    assert newcomer.view.size() == 37
+    assert newcomer.state.quota.fraction == 1.0
+
+
+def test_the_oldest_candidate_takes_the_duties_and_its_loss_is_known_within_two_seconds():
+    fleet = settled()
+    candidates = [node for node in fleet.live() if node.view.is_oldest_candidate()]
+    assert len(candidates) == 1
+    holder = candidates[0]
+    holder.gossip.duty.token = 7
+    fleet.run(500)
+    others = [node for node in fleet.with_role(tiers.Role.COORDINATOR) if node is not holder]
+    assert all(node.view.has_holder() for node in others)
+    holder.alive = False
+    fleet.run(1_900)
+    assert not any(node.view.has_holder() for node in others)
+    assert len([node for node in others if node.view.is_oldest_candidate()]) == 1
+
+
+def test_usage_of_all_nodes_is_summed_up_once():
+    fleet = settled()
+    coordinator = fleet.with_role(tiers.Role.COORDINATOR)[0]
+    now = fleet.time.now()
+    for node in fleet.live():
+        node.state.usage.began("w0", now)
+    fleet.run(2_500)
+    window = coordinator.state.usage.window_at(now)
+    assert coordinator.state.usage.total(window) == {"w0": 36}
+
+
+def test_two_of_each_data_centre_follow_the_store_where_it_answers_them():
+    fleet = settled()
+    watching = [node for node in fleet.live() if node.view.watches_store(node.data_centre)]
+    assert collections.Counter(node.data_centre for node in watching) == {
+        "dc-a": 2,
+        "dc-b": 2,
+        "dc-c": 2,
+    }
+    refused = oldest(fleet, "dc-a")[0]
+    refused.state.reaches_store = False
+    fleet.run(1_000)
+    watching = [node for node in fleet.live() if node.view.watches_store(node.data_centre)]
+    assert len([node for node in watching if node.data_centre == "dc-a"]) == 3
+
+
+def test_lost_doubled_and_late_datagrams_change_nothing_for_long():
+    fleet = settled()
+    fleet.lose, fleet.double, fleet.late_ms = 0.1, 0.1, 150
+    for _ in range(40):
+        fleet.run(100)
+        assert all(node.state.quota.fraction > 0.9 for node in fleet.live())
+    assert len(fleet.with_role(tiers.Role.COORDINATOR)) == 6
--- /dev/null
+++ b/plumarch/gateway/membership_news.py
@@ -0,0 +1,114 @@
+"""What a member of a large fleet makes of its coordinators' news."""
+
+import collections
+import dataclasses
+
+from plumarch.gateway import coordination, fleet_state
+from plumarch.membership import fleet_view, tiers
+from plumarch.peers import gossip
+from plumarch.routing import endpoint_choice
+
+FLEET = "fleet"
+"""What the loads of all other nodes are kept under."""
+
+HEARTBEATS_KEPT = 24
+"""Heartbeats whose figures are remembered: some six seconds, for news that answer them late."""
+
+LESS_HEARD = 0.05
+"""News of a coordinator that hears less of the fleet than another one by this part are passed over
+as long as the other one's are fresh: it froze, was cut off, or has just started."""
+
+FRESH_MS = 350
+"""News of one coordinator are followed until they are older than this: three rounds and a half."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ToldFigures:
+    """What this node had spent, and had at endpoints, when it sent a heartbeat."""
+
+    sequence: int
+    spent: dict[str, float]
+    loads: dict[str, endpoint_choice.Load]
+
+
+@dataclasses.dataclass(slots=True)
+class MemberNews:
+    """Keeps what news tell, put together with what this node did since.
+
+    Attributes:
+      told: the figures of the last heartbeats, oldest first.
+      loads: the loads of all nodes, this one included, by who told them and endpoint.
+    """
+
+    state: fleet_state.FleetState
+    view: fleet_view.FleetView
+    told: collections.deque[ToldFigures] = dataclasses.field(
+        default_factory=lambda: collections.deque(maxlen=HEARTBEATS_KEPT)
+    )
+    loads: dict[str, dict[str, endpoint_choice.Load]] = dataclasses.field(default_factory=dict)
+
+    def sent(self, beat: gossip.Heartbeat) -> None:
+        """Remember what a heartbeat told."""
+        spent = {name: bucket.spent for name, bucket in self.state.quota.buckets.items()}
+        loads = {one.endpoint: endpoint_choice.of_report(one) for one in beat.loads}
+        self.told.append(ToldFigures(beat.sequence, spent, loads))
+
+    def take_in(self, news: gossip.FleetNews) -> bool:
+        """Take news in.
+
+        Returns:
+          Whether it counts: another coordinator may be followed, or hear more of the fleet.
+        """
+        author = tiers.Age(news.incarnation, news.node)
+        now = self.state.clock.now()
+        if not self._counts(author, news.fraction, now):
+            return False
+        self.view.news = tiers.FleetNewsView(
+            author=author,
+            nodes=news.nodes,
+            centre_nodes=news.centre_nodes,
+            fraction=news.fraction,
+            elders=coordination.elders_of(news.elders),
+            followers=tuple(news.followers),
+            told_ms=now,
+        )
+        return True
+
+    def _counts(self, author: tiers.Age, fraction: float, now: int) -> bool:
+        last = self.view.news
+        if last is None or last.author == author or now - last.told_ms > FRESH_MS:
+            return True
+        if abs(fraction - last.fraction) > LESS_HEARD:
+            return fraction > last.fraction
+        return author < last.author
+
+    def adopt_figures(self, news: gossip.FleetNews) -> None:
+        """Take over the levels of allotments and the loads of endpoints."""
+        known = next((one for one in self.told if one.sequence == news.taken_in), None)
+        quota = self.state.quota
+        buckets = {}
+        for one in news.levels:
+            bucket = quota.buckets.get(one.workspace)
+            untold = 0.0
+            if bucket is not None and known is not None:
+                untold = bucket.spent - known.spent.get(one.workspace, 0.0)
+            buckets[one.workspace] = coordination.told_bucket(one, untold)
+        quota.adopt(buckets, news.fraction)
+        self._adopt_loads(news, known.loads if known is not None else {})
+
+    def _adopt_loads(self, news: gossip.FleetNews, mine: dict[str, endpoint_choice.Load]) -> None:
+        """Keep the loads of the others: what is told less what of it is this node's own."""
+        told = {one.endpoint: endpoint_choice.of_report(one) for one in news.loads}
+        known = self.loads.get(news.node)
+        if known is None and not news.whole:
+            return
+        loads = told if news.whole else {**(known or {}), **told}
+        self.loads = {news.node: loads}
+        others = {}
+        for endpoint, load in loads.items():
+            own = mine.get(endpoint, endpoint_choice.NO_LOAD)
+            running = max(0, load.running - own.running)
+            tokens = max(0.0, load.prompt_tokens - own.prompt_tokens)
+            if running or tokens:
+                others[endpoint] = endpoint_choice.Load(running, tokens)
+        self.state.chooser.tell(FLEET, others)
--- /dev/null
+++ b/plumarch/limits/centre_spending_test.py
@@ -0,0 +1,75 @@
+"""Sums of other data centres: charged once, whoever of their coordinators tells them."""
+
+import hypothesis
+from hypothesis import strategies
+
+from plumarch.core import clock
+from plumarch.limits import centre_spending
+
+SILENCE_MS = 1_000
+
+
+def test_one_of_two_coordinators_is_charged_by():
+    time = clock.ManualClock()
+    found = centre_spending.CentreSpending(time)
+    assert found.charge("b", "x", {"w": 100.0}, SILENCE_MS) == {}
+    assert found.charge("b", "y", {"w": 40.0}, SILENCE_MS) == {}
+    assert found.charge("b", "x", {"w": 130.0}, SILENCE_MS) == {"w": 30.0}
+    assert found.charge("b", "y", {"w": 70.0}, SILENCE_MS) == {}
+    assert found.charge("b", "x", {"w": 130.0}, SILENCE_MS) == {}
+
+
+def test_what_the_second_told_is_charged_once_the_first_is_silent():
+    time = clock.ManualClock()
+    found = centre_spending.CentreSpending(time)
+    found.charge("b", "x", {"w": 100.0}, SILENCE_MS)
+    found.charge("b", "y", {"w": 40.0}, SILENCE_MS)
+    found.charge("b", "x", {"w": 130.0}, SILENCE_MS)
+    found.charge("b", "y", {"w": 70.0}, SILENCE_MS)
+    time.advance_to(SILENCE_MS)
+    assert found.charge("b", "y", {"w": 90.0}, SILENCE_MS) == {}
+    time.advance_to(SILENCE_MS + 1)
+    assert found.charge("b", "y", {"w": 95.0}, SILENCE_MS) == {"w": 55.0}
+
+
+def test_data_centres_are_counted_apart():
+    found = centre_spending.CentreSpending(clock.ManualClock())
+    found.charge("b", "x", {"w": 1.0}, SILENCE_MS)
+    found.charge("c", "z", {"w": 5.0}, SILENCE_MS)
+    assert found.charge("c", "z", {"w": 7.0}, SILENCE_MS) == {"w": 2.0}
+    assert found.charge("b", "x", {"w": 4.0}, SILENCE_MS) == {"w": 3.0}
+
+
+STEPS = strategies.lists(
+    strategies.tuples(
+        strategies.floats(0, 50),
+        strategies.booleans(),
+        strategies.booleans(),
+        strategies.booleans(),
+    ),
+    min_size=1,
+    max_size=60,
+)
+
+
+@hypothesis.settings(max_examples=200, derandomize=True, deadline=None)
+@hypothesis.given(STEPS)
+def test_nothing_is_charged_twice_and_late_news_are_made_up_for(steps):
+    """Two coordinators tell the same spending, some of their news is lost or doubled."""
+    time = clock.ManualClock()
+    found = centre_spending.CentreSpending(time)
+    spent = charged = 0.0
+    for name in ("x", "y"):
+        found.charge("b", name, {"w": spent}, SILENCE_MS)
+    for more, x_arrives, y_arrives, doubled in steps:
+        time.advance_to(time.now() + 100)
+        spent += more
+        for name, arrives in (("x", x_arrives), ("y", y_arrives)):
+            for _ in range(arrives * (1 + doubled)):
+                charged += found.charge("b", name, {"w": spent}, SILENCE_MS).get("w", 0.0)
+        assert charged <= spent + 1e-6
+    for _ in range(2):
+        time.advance_to(time.now() + 100)
+        for name in ("x", "y"):
+            charged += found.charge("b", name, {"w": spent}, SILENCE_MS).get("w", 0.0)
+    assert charged <= spent + 1e-6
--- a/plumarch/limits/workspace_quota.py
+++ b/plumarch/limits/workspace_quota.py
@@ -88,6 +88,7 @@
       level: units left of the whole fleet's allotment; negative after a large request.
       part: units left for the nodes that are heard; equals the level while all are.
       spent: units that this process admitted since its start.
+      charged: units that were taken off the level, by whomever they were admitted.
       settled: whether the level rests on more than this process's own short life.
     """
 
@@ -96,6 +97,21 @@
     updated_ms: int
     settled: bool
     spent: float = 0.0
+    charged: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ToldBucket:
+    """A bucket as a coordinator told it, which sees all nodes' spending sooner.
+
+    Attributes:
+      level: units left, without what this node spent since the coordinator heard of it last.
+      part: the same for the nodes that the coordinator hears.
+    """
+
+    level: float
+    part: float
+    settled: bool
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -160,6 +176,7 @@
     def _charge(bucket: Bucket, units: float) -> None:
         bucket.level -= units
         bucket.part -= units
+        bucket.charged += units
 
     def refund(self, workspace: traffic.Workspace, units: float) -> None:
         """Give back what a request was charged that did not run."""
@@ -192,13 +209,16 @@
         own = sum(bucket.spent for bucket in self.buckets.values())
         return own + sum(self.heard.values())
 
-    def heard_from(self, node: str, spending: Mapping[str, PeerSpending]) -> None:
+    def heard_from(self, node: str, spending: Mapping[str, PeerSpending]) -> dict[str, float]:
         """Charge what a peer admitted since it was heard last.
 
         Args:
           node: the peer's incarnation.
           spending: by workspace.
+        Returns:
+          What was charged, by workspace.
         """
+        charged: dict[str, float] = {}
         for name, told in spending.items():
             bucket = self.buckets.get(name)
             if bucket is None:
@@ -207,9 +227,49 @@
             self.heard[(node, name)] = told.spent
             if known is not None:
                 self._charge(bucket, told.spent - known)
+                charged[name] = told.spent - known
             elif told.settled:
                 self._refill(self.workspaces[name])
                 self._take_over(bucket, told.level)
+        return charged
+
+    def heard_sums(
+        self, group: str, charged: Mapping[str, float], levels: Mapping[str, float]
+    ) -> None:
+        """Charge what a group of nodes admitted, as one of them sums it up.
+
+        Args:
+          group: what its sums are kept under.
+          charged: units since the last sum, by workspace.
+          levels: units left as it believes, by workspace; taken over by a node that knows less.
+        """
+        for name, units in charged.items():
+            bucket = self.buckets.get(name)
+            if bucket is not None:
+                self._charge(bucket, units)
+                key = (group, name)
+                self.heard[key] = self.heard.get(key, 0.0) + units
+        for name, level in levels.items():
+            bucket = self.buckets.get(name)
+            if bucket is not None and not bucket.settled:
+                self._refill(self.workspaces[name])
+                self._take_over(bucket, level)
+
+    def adopt(self, told: Mapping[str, ToldBucket], fraction: float) -> None:
+        """Take over the buckets of a coordinator; those that it does not tell go on as they are.
+
+        Args:
+          fraction: the part of all nodes that it hears.
+        """
+        self.hear_fraction(fraction)
+        for name, one in told.items():
+            workspace = self.workspaces.get(name)
+            if workspace is None or workspace.rate <= 0:
+                continue
+            bucket = self._refill(workspace)
+            bucket.level = one.level
+            bucket.part = one.part
+            bucket.settled = bucket.settled or one.settled
 
     def _take_over(self, bucket: Bucket, level: float) -> None:
         """Take over the level of a peer that is heard for the first time."""
--- a/plumarch/membership/fleet_view.py
+++ b/plumarch/membership/fleet_view.py
@@ -8,6 +8,7 @@
 from collections.abc import Iterable
 
 from plumarch.core import clock
+from plumarch.membership import tiers
 
 HEARD_MS = 1_200
 """A node whose heartbeat is younger than this counts as heard, if heartbeats are frequent."""
@@ -50,33 +51,59 @@
     candidate: bool = True
     reaches_store: bool = True
 
+    def age(self) -> tiers.Age:
+        """Return what nodes are ordered by."""
+        return tiers.Age(self.incarnation, self.name)
+
 
 @dataclasses.dataclass(slots=True)
 class FleetView:
     """All peers by name; those known by address only stand under their address.
 
     Attributes:
+      data_centre: this node's; "" where only a flat fleet is looked at.
       interval_ms: the time between two heartbeats of a node.
+      role: what this node is to the others, since decide_role() was asked last.
+      centres: the other data centres as their coordinators told, for a coordinator.
+      news: what the own coordinators told last, for a member; None if they never did.
+      names: the name under which each address stands.
+      hearsay: nodes of the own data centre that another one called its elders, and when.
     """
 
     clock: clock.Clock
     node: str
     incarnation: int
     address: str
+    data_centre: str = ""
     interval_ms: float = 0.0
     peers: dict[str, Peer] = dataclasses.field(default_factory=dict)
+    role: tiers.Role = tiers.Role.FLAT
+    centres: dict[str, tiers.CentreView] = dataclasses.field(default_factory=dict)
+    news: tiers.FleetNewsView | None = None
+    names: dict[str, str] = dataclasses.field(default_factory=dict)
+    hearsay: dict[tiers.Elder, int] = dataclasses.field(default_factory=dict)
 
-    def learn(self, name: str, address: str) -> None:
+    def learn(self, name: str, address: str, data_centre: str = "") -> None:
         """Note that a node may exist, from a seed list, the store, or a peer.
 
         Args:
           name: its name, or its address if only that is known.
+          data_centre: where it is, if that is known.
         """
         if name == self.node or address == self.address or name in self.peers:
             return
-        if any(peer.address == address for peer in self.peers.values()):
+        if address in self.names:
             return
-        self.peers[name] = Peer(name, address, self.clock.now())
+        self._keep(Peer(name, address, self.clock.now(), data_centre=data_centre))
+
+    def _keep(self, peer: Peer) -> None:
+        self.peers[peer.name] = peer
+        self.names[peer.address] = peer.name
+
+    def _drop(self, name: str) -> None:
+        peer = self.peers.pop(name)
+        if self.names.get(peer.address) == name:
+            del self.names[peer.address]
 
     def heard(self, name: str, incarnation: int, address: str, data_centre: str) -> Peer | None:
         """Take in a sign of life.
@@ -87,16 +114,19 @@
         if name == self.node:
             return None
         now = self.clock.now()
-        for key, other in list(self.peers.items()):
-            if other.address == address and key != name and other.incarnation <= incarnation:
-                del self.peers[key]
+        namesake = self.names.get(address)
+        if namesake not in (None, name) and self.peers[namesake].incarnation <= incarnation:
+            self._drop(namesake)
         peer = self.peers.get(name)
         if peer is not None and peer.incarnation > incarnation:
             return None
         if peer is None:
-            peer = self.peers[name] = Peer(name, address, now)
+            peer = Peer(name, address, now)
+        elif peer.address != address:
+            self._drop(name)
+            peer.address = address
+        self._keep(peer)
         peer.incarnation = incarnation
-        peer.address = address
         peer.data_centre = data_centre
         peer.heard_ms = now
         return peer
@@ -114,13 +144,20 @@
             if now - (peer.heard_ms if peer.heard_ms is not None else peer.learned_ms) > FORGET_MS
         ]
         for peer in gone:
-            del self.peers[peer.name]
+            self._drop(peer.name)
+        for name in [name for name, one in self.centres.items() if now - one.told_ms > FORGET_MS]:
+            del self.centres[name]
         return gone
 
+    def silence_ms(self) -> float:
+        """Return how long a node may be silent and still counts as heard."""
+        return max(HEARD_MS, HEARD_BEATS * self.interval_ms)
+
     def is_heard(self, peer: Peer) -> bool:
         """Return whether a peer was heard lately."""
-        limit = max(HEARD_MS, HEARD_BEATS * self.interval_ms)
-        return peer.heard_ms is not None and self.clock.now() - peer.heard_ms <= limit
+        if peer.heard_ms is None:
+            return False
+        return self.clock.now() - peer.heard_ms <= self.silence_ms()
 
     def live(self) -> list[Peer]:
         """Return the peers that are heard and not leaving, by name."""
@@ -129,21 +166,174 @@
 
     def size(self) -> int:
         """Return how many nodes there may be, this one included."""
-        return 1 + len([one for one in self.peers.values() if not self._left(one)])
+        by_name = 1 + len([one for one in self.peers.values() if not self._left(one)])
+        if self.role is tiers.Role.MEMBER and self.news is not None:
+            return max(1, self.news.nodes)
+        if self.role is tiers.Role.COORDINATOR:
+            elsewhere = sum(centre.nodes for centre in self.centres.values())
+            return max(by_name, self.centre_size() + elsewhere)
+        if self.news is not None and self.hears_news():
+            return max(by_name, self.news.nodes)
+        return by_name
+
+    def centre_size(self) -> int:
+        """Return how many nodes there may be in the own data centre, this one included."""
+        return 1 + len([one for one in self.neighbours() if not self._left(one)])
+
+    def neighbours(self) -> list[Peer]:
+        """Return the peers of the own data centre."""
+        return [one for one in self.peers.values() if one.data_centre == self.data_centre]
+
+    def known_directly(self) -> list[Peer]:
+        """Return the peers of whom no coordinator tells."""
+        if self.role is not tiers.Role.COORDINATOR:
+            return list(self.peers.values())
+        return [one for one in self.peers.values() if one.data_centre not in self.centres]
 
     def _left(self, peer: Peer) -> bool:
         return peer.leaving and not self.is_heard(peer)
 
     def heard_fraction(self) -> float:
-        """Return the part of all nodes that is heard, this one included."""
-        heard = 1 + len([one for one in self.peers.values() if self.is_heard(one)])
-        return heard / max(self.size(), heard)
+        """Return the part of all nodes that is heard, this one included.
+
+        For a member and in other data centres these are the nodes that coordinators hear.
+        """
+        size = self.size()
+        if self.role is tiers.Role.MEMBER:
+            return self.news.fraction if self.news and self.hears_news() else 1.0 / size
+        told = self.live_centres() if self.role is tiers.Role.COORDINATOR else {}
+        heard = 1 + len(
+            [
+                one
+                for one in self.peers.values()
+                if one.data_centre not in told and self.is_heard(one)
+            ]
+        )
+        heard += sum(centre.heard for centre in told.values())
+        return min(1.0, heard / max(size, heard))
+
+    def live_centres(self) -> dict[str, tiers.CentreView]:
+        """Return the other data centres whose coordinators are heard."""
+        now, limit = self.clock.now(), self.silence_ms()
+        return {name: one for name, one in self.centres.items() if now - one.told_ms <= limit}
+
+    def news_age_ms(self) -> int | None:
+        """Return how old the last news of an own coordinator is, or None without any."""
+        return self.clock.now() - self.news.told_ms if self.news is not None else None
+
+    def hears_news(self) -> bool:
+        """Return whether a coordinator of the own data centre was heard lately."""
+        age = self.news_age_ms()
+        return age is not None and age <= self.silence_ms()
+
+    def decide_role(self) -> tiers.Role:
+        """Decide what this node is from now on."""
+        older = [one for one in self.supposed_elders() if one.age < self.age()]
+        age = self.news_age_ms()
+        # Where all coordinators fell silent, those next in age coordinate and the others wait
+        # for their news for as long again.
+        waits = age is not None and age <= 2 * self.silence_ms()
+        self.role = tiers.role_of(self.age(), self.size(), [one.age for one in older], waits)
+        return self.role
+
+    def age(self) -> tiers.Age:
+        """Return this node's own age."""
+        return tiers.Age(self.incarnation, self.node)
+
+    def elders(self) -> list[tiers.Elder]:
+        """Return the oldest live nodes of the own data centre that are known, this one included.
+
+        They are those that are heard, and those that a coordinator told of, unless they fell
+        silent just now.
+        """
+        found = {
+            one.name: tiers.Elder(one.age(), one.address)
+            for one in self.neighbours()
+            if self.is_heard(one) and not one.leaving
+        }
+        age = self.news_age_ms()
+        if self.news is not None and age is not None and age <= 2 * self.silence_ms():
+            for elder in self.news.elders:
+                if elder.age.name not in found and not self._fell_silent(elder):
+                    found[elder.age.name] = elder
+        found[self.node] = tiers.Elder(self.age(), self.address)
+        return sorted(found.values(), key=lambda elder: elder.age)
+
+    def hear_say(self, elders: Iterable[tiers.Elder]) -> bool:
+        """Note whom a node of the own data centre calls its elders.
+
+        Returns:
+          Whether some of them were not known.
+        """
+        known = {elder.age.name for elder in self.supposed_elders()}
+        now = self.clock.now()
+        news = False
+        for elder in elders:
+            self.hearsay[elder] = now
+            news = news or (elder.age.name not in known and not self._fell_silent(elder))
+        return news
+
+    def supposed_elders(self) -> list[tiers.Elder]:
+        """Return the elders with those known by hearsay only, who are never told on."""
+        now, limit = self.clock.now(), self.silence_ms()
+        for elder in [elder for elder, at in self.hearsay.items() if now - at > limit]:
+            del self.hearsay[elder]
+        found = {elder.age.name: elder for elder in self.elders()}
+        for elder in self.hearsay:
+            if elder.age.name not in found and not self._fell_silent(elder):
+                found[elder.age.name] = elder
+        return sorted(found.values(), key=lambda elder: elder.age)
+
+    def _fell_silent(self, elder: tiers.Elder) -> bool:
+        peer = self.peers.get(elder.age.name)
+        if peer is None or peer.heard_ms is None or peer.leaving:
+            return peer is not None and peer.leaving
+        silent_ms = self.clock.now() - peer.heard_ms
+        limit = self.silence_ms()
+        return limit < silent_ms <= tiers.RECENT_SILENCES * limit
+
+    def coordinators(self) -> list[tiers.Elder]:
+        """Return the coordinators of the own data centre other than this node."""
+        chosen = self.supposed_elders()[: tiers.COORDINATORS]
+        return [elder for elder in chosen if elder.age.name != self.node]
+
+    def has_holder(self) -> bool:
+        """Return whether a live node elsewhere says that it holds the duties."""
+        if any(peer.token > 0 for peer in self.live()):
+            return True
+        return any(centre.token > 0 for centre in self.live_centres().values())
 
     def is_oldest_candidate(self) -> bool:
-        """Return whether this node is the oldest live one that could take the duties over."""
-        mine = (self.incarnation, self.node)
-        others = [peer for peer in self.live() if peer.candidate]
-        return all(mine < (peer.incarnation, peer.name) for peer in others)
+        """Return whether this node is the oldest live one that could take the duties over.
+
+        In a large fleet only coordinators do, since only they know what all nodes did.
+        """
+        if self.role is tiers.Role.MEMBER:
+            return False
+        mine = self.age()
+        told = self.live_centres() if self.role is tiers.Role.COORDINATOR else {}
+        others = [
+            peer.age() for peer in self.live() if peer.candidate and peer.data_centre not in told
+        ]
+        others += [centre.candidate for centre in told.values() if centre.candidate is not None]
+        return all(mine < other for other in others)
+
+    def followers(self, reaches_store: bool) -> list[str]:
+        """Return the names of the nodes of the own data centre that are to follow the store.
+
+        They are the oldest live ones, until enough of them are answered by it.
+
+        Args:
+          reaches_store: whether the store answers this node.
+        """
+        live = [(one.age(), one.reaches_store) for one in self.neighbours() if self.is_heard(one)]
+        chosen: list[str] = []
+        answered = 0
+        for age, reaches in sorted([*live, (self.age(), reaches_store)]):
+            if answered < WATCHERS:
+                chosen.append(age.name)
+                answered += reaches
+        return chosen
 
     def watches_store(self, data_centre: str) -> bool:
         """Return whether this node follows the store itself.
@@ -154,21 +344,15 @@
         """
         if self.size() <= SMALL_FLEET:
             return True
-        mine = (self.incarnation, self.node)
+        if self.role is tiers.Role.MEMBER and self.news is not None and self.hears_news():
+            return self.node in self.news.followers
         older = [
             peer
             for peer in self.live()
-            if peer.data_centre == data_centre
-            and peer.reaches_store
-            and (peer.incarnation, peer.name) < mine
+            if peer.data_centre == data_centre and peer.reaches_store and peer.age() < self.age()
         ]
         return len(older) < WATCHERS
 
-    def holder(self) -> Peer | None:
-        """Return the live peer that says it holds the duties under the highest token."""
-        holders = [peer for peer in self.live() if peer.token > 0]
-        return max(holders, key=lambda peer: peer.token, default=None)
-
     def addresses(self) -> Iterable[str]:
         """Return where heartbeats are sent."""
         return [peer.address for peer in self.peers.values()]
--- /dev/null
+++ b/plumarch/membership/tiers.py
@@ -0,0 +1,116 @@
+"""Who coordinates in a large fleet, as each node believes it.
+
+In a small fleet each node tells each other one all it knows. In a large one that makes every belief
+old and costs each node a datagram from each other node for each round of news. There the oldest
+live nodes of each data centre are its coordinators: the others (members) tell their news to them,
+coordinators exchange sums between data centres, and members get the sums of the whole fleet.
+
+Nothing is elected or agreed. Each node decides for itself by whom it hears, and two beliefs at
+once only mean that figures are told twice or a little later: safety rests on none of it.
+"""
+
+import dataclasses
+import enum
+from collections.abc import Iterable
+
+FLAT_FLEET = 24
+"""Up to this many nodes, each tells each other one. At that size a node sends and takes in some
+hundred heartbeats a second, as a coordinator of 24 nodes would."""
+
+COORDINATORS = 2
+"""Coordinators of each data centre: one, and one in its place at once."""
+
+ELDERS = 4
+"""How many of a data centre's oldest nodes its members know, for when coordinators fall silent."""
+
+RECENT_SILENCES = 4
+"""A node counts as one that fell silent until it was silent for this many times the time for which
+it counts as heard; longer ago it was just not one to be heard."""
+
+
+class Role(enum.Enum):
+    """What a node is to the others."""
+
+    FLAT = "flat"
+    MEMBER = "member"
+    COORDINATOR = "coordinator"
+
+
+@dataclasses.dataclass(frozen=True, slots=True, order=True)
+class Age:
+    """What nodes are ordered by: the time of day of their start in ms, then their name."""
+
+    incarnation: int
+    name: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Elder:
+    """One of the oldest live nodes of a data centre."""
+
+    age: Age
+    address: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CentreView:
+    """What the coordinators of another data centre told last.
+
+    Attributes:
+      nodes: how many nodes there may be.
+      heard: how many of them they hear.
+      elders: its oldest live nodes, the oldest first.
+      token: the highest fencing token that one of its live nodes holds, or 0.
+      candidate: the oldest of its live nodes that could take the duties over, or None.
+      reported: the newest usage window reported, as far as known there.
+      usage_age_ms: how old the oldest of its nodes' news was when it was told.
+      told_ms: when it was told, by this node's clock.
+    """
+
+    nodes: int
+    heard: int
+    elders: tuple[Elder, ...]
+    token: int
+    candidate: Age | None
+    reported: int
+    usage_age_ms: int
+    told_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FleetNewsView:
+    """What a coordinator of the own data centre told its members last.
+
+    Attributes:
+      author: the coordinator that told it.
+      nodes: how many nodes there may be in the fleet.
+      centre_nodes: how many of them are in the own data centre.
+      fraction: the part of them that the author hears or is told to be heard.
+      elders: the oldest live nodes of the own data centre, the oldest first.
+      followers: names of those of its nodes that follow the store.
+      told_ms: when it was told, by this node's clock.
+    """
+
+    author: Age
+    nodes: int
+    centre_nodes: int
+    fraction: float
+    elders: tuple[Elder, ...]
+    followers: tuple[str, ...]
+    told_ms: int
+
+
+def role_of(mine: Age, nodes: int, older: Iterable[Age], hears_news: bool) -> Role:
+    """Return what a node is.
+
+    Args:
+      mine: the node's own age.
+      nodes: how many nodes there may be in the fleet.
+      older: live nodes of its data centre that are known to it; younger ones are passed over.
+      hears_news: whether a coordinator's news reaches it.
+    """
+    if nodes <= FLAT_FLEET:
+        return Role.FLAT
+    if len([age for age in set(older) if age < mine]) < COORDINATORS:
+        return Role.COORDINATOR
+    return Role.MEMBER if hears_news else Role.FLAT
--- a/plumarch/peers/gossip.py
+++ b/plumarch/peers/gossip.py
@@ -4,6 +4,8 @@
 holds older ones fetches the newer ones over TCP from the same port.
 """
 
+from typing import Protocol
+
 import msgspec
 
 from plumarch.config import routing_table
@@ -47,6 +49,14 @@
     address: str
 
 
+class KnownElder(msgspec.Struct, array_like=True, frozen=True):
+    """One of the oldest live nodes of the sender's data centre."""
+
+    name: str
+    incarnation: int
+    address: str
+
+
 class Heartbeat(msgspec.Struct, array_like=True, frozen=True, tag=1):
     """A sign of life.
 
@@ -58,6 +68,9 @@
       reported: the newest usage window that the holder reported, or 0.
       spending: of the workspaces in which it changed lately, in some heartbeats of all.
       reaches_store: whether the platform's store answered the sender's last call.
+      sequence: number of the heartbeat; a coordinator's news names the last one it took in.
+      elders: the oldest live nodes of the sender's data centre, for nodes that look for its
+        coordinators.
     """
 
     node: str
@@ -75,6 +88,103 @@
     usage: list[WindowUsage] = []
     peers: list[KnownPeer] = []
     reaches_store: bool = True
+    sequence: int = 0
+    elders: list[KnownElder] = []
+
+
+class CentreSpending(msgspec.Struct, array_like=True, frozen=True):
+    """What the nodes of a data centre admitted, as the sender counted since its start.
+
+    Attributes:
+      spent: units of the workspace's allotment.
+      level: units left of the whole fleet's allotment, as the sender believes.
+      settled: whether the level rests on more than the sender's own short life.
+    """
+
+    workspace: str
+    spent: float
+    level: float
+    settled: bool
+
+
+class CentreSummary(msgspec.Struct, array_like=True, frozen=True, tag=3):
+    """What a coordinator tells those of other data centres of its own one.
+
+    Attributes:
+      registry_revision: of the last change of endpoints that the sender knows.
+      nodes: how many nodes there may be.
+      heard: how many of them the sender hears, itself included.
+      token: the highest fencing token that a live node holds, or 0.
+      candidate: the oldest live node that could take the duties over, as a list of one or none.
+      reported: the newest usage window reported, as far as known.
+      usage_age_ms: how old the oldest of its nodes' news is.
+      spending: of workspaces in which it changed lately, in some summaries of all.
+      loads: at all endpoints where its nodes have requests, the heaviest first.
+      usage: requests that began on its nodes; in some summaries.
+    """
+
+    node: str
+    incarnation: int
+    address: str
+    data_centre: str
+    configuration: int
+    registry_revision: int
+    nodes: int
+    heard: int
+    elders: list[KnownElder]
+    token: int
+    candidate: list[KnownElder]
+    reported: int
+    usage_age_ms: int
+    spending: list[CentreSpending]
+    loads: list[EndpointLoad]
+    usage: list[WindowUsage] = []
+
+
+class ToldLevel(msgspec.Struct, array_like=True, frozen=True):
+    """What is left of a workspace's allotment.
+
+    Attributes:
+      level: units left over all nodes; negative after a large request.
+      part: units left for the nodes that the sender hears.
+      settled: whether the level rests on more than the sender's own short life.
+    """
+
+    workspace: str
+    level: float
+    part: float
+    settled: bool
+
+
+class FleetNews(msgspec.Struct, array_like=True, frozen=True, tag=4):
+    """What a coordinator tells a member of its data centre, of the whole fleet.
+
+    Attributes:
+      taken_in: sequence of the member's last heartbeat that the figures hold, or 0.
+      nodes: how many nodes there may be in the fleet.
+      centre_nodes: how many of them are in the own data centre.
+      fraction: the part of them that the sender hears or is told to be heard.
+      followers: names of those nodes of the data centre that follow the store.
+      levels: of workspaces in which something changed lately, in some news of all.
+      loads: at endpoints where something changed lately, in some news at all, from all nodes.
+      whole: whether endpoints that are not named have no load.
+    """
+
+    node: str
+    incarnation: int
+    address: str
+    data_centre: str
+    taken_in: int
+    configuration: int
+    registry_revision: int
+    nodes: int
+    centre_nodes: int
+    fraction: float
+    elders: list[KnownElder]
+    followers: list[str]
+    levels: list[ToldLevel]
+    loads: list[EndpointLoad]
+    whole: bool
 
 
 class LoadNotice(msgspec.Struct, array_like=True, frozen=True, tag=2):
@@ -105,7 +215,23 @@
     registry_revision: int
 
 
+class Versions(Protocol):
+    """What says which configuration and endpoints its sender knows."""
+
+    @property
+    def configuration(self) -> int:
+        """Return the version of the configuration, or -1."""
+        ...
+
+    @property
+    def registry_revision(self) -> int:
+        """Return the revision of the last change of endpoints."""
+        ...
+
+
+Datagram = Heartbeat | LoadNotice | CentreSummary | FleetNews
+
 encoder = msgspec.msgpack.Encoder()
-datagram_decoder = msgspec.msgpack.Decoder(Heartbeat | LoadNotice)
+datagram_decoder = msgspec.msgpack.Decoder(Datagram)
 request_decoder = msgspec.msgpack.Decoder(SnapshotRequest)
 snapshot_decoder = msgspec.msgpack.Decoder(Snapshot)
