--- a/plumarch/daemon/gateway.py
+++ b/plumarch/daemon/gateway.py
@@ -9,7 +9,7 @@
 import socket
 from collections.abc import Awaitable, Callable
 
-from plumarch.core import clock, errors, records
+from plumarch.core import clock, errors
 from plumarch.daemon import gateway_settings, listening, status_pages
 from plumarch.fleet import engine_demand, usage
 from plumarch.gateway import (
@@ -23,10 +23,11 @@
     heartbeats,
     measures,
     ports,
+    registration,
     relay,
 )
 from plumarch.limits import attempt_budget, workspace_quota
-from plumarch.membership import fleet_view, node_record, registry
+from plumarch.membership import fleet_view, registry
 from plumarch.routing import data_centre_reach, endpoint_choice, endpoint_health
 
 FLUSH_MS = 100
@@ -42,7 +43,6 @@
 CUT_BEFORE_KILL_MS = 500
 USAGE_EARLY_MS = 1_500
 USAGE_MARGIN_MS = 2_500
-NODES_AGAIN_MS = 3_000.0
 
 
 class Gateway:
@@ -75,6 +75,7 @@
         )
         status = heartbeats.DutyStatus()
         self.gossiper = gossiper.Gossiper(self.state, self.view, status, settings.peers.seeds)
+        self.registration = registration.Registration(self.state, self.view, self.gossiper, store)
         self.follower = follower.Follower(
             self.state,
             store,
@@ -165,7 +166,7 @@
             self.gossiper.beat_forever,
             self.gossiper.coordinate_forever,
             self.duties.run,
-            self._register,
+            self.registration.run,
             self._keep_house,
             self._watch_settings,
         ):
@@ -214,41 +215,6 @@
         if not self.stopping:
             await self.listeners[0].start_serving()
 
-    async def _register(self) -> None:
-        """Write this node into the store, and learn of others that did.
-
-        The list is read again after a while, and as long as no other node is heard.
-        """
-        dependency = follower.Dependency(self.state, "store-nodes")
-        while True:
-            pause_ms = NODES_AGAIN_MS
-            try:
-                await self._register_once()
-                dependency.answered()
-            except errors.PlatformError as error:
-                pause_ms = dependency.failed(error)
-            await asyncio.sleep(pause_ms / 1000.0)
-            while self.view.live():
-                await asyncio.sleep(NODES_AGAIN_MS / 1000.0)
-
-    async def _register_once(self) -> None:
-        node = self.settings.node
-        found = await self.store.list_records(node_record.KIND)
-        wanted = node_record.encode(node_record.NodeRecord(self.view.address, node.data_centre))
-        mine = [record for record in found if record.name == node.name]
-        revision = mine[0].revision if mine else 0
-        for record in found:
-            known = node_record.decode(record)
-            if known is None:
-                self.state.log.write("bad_node_record", name=record.name, value=record.value)
-            else:
-                self.view.learn(record.name, known.address, known.data_centre)
-        self.gossiper.beat_soon()
-        if not mine or mine[0].value != wanted:
-            await self.store.write_record(
-                node_record.KIND, records.Record(node.name, wanted, revision)
-            )
-
     async def _keep_house(self) -> None:
         """Write logs, and bring limits and gauges up to date."""
         while True:
--- /dev/null
+++ b/plumarch/gateway/registration.py
@@ -0,0 +1,117 @@
+"""How a node that starts learns of others from the platform's store, and how it is found there.
+
+Each node reads what is written there once. What it writes is needed only by those that start
+while the seeds that they were given are gone, so it is written seldom: each call is priced.
+"""
+
+import asyncio
+
+from plumarch.core import errors, records
+from plumarch.gateway import fleet_state, follower, gossiper, ports
+from plumarch.membership import fleet_view, node_record, tiers
+
+CHECK_MS = 1_000.0
+"""How often a node asks itself whether it should be written down."""
+
+SETTLE_MS = 1_500
+"""A process that just started hears first how large the fleet is, and who its elders are."""
+
+ALONE_AGAIN_MS = 3_000
+"""How often a node that hears nobody reads again who there is."""
+
+LEAST_FOUND = 2
+"""Elders of a data centre that are written down and live, below which its record is renewed."""
+
+
+class Registration:
+    """One node's entry in the store."""
+
+    def __init__(
+        self,
+        state: fleet_state.FleetState,
+        view: fleet_view.FleetView,
+        gossip: gossiper.Gossiper,
+        store: ports.Store,
+    ) -> None:
+        self.state = state
+        self.view = view
+        self.gossip = gossip
+        self.store = store
+        self.dependency = follower.Dependency(state, "store-nodes")
+        self.begun_ms = state.clock.now()
+        self.read_ms: int | None = None
+        self.known: dict[str, records.Record] = {}
+
+    async def run(self) -> None:
+        """Keep the entry right, forever."""
+        while True:
+            pause_ms = CHECK_MS
+            try:
+                await self.step()
+            except errors.PlatformError as error:
+                pause_ms = self.dependency.failed(error)
+            await asyncio.sleep(pause_ms / 1000.0)
+
+    async def step(self) -> None:
+        """Read or write what is due.
+
+        Raises:
+          PlatformError: the store did not do it; to be tried again.
+        """
+        now = self.state.clock.now()
+        alone = not self.view.live()
+        if self.read_ms is None or (alone and now - self.read_ms >= ALONE_AGAIN_MS):
+            await self._read()
+        if now - self.begun_ms < SETTLE_MS:
+            return
+        name, nodes = self._wanted()
+        if nodes and not self._is_written(name, nodes):
+            await self._write(name, nodes)
+
+    async def _read(self) -> None:
+        found = await self.store.list_records(node_record.KIND)
+        self.dependency.answered()
+        self.read_ms = self.state.clock.now()
+        self.known = {record.name: record for record in found}
+        for record in found:
+            nodes = node_record.decode(record)
+            if nodes is None:
+                self.state.log.write("bad_node_record", name=record.name, value=record.value)
+            for node in nodes or ():
+                self.view.learn(node.address, node.address, node.data_centre)
+        self.gossip.beat_soon()
+
+    def _wanted(self) -> tuple[str, list[node_record.NodeRecord]]:
+        """Return the name of the record that this node is to keep, and whom it is to name."""
+        view = self.view
+        if view.role is tiers.Role.FLAT and view.known_size() <= tiers.FLAT_FLEET:
+            return view.node, [node_record.NodeRecord(view.address, view.data_centre)]
+        elders = view.elders()[: tiers.ELDERS]
+        if view.role is not tiers.Role.COORDINATOR or elders[0].age != view.age():
+            return "", []
+        name = node_record.CENTRE_PREFIX + view.data_centre
+        return name, [node_record.NodeRecord(one.address, view.data_centre) for one in elders]
+
+    def _is_written(self, name: str, nodes: list[node_record.NodeRecord]) -> bool:
+        """Return whether a record names enough nodes that live."""
+        record = self.known.get(name)
+        written = node_record.decode(record) if record is not None else None
+        if not written:
+            return False
+        live = {one.address for one in self.view.neighbours() if self.view.is_heard(one)}
+        live.add(self.view.address)
+        found = [one for one in written if one.address in live]
+        return len(found) >= min(LEAST_FOUND, len(nodes))
+
+    async def _write(self, name: str, nodes: list[node_record.NodeRecord]) -> None:
+        before = self.known.get(name)
+        wanted = records.Record(
+            name, node_record.encode(nodes), before.revision if before is not None else 0
+        )
+        try:
+            self.known[name] = await self.store.write_record(node_record.KIND, wanted)
+        except (errors.PlatformConflict, errors.PlatformAnswerLost):
+            self.read_ms = None
+            raise
+        self.dependency.answered()
+        self.state.log.write("registered", name=name, nodes=[one.address for one in nodes])
--- /dev/null
+++ b/plumarch/gateway/registration_test.py
@@ -0,0 +1,141 @@
+"""Entries in the store: few calls, and found by those that start."""
+
+import asyncio
+import dataclasses
+
+import pytest
+
+from plumarch.core import errors, records
+from plumarch.gateway import registration
+from plumarch.membership import node_record, tiers
+from plumarch.standins import gossip_fleet
+
+
+@dataclasses.dataclass
+class Store:
+    """A store that counts its calls, and refuses or loses some."""
+
+    found: dict[str, records.Record] = dataclasses.field(default_factory=dict)
+    lists: int = 0
+    writes: int = 0
+    lose: int = 0
+    down: bool = False
+
+    async def list_records(self, kind: str) -> list[records.Record]:
+        if self.down:
+            raise errors.PlatformUnavailable("down")
+        self.lists += 1
+        return list(self.found.values())
+
+    async def write_record(self, kind: str, record: records.Record) -> records.Record:
+        known = self.found.get(record.name)
+        if record.revision != (known.revision if known else 0):
+            raise errors.PlatformConflict("changed")
+        self.writes += 1
+        written = dataclasses.replace(record, revision=self.writes)
+        self.found[record.name] = written
+        if self.lose:
+            self.lose -= 1
+            raise errors.PlatformAnswerLost("lost")
+        return written
+
+
+def register_all(fleet: gossip_fleet.GossipFleet, store: Store) -> list[registration.Registration]:
+    return [
+        registration.Registration(node.state, node.view, node.gossip, store)  # type: ignore[arg-type]
+        for node in fleet.live()
+    ]
+
+
+def step(entries: list[registration.Registration]) -> None:
+    async def run() -> None:
+        for entry in entries:
+            try:
+                await entry.step()
+            except errors.PlatformError:
+                continue
+
+    asyncio.run(run())
+
+
+def run(fleet: gossip_fleet.GossipFleet, entries: list[registration.Registration]) -> None:
+    for _ in range(5):
+        step(entries)
+        fleet.run(1_000)
+
+
+def test_in_a_large_fleet_one_node_of_each_data_centre_writes_its_elders():
+    fleet = gossip_fleet.GossipFleet(gossip_fleet.Size(3, 12))
+    store = Store()
+    entries = register_all(fleet, store)
+    run(fleet, entries)
+    assert store.lists == 36
+    assert store.writes == 3
+    assert set(store.found) == {"centre-dc-a", "centre-dc-b", "centre-dc-c"}
+    named = node_record.decode(store.found["centre-dc-b"])
+    assert named is not None
+    assert len(named) == tiers.ELDERS
+    run(fleet, entries)
+    assert (store.lists, store.writes) == (36, 3)
+
+
+def test_in_a_small_fleet_each_node_writes_itself_once():
+    fleet = gossip_fleet.GossipFleet(gossip_fleet.Size(2, 3))
+    store = Store()
+    entries = register_all(fleet, store)
+    run(fleet, entries)
+    run(fleet, entries)
+    assert store.writes == 6
+    assert "dc-a-1" in store.found
+
+
+def test_a_record_is_renewed_when_its_elders_are_gone():
+    fleet = gossip_fleet.GossipFleet(gossip_fleet.Size(3, 12))
+    store = Store()
+    entries = register_all(fleet, store)
+    run(fleet, entries)
+    named = {one.address for one in node_record.decode(store.found["centre-dc-a"]) or ()}
+    for node in fleet.live():
+        if node.address in named:
+            node.alive = False
+    live = [entry for entry in entries if entry.view.address not in named]
+    fleet.run(4_000)
+    run(fleet, live)
+    now_named = {one.address for one in node_record.decode(store.found["centre-dc-a"]) or ()}
+    assert not now_named & named
+
+
+def test_a_lost_answer_is_read_back_and_not_written_again():
+    fleet = gossip_fleet.GossipFleet(gossip_fleet.Size(2, 3))
+    store = Store(lose=2)
+    entries = register_all(fleet, store)
+    run(fleet, entries)
+    assert store.writes == 6
+
+
+def test_nodes_without_seeds_find_each_other_by_the_store():
+    fleet = gossip_fleet.GossipFleet(gossip_fleet.Size(3, 12))
+    store = Store()
+    run(fleet, register_all(fleet, store))
+    fleet.seeds = ()
+    newcomer = fleet.start(40, "dc-b", knows_all=False)
+    entry = registration.Registration(
+        newcomer.state,
+        newcomer.view,
+        newcomer.gossip,
+        store,  # type: ignore[arg-type]
+    )
+    step([entry])
+    fleet.run(1_000)
+    assert newcomer.view.role is tiers.Role.MEMBER
+
+
+def test_a_store_that_is_down_is_asked_again():
+    fleet = gossip_fleet.GossipFleet(gossip_fleet.Size(1, 1))
+    store = Store(down=True)
+    entries = register_all(fleet, store)
+    with pytest.raises(errors.PlatformUnavailable):
+        asyncio.run(entries[0].step())
+    store.down = False
+    step(entries)
+    assert store.lists == 1
