Return times by their cause; connections that fall silent are noticed by probes

A refusal of ours named 60 or 400 ms whatever refused it. Not measured against callers' second tries yet.

--- a/plumarch/gateway/attempts.py
+++ b/plumarch/gateway/attempts.py
@@ -6,7 +6,7 @@
 
 from plumarch.core import traffic
 from plumarch.gateway import admission, dialect, errors, exchange, fleet_state
-from plumarch.routing import endpoint_choice
+from plumarch.routing import endpoint_choice, return_times
 
 CONNECT_TIMEOUT_MS = 250.0
 NOT_RUN_STATUS = 421
@@ -81,6 +81,24 @@
     return state.chooser.choose_plain(candidates, seed)
 
 
+def when_room(state: fleet_state.FleetState, admitted: admission.Admitted) -> float:
+    """Return when a request that no endpoint had room for had better come back, in ms.
+
+    Where endpoints are ready, that is when one of their places is free; where none is, when those
+    have booted that are ordered in their place.
+    """
+    ready = state.registry.ready(admitted.service)
+    if ready:
+        running = state.chooser.total_running(ready)
+        slots = sum(max(1, one.slots) for one in ready)
+        run_ms = state.chooser.speed(admitted.service).run_ms.value
+        return return_times.when_a_place_is_free(running, slots, run_ms)
+    service = state.table.services.get(admitted.service) if state.table else None
+    if service is not None and service.scaling is not None:
+        return return_times.when_booted(service.scaling.boot_ms)
+    return return_times.LEAST_MS
+
+
 def _has_room(
     state: fleet_state.FleetState, admitted: admission.Admitted, endpoint: traffic.Endpoint
 ) -> bool:
--- a/plumarch/gateway/caller_connection.py
+++ b/plumarch/gateway/caller_connection.py
@@ -13,7 +13,7 @@
 import h11
 
 from plumarch.core import clock, traffic
-from plumarch.gateway import dialect
+from plumarch.gateway import dialect, keepalive
 
 Headers = Sequence[tuple[bytes, bytes]]
 
@@ -140,6 +140,7 @@
         """Wait for a request."""
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
+        keepalive.watch(transport)
         self.server.connections.add(self)
         self._await_request()
 
--- a/plumarch/gateway/exchange.py
+++ b/plumarch/gateway/exchange.py
@@ -6,19 +6,15 @@
 """
 
 import asyncio
-import socket
 from collections.abc import Sequence
 
 import h11
 
 from plumarch.core import addresses
-from plumarch.gateway import errors
+from plumarch.gateway import errors, keepalive
 
 Headers = Sequence[tuple[bytes, bytes]]
 
-SILENCE_LIMIT_MS = 3_000
-"""Unacknowledged bytes for this long mean that the peer is unreachable."""
-
 ReceivedEvent = h11.Response | h11.Data | h11.EndOfMessage
 
 
@@ -36,9 +32,7 @@
         """Keep the transport; notice a silent peer."""
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
-        sock = transport.get_extra_info("socket")
-        if sock is not None:
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, SILENCE_LIMIT_MS)
+        keepalive.watch(transport)
 
     def data_received(self, data: bytes) -> None:
         """Take bytes in."""
--- /dev/null
+++ b/plumarch/gateway/keepalive.py
@@ -0,0 +1,32 @@
+"""Keep-alive probes: how a connection that fell silent is noticed.
+
+A peer that lost power, lies behind a cut, or whose connection a box on the way forgot says nothing
+at all. Bytes that it does not acknowledge show that; while only an answer is awaited, nothing but
+probes does. Without them the caller of a stream that may not be repeated, whose engine went dark,
+hears nothing until its deadline.
+"""
+
+import asyncio
+import socket
+
+SILENCE_LIMIT_MS = 3_000
+"""Bytes or probes unacknowledged for this long mean that the peer is unreachable. A judgement:
+longer than a resumable stream's patience, and than a lost packet and its second try."""
+
+IDLE_S = 1
+INTERVAL_S = 1
+PROBES = 2
+"""A connection is probed after a second without bytes, each second, and is over after two probes
+in a row without an answer: three seconds after the peer was heard last."""
+
+
+def watch(transport: asyncio.BaseTransport) -> None:
+    """Let the kernel probe a connection, and end it when the peer stays silent."""
+    sock = transport.get_extra_info("socket")
+    if sock is None:
+        return
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, SILENCE_LIMIT_MS)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, IDLE_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, INTERVAL_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, PROBES)
--- a/plumarch/gateway/request_run.py
+++ b/plumarch/gateway/request_run.py
@@ -20,14 +20,9 @@
     event_stream,
     fleet_state,
 )
-from plumarch.routing import endpoint_choice
+from plumarch.routing import endpoint_choice, return_times
 
 ANSWER_BYTES_LIMIT = 16 * 1024 * 1024
-RETRY_AFTER_MS = {
-    traffic.RouteKind.SAFE: 60.0,
-    traffic.RouteKind.UNSAFE: 60.0,
-    traffic.RouteKind.STREAMING: 400.0,
-}
 PATIENCE_TARGETS = 1.6
 """A repeatable request waits this many targets for one endpoint's answer."""
 
@@ -97,6 +92,7 @@
         self.first_ms: int | None = None
         self.events = 0
         self.failed_answer: WholeAnswer | None = None
+        self.back_in_ms = return_times.LEAST_MS
 
     async def serve(self) -> Outcome:
         """Make attempts until one answers or the request is given up."""
@@ -111,6 +107,7 @@
         while True:
             choice = attempts.choose(self.state, self.admitted, self.progress)
             if choice is None:
+                self.back_in_ms = attempts.when_room(self.state, self.admitted)
                 return self._give_up(self.progress.last_fault or "no_endpoint", 502)
             if self._hopeless(choice):
                 self.state.work.turned_away(self.admitted.service, choice.unread_tokens)
@@ -133,7 +130,11 @@
             return False
         speed = self.state.chooser.speed(self.admitted.service)
         expected_ms = speed.expect_ms(choice.tokens_to_read(), choice.place_wait_ms)
-        return expected_ms > HOPELESS_TARGETS * self.admitted.route.target_ms > 0
+        target_ms = self.admitted.route.target_ms
+        if not expected_ms > HOPELESS_TARGETS * target_ms > 0:
+            return False
+        self.back_in_ms = return_times.when_drained(expected_ms, target_ms)
+        return True
 
     async def _attempt(self, choice: endpoint_choice.Choice) -> Outcome | None:
         """Try one endpoint.
@@ -281,8 +282,8 @@
             return self.fail(Outcome(status, reason))
         if self.admitted.workspace is not None:
             self.state.quota.refund(self.admitted.workspace, self.admitted.units)
-        kind = self.admitted.route.kind
-        refusal = admission.Refusal(503, reason, RETRY_AFTER_MS[kind])
+        back_in_ms = return_times.spread(self.back_in_ms, self.state.rng)
+        refusal = admission.Refusal(503, reason, back_in_ms)
         send_refusal(self.reply, self.admitted.request, refusal, self.state.names.request_id)
         return Outcome(503, reason)
 
