--- /dev/null
+++ b/bench/large_fleets.py
@@ -0,0 +1,130 @@
+"""What nodes of large fleets spend on telling each other: python -m bench.large_fleets.
+
+Whole fleets on virtual time, each node serving its share of the requests. Processor time is that of
+this machine, measured around each datagram taken in and each round; bytes are those of datagrams.
+"""
+
+import collections
+import dataclasses
+import random
+import statistics
+import time
+from collections.abc import Callable
+
+from plumarch.gateway import fleet_state
+from plumarch.membership import tiers
+from plumarch.routing import endpoint_choice
+from plumarch.standins import gossip_fleet
+
+SETTLE_MS = 3_000
+MEASURED_MS = 2_000
+STEP_MS = 20
+RUNNING_S = 1.0
+"""How long a request runs."""
+
+UNITS = 4_000.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Load:
+    """A fleet and what it serves."""
+
+    size: gossip_fleet.Size
+    engines: int
+    requests_per_s: float
+
+
+def of_size(data_centres: int, nodes_each: int, workspaces: int) -> gossip_fleet.Size:
+    """Return a fleet whose allotments never bind."""
+    return gossip_fleet.Size(data_centres, nodes_each, workspaces, rate=1e9, burst=1e9)
+
+
+LOADS = (
+    Load(of_size(4, 19, 16), 30, 190.0),
+    Load(of_size(5, 39, 19), 39, 220.0),
+    Load(of_size(21, 21, 19), 143, 500.0),
+)
+
+
+class Meter:
+    """Processor time of each node."""
+
+    def __init__(self) -> None:
+        self.spent_s: collections.Counter[str] = collections.Counter()
+
+    def timed(self, node: str, act: Callable[..., None]) -> Callable[..., None]:
+        """Return a function that does the same and is measured."""
+
+        def measured(*args: object) -> None:
+            begun = time.perf_counter()
+            act(*args)
+            self.spent_s[node] += time.perf_counter() - begun
+
+        return measured
+
+    def watch(self, fleet: gossip_fleet.GossipFleet) -> None:
+        """Measure what all nodes of a fleet do from now on."""
+        for node in fleet.live():
+            for name in ("datagram_received", "tick", "tell_round", "tell_prompt"):
+                setattr(node.gossip, name, self.timed(node.name, getattr(node.gossip, name)))
+
+
+def serve(fleet: gossip_fleet.GossipFleet, load: Load, rng: random.Random, for_ms: int) -> None:
+    """Let callers ask, and requests end."""
+    nodes = fleet.live()
+    ends: collections.deque[tuple[int, gossip_fleet.Node, str]] = collections.deque()
+    due = 0.0
+    for _ in range(for_ms // STEP_MS):
+        fleet.run(STEP_MS)
+        due += load.requests_per_s * STEP_MS / 1000.0
+        while due >= 1.0:
+            due -= 1.0
+            node, engine = rng.choice(nodes), f"i-{rng.randrange(load.engines):010x}"
+            space = fleet.table.workspaces[f"w{rng.randrange(load.size.workspaces)}"]
+            node.state.quota.admit(space, UNITS)
+            own = node.state.chooser.own.setdefault(engine, endpoint_choice.Load())
+            own.running += 1
+            node.gossip.tell_prompt(fleet_state.SentPrompt(engine, UNITS, space.name, UNITS))
+            ends.append((fleet.time.now() + round(RUNNING_S * 1000), node, engine))
+        while ends and ends[0][0] <= fleet.time.now():
+            _, node, engine = ends.popleft()
+            node.state.chooser.own[engine].running -= 1
+            if not node.state.chooser.own[engine].running:
+                del node.state.chooser.own[engine]
+
+
+def measure(load: Load) -> str:
+    """Return a line of figures for one fleet."""
+    fleet = gossip_fleet.GossipFleet(load.size)
+    rng = random.Random(1)
+    serve(fleet, load, rng, SETTLE_MS)
+    fleet.datagrams = {True: 0, False: 0}
+    fleet.bytes = {True: 0, False: 0}
+    meter = Meter()
+    meter.watch(fleet)
+    serve(fleet, load, rng, MEASURED_MS)
+    seconds = MEASURED_MS / 1000.0
+    nodes = len(fleet.live())
+    cores = {
+        role: [meter.spent_s[node.name] / seconds * 100.0 for node in fleet.with_role(role)]
+        for role in (tiers.Role.MEMBER, tiers.Role.COORDINATOR)
+    }
+    return (
+        f"{nodes} nodes, {load.size.workspaces} workspaces, {load.requests_per_s:.0f} requests/s: "
+        f"{sum(fleet.datagrams.values()) / seconds:.0f} datagrams/s, "
+        f"{sum(fleet.bytes.values()) / seconds / nodes:.0f} bytes/s a node, "
+        f"{fleet.bytes[True] / seconds / 1000:.0f} kB/s between data centres; "
+        f"% of a core: member {statistics.mean(cores[tiers.Role.MEMBER]):.2f}, "
+        f"coordinator {statistics.mean(cores[tiers.Role.COORDINATOR]):.2f}, "
+        f"largest {max(meter.spent_s.values()) / seconds * 100.0:.2f}"
+    )
+
+
+def main() -> None:
+    """Print a line for each fleet."""
+    for load in LOADS:
+        print(measure(load), flush=True)
+
+
+if __name__ == "__main__":
+    main()
--- a/plumarch/gateway/coordination.py
+++ b/plumarch/gateway/coordination.py
@@ -30,6 +30,7 @@
       spent: units that the nodes of the own data centre were heard to admit, this one left out.
       taken_in: sequence of the last heartbeat or notice of each node of it, by name.
       rounds: news composed so far.
+      summaries: summaries composed so far.
       skipped: rounds left to an older coordinator since the last one told.
       tell_all: whether the next news are whole, for a member that was not heard before.
     """
@@ -41,6 +42,7 @@
     spent: collections.Counter[str] = dataclasses.field(default_factory=collections.Counter)
     taken_in: dict[str, int] = dataclasses.field(default_factory=dict)
     rounds: int = 0
+    summaries: int = 0
     skipped: int = 0
     tell_all: bool = True
     spending_news: recent_changes.RecentChanges = dataclasses.field(
@@ -91,7 +93,9 @@
         """Return what to tell the coordinators of other data centres now."""
         view, state = self.view, self.state
         neighbours = [one for one in view.neighbours() if view.is_heard(one)]
-        whole = self.rounds % WHOLE_EVERY == 0
+        whole = self.summaries % WHOLE_EVERY == 0
+        with_usage = whole or self.summaries % USAGE_EVERY == 1
+        self.summaries += 1
         tokens = [one.token for one in neighbours if not one.leaving]
         return gossip.CentreSummary(
             node=view.node,
@@ -109,7 +113,7 @@
             usage_age_ms=self._usage_age_ms(),
             spending=self._spending(whole),
             loads=self._centre_loads(),
-            usage=self._usage(whole) if whole or self.rounds % USAGE_EVERY == 1 else [],
+            usage=self._usage(whole) if with_usage else [],
         )
 
     def _elders(self) -> list[gossip.KnownElder]:
@@ -176,7 +180,7 @@
         self.spent.update(charged)
         self.taken_in[node] = max(sequence, self.taken_in.get(node, 0))
 
-    def news(self) -> "NewsRound":
+    def news(self) -> gossip.FleetNews:
         """Return what to tell the members of the own data centre now."""
         quota, view = self.state.quota, self.view
         fraction = view.heard_fraction()
@@ -192,15 +196,22 @@
             for name, bucket in quota.buckets.items()
             if whole or name in changed
         ]
-        return NewsRound(
-            fraction=fraction,
+        state = self.state
+        return gossip.FleetNews(
+            node=view.node,
+            incarnation=view.incarnation,
+            address=view.address,
+            data_centre=state.data_centre,
+            configuration=state.table.version if state.table else -1,
+            registry_revision=state.registry.changed_revision,
             nodes=view.size(),
             centre_nodes=view.centre_size(),
+            fraction=fraction,
+            elders=self._elders(),
+            followers=view.followers(state.reaches_store),
             levels=levels,
             loads=self._fleet_loads(whole),
             whole=whole,
-            elders=self._elders(),
-            followers=view.followers(self.state.reaches_store),
         )
 
     def _fleet_loads(self, whole: bool) -> list[gossip.EndpointLoad]:
@@ -220,27 +231,6 @@
             for name, load in heaviest[:LOADS_TOLD]
         ]
 
-    def news_for(self, member: str, told: "NewsRound") -> gossip.FleetNews:
-        """Return a round of news as one member gets it."""
-        view, state = self.view, self.state
-        return gossip.FleetNews(
-            node=view.node,
-            incarnation=view.incarnation,
-            address=view.address,
-            data_centre=state.data_centre,
-            taken_in=self.taken_in.get(member, 0),
-            configuration=state.table.version if state.table else -1,
-            registry_revision=state.registry.changed_revision,
-            nodes=told.nodes,
-            centre_nodes=told.centre_nodes,
-            fraction=told.fraction,
-            elders=told.elders,
-            followers=told.followers,
-            levels=told.levels,
-            loads=told.loads,
-            whole=told.whole,
-        )
-
     def forget(self, node: str) -> None:
         """Drop what is kept of a node that is gone."""
         self.taken_in.pop(node, None)
@@ -250,20 +240,6 @@
 """Puts prompt tokens and running requests, fewer than this, into one figure that changes."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class NewsRound:
-    """What all members are told in one round."""
-
-    fraction: float
-    nodes: int
-    centre_nodes: int
-    levels: list[gossip.ToldLevel]
-    loads: list[gossip.EndpointLoad]
-    whole: bool
-    elders: list[gossip.KnownElder]
-    followers: list[str]
-
-
 def _leads(told: gossip.CentreSummary) -> bool:
     """Return whether a summary's author believes to be the oldest of its data centre."""
     return bool(told.elders) and told.elders[0].name == told.node
--- a/plumarch/gateway/gossiper.py
+++ b/plumarch/gateway/gossiper.py
@@ -21,6 +21,11 @@
 NEWS_MS = 100
 """Time between two rounds in which a coordinator tells its members, and the other coordinators."""
 
+SUMMARIES_PER_SECOND = 80
+"""Summaries that a coordinator sends to other data centres in a second at most. With five data
+centres they go out in each round; with 21, where each round would be 10 MB a second over all, in
+each fifth."""
+
 STANDBY_ROUNDS = 4
 """Every how many rounds a coordinator tells that is not the oldest of its data centre: its members
 follow the oldest one, and it in its place from 0.35 s of silence on."""
@@ -71,6 +76,7 @@
         self.last_round_ms = state.clock.now()
         self.quiet_until_ms = 0
         self.beat_for_role_ms = 0
+        self.next_summary_ms = 0
         state.tell_prompt = self.tell_prompt
 
     async def start(self) -> None:
@@ -264,10 +270,19 @@
         if self._stands_by():
             return
         self._drop_old_loads()
-        self._send(self.coordination.summary(), self._other_coordinators())
-        told = self.coordination.news()
+        self._tell_summary(now)
+        news = msgspec.Raw(gossip.encoder.encode(self.coordination.news()))
+        taken_in = self.coordination.taken_in
         for peer in self.view.neighbours():
-            self._send(self.coordination.news_for(peer.name, told), [peer.address])
+            self._send(gossip.MemberNews(taken_in.get(peer.name, 0), news), [peer.address])
+
+    def _tell_summary(self, now: int) -> None:
+        """Tell the coordinators of other data centres, more seldom the more there are."""
+        if now < self.next_summary_ms:
+            return
+        told = self._other_coordinators()
+        self.next_summary_ms = now + round(1000.0 * len(told) / SUMMARIES_PER_SECOND)
+        self._send(self.coordination.summary(), told)
 
     def _stands_by(self) -> bool:
         """Return whether this round is left to an older coordinator."""
@@ -352,8 +367,8 @@
                 self.take_notice(told)
             case gossip.CentreSummary():
                 self.take_summary(told, f"{addr[0]}:{addr[1]}")
-            case gossip.FleetNews():
-                self.take_news(told)
+            case gossip.MemberNews():
+                self._take_member_news(told, str(addr[0]))
 
     def take_notice(self, notice: gossip.LoadNotice) -> None:
         """Take in a peer's load at one endpoint."""
@@ -380,8 +395,20 @@
         elif self.view.role is tiers.Role.MEMBER and sender == told.address:
             self._send(told, [elder.address for elder in self.view.coordinators()])
 
-    def take_news(self, news: gossip.FleetNews) -> None:
-        """Take in what a coordinator tells of the fleet."""
+    def _take_member_news(self, told: gossip.MemberNews, sender: str) -> None:
+        try:
+            news = gossip.news_decoder.decode(told.news)
+        except msgspec.DecodeError as error:
+            self.state.log.write("bad_heartbeat", sender=sender, error=str(error))
+            return
+        self.take_news(news, told.taken_in)
+
+    def take_news(self, news: gossip.FleetNews, taken_in: int) -> None:
+        """Take in what a coordinator tells of the fleet.
+
+        Args:
+          taken_in: sequence of the last heartbeat or notice of this node that it had then.
+        """
         if news.data_centre != self.state.data_centre:
             return
         peer = self.view.heard(news.node, news.incarnation, news.address, news.data_centre)
@@ -394,7 +421,7 @@
         if self.view.role is not tiers.Role.MEMBER:
             self._decide_role()
         if self.view.role is tiers.Role.MEMBER:
-            self.member.adopt_figures(news)
+            self.member.adopt_figures(news, taken_in)
 
     def take_in(self, beat: gossip.Heartbeat) -> None:
         """Take in a node's heartbeat."""
--- a/plumarch/gateway/large_fleet_test.py
+++ b/plumarch/gateway/large_fleet_test.py
@@ -3,10 +3,12 @@
 import collections
 import dataclasses
 
+import msgspec
 import pytest
 
 from plumarch.gateway import fleet_state, gossiper
 from plumarch.membership import tiers
+from plumarch.peers import gossip
 from plumarch.routing import endpoint_choice
 from plumarch.standins import gossip_fleet
 
@@ -248,3 +250,28 @@
     coordinator = oldest(fleet, "dc-a")[0]
     taken_in = coordinator.gossip.coordination.taken_in[new.name]
     assert 0 < taken_in <= new.gossip.composer.sequence
+
+
+def test_news_that_can_not_be_read_are_dropped_and_logged():
+    fleet = settled()
+    member = fleet.with_role(tiers.Role.MEMBER)[0]
+    before = member.view.news
+    broken = gossip.MemberNews(3, msgspec.Raw(gossip.encoder.encode([1, 2, 3])))
+    member.gossip.datagram_received(gossip.encoder.encode(broken), ("10.0.0.9", 1))
+    assert member.view.news is before
+    assert b"bad_heartbeat" in bytes(member.state.log.pending)
+
+
+def test_with_many_data_centres_summaries_go_out_more_seldom():
+    few, many = settled(gossip_fleet.Size(3, 12)), settled(gossip_fleet.Size(12, 3))
+    sent = []
+    for fleet in (few, many):
+        fleet.datagrams = {True: 0, False: 0}
+        fleet.run(2_000)
+        oldest_ones = len({node.data_centre for node in fleet.live()})
+        sent.append(fleet.datagrams[True] / 2.0 / oldest_ones)
+    standby = 1 + 1 / gossiper.STANDBY_ROUNDS
+    greetings = 2 * gossiper.GREETED * 1000 / gossiper.BEAT_MS
+    assert sent[0] <= 4 * 10 * standby + greetings
+    assert sent[1] <= gossiper.SUMMARIES_PER_SECOND * standby + greetings
+    assert all(node.state.quota.fraction == 1.0 for node in many.live())
--- a/plumarch/gateway/membership_news.py
+++ b/plumarch/gateway/membership_news.py
@@ -91,9 +91,13 @@
             return fraction > last.fraction
         return author < last.author
 
-    def adopt_figures(self, news: gossip.FleetNews) -> None:
-        """Take over the levels of allotments and the loads of endpoints."""
-        known = next((one for one in self.told if one.sequence == news.taken_in), None)
+    def adopt_figures(self, news: gossip.FleetNews, taken_in: int) -> None:
+        """Take over the levels of allotments and the loads of endpoints.
+
+        Args:
+          taken_in: sequence of the last heartbeat or notice of this node that they hold.
+        """
+        known = next((one for one in self.told if one.sequence == taken_in), None)
         quota = self.state.quota
         buckets = {}
         for one in news.levels:
--- a/plumarch/peers/gossip.py
+++ b/plumarch/peers/gossip.py
@@ -156,11 +156,10 @@
     settled: bool
 
 
-class FleetNews(msgspec.Struct, array_like=True, frozen=True, tag=4):
-    """What a coordinator tells a member of its data centre, of the whole fleet.
+class FleetNews(msgspec.Struct, array_like=True, frozen=True):
+    """What a coordinator tells the members of its data centre, of the whole fleet.
 
     Attributes:
-      taken_in: sequence of the last heartbeat or notice of the member that the figures hold, or 0.
       nodes: how many nodes there may be in the fleet.
       centre_nodes: how many of them are in the own data centre.
       fraction: the part of them that the sender hears or is told to be heard.
@@ -174,7 +173,6 @@
     incarnation: int
     address: str
     data_centre: str
-    taken_in: int
     configuration: int
     registry_revision: int
     nodes: int
@@ -187,6 +185,18 @@
     whole: bool
 
 
+class MemberNews(msgspec.Struct, array_like=True, frozen=True, tag=4):
+    """News as one member gets them.
+
+    Attributes:
+      taken_in: sequence of the last heartbeat or notice of the member that the figures hold, or 0.
+      news: a FleetNews, encoded once for all members.
+    """
+
+    taken_in: int
+    news: msgspec.Raw
+
+
 class LoadNotice(msgspec.Struct, array_like=True, frozen=True, tag=2):
     """What a node sent to an endpoint, told at once if it is a long prompt.
 
@@ -241,9 +251,10 @@
         ...
 
 
-Datagram = Heartbeat | LoadNotice | CentreSummary | FleetNews
+Datagram = Heartbeat | LoadNotice | CentreSummary | MemberNews
 
 encoder = msgspec.msgpack.Encoder()
 datagram_decoder = msgspec.msgpack.Decoder(Datagram)
+news_decoder = msgspec.msgpack.Decoder(FleetNews)
 request_decoder = msgspec.msgpack.Decoder(SnapshotRequest)
 snapshot_decoder = msgspec.msgpack.Decoder(Snapshot)
