--- a/plumarch/gateway/coordination.py
+++ b/plumarch/gateway/coordination.py
@@ -217,7 +217,7 @@
     def _fleet_loads(self, whole: bool) -> list[gossip.EndpointLoad]:
         """Return the loads of endpoints from all nodes that changed lately."""
         chooser = self.state.chooser
-        loads = {name: chooser.load(name) for name in chooser.own.keys() | chooser.others.keys()}
+        loads = {name: chooser.load(name) for name in sorted({*chooser.own, *chooser.others})}
         before = self.load_news.known.keys() - loads.keys()
         loads |= {name: endpoint_choice.NO_LOAD for name in before}
         figures = {name: load.prompt_tokens * FIGURE + load.running for name, load in loads.items()}
--- a/plumarch/gateway/gossiper.py
+++ b/plumarch/gateway/gossiper.py
@@ -196,7 +196,7 @@
         if self.transport is None:
             return
         datagram = gossip.encoder.encode(message)
-        for address in to:
+        for address in sorted(to):
             self.transport.sendto(datagram, addresses.split(address))
 
     def _forget(self, peer: fleet_view.Peer) -> None:
--- a/plumarch/membership/fleet_view.py
+++ b/plumarch/membership/fleet_view.py
@@ -247,8 +247,8 @@
     def elders(self) -> list[tiers.Elder]:
         """Return the oldest live nodes of the own data centre that are known, this one included.
 
-        They are those that are heard, and those that a coordinator told of, unless they fell
-        silent just now.
+        They are those that are heard, and those that a coordinator told of. Where no coordinator
+        is heard any more, those that fell silent with it are left out.
         """
         found = {
             one.name: tiers.Elder(one.age(), one.address)
@@ -258,7 +258,8 @@
         age = self.news_age_ms()
         if self.news is not None and age is not None and age <= 2 * self.silence_ms():
             for elder in self.news.elders:
-                if elder.age.name not in found and not self._fell_silent(elder):
+                is_gone = not self.hears_news() and self._fell_silent(elder)
+                if elder.age.name not in found and not is_gone:
                     found[elder.age.name] = elder
         found[self.node] = tiers.Elder(self.age(), self.address)
         return sorted(found.values(), key=lambda elder: elder.age)
