--- a/bench/large_fleets.py
+++ b/bench/large_fleets.py
@@ -65,8 +65,9 @@
     def watch(self, fleet: gossip_fleet.GossipFleet) -> None:
         """Measure what all nodes of a fleet do from now on."""
         for node in fleet.live():
-            for name in ("datagram_received", "tick", "tell_round", "tell_prompt"):
+            for name in ("datagram_received", "tick", "tell_prompt"):
                 setattr(node.gossip, name, self.timed(node.name, getattr(node.gossip, name)))
+            node.tell_round = self.timed(node.name, node.tell_round)
 
 
 def serve(fleet: gossip_fleet.GossipFleet, load: Load, rng: random.Random, for_ms: int) -> None:
--- a/plumarch/gateway/coordination.py
+++ b/plumarch/gateway/coordination.py
@@ -31,7 +31,6 @@
       taken_in: sequence of the last heartbeat or notice of each node of it, by name.
       rounds: news composed so far.
       summaries: summaries composed so far.
-      skipped: rounds left to an older coordinator since the last one told.
       tell_all: whether the next news are whole, for a member that was not heard before.
     """
 
@@ -43,7 +42,6 @@
     taken_in: dict[str, int] = dataclasses.field(default_factory=dict)
     rounds: int = 0
     summaries: int = 0
-    skipped: int = 0
     tell_all: bool = True
     spending_news: recent_changes.RecentChanges = dataclasses.field(
         default_factory=recent_changes.RecentChanges
--- a/plumarch/gateway/gossiper.py
+++ b/plumarch/gateway/gossiper.py
@@ -7,7 +7,15 @@
 import msgspec
 
 from plumarch.core import addresses
-from plumarch.gateway import coordination, fleet_state, heartbeats, membership_news, snapshots
+from plumarch.gateway import (
+    coordination,
+    fleet_state,
+    heartbeats,
+    membership_news,
+    rounds,
+    snapshots,
+    told_figures,
+)
 from plumarch.limits import centre_spending, workspace_quota
 from plumarch.membership import fleet_view, tiers
 from plumarch.peers import gossip
@@ -18,22 +26,6 @@
 """Heartbeats that a node sends, or a coordinator takes in, in a second at most; where more nodes
 tell each other they become rarer."""
 
-NEWS_MS = 100
-"""Time between two rounds in which a coordinator tells its members, and the other coordinators."""
-
-SUMMARIES_PER_SECOND = 80
-"""Summaries that a coordinator sends to other data centres in a second at most. With five data
-centres they go out in each round; with 21, where each round would be 10 MB a second over all, in
-each fifth."""
-
-STANDBY_ROUNDS = 4
-"""Every how many rounds a coordinator tells that is not the oldest of its data centre: its members
-follow the oldest one, and it in its place from 0.35 s of silence on."""
-
-LATE_ROUND_MS = 1_000
-"""A coordinator whose rounds were further apart than this was stopped or had no processor: what it
-knows is old, and it tells nothing until heartbeats have reached it again."""
-
 ANSWER_AGAIN_MS = 1_000
 """A heartbeat that reaches a node that is no coordinator is answered this often at most, with who
 the coordinators are."""
@@ -41,7 +33,6 @@
 GREETED = 4
 """Nodes known by name only that a coordinator greets in a round of heartbeats."""
 
-LOADS_KEPT_MS = 2_500
 NOTICE_TOKENS = 1_500.0
 """A prompt with this many unread tokens, or charged so much, is told at once: between two
 heartbeats of a large fleet several nodes would choose the same engine for theirs, and admit
@@ -67,16 +58,14 @@
         self.composer = heartbeats.HeartbeatComposer(state, view, duty)
         elsewhere = centre_spending.CentreSpending(state.clock)
         self.coordination = coordination.Coordination(state, view, duty, elsewhere)
+        self.rounds = rounds.Rounds(state, view, self.coordination, self._send)
         self.member = membership_news.MemberNews(state, view)
         self.snapshots = snapshots.SnapshotExchange(state)
         self.soon = asyncio.Event()
         self.server: asyncio.Server | None = None
         self.told: set[str] = set()
         self.answered_ms: dict[str, int] = {}
-        self.last_round_ms = state.clock.now()
-        self.quiet_until_ms = 0
         self.beat_for_role_ms = 0
-        self.next_summary_ms = 0
         state.tell_prompt = self.tell_prompt
 
     async def start(self) -> None:
@@ -108,15 +97,9 @@
     def interval_ms(self) -> float:
         """Return the time between heartbeats, longer where many nodes tell each other."""
         flat = self.view.role is tiers.Role.FLAT and self.view.size() <= tiers.FLAT_FLEET
-        told = len(self.view.peers) if flat else self._centre_size()
+        told = len(self.view.peers) if flat else self.view.tellers()
         return max(BEAT_MS, 1000.0 * told / BEATS_PER_SECOND)
 
-    def _centre_size(self) -> int:
-        """Return how many nodes tell a coordinator of the own data centre, as far as known."""
-        if self.view.role is tiers.Role.MEMBER and self.view.news is not None:
-            return self.view.news.centre_nodes
-        return self.view.centre_size()
-
     def beat_soon(self) -> None:
         """Send the next heartbeat at once, since there is news."""
         self.soon.set()
@@ -135,8 +118,8 @@
     async def coordinate_forever(self) -> None:
         """Tell sums and news as long as this node coordinates."""
         while True:
-            self.tell_round()
-            await asyncio.sleep(NEWS_MS / 1000.0)
+            self.rounds.step()
+            await asyncio.sleep(rounds.NEWS_MS / 1000.0)
 
     def tick(self) -> None:
         """Age what is known of peers, and send one heartbeat to each that it is for."""
@@ -145,7 +128,7 @@
         self.state.quota.news_age_ms = self._news_age_ms()
         for peer in self.view.tick():
             self._forget(peer)
-        self._drop_old_loads()
+        told_figures.drop_old_loads(self.state, self.view)
         self._hear_fraction()
         self.state.budget.nodes = max(8, 2 * self.view.size())
         if self.transport is None:
@@ -167,7 +150,7 @@
         """
         if self.view.role is tiers.Role.FLAT:
             return self.view.interval_ms
-        return self.view.interval_ms / 2 + 2 * NEWS_MS
+        return self.view.interval_ms / 2 + 2 * rounds.NEWS_MS
 
     def _beat_addresses(self) -> Iterable[str]:
         if self.view.role is tiers.Role.FLAT:
@@ -221,115 +204,20 @@
             elders=[elder.age.name for elder in self.view.elders()[: tiers.ELDERS]],
             news_age_ms=self.view.news_age_ms(),
         )
-        self._drop_figures_of_others()
+        told_figures.forget_for_role(self.state, self.view, self.coordination)
         self.coordination.tell_all = True
         self._beat_for_role()
 
     def _beat_for_role(self) -> None:
         """Tell a new role at once, but not each one of a series."""
         now = self.state.clock.now()
-        if now - self.beat_for_role_ms >= NEWS_MS:
+        if now - self.beat_for_role_ms >= rounds.NEWS_MS:
             self.beat_for_role_ms = now
             self.beat_soon()
 
-    def _drop_figures_of_others(self) -> None:
-        """Forget figures that the nodes of the new role are no longer told one by one."""
-        chooser = self.state.chooser
-        if self.view.role is not tiers.Role.MEMBER:
-            chooser.forget(membership_news.FLEET)
-        if self.view.role is not tiers.Role.COORDINATOR:
-            for name in list(self.view.centres):
-                chooser.forget(coordination.CENTRE + name)
-            self.view.centres.clear()
-            self.coordination.elsewhere.authors.clear()
-        if self.view.role is tiers.Role.MEMBER:
-            for name in [name for name in chooser.told if name != membership_news.FLEET]:
-                chooser.forget(name)
-            # Levels come from news now, with all that the others admitted in them; counting on
-            # from these sums later would charge it twice.
-            self.state.quota.heard.clear()
-
-    def _drop_figures_of(self, data_centre: str) -> None:
-        """Forget what nodes of a data centre told one by one, now that it is summed up."""
-        for peer in self.view.peers.values():
-            if peer.data_centre == data_centre:
-                self.state.chooser.forget(peer.name)
-                self.state.usage.heard.pop(f"{peer.name}#{peer.incarnation}", None)
-
-    # Rounds of a coordinator.
-
-    def tell_round(self) -> None:
-        """Tell the own members, and the coordinators of other data centres, if this node is one."""
-        now = self.state.clock.now()
-        late = now - self.last_round_ms > LATE_ROUND_MS
-        self.last_round_ms = now
-        if late:
-            self.quiet_until_ms = now + round(2 * self.view.interval_ms)
-        if self.view.role is not tiers.Role.COORDINATOR or now < self.quiet_until_ms:
-            return
-        if self._stands_by():
-            return
-        self._drop_old_loads()
-        self._tell_summary(now)
-        news = msgspec.Raw(gossip.encoder.encode(self.coordination.news()))
-        taken_in = self.coordination.taken_in
-        for peer in self.view.neighbours():
-            self._send(gossip.MemberNews(taken_in.get(peer.name, 0), news), [peer.address])
-
-    def _tell_summary(self, now: int) -> None:
-        """Tell the coordinators of other data centres, more seldom the more there are."""
-        if now < self.next_summary_ms:
-            return
-        told = self._other_coordinators()
-        self.next_summary_ms = now + round(1000.0 * len(told) / SUMMARIES_PER_SECOND)
-        self._send(self.coordination.summary(), told)
-
-    def _stands_by(self) -> bool:
-        """Return whether this round is left to an older coordinator."""
-        self.coordination.skipped += 1
-        oldest = self.view.elders()[0]
-        if oldest.age.name != self.view.node and self.coordination.skipped < STANDBY_ROUNDS:
-            return True
-        self.coordination.skipped = 0
-        return False
-
-    def _other_coordinators(self) -> set[str]:
-        """Return where the coordinators of other data centres are, as far as known."""
-        view = self.view
-        told: set[str] = set()
-        live = view.live_centres()
-        for name, centre in view.centres.items():
-            wanted = centre.elders[: tiers.COORDINATORS] if name in live else centre.elders
-            told |= {elder.address for elder in wanted}
-        heard: dict[str, list[fleet_view.Peer]] = {}
-        for peer in view.peers.values():
-            if peer.incarnation and peer.data_centre not in (self.state.data_centre, *live):
-                heard.setdefault(peer.data_centre, []).append(peer)
-        for peers in heard.values():
-            oldest = sorted(peers, key=lambda peer: peer.age())[: tiers.ELDERS]
-            told |= {peer.address for peer in oldest}
-        return told
-
     def _hear_fraction(self) -> None:
         self.state.quota.hear_fraction(self.view.heard_fraction())
 
-    def _drop_old_loads(self) -> None:
-        now = self.state.clock.now()
-        for name in list(self.state.chooser.told):
-            told_ms = self._loads_told_ms(name)
-            if told_ms is None or now - told_ms > LOADS_KEPT_MS:
-                self.state.chooser.forget(name)
-
-    def _loads_told_ms(self, source: str) -> int | None:
-        """Return when the loads of a source were told, or None for one that is gone."""
-        if source == membership_news.FLEET:
-            return self.view.news.told_ms if self.view.news is not None else None
-        if source.startswith(coordination.CENTRE):
-            centre = self.view.centres.get(source.removeprefix(coordination.CENTRE))
-            return centre.told_ms if centre is not None else None
-        peer = self.view.peers.get(source)
-        return peer.heard_ms if peer is not None else None
-
     def tell_prompt(self, sent: fleet_state.SentPrompt) -> None:
         """Tell the peers at once of a prompt that was sent to an engine, if it is a long one."""
         load = self.state.chooser.own.get(sent.endpoint)
@@ -388,7 +276,7 @@
             return
         if self.view.role is tiers.Role.COORDINATOR:
             if told.data_centre not in self.view.centres:
-                self._drop_figures_of(told.data_centre)
+                told_figures.forget_nodes_of(self.state, self.view, told.data_centre)
             self.coordination.take_summary(told)
             if self._knows_more(told):
                 self.snapshots.fetch_from(told.address)
--- a/plumarch/gateway/heartbeats.py
+++ b/plumarch/gateway/heartbeats.py
@@ -3,6 +3,8 @@
 import collections
 import dataclasses
 
+import msgspec
+
 from plumarch.fleet.usage import UsageCounter
 from plumarch.gateway import fleet_state
 from plumarch.membership import fleet_view, tiers
@@ -94,37 +96,20 @@
         self.beats += 1
         self.sequence += 1
         self.whole_beats = max(0, self.whole_beats - 1)
-        return gossip.Heartbeat(
-            node=self.view.node,
-            incarnation=self.view.incarnation,
-            address=self.view.address,
-            data_centre=state.data_centre,
-            leaving=leaving,
-            configuration=state.table.version if state.table else -1,
-            registry_revision=state.registry.changed_revision,
-            token=self.duty.token,
-            candidate=self.duty.candidate,
-            reported=self.duty.reported,
+        return msgspec.structs.replace(
+            self._without_figures(leaving, self.view.role is tiers.Role.FLAT),
             spending=spending,
             loads=loads,
             usage=self._usage(whole) if tell_usage else [],
             peers=self._known_peers() if tell_peers else [],
-            reaches_store=state.reaches_store,
             sequence=self.sequence,
-            elders=self._elders() if self.view.role is tiers.Role.FLAT else [],
         )
 
-    def _elders(self) -> list[gossip.KnownElder]:
-        """Return the oldest live nodes of the own data centre, where the fleet is a large one."""
-        if self.view.size() <= tiers.FLAT_FLEET:
-            return []
-        return [
-            gossip.KnownElder(one.age.name, one.age.incarnation, one.address)
-            for one in self.view.elders()[: tiers.ELDERS]
-        ]
-
     def greeting(self, leaving: bool) -> gossip.Heartbeat:
         """Return a heartbeat without figures that tells who coordinates the own data centre."""
+        return self._without_figures(leaving, with_elders=True)
+
+    def _without_figures(self, leaving: bool, with_elders: bool) -> gossip.Heartbeat:
         state = self.state
         return gossip.Heartbeat(
             node=self.view.node,
@@ -138,9 +123,18 @@
             candidate=self.duty.candidate,
             reported=self.duty.reported,
             reaches_store=state.reaches_store,
-            elders=self._elders(),
+            elders=self._elders() if with_elders else [],
         )
 
+    def _elders(self) -> list[gossip.KnownElder]:
+        """Return the oldest live nodes of the own data centre, where the fleet is a large one."""
+        if self.view.size() <= tiers.FLAT_FLEET:
+            return []
+        return [
+            gossip.KnownElder(one.age.name, one.age.incarnation, one.address)
+            for one in self.view.elders()[: tiers.ELDERS]
+        ]
+
     def _usage(self, whole: bool) -> list[gossip.WindowUsage]:
         usage = self.state.usage
         now = self.state.wall.now()
--- a/plumarch/gateway/large_fleet_test.py
+++ b/plumarch/gateway/large_fleet_test.py
@@ -6,7 +6,7 @@
 import msgspec
 import pytest
 
-from plumarch.gateway import fleet_state, gossiper
+from plumarch.gateway import fleet_state, gossiper, rounds
 from plumarch.membership import tiers
 from plumarch.peers import gossip
 from plumarch.routing import endpoint_choice
@@ -234,7 +234,7 @@
     assert node.state.quota.admit(space, 1_800.0) == 0
     node.state.chooser.own["e"] = endpoint_choice.Load(1, 1_700.0)
     node.state.tell_prompt(fleet_state.SentPrompt("e", 1_700.0, "w0", 1_800.0))
-    fleet.run(gossiper.NEWS_MS + 10)
+    fleet.run(rounds.NEWS_MS + 10)
     assert other.state.quota._refill(space).level < 400
     assert other.state.chooser.load("e") == endpoint_choice.Load(1, 1_700.0)
     # The node's own charge is not counted twice once the news hold its notice.
@@ -271,8 +271,8 @@
         fleet.run(2_000)
         oldest_ones = len({node.data_centre for node in fleet.live()})
         sent.append(fleet.datagrams[True] / 2.0 / oldest_ones)
-    standby = 1 + 1 / gossiper.STANDBY_ROUNDS
+    standby = 1 + 1 / rounds.STANDBY_ROUNDS
     greetings = 2 * gossiper.GREETED * 1000 / gossiper.BEAT_MS
     assert sent[0] <= 4 * 10 * standby + greetings
-    assert sent[1] <= tiers.COORDINATORS * gossiper.SUMMARIES_PER_SECOND + greetings
+    assert sent[1] <= tiers.COORDINATORS * rounds.SUMMARIES_PER_SECOND + greetings
     assert all(node.state.quota.fraction == 1.0 for node in many.live())
--- /dev/null
+++ b/plumarch/gateway/rounds.py
@@ -0,0 +1,105 @@
+"""The rounds in which a coordinator tells its members, and the coordinators elsewhere."""
+
+import dataclasses
+from collections.abc import Callable, Iterable
+
+import msgspec
+
+from plumarch.gateway import coordination, fleet_state, told_figures
+from plumarch.membership import fleet_view, tiers
+from plumarch.peers import gossip
+
+NEWS_MS = 100
+"""Time between two rounds. A large charge is known to a whole data centre within one, and to the
+others within two."""
+
+SUMMARIES_PER_SECOND = 80
+"""Summaries that a coordinator sends to other data centres in a second at most. With five data
+centres they go out in each round; with 21, where each round would be 10 MB a second over all, in
+each fifth."""
+
+STANDBY_ROUNDS = 4
+"""Every how many rounds a coordinator tells that is not the oldest of its data centre: its members
+follow the oldest one, and it in its place from 0.35 s of silence on."""
+
+LATE_ROUND_MS = 1_000
+"""A coordinator whose rounds were further apart than this was stopped or had no processor: what it
+knows is old, and it tells nothing until heartbeats have reached it again."""
+
+Send = Callable[[gossip.Datagram, Iterable[str]], None]
+
+
+@dataclasses.dataclass(slots=True)
+class Rounds:
+    """One node's rounds; they do nothing while it is no coordinator.
+
+    Attributes:
+      send: sends a message to addresses.
+      skipped: rounds left to an older coordinator since the last one told.
+      last_ms: when the last round was, told or not.
+      quiet_until_ms: nothing is told before then.
+      next_summary_ms: when the next summary is due.
+    """
+
+    state: fleet_state.FleetState
+    view: fleet_view.FleetView
+    sums: coordination.Coordination
+    send: Send
+    skipped: int = 0
+    last_ms: int = 0
+    quiet_until_ms: int = 0
+    next_summary_ms: int = 0
+
+    def step(self) -> None:
+        """Tell what is due."""
+        now = self.state.clock.now()
+        if self.last_ms and now - self.last_ms > LATE_ROUND_MS:
+            self.quiet_until_ms = now + round(2 * self.view.interval_ms)
+        self.last_ms = now
+        if self.view.role is not tiers.Role.COORDINATOR or now < self.quiet_until_ms:
+            return
+        if self._stands_by():
+            return
+        told_figures.drop_old_loads(self.state, self.view)
+        self._tell_summary(now)
+        self._tell_news()
+
+    def _stands_by(self) -> bool:
+        """Return whether this round is left to an older coordinator."""
+        self.skipped += 1
+        oldest = self.view.elders()[0]
+        if oldest.age.name != self.view.node and self.skipped < STANDBY_ROUNDS:
+            return True
+        self.skipped = 0
+        return False
+
+    def _tell_summary(self, now: int) -> None:
+        """Tell the coordinators of other data centres, more seldom the more there are."""
+        if now < self.next_summary_ms:
+            return
+        told = self._other_coordinators()
+        self.next_summary_ms = now + round(1000.0 * len(told) / SUMMARIES_PER_SECOND)
+        self.send(self.sums.summary(), told)
+
+    def _tell_news(self) -> None:
+        news = msgspec.Raw(gossip.encoder.encode(self.sums.news()))
+        for peer in self.view.neighbours():
+            taken_in = self.sums.taken_in.get(peer.name, 0)
+            self.send(gossip.MemberNews(taken_in, news), [peer.address])
+
+    def _other_coordinators(self) -> set[str]:
+        """Return where the coordinators of other data centres are, as far as known."""
+        view = self.view
+        told: set[str] = set()
+        live = view.live_centres()
+        for name, centre in view.centres.items():
+            wanted = centre.elders[: tiers.COORDINATORS] if name in live else centre.elders
+            told |= {elder.address for elder in wanted}
+        heard: dict[str, list[fleet_view.Peer]] = {}
+        for peer in view.peers.values():
+            if peer.incarnation and peer.data_centre not in (self.state.data_centre, *live):
+                heard.setdefault(peer.data_centre, []).append(peer)
+        for peers in heard.values():
+            oldest = sorted(peers, key=lambda peer: peer.age())[: tiers.ELDERS]
+            told |= {peer.address for peer in oldest}
+        return told
--- /dev/null
+++ b/plumarch/gateway/told_figures.py
@@ -0,0 +1,60 @@
+"""When figures that others told stop counting: with age, with a role, with a better teller."""
+
+from plumarch.gateway import coordination, fleet_state, membership_news
+from plumarch.membership import fleet_view, tiers
+
+LOADS_KEPT_MS = 2_500
+"""Loads that were told longer ago count no more: most of what they tell has ended. A judgement:
+two runs of a typical request."""
+
+
+def drop_old_loads(state: fleet_state.FleetState, view: fleet_view.FleetView) -> None:
+    """Forget loads that were told long ago, or by whom nobody knows any more."""
+    now = state.clock.now()
+    for name in list(state.chooser.told):
+        told_ms = _told_ms(view, name)
+        if told_ms is None or now - told_ms > LOADS_KEPT_MS:
+            state.chooser.forget(name)
+
+
+def _told_ms(view: fleet_view.FleetView, source: str) -> int | None:
+    """Return when the loads of a source were told, or None for one that is gone."""
+    if source == membership_news.FLEET:
+        return view.news.told_ms if view.news is not None else None
+    if source.startswith(coordination.CENTRE):
+        centre = view.centres.get(source.removeprefix(coordination.CENTRE))
+        return centre.told_ms if centre is not None else None
+    peer = view.peers.get(source)
+    return peer.heard_ms if peer is not None else None
+
+
+def forget_for_role(
+    state: fleet_state.FleetState,
+    view: fleet_view.FleetView,
+    sums: coordination.Coordination,
+) -> None:
+    """Forget what a node is no longer told in the role that it has now."""
+    chooser = state.chooser
+    if view.role is not tiers.Role.MEMBER:
+        chooser.forget(membership_news.FLEET)
+    if view.role is not tiers.Role.COORDINATOR:
+        for name in list(view.centres):
+            chooser.forget(coordination.CENTRE + name)
+        view.centres.clear()
+        sums.elsewhere.authors.clear()
+    if view.role is tiers.Role.MEMBER:
+        for name in [name for name in chooser.told if name != membership_news.FLEET]:
+            chooser.forget(name)
+        # Levels come from news now, with all that the others admitted in them; counting on from
+        # these sums later would charge it twice.
+        state.quota.heard.clear()
+
+
+def forget_nodes_of(
+    state: fleet_state.FleetState, view: fleet_view.FleetView, data_centre: str
+) -> None:
+    """Forget what nodes of a data centre told one by one, now that it is summed up."""
+    for peer in view.peers.values():
+        if peer.data_centre == data_centre:
+            state.chooser.forget(peer.name)
+            state.usage.heard.pop(f"{peer.name}#{peer.incarnation}", None)
--- a/plumarch/membership/fleet_view.py
+++ b/plumarch/membership/fleet_view.py
@@ -184,6 +184,12 @@
         """Return how many nodes there may be in the own data centre, this one included."""
         return 1 + len([one for one in self.neighbours() if not self._left(one)])
 
+    def tellers(self) -> int:
+        """Return how many nodes tell a coordinator of the own data centre, as far as known."""
+        if self.role is tiers.Role.MEMBER and self.news is not None:
+            return self.news.centre_nodes
+        return self.centre_size()
+
     def neighbours(self) -> list[Peer]:
         """Return the peers of the own data centre."""
         return [one for one in self.peers.values() if one.data_centre == self.data_centre]
--- a/plumarch/standins/gossip_fleet.py
+++ b/plumarch/standins/gossip_fleet.py
@@ -8,7 +8,7 @@
 
 from plumarch.config import routing_table
 from plumarch.core import addresses, clock, traffic
-from plumarch.gateway import gossiper, heartbeats
+from plumarch.gateway import gossiper, heartbeats, rounds
 from plumarch.membership import fleet_view, tiers
 from plumarch.standins import gateway_parts
 
@@ -69,6 +69,7 @@
         cast(Any, self.gossip.snapshots).fetch_from = self.fetched.append
         cast(Any, self.gossip).beat_soon = lambda: fleet.beat_soon(self)
         self.asked_to_beat = False
+        self.tell_round: Callable[[], None] = self.gossip.rounds.step
         state.adopt_table(fleet.table, "store")
 
 
@@ -146,8 +147,8 @@
         if not node.alive:
             return
         if not node.frozen:
-            node.gossip.tell_round()
-        self._schedule(gossiper.NEWS_MS, lambda: self._round(node))
+            node.tell_round()
+        self._schedule(rounds.NEWS_MS, lambda: self._round(node))
 
     def carry(self, sender: Node, datagram: bytes, address: str) -> None:
         """Carry a datagram to where it is sent, unless something is in its way."""
