Sums of a data centre hold its own nodes only; a test for each guard of large fleets

Found by taking guards out: before roles are settled a coordinator hears nodes of other data centres one by one, and counted their usage and loads in the sums of its own; 37 requests of 36 in the first window after a start (test fails without the mend).

--- a/plumarch/fleet/usage.py
+++ b/plumarch/fleet/usage.py
@@ -6,7 +6,7 @@
 
 import collections
 import dataclasses
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 
 WINDOWS_KEPT = 8
 
@@ -72,14 +72,16 @@
         }
         self.heard_from(group, largest)
 
-    def total(self, window: int, without: str = "") -> dict[str, int]:
+    def total(
+        self, window: int, counts_in: Callable[[str], bool] = lambda name: True
+    ) -> dict[str, int]:
         """Return the counts of a window over all nodes.
 
         Args:
-          without: groups whose name begins so are left out; "" leaves none out.
+          counts_in: whether what another incarnation or group counted is part of it.
         """
         total: collections.Counter[str] = collections.Counter(self.own.get(window, {}))
         for name, counts in self.heard.items():
-            if not without or not name.startswith(without):
+            if counts_in(name):
                 total.update(counts.get(window, {}))
         return dict(sorted(total.items()))
--- a/plumarch/gateway/coordination.py
+++ b/plumarch/gateway/coordination.py
@@ -146,7 +146,7 @@
         """Return what the nodes of the own data centre have at endpoints."""
         chooser = self.state.chooser
         sums: dict[str, endpoint_choice.Load] = {}
-        sources = [loads for name, loads in chooser.told.items() if not name.startswith(CENTRE)]
+        sources = [loads for name, loads in chooser.told.items() if self._is_near(name)]
         for loads in [chooser.own, *sources]:
             for endpoint, load in loads.items():
                 total = sums.setdefault(endpoint, endpoint_choice.Load())
@@ -158,12 +158,25 @@
             for name, load in heaviest[:LOADS_TOLD]
         ]
 
+    def _is_near(self, source: str) -> bool:
+        """Return whether what a node told belongs to the sums of the own data centre.
+
+        Before roles are settled, nodes of other data centres tell theirs one by one.
+
+        Args:
+          source: the node's name, with or without its incarnation, or a data centre's.
+        """
+        if source.startswith(CENTRE):
+            return False
+        peer = self.view.peers.get(source.partition("#")[0])
+        return peer is None or peer.data_centre == self.state.data_centre
+
     def _usage(self, whole: bool) -> list[gossip.WindowUsage]:
         usage, now = self.state.usage, self.state.wall.now()
         windows = heartbeats.windows_told(usage, now, whole)
         newest = usage.window_at(now)
         return [
-            gossip.WindowUsage(number, usage.total(number, without=CENTRE))
+            gossip.WindowUsage(number, usage.total(number, self._is_near))
             for number in range(newest - windows + 1, newest + 1)
         ]
 
--- a/plumarch/gateway/coordinators_test.py
+++ b/plumarch/gateway/coordinators_test.py
@@ -5,6 +5,7 @@
 from plumarch.gateway import membership_news, rounds
 from plumarch.membership import tiers
 from plumarch.peers import gossip
+from plumarch.routing import endpoint_choice
 from plumarch.standins import gossip_fleet
 
 SETTLE_MS = 3_000
@@ -74,3 +75,73 @@
     younger = news_of("dc-a-99", member.view.news.author.incarnation + 5, 1.0)
     assert not member.gossip.member.take_in(younger)
     assert member.gossip.member.take_in(msgspec.structs.replace(younger, incarnation=1))
+
+
+SLOW = gossip_fleet.Size(3, 12, rate=1.0, burst=100_000.0)
+"""Allotments that hardly refill, so that each charge can be told from the levels."""
+
+
+def levels(fleet: gossip_fleet.GossipFleet) -> set[int]:
+    space = fleet.table.workspaces["w0"]
+    return {round(node.state.quota._refill(space).level, -2) for node in fleet.live()}
+
+
+def fleet_after_a_change_of_coordinators(for_ms: int = 3_500) -> gossip_fleet.GossipFleet:
+    """Return a fleet in which a member's spending was told to those that died some ms ago."""
+    fleet = gossip_fleet.GossipFleet(SLOW)
+    fleet.run(SETTLE_MS)
+    space = fleet.table.workspaces["w0"]
+    assert fleet.nodes["dc-a-5"].state.quota.admit(space, 20_000.0) == 0
+    fleet.run(1_000)
+    assert levels(fleet) == {80_000}
+    for node in fleet.with_role(tiers.Role.COORDINATOR):
+        if node.data_centre == "dc-a":
+            node.alive = False
+    fleet.run(for_ms)
+    return fleet
+
+
+def test_a_member_that_becomes_a_coordinator_charges_nothing_twice():
+    assert levels(fleet_after_a_change_of_coordinators()) == {80_000}
+
+
+def test_a_new_coordinator_counts_the_first_spending_after_it_began():
+    fleet = fleet_after_a_change_of_coordinators(1_500)
+    space = fleet.table.workspaces["w0"]
+    assert fleet.nodes["dc-a-5"].state.quota.admit(space, 5_000.0) == 0
+    fleet.run(2_000)
+    assert levels(fleet) == {75_000}
+
+
+def test_news_that_do_not_hold_a_members_own_spending_yet_give_nothing_back():
+    fleet = gossip_fleet.GossipFleet(SLOW)
+    fleet.run(SETTLE_MS)
+    space = fleet.table.workspaces["w0"]
+    quota = fleet.nodes["dc-a-5"].state.quota
+    assert quota.admit(space, 20_000.0) == 0
+    for _ in range(60):
+        fleet.nodes["dc-a-6"].state.quota.admit(space, 10.0)
+        fleet.run(10)
+        assert 79_000 <= quota._refill(space).level <= 80_100
+
+
+def test_what_nodes_told_one_by_one_before_roles_settled_is_not_counted_again_in_sums():
+    fleet = gossip_fleet.GossipFleet(gossip_fleet.Size(3, 12))
+    now = fleet.time.now()
+    for node in fleet.live():
+        node.state.usage.began("w0", now)
+        node.state.chooser.own["e"] = endpoint_choice.Load(1, 0.0)
+    fleet.run(1_500)
+    for node in fleet.with_role(tiers.Role.COORDINATOR):
+        window = node.state.usage.window_at(now)
+        assert node.state.usage.total(window) == {"w0": 36}
+        assert node.state.chooser.running("e") == 36
+
+
+def test_no_member_takes_the_duties_where_no_coordinator_can():
+    fleet = settled()
+    for node in fleet.with_role(tiers.Role.COORDINATOR):
+        node.gossip.duty.candidate = False
+    fleet.run(1_000)
+    members = fleet.with_role(tiers.Role.MEMBER)
+    assert not any(node.view.is_oldest_candidate() for node in members)
