--- a/plumarch/core/hashing.py
+++ b/plumarch/core/hashing.py
@@ -31,7 +31,7 @@
 def highest(subject: int, names: Iterable[str], count: int) -> list[str]:
     """Return the first names in the order of rendezvous hashing, for a subject that is a hash.
 
-    It takes 14 us for two of 39 names, where rendezvous() takes 39 (time.perf_counter, beside load):
+    It takes 14 us for two of 39 names, where rendezvous() takes 39 (perf_counter, beside load):
     one hash of joined bytes for each, and no sorting.
 
     Args:
