One way to tell and take loads and elders; figures that change need not be numbers

A load's two figures were put into one number so that a change of it could be seen; what changes is of any type now. Records to write and packed answers are typed in place of tuples. No change of behaviour.

--- a/plumarch/daemon/status_pages.py
+++ b/plumarch/daemon/status_pages.py
@@ -30,7 +30,7 @@
     def _set_gauges(self) -> None:
         state = self.state
         sizes = state.measures.state
-        sizes["configuration_version"] = state.table.version if state.table else -1
+        sizes["configuration_version"] = state.configuration_version()
         sizes["registry_revision"] = state.registry.revision
         sizes["registry_age_ms"] = state.registry.age_ms()
         sizes["endpoints"] = len(state.registry.endpoints)
--- a/plumarch/gateway/coordination.py
+++ b/plumarch/gateway/coordination.py
@@ -3,7 +3,7 @@
 import collections
 import dataclasses
 
-from plumarch.gateway import fleet_state, heartbeats
+from plumarch.gateway import elders, fleet_state, heartbeats, load_reports
 from plumarch.limits import centre_spending
 from plumarch.membership import fleet_view, tiers
 from plumarch.peers import gossip, recent_changes
@@ -18,9 +18,6 @@
 LOADS_TOLD = 60
 """Endpoints whose load one datagram tells, the heaviest first; some 20 bytes each."""
 
-FIGURE = 1_000_000.0
-"""Puts prompt tokens and running requests, fewer than this, into one figure that changes."""
-
 CENTRE = "centre "
 """What the figures of a whole data centre are kept under, before its name."""
 
@@ -46,13 +43,13 @@
     rounds: int = 0
     summaries: int = 0
     tell_all: bool = True
-    spending_news: recent_changes.RecentChanges = dataclasses.field(
+    spending_news: recent_changes.RecentChanges[float] = dataclasses.field(
         default_factory=recent_changes.RecentChanges
     )
-    level_news: recent_changes.RecentChanges = dataclasses.field(
+    level_news: recent_changes.RecentChanges[float] = dataclasses.field(
         default_factory=recent_changes.RecentChanges
     )
-    load_news: recent_changes.RecentChanges = dataclasses.field(
+    load_news: recent_changes.RecentChanges[endpoint_choice.Load] = dataclasses.field(
         default_factory=recent_changes.RecentChanges
     )
     told_fraction: float = 0.0
@@ -61,21 +58,20 @@
 
     def take_summary(self, told: gossip.CentreSummary) -> None:
         """Take in what a coordinator of another data centre tells."""
-        elders = tuple(_elder(one) for one in told.elders)
-        candidates = [_elder(one).age for one in told.candidate]
+        candidates = elders.taken(told.candidate)
         self.view.centres[told.data_centre] = tiers.CentreView(
             nodes=told.nodes,
             heard=told.heard,
-            elders=elders,
+            elders=elders.taken(told.elders),
             token=told.token,
-            candidate=candidates[0] if candidates else None,
+            candidate=candidates[0].age if candidates else None,
             reported=told.reported,
             usage_age_ms=told.usage_age_ms,
             told_ms=self.state.clock.now(),
         )
         self.duty.reported = max(self.duty.reported, told.reported)
         self._charge(told)
-        loads = {one.endpoint: endpoint_choice.of_report(one) for one in told.loads}
+        loads = load_reports.taken_all(told.loads)
         self.state.chooser.tell(CENTRE + told.data_centre, loads)
         if told.usage:
             counts = {one.window: one.counts for one in told.usage}
@@ -103,11 +99,11 @@
             incarnation=view.incarnation,
             address=view.address,
             data_centre=state.data_centre,
-            configuration=state.table.version if state.table else -1,
+            configuration=state.configuration_version(),
             registry_revision=state.registry.changed_revision,
             nodes=view.centre_size(),
             heard=1 + len(neighbours),
-            elders=self._elders(),
+            elders=elders.told(view),
             token=max([self.duty.token, *tokens]),
             candidate=self._candidate(neighbours),
             reported=self.duty.reported,
@@ -117,12 +113,6 @@
             usage=self._usage(whole) if with_usage else [],
         )
 
-    def _elders(self) -> list[gossip.KnownElder]:
-        return [
-            gossip.KnownElder(one.age.name, one.age.incarnation, one.address)
-            for one in self.view.elders()[: tiers.ELDERS]
-        ]
-
     def _candidate(self, neighbours: list[fleet_view.Peer]) -> list[gossip.KnownElder]:
         ages = [one.age() for one in neighbours if one.candidate and not one.leaving]
         if self.duty.candidate:
@@ -155,11 +145,7 @@
                 total = sums.setdefault(endpoint, endpoint_choice.Load())
                 total.running += load.running
                 total.prompt_tokens += load.prompt_tokens
-        heaviest = sorted(sums.items(), key=lambda one: (-one[1].prompt_tokens, one[0]))
-        return [
-            gossip.EndpointLoad(name, load.running, round(load.prompt_tokens))
-            for name, load in heaviest[:LOADS_TOLD]
-        ]
+        return load_reports.heaviest(sums, LOADS_TOLD)
 
     def _is_near(self, source: str) -> bool:
         """Return whether what a node told belongs to the sums of the own data centre.
@@ -196,13 +182,13 @@
 
     def news(self) -> gossip.FleetNews:
         """Return what to tell the members of the own data centre now."""
-        quota, view = self.state.quota, self.view
+        state, quota, view = self.state, self.state.quota, self.view
         fraction = view.heard_fraction()
         whole = self.rounds % WHOLE_EVERY == 0 or self.tell_all or fraction != self.told_fraction
         self.tell_all = False
         self.told_fraction = fraction
         self.rounds += 1
-        quota.report()
+        quota.refill_all()
         charged = {name: bucket.charged for name, bucket in quota.buckets.items()}
         changed = self.level_news.select(charged)
         levels = [
@@ -210,18 +196,17 @@
             for name, bucket in quota.buckets.items()
             if whole or name in changed
         ]
-        state = self.state
         return gossip.FleetNews(
             node=view.node,
             incarnation=view.incarnation,
             address=view.address,
             data_centre=state.data_centre,
-            configuration=state.table.version if state.table else -1,
+            configuration=state.configuration_version(),
             registry_revision=state.registry.changed_revision,
             nodes=view.size(),
             centre_nodes=view.centre_size(),
             fraction=fraction,
-            elders=self._elders(),
+            elders=elders.told(view),
             followers=view.followers(state.reaches_store),
             levels=levels,
             loads=self._fleet_loads(whole),
@@ -234,16 +219,11 @@
         loads = {name: chooser.load(name) for name in sorted({*chooser.own, *chooser.others})}
         before = self.load_news.known.keys() - loads.keys()
         loads |= {name: endpoint_choice.NO_LOAD for name in before}
-        figures = {name: load.prompt_tokens * FIGURE + load.running for name, load in loads.items()}
-        changed = self.load_news.select(figures)
+        changed = self.load_news.select(loads)
         for name in [name for name in before if name not in changed]:
             del self.load_news.known[name]
-        chosen = [(name, load) for name, load in loads.items() if whole or name in changed]
-        heaviest = sorted(chosen, key=lambda one: (-one[1].prompt_tokens, one[0]))
-        return [
-            gossip.EndpointLoad(name, load.running, round(load.prompt_tokens))
-            for name, load in heaviest[:LOADS_TOLD]
-        ]
+        chosen = {name: load for name, load in loads.items() if whole or name in changed}
+        return load_reports.heaviest(chosen, LOADS_TOLD)
 
     def forget(self, node: str) -> None:
         """Drop what is kept of a node that is gone."""
@@ -253,12 +233,3 @@
 def _leads(told: gossip.CentreSummary) -> bool:
     """Return whether a summary's author believes to be the oldest of its data centre."""
     return bool(told.elders) and told.elders[0].name == told.node
-
-
-def _elder(told: gossip.KnownElder) -> tiers.Elder:
-    return tiers.Elder(tiers.Age(told.incarnation, told.name), told.address)
-
-
-def elders_of(told: list[gossip.KnownElder]) -> tuple[tiers.Elder, ...]:
-    """Return elders as a node keeps them."""
-    return tuple(_elder(one) for one in told)
--- /dev/null
+++ b/plumarch/gateway/elders.py
@@ -0,0 +1,19 @@
+"""The oldest live nodes of a data centre, as nodes tell them to one another and keep them."""
+
+from collections.abc import Iterable
+
+from plumarch.membership import fleet_view, tiers
+from plumarch.peers import gossip
+
+
+def told(view: fleet_view.FleetView) -> list[gossip.KnownElder]:
+    """Return the elders of a node's own data centre as it tells them."""
+    return [
+        gossip.KnownElder(one.age.name, one.age.incarnation, one.address)
+        for one in view.elders()[: tiers.ELDERS]
+    ]
+
+
+def taken(reports: Iterable[gossip.KnownElder]) -> tuple[tiers.Elder, ...]:
+    """Return elders that were told, as a node keeps them."""
+    return tuple(tiers.Elder(tiers.Age(one.incarnation, one.name), one.address) for one in reports)
--- a/plumarch/gateway/fleet_state.py
+++ b/plumarch/gateway/fleet_state.py
@@ -64,6 +64,10 @@
     reaches_store: bool = True
     stops_at_ms: int | None = None
 
+    def configuration_version(self) -> int:
+        """Return the version of the configuration in force, or -1 before the first one."""
+        return self.table.version if self.table is not None else -1
+
     def adopt_table(self, table: routing_table.RoutingTable, source: str) -> bool:
         """Put a configuration in force unless it is not newer than the one in force.
 
--- a/plumarch/gateway/followed_news.py
+++ b/plumarch/gateway/followed_news.py
@@ -3,7 +3,7 @@
 import collections
 import dataclasses
 
-from plumarch.gateway import coordination, fleet_state
+from plumarch.gateway import elders, fleet_state, load_reports
 from plumarch.limits import workspace_quota
 from plumarch.membership import fleet_view, tiers
 from plumarch.peers import gossip
@@ -52,14 +52,14 @@
     def sent(self, beat: gossip.Heartbeat) -> None:
         """Remember what a heartbeat told."""
         spent = {name: bucket.spent for name, bucket in self.state.quota.buckets.items()}
-        loads = {one.endpoint: endpoint_choice.of_report(one) for one in beat.loads}
+        loads = load_reports.taken_all(beat.loads)
         self.told.append(ToldFigures(beat.sequence, spent, loads))
 
     def noticed(self, notice: gossip.LoadNotice) -> None:
         """Remember what a notice told besides the heartbeats before it."""
         before = self.told[-1] if self.told else ToldFigures(0, {}, {})
         spent = {**before.spent, notice.workspace: notice.spent}
-        load = endpoint_choice.of_report(notice.load)
+        load = load_reports.taken(notice.load)
         loads = {**before.loads, notice.load.endpoint: load}
         self.told.append(ToldFigures(notice.sequence, spent, loads))
 
@@ -78,7 +78,7 @@
             nodes=news.nodes,
             centre_nodes=news.centre_nodes,
             fraction=news.fraction,
-            elders=coordination.elders_of(news.elders),
+            elders=elders.taken(news.elders),
             followers=tuple(news.followers),
             told_ms=now,
         )
@@ -114,7 +114,7 @@
 
     def _adopt_loads(self, news: gossip.FleetNews, mine: dict[str, endpoint_choice.Load]) -> None:
         """Keep the loads of the others: what is told less what of it is this node's own."""
-        told = {one.endpoint: endpoint_choice.of_report(one) for one in news.loads}
+        told = load_reports.taken_all(news.loads)
         known = self.loads.get(news.node)
         if known is None and not news.whole:
             return
--- a/plumarch/gateway/gossiper.py
+++ b/plumarch/gateway/gossiper.py
@@ -9,9 +9,11 @@
 from plumarch.core import addresses
 from plumarch.gateway import (
     coordination,
+    elders,
     fleet_state,
     followed_news,
     heartbeats,
+    load_reports,
     rounds,
     snapshots,
     told_figures,
@@ -19,7 +21,6 @@
 from plumarch.limits import centre_spending, workspace_quota
 from plumarch.membership import fleet_view, tiers
 from plumarch.peers import gossip
-from plumarch.routing import endpoint_choice
 
 BEAT_MS = 250
 BEATS_PER_SECOND = 150
@@ -228,7 +229,7 @@
         notice = gossip.LoadNotice(
             self.view.node,
             self.view.incarnation,
-            gossip.EndpointLoad(sent.endpoint, load.running, round(load.prompt_tokens)),
+            load_reports.told(sent.endpoint, load),
             self.composer.sequence,
             sent.workspace if bucket is not None else "",
             round(bucket.spent) if bucket is not None else 0.0,
@@ -264,7 +265,7 @@
         chooser = self.state.chooser
         if peer is None or peer.incarnation != notice.incarnation or peer.name not in chooser.told:
             return
-        chooser.tell_one(peer.name, notice.load.endpoint, endpoint_choice.of_report(notice.load))
+        chooser.tell_one(peer.name, notice.load.endpoint, load_reports.taken(notice.load))
         incarnation = f"{notice.node}#{notice.incarnation}"
         charged = self.state.quota.noticed(incarnation, notice.workspace, notice.spent)
         if peer.data_centre == self.state.data_centre:
@@ -332,7 +333,7 @@
         for other in beat.peers:
             self.view.learn(other.name, other.address)
         near = beat.data_centre == self.state.data_centre
-        if near and beat.elders and self.view.hear_say(coordination.elders_of(beat.elders)):
+        if near and beat.elders and self.view.hear_say(elders.taken(beat.elders)):
             self._beat_for_role()
         self._take_figures(beat)
         if self._knows_more(beat):
@@ -376,16 +377,15 @@
         )
         if near:
             self.coordination.take_told(beat.node, beat.sequence, charged)
-        loads = {told.endpoint: endpoint_choice.of_report(told) for told in beat.loads}
-        state.chooser.tell(beat.node, loads)
+        state.chooser.tell(beat.node, load_reports.taken_all(beat.loads))
         if beat.usage:
             state.usage.heard_from(incarnation, {told.window: told.counts for told in beat.usage})
 
     def _knows_more(self, told: gossip.Versions) -> bool:
-        table = self.state.table
-        version = table.version if table else -1
-        return told.configuration > version or (
-            told.registry_revision > self.state.registry.revision
+        state = self.state
+        return (
+            told.configuration > state.configuration_version()
+            or told.registry_revision > state.registry.revision
         )
 
     def close(self) -> None:
--- a/plumarch/gateway/heartbeats.py
+++ b/plumarch/gateway/heartbeats.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from plumarch.fleet import usage
-from plumarch.gateway import fleet_state
+from plumarch.gateway import elders, fleet_state, load_reports
 from plumarch.membership import fleet_view, tiers
 from plumarch.peers import gossip, recent_changes
 
@@ -61,7 +61,7 @@
     beats: int = 0
     sequence: int = 0
     whole_beats: int = WHOLE_AT_NEWCOMERS
-    spending_news: recent_changes.RecentChanges = dataclasses.field(
+    spending_news: recent_changes.RecentChanges[float] = dataclasses.field(
         default_factory=recent_changes.RecentChanges
     )
 
@@ -84,13 +84,6 @@
             for name, told in report.items()
             if whole or name in changed
         ]
-        heaviest = sorted(
-            state.chooser.own.items(), key=lambda one: (-one[1].prompt_tokens, one[0])
-        )
-        loads = [
-            gossip.EndpointLoad(name, load.running, round(load.prompt_tokens))
-            for name, load in heaviest[:LOADS_TOLD]
-        ]
         tell_peers = self.beats % PEERS_EVERY == 0
         tell_usage = whole or self.beats % USAGE_EVERY == 1
         self.beats += 1
@@ -99,7 +92,7 @@
         return msgspec.structs.replace(
             self._without_figures(leaving, self.view.role is tiers.Role.FLAT),
             spending=spending,
-            loads=loads,
+            loads=load_reports.heaviest(state.chooser.own, LOADS_TOLD),
             usage=self._usage(whole) if tell_usage else [],
             peers=self._known_peers() if tell_peers else [],
             sequence=self.sequence,
@@ -117,7 +110,7 @@
             address=self.view.address,
             data_centre=state.data_centre,
             leaving=leaving,
-            configuration=state.table.version if state.table else -1,
+            configuration=state.configuration_version(),
             registry_revision=state.registry.changed_revision,
             token=self.duty.token,
             candidate=self.duty.candidate,
@@ -130,10 +123,7 @@
         """Return the oldest live nodes of the own data centre, where the fleet is a large one."""
         if self.view.size() <= tiers.FLAT_FLEET:
             return []
-        return [
-            gossip.KnownElder(one.age.name, one.age.incarnation, one.address)
-            for one in self.view.elders()[: tiers.ELDERS]
-        ]
+        return elders.told(self.view)
 
     def _usage(self, whole: bool) -> list[gossip.WindowUsage]:
         counter = self.state.usage
--- a/plumarch/gateway/registration.py
+++ b/plumarch/gateway/registration.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import dataclasses
 
 from plumarch.core import errors, records
 from plumarch.gateway import fleet_state, follower, gossiper, ports
@@ -23,6 +24,14 @@
 """Elders of a data centre that are written down and live, below which its record is renewed."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class WantedRecord:
+    """A record that a node is to keep, and whom it is to name."""
+
+    name: str
+    nodes: list[node_record.NodeRecord]
+
+
 class Registration:
     """One node's entry in the store."""
 
@@ -64,9 +73,9 @@
             await self._read()
         if now - self.begun_ms < SETTLE_MS:
             return
-        name, nodes = self._wanted()
-        if nodes and not self._is_written(name, nodes):
-            await self._write(name, nodes)
+        wanted = self._wanted()
+        if wanted is not None and not self._is_written(wanted):
+            await self._write(wanted)
 
     async def _read(self) -> None:
         found = await self.store.list_records(node_record.KIND)
@@ -81,37 +90,40 @@
                 self.view.learn(node.address, node.address, node.data_centre)
         self.gossip.beat_soon()
 
-    def _wanted(self) -> tuple[str, list[node_record.NodeRecord]]:
-        """Return the name of the record that this node is to keep, and whom it is to name."""
+    def _wanted(self) -> WantedRecord | None:
+        """Return the record that this node is to keep, or None if it is for others to keep one."""
         view = self.view
         if view.role is tiers.Role.FLAT and view.known_size() <= tiers.FLAT_FLEET:
-            return view.node, [node_record.NodeRecord(view.address, view.data_centre)]
+            mine = node_record.NodeRecord(view.address, view.data_centre)
+            return WantedRecord(view.node, [mine])
         elders = view.elders()[: tiers.ELDERS]
         if view.role is not tiers.Role.COORDINATOR or elders[0].age != view.age():
-            return "", []
-        name = node_record.CENTRE_PREFIX + view.data_centre
-        return name, [node_record.NodeRecord(one.address, view.data_centre) for one in elders]
+            return None
+        return WantedRecord(
+            node_record.CENTRE_PREFIX + view.data_centre,
+            [node_record.NodeRecord(one.address, view.data_centre) for one in elders],
+        )
 
-    def _is_written(self, name: str, nodes: list[node_record.NodeRecord]) -> bool:
+    def _is_written(self, wanted: WantedRecord) -> bool:
         """Return whether a record names enough nodes that live."""
-        record = self.known.get(name)
+        record = self.known.get(wanted.name)
         written = node_record.decode(record) if record is not None else None
         if not written:
             return False
         live = {one.address for one in self.view.neighbours() if self.view.is_heard(one)}
         live.add(self.view.address)
         found = [one for one in written if one.address in live]
-        return len(found) >= min(LEAST_FOUND, len(nodes))
+        return len(found) >= min(LEAST_FOUND, len(wanted.nodes))
 
-    async def _write(self, name: str, nodes: list[node_record.NodeRecord]) -> None:
+    async def _write(self, wanted: WantedRecord) -> None:
+        name = wanted.name
         before = self.known.get(name)
-        wanted = records.Record(
-            name, node_record.encode(nodes), before.revision if before is not None else 0
-        )
+        revision = before.revision if before is not None else 0
+        record = records.Record(name, node_record.encode(wanted.nodes), revision)
         try:
-            self.known[name] = await self.store.write_record(node_record.KIND, wanted)
+            self.known[name] = await self.store.write_record(node_record.KIND, record)
         except (errors.PlatformConflict, errors.PlatformAnswerLost):
             self.read_ms = None
             raise
         self.dependency.answered()
-        self.state.log.write("registered", name=name, nodes=[one.address for one in nodes])
+        self.state.log.write("registered", name=name, nodes=[one.address for one in wanted.nodes])
--- a/plumarch/gateway/snapshots.py
+++ b/plumarch/gateway/snapshots.py
@@ -27,8 +27,8 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Versions:
-    """What a snapshot was made of, and whether it holds each of the two."""
+class Contents:
+    """What an answer was made of, and whether it holds each of the two."""
 
     configuration: int
     registry_revision: int
@@ -36,17 +36,25 @@
     with_endpoints: bool
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class PackedAnswer:
+    """An answer to peers, compressed where that pays."""
+
+    contents: Contents
+    encoded: bytes
+
+
 class SnapshotExchange:
     """One node's side of the snapshots.
 
     Attributes:
-      packed: the last answer, compressed where that pays, and what it was made of.
+      packed: the last answer.
     """
 
     def __init__(self, state: fleet_state.FleetState) -> None:
         self.state = state
         self.fetching: asyncio.Task[None] | None = None
-        self.packed: tuple[Versions, bytes] | None = None
+        self.packed: PackedAnswer | None = None
 
     def fetch_from(self, address: str) -> None:
         """Begin to fetch what a peer knows beyond this node, unless a fetch runs."""
@@ -59,7 +67,7 @@
         if self.state.table is not None:
             await asyncio.sleep(FETCH_PAUSE_MS / 1000.0)
         held = gossip.SnapshotRequest(
-            self.state.table.version if self.state.table else -1,
+            self.state.configuration_version(),
             self.state.registry.revision,
             takes_compressed=True,
         )
@@ -99,18 +107,18 @@
         snapshot = self._snapshot(asked)
         if not asked.takes_compressed:
             return gossip.encoder.encode(snapshot)
-        versions = Versions(
-            self.state.table.version if self.state.table else -1,
+        contents = Contents(
+            self.state.configuration_version(),
             self.state.registry.revision,
             snapshot.configuration is not None,
             snapshot.endpoints is not None,
         )
-        if self.packed is None or self.packed[0] != versions:
+        if self.packed is None or self.packed.contents != contents:
             encoded = gossip.encoder.encode(snapshot)
             if len(encoded) >= LEAST_COMPRESSED:
                 encoded = zlib.compress(encoded, ZLIB_LEVEL)
-            self.packed = (versions, encoded)
-        return self.packed[1]
+            self.packed = PackedAnswer(contents, encoded)
+        return self.packed.encoded
 
     def _snapshot(self, asked: gossip.SnapshotRequest) -> gossip.Snapshot:
         table = self.state.table
--- a/plumarch/limits/workspace_quota.py
+++ b/plumarch/limits/workspace_quota.py
@@ -198,7 +198,7 @@
         """Take in which part of all nodes is heard from now on."""
         if fraction == self.fraction:
             return
-        self._refill_all()
+        self.refill_all()
         for bucket in self.buckets.values():
             if self.fraction >= 1.0:
                 bucket.part = bucket.level
@@ -207,7 +207,7 @@
 
     def report(self) -> dict[str, PeerSpending]:
         """Return this node's spending, for its heartbeat, with levels as of now."""
-        self._refill_all()
+        self.refill_all()
         return {
             name: PeerSpending(bucket.spent, bucket.level, bucket.settled)
             for name, bucket in self.buckets.items()
@@ -332,9 +332,10 @@
         for name in [name for name in self.buckets if name not in workspaces]:
             del self.buckets[name]
         self.workspaces = workspaces
-        self._refill_all()
+        self.refill_all()
 
-    def _refill_all(self) -> None:
+    def refill_all(self) -> None:
+        """Bring all buckets up to date."""
         for workspace in self.workspaces.values():
             if workspace.rate > 0:
                 self._refill(workspace)
--- a/plumarch/membership/fleet_view.py
+++ b/plumarch/membership/fleet_view.py
@@ -297,8 +297,10 @@
 
     def _fell_silent(self, elder: tiers.Elder) -> bool:
         peer = self.peers.get(elder.age.name)
-        if peer is None or peer.heard_ms is None or peer.leaving:
-            return peer is not None and peer.leaving
+        if peer is None:
+            return False
+        if peer.leaving or peer.heard_ms is None:
+            return peer.leaving
         silent_ms = self.clock.now() - peer.heard_ms
         limit = self.silence_ms()
         return limit < silent_ms <= tiers.RECENT_SILENCES * limit
--- a/plumarch/peers/recent_changes.py
+++ b/plumarch/peers/recent_changes.py
@@ -5,19 +5,24 @@
 
 import dataclasses
 from collections.abc import Mapping
+from typing import Generic, TypeVar
 
 TOLD_TIMES = 4
 """How many heartbeats tell a change."""
 
 
+Figure = TypeVar("Figure")
+"""What may change; told again while it is not equal to what was told last."""
+
+
 @dataclasses.dataclass(slots=True)
-class RecentChanges:
+class RecentChanges(Generic[Figure]):
     """The figures as they were told last, and how often each is still to be told."""
 
-    known: dict[str, float] = dataclasses.field(default_factory=dict)
+    known: dict[str, Figure] = dataclasses.field(default_factory=dict)
     left: dict[str, int] = dataclasses.field(default_factory=dict)
 
-    def select(self, figures: Mapping[str, float]) -> set[str]:
+    def select(self, figures: Mapping[str, Figure]) -> set[str]:
         """Return the names of the figures that the next heartbeat tells.
 
         Args:
--- a/plumarch/routing/endpoint_choice.py
+++ b/plumarch/routing/endpoint_choice.py
@@ -10,7 +10,6 @@
 import collections
 import dataclasses
 from collections.abc import Iterable, Sequence
-from typing import Protocol
 
 from plumarch.core import clock, hashing, traffic
 from plumarch.routing import engine_speed
@@ -46,25 +45,6 @@
     prompt_tokens: float = 0.0
 
 
-class LoadReport(Protocol):
-    """A load as another node reports it."""
-
-    @property
-    def running(self) -> int:
-        """Return the requests sent and not finished."""
-        ...
-
-    @property
-    def prompt_tokens(self) -> int:
-        """Return the tokens of prompts not yet read."""
-        ...
-
-
-def of_report(told: LoadReport) -> Load:
-    """Return the load that a report tells."""
-    return Load(told.running, float(told.prompt_tokens))
-
-
 NO_LOAD = Load()
 """Stands for what nothing is known of; never changed."""
 
