Nodes of a large fleet that know only seeds find their coordinators within a second and a half

Ruled out: dependencies lost (none logged), probes on the store's connections (no watch ended early). A heartbeat tells how many nodes its sender counts, and one from another data centre is answered with whom its sender should ask. Tests fail without it (2 coordinators of 10 after 1.5 s).

--- a/plumarch/gateway/gossiper.py
+++ b/plumarch/gateway/gossiper.py
@@ -27,9 +27,8 @@
 """Heartbeats that a node sends, or a coordinator takes in, in a second at most; where more nodes
 tell each other they become rarer."""
 
-ANSWER_AGAIN_MS = 1_000
-"""A heartbeat that reaches a node that is no coordinator is answered this often at most, with who
-the coordinators are."""
+ANSWER_AGAIN_MS = BEAT_MS
+"""How often a node that looks for the coordinators of its data centre is answered at most."""
 
 GREETED = 4
 """Nodes known by name only that a coordinator greets in a round of heartbeats."""
@@ -329,6 +328,7 @@
         peer.reaches_store = beat.reaches_store
         peer.token = beat.token
         peer.candidate = beat.candidate
+        peer.nodes = beat.nodes
         self.duty.reported = max(self.duty.reported, beat.reported)
         for other in beat.peers:
             self.view.learn(other.name, other.address)
@@ -338,7 +338,7 @@
         self._take_figures(beat)
         if self._knows_more(beat):
             self.snapshots.fetch_from(beat.address)
-        if self.view.role is tiers.Role.MEMBER:
+        if beat.sequence and self._seeks(near):
             self._answer(peer)
 
     def _meet(self, peer: fleet_view.Peer) -> None:
@@ -350,13 +350,25 @@
         self.composer.tell_all()
         self.coordination.tell_all = True
 
+    def _seeks(self, near: bool) -> bool:
+        """Return whether a node that sent a heartbeat here looks for its coordinators.
+
+        In a large fleet all others send theirs to coordinators of their own data centre.
+
+        Args:
+          near: whether it is of the own data centre.
+        """
+        if near:
+            return self.view.role is tiers.Role.MEMBER
+        return self.view.known_size() > tiers.FLAT_FLEET
+
     def _answer(self, peer: fleet_view.Peer) -> None:
-        """Tell a node that takes this one for a coordinator which ones are."""
+        """Tell a node that looks for the coordinators of its data centre who they may be."""
         now = self.state.clock.now()
         if now - self.answered_ms.get(peer.name, -ANSWER_AGAIN_MS) < ANSWER_AGAIN_MS:
             return
         self.answered_ms[peer.name] = now
-        self._send(self.composer.greeting(self.leaving), [peer.address])
+        self._send(self.composer.greeting(self.leaving, peer.data_centre), [peer.address])
 
     def _take_figures(self, beat: gossip.Heartbeat) -> None:
         """Take in a node's own figures, unless coordinators tell them."""
--- a/plumarch/gateway/heartbeats.py
+++ b/plumarch/gateway/heartbeats.py
@@ -98,9 +98,29 @@
             sequence=self.sequence,
         )
 
-    def greeting(self, leaving: bool) -> gossip.Heartbeat:
-        """Return a heartbeat without figures that tells who coordinates the own data centre."""
-        return self._without_figures(leaving, with_elders=True)
+    def greeting(self, leaving: bool, data_centre: str) -> gossip.Heartbeat:
+        """Return a heartbeat without figures that answers a node which looks for its coordinators.
+
+        It has no sequence, so that it is not answered in turn.
+
+        Args:
+          data_centre: the other node's.
+        """
+        greeting = self._without_figures(leaving, with_elders=True)
+        return msgspec.structs.replace(greeting, peers=self._elders_of(data_centre))
+
+    def _elders_of(self, data_centre: str) -> list[gossip.KnownPeer]:
+        """Return the oldest known nodes of a data centre, or else those who may know them."""
+        view = self.view
+        centre = view.centres.get(data_centre)
+        found = list(centre.elders) if centre is not None else []
+        if not found:
+            ages = {one.age(): one.address for one in view.live() if one.data_centre == data_centre}
+            found = [tiers.Elder(age, ages[age]) for age in sorted(ages)[: tiers.ELDERS]]
+        return [
+            gossip.KnownPeer(one.age.name, one.address)
+            for one in found or view.elders()[: tiers.ELDERS]
+        ]
 
     def _without_figures(self, leaving: bool, with_elders: bool) -> gossip.Heartbeat:
         state = self.state
@@ -117,6 +137,7 @@
             reported=self.duty.reported,
             reaches_store=state.reaches_store,
             elders=self._elders() if with_elders else [],
+            nodes=self.view.counted_size(),
         )
 
     def _elders(self) -> list[gossip.KnownElder]:
--- a/plumarch/gateway/large_fleet_test.py
+++ b/plumarch/gateway/large_fleet_test.py
@@ -6,8 +6,8 @@
 import msgspec
 import pytest
 
-from plumarch.gateway import fleet_state, gossiper, rounds
-from plumarch.membership import tiers
+from plumarch.gateway import duties, fleet_state, gossiper, rounds
+from plumarch.membership import fleet_view, tiers
 from plumarch.peers import gossip
 from plumarch.routing import endpoint_choice
 from plumarch.standins import gossip_fleet
@@ -27,6 +27,19 @@
     return sorted(found, key=lambda node: node.view.age())
 
 
+@pytest.mark.parametrize("nodes_each", [6, 12, 39])
+def test_nodes_that_know_only_seeds_find_each_other_before_any_acts_alone(nodes_each: int):
+    """Within the time that a process waits before it takes duties or writes itself down."""
+    fleet = gossip_fleet.GossipFleet(gossip_fleet.Size(5, nodes_each), knows_all=False)
+    fleet.run(duties.SETTLE_MS)
+    assert len(fleet.with_role(tiers.Role.COORDINATOR)) == 5 * tiers.COORDINATORS
+    assert len(fleet.with_role(tiers.Role.MEMBER)) == 5 * (nodes_each - tiers.COORDINATORS)
+    assert all(node.view.size() == 5 * nodes_each for node in fleet.live())
+    assert len([node for node in fleet.live() if node.view.is_oldest_candidate()]) == 1
+    watching = [node for node in fleet.live() if node.view.watches_store(node.data_centre)]
+    assert len(watching) == 5 * fleet_view.WATCHERS
+
+
 def test_a_small_fleet_stays_flat():
     fleet = settled(gossip_fleet.Size(3, 3))
     assert len(fleet.with_role(tiers.Role.FLAT)) == 9
--- a/plumarch/membership/fleet_view.py
+++ b/plumarch/membership/fleet_view.py
@@ -38,6 +38,7 @@
       token: the fencing token that it holds, or 0.
       candidate: whether it could take the duties over now.
       reaches_store: whether the platform's store answers it.
+      nodes: how many nodes it counts in the fleet.
     """
 
     name: str
@@ -50,6 +51,7 @@
     token: int = 0
     candidate: bool = True
     reaches_store: bool = True
+    nodes: int = 0
 
     def age(self) -> tiers.Age:
         """Return what nodes are ordered by."""
@@ -174,7 +176,13 @@
         """Return how many nodes there may be by all that is known, whatever this node's role.
 
         The role depends on it: by a number that depended on the role it would change to and fro.
+        A node that just started knows few of a large fleet; those that it hears count more.
         """
+        told = [one.nodes for one in self.peers.values() if self.is_heard(one)]
+        return max([self.counted_size(), *told])
+
+    def counted_size(self) -> int:
+        """Return how many nodes there may be without what others count, so that it can be told."""
         by_name = 1 + len([one for one in self.peers.values() if not self._left(one)])
         elsewhere = sum(centre.nodes for centre in self.centres.values())
         told = self.news.nodes if self.news is not None and self.hears_news() else 0
--- a/plumarch/peers/gossip.py
+++ b/plumarch/peers/gossip.py
@@ -68,9 +68,11 @@
       reported: the newest usage window that the holder reported, or 0.
       spending: of the workspaces in which it changed lately, in some heartbeats of all.
       reaches_store: whether the platform's store answered the sender's last call.
-      sequence: number of the heartbeat; a coordinator's news names the last one it took in.
+      sequence: number of the heartbeat; a coordinator's news names the last one it took in. 0 for
+        an answer to a node that looks for its coordinators.
       elders: the oldest live nodes of the sender's data centre, for nodes that look for its
         coordinators.
+      nodes: how many nodes there may be in the fleet, as the sender counts by itself.
     """
 
     node: str
@@ -90,6 +92,7 @@
     reaches_store: bool = True
     sequence: int = 0
     elders: list[KnownElder] = []
+    nodes: int = 0
 
 
 class CentreSpending(msgspec.Struct, array_like=True, frozen=True):
--- a/plumarch/standins/gossip_fleet.py
+++ b/plumarch/standins/gossip_fleet.py
@@ -84,7 +84,13 @@
       sent: datagrams and bytes sent, by whether they left the data centre.
     """
 
-    def __init__(self, size: Size, seed: int = 1) -> None:
+    def __init__(self, size: Size, seed: int = 1, knows_all: bool = True) -> None:
+        """Start all nodes at once.
+
+        Args:
+          knows_all: whether the store tells each node who started before it; otherwise all that
+            they know are the seeds.
+        """
         self.time = clock.ManualClock(START_MS)
         self.rng = random.Random(seed)
         self.table = table_of(size)
@@ -100,7 +106,7 @@
         self.seeds = (f"10.{ord('a')}.0.1:{PORT}", f"10.{ord('a')}.1.1:{PORT}")
         for centre in range(size.data_centres):
             for number in range(size.nodes_each):
-                self.start(number, f"dc-{chr(ord('a') + centre)}")
+                self.start(number, f"dc-{chr(ord('a') + centre)}", knows_all)
 
     def start(self, number: int, data_centre: str, knows_all: bool = True) -> Node:
         """Start a process, in place of one that bore the name before.
