--- a/plumarch/limits/workspace_quota.py
+++ b/plumarch/limits/workspace_quota.py
@@ -232,14 +232,11 @@
             bucket = self.buckets.get(name)
             if bucket is None:
                 continue
-            known = self.heard.get((node, name))
-            self.heard[(node, name)] = told.spent
-            if known is not None and told.spent != known:
-                charged[name] = told.spent - known
-                self._charge_others(name, charged[name])
-            elif known is not None:
+            if (node, name) in self.heard:
+                charged |= self.noticed(node, name, told.spent)
                 continue
-            elif told.settled:
+            self.heard[(node, name)] = told.spent
+            if told.settled:
                 self._refill(self.workspaces[name])
                 self._take_over(bucket, told.level)
         return charged
