--- a/plumarch/fleet/engine_plan.py
+++ b/plumarch/fleet/engine_plan.py
@@ -4,6 +4,9 @@
 loss of one leaves the others; hold firm ones only while fewer than a floor are left and
 reclaimable ones can't be had. Orders are counts, so that one that is repeated, late or lost
 does no harm: what lives is compared with what is wanted, and ordered again where it differs.
+
+Who doesn't know the demand lets nothing go: a node that has just begun to hear the fleet sees
+hardly any of its requests. It holds what the holder before it needed, or else what runs.
 """
 
 import dataclasses
@@ -80,8 +83,10 @@
       first_seen: endpoints that were there at the first start.
       first_count: how many those were, or how many the last holder needed; as many are needed
         until the demand is known.
+      found: endpoints that ran when the plan of a later start began, in place of the former
+        two where neither is known.
       demand: endpoints that the requests of all nodes ask for, smoothed.
-      samples: how many seconds of demand were taken in.
+      samples: how many seconds of demand were taken in without a break.
       sized_for: endpoints that the demand asked for last.
       began_ms: when the plan began.
       last_new_ms: when an endpoint of the first start was told last.
@@ -92,6 +97,7 @@
     first_start: bool = False
     first_seen: set[str] = dataclasses.field(default_factory=set)
     first_count: int = 0
+    found: int = 0
     demand: float = 0.0
     samples: int = 0
     sized_for: int = 0
@@ -99,24 +105,41 @@
     last_new_ms: int = 0
     given: dict[Place, Given] = dataclasses.field(default_factory=dict)
 
-    def sample_demand(self, engines: float, speed_known: bool = True) -> None:
+    def sample_demand(
+        self, engines: float, speed_known: bool = True, hears_all: bool = True
+    ) -> None:
         """Take in the endpoints that the last second asked for; it rises faster than it falls.
 
         Args:
           speed_known: whether the engines' speed is known; until then the demand may be more.
+          hears_all: whether nearly all nodes were heard; otherwise the demand is at least this.
         """
-        if engines > 0 and speed_known:
+        if engines > 0 and speed_known and hears_all:
             self.samples += 1
+        if engines <= self.demand and not hears_all:
+            return
         past = DEMAND_RISE if engines > self.demand else DEMAND_DECAY
         self.demand = past * self.demand + (1.0 - past) * engines
 
+    def lose_demand(self) -> None:
+        """Note that this node does not hear of the fleet's requests any more.
+
+        What it heard before is no measure for what it hears when that begins again.
+        """
+        self.samples = 0
+        self.demand = 0.0
+        self.sized_for = 0
+        if self.began_ms is not None and self.clock.now() - self.began_ms >= LEARN_MS:
+            self.first_seen.clear()
+
     def take_over(self, size: int) -> None:
         """Take in what the holder before needed, until this node knows the demand itself."""
-        self.first_count = max(self.first_count, size)
+        if size:
+            self.first_count = size
 
     def size(self) -> int:
         """Return how many endpoints are needed by what is known, within no limits."""
-        return max(self.sized_for, 0 if self._demand_known() else self.first_count)
+        return max(self.sized_for, 0 if self._demand_known() else self.first_count or self.found)
 
     def _demand_known(self) -> bool:
         return self.samples >= DEMAND_SAMPLES
@@ -147,8 +170,8 @@
     def wanted(self, scaling: traffic.Scaling, ready: Mapping[Place, int]) -> dict[Place, int]:
         """Return the wanted counts by place, given those that are ready."""
         spot = spread(self.spot_wanted(scaling), scaling)
-        if self._refused_now():
-            # One that is let go now could not be had back.
+        if self._refused_now() or self._holds_what_runs():
+            # One that is let go now could not be had back, or may be needed.
             spot = {name: max(spot[name], ready.get(Place(name, True), 0)) for name in spot}
         wanted = {Place(name, True): count for name, count in spot.items()}
         firm = self._firm_wanted(scaling, ready)
@@ -156,6 +179,15 @@
             wanted[Place(name, False)] = count
         return wanted
 
+    def _holds_what_runs(self) -> bool:
+        """Return whether endpoints that run are kept whatever the plan says.
+
+        Without this, a member that turned coordinator after most nodes had lost power shrank a
+        fleet that served 220 requests a second to six endpoints.
+        """
+        is_first = bool(self.first_seen) and not self.demand
+        return not self._demand_known() and not is_first
+
     def _firm_wanted(self, scaling: traffic.Scaling, ready: Mapping[Place, int]) -> dict[str, int]:
         """Return firm counts: what lacks of the floor, in the cheapest places with room.
 
@@ -169,7 +201,7 @@
         spot_ready = sum(count for place, count in ready.items() if place.spot)
         firm_ready = sum(count for place, count in ready.items() if not place.spot)
         lacking = math.ceil(FLOOR * needed) - self._spot_ready_or_coming(scaling, ready)
-        kept = min(firm_ready, needed - spot_ready)
+        kept = firm_ready if self._holds_what_runs() else min(firm_ready, needed - spot_ready)
         hedge = math.ceil(needed / len(scaling.prices)) if self._refused_now() else 0
         lacking = max(lacking, kept, hedge, 0)
         counts = dict.fromkeys(scaling.prices, 0)
@@ -256,7 +288,7 @@
         return sorted(due, key=lambda one: (not fewer[one], not one.spot, one.data_centre))
 
     def learn(self, endpoints: Iterable[traffic.Endpoint]) -> None:
-        """Learn how many endpoints the operators gave the service at the first start.
+        """Learn how many endpoints the operators gave the service at the first start, or run.
 
         Firm ones count in any state: those that this plan lets go while others are still being
         told were given all the same.
@@ -264,7 +296,10 @@
         now = self.clock.now()
         if self.began_ms is None:
             self.began_ms = now
-        if not self.first_start or now - self.began_ms >= LEARN_MS:
+        if now - self.began_ms >= LEARN_MS:
+            return
+        if not self.first_start:
+            self._find_running(endpoints)
             return
         for one in endpoints:
             if one.service == self.service and not one.spot and one.id not in self.first_seen:
@@ -272,6 +307,14 @@
                 self.last_new_ms = now
         self.first_count = max(self.first_count, len(self.first_seen))
 
+    def _find_running(self, endpoints: Iterable[traffic.Endpoint]) -> None:
+        """Learn how many endpoints are needed from those that run, without the reserve in them."""
+        ready = self._ready(endpoints)
+        centres = len({place.data_centre for place in ready})
+        left = max(1, centres - LOST_AT_ONCE)
+        kept = sum(ready.values()) * left // max(1, centres)
+        self.found = max(self.found, kept)
+
     def _settled(self) -> bool:
         """Return whether the endpoints had time to be told, so that orders may be given."""
         if self.began_ms is None:
--- a/plumarch/fleet/engine_plan_test.py
+++ b/plumarch/fleet/engine_plan_test.py
@@ -269,3 +269,61 @@
         plan.sample_demand(1e9)
     assert plan.needed(SCALING) == 9
     assert engine_plan.spread(50, SCALING) == {"a": 3, "b": 3, "c": 3}
+
+
+MANY = traffic.Scaling(1, 20, 4_000.0, 0.22, PRICES)
+"""The limits of a larger service, of which 45 run: 30 that are needed and a reserve."""
+
+MANY_RUN = engines(("a", True, 15), ("b", True, 15), ("c", True, 15))
+
+
+def later_start(time: clock.ManualClock, run: list[traffic.Endpoint]) -> engine_plan.EnginePlan:
+    plan = engine_plan.EnginePlan(time, "s")
+    plan.learn(run)
+    time.advance_to(time.now() + engine_plan.SETTLE_MS)
+    return plan
+
+
+def test_who_does_not_know_the_demand_lets_no_endpoint_go():
+    mixed = MANY_RUN + engines(("b", False, 4))
+    for samples in range(engine_plan.DEMAND_SAMPLES):
+        plan = later_start(clock.ManualClock(), mixed)
+        for _ in range(samples):
+            plan.sample_demand(2.5)
+        ready = {("a", True): 15, ("b", True): 15, ("c", True): 15, ("b", False): 4}
+        for place, count in by_place(plan.orders(MANY, mixed)).items():
+            assert count >= ready.get(place, 0)
+
+
+def test_without_the_size_of_a_holder_before_what_runs_is_the_size():
+    plan = later_start(clock.ManualClock(), MANY_RUN)
+    assert plan.needed(MANY) == 30
+    left = MANY_RUN[:30]
+    assert plan.orders(MANY, left) != []
+    assert plan.spot_wanted(MANY) == 45
+    plan.take_over(24)
+    assert plan.needed(MANY) == 24
+
+
+def test_a_node_that_heard_nothing_of_the_fleet_for_a_while_begins_to_learn_the_demand_anew():
+    time = clock.ManualClock()
+    plan = settled(time)
+    time.advance_to(time.now() + engine_plan.LEARN_MS)
+    for _ in range(2 * engine_plan.DEMAND_SAMPLES):
+        plan.sample_demand(1.0)
+    plan.lose_demand()
+    plan.sample_demand(0.1)
+    assert plan.needed(SCALING) == len(FIRM_AT_FIRST)
+    assert all(one.count >= 2 for one in plan.orders(SCALING, ALL_SPOT) if one.data_centre != "c")
+
+
+def test_a_demand_of_which_a_part_is_not_heard_does_not_fall():
+    plan = settled(clock.ManualClock())
+    for _ in range(60):
+        plan.sample_demand(8.0)
+    for _ in range(60):
+        plan.sample_demand(3.0, hears_all=False)
+    assert plan.needed(SCALING) == 8
+    for _ in range(60):
+        plan.sample_demand(8.9, hears_all=False)
+    assert plan.needed(SCALING) == 9
--- a/plumarch/gateway/duties.py
+++ b/plumarch/gateway/duties.py
@@ -16,7 +16,17 @@
 """A process that just started lets others be heard first."""
 
 TRY_PAUSE_MS = 800
+HEAR_HOLDER_MS = 400
+"""A holder that the record names and of whom this node never heard has this long to be heard: two
+heartbeats, or a round between data centres and one to the members. Without it three nodes took
+the duties from one another within 0.2 s after most of a fleet had lost power."""
+
 SAMPLE_MS = 1_000
+HEARD_FOR_DEMAND = 0.9
+"""Part of the nodes that is heard from which on a fall of what they admit is a fall of the demand.
+A judgement: a data centre that is cut off is a twentieth of the fleet or more, and its callers
+still reach it."""
+
 DISPLACED_PAUSE_MS = 8_000
 """A node that another one displaced leaves the duties alone for this long."""
 
@@ -77,11 +87,12 @@
         self.held: duty_lease.HeldRecord | None = None
         self.not_before_ms = state.clock.now() + SETTLE_MS
         self.no_candidate_before_ms = 0
+        self.known_token = 0
         self.reach = follower.Dependency(state, "duties")
         self.leaving = False
         self.plans: dict[str, engine_plan.EnginePlan] = {}
         self.sampled_ms = 0
-        self.sampled_spent = 0.0
+        self.sampled_charged = 0.0
 
     def lease(self) -> records.Lease:
         """Return the lease to act under."""
@@ -122,6 +133,7 @@
                 self._resign("stopping", DISPLACED_PAUSE_MS)
             return
         if not self.status.token:
+            self.known_token = max(self.known_token, self.view.newest_token())
             await self._attempt(self._maybe_take_over)
             return
         if self.tasks.usage:
@@ -156,17 +168,25 @@
                 await self._order_for(service.name, service.scaling)
 
     def _sample_demand(self) -> None:
+        """Take in what the last second asked for, on a node that is told of all requests."""
         now = self.state.clock.now()
+        if self.view.role is tiers.Role.MEMBER:
+            # Members know the level of an allotment, not what was charged to it.
+            self.sampled_ms = 0
+            for plan in self.plans.values():
+                plan.lose_demand()
+            return
         if now - self.sampled_ms < SAMPLE_MS:
             return
-        spent = self.state.quota.total_spent()
-        rate = max(0.0, spent - self.sampled_spent) * 1000.0 / (now - self.sampled_ms)
+        charged = self.state.quota.total_charged()
+        rate = max(0.0, charged - self.sampled_charged) * 1000.0 / (now - self.sampled_ms)
+        hears_all = self.view.heard_fraction() >= HEARD_FOR_DEMAND
         if self.sampled_ms:
             for plan in self.plans.values():
                 known = self.state.chooser.speed(plan.service).known()
-                plan.sample_demand(self._engines_busy(plan.service, rate), known)
+                plan.sample_demand(self._engines_busy(plan.service, rate), known, hears_all)
         self.sampled_ms = now
-        self.sampled_spent = spent
+        self.sampled_charged = charged
 
     def _engines_busy(self, service: str, units_per_s: float) -> float:
         """Return how many engines of a service the requests of all nodes ask for now."""
@@ -247,18 +267,31 @@
         self.not_before_ms = self.state.clock.now() + TRY_PAUSE_MS
         found = duty_lease.decode(await self.store.read_record(duty_lease.KIND, duty_lease.NAME))
         if not duty_lease.is_mine(found, self.view.node, self.view.incarnation):
+            if found is not None and found.record.token > self.known_token:
+                self._wait_for_holder(found.record)
+                return
             wanted = duty_lease.taken_over(found, self.view.node, self.view.incarnation)
             found = await self._write(wanted)
         assert found is not None
         self.reach.answered()
         self.held = found
         self.status.token = found.record.token
+        self.known_token = found.record.token
         newest = max((int(number) for number in found.record.windows), default=0)
         self.status.reported = max(self.status.reported, newest - 1)
         self.state.log.write(
             "duty_taken", urgent=True, token=found.record.token, revision=found.revision
         )
 
+    def _wait_for_holder(self, record: duty_lease.DutyRecord) -> None:
+        """Let a holder be heard that took the duties just now, or long ago and is gone."""
+        self.reach.answered()
+        self.known_token = record.token
+        self.not_before_ms = self.state.clock.now() + HEAR_HOLDER_MS
+        self.state.log.write(
+            "duty_awaited", holder=record.holder, token=record.token, for_ms=HEAR_HOLDER_MS
+        )
+
     async def _write(self, wanted: duty_lease.HeldRecord) -> duty_lease.HeldRecord:
         """Write the record; a lost answer or a conflict is settled by reading back.
 
--- a/plumarch/gateway/duties_test.py
+++ b/plumarch/gateway/duties_test.py
@@ -10,12 +10,16 @@
 from collections.abc import Mapping
 
 import hypothesis
+import msgspec
 from hypothesis import strategies
 
-from plumarch.core import clock, errors, records
+from plumarch.config import routing_table
+from plumarch.core import clock, errors, records, traffic
 from plumarch.gateway import duties, gossiper, heartbeats
-from plumarch.membership import fleet_view
+from plumarch.limits import workspace_quota
+from plumarch.membership import fleet_view, tiers
 from plumarch.peers import gossip
+from plumarch.routing import endpoint_choice, engine_speed
 from plumarch.standins import gateway_parts
 
 WINDOW_MS = 5_000
@@ -299,6 +303,112 @@
     assert world.record is None
 
 
+def test_a_holder_that_was_not_heard_yet_is_not_displaced():
+    world = World(1)
+    first, second, third = world.nodes
+    second.view.incarnation = first.view.incarnation - 1
+    world.time.advance_to(world.time.now() + 2_000)
+    run_step(first.duties)
+    run_step(second.duties)
+    run_step(third.duties)
+    assert [node.number for node in world.nodes if node.duties.status.token] == [0]
+    pass_time(world, 3_000)
+    assert [node.number for node in world.nodes if node.duties.status.token] == [0]
+    assert world.record is not None
+    assert msgspec.json.decode(world.record.value)["token"] == 1
+
+
+def test_a_holder_that_is_never_heard_is_replaced():
+    world = World(1)
+    pass_time(world, 3_000)
+    [holder] = [node for node in world.nodes if node.duties.status.token]
+    holder.frozen = True
+    world.group[holder.number] = 1
+    others = [node for node in world.nodes if node is not holder]
+    for node in others:
+        world.nodes[node.number] = Node(world, node.number)
+    pass_time(world, 1_500 + duties.HEAR_HOLDER_MS + 2 * duties.TICK_MS)
+    assert any(node.duties.status.token for node in world.nodes if node is not holder)
+
+
+class OrderingCloud:
+    """Takes all orders."""
+
+    def __init__(self) -> None:
+        self.orders: list[records.EngineOrder] = []
+
+    async def report_usage(
+        self, lease: records.Lease, window: int, counts: Mapping[str, int]
+    ) -> None:
+        """Take a report."""
+
+    async def order(self, lease: records.Lease, order: records.EngineOrder) -> None:
+        """Take an order."""
+        self.orders.append(order)
+
+
+ENGINES_RUN = 45
+
+
+def ordering_node(time: clock.ManualClock) -> tuple[duties.Duties, OrderingCloud]:
+    """Return a node of a fleet of 70 whose service runs 45 engines in three data centres."""
+    world = World(1)
+    world.time = time
+    node = Node(world, 0)
+    prices = {"a": 1.0, "b": 1.0, "c": 1.0}
+    service = traffic.Service("s", scaling=traffic.Scaling(1, 20, 4_000.0, 0.22, prices))
+    spaces = (traffic.Workspace("w", ("k",), counts_tokens=True, rate=1e6, burst=1e6),)
+    configuration = routing_table.Configuration(1, (), (service,), spaces, traffic.CallerLimits())
+    node.state.adopt_table(routing_table.build(configuration), "store")
+    run = [
+        traffic.Endpoint(f"e{n}", "s", "1:1", "abc"[n % 3], 96, traffic.EndpointState.READY, True)
+        for n in range(ENGINES_RUN)
+    ]
+    node.state.registry.replace(run, 1, "store")
+    cloud = OrderingCloud()
+    node.duties.cloud = cloud
+    return node.duties, cloud
+
+
+def test_a_member_that_turns_coordinator_and_takes_the_duties_shrinks_no_service():
+    time = clock.ManualClock(START_MS)
+    node, cloud = ordering_node(time)
+    node.state.chooser.tell("fleet", {"e1": endpoint_choice.Load(140, 0.0)})
+    speed = node.state.chooser.speed("s")
+    for _ in range(2 * engine_speed.KNOWN_AFTER):
+        speed.first_token(2_000.0, 400.0)
+    node.view.role = tiers.Role.MEMBER
+    for _ in range(100):
+        time.advance_to(time.now() + duties.TICK_MS)
+        node.state.quota.admit(node.state.table.workspaces["w"], 300.0)
+        run_step(node)
+    node.view.role = tiers.Role.COORDINATOR
+    for _ in range(20):
+        time.advance_to(time.now() + duties.TICK_MS)
+        run_step(node)
+    assert node.status.token
+    assert all(order.count >= ENGINES_RUN // 3 for order in cloud.orders)
+
+
+def test_what_a_node_spent_before_it_was_heard_is_no_demand():
+    time = clock.ManualClock(START_MS)
+    node, cloud = ordering_node(time)
+    speed = node.state.chooser.speed("s")
+    for _ in range(2 * engine_speed.KNOWN_AFTER):
+        speed.first_token(2_000.0, 400.0)
+    for _ in range(8):
+        time.advance_to(time.now() + duties.TICK_MS)
+        run_step(node)
+    for number in range(20):
+        told = {"w": workspace_quota.PeerSpending(500_000.0, 1e6)}
+        node.state.quota.heard_from(f"late-{number}", told)
+    for _ in range(8):
+        time.advance_to(time.now() + duties.TICK_MS)
+        run_step(node)
+    assert node.plans["s"].demand < 1.0
+    assert cloud.orders == []
+
+
 def test_a_heartbeat_fits_one_datagram():
     world = World(1)
     node = world.nodes[0]
--- a/plumarch/limits/workspace_quota.py
+++ b/plumarch/limits/workspace_quota.py
@@ -213,10 +213,13 @@
             for name, bucket in self.buckets.items()
         }
 
-    def total_spent(self) -> float:
-        """Return what all nodes admitted, as far as heard; it may fall when one is forgotten."""
-        own = sum(bucket.spent for bucket in self.buckets.values())
-        return own + sum(self.heard.values())
+    def total_charged(self) -> float:
+        """Return what all nodes admitted while they were heard.
+
+        What a node admitted before it was heard is left out: its sum since its start would look
+        like the requests of one moment. It falls when a workspace is dropped.
+        """
+        return sum(bucket.charged for bucket in self.buckets.values())
 
     def heard_from(self, node: str, spending: Mapping[str, PeerSpending]) -> dict[str, float]:
         """Charge what a peer admitted since it was heard last.
--- a/plumarch/membership/fleet_view.py
+++ b/plumarch/membership/fleet_view.py
@@ -324,6 +324,11 @@
             return True
         return any(centre.token > 0 for centre in self.live_centres().values())
 
+    def newest_token(self) -> int:
+        """Return the highest fencing token that another node told, alive or not."""
+        peers = [peer.token for peer in self.peers.values()]
+        return max([0, *peers, *(centre.token for centre in self.centres.values())])
+
     def is_oldest_candidate(self) -> bool:
         """Return whether this node is the oldest live one that could take the duties over.
 
