--- a/plumarch/fleet/engine_plan.py
+++ b/plumarch/fleet/engine_plan.py
@@ -14,6 +14,7 @@
 from collections.abc import Iterable, Mapping
 
 from plumarch.core import clock, records, traffic
+from plumarch.fleet import engine_places
 
 FLOOR = 0.85
 """Part of the needed endpoints below which firm ones are ordered: those that are left serve most
@@ -62,29 +63,6 @@
 """Fewer endpoints are wanted once the demand is below this part of what they carry."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Place:
-    """A kind of endpoint in a data centre."""
-
-    data_centre: str
-    spot: bool
-
-
-@dataclasses.dataclass(slots=True)
-class Given:
-    """The last order for a place.
-
-    Attributes:
-      refused: whether the platform had none.
-      most_ready: the most endpoints that were ready there since.
-    """
-
-    count: int
-    at_ms: int
-    refused: bool = False
-    most_ready: int = 0
-
-
 @dataclasses.dataclass(slots=True)
 class EnginePlan:
     """The plan for one service.
@@ -115,7 +93,7 @@
     sized_for: int = 0
     began_ms: int | None = None
     last_new_ms: int = 0
-    given: dict[Place, Given] = dataclasses.field(default_factory=dict)
+    given: dict[engine_places.Place, engine_places.Given] = dataclasses.field(default_factory=dict)
 
     def sample_demand(
         self, engines: float, speed_known: bool = True, hears_all: bool = True
@@ -182,16 +160,21 @@
         elif self.demand < SHRINK_MARGIN * (self.sized_for - 1):
             self.sized_for = math.ceil(self.demand / SHRINK_MARGIN)
 
-    def wanted(self, scaling: traffic.Scaling, ready: Mapping[Place, int]) -> dict[Place, int]:
+    def wanted(
+        self, scaling: traffic.Scaling, ready: Mapping[engine_places.Place, int]
+    ) -> dict[engine_places.Place, int]:
         """Return the wanted counts by place, given those that are ready."""
-        spot = spread(self.spot_wanted(scaling), scaling)
+        spot = engine_places.spread(self.spot_wanted(scaling), scaling)
         if self._refused_now() or self._holds_what_runs():
             # One that is let go now could not be had back, or may be needed.
-            spot = {name: max(spot[name], ready.get(Place(name, True), 0)) for name in spot}
-        wanted = {Place(name, True): count for name, count in spot.items()}
+            spot = {
+                name: max(spot[name], ready.get(engine_places.Place(name, True), 0))
+                for name in spot
+            }
+        wanted = {engine_places.Place(name, True): count for name, count in spot.items()}
         firm = self._firm_wanted(scaling, ready)
         for name, count in firm.items():
-            wanted[Place(name, False)] = count
+            wanted[engine_places.Place(name, False)] = count
         return wanted
 
     def _holds_what_runs(self) -> bool:
@@ -202,7 +185,9 @@
         """
         return not self.first_seen and self.samples < HELD_SAMPLES
 
-    def _firm_wanted(self, scaling: traffic.Scaling, ready: Mapping[Place, int]) -> dict[str, int]:
+    def _firm_wanted(
+        self, scaling: traffic.Scaling, ready: Mapping[engine_places.Place, int]
+    ) -> dict[str, int]:
         """Return firm counts: what lacks of the floor, in the cheapest places with room.
 
         Reclaimable endpoints that are coming make new firm ones needless; those that run stay
@@ -227,13 +212,13 @@
         return counts
 
     @staticmethod
-    def _lacking_after_next_losses(needed: int, ready: Mapping[Place, int]) -> int:
+    def _lacking_after_next_losses(needed: int, ready: Mapping[engine_places.Place, int]) -> int:
         """Return how many firm endpoints are lacking once further data centres are reclaimed."""
         spot = sorted((count for place, count in ready.items() if place.spot), reverse=True)
         return math.ceil(FLOOR * needed) - sum(spot[LOST_WHILE_REFUSED:])
 
     def _firm_at_first(
-        self, scaling: traffic.Scaling, ready: Mapping[Place, int]
+        self, scaling: traffic.Scaling, ready: Mapping[engine_places.Place, int]
     ) -> dict[str, int]:
         """Return firm counts while nothing runs: the least, then none.
 
@@ -242,15 +227,21 @@
         """
         counts = {}
         for name in scaling.prices:
-            replaced = Place(name, True) in self.given
-            counts[name] = 0 if replaced else min(scaling.minimum, ready.get(Place(name, False), 0))
+            replaced = engine_places.Place(name, True) in self.given
+            counts[name] = (
+                0
+                if replaced
+                else min(scaling.minimum, ready.get(engine_places.Place(name, False), 0))
+            )
         return counts
 
-    def _spot_ready_or_coming(self, scaling: traffic.Scaling, ready: Mapping[Place, int]) -> int:
+    def _spot_ready_or_coming(
+        self, scaling: traffic.Scaling, ready: Mapping[engine_places.Place, int]
+    ) -> int:
         """Return the reclaimable endpoints that are ready, or ordered and not yet overdue."""
         total = 0
         for name in scaling.prices:
-            place = Place(name, True)
+            place = engine_places.Place(name, True)
             count = ready.get(place, 0)
             given = self.given.get(place)
             if given is not None and not given.refused and not self._overdue(given, scaling):
@@ -266,33 +257,36 @@
             for place, given in self.given.items()
         )
 
-    def _overdue(self, given: Given, scaling: traffic.Scaling) -> bool:
+    def _overdue(self, given: engine_places.Given, scaling: traffic.Scaling) -> bool:
         return self.clock.now() - given.at_ms >= scaling.boot_ms + BOOT_MARGIN_MS
 
     def _firm_place(
-        self, scaling: traffic.Scaling, ready: Mapping[Place, int], counts: Mapping[str, int]
+        self,
+        scaling: traffic.Scaling,
+        ready: Mapping[engine_places.Place, int],
+        counts: Mapping[str, int],
     ) -> str | None:
         """Return where the next firm endpoint goes: where one runs already, else the cheapest."""
         open_places = []
         for name, price in scaling.prices.items():
             # The limit holds for both kinds together, and the platform doesn't say what it holds
             # back: 23 firm ones ordered where there was room for 9 were missing 8 s later.
-            running = ready.get(Place(name, False), 0)
-            room = max(running, scaling.maximum - ready.get(Place(name, True), 0))
+            running = ready.get(engine_places.Place(name, False), 0)
+            room = max(running, scaling.maximum - ready.get(engine_places.Place(name, True), 0))
             if counts[name] >= room:
                 continue
             runs_already = running > counts[name]
             open_places.append((not runs_already, counts[name], price, name))
         return min(open_places)[3] if open_places else None
 
-    def _ready(self, endpoints: Iterable[traffic.Endpoint]) -> dict[Place, int]:
-        ready: dict[Place, int] = {}
+    def _ready(self, endpoints: Iterable[traffic.Endpoint]) -> dict[engine_places.Place, int]:
+        ready: dict[engine_places.Place, int] = {}
         for endpoint in endpoints:
             if endpoint.service != self.service:
                 continue
             if endpoint.state is not traffic.EndpointState.READY:
                 continue
-            place = Place(endpoint.data_centre, endpoint.spot)
+            place = engine_places.Place(endpoint.data_centre, endpoint.spot)
             ready[place] = ready.get(place, 0) + 1
         return ready
 
@@ -315,7 +309,10 @@
         for place, count in self.wanted(scaling, ready).items():
             if self._is_due(place, count, ready.get(place, 0), scaling):
                 due.append(records.EngineOrder(self.service, place.data_centre, count, place.spot))
-        fewer = {one: one.count < ready.get(Place(one.data_centre, one.spot), 0) for one in due}
+        fewer = {
+            one: one.count < ready.get(engine_places.Place(one.data_centre, one.spot), 0)
+            for one in due
+        }
         due = [one for one in due if may_shrink or not fewer[one]]
         return sorted(due, key=lambda one: (not fewer[one], not one.spot, one.data_centre))
 
@@ -357,7 +354,7 @@
             return False
         return now - self.began_ms >= SETTLE_MS
 
-    def _nothing_runs_yet(self, ready: Mapping[Place, int]) -> bool:
+    def _nothing_runs_yet(self, ready: Mapping[engine_places.Place, int]) -> bool:
         """Return whether firm endpoints may go at once: first start, no demand, none refused."""
         if not self.first_start or self.demand > 0:
             return False
@@ -365,7 +362,9 @@
             return False
         return not any(place.spot for place in ready)
 
-    def _is_due(self, place: Place, wanted: int, ready: int, scaling: traffic.Scaling) -> bool:
+    def _is_due(
+        self, place: engine_places.Place, wanted: int, ready: int, scaling: traffic.Scaling
+    ) -> bool:
         given = self.given.get(place)
         if given is None:
             return wanted != ready
@@ -386,17 +385,5 @@
 
     def ordered(self, order: records.EngineOrder, refused: bool) -> None:
         """Note an order that was given, and whether the platform had none."""
-        place = Place(order.data_centre, order.spot)
-        self.given[place] = Given(order.count, self.clock.now(), refused)
-
-
-def spread(total: int, scaling: traffic.Scaling) -> dict[str, int]:
-    """Spread a number evenly over the data centres, the cheapest first, within the limits."""
-    names = sorted(scaling.prices, key=lambda name: (scaling.prices[name], name))
-    counts = dict.fromkeys(names, 0)
-    for _ in range(total):
-        open_names = [name for name in names if counts[name] < scaling.maximum]
-        if not open_names:
-            break
-        counts[min(open_names, key=lambda name: counts[name])] += 1
-    return counts
+        place = engine_places.Place(order.data_centre, order.spot)
+        self.given[place] = engine_places.Given(order.count, self.clock.now(), refused)
--- a/plumarch/gateway/duties.py
+++ b/plumarch/gateway/duties.py
@@ -1,4 +1,4 @@
-"""The duties of one node at a time: taking them over, reporting usage, ordering engines."""
+"""The duties of one node at a time: taking them over, usage, engines, roll-outs."""
 
 import asyncio
 import dataclasses
@@ -6,9 +6,10 @@
 
 import msgspec
 
-from plumarch.core import errors, records, traffic
-from plumarch.fleet import duty_lease, engine_demand, engine_plan, rollout
+from plumarch.core import errors, records
+from plumarch.fleet import duty_lease, rollout
 from plumarch.gateway import (
+    engine_orders,
     fleet_state,
     follower,
     gossiper,
@@ -17,7 +18,6 @@
     rollout_duty,
 )
 from plumarch.membership import fleet_view, tiers
-from plumarch.routing import engine_speed
 
 TICK_MS = 250
 SETTLE_MS = 1_500
@@ -29,12 +29,6 @@
 heartbeats, or a round between data centres and one to the members. Without it three nodes took
 the duties from one another within 0.2 s after most of a fleet had lost power."""
 
-SAMPLE_MS = 1_000
-HEARD_FOR_DEMAND = 0.9
-"""Part of the nodes that is heard from which on a fall of what they admit is a fall of the demand.
-A judgement: a data centre that is cut off is a twentieth of the fleet or more, and its callers
-still reach it."""
-
 DISPLACED_PAUSE_MS = 8_000
 """A node that another one displaced leaves the duties alone for this long."""
 
@@ -99,7 +93,6 @@
         self.store = store
         self.cloud = cloud
         self.schedule = schedule
-        self.first_start = first_start
         self.tasks = tasks
         self.held: duty_lease.HeldRecord | None = None
         self.not_before_ms = state.clock.now() + SETTLE_MS
@@ -109,9 +102,7 @@
         self.rollouts = rollout_duty.RolloutDuty(state, store, exposure)
         self.reach = follower.Dependency(state, "duties")
         self.leaving = False
-        self.plans: dict[str, engine_plan.EnginePlan] = {}
-        self.sampled_ms = 0
-        self.sampled_charged = 0.0
+        self.engines = engine_orders.EngineOrders(state, view, cloud, self.rollouts, first_start)
 
     def lease(self) -> records.Lease:
         """Return the lease to act under."""
@@ -138,7 +129,7 @@
 
     async def step(self) -> None:
         """Do what is due now."""
-        self._keep_plans()
+        self.engines.keep_plans()
         self.status.candidate = (
             self.state.clock.now() >= self.no_candidate_before_ms and self.view.sees_fleet()
         )
@@ -194,113 +185,10 @@
             return
         self.held = await self._write(duty_lease.with_rollout(self.held, plan.order.service, kept))
 
-    def _keep_plans(self) -> None:
-        """Keep the plans of all services up to date on each node, for the day it takes over."""
-        table = self.state.table
-        endpoints = self.state.registry.endpoints
-        if table is None or not endpoints:
-            return
-        for service in table.services.values():
-            if service.scaling is None or not service.scaling.prices:
-                continue
-            if service.name not in self.plans:
-                self.plans[service.name] = engine_plan.EnginePlan(
-                    self.state.clock, service.name, first_start=self.first_start
-                )
-            self.plans[service.name].learn(endpoints.values())
-        self._sample_demand()
-
     async def _order_engines(self) -> None:
         """Order what the plans of the services ask for."""
-        table = self.state.table
-        if table is None or not self.state.registry.endpoints:
-            return
-        for service in table.services.values():
-            if service.scaling is not None and service.name in self.plans:
-                await self._order_for(service.name, service.scaling)
-
-    def _sample_demand(self) -> None:
-        """Take in what the last second asked for, on a node that is told of all requests."""
-        now = self.state.clock.now()
-        if not self.view.sees_fleet():
-            # Members know the level of an allotment, not what was charged to it.
-            self.sampled_ms = 0
-            for plan in self.plans.values():
-                plan.lose_demand()
-            return
-        if now - self.sampled_ms < SAMPLE_MS:
-            return
-        charged = self.state.quota.total_charged()
-        rate = max(0.0, charged - self.sampled_charged) * 1000.0 / (now - self.sampled_ms)
-        hears_all = self.view.heard_fraction() >= HEARD_FOR_DEMAND
-        if self.sampled_ms:
-            for plan in self.plans.values():
-                known = self._learned(plan.service) is not None
-                plan.sample_demand(self._engines_busy(plan.service, rate), known, hears_all)
-        self.sampled_ms = now
-        self.sampled_charged = charged
-
-    def _engines_busy(self, service: str, units_per_s: float) -> float:
-        """Return how many engines of a service the requests of all nodes ask for now."""
-        state = self.state
-        endpoints = [one for one in state.registry.endpoints.values() if one.service == service]
-        slots = max((one.slots for one in endpoints), default=1)
-        learned = self._learned(service)
-        return engine_demand.engines_for(
-            self._unread_per_s(service, units_per_s),
-            learned.ms_per_token if learned is not None else 0.0,
-            state.chooser.total_running(endpoints),
-            slots,
-        )
-
-    def _learned(self, service: str) -> engine_speed.SpeedReport | None:
-        """Return what the fleet learned of a service's engines, or None if that is not enough."""
-        work = self.state.work.reading(service)
-        return self.state.chooser.speed(service).planned(self.state.clock.now(), work)
-
-    def _unread_per_s(self, service: str, units_per_s: float) -> float:
-        """Return the prompt tokens a second that all nodes give engines to read.
-
-        What is charged to allotments is told between nodes; where some workspaces have none,
-        the others are taken to send as much as this node.
-        """
-        work = self.state.work
-        workspaces = self.state.table.workspaces.values() if self.state.table else ()
-        if workspaces and all(one.rate > 0 and one.counts_tokens for one in workspaces):
-            speed = self.state.chooser.speed(service)
-            report = speed.report(self.state.clock.now(), work.reading(service))
-            return units_per_s * report.work.unread_per_unit()
-        return work.unread_per_s(service) * self.view.size()
-
-    async def _order_for(self, service: str, scaling: traffic.Scaling) -> None:
-        plan = self.plans[service]
-        if self.held is not None:
-            plan.take_over(self.held.record.sizes.get(service, 0))
-        rolls = self.rollouts.is_running(service)
-        for order in plan.orders(scaling, self.rollouts.serving(service), may_shrink=not rolls):
-            refused = False
-            try:
-                await self.cloud.order(self.lease(), order)
-                self.reach.answered()
-            except errors.NoneToBeHad:
-                refused = True
-            except errors.PlatformAnswerLost:
-                plan.ordered(order, refused=True)
-                raise
-            plan.ordered(order, refused)
-            self.state.log.write(
-                "ordered",
-                service=service,
-                data_centre=order.data_centre,
-                count=order.count,
-                spot=order.spot,
-                refused=refused,
-                demand=round(plan.demand, 2),
-                learned=self._learned(service),
-                needed=plan.needed(scaling),
-                token=self.status.token,
-                registry_revision=self.state.registry.revision,
-            )
+        sizes = self.held.record.sizes if self.held is not None else {}
+        await self.engines.order_all(self.lease(), sizes, self.reach.answered)
 
     def _out_of_reach(self, error: errors.PlatformError) -> None:
         self.reach.failed(error)
@@ -406,8 +294,7 @@
             counts = self.state.usage.total(window)
             for workspace in self.state.table.workspaces if self.state.table else ():
                 counts.setdefault(workspace, 0)
-            sizes = {plan.service: plan.size() for plan in self.plans.values() if plan.size()}
-            wanted = duty_lease.with_window(self.held, window, counts, sizes)
+            wanted = duty_lease.with_window(self.held, window, counts, self.engines.sizes())
             self.held = await self._write(wanted)
         if str(window) not in self.held.record.windows:
             raise errors.PlatformUnavailable(f"Window {window} is not written yet. Try again.")
--- a/plumarch/gateway/duties_test.py
+++ b/plumarch/gateway/duties_test.py
@@ -366,7 +366,7 @@
     ]
     node.state.registry.replace(run, 1, "store")
     cloud = OrderingCloud()
-    node.duties.cloud = cloud
+    node.duties.cloud = node.duties.engines.cloud = cloud
     return node.duties, cloud
 
 
@@ -405,7 +405,7 @@
     for _ in range(8):
         time.advance_to(time.now() + duties.TICK_MS)
         run_step(node)
-    assert node.plans["s"].demand < 1.0
+    assert node.engines.plans["s"].demand < 1.0
     assert cloud.orders == []
 
 
--- /dev/null
+++ b/plumarch/gateway/engine_orders.py
@@ -0,0 +1,178 @@
+"""Engines ordered by the holder of the duties, by plans that each node keeps for its turn."""
+
+from collections.abc import Callable, Mapping
+
+from plumarch.core import errors, records, traffic
+from plumarch.fleet import engine_demand, engine_plan
+from plumarch.gateway import fleet_state, ports, rollout_duty
+from plumarch.membership import fleet_view
+from plumarch.routing import engine_speed
+
+SAMPLE_MS = 1_000
+HEARD_FOR_DEMAND = 0.9
+"""Part of the nodes that is heard from which on a fall of what they admit is a fall of the demand.
+A judgement: a data centre that is cut off is a twentieth of the fleet or more, and its callers
+still reach it."""
+
+
+class EngineOrders:
+    """The plans of all services that can be ordered, and what they are fed with.
+
+    Attributes:
+      plans: by service.
+      sampled_ms: when the demand was sampled last; 0 while this node isn't told of all requests.
+      sampled_charged: units that all nodes had been charged by then.
+    """
+
+    def __init__(
+        self,
+        state: fleet_state.FleetState,
+        view: fleet_view.FleetView,
+        cloud: ports.Cloud,
+        rollouts: rollout_duty.RolloutDuty,
+        first_start: bool,
+    ) -> None:
+        self.state = state
+        self.view = view
+        self.cloud = cloud
+        self.rollouts = rollouts
+        self.first_start = first_start
+        self.plans: dict[str, engine_plan.EnginePlan] = {}
+        self.sampled_ms = 0
+        self.sampled_charged = 0.0
+
+    def keep_plans(self) -> None:
+        """Keep the plans of all services up to date on each node, for the day it takes over."""
+        table = self.state.table
+        endpoints = self.state.registry.endpoints
+        if table is None or not endpoints:
+            return
+        for service in table.services.values():
+            if service.scaling is None or not service.scaling.prices:
+                continue
+            if service.name not in self.plans:
+                self.plans[service.name] = engine_plan.EnginePlan(
+                    self.state.clock, service.name, first_start=self.first_start
+                )
+            self.plans[service.name].learn(endpoints.values())
+        self._sample_demand()
+
+    def _sample_demand(self) -> None:
+        """Take in what the last second asked for, on a node that is told of all requests."""
+        now = self.state.clock.now()
+        if not self.view.sees_fleet():
+            # Members know the level of an allotment, not what was charged to it.
+            self.sampled_ms = 0
+            for plan in self.plans.values():
+                plan.lose_demand()
+            return
+        if now - self.sampled_ms < SAMPLE_MS:
+            return
+        charged = self.state.quota.total_charged()
+        rate = max(0.0, charged - self.sampled_charged) * 1000.0 / (now - self.sampled_ms)
+        hears_all = self.view.heard_fraction() >= HEARD_FOR_DEMAND
+        if self.sampled_ms:
+            for plan in self.plans.values():
+                known = self._learned(plan.service) is not None
+                plan.sample_demand(self._engines_busy(plan.service, rate), known, hears_all)
+        self.sampled_ms = now
+        self.sampled_charged = charged
+
+    def _engines_busy(self, service: str, units_per_s: float) -> float:
+        """Return how many engines of a service the requests of all nodes ask for now."""
+        state = self.state
+        endpoints = [one for one in state.registry.endpoints.values() if one.service == service]
+        slots = max((one.slots for one in endpoints), default=1)
+        learned = self._learned(service)
+        return engine_demand.engines_for(
+            self._unread_per_s(service, units_per_s),
+            learned.ms_per_token if learned is not None else 0.0,
+            state.chooser.total_running(endpoints),
+            slots,
+        )
+
+    def _learned(self, service: str) -> engine_speed.SpeedReport | None:
+        """Return what the fleet learned of a service's engines, or None if that is not enough."""
+        work = self.state.work.reading(service)
+        return self.state.chooser.speed(service).planned(self.state.clock.now(), work)
+
+    def _unread_per_s(self, service: str, units_per_s: float) -> float:
+        """Return the prompt tokens a second that all nodes give engines to read.
+
+        What is charged to allotments is told between nodes; where some workspaces have none,
+        the others are taken to send as much as this node.
+        """
+        work = self.state.work
+        workspaces = self.state.table.workspaces.values() if self.state.table else ()
+        if workspaces and all(one.rate > 0 and one.counts_tokens for one in workspaces):
+            speed = self.state.chooser.speed(service)
+            report = speed.report(self.state.clock.now(), work.reading(service))
+            return units_per_s * report.work.unread_per_unit()
+        return work.unread_per_s(service) * self.view.size()
+
+    def sizes(self) -> dict[str, int]:
+        """Return how many endpoints the services need, for a holder that comes next."""
+        return {plan.service: plan.size() for plan in self.plans.values() if plan.size()}
+
+    async def order_all(
+        self, lease: records.Lease, sizes: Mapping[str, int], answered: Callable[[], None]
+    ) -> None:
+        """Order what the plans of the services ask for.
+
+        Args:
+          sizes: what the holder before needed, by service.
+          answered: told of each answer of the platform.
+        Raises:
+          PlatformError: a call failed; what is left is ordered the next time.
+        """
+        table = self.state.table
+        if table is None or not self.state.registry.endpoints:
+            return
+        for service in table.services.values():
+            if service.scaling is not None and service.name in self.plans:
+                self.plans[service.name].take_over(sizes.get(service.name, 0))
+                await self._order_for(service.name, service.scaling, lease, answered)
+
+    async def _order_for(
+        self,
+        service: str,
+        scaling: traffic.Scaling,
+        lease: records.Lease,
+        answered: Callable[[], None],
+    ) -> None:
+        plan = self.plans[service]
+        rolls = self.rollouts.is_running(service)
+        for order in plan.orders(scaling, self.rollouts.serving(service), may_shrink=not rolls):
+            refused = False
+            try:
+                await self.cloud.order(lease, order)
+                answered()
+            except errors.NoneToBeHad:
+                refused = True
+            except errors.PlatformAnswerLost:
+                plan.ordered(order, refused=True)
+                raise
+            plan.ordered(order, refused)
+            self._log(plan, scaling, order, lease, refused)
+
+    def _log(
+        self,
+        plan: engine_plan.EnginePlan,
+        scaling: traffic.Scaling,
+        order: records.EngineOrder,
+        lease: records.Lease,
+        refused: bool,
+    ) -> None:
+        self.state.log.write(
+            "ordered",
+            service=order.service,
+            data_centre=order.data_centre,
+            count=order.count,
+            spot=order.spot,
+            refused=refused,
+            demand=round(plan.demand, 2),
+            learned=self._learned(order.service),
+            needed=plan.needed(scaling),
+            token=lease.token,
+            registry_revision=self.state.registry.revision,
+        )
