--- a/plumarch/gateway/coordination.py
+++ b/plumarch/gateway/coordination.py
@@ -12,7 +12,7 @@
     version_reports,
 )
 from plumarch.limits import centre_spending
-from plumarch.membership import fleet_view, tiers
+from plumarch.membership import fleet_view, peer_node, tiers
 from plumarch.peers import gossip, recent_changes
 from plumarch.routing import endpoint_choice
 
@@ -126,7 +126,7 @@
             answers=version_reports.answers_told(state, self._is_near),
         )
 
-    def _candidate(self, neighbours: list[fleet_view.Peer]) -> list[gossip.KnownElder]:
+    def _candidate(self, neighbours: list[peer_node.Peer]) -> list[gossip.KnownElder]:
         ages = [one.age() for one in neighbours if one.candidate and not one.leaving]
         if self.duty.candidate:
             ages.append(self.view.age())
--- a/plumarch/gateway/gossiper.py
+++ b/plumarch/gateway/gossiper.py
@@ -21,7 +21,7 @@
     version_reports,
 )
 from plumarch.limits import centre_spending, workspace_quota
-from plumarch.membership import fleet_view, tiers
+from plumarch.membership import fleet_view, peer_node, tiers
 from plumarch.peers import gossip
 
 BEAT_MS = 250
@@ -184,7 +184,7 @@
         for address in sorted(to):
             self.transport.sendto(datagram, addresses.split(address))
 
-    def _forget(self, peer: fleet_view.Peer) -> None:
+    def _forget(self, peer: peer_node.Peer) -> None:
         apart = self.view.role is not tiers.Role.FLAT
         if not apart or peer.data_centre == self.state.data_centre:
             self.state.log.write("peer_forgotten", peer=peer.name, address=peer.address)
@@ -346,7 +346,7 @@
         if beat.sequence and self._seeks(near):
             self._answer(peer)
 
-    def _meet(self, peer: fleet_view.Peer) -> None:
+    def _meet(self, peer: peer_node.Peer) -> None:
         """Note a node that is heard for the first time, or again."""
         self.state.log.write(
             "peer", peer=peer.name, incarnation=peer.incarnation, address=peer.address
@@ -367,7 +367,7 @@
             return self.view.role is tiers.Role.MEMBER
         return self.view.known_size() > tiers.FLAT_FLEET
 
-    def _answer(self, peer: fleet_view.Peer) -> None:
+    def _answer(self, peer: peer_node.Peer) -> None:
         """Tell a node that looks for the coordinators of its data centre who they may be."""
         now = self.state.clock.now()
         if now - self.answered_ms.get(peer.name, -ANSWER_AGAIN_MS) < ANSWER_AGAIN_MS:
--- a/plumarch/gateway/rounds.py
+++ b/plumarch/gateway/rounds.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from plumarch.gateway import coordination, fleet_state, told_figures
-from plumarch.membership import fleet_view, tiers
+from plumarch.membership import fleet_view, peer_node, tiers
 from plumarch.peers import gossip
 
 NEWS_MS = 100
@@ -95,7 +95,7 @@
         for name, centre in view.centres.items():
             wanted = centre.elders[: tiers.COORDINATORS] if name in live else centre.elders
             told |= {elder.address for elder in wanted}
-        heard: dict[str, list[fleet_view.Peer]] = {}
+        heard: dict[str, list[peer_node.Peer]] = {}
         for peer in view.peers.values():
             if peer.incarnation and peer.data_centre not in (self.state.data_centre, *live):
                 heard.setdefault(peer.data_centre, []).append(peer)
--- a/plumarch/membership/fleet_view.py
+++ b/plumarch/membership/fleet_view.py
@@ -8,7 +8,7 @@
 from collections.abc import Iterable
 
 from plumarch.core import clock
-from plumarch.membership import tiers
+from plumarch.membership import peer_node, tiers
 
 HEARD_MS = 1_200
 """A node whose heartbeat is younger than this counts as heard, if heartbeats are frequent."""
@@ -27,37 +27,6 @@
 """Nodes of each data centre that follow the store in a larger fleet."""
 
 
-@dataclasses.dataclass(slots=True)
-class Peer:
-    """Another node.
-
-    Attributes:
-      incarnation: time of day at which its process started, in ms; 0 if never heard.
-      address: IP:port of its heartbeats.
-      heard_ms: when it was heard last, by this node's clock.
-      token: the fencing token that it holds, or 0.
-      candidate: whether it could take the duties over now.
-      reaches_store: whether the platform's store answers it.
-      nodes: how many nodes it counts in the fleet.
-    """
-
-    name: str
-    address: str
-    learned_ms: int
-    incarnation: int = 0
-    data_centre: str = ""
-    heard_ms: int | None = None
-    leaving: bool = False
-    token: int = 0
-    candidate: bool = True
-    reaches_store: bool = True
-    nodes: int = 0
-
-    def age(self) -> tiers.Age:
-        """Return what nodes are ordered by."""
-        return tiers.Age(self.incarnation, self.name)
-
-
 @dataclasses.dataclass(slots=True)
 class FleetView:
     """All peers by name; those known by address only stand under their address.
@@ -78,7 +47,7 @@
     address: str
     data_centre: str = ""
     interval_ms: float = 0.0
-    peers: dict[str, Peer] = dataclasses.field(default_factory=dict)
+    peers: dict[str, peer_node.Peer] = dataclasses.field(default_factory=dict)
     role: tiers.Role = tiers.Role.FLAT
     centres: dict[str, tiers.CentreView] = dataclasses.field(default_factory=dict)
     news: tiers.FleetNewsView | None = None
@@ -96,9 +65,9 @@
             return
         if address in self.names:
             return
-        self._keep(Peer(name, address, self.clock.now(), data_centre=data_centre))
+        self._keep(peer_node.Peer(name, address, self.clock.now(), data_centre=data_centre))
 
-    def _keep(self, peer: Peer) -> None:
+    def _keep(self, peer: peer_node.Peer) -> None:
         self.peers[peer.name] = peer
         self.names[peer.address] = peer.name
 
@@ -107,7 +76,9 @@
         if self.names.get(peer.address) == name:
             del self.names[peer.address]
 
-    def heard(self, name: str, incarnation: int, address: str, data_centre: str) -> Peer | None:
+    def heard(
+        self, name: str, incarnation: int, address: str, data_centre: str
+    ) -> peer_node.Peer | None:
         """Take in a sign of life.
 
         Returns:
@@ -123,7 +94,7 @@
         if peer is not None and peer.incarnation > incarnation:
             return None
         if peer is None:
-            peer = Peer(name, address, now)
+            peer = peer_node.Peer(name, address, now)
         elif peer.address != address:
             self._drop(name)
             peer.address = address
@@ -133,7 +104,7 @@
         peer.heard_ms = now
         return peer
 
-    def tick(self) -> list[Peer]:
+    def tick(self) -> list[peer_node.Peer]:
         """Forget peers that are silent for long.
 
         Returns:
@@ -155,13 +126,13 @@
         """Return how long a node may be silent and still counts as heard."""
         return max(HEARD_MS, HEARD_BEATS * self.interval_ms)
 
-    def is_heard(self, peer: Peer) -> bool:
+    def is_heard(self, peer: peer_node.Peer) -> bool:
         """Return whether a peer was heard lately."""
         if peer.heard_ms is None:
             return False
         return self.clock.now() - peer.heard_ms <= self.silence_ms()
 
-    def live(self) -> list[Peer]:
+    def live(self) -> list[peer_node.Peer]:
         """Return the peers that are heard and not leaving, by name."""
         found = [one for one in self.peers.values() if self.is_heard(one) and not one.leaving]
         return sorted(found, key=lambda peer: peer.name)
@@ -218,17 +189,17 @@
             return self.news.centre_nodes
         return self.centre_size()
 
-    def neighbours(self) -> list[Peer]:
+    def neighbours(self) -> list[peer_node.Peer]:
         """Return the peers of the own data centre."""
         return [one for one in self.peers.values() if one.data_centre == self.data_centre]
 
-    def known_directly(self) -> list[Peer]:
+    def known_directly(self) -> list[peer_node.Peer]:
         """Return the peers of whom no coordinator tells."""
         if self.role is not tiers.Role.COORDINATOR:
             return list(self.peers.values())
         return [one for one in self.peers.values() if one.data_centre not in self.centres]
 
-    def _left(self, peer: Peer) -> bool:
+    def _left(self, peer: peer_node.Peer) -> bool:
         return peer.leaving and not self.is_heard(peer)
 
     def heard_fraction(self) -> float:
