--- a/plumarch/gateway/large_fleet_quota_test.py
+++ b/plumarch/gateway/large_fleet_quota_test.py
@@ -30,8 +30,10 @@
 class Session:
     """A fleet that callers ask for more than it may give."""
 
-    def __init__(self, size: gossip_fleet.Size, seed: int) -> None:
-        self.fleet = gossip_fleet.GossipFleet(size, seed)
+    def __init__(self, size: gossip_fleet.Size, seed: int, knows_all: bool = True) -> None:
+        self.fleet = gossip_fleet.GossipFleet(size, seed, knows_all)
+        self.offered = OFFERED
+        self.owed = 0.0
         self.rng = random.Random(seed)
         self.space: traffic.Workspace = self.fleet.table.workspaces["w0"]
         for node in self.fleet.live():
@@ -51,10 +53,10 @@
         """Let callers ask for a while, at nodes chosen at random."""
         for _ in range(for_ms // STEP_MS):
             self.fleet.run(STEP_MS)
-            offered = OFFERED * RATE * STEP_MS / 1000.0
-            while offered > 0:
+            self.owed += self.offered * RATE * STEP_MS / 1000.0
+            while self.owed > 0:
                 units = self.rng.uniform(200, 9_000)
-                offered -= units
+                self.owed -= units
                 node = self.rng.choice(self.fleet.live())
                 if not node.frozen and node.state.quota.admit(self.space, units) == 0:
                     self.note(units)
@@ -94,6 +96,29 @@
     assert RATE * WINDOW_MS / 1000.0 <= session.most <= ALLOWED
 
 
+@pytest.mark.parametrize("seed", range(4))
+@pytest.mark.parametrize("with_coordinators", [False, True])
+def test_a_third_of_the_nodes_cut_off_one_by_one_before_a_load(seed: int, with_coordinators: bool):
+    """Callers ask for little, 24 of 69 nodes lose all others, and then callers ask for six times
+    the rate.
+    """
+    size = gossip_fleet.Size(3, 23, workspaces=1, rate=RATE, burst=BURST)
+    session = Session(size, seed, knows_all=False)
+    session.offered = 0.5
+    session.serve(9_000)
+    fleet = session.fleet
+    cut = set(session.rng.sample([node.name for node in fleet.live()], 24))
+    if with_coordinators:
+        cut |= {node.name for node in fleet.with_role(tiers.Role.COORDINATOR)}
+    fleet.cut = lambda one, other: one.name in cut or other.name in cut
+    session.serve(2_000)
+    session.offered = 6.0
+    session.serve(10_000)
+    fleet.cut = lambda one, other: False
+    session.serve(4_000)
+    assert session.most <= ALLOWED, session.most / ALLOWED
+
+
 STEPS = strategies.lists(
     strategies.tuples(
         strategies.sampled_from(
--- a/plumarch/limits/workspace_quota.py
+++ b/plumarch/limits/workspace_quota.py
@@ -30,6 +30,12 @@
 """The part of it by which buckets hold more than the burst: a large prompt that follows others
 finds room for it. What is left covers nodes that admit at the same moment."""
 
+EXCESS_OVERDRAWN = 0.2
+"""The part of it by which all groups of nodes that don't hear each other may overdraw their parts
+together with one large request each. Without this limit 24 nodes that were each cut off alone
+admitted twice their parts, a request of 9,000 units where 435 were left, and the fleet 1.02 of what
+is tolerated."""
+
 LEAST_URGENT_RANK = 2
 """Ranks from this one on leave what a bucket holds beyond the burst to more urgent requests."""
 
@@ -69,6 +75,10 @@
         used = EXCESS_REFILLED * self._freshness(news_age_ms)
         return workspace.rate + used * self.excess(workspace) * 1000.0 / self.window_ms
 
+    def overdraft(self, workspace: traffic.Workspace) -> float:
+        """Return the units by which one request on each side of a cut may overdraw, together."""
+        return EXCESS_OVERDRAWN * self.excess(workspace)
+
     def capacity(self, workspace: traffic.Workspace, news_age_ms: float) -> float:
         """Return the most units that a workspace's bucket holds over all nodes."""
         used = EXCESS_HELD * self._freshness(news_age_ms)
@@ -157,7 +167,7 @@
         available = bucket.level if self.fraction >= 1.0 else bucket.part
         if bucket.settled:
             available -= self._left_to_others(workspace, rank)
-        needed = min(units, workspace.burst * self.fraction)
+        needed = min(units, self._least(workspace, units))
         if available < needed:
             refill = self.tolerance.refill(workspace, self.news_age_ms) * self.fraction
             return max(1.0, (needed - available) / max(refill, 1e-9) * 1000.0)
@@ -165,6 +175,16 @@
         bucket.spent += units
         return 0.0
 
+    def _least(self, workspace: traffic.Workspace, units: float) -> float:
+        """Return the level from which on a request larger than a part holds is admitted.
+
+        A whole fleet admits what is larger than the burst once that is full. A small group
+        refuses it: its callers are served by the nodes that hear each other.
+        """
+        overdraft = self.tolerance.overdraft(workspace) * self.fraction
+        burst = workspace.burst * self.fraction
+        return burst if self.fraction >= 1.0 else max(burst, units - overdraft)
+
     def _left_to_others(self, workspace: traffic.Workspace, rank: int) -> float:
         """Return the units that requests of a rank leave in the bucket."""
         if rank < LEAST_URGENT_RANK:
--- a/plumarch/membership/fleet_view.py
+++ b/plumarch/membership/fleet_view.py
@@ -20,6 +20,12 @@
 """A node silent for this long is no longer counted among the fleet."""
 
 
+TRUSTED_NEWS_MS = 600
+"""A member admits from the fleet's part by news that are younger than this, and else from its own
+node's part. News come each 100 ms, and from the second coordinator each 400 ms if the first
+one falls silent. By the 1,200 ms after which a node counts as silent, each of 24 nodes that were
+cut off alone admitted from the whole for twice as long."""
+
 SMALL_FLEET = 12
 """Up to this size each node follows the store."""
 
@@ -209,7 +215,9 @@
         """
         size = self.size()
         if self.role is tiers.Role.MEMBER:
-            return self.news.fraction if self.news and self.hears_news() else 1.0 / size
+            age = self.news_age_ms()
+            fresh = age is not None and age <= TRUSTED_NEWS_MS
+            return self.news.fraction if self.news and fresh else 1.0 / size
         told = self.live_centres() if self.role is tiers.Role.COORDINATOR else {}
         heard = 1 + len(
             [
