--- a/plumarch/routing/version_split.py
+++ b/plumarch/routing/version_split.py
@@ -15,6 +15,10 @@
 endpoints may be told before the order to roll it out. That is how long the duties may be without
 a holder, who alone reads orders."""
 
+OLD_GO_MS = 6_000
+"""For this long after a completion old endpoints get nothing: they stop at once, but their entries
+stay for up to three of their heartbeats, 3.6 s. Later a further version may come without an order."""
+
 TOLD_MS = 30_000
 """How long a split that is over is told on; a node silent for longer is forgotten."""
 
@@ -101,8 +105,11 @@
         old = [one for one in ready if one.version != split.version]
         if not split.may_use():
             return [old]
+        if split.state is rollouts.RolloutState.COMPLETED:
+            age_ms = self.clock.now() - self.known[service].at_ms
+            return [list(ready) if age_ms >= OLD_GO_MS else new or old]
         if split.share >= 1.0:
-            return [new, old] if split.state is rollouts.RolloutState.RUNNING else [new or old]
+            return [new, old]
         if repeated or not new or not _is_chosen(split, request):
             return [old]
         return [_as_loaded_as_old(new, split.share), old]
--- a/plumarch/routing/version_split_test.py
+++ b/plumarch/routing/version_split_test.py
@@ -101,6 +101,12 @@
     assert known.groups("s", OLD, "q", repeated=True)[0] == OLD
 
 
+def test_a_version_that_comes_long_after_a_completion_is_used():
+    known = knowing(split(1.0, state=COMPLETED))
+    known.clock.advance_to(known.clock.now() + version_split.OLD_GO_MS)
+    assert {one.version for one in first_of(known, "q")} == {"v1", "v2"}
+
+
 def test_a_later_holders_word_goes_before_an_earlier_ones():
     known = knowing(split(0.5, token=1, step=9))
     assert known.adopt(split(0.1, token=2, step=1))
