--- a/plumarch/routing/version_split.py
+++ b/plumarch/routing/version_split.py
@@ -17,7 +17,7 @@
 
 OLD_GO_MS = 6_000
 """For this long after a completion old endpoints get nothing: they stop at once, but their entries
-stay for up to three of their heartbeats, 3.6 s. Later a further version may come without an order."""
+stay for up to three of their heartbeats, 3.6 s. Later a further version may come by itself."""
 
 TOLD_MS = 30_000
 """How long a split that is over is told on; a node silent for longer is forgotten."""
