--- a/plumarch/routing/engine_speed.py
+++ b/plumarch/routing/engine_speed.py
@@ -243,10 +243,6 @@
         """Take in what a node or the nodes of a data centre learned."""
         self.heard[source] = HeardReport(report, now)
 
-    def forget(self, source: str) -> None:
-        """Drop what a source told."""
-        self.heard.pop(source, None)
-
     def report(
         self,
         now: int,
