Settings name regions, memory and contact; distances, memory accounts and endpoints' limits get modules

Cause: no part knew regions, nothing counted bytes held, and the limit of requests at an endpoint stood among the attempts. Nothing is decided differently yet.

--- a/plumarch/daemon/gateway.py
+++ b/plumarch/daemon/gateway.py
@@ -26,13 +26,15 @@
     registration,
     relay,
 )
-from plumarch.limits import attempt_budget, workspace_quota
+from plumarch.limits import attempt_budget, memory_account, workspace_quota
 from plumarch.membership import fleet_view, registry
 from plumarch.routing import (
     answer_times,
     data_centre_reach,
+    distance,
     endpoint_choice,
     endpoint_health,
+    endpoint_limits,
     version_split,
 )
 
@@ -137,6 +139,11 @@
             splits=version_split.VersionSplits(now),
             answers=version_tally.TallyBook(),
             answer_times=answer_times.AnswerTimes(),
+            distances=distance.Distances(
+                now, settings.node.data_centre, settings.regions.data_centres
+            ),
+            memory=memory_account.of_limit(settings.memory.limit_mb),
+            limits=endpoint_limits.EndpointLimits(now),
         )
 
     def _duty_tasks(self) -> duties.DutyTasks:
--- a/plumarch/daemon/gateway_settings.py
+++ b/plumarch/daemon/gateway_settings.py
@@ -23,6 +23,21 @@
 Duties = Annotated[tuple[str, ...], fields.read_by(_duties)]
 
 
+def _regions(text: str) -> dict[str, str]:
+    found: dict[str, str] = {}
+    for word in fields.words(text):
+        data_centre, _, region = word.partition(":")
+        if not data_centre.strip() or not region.strip():
+            raise ValueError(f"{word!r} is not DATA CENTRE:REGION")
+        if data_centre.strip() in found:
+            raise ValueError(f"data centre {data_centre.strip()} is named twice")
+        found[data_centre.strip()] = region.strip()
+    return found
+
+
+Regions = Annotated[dict[str, str], fields.read_by(_regions)]
+
+
 class NodeSection(ini.Section, frozen=True):
     """[node]: who this node is, and whether the whole system starts for the first time."""
 
@@ -31,6 +46,21 @@
     first_start: bool = False
 
 
+class RegionsSection(ini.Section, frozen=True):
+    """[regions]: the region of each data centre, as DATA CENTRE:REGION, separated by commas.
+
+    Without any, all data centres are of one region.
+    """
+
+    data_centres: Regions = {}
+
+
+class MemorySection(ini.Section, frozen=True):
+    """[memory]: the memory that the process may take, in MB of 2**20 bytes."""
+
+    limit_mb: fields.Positive = 512.0
+
+
 class ListenSection(ini.Section, frozen=True):
     """[listen]: where it listens; peers is used for TCP and UDP."""
 
@@ -74,6 +104,7 @@
     quota_slack: fields.NotNegative = 0.0
     usage_window_s: fields.Positive = 5.0
     usage_delay_s: fields.Positive = 10.0
+    contact_ms: fields.Positive = 5_000.0
 
 
 class RolloutsSection(ini.Section, frozen=True):
@@ -98,6 +129,8 @@
     """All settings of one gateway."""
 
     node: NodeSection
+    regions: RegionsSection
+    memory: MemorySection
     listen: ListenSection
     peers: PeersSection
     store: StoreSection
@@ -124,9 +157,22 @@
     """
     document = ini.parse(file, text)
     document.allow_sections(
-        {"node", "listen", "peers", "store", "cloud", "bounds", "rollouts", "log"}
+        {
+            "node",
+            "regions",
+            "memory",
+            "listen",
+            "peers",
+            "store",
+            "cloud",
+            "bounds",
+            "rollouts",
+            "log",
+        }
     )
     node = document.section("node", NodeSection)
+    regions = document.section("regions", RegionsSection, required=False)
+    memory = document.section("memory", MemorySection, required=False)
     listen = document.section("listen", ListenSection)
     peers = document.section("peers", PeersSection, required=False)
     store = document.section("store", StoreSection)
@@ -136,5 +182,9 @@
     log = document.section("log", LogSection, required=False)
     if document.problems:
         return None, document.problems
-    assert node and listen and peers and store and cloud and bounds and rollouts and log
-    return GatewaySettings(node, listen, peers, store, cloud, bounds, rollouts, log), []
+    assert node and regions and memory and listen and peers
+    assert store and cloud and bounds and rollouts and log
+    found = GatewaySettings(
+        node, regions, memory, listen, peers, store, cloud, bounds, rollouts, log
+    )
+    return found, []
--- a/plumarch/daemon/gateway_settings_test.py
+++ b/plumarch/daemon/gateway_settings_test.py
@@ -52,3 +52,23 @@
 def test_a_file_that_cannot_be_read_names_the_remedy(tmp_path: pathlib.Path):
     with pytest.raises(errors.SettingsError, match="Name a file"):
         gateway_settings.load(str(tmp_path / "missing.ini"))
+
+
+def test_regions_of_data_centres():
+    found, problems = gateway_settings.read(
+        "g.ini", WHOLE + "[regions]\ndata_centres = z:south, y: south,x:north\n"
+    )
+    assert problems == []
+    assert found.regions.data_centres == {"z": "south", "y": "south", "x": "north"}
+
+
+def test_no_regions_are_named_by_an_empty_list():
+    found, problems = gateway_settings.read("g.ini", WHOLE + "[regions]\ndata_centres =\n")
+    assert problems == []
+    assert found.regions.data_centres == {}
+
+
+@pytest.mark.parametrize("text", ["z", "z:", ":south", "z:south, z:north"])
+def test_bad_regions_are_told(text):
+    _, problems = gateway_settings.read("g.ini", WHOLE + f"[regions]\ndata_centres = {text}\n")
+    assert [(one.section, one.key) for one in problems] == [("regions", "data_centres")]
--- a/plumarch/gateway/attempts.py
+++ b/plumarch/gateway/attempts.py
@@ -13,14 +13,6 @@
 PROMISED_NOT_RUN = frozenset({408, 421, 429, 503})
 """Statuses that promise that a request did not run, when an endpoint says so."""
 
-QUEUE_FACTOR = 3
-"""Requests at a plain endpoint, in multiples of its slots, before it counts as full."""
-
-ENGINE_QUEUE_FACTOR = 1.5
-"""The same at engines, where a request waits for one of many places; how long it is expected to
-wait counts among the costs, and a wait beyond its target refuses it. A judgement: half a batch
-is as long as a target lets anything wait."""
-
 
 @dataclasses.dataclass(slots=True)
 class Progress:
@@ -117,8 +109,8 @@
 def _has_room(
     state: fleet_state.FleetState, admitted: admission.Admitted, endpoint: traffic.Endpoint
 ) -> bool:
-    factor = ENGINE_QUEUE_FACTOR if admitted.prompt_tokens else QUEUE_FACTOR
-    return state.chooser.running(endpoint.id) < factor * max(1, endpoint.slots)
+    running = state.chooser.running(endpoint.id)
+    return state.limits.has_room(endpoint, running, bool(admitted.prompt_tokens))
 
 
 async def send(
@@ -137,6 +129,7 @@
     state.reach.try_again(endpoint.data_centre)
     _log_choice(state, admitted, progress, choice)
     time_left = admitted.ends_ms - state.clock.now()
+    began_ms = state.clock.now()
     try:
         opened = await exchange.connect(endpoint.address, min(CONNECT_TIMEOUT_MS, time_left))
     except errors.ConnectFailed:
@@ -145,6 +138,7 @@
         state.measures.attempts.add(admitted.service, "no_connection")
         raise
     state.reach.connected(endpoint.data_centre)
+    state.distances.connected(endpoint.data_centre, state.clock.now() - began_ms)
     headers = _headers(state, admitted, progress, endpoint)
     request = admitted.request
     try:
--- a/plumarch/gateway/fleet_state.py
+++ b/plumarch/gateway/fleet_state.py
@@ -9,13 +9,15 @@
 from plumarch.core.clock import Clock
 from plumarch.fleet import engine_demand, usage, version_tally
 from plumarch.gateway import decision_log, dialect, measures
-from plumarch.limits import attempt_budget, workspace_quota
+from plumarch.limits import attempt_budget, memory_account, workspace_quota
 from plumarch.membership.registry import EndpointChange, Registry
 from plumarch.routing import (
     answer_times,
     data_centre_reach,
+    distance,
     endpoint_choice,
     endpoint_health,
+    endpoint_limits,
     version_split,
 )
 
@@ -47,6 +49,9 @@
       splits: which versions of services get requests.
       answers: of versions, while roll-outs run.
       answer_times: how long plain requests take, by route.
+      distances: how far data centres are from this one.
+      memory: what is held on behalf of callers and endpoints.
+      limits: what endpoints bear.
       tell_prompt: tells the other nodes of a prompt sent to an engine.
       reaches_store: whether the platform's store answered the last call.
       stops_at_ms: when the process will end, once it was told to and balancers know; or None.
@@ -71,6 +76,9 @@
     splits: version_split.VersionSplits
     answers: version_tally.TallyBook
     answer_times: answer_times.AnswerTimes
+    distances: distance.Distances
+    memory: memory_account.MemoryAccount
+    limits: endpoint_limits.EndpointLimits
     table: routing_table.RoutingTable | None = None
     table_source: str = ""
     tell_prompt: Callable[[SentPrompt], None] | None = None
--- a/plumarch/standins/gateway_parts.py
+++ b/plumarch/standins/gateway_parts.py
@@ -5,18 +5,21 @@
 from plumarch.core import clock
 from plumarch.fleet import engine_demand, usage, version_tally
 from plumarch.gateway import decision_log, dialect, fleet_state, measures
-from plumarch.limits import attempt_budget, workspace_quota
+from plumarch.limits import attempt_budget, memory_account, workspace_quota
 from plumarch.membership import registry
 from plumarch.routing import (
     answer_times,
     data_centre_reach,
+    distance,
     endpoint_choice,
     endpoint_health,
+    endpoint_limits,
     version_split,
 )
 
 USAGE_WINDOW_MS = 5_000
 SETTLED_MS = 100_000
+MEMORY_MB = 200
 
 
 def new_state(
@@ -47,4 +50,7 @@
         splits=version_split.VersionSplits(steady),
         answers=version_tally.TallyBook(),
         answer_times=answer_times.AnswerTimes(),
+        distances=distance.Distances(steady, "a"),
+        memory=memory_account.of_limit(MEMORY_MB),
+        limits=endpoint_limits.EndpointLimits(steady),
     )
