Data centres come to know each other through a third one

In a fleet of 6 data centres in 3 regions (73 nodes) whose seeds lie in three of them, coordinators of the other three heard each other only while all nodes were still asking around; later nothing led them together.

Now a summary ends with a digest of the data centres that its sender hears. A coordinator that hears other ones answers with all that it hears and two elders of each, once a second while nothing changes. Whoever is told of one that it does not hear asks its elders, each 0.5 s, later each 2 s. Seeds and data centres that were heard once are kept apart from the view, count nowhere, and are asked for as long.

After a data centre returns, three summaries are whole, since windows of usage that ended meanwhile are told in whole ones only.

A log line says when a data centre begins and ends not to be heard, gauges how many. Ruled out: telling all elders in each summary, where bytes between regions are dear; counting those learned of among the fleet.

--- a/plumarch/daemon/status_pages.py
+++ b/plumarch/daemon/status_pages.py
@@ -35,3 +35,6 @@
         sizes["registry_age_ms"] = state.registry.age_ms()
         sizes["endpoints"] = len(state.registry.endpoints)
         sizes["heard_fraction"] = state.quota.fraction
+        sizes["data_centres_known"] = state.contact.known
+        sizes["data_centres_unheard"] = state.contact.unheard
+        sizes["data_centre_news_oldest_ms"] = state.contact.oldest_ms
--- a/plumarch/gateway/coordination.py
+++ b/plumarch/gateway/coordination.py
@@ -19,6 +19,9 @@
 WHOLE_EVERY = 16
 """Every how many rounds all figures are told, not just those that changed lately."""
 
+WHOLE_AT_RETURN = 3
+"""How many whole summaries are told once a data centre is heard for the first time, or again."""
+
 USAGE_EVERY = 4
 """Every how many rounds usage is told."""
 
@@ -38,6 +41,7 @@
       taken_in: sequence of the last heartbeat or notice of each node of it, by name.
       rounds: news composed so far.
       summaries: summaries composed so far.
+      whole_summaries: how many of the next summaries tell all figures.
       tell_all: whether the next news are whole, for a member that was not heard before.
     """
 
@@ -49,6 +53,7 @@
     taken_in: dict[str, int] = dataclasses.field(default_factory=dict)
     rounds: int = 0
     summaries: int = 0
+    whole_summaries: int = 0
     tell_all: bool = True
     spending_news: recent_changes.RecentChanges[float] = dataclasses.field(
         default_factory=recent_changes.RecentChanges
@@ -66,6 +71,11 @@
     def take_summary(self, told: gossip.CentreSummary) -> None:
         """Take in what a coordinator of another data centre tells."""
         candidates = elders.taken(told.candidate)
+        now = self.state.clock.now()
+        if told.data_centre not in self.view.live_centres():
+            # Windows that ended while it was not heard are told in whole summaries only.
+            self.whole_summaries = WHOLE_AT_RETURN
+        self.view.all_centres.heard(told.data_centre, elders.taken(told.elders), now)
         self.view.centres[told.data_centre] = tiers.CentreView(
             nodes=told.nodes,
             heard=told.heard,
@@ -74,7 +84,7 @@
             candidate=candidates[0].age if candidates else None,
             reported=told.reported,
             usage_age_ms=told.usage_age_ms,
-            told_ms=self.state.clock.now(),
+            told_ms=now,
         )
         self.duty.reported = max(self.duty.reported, told.reported)
         self._charge(told)
@@ -100,7 +110,8 @@
         """Return what to tell the coordinators of other data centres now."""
         view, state = self.view, self.state
         neighbours = [one for one in view.neighbours() if view.is_heard(one)]
-        whole = self.summaries % WHOLE_EVERY == 0
+        whole = self.whole_summaries > 0 or self.summaries % WHOLE_EVERY == 0
+        self.whole_summaries = max(0, self.whole_summaries - 1)
         with_usage = whole or self.summaries % USAGE_EVERY == 1
         self.summaries += 1
         tokens = [one.token for one in neighbours if not one.leaving]
@@ -124,6 +135,7 @@
             speeds=speed_reports.told(state, self._is_near) if with_usage else [],
             versions=version_reports.shares_told(state),
             answers=version_reports.answers_told(state, self._is_near),
+            centres_heard=view.digest(),
         )
 
     def _candidate(self, neighbours: list[peer_node.Peer]) -> list[gossip.KnownElder]:
--- a/plumarch/gateway/elders.py
+++ b/plumarch/gateway/elders.py
@@ -8,10 +8,12 @@
 
 def told(view: fleet_view.FleetView) -> list[gossip.KnownElder]:
     """Return the elders of a node's own data centre as it tells them."""
-    return [
-        gossip.KnownElder(one.age.name, one.age.incarnation, one.address)
-        for one in view.elders()[: tiers.ELDERS]
-    ]
+    return as_told(view.elders()[: tiers.ELDERS])
+
+
+def as_told(known: Iterable[tiers.Elder]) -> list[gossip.KnownElder]:
+    """Return elders as they are told."""
+    return [gossip.KnownElder(one.age.name, one.age.incarnation, one.address) for one in known]
 
 
 def taken(reports: Iterable[gossip.KnownElder]) -> tuple[tiers.Elder, ...]:
--- a/plumarch/gateway/fleet_state.py
+++ b/plumarch/gateway/fleet_state.py
@@ -8,7 +8,7 @@
 from plumarch.core import rollouts
 from plumarch.core.clock import Clock
 from plumarch.fleet import engine_demand, usage, version_tally
-from plumarch.gateway import decision_log, dialect, measures
+from plumarch.gateway import centre_contact, decision_log, dialect, measures
 from plumarch.limits import attempt_budget, memory_account, workspace_quota
 from plumarch.membership.registry import EndpointChange, Registry
 from plumarch.routing import (
@@ -52,6 +52,7 @@
       distances: how far data centres are from this one.
       memory: what is held on behalf of callers and endpoints.
       limits: what endpoints bear.
+      contact: how well the other data centres are heard.
       tell_prompt: tells the other nodes of a prompt sent to an engine.
       reaches_store: whether the platform's store answered the last call.
       stops_at_ms: when the process will end, once it was told to and balancers know; or None.
@@ -79,6 +80,9 @@
     distances: distance.Distances
     memory: memory_account.MemoryAccount
     limits: endpoint_limits.EndpointLimits
+    contact: centre_contact.CentreContact = dataclasses.field(
+        default_factory=centre_contact.CentreContact
+    )
     table: routing_table.RoutingTable | None = None
     table_source: str = ""
     tell_prompt: Callable[[SentPrompt], None] | None = None
--- a/plumarch/gateway/gossiper.py
+++ b/plumarch/gateway/gossiper.py
@@ -13,6 +13,7 @@
     fleet_state,
     followed_news,
     heartbeats,
+    introductions,
     load_reports,
     rounds,
     snapshots,
@@ -61,6 +62,7 @@
         elsewhere = centre_spending.CentreSpending(state.clock)
         self.coordination = coordination.Coordination(state, view, duty, elsewhere)
         self.rounds = rounds.Rounds(state, view, self.coordination, self._send)
+        self.introductions = introductions.Introductions(state, view, self.composer, self._send)
         self.member = followed_news.FollowedNews(state, view)
         self.snapshots = snapshots.SnapshotExchange(state)
         self.soon = asyncio.Event()
@@ -89,6 +91,7 @@
             host = seed.rpartition(":")[0] or seed
             address = f"{host}:{port}"
             self.view.learn(address, address)
+            self.view.all_centres.seed(address, self.state.clock.now())
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keep the transport."""
@@ -143,6 +146,7 @@
         beat = self.composer.next(self.leaving)
         self.member.sent(beat)
         self._send(beat, told)
+        self.introductions.step(self.leaving)
 
     def _news_age_ms(self) -> float:
         """Return the age of news of other nodes' spending, as a rule.
@@ -190,6 +194,7 @@
             self.state.log.write("peer_forgotten", peer=peer.name, address=peer.address)
         self.state.quota.forget(f"{peer.name}#{peer.incarnation}")
         self.coordination.forget(peer.name)
+        self.introductions.remember(peer)
         self.answered_ms.pop(peer.name, None)
 
     def _decide_role(self) -> None:
@@ -257,6 +262,8 @@
                 self.take_notice(told)
             case gossip.CentreSummary():
                 self.take_summary(told, f"{addr[0]}:{addr[1]}")
+            case gossip.CentreDirectory():
+                self.introductions.take_directory(told, self.leaving)
             case gossip.MemberNews():
                 self._take_member_news(told, str(addr[0]))
 
@@ -280,6 +287,7 @@
             if told.data_centre not in self.view.centres:
                 told_figures.forget_nodes_of(self.state, self.view, told.data_centre)
             self.coordination.take_summary(told)
+            self.introductions.compare(told, self.leaving)
             if self._knows_more(told):
                 self.snapshots.fetch_from(told.address)
         elif self.view.role is tiers.Role.MEMBER and sender == told.address:
@@ -338,6 +346,8 @@
         near = beat.data_centre == self.state.data_centre
         if near and beat.elders and self.view.hear_say(elders.taken(beat.elders)):
             self._beat_for_role()
+        if not near:
+            self.introductions.take_elders(beat)
         self._take_figures(beat)
         if version_reports.take_shares(self.state, beat.versions):
             self.beat_soon()
--- a/plumarch/gateway/heartbeats.py
+++ b/plumarch/gateway/heartbeats.py
@@ -116,6 +116,11 @@
         greeting = self._without_figures(leaving, with_elders=True)
         return msgspec.structs.replace(greeting, peers=self._elders_of(data_centre))
 
+    def question(self, leaving: bool) -> gossip.Heartbeat:
+        """Return a heartbeat without figures that is answered with whom its sender should ask."""
+        question = self._without_figures(leaving, with_elders=True)
+        return msgspec.structs.replace(question, sequence=max(1, self.sequence))
+
     def _elders_of(self, data_centre: str) -> list[gossip.KnownPeer]:
         """Return the oldest known nodes of a data centre, or else those who may know them."""
         view = self.view
--- /dev/null
+++ b/plumarch/gateway/introductions.py
@@ -0,0 +1,153 @@
+"""How data centres come to know each other through a third one.
+
+Each summary carries a digest of the data centres that its sender hears. A coordinator that hears
+other ones answers with all that it hears and their elders, and whoever is told of one that it does
+not hear asks these. So views are made equal from both sides for as long as they differ, and equal
+views cost five bytes a summary.
+"""
+
+import dataclasses
+from collections.abc import Callable, Iterable
+
+from plumarch.gateway import elders, fleet_state, heartbeats
+from plumarch.membership import fleet_view, peer_node, tiers
+from plumarch.peers import gossip
+
+TELL_AGAIN_MS = 1_000
+"""How often the same directory is sent to the same node at most: where a link is cut for long,
+views differ for as long, and bytes between regions are dear."""
+
+CENTRES_TOLD = 10
+"""Data centres that one datagram names: some 105 bytes each, with two elders."""
+
+NOTED_MS = 1_500
+"""A data centre is noted as not heard from then on: longer than it takes to be answered by one
+that was just learned of, or by the coordinators that follow on those that died."""
+
+Send = Callable[[gossip.Datagram, Iterable[str]], None]
+
+
+@dataclasses.dataclass(slots=True)
+class Introductions:
+    """One node's side of it; a member leaves it to its coordinators.
+
+    Attributes:
+      send: sends a message to addresses.
+      told: when a directory was sent, by whom it was for, and with which digest.
+      silent: since when each known data centre is not heard.
+      noted: those of them of which the log tells.
+    """
+
+    state: fleet_state.FleetState
+    view: fleet_view.FleetView
+    composer: heartbeats.HeartbeatComposer
+    send: Send
+    told: dict[str, tuple[int, int]] = dataclasses.field(default_factory=dict)
+    silent: dict[str, int] = dataclasses.field(default_factory=dict)
+    noted: set[str] = dataclasses.field(default_factory=set)
+
+    def step(self, leaving: bool) -> None:
+        """Ask those that are known and not heard, and note them.
+
+        Args:
+          leaving: whether this process is about to end.
+        """
+        if self.view.role is tiers.Role.MEMBER:
+            self._note([])
+            return
+        live = self.view.centres_heard()
+        self._note(self.view.all_centres.unheard(live))
+        self._ask(live, leaving)
+
+    def _ask(self, live: set[str], leaving: bool) -> None:
+        """Ask with a heartbeat that any node answers with whom it knows."""
+        view = self.view
+        heard = {one.address for one in view.peers.values() if self._is_reached(one, live)}
+        due = view.all_centres.to_ask(live, heard, self.state.clock.now()) - {view.address}
+        if due:
+            self.send(self.composer.question(leaving), due)
+
+    def _is_reached(self, peer: peer_node.Peer, live: set[str]) -> bool:
+        return self.view.is_heard(peer) or (peer.incarnation > 0 and peer.data_centre in live)
+
+    def compare(self, told: gossip.CentreSummary, leaving: bool) -> None:
+        """Tell a coordinator of another data centre whom this node hears, if it hears others.
+
+        Args:
+          leaving: whether this process is about to end.
+        """
+        mine = self.view.digest()
+        if not told.centres_heard or told.centres_heard == mine:
+            self.told.pop(told.node, None)
+            return
+        now = self.state.clock.now()
+        told_ms, told_digest = self.told.get(told.node, (0, 0))
+        if told_digest == mine and now - told_ms < TELL_AGAIN_MS:
+            return
+        self.told[told.node] = (now, mine)
+        for directory in self._directories():
+            self.send(directory, [told.address])
+
+    def _directories(self) -> list[gossip.CentreDirectory]:
+        known = [
+            gossip.KnownCentre(name, elders.as_told(centre.elders[: tiers.COORDINATORS]))
+            for name, centre in sorted(self.view.live_centres().items())
+        ]
+        return [
+            gossip.CentreDirectory(self.view.node, known[first : first + CENTRES_TOLD])
+            for first in range(0, len(known), CENTRES_TOLD)
+        ]
+
+    def take_directory(self, told: gossip.CentreDirectory, leaving: bool) -> None:
+        """Take in whom another coordinator hears, and ask those that are new.
+
+        Args:
+          leaving: whether this process is about to end.
+        """
+        live = self.view.centres_heard()
+        now = self.state.clock.now()
+        news: set[str] = set()
+        for one in told.centres:
+            if one.data_centre == self.state.data_centre:
+                self.view.hear_say(elders.taken(one.elders))
+            elif one.data_centre not in live and self.view.all_centres.told(
+                one.data_centre, elders.taken(one.elders), now
+            ):
+                news |= {elder.address for elder in one.elders}
+        if news and self.view.role is not tiers.Role.MEMBER:
+            self.send(self.composer.question(leaving), news)
+
+    def take_elders(self, beat: gossip.Heartbeat) -> None:
+        """Take in whom a node of another data centre calls the elders of it."""
+        if beat.elders and beat.data_centre not in self.view.centres_heard():
+            told = elders.taken(beat.elders)
+            self.view.all_centres.told(beat.data_centre, told, self.state.clock.now())
+
+    def remember(self, peer: peer_node.Peer) -> None:
+        """Keep in mind a node that is counted no more, for when it is reached again."""
+        if peer.incarnation and not peer.leaving:
+            elder = tiers.Elder(peer.age(), peer.address)
+            self.view.all_centres.remember(peer.data_centre, elder, self.state.clock.now())
+
+    def _note(self, unheard: list[str]) -> None:
+        """Log when a data centre begins and ends not to be heard, and keep what gauges show."""
+        now = self.state.clock.now()
+        known = self.view.all_centres.centres
+        self.silent = {name: self.silent.get(name, now) for name in unheard}
+        for name in sorted(self.noted - self.silent.keys()):
+            self.noted.discard(name)
+            self.state.log.write("centre_heard", urgent=True, centre=name)
+        for name, since_ms in self.silent.items():
+            if name not in self.noted and now - since_ms >= NOTED_MS:
+                self.noted.add(name)
+                self.state.log.write(
+                    "centre_unheard",
+                    urgent=True,
+                    centre=name,
+                    ever_heard=known[name].heard,
+                    elders=[elder.address for elder in known[name].elders],
+                )
+        contact = self.state.contact
+        contact.known = len(known.keys() - {self.state.data_centre})
+        contact.unheard = len(unheard)
+        contact.oldest_ms = max([0, *(now - one.since_ms for one in known.values())])
--- a/plumarch/membership/fleet_view.py
+++ b/plumarch/membership/fleet_view.py
@@ -8,7 +8,7 @@
 from collections.abc import Iterable
 
 from plumarch.core import clock
-from plumarch.membership import peer_node, tiers
+from plumarch.membership import known_centres, peer_node, tiers
 
 HEARD_MS = 1_200
 """A node whose heartbeat is younger than this counts as heard, if heartbeats are frequent."""
@@ -44,6 +44,7 @@
       centres: the other data centres as their coordinators told, for a coordinator.
       news: what the own coordinators told last, for a member; None if they never did.
       names: the name under which each address stands.
+      all_centres: all data centres that were ever told of, and the seeds.
       hearsay: nodes of the own data centre that another one called its elders, and when.
     """
 
@@ -59,6 +60,9 @@
     news: tiers.FleetNewsView | None = None
     names: dict[str, str] = dataclasses.field(default_factory=dict)
     hearsay: dict[tiers.Elder, int] = dataclasses.field(default_factory=dict)
+    all_centres: known_centres.KnownCentres = dataclasses.field(
+        default_factory=known_centres.KnownCentres
+    )
 
     def learn(self, name: str, address: str, data_centre: str = "") -> None:
         """Note that a node may exist, from a seed list, the store, or a peer.
@@ -234,6 +238,19 @@
         now, limit = self.clock.now(), self.silence_ms()
         return {name: one for name, one in self.centres.items() if now - one.told_ms <= limit}
 
+    def centres_heard(self) -> set[str]:
+        """Return the data centres that are heard, by their coordinators or any of their nodes.
+
+        A coordinator's own is one of them; another node's only if it hears a node of it.
+        """
+        if self.role is tiers.Role.COORDINATOR:
+            return {self.data_centre, *self.live_centres()}
+        return {one.data_centre for one in self.peers.values() if self.is_heard(one)}
+
+    def digest(self) -> int:
+        """Return a digest of the data centres that are heard, for a coordinator to tell."""
+        return known_centres.digest(self.centres_heard())
+
     def news_age_ms(self) -> int | None:
         """Return how old the last news of an own coordinator is, or None without any."""
         return self.clock.now() - self.news.told_ms if self.news is not None else None
--- /dev/null
+++ b/plumarch/membership/known_centres.py
@@ -0,0 +1,115 @@
+"""The data centres that a node has ever been told of, heard or not, and whom to ask about each.
+
+What a node hears is forgotten after some silence, and counts until then among the fleet. What is
+kept here never counts: it only says whom to ask again, so that those that were cut off for long or
+learned of each other through a third one find each other.
+"""
+
+import dataclasses
+import zlib
+from collections.abc import Collection, Iterable
+
+from plumarch.membership import tiers
+
+ASK_MS = 500
+"""How often the elders of a data centre that is not heard are asked at first."""
+
+ASK_LONGEST_MS = 2_000
+"""How often at least, however long the silence: under half of the time within which nodes are to
+know each other again, so that one loss does not matter."""
+
+SILENCE_PER_ASK = 8
+"""Elders are asked so many times while the silence doubles, until they are asked most seldom."""
+
+FORGET_MS = 3_600_000
+"""A data centre that is silent for an hour was given up, or comes back by its own seeds."""
+
+
+@dataclasses.dataclass(slots=True)
+class KnownCentre:
+    """A data centre, or a single seed of which only the address is known.
+
+    Attributes:
+      elders: its oldest live nodes as they were told last.
+      since_ms: when it was heard last, or learned of if it never was.
+      asked_ms: when its elders were asked last.
+      heard: whether it was ever heard.
+    """
+
+    elders: tuple[tiers.Elder, ...]
+    since_ms: int
+    asked_ms: int = 0
+    heard: bool = False
+
+    def is_due(self, now: int) -> bool:
+        """Return whether its elders are to be asked, if it is not heard now."""
+        pause = min(ASK_LONGEST_MS, max(ASK_MS, (now - self.since_ms) // SILENCE_PER_ASK))
+        return now - self.asked_ms >= pause
+
+
+@dataclasses.dataclass(slots=True)
+class KnownCentres:
+    """All data centres that are known, the own one where its nodes were lost, and the seeds.
+
+    Attributes:
+      centres: by name.
+      seeds: by address; they are asked for as long as the process runs.
+    """
+
+    centres: dict[str, KnownCentre] = dataclasses.field(default_factory=dict)
+    seeds: dict[str, KnownCentre] = dataclasses.field(default_factory=dict)
+
+    def heard(self, name: str, elders: tuple[tiers.Elder, ...], now: int) -> None:
+        """Note that a data centre told of itself."""
+        asked_ms = self.centres[name].asked_ms if name in self.centres else 0
+        self.centres[name] = KnownCentre(elders, now, asked_ms, heard=True)
+
+    def told(self, name: str, elders: tuple[tiers.Elder, ...], now: int) -> bool:
+        """Note what another one tells of a data centre that is not heard.
+
+        Returns:
+          Whether somebody new may be asked.
+        """
+        known = self.centres.get(name)
+        if known is None:
+            self.centres[name] = KnownCentre(elders, now)
+            return True
+        is_news = not set(elders) <= set(known.elders)
+        known.elders = elders
+        return is_news
+
+    def remember(self, name: str, elder: tiers.Elder, now: int) -> None:
+        """Note a node that was heard itself and is counted no more."""
+        known = self.centres.setdefault(name, KnownCentre((), now, heard=True))
+        if elder not in known.elders and len(known.elders) < tiers.ELDERS:
+            known.elders = (*known.elders, elder)
+
+    def seed(self, address: str, now: int) -> None:
+        """Note an address that this node was given."""
+        elder = tiers.Elder(tiers.Age(0, address), address)
+        self.seeds.setdefault(address, KnownCentre((elder,), now))
+
+    def to_ask(self, live: Collection[str], heard: Collection[str], now: int) -> set[str]:
+        """Return the addresses to ask now, which count as asked from then on.
+
+        Args:
+          live: the data centres that are heard.
+          heard: addresses of nodes that are in one of them.
+        """
+        for name in [one for one, kept in self.centres.items() if now - kept.since_ms > FORGET_MS]:
+            del self.centres[name]
+        silent = [one for name, one in self.centres.items() if name not in live]
+        silent += [one for address, one in self.seeds.items() if address not in heard]
+        due = [one for one in silent if one.is_due(now)]
+        for one in due:
+            one.asked_ms = now
+        return {elder.address for one in due for elder in one.elders}
+
+    def unheard(self, live: Collection[str]) -> list[str]:
+        """Return the names of the data centres that are known and not heard."""
+        return sorted(name for name in self.centres if name not in live)
+
+
+def digest(names: Iterable[str]) -> int:
+    """Return a number that tells two sets of data centres apart, never 0."""
+    return zlib.crc32("\n".join(sorted(names)).encode()) or 1
--- a/plumarch/peers/gossip.py
+++ b/plumarch/peers/gossip.py
@@ -181,6 +181,7 @@
       speeds: what its nodes learned of engines; in some summaries.
       versions: the shares of versions, as in heartbeats.
       answers: of versions on its nodes, while a roll-out runs.
+      centres_heard: digest of the data centres that the sender hears, its own included, or 0.
     """
 
     node: str
@@ -202,6 +203,21 @@
     speeds: list[EngineSpeed] = []
     versions: list[VersionShare] = []
     answers: list[VersionAnswers] = []
+    centres_heard: int = 0
+
+
+class KnownCentre(msgspec.Struct, array_like=True, frozen=True):
+    """A data centre that the sender hears, and some of its oldest live nodes."""
+
+    data_centre: str
+    elders: list[KnownElder]
+
+
+class CentreDirectory(msgspec.Struct, array_like=True, frozen=True, tag=5):
+    """Data centres that a coordinator hears, for one that hears other ones."""
+
+    node: str
+    centres: list[KnownCentre]
 
 
 class ToldLevel(msgspec.Struct, array_like=True, frozen=True):
@@ -316,7 +332,7 @@
         ...
 
 
-Datagram = Heartbeat | LoadNotice | CentreSummary | MemberNews
+Datagram = Heartbeat | LoadNotice | CentreSummary | MemberNews | CentreDirectory
 
 encoder = msgspec.msgpack.Encoder()
 datagram_decoder = msgspec.msgpack.Decoder(Datagram)
--- a/plumarch/standins/gossip_fleet.py
+++ b/plumarch/standins/gossip_fleet.py
@@ -3,30 +3,76 @@
 import dataclasses
 import heapq
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import Any, cast
 
 from plumarch.config import routing_table
 from plumarch.core import addresses, clock, traffic
 from plumarch.gateway import gossiper, heartbeats, rounds
 from plumarch.membership import fleet_view, tiers
+from plumarch.routing import distance
 from plumarch.standins import gateway_parts
 
 START_MS = 1_700_000_000_000
 PORT = 7600
 NEAR_MS = 1
 FAR_MS = 2
+REGION_MS = 30
+"""One way between regions that are some hundred kilometres apart, as operators state it."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Size:
-    """A fleet to build."""
+    """A fleet to build.
+
+    Attributes:
+      counts: how many nodes each data centre has, where they differ; else nodes_each.
+      regions: data centres are dealt out over this many regions in turn; 1 names none.
+    """
 
     data_centres: int
     nodes_each: int
     workspaces: int = 3
     rate: float = 1_000.0
     burst: float = 2_000.0
+    counts: tuple[int, ...] = ()
+    regions: int = 1
+
+    def places(self) -> list[tuple[int, str]]:
+        """Return the number and the data centre of each node."""
+        counts = self.counts or (self.nodes_each,) * self.data_centres
+        return [
+            (number, name_of(centre))
+            for centre, count in enumerate(counts)
+            for number in range(count)
+        ]
+
+    def region_names(self) -> dict[str, str]:
+        """Return the region of each data centre, or nothing where there is only one."""
+        if self.regions == 1:
+            return {}
+        count = len(self.counts) or self.data_centres
+        return {name_of(centre): f"region-{centre % self.regions}" for centre in range(count)}
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Starts:
+    """How the processes of a fleet start.
+
+    Attributes:
+      seeds: addresses that all nodes are given; by default the first two of the first data centre.
+      seeds_of: those of some data centres, in place of them.
+      within_ms: the time over which starts are spread.
+      late: names of nodes that start after all others, by how many ms later.
+    """
+
+    seeds: tuple[str, ...] = ()
+    seeds_of: Mapping[str, tuple[str, ...]] = dataclasses.field(default_factory=dict)
+    within_ms: int = 0
+    late: Mapping[str, int] = dataclasses.field(default_factory=dict)
+
+
+AT_ONCE = Starts()
 
 
 class Transport:
@@ -44,12 +90,22 @@
         """Do nothing."""
 
 
+def name_of(centre: int) -> str:
+    """Return the name of a data centre by its number."""
+    return f"dc-{chr(ord('a') + centre)}"
+
+
+def address_of(number: int, data_centre: str) -> str:
+    """Return where a node listens."""
+    return f"10.{ord(data_centre[-1])}.{number}.1:{PORT}"
+
+
 class Node:
     """One process; a restart makes a new one under the same name."""
 
     def __init__(self, fleet: "GossipFleet", number: int, data_centre: str, seeds: Any) -> None:
         self.name = f"{data_centre}-{number}"
-        self.address = f"10.{ord(data_centre[-1])}.{number}.1:{PORT}"
+        self.address = address_of(number, data_centre)
         self.data_centre = data_centre
         self.number = number
         self.alive = True
@@ -58,6 +114,7 @@
         state = gateway_parts.new_state(fleet.time, self.name)
         state.data_centre = data_centre
         state.chooser.data_centre = data_centre
+        state.distances = distance.Distances(fleet.time, data_centre, fleet.regions)
         incarnation = fleet.time.now() + number % 7
         view = fleet_view.FleetView(fleet.time, self.name, incarnation, self.address, data_centre)
         self.state = state
@@ -81,11 +138,15 @@
       double: part of them that arrives twice.
       late_ms: the longest further delay of a datagram.
       cut: says whether datagrams between two nodes are lost now.
-      sent: datagrams and bytes sent, by whether they left the data centre.
+      datagrams: those sent, by whether they left the data centre.
+      bytes: of datagrams sent, by whether they left the data centre.
+      region_bytes: of datagrams that left their region.
     """
 
-    def __init__(self, size: Size, seed: int = 1, knows_all: bool = True) -> None:
-        """Start all nodes at once.
+    def __init__(
+        self, size: Size, seed: int = 1, knows_all: bool = True, starts: Starts = AT_ONCE
+    ) -> None:
+        """Start all nodes, at once or as is said.
 
         Args:
           knows_all: whether the store tells each node who started before it; otherwise all that
@@ -98,15 +159,27 @@
         self.double = 0.0
         self.late_ms = 0
         self.cut: Callable[[Node, Node], bool] = lambda one, other: False
-        self.queue: list[tuple[float, int, Callable[[], None]]] = []
+        self.queue: list[tuple[float, int, Callable[[], object]]] = []
         self.count = 0
         self.datagrams = {True: 0, False: 0}
         self.bytes = {True: 0, False: 0}
+        self.region_bytes = 0
+        self.regions = size.region_names()
         self.nodes: dict[str, Node] = {}
-        self.seeds = (f"10.{ord('a')}.0.1:{PORT}", f"10.{ord('a')}.1.1:{PORT}")
-        for centre in range(size.data_centres):
-            for number in range(size.nodes_each):
-                self.start(number, f"dc-{chr(ord('a') + centre)}", knows_all)
+        self.by_address: dict[str, Node] = {}
+        self.starts = starts
+        self.seeds = starts.seeds or (address_of(0, "dc-a"), address_of(1, "dc-a"))
+        for number, data_centre in size.places():
+            after_ms = starts.late.get(f"{data_centre}-{number}", 0)
+            if starts.within_ms:
+                after_ms += self.rng.randrange(starts.within_ms)
+            if after_ms:
+                self._start_later(number, data_centre, after_ms, knows_all)
+            else:
+                self.start(number, data_centre, knows_all)
+
+    def _start_later(self, number: int, data_centre: str, after_ms: int, knows_all: bool) -> None:
+        self._schedule(after_ms, lambda: self.start(number, data_centre, knows_all))
 
     def start(self, number: int, data_centre: str, knows_all: bool = True) -> Node:
         """Start a process, in place of one that bore the name before.
@@ -114,7 +187,7 @@
         Args:
           knows_all: whether the store tells it who there is.
         """
-        node = Node(self, number, data_centre, self.seeds)
+        node = Node(self, number, data_centre, self.starts.seeds_of.get(data_centre, self.seeds))
         before = self.nodes.get(node.name)
         if before is not None:
             before.alive = False
@@ -122,11 +195,12 @@
             for other in self.nodes.values():
                 node.view.learn(other.name, other.address, other.data_centre)
         self.nodes[node.name] = node
+        self.by_address[node.address] = node
         self._schedule(self.rng.uniform(0, 50), lambda: self._beat(node))
         self._schedule(self.rng.uniform(0, 50), lambda: self._round(node))
         return node
 
-    def _schedule(self, after_ms: float, act: Callable[[], None]) -> None:
+    def _schedule(self, after_ms: float, act: Callable[[], object]) -> None:
         self.count += 1
         heapq.heappush(self.queue, (self.time.now() + after_ms, self.count, act))
 
@@ -158,15 +232,26 @@
 
     def carry(self, sender: Node, datagram: bytes, address: str) -> None:
         """Carry a datagram to where it is sent, unless something is in its way."""
-        found = [one for one in self.nodes.values() if one.address == address]
-        far = not found or found[0].data_centre != sender.data_centre
+        found = self.by_address.get(address)
+        far = found is None or found.data_centre != sender.data_centre
         self.datagrams[far] += 1
         self.bytes[far] += len(datagram)
-        if not found or self.cut(sender, found[0]) or self.rng.random() < self.lose:
+        if found is None:
+            return
+        between = self.region_of(found) != self.region_of(sender)
+        self.region_bytes += len(datagram) * between
+        if self.cut(sender, found) or self.rng.random() < self.lose:
             return
+        way_ms = REGION_MS if between else FAR_MS if far else NEAR_MS
         for _ in range(1 + (self.rng.random() < self.double)):
-            delay = (FAR_MS if far else NEAR_MS) + self.rng.uniform(0, self.late_ms)
-            self._schedule(delay, lambda: self._arrive(found[0], datagram, sender.address))
+            self._schedule(
+                way_ms + self.rng.uniform(0, self.late_ms),
+                lambda: self._arrive(found, datagram, sender.address),
+            )
+
+    def region_of(self, node: Node) -> str:
+        """Return the region of a node, or "" where there is only one."""
+        return self.regions.get(node.data_centre, "")
 
     def _arrive(self, node: Node, datagram: bytes, sender: str) -> None:
         if not node.alive:
