Choices know regions: the near endpoint first, another region where it answers sooner

Cause: a send counted another data centre as 2.5 ms or 0.15 of a load, whatever the way, so most sends of a fleet over three regions left their region.

Change: distances are measured from connects; a request stays in its region while that answers soon enough, else a bounded part leaves, drawn over the places that are free elsewhere. Owners of shared parts are chosen within a region. Time limits, patience and learned times depend on the distance.

Ruled out: one list of all endpoints with the way added to the cost, since all nodes would then follow the same old figure to one endpoint. Within a region choices are as they were.

--- a/plumarch/daemon/gateway.py
+++ b/plumarch/daemon/gateway.py
@@ -112,6 +112,9 @@
     def _new_state(self, names: dialect.Dialect) -> fleet_state.FleetState:
         settings, now = self.settings, self.clock
         bounds = settings.bounds
+        distances = distance.Distances(
+            now, settings.node.data_centre, settings.regions.data_centres
+        )
         return fleet_state.FleetState(
             node=settings.node.name,
             data_centre=settings.node.data_centre,
@@ -124,7 +127,9 @@
             ),
             measures=measures.Measures(),
             registry=registry.Registry(now),
-            chooser=endpoint_choice.EndpointChooser(now, settings.node.data_centre),
+            chooser=endpoint_choice.EndpointChooser(
+                now, settings.node.data_centre, distances=distances
+            ),
             health=endpoint_health.EndpointHealth(now),
             reach=data_centre_reach.DataCentreReach(now, settings.node.data_centre),
             quota=workspace_quota.WorkspaceQuota(now, now.now(), self._tolerance()),
@@ -139,9 +144,7 @@
             splits=version_split.VersionSplits(now),
             answers=version_tally.TallyBook(),
             answer_times=answer_times.AnswerTimes(),
-            distances=distance.Distances(
-                now, settings.node.data_centre, settings.regions.data_centres
-            ),
+            distances=distances,
             memory=memory_account.of_limit(settings.memory.limit_mb),
             limits=endpoint_limits.EndpointLimits(now),
         )
--- a/plumarch/gateway/attempts.py
+++ b/plumarch/gateway/attempts.py
@@ -1,14 +1,25 @@
 """One send of a request to one endpoint, and what is known of it afterwards."""
 
 import dataclasses
+import math
 
 import h11
 
 from plumarch.core import traffic
 from plumarch.gateway import admission, dialect, errors, exchange, fleet_state
-from plumarch.routing import endpoint_choice, return_times
+from plumarch.routing import endpoint_choice, locality_choice, return_times
 
 CONNECT_TIMEOUT_MS = 250.0
+"""Within which a connection comes up inside a region."""
+
+CONNECT_ROUND_TRIPS = 2.0
+"""Round trips that are allowed besides to another region: one for the way, one for what varies on
+it."""
+
+ENOUGH_TARGETS = 0.5
+"""An answer expected within this part of its target is soon enough to stay in the region: twice the
+expected time is still in target."""
+
 NOT_RUN_STATUS = 421
 PROMISED_NOT_RUN = frozenset({408, 421, 429, 503})
 """Statuses that promise that a request did not run, when an endpoint says so."""
@@ -38,6 +49,7 @@
 
     Attributes:
       first_ms: how long after the send its first event came, or None before that.
+      round_trip_ms: the way there and back, if it leads to another region.
     """
 
     choice: endpoint_choice.Choice
@@ -45,6 +57,7 @@
     sent_ms: int = 0
     saw_first_token: bool = False
     first_ms: int | None = None
+    round_trip_ms: float = 0.0
 
 
 class NotRun(errors.ExchangeError):
@@ -60,23 +73,50 @@
     candidates: list[traffic.Endpoint] = []
     for group in state.splits.groups(admitted.service, ready, admitted.id, repeated):
         candidates = candidates or _with_room(state, admitted, group)
-    if not candidates:
+    choice = _choose_among(state, admitted, candidates, _terms(state, admitted, repeated))
+    if choice is None:
         state.log.write(
             "no_endpoint",
             request=admitted.id,
             service=admitted.service,
             ready=len(ready),
+            too_far=len(candidates),
             split=state.splits.of(admitted.service),
             tried=len(progress.tried),
             registry_revision=state.registry.revision,
             registry_age_ms=state.registry.age_ms(),
             registry_source=state.registry.source,
         )
+    return choice
+
+
+def _terms(
+    state: fleet_state.FleetState, admitted: admission.Admitted, repeated: bool
+) -> locality_choice.Terms:
+    """Return what a request asks of its endpoint, by its route's target and its deadline."""
+    target_ms = admitted.route.target_ms
+    return locality_choice.Terms(
+        time_left_ms=admitted.ends_ms - state.clock.now(),
+        enough_ms=ENOUGH_TARGETS * target_ms,
+        late_ms=target_ms if target_ms > 0 else math.inf,
+        repeated=repeated,
+    )
+
+
+def _choose_among(
+    state: fleet_state.FleetState,
+    admitted: admission.Admitted,
+    candidates: list[traffic.Endpoint],
+    terms: locality_choice.Terms,
+) -> endpoint_choice.Choice | None:
+    if not candidates:
         return None
     seed = state.rng.randrange(1 << 30)
     if admitted.prompt_tokens:
-        return state.chooser.choose_engine(candidates, admitted.parts, admitted.prompt_tokens, seed)
-    return state.chooser.choose_plain(candidates, seed)
+        return state.chooser.choose_engine(
+            candidates, admitted.parts, admitted.prompt_tokens, seed, terms
+        )
+    return state.chooser.choose_plain(candidates, seed, terms)
 
 
 def _with_room(
@@ -91,10 +131,15 @@
 def when_room(state: fleet_state.FleetState, admitted: admission.Admitted) -> float:
     """Return when a request that no endpoint had room for had better come back, in ms.
 
-    Where endpoints are ready, that is when one of their places is free; where none is, when those
-    have booted that are ordered in their place.
+    Where endpoints are ready, that is when one of their places is free, in the region if it has
+    any; where none is, or all are too far, when those have booted that are ordered in their place.
     """
-    ready = state.registry.ready(admitted.service)
+    time_left_ms = admitted.ends_ms - state.clock.now()
+    all_ready = state.registry.ready(admitted.service)
+    near = [one for one in all_ready if state.distances.is_in_region(one.data_centre)]
+    ready = near or [
+        one for one in all_ready if state.distances.way_ms(one.data_centre) < time_left_ms
+    ]
     if ready:
         running = state.chooser.total_running(ready)
         slots = sum(max(1, one.slots) for one in ready)
@@ -131,7 +176,9 @@
     time_left = admitted.ends_ms - state.clock.now()
     began_ms = state.clock.now()
     try:
-        opened = await exchange.connect(endpoint.address, min(CONNECT_TIMEOUT_MS, time_left))
+        opened = await exchange.connect(
+            endpoint.address, min(_connect_timeout_ms(state, endpoint), time_left)
+        )
     except errors.ConnectFailed:
         state.health.failure(endpoint.id)
         _note_unreached(state, endpoint)
@@ -146,6 +193,8 @@
     except errors.ConnectFailed:
         opened.close()
         raise
+    locality = state.distances.locality(endpoint.data_centre)
+    state.measures.sends.add(admitted.service, locality.label())
     progress.sends += 1
     progress.unresolved += 1
     if progress.sends == 1:
@@ -162,12 +211,20 @@
                     admitted.units,
                 )
             )
-    return Attempt(choice, opened, state.clock.now())
+    beyond_ms = state.distances.beyond_region_ms(endpoint.data_centre)
+    return Attempt(choice, opened, state.clock.now(), round_trip_ms=beyond_ms)
+
+
+def _connect_timeout_ms(state: fleet_state.FleetState, endpoint: traffic.Endpoint) -> float:
+    """Return how long a connection may take to come up; longer to another region."""
+    beyond_ms = state.distances.beyond_region_ms(endpoint.data_centre)
+    return CONNECT_TIMEOUT_MS + CONNECT_ROUND_TRIPS * beyond_ms
 
 
 def _note_unreached(state: fleet_state.FleetState, endpoint: traffic.Endpoint) -> None:
     """Note that an endpoint could not be connected to, and perhaps its whole data centre."""
-    if state.reach.failed(endpoint.data_centre, endpoint.id):
+    beyond_ms = CONNECT_ROUND_TRIPS * state.distances.beyond_region_ms(endpoint.data_centre)
+    if state.reach.failed(endpoint.data_centre, endpoint.id, beyond_ms):
         reach = state.reach.known[endpoint.data_centre]
         state.log.write(
             "data_centre_out",
@@ -186,7 +243,9 @@
     names = state.names
     request = admitted.request
     headers = admission.forwarded_headers(names, request.headers, admitted.workspace)
-    time_left = max(1, int(admitted.ends_ms - state.clock.now()))
+    time_left = admitted.ends_ms - state.clock.now()
+    # The request and its answer take a round trip; what the endpoint does after that is in vain.
+    time_left = max(1, int(time_left - state.distances.beyond_region_ms(endpoint.data_centre)))
     headers.append((names.deadline_ms, str(time_left).encode()))
     headers.append((names.instance, endpoint.id.encode()))
     if admitted.prompt_tokens:
@@ -219,9 +278,19 @@
         registry_age_ms=state.registry.age_ms(),
         configuration=admitted.version,
         time_left_ms=round(admitted.ends_ms - state.clock.now()),
+        locality=state.distances.locality(choice.endpoint.data_centre).label(),
+        round_trip_ms=round(state.distances.round_trip_ms(choice.endpoint.data_centre), 1),
+        leaves_region=_why_it_leaves(progress, choice),
     )
 
 
+def _why_it_leaves(progress: Progress, choice: endpoint_choice.Choice) -> str:
+    """Return why a request leaves its region, or "" if it stays."""
+    if choice.leaves is None:
+        return ""
+    return "repeat" if progress.tried - {choice.endpoint.id} else choice.leaves.value
+
+
 async def read_head(
     state: fleet_state.FleetState, admitted: admission.Admitted, attempt: Attempt, wait_ms: float
 ) -> h11.Response:
@@ -263,6 +332,6 @@
     """Close the connection, which cancels the request if it still runs."""
     attempt.exchange.close()
     if attempt.saw_first_token:
-        held_ms = state.clock.now() - attempt.sent_ms
-        state.chooser.speed(attempt.choice.endpoint.service).ended(held_ms)
+        held_ms = state.clock.now() - attempt.sent_ms - attempt.round_trip_ms
+        state.chooser.speed(attempt.choice.endpoint.service).ended(max(0.0, held_ms))
     state.chooser.end(attempt.choice, attempt.saw_first_token)
--- a/plumarch/gateway/fleet_state.py
+++ b/plumarch/gateway/fleet_state.py
@@ -125,6 +125,7 @@
         """Log changes of endpoints, and forget what no longer exists."""
         if not changes:
             return
+        self._tell_unnamed_regions()
         for change in changes:
             endpoint = change.endpoint
             self.log.write(
@@ -139,6 +140,16 @@
                 revision=change.revision,
                 source=source,
             )
+        self._forget_gone()
+
+    def _tell_unnamed_regions(self) -> None:
+        """Log once each data centre that has no region; all ways to it count as far."""
+        met = {self.data_centre, *(one.data_centre for one in self.registry.endpoints.values())}
+        for data_centre in sorted(met):
+            if self.distances.is_first_unnamed(data_centre):
+                self.log.write("region_unknown", urgent=True, data_centre=data_centre)
+
+    def _forget_gone(self) -> None:
         existing = set(self.registry.endpoints)
         self.chooser.keep_only(existing)
         self.health.keep_only(existing)
--- a/plumarch/gateway/measures.py
+++ b/plumarch/gateway/measures.py
@@ -107,6 +107,11 @@
         self.attempts = Counter(
             "plumarch_gateway_attempts", "Sends to endpoints, by outcome.", ("service", "outcome")
         )
+        self.sends = Counter(
+            "plumarch_gateway_sends",
+            "Sends to endpoints, by how near they are.",
+            ("service", "locality"),
+        )
         self.dependency = Counter(
             "plumarch_gateway_dependency_failures", "Failed calls, by dependency.", ("dependency",)
         )
@@ -117,7 +122,8 @@
         """Return all metrics for Prometheus; the library calls this."""
         from prometheus_client import metrics_core
 
-        for one in (self.first_byte, self.total, self.answers, self.attempts, self.dependency):
+        counted = (self.answers, self.attempts, self.sends, self.dependency)
+        for one in (self.first_byte, self.total, *counted):
             yield one.family()
         yield metrics_core.GaugeMetricFamily(
             "plumarch_log_lines_dropped", "Log lines dropped.", value=self.lines_dropped
--- a/plumarch/gateway/request_run.py
+++ b/plumarch/gateway/request_run.py
@@ -131,6 +131,7 @@
             return False
         speed = self.state.chooser.speed(self.admitted.service)
         expected_ms = speed.expect_ms(choice.tokens_to_read(), choice.place_wait_ms)
+        expected_ms += choice.way_ms
         target_ms = self.admitted.route.target_ms
         if not expected_ms > HOPELESS_TARGETS * target_ms > 0:
             return False
@@ -194,14 +195,15 @@
         return self.state.budget.take(self.admitted.service)
 
     async def _relay(self, attempt: attempts.Attempt) -> Outcome:
-        head = await attempts.read_head(self.state, self.admitted, attempt, self._patience_ms())
+        patience_ms = self._patience_ms(attempt)
+        head = await attempts.read_head(self.state, self.admitted, attempt, patience_ms)
         media = dialect.header_value(head.headers, b"content-type")
         if head.status_code == 200 and media.startswith("text/event-stream"):
             return await self._relay_events(attempt, head)
         return await self._relay_whole(attempt, head)
 
-    def _patience_ms(self) -> float:
-        """Return how long to wait for the endpoint at hand."""
+    def _patience_ms(self, attempt: attempts.Attempt) -> float:
+        """Return how long to wait for the endpoint at hand; longer in another region."""
         route = self.admitted.route
         left = self.admitted.ends_ms - self.state.clock.now()
         if not route.repeatable() or self.progress.sends >= route.max_attempts:
@@ -209,7 +211,7 @@
         wanted = PATIENCE_TARGETS * route.target_ms
         if route.kind is traffic.RouteKind.STREAMING:
             wanted = max(wanted, STREAM_PATIENCE_MS)
-        return min(left, wanted) if wanted > 0 else left
+        return min(left, wanted + attempt.round_trip_ms) if wanted > 0 else left
 
     async def _relay_whole(self, attempt: attempts.Attempt, head: h11.Response) -> Outcome:
         """Relay an answer that is read whole first, so that a broken one is never begun."""
@@ -236,7 +238,7 @@
         """Relay whole events as they come; an answer that breaks goes on or breaks visibly."""
         splitter = event_stream.Splitter()
         while True:
-            part = await attempt.exchange.next_within(self._patience_ms())
+            part = await attempt.exchange.next_within(self._patience_ms(attempt))
             if isinstance(part, h11.EndOfMessage):
                 break
             for event in splitter.feed(bytes(part.data) if isinstance(part, h11.Data) else b""):
@@ -273,10 +275,12 @@
         on_trial = version_outcomes.is_on_trial(self.state, attempt.choice.endpoint)
         if self.admitted.prompt_tokens and not on_trial:
             waited_ms = attempt.first_ms
-            waited_ms -= round(attempt.choice.place_wait_ms)
+            waited_ms -= round(attempt.choice.place_wait_ms + attempt.round_trip_ms)
             speed = self.state.chooser.speed(self.admitted.service)
             others_waited = attempt.choice.waiting_tokens > 0
             speed.first_token(attempt.choice.tokens_to_read(), waited_ms, others_waited)
+        elif not on_trial:
+            self.state.chooser.answered(attempt.choice, attempt.first_ms - attempt.round_trip_ms)
         if not self.reply.started:
             attempts.count_began(self.state, self.admitted)
 
--- a/plumarch/gateway/version_outcomes.py
+++ b/plumarch/gateway/version_outcomes.py
@@ -25,12 +25,14 @@
 ) -> None:
     """Count an answer, or that an endpoint failed to give one."""
     endpoint = attempt.choice.endpoint
-    took_ms = state.clock.now() - attempt.sent_ms
+    took_ms = state.clock.now() - attempt.sent_ms - attempt.round_trip_ms
     is_slow = False
     if admitted.prompt_tokens:
         tokens = admitted.prompt_tokens + attempt.choice.waiting_tokens
         speed = state.chooser.speed(endpoint.service)
-        first_ms = attempt.first_ms if attempt.first_ms is not None else took_ms
+        first_ms = took_ms
+        if attempt.first_ms is not None:
+            first_ms = attempt.first_ms - attempt.round_trip_ms
         is_slow = answer_times.is_slow_first_event(
             speed, tokens, attempt.choice.place_wait_ms, first_ms
         )
--- a/plumarch/routing/data_centre_reach.py
+++ b/plumarch/routing/data_centre_reach.py
@@ -18,6 +18,9 @@
 """How long a data centre is left out at first; a judgement: three times the time that a
 connection may take."""
 
+PAUSE_CONNECTS = 3
+"""Connections' time limits that the first pause stands for; so it grows with the distance."""
+
 LONGEST_PAUSE_MS = 2_800
 """The pause doubles up to this; cuts end after some seconds, and a data centre that is back is
 then used again within as long."""
@@ -32,12 +35,14 @@
       out_until_ms: none of its endpoints gets work before then.
       pauses: how often it was left out since then.
       trying: whether a connection tries it again just now.
+      beyond_ms: what its distance adds to each pause.
     """
 
     failed: set[str] = dataclasses.field(default_factory=set)
     out_until_ms: int = 0
     pauses: int = 0
     trying: bool = False
+    beyond_ms: int = 0
 
 
 @dataclasses.dataclass(slots=True)
@@ -52,9 +57,12 @@
         """Note a connection that came up."""
         self.known.pop(data_centre, None)
 
-    def failed(self, data_centre: str, endpoint: str) -> bool:
+    def failed(self, data_centre: str, endpoint: str, beyond_ms: float = 0.0) -> bool:
         """Note a connection that did not come up in time.
 
+        Args:
+          beyond_ms: by how much longer a connection there may take than one within the region; a
+            pause is longer by PAUSE_CONNECTS times as much.
         Returns:
           Whether the data centre is left out from now on.
         """
@@ -62,13 +70,15 @@
             return False
         reach = self.known.setdefault(data_centre, Reach())
         reach.failed.add(endpoint)
+        reach.beyond_ms = round(PAUSE_CONNECTS * beyond_ms)
         now = self.clock.now()
         if now < reach.out_until_ms and not reach.trying:
             return False
         reach.trying = False
         if len(reach.failed) < FAILURES_IN_ROW and not reach.pauses:
             return False
-        reach.out_until_ms = now + min(LONGEST_PAUSE_MS, FIRST_PAUSE_MS * 2**reach.pauses)
+        pause_ms = min(LONGEST_PAUSE_MS, FIRST_PAUSE_MS * 2**reach.pauses)
+        reach.out_until_ms = now + pause_ms + reach.beyond_ms
         reach.pauses += 1
         return True
 
@@ -82,4 +92,4 @@
         reach = self.known.get(data_centre)
         if reach is not None and reach.pauses and self.clock.now() >= reach.out_until_ms:
             reach.trying = True
-            reach.out_until_ms = self.clock.now() + FIRST_PAUSE_MS
+            reach.out_until_ms = self.clock.now() + FIRST_PAUSE_MS + reach.beyond_ms
--- a/plumarch/routing/distance.py
+++ b/plumarch/routing/distance.py
@@ -5,6 +5,7 @@
 before the first one a prior by locality stands in.
 """
 
+import collections
 import dataclasses
 import enum
 from collections.abc import Mapping
@@ -19,6 +20,10 @@
     SAME_REGION = 1
     OTHER_REGION = 2
 
+    def label(self) -> str:
+        """Return its name in logs and metrics."""
+        return self.name.lower()
+
 
 PRIOR_ROUND_TRIP_MS = {
     Locality.SAME_DATA_CENTRE: 0.3,
@@ -29,6 +34,44 @@
 centre, between those of a region, and between regions some hundred kilometres apart."""
 
 
+FRESH_CONNECTION_ROUND_TRIPS = 2
+"""Round trips until the first byte of an answer: one opens the connection, one carries the request;
+no connection is used twice."""
+
+CONNECTS_KEPT = 16
+"""Connections to a data centre that its round trip is judged by: few enough that another way
+there shows after a dozen sends, enough that a busy minute doesn't look like distance."""
+
+LEAST_CONNECTS = 3
+"""Connections before which the prior stands: a first one may have waited for a busy process."""
+
+LOW_RANK = 1
+"""Which of the kept connections is taken for the way, the shortest being 0: waiting only ever adds
+to a way, and one that is too short to be true (an endpoint's address used again nearer by) is
+passed over."""
+
+
+@dataclasses.dataclass(slots=True)
+class MeasuredWay:
+    """The last connections to the endpoints of a data centre.
+
+    Attributes:
+      connects_ms: how long each took, the oldest first.
+      round_trip_ms: what follows from them, or None while they are too few.
+    """
+
+    connects_ms: collections.deque[float] = dataclasses.field(
+        default_factory=lambda: collections.deque(maxlen=CONNECTS_KEPT)
+    )
+    round_trip_ms: float | None = None
+
+    def connected(self, connect_ms: float) -> None:
+        """Take in a connection that came up."""
+        self.connects_ms.append(connect_ms)
+        if len(self.connects_ms) >= LEAST_CONNECTS:
+            self.round_trip_ms = sorted(self.connects_ms)[LOW_RANK]
+
+
 @dataclasses.dataclass(slots=True)
 class Distances:
     """The data centres as seen from one of them.
@@ -36,11 +79,15 @@
     Attributes:
       own: the data centre of this node.
       regions: the region of each data centre; empty where all are of one region.
+      measured: ways to data centres that endpoints were connected to, by data centre.
+      unnamed: data centres without a region that were told by `is_first_unnamed`.
     """
 
     clock: clock.Clock
     own: str
     regions: Mapping[str, str] = dataclasses.field(default_factory=dict)
+    measured: dict[str, MeasuredWay] = dataclasses.field(default_factory=dict)
+    unnamed: set[str] = dataclasses.field(default_factory=set)
 
     def region_of(self, data_centre: str) -> str:
         """Return a data centre's region; one that is not named is a region of its own."""
@@ -60,9 +107,39 @@
             return Locality.SAME_REGION
         return Locality.OTHER_REGION
 
+    def is_in_region(self, data_centre: str) -> bool:
+        """Return whether a data centre is of this node's region."""
+        return not self.regions or self.region_of(data_centre) == self.own_region()
+
+    def is_first_unnamed(self, data_centre: str) -> bool:
+        """Return whether a data centre without a region is met for the first time."""
+        if not self.regions or data_centre in self.regions or data_centre in self.unnamed:
+            return False
+        self.unnamed.add(data_centre)
+        return True
+
     def connected(self, data_centre: str, connect_ms: float) -> None:
         """Take in how long a connection to an endpoint took to come up: one round trip."""
+        way = self.measured.get(data_centre)
+        if way is None:
+            way = self.measured[data_centre] = MeasuredWay()
+        way.connected(connect_ms)
 
     def round_trip_ms(self, data_centre: str) -> float:
         """Return the expected time there and back, in ms."""
+        way = self.measured.get(data_centre)
+        if way is not None and way.round_trip_ms is not None:
+            return way.round_trip_ms
         return PRIOR_ROUND_TRIP_MS[self.locality(data_centre)]
+
+    def beyond_region_ms(self, data_centre: str) -> float:
+        """Return the round trip to a data centre of another region; 0 within the region.
+
+        Time limits and learned times grow by it. Inside a region the ways are shorter than what a
+        busy process adds to them, and nothing depends on them.
+        """
+        return 0.0 if self.is_in_region(data_centre) else self.round_trip_ms(data_centre)
+
+    def way_ms(self, data_centre: str) -> float:
+        """Return what a request on a fresh connection spends on the way to another region."""
+        return FRESH_CONNECTION_ROUND_TRIPS * self.beyond_region_ms(data_centre)
--- a/plumarch/routing/endpoint_choice.py
+++ b/plumarch/routing/endpoint_choice.py
@@ -1,36 +1,34 @@
 """Which endpoint a request goes to.
 
-Plain services: the least loaded one, a near one before a far one. Engines: the one that is
+Plain services: the least loaded one of the region. Engines: the one of the region that is
 expected to give the first token soonest, from the prompt tokens that wait there and from the
 parts of the prompt that it is expected to hold. What an engine holds is guessed from this
-node's own record, and for what this node never sent by rendezvous hashing, which leads all
-nodes to the same engine without a message.
+node's own record, and for what this node never sent by rendezvous hashing among the engines of
+its region, which leads all nodes to the same one without a message. Whether a request leaves
+the region is weighed in ms (locality_choice).
 """
 
-import collections
 import dataclasses
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Iterator, Sequence
 
 from plumarch.core import clock, hashing, traffic
-from plumarch.routing import engine_speed
+from plumarch.routing import distance, engine_record, engine_speed, locality_choice, work_times
 
-FAR_COST = 0.15
-"""What another data centre costs, in parts of an endpoint's load."""
+OTHER_CENTRE_LOAD = 0.15
+"""What another data centre of the region costs, in parts of an endpoint's load."""
 
 RUNNING_MS = 1.5
 """What a running request delays a new one's first token by. Measured as 60 prompt tokens at
 engines that read 32 in a ms; it also keeps places free evenly."""
 
-FAR_MS = 2.5
-"""What another data centre of the region costs: there and back, 1 to 2.8 ms on the sheets."""
+OTHER_CENTRE_MS = 2.5
+"""What another data centre of the region costs: bytes between data centres are priced, and the
+round trip between them is some 2 ms."""
 
 HELD_BY_OWNERS = (0.8, 0.5)
 """Part of a prompt that the engines chosen by hashing are expected to hold, the first one first:
 what the first has no room for goes to the second, by all nodes alike."""
 
-RECORD_PARTS = 4_000
-"""Parts remembered for each engine."""
-
 
 @dataclasses.dataclass(slots=True)
 class Load:
@@ -59,6 +57,10 @@
       waiting_tokens: prompt tokens of others that it has to read before.
       place_wait_ms: how long the request waits for a place there.
       considered: how many endpoints there were.
+      way_ms: what it spends on the way, if the endpoint is of another region.
+      expected_ms: when its answer or first token is expected, with the way.
+      free_places: slots there that nothing is known to take.
+      leaves: why it leaves the region, or None if it stays.
     """
 
     endpoint: traffic.Endpoint
@@ -67,26 +69,18 @@
     considered: int
     waiting_tokens: float = 0.0
     place_wait_ms: float = 0.0
+    way_ms: float = 0.0
+    expected_ms: float = 0.0
+    free_places: int = 0
+    leaves: locality_choice.Leaves | None = None
 
     def tokens_to_read(self) -> float:
         """Return the prompt tokens to be read before the first token."""
         return self.unread_tokens + self.waiting_tokens
 
 
-@dataclasses.dataclass(slots=True)
-class EngineRecord:
-    """Parts that this node sent to an engine, least recently used first."""
-
-    parts: collections.OrderedDict[int, int] = dataclasses.field(
-        default_factory=collections.OrderedDict
-    )
-
-    def sent(self, key: int, now: int) -> None:
-        """Remember a part."""
-        self.parts[key] = now
-        self.parts.move_to_end(key)
-        if len(self.parts) > RECORD_PARTS:
-            self.parts.popitem(last=False)
+Weighed = tuple[traffic.Endpoint, float, float, Load, float]
+"""An engine, its cost, tokens that it has to read, its load, and the wait for a place there."""
 
 
 @dataclasses.dataclass(slots=True)
@@ -100,6 +94,8 @@
         report, so that a choice costs as much in a large fleet as in a small one.
       records: parts of prompts sent to engines, by identifier.
       speeds: what is known of the engines of each service.
+      work: how long plain services work on a request.
+      distances: how far data centres are; all are of one region if not given.
     """
 
     clock: clock.Clock
@@ -107,8 +103,10 @@
     own: dict[str, Load] = dataclasses.field(default_factory=dict)
     told: dict[str, dict[str, Load]] = dataclasses.field(default_factory=dict)
     others: dict[str, Load] = dataclasses.field(default_factory=dict)
-    records: dict[str, EngineRecord] = dataclasses.field(default_factory=dict)
+    records: dict[str, engine_record.EngineRecord] = dataclasses.field(default_factory=dict)
     speeds: dict[str, engine_speed.EngineSpeed] = dataclasses.field(default_factory=dict)
+    work: work_times.WorkTimes = dataclasses.field(default_factory=work_times.WorkTimes)
+    distances: distance.Distances | None = None
 
     def speed(self, service: str) -> engine_speed.EngineSpeed:
         """Return what is known of the engines of a service."""
@@ -163,19 +161,55 @@
         others = self.others.get(endpoint, NO_LOAD)
         return Load(own.running + others.running, own.prompt_tokens + others.prompt_tokens)
 
-    def choose_plain(self, candidates: Sequence[traffic.Endpoint], seed: int) -> Choice | None:
+    def choose_plain(
+        self,
+        candidates: Sequence[traffic.Endpoint],
+        seed: int,
+        terms: locality_choice.Terms = locality_choice.ANY_TERMS,
+    ) -> Choice | None:
         """Choose among endpoints of a plain service.
 
         Args:
           seed: breaks ties, differently for each request.
         """
-        best: Choice | None = None
+        near, away = locality_choice.parted(candidates, self.distances)
+        best = self._least_loaded(near, seed, len(candidates))
+        if locality_choice.stays(best, away, terms):
+            return best
+        options = [self._plain_choice(one, len(candidates)) for one in away]
+        return _taken(*locality_choice.choose(best, options, terms, seed))
+
+    def _least_loaded(
+        self, candidates: Sequence[traffic.Endpoint], seed: int, considered: int
+    ) -> Choice | None:
+        best: traffic.Endpoint | None = None
+        least = 0.0
         for endpoint in self._shuffled(candidates, seed):
             cost = self.running(endpoint.id) / max(1, endpoint.slots)
-            cost += self._far(endpoint) * FAR_COST
-            if best is None or cost < best.cost:
-                best = Choice(endpoint, cost, 0.0, len(candidates))
-        return best
+            cost += self._other_centre(endpoint) * OTHER_CENTRE_LOAD
+            if best is None or cost < least:
+                best, least = endpoint, cost
+        if best is None:
+            return None
+        return dataclasses.replace(self._plain_choice(best, considered), cost=least)
+
+    def _plain_choice(self, endpoint: traffic.Endpoint, considered: int) -> Choice:
+        """Return a plain endpoint as a choice, with when its answer is expected."""
+        running = self.running(endpoint.id)
+        slots = max(1, endpoint.slots)
+        work_ms = self.work.expected_ms(endpoint.service)
+        place_wait_ms = max(0, running + 1 - slots) * work_ms / slots
+        way_ms = self._way_ms(endpoint)
+        return Choice(
+            endpoint,
+            running / slots,
+            0.0,
+            considered,
+            place_wait_ms=place_wait_ms,
+            way_ms=way_ms,
+            expected_ms=way_ms + place_wait_ms + work_ms,
+            free_places=max(0, slots - running),
+        )
 
     def choose_engine(
         self,
@@ -183,6 +217,7 @@
         parts: Sequence[traffic.PromptPart],
         prompt_tokens: int,
         seed: int,
+        terms: locality_choice.Terms = locality_choice.ANY_TERMS,
     ) -> Choice | None:
         """Choose among engines.
 
@@ -190,59 +225,71 @@
           parts: the prompt's parts, in order; the last one may be the request's own.
           prompt_tokens: the whole prompt.
         """
+        near, away = locality_choice.parted(candidates, self.distances)
         keys = part_keys(parts)
-        owners = self._owners(candidates, keys[: _shared_count(parts, prompt_tokens)])
-        owning = {name for names in owners for name in names}
+        owned = keys[: _shared_count(parts, prompt_tokens)]
+        prompt = engine_record.Prompt(
+            parts, keys, prompt_tokens, engine_record.owners(near, owned, len(HELD_BY_OWNERS))
+        )
         best: Choice | None = None
-        for endpoint in self._shuffled(candidates, seed):
+        least: Weighed | None = None
+        for weighed in self._weigh(self._shuffled(near, seed), prompt):
+            if least is None or weighed[1] < least[1]:
+                least = weighed
+        if least is not None:
+            best = self._engine_choice(least, len(candidates))
+        if locality_choice.stays(best, away, terms):
+            return best
+        options: list[Choice] = []
+        for region in locality_choice.by_region(away, self.distances):
+            there = dataclasses.replace(
+                prompt, owners=engine_record.owners(region, owned, len(HELD_BY_OWNERS))
+            )
+            for weighed in self._weigh(region, there):
+                options.append(self._engine_choice(weighed, len(candidates)))
+        return _taken(*locality_choice.choose(best, options, terms, seed))
+
+    def _weigh(
+        self, candidates: Iterable[traffic.Endpoint], prompt: engine_record.Prompt
+    ) -> Iterator[Weighed]:
+        """Yield the engines of one region with their costs, the way there not counted."""
+        owning = {name for names in prompt.owners for name in names}
+        for endpoint in candidates:
             load = self.load(endpoint.id)
             speed = self.speed(endpoint.service)
-            unread = float(prompt_tokens)
+            unread = float(prompt.tokens)
             if endpoint.id in owning or endpoint.id in self.records:
-                unread -= self._held(endpoint.id, parts, keys, owners)
+                record = self.records.get(endpoint.id)
+                unread -= engine_record.held(endpoint.id, record, prompt, HELD_BY_OWNERS)
             place_wait_ms = speed.place_wait_ms(load.running, endpoint.slots)
             cost = speed.reading_ms(unread + load.prompt_tokens) + place_wait_ms
-            cost += RUNNING_MS * load.running + self._far(endpoint) * FAR_MS
-            if best is None or cost < best.cost:
-                best = Choice(
-                    endpoint, cost, unread, len(candidates), load.prompt_tokens, place_wait_ms
-                )
-        return best
-
-    def _owners(
-        self, candidates: Sequence[traffic.Endpoint], keys: Sequence[int]
-    ) -> list[list[str]]:
-        """Return for each key the engines to which all nodes send it, the first one first."""
-        names = [endpoint.id for endpoint in candidates]
-        return [hashing.highest(key, names, len(HELD_BY_OWNERS)) for key in keys]
-
-    def _held(
-        self,
-        endpoint: str,
-        parts: Sequence[traffic.PromptPart],
-        keys: Sequence[int],
-        owners: Sequence[Sequence[str]],
-    ) -> float:
-        """Return the tokens that an engine is expected to hold from the prompt's start.
+            cost += RUNNING_MS * load.running + self._other_centre(endpoint) * OTHER_CENTRE_MS
+            yield endpoint, cost, unread, load, place_wait_ms
+
+    def _engine_choice(self, weighed: Weighed, considered: int) -> Choice:
+        """Return an engine as a choice, with when its first token is expected."""
+        endpoint, cost, unread, load, place_wait_ms = weighed
+        way_ms = self._way_ms(endpoint)
+        cost += way_ms
+        return Choice(
+            endpoint,
+            cost,
+            unread,
+            considered,
+            load.prompt_tokens,
+            place_wait_ms,
+            way_ms,
+            self.speed(endpoint.service).base_ms.value + cost,
+            max(0, endpoint.slots - load.running),
+        )
 
-        An engine that holds a part holds all parts before it.
-        """
-        record = self.records.get(endpoint)
-        known = 0
-        if record is not None:
-            known = max((at + 1 for at, key in enumerate(keys) if key in record.parts), default=0)
-        certain = sum(part.tokens for part in parts[:known])
-        likely = 0.0
-        tokens = 0
-        for part, owning in zip(parts[known:], owners[known:], strict=False):
-            tokens += part.tokens
-            if endpoint in owning:
-                likely = max(likely, HELD_BY_OWNERS[owning.index(endpoint)] * tokens)
-        return certain + likely
-
-    def _far(self, endpoint: traffic.Endpoint) -> int:
+    def _other_centre(self, endpoint: traffic.Endpoint) -> int:
+        """Return 1 for another data centre of the region; that of another region has its way."""
         return 0 if endpoint.data_centre == self.data_centre else 1
 
+    def _way_ms(self, endpoint: traffic.Endpoint) -> float:
+        return self.distances.way_ms(endpoint.data_centre) if self.distances else 0.0
+
     def _shuffled(
         self, candidates: Sequence[traffic.Endpoint], seed: int
     ) -> list[traffic.Endpoint]:
@@ -255,7 +302,7 @@
         load.running += 1
         load.prompt_tokens += choice.unread_tokens
         if parts:
-            record = self.records.setdefault(choice.endpoint.id, EngineRecord())
+            record = self.records.setdefault(choice.endpoint.id, engine_record.EngineRecord())
             now = self.clock.now()
             for key in part_keys(parts):
                 record.sent(key, now)
@@ -266,6 +313,14 @@
         if load is not None:
             load.prompt_tokens = max(0.0, load.prompt_tokens - choice.unread_tokens)
 
+    def answered(self, choice: Choice, took_ms: float) -> None:
+        """Learn from a plain answer how long the service works on a request.
+
+        Args:
+          took_ms: since it was sent, without the way to another region.
+        """
+        self.work.answered(choice.endpoint.service, took_ms, choice.place_wait_ms)
+
     def end(self, choice: Choice, saw_first_token: bool) -> None:
         """Count a request as over."""
         if not saw_first_token:
@@ -283,6 +338,11 @@
             del self.records[name]
 
 
+def _taken(choice: Choice | None, why: locality_choice.Leaves | None) -> Choice | None:
+    """Return a choice with the reason for which it leaves the region, if it does."""
+    return choice if choice is None or why is None else dataclasses.replace(choice, leaves=why)
+
+
 def _shared_count(parts: Sequence[traffic.PromptPart], prompt_tokens: int) -> int:
     """Return how many parts others may share: all but the last one of a prompt named whole."""
     named = sum(part.tokens for part in parts)
--- /dev/null
+++ b/plumarch/routing/locality_choice.py
@@ -0,0 +1,181 @@
+"""Whether a request leaves its region, and where it goes then.
+
+A request stays in its region while that answers soon enough. It leaves where the region has no
+endpoint with room, or where another region is expected to answer sooner, the way included. All
+nodes of a region see the same figures, some of them old; if each followed them to the letter, all
+would leave at once, to one endpoint, and all come back. So only a part leaves, the larger the
+more is gained, and it is spread at random over the endpoints that are about equally good.
+"""
+
+import dataclasses
+import enum
+import math
+from collections.abc import Iterable, Sequence
+from typing import Protocol, TypeVar
+
+from plumarch.core import hashing, traffic
+from plumarch.routing import distance
+
+LEAST_GAIN = 0.2
+"""Part of the expected time that must be gained before a request leaves its region: learned times
+are not surer than that, and bytes between regions are dear."""
+
+MOST_SPILLED = 0.5
+"""Part of the requests that leave at most while the region answers in time: what is taken away
+shows in the figures a second later only, and the region's endpoints stay in use until then."""
+
+SPARE_PLACES = 0.25
+"""Part of an endpoint's slots that must be free for spill-over to it: they are kept for callers of
+its own region, so that one region's load doesn't make the next one spill over in turn."""
+
+NEAR_EQUAL = 0.25
+"""Endpoints expected within this part more than the best count as equally good."""
+
+
+class Leaves(enum.Enum):
+    """Why a request leaves its region."""
+
+    NO_ROOM_NEAR = "no_room_near"
+    NEARER_SLOWER = "nearer_slower"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Terms:
+    """What a request asks of its endpoint.
+
+    Attributes:
+      time_left_ms: until it is given up.
+      enough_ms: an answer expected within this is soon enough; the caller gains nothing by a
+        sooner one.
+      late_ms: an answer expected after this counts as late.
+      repeated: whether an endpoint failed it before.
+    """
+
+    time_left_ms: float = math.inf
+    enough_ms: float = 0.0
+    late_ms: float = math.inf
+    repeated: bool = False
+
+
+ANY_TERMS = Terms()
+
+
+class Option(Protocol):
+    """An endpoint that a request may go to."""
+
+    @property
+    def endpoint(self) -> traffic.Endpoint:
+        """The endpoint."""
+        ...
+
+    @property
+    def expected_ms(self) -> float:
+        """When an answer is expected, with the way."""
+        ...
+
+    @property
+    def free_places(self) -> int:
+        """Slots there that nothing is known to take."""
+        ...
+
+
+AnyOption = TypeVar("AnyOption", bound=Option)
+
+
+def parted(
+    candidates: Sequence[traffic.Endpoint], distances: distance.Distances | None
+) -> tuple[Sequence[traffic.Endpoint], Sequence[traffic.Endpoint]]:
+    """Return the endpoints of the own region, and all others."""
+    if distances is None or not distances.regions:
+        return candidates, ()
+    near: list[traffic.Endpoint] = []
+    away: list[traffic.Endpoint] = []
+    regions, own = distances.regions, distances.own_region()
+    for one in candidates:
+        region = regions.get(one.data_centre, one.data_centre)
+        (near if region == own else away).append(one)
+    return near, away
+
+
+def by_region(
+    candidates: Iterable[traffic.Endpoint], distances: distance.Distances | None
+) -> list[list[traffic.Endpoint]]:
+    """Return endpoints, each region's together."""
+    regions: dict[str, list[traffic.Endpoint]] = {}
+    for one in candidates:
+        region = distances.region_of(one.data_centre) if distances is not None else ""
+        regions.setdefault(region, []).append(one)
+    return list(regions.values())
+
+
+def stays(best: Option | None, away: Sequence[traffic.Endpoint], terms: Terms) -> bool:
+    """Return whether the region's best endpoint is taken without a look at other regions.
+
+    A repeated request stays as well: the region has room, and the way was paid once already.
+    """
+    if not away:
+        return True
+    if best is None:
+        return False
+    if terms.repeated and best.expected_ms <= terms.time_left_ms:
+        return True
+    return best.expected_ms <= min(terms.enough_ms, terms.time_left_ms)
+
+
+def choose(
+    best: AnyOption | None, away: Iterable[AnyOption], terms: Terms, seed: int
+) -> tuple[AnyOption | None, Leaves | None]:
+    """Choose between the region's best endpoint and those of other regions.
+
+    Args:
+      best: the region's, or None if it has none with room.
+      seed: differs for each request.
+    Returns:
+      The choice, and why it leaves the region if it does. There is no choice if the region has
+      none and none elsewhere can answer in time.
+    """
+    in_time = [one for one in away if one.expected_ms <= terms.time_left_ms]
+    if best is None:
+        return _drawn(in_time, seed), Leaves.NO_ROOM_NEAR
+    spare = [one for one in in_time if one.free_places > SPARE_PLACES * one.endpoint.slots]
+    if not spare:
+        return best, None
+    soonest_ms = min(one.expected_ms for one in spare)
+    if _fraction(seed, "leaves") >= spilled_part(best.expected_ms, soonest_ms, terms):
+        return best, None
+    return _drawn(spare, seed), Leaves.NEARER_SLOWER
+
+
+def spilled_part(near_ms: float, away_ms: float, terms: Terms) -> float:
+    """Return the part of requests that leave the region.
+
+    Args:
+      near_ms: when an answer is expected from the region's best endpoint.
+      away_ms: when one is expected from the best of other regions.
+    """
+    gain = 1.0 - away_ms / max(1.0, near_ms)
+    if gain < LEAST_GAIN:
+        return 0.0
+    if near_ms > min(terms.late_ms, terms.time_left_ms):
+        return 1.0
+    return min(MOST_SPILLED, gain)
+
+
+def _drawn(options: Sequence[AnyOption], seed: int) -> AnyOption | None:
+    """Return one of the about equally good options, drawn by their free places."""
+    if not options:
+        return None
+    bound_ms = (1.0 + NEAR_EQUAL) * min(one.expected_ms for one in options)
+    equal = [one for one in options if one.expected_ms <= bound_ms]
+    weights = [max(1, one.free_places) for one in equal]
+    point = _fraction(seed, "endpoint") * sum(weights)
+    for one, weight in zip(equal, weights, strict=True):
+        point -= weight
+        if point < 0:
+            return one
+    return equal[-1]
+
+
+def _fraction(seed: int, purpose: str) -> float:
+    """Return a number from 0 to 1 that is a request's own for a purpose."""
+    return hashing.digest(seed.to_bytes(8, "big"), purpose) / 2**64
--- a/plumarch/standins/gateway_parts.py
+++ b/plumarch/standins/gateway_parts.py
@@ -30,6 +30,7 @@
     Args:
       wall: the time of day; the steady clock if not given.
     """
+    distances = distance.Distances(steady, "a")
     return fleet_state.FleetState(
         node=node,
         data_centre="a",
@@ -40,7 +41,7 @@
         log=decision_log.DecisionLog(steady, node, descriptor=-1),
         measures=measures.Measures(),
         registry=registry.Registry(steady),
-        chooser=endpoint_choice.EndpointChooser(steady, "a"),
+        chooser=endpoint_choice.EndpointChooser(steady, "a", distances=distances),
         health=endpoint_health.EndpointHealth(steady),
         reach=data_centre_reach.DataCentreReach(steady, "a"),
         quota=workspace_quota.WorkspaceQuota(steady, steady.now() - SETTLED_MS),
@@ -50,7 +51,7 @@
         splits=version_split.VersionSplits(steady),
         answers=version_tally.TallyBook(),
         answer_times=answer_times.AnswerTimes(),
-        distances=distance.Distances(steady, "a"),
+        distances=distances,
         memory=memory_account.of_limit(MEMORY_MB),
         limits=endpoint_limits.EndpointLimits(steady),
     )
--- a/plumarch/standins/gossip_fleet.py
+++ b/plumarch/standins/gossip_fleet.py
@@ -58,6 +58,7 @@
         state = gateway_parts.new_state(fleet.time, self.name)
         state.data_centre = data_centre
         state.chooser.data_centre = data_centre
+        state.distances.own = data_centre
         incarnation = fleet.time.now() + number % 7
         view = fleet_view.FleetView(fleet.time, self.name, incarnation, self.address, data_centre)
         self.state = state
