--- /dev/null
+++ b/plumarch/standins/region_replay.py
@@ -0,0 +1,242 @@
+"""Load patterns of a fleet over several regions, replayed on virtual time.
+
+Nodes choose endpoints by what they know; news of each other's sends is old by as much as it takes
+on the way. Endpoints work on as many requests as they have slots, and the others wait in line. So
+it shows what many nodes do together that follow the same old figures.
+"""
+
+import dataclasses
+import heapq
+import itertools
+import random
+from collections.abc import Callable, Iterable
+
+from plumarch.core import clock, traffic
+from plumarch.routing import distance, endpoint_choice, endpoint_limits, locality_choice
+
+NEWS_EVERY_MS = 200
+NEWS_AGE_MS = 100
+"""How often nodes hear of one another's sends, and how old they are then."""
+
+ROUND_TRIP_MS = 60.0
+NEAR_ROUND_TRIP_MS = 1.0
+
+DATA_CENTRES = {"n1": "north", "n2": "north", "e1": "east", "e2": "east", "s1": "south"} | {
+    "s2": "south"
+}
+"""Two data centres in each of three regions."""
+
+NODES = 3
+"""In each data centre."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Work:
+    """What callers ask for.
+
+    Attributes:
+      requests_per_s: by the region in which callers enter.
+      work_ms: how long an endpoint works on a request on average; for a prompt, after reading.
+      parts: of prompts that many share; none for plain requests.
+      prompt_tokens: of a prompt, with its own part; 0 for plain requests.
+    """
+
+    requests_per_s: dict[str, float]
+    work_ms: float
+    terms: locality_choice.Terms
+    parts: tuple[tuple[traffic.PromptPart, ...], ...] = ((),)
+    prompt_tokens: int = 0
+    ms_per_token: float = 0.05
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Sent:
+    """A request that was sent.
+
+    Attributes:
+      sent_ms: when.
+      region: where its caller entered.
+      took_ms: until its answer, or its first token.
+    """
+
+    sent_ms: float
+    region: str
+    choice: endpoint_choice.Choice
+    to_region: str
+    took_ms: float
+
+
+@dataclasses.dataclass(slots=True)
+class SimulatedEndpoint:
+    """An endpoint that works on as many requests as it has slots.
+
+    Attributes:
+      free_at_ms: when each of its slots is free.
+      reads_until_ms: when it has read all prompts that it was given.
+      holds: keys of the prompt parts that it has read.
+    """
+
+    endpoint: traffic.Endpoint
+    free_at_ms: list[float]
+    reads_until_ms: float = 0.0
+    holds: set[int] = dataclasses.field(default_factory=set)
+
+    def serve(self, arrives_ms: float, work_ms: float) -> tuple[float, float]:
+        """Return when a plain request begins and ends."""
+        begins_ms = max(arrives_ms, heapq.heappop(self.free_at_ms))
+        heapq.heappush(self.free_at_ms, begins_ms + work_ms)
+        return begins_ms, begins_ms + work_ms
+
+    def read(
+        self, arrives_ms: float, unread: float, ms_per_token: float, work_ms: float
+    ) -> tuple[float, float]:
+        """Return when a prompt's first token comes, and when the request ends."""
+        begins_ms = max(arrives_ms, heapq.heappop(self.free_at_ms), self.reads_until_ms)
+        self.reads_until_ms = begins_ms + unread * ms_per_token
+        heapq.heappush(self.free_at_ms, self.reads_until_ms + work_ms)
+        return self.reads_until_ms, self.reads_until_ms + work_ms
+
+
+class SimulatedNode:
+    """A node: what it knows, and where it is."""
+
+    def __init__(self, data_centre: str, time: clock.ManualClock) -> None:
+        self.data_centre = data_centre
+        self.region = DATA_CENTRES[data_centre]
+        self.distances = distance.Distances(time, data_centre, DATA_CENTRES)
+        self.chooser = endpoint_choice.EndpointChooser(time, data_centre, distances=self.distances)
+
+
+class RegionReplay:
+    """A fleet, its callers, and all that was sent."""
+
+    def __init__(self, seed: int, work: Work, endpoints: Iterable[traffic.Endpoint]) -> None:
+        self.time = clock.ManualClock()
+        self.rng = random.Random(seed)
+        self.work = work
+        self.limits = endpoint_limits.EndpointLimits(self.time)
+        self.endpoints = {one.id: SimulatedEndpoint(one, [0.0] * one.slots) for one in endpoints}
+        self.gone: set[str] = set()
+        self.nodes = [SimulatedNode(name, self.time) for name in DATA_CENTRES for _ in range(NODES)]
+        self.sent: list[Sent] = []
+        self.refused: list[tuple[float, str]] = []
+        self.events: list[tuple[float, int, Callable[[], None]]] = []
+        self.numbers = itertools.count()
+        self._at(0.0, self._tell)
+        for node in self.nodes:
+            if self._rate(node) > 0:
+                self._at(self.rng.expovariate(self._rate(node)) * 1_000, self._arrivals(node))
+
+    def run_until(self, end_ms: float) -> None:
+        """Play until a time."""
+        while self.events and self.events[0][0] <= end_ms:
+            at_ms, _, act = heapq.heappop(self.events)
+            self.time.advance_to(round(at_ms))
+            act()
+
+    def lose(self, region: str) -> None:
+        """Take a region's endpoints away."""
+        self.gone |= {
+            name
+            for name, one in self.endpoints.items()
+            if DATA_CENTRES[one.endpoint.data_centre] == region
+        }
+
+    def regain(self) -> None:
+        """Give all endpoints back."""
+        self.gone.clear()
+
+    def _at(self, at_ms: float, act: Callable[[], None]) -> None:
+        heapq.heappush(self.events, (at_ms, next(self.numbers), act))
+
+    def _rate(self, node: SimulatedNode) -> float:
+        same = sum(1 for one in self.nodes if one.region == node.region)
+        return self.work.requests_per_s[node.region] / same
+
+    def _arrivals(self, node: SimulatedNode) -> Callable[[], None]:
+        def arrive() -> None:
+            now = float(self.time.now())
+            self._send(node, now)
+            wait_ms = self.rng.expovariate(self._rate(node)) * 1_000
+            self._at(now + wait_ms, arrive)
+
+        return arrive
+
+    def _send(self, node: SimulatedNode, now: float) -> None:
+        parts = self.rng.choice(self.work.parts)
+        choice = self._choice(node, parts)
+        if choice is None:
+            self.refused.append((now, node.region))
+            return
+        target = self.endpoints[choice.endpoint.id]
+        to_region = DATA_CENTRES[choice.endpoint.data_centre]
+        round_trip_ms = ROUND_TRIP_MS if to_region != node.region else NEAR_ROUND_TRIP_MS
+        node.distances.connected(choice.endpoint.data_centre, round_trip_ms)
+        node.chooser.begin(choice, parts)
+        arrives_ms = now + 1.5 * round_trip_ms
+        work_ms = self.rng.lognormvariate(0.0, 0.3) * self.work.work_ms
+        if self.work.prompt_tokens:
+            keys = endpoint_choice.part_keys(parts)
+            held = sum(p.tokens for p, k in zip(parts, keys, strict=True) if k in target.holds)
+            unread = self.work.prompt_tokens - held
+            target.holds.update(keys)
+            first, ends = target.read(arrives_ms, unread, self.work.ms_per_token, work_ms)
+        else:
+            _, ends = target.serve(arrives_ms, work_ms)
+            first = ends
+        answered_ms = first + round_trip_ms / 2
+        self.sent.append(Sent(now, node.region, choice, to_region, answered_ms - now))
+        self._at(answered_ms, lambda: self._answered(node, choice, answered_ms - now))
+        self._at(ends + round_trip_ms / 2, lambda: node.chooser.end(choice, saw_first_token=True))
+
+    def _choice(
+        self, node: SimulatedNode, parts: tuple[traffic.PromptPart, ...]
+    ) -> endpoint_choice.Choice | None:
+        is_engine = self.work.prompt_tokens > 0
+        ready = [
+            one.endpoint
+            for name, one in self.endpoints.items()
+            if name not in self.gone
+            and self.limits.has_room(one.endpoint, node.chooser.running(name), is_engine)
+        ]
+        seed = self.rng.randrange(1 << 30)
+        if is_engine:
+            tokens, terms = self.work.prompt_tokens, self.work.terms
+            return node.chooser.choose_engine(ready, parts, tokens, seed, terms)
+        return node.chooser.choose_plain(ready, seed, self.work.terms)
+
+    def _answered(
+        self, node: SimulatedNode, choice: endpoint_choice.Choice, took_ms: float
+    ) -> None:
+        node.chooser.first_token(choice)
+        took_ms -= 2.0 * node.distances.round_trip_ms(choice.endpoint.data_centre)
+        if self.work.prompt_tokens:
+            speed = node.chooser.speed(choice.endpoint.service)
+            speed.first_token(choice.tokens_to_read(), took_ms, choice.waiting_tokens > 0)
+        else:
+            node.chooser.answered(choice, took_ms)
+
+    def _tell(self) -> None:
+        """Tell each node what all others have under way, some time later."""
+        now = float(self.time.now())
+        loads = [
+            {name: (load.running, load.prompt_tokens) for name, load in node.chooser.own.items()}
+            for node in self.nodes
+        ]
+        for at, node in enumerate(self.nodes):
+            others = [told for number, told in enumerate(loads) if number != at]
+            self._at(now + NEWS_AGE_MS, _hearing(node, others))
+        self._at(now + NEWS_EVERY_MS, self._tell)
+
+
+def _hearing(node: SimulatedNode, others: list[dict[str, tuple[int, float]]]) -> Callable[[], None]:
+    def hear() -> None:
+        total: dict[str, endpoint_choice.Load] = {}
+        for told in others:
+            for name, (running, tokens) in told.items():
+                load = total.setdefault(name, endpoint_choice.Load())
+                load.running += running
+                load.prompt_tokens += tokens
+        node.chooser.tell("fleet", total)
+
+    return hear
