Spill-over goes only where a region's own callers still get their answers soon enough

An engine's free slots don't show how much it has to read. Requests that can't belong to the part that leaves don't weigh other regions at all.

--- a/bench/choices.py
+++ b/bench/choices.py
@@ -8,9 +8,12 @@
 import time
 
 from plumarch.core import clock, traffic
-from plumarch.routing import endpoint_choice
+from plumarch.routing import distance, endpoint_choice
 
 CHOICES = 400
+CENTRES = "abc"
+"""Data centres; each is a region of its own where there are several regions."""
+
 REPORTED = 12
 """Engines whose load one node reports."""
 
@@ -21,15 +24,20 @@
 
     nodes: int
     engines: int
+    regions: int = 1
 
 
-SIZES = (Size(7, 9), Size(77, 30), Size(195, 39), Size(450, 143))
+SIZES = (Size(7, 9), Size(77, 30), Size(195, 39), Size(450, 143), Size(195, 39, 3))
 
 
 def chooser_of(size: Size, engines: list[traffic.Endpoint]) -> endpoint_choice.EndpointChooser:
     """Return what a node knows of the loads that all others told."""
     rng = random.Random(1)
-    chooser = endpoint_choice.EndpointChooser(clock.ManualClock(), "a")
+    time_now = clock.ManualClock()
+    regions = {centre: centre for centre in CENTRES} if size.regions > 1 else {}
+    chooser = endpoint_choice.EndpointChooser(
+        time_now, "a", distances=distance.Distances(time_now, "a", regions)
+    )
     for node in range(size.nodes - 1):
         told = rng.sample(engines, min(REPORTED, len(engines)))
         chooser.tell(
@@ -41,9 +49,15 @@
 
 def measure(size: Size) -> str:
     """Return a line of figures for one size."""
+    centres = CENTRES if size.regions > 1 else CENTRES[:2]
     engines = [
         traffic.Endpoint(
-            f"i-{number:010x}", "s", "1:1", "ab"[number % 2], 48, traffic.EndpointState.READY
+            f"i-{number:010x}",
+            "s",
+            "1:1",
+            centres[number % len(centres)],
+            48,
+            traffic.EndpointState.READY,
         )
         for number in range(size.engines)
     ]
@@ -58,7 +72,8 @@
         assert sum(chooser.running(one.id) for one in engines) >= 0
         chooser.choose_engine(engines, parts, 9_200, number)
     spent_ms = (time.perf_counter() - begun) * 1_000.0 / CHOICES
-    return f"{size.nodes} nodes, {size.engines} engines: {spent_ms:.3f} ms a choice"
+    where = f"{size.nodes} nodes, {size.engines} engines, {size.regions} regions"
+    return f"{where}: {spent_ms:.3f} ms a choice"
 
 
 def main() -> None:
--- a/plumarch/routing/endpoint_choice.py
+++ b/plumarch/routing/endpoint_choice.py
@@ -174,7 +174,7 @@
         """
         near, away = locality_choice.parted(candidates, self.distances)
         best = self._least_loaded(near, seed, len(candidates))
-        if locality_choice.stays(best, away, terms):
+        if locality_choice.stays(best, away, terms, seed):
             return best
         options = [self._plain_choice(one, len(candidates)) for one in away]
         return _taken(*locality_choice.choose(best, options, terms, seed))
@@ -238,7 +238,7 @@
                 least = weighed
         if least is not None:
             best = self._engine_choice(least, len(candidates))
-        if locality_choice.stays(best, away, terms):
+        if locality_choice.stays(best, away, terms, seed):
             return best
         options: list[Choice] = []
         for region in locality_choice.by_region(away, self.distances):
--- a/plumarch/routing/locality_choice.py
+++ b/plumarch/routing/locality_choice.py
@@ -73,6 +73,11 @@
         """When an answer is expected, with the way."""
         ...
 
+    @property
+    def way_ms(self) -> float:
+        """What of it is spent on the way to another region."""
+        ...
+
     @property
     def free_places(self) -> int:
         """Slots there that nothing is known to take."""
@@ -108,10 +113,11 @@
     return list(regions.values())
 
 
-def stays(best: Option | None, away: Sequence[traffic.Endpoint], terms: Terms) -> bool:
+def stays(best: Option | None, away: Sequence[traffic.Endpoint], terms: Terms, seed: int) -> bool:
     """Return whether the region's best endpoint is taken without a look at other regions.
 
-    A repeated request stays as well: the region has room, and the way was paid once already.
+    A repeated request stays as well, since the region has room. So do those that don't belong to
+    the part that may leave, whatever the other regions have.
     """
     if not away:
         return True
@@ -119,7 +125,9 @@
         return False
     if terms.repeated and best.expected_ms <= terms.time_left_ms:
         return True
-    return best.expected_ms <= min(terms.enough_ms, terms.time_left_ms)
+    if best.expected_ms > min(terms.late_ms, terms.time_left_ms):
+        return False
+    return best.expected_ms <= terms.enough_ms or _fraction(seed, "leaves") >= MOST_SPILLED
 
 
 def choose(
@@ -137,7 +145,7 @@
     in_time = [one for one in away if one.expected_ms <= terms.time_left_ms]
     if best is None:
         return _drawn(in_time, seed), Leaves.NO_ROOM_NEAR
-    spare = [one for one in in_time if one.free_places > SPARE_PLACES * one.endpoint.slots]
+    spare = [one for one in in_time if _has_spare(one, terms)]
     if not spare:
         return best, None
     soonest_ms = min(one.expected_ms for one in spare)
@@ -146,6 +154,16 @@
     return _drawn(spare, seed), Leaves.NEARER_SLOWER
 
 
+def _has_spare(option: Option, terms: Terms) -> bool:
+    """Return whether an endpoint has more than callers of its own region need.
+
+    Those must find free places, and be answered soon enough.
+    """
+    if option.free_places <= SPARE_PLACES * option.endpoint.slots:
+        return False
+    return not terms.enough_ms or option.expected_ms - option.way_ms <= terms.enough_ms
+
+
 def spilled_part(near_ms: float, away_ms: float, terms: Terms) -> float:
     """Return the part of requests that leave the region.
 
--- a/plumarch/routing/locality_choice_test.py
+++ b/plumarch/routing/locality_choice_test.py
@@ -101,7 +101,8 @@
     loads = {one.id: at(3) for one in AWAY}
     found.tell("x", {"n0": at(24), "n1": at(24)} | loads)
     terms = dataclasses.replace(TERMS, enough_ms=100.0)
-    assert all(one.leaves is None for one in chosen_plain(found, AWAY + NEAR, terms))
+    choices = chosen_plain(found, AWAY + NEAR, terms)
+    assert {one.endpoint.data_centre for one in choices} == {"a"}
 
 
 def test_without_room_near_the_free_places_elsewhere_are_used_alike():
@@ -152,12 +153,14 @@
 AWAY_ENGINES = [endpoint(f"s{number}", "c", 24) for number in range(6)]
 
 
-def test_nodes_of_a_region_send_a_shared_part_to_the_same_engine_of_it():
-    key = endpoint_choice.part_keys((SHARED,))
+@pytest.mark.parametrize("name", ["p1", "p2", "p3", "p4", "p5"])
+def test_nodes_of_a_region_send_a_shared_part_to_the_same_engine_of_it(name):
+    shared = traffic.PromptPart(name, 4_000)
+    key = endpoint_choice.part_keys((shared,))
     [[owner]] = engine_record.owners(NEAR_ENGINES, key, 1)
-    for _ in range(5):
+    for seed in range(5):
         choice = chooser().choose_engine(
-            AWAY_ENGINES + NEAR_ENGINES, (SHARED, OWN), 4_500, 3, TERMS
+            AWAY_ENGINES + NEAR_ENGINES, (shared, OWN), 4_500, seed, TERMS
         )
         assert choice is not None
         assert (choice.endpoint.id, choice.leaves) == (owner, None)
@@ -263,7 +266,9 @@
     replay = region_replay.RegionReplay(seed, plain_work(north=90.0), [near, *few])
     replay.run_until(20_000)
     sent = of(replay, "north", 2_000, 20_000)
-    assert 0.3 < left_part(sent) < 0.85
+    assert 0.3 < left_part(sent) < 0.7
+    for second in range(2, 20):
+        assert 0.1 < left_part(of(replay, "north", second * 1_000, second * 1_000 + 1_000)) < 0.9
     at_near_per_s = sum(1 for one in sent if one.to_region == "north") / 18.0
     assert at_near_per_s > 0.8 * near.slots * 1_000.0 / (PLAIN_MS * 1.05)
     counts = collections.Counter(one.choice.endpoint.id for one in sent if one.to_region != "north")
@@ -295,6 +300,19 @@
     assert not replay.refused
 
 
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_a_region_with_too_much_work_for_its_engines_does_not_make_the_others_late(seed):
+    replay = region_replay.RegionReplay(seed, engine_work(north=90.0), engines())
+    replay.run_until(20_000)
+    sent = of(replay, "north", 2_000, 20_000)
+    assert 0.02 < left_part(sent) < 0.5
+    for region in ("east", "south"):
+        others = of(replay, region, 2_000, 20_000)
+        assert left_part(others) <= 0.05
+        in_target = sum(1 for one in others if one.took_ms <= ENGINE_TERMS.late_ms)
+        assert in_target > 0.95 * len(others)
+
+
 @pytest.mark.parametrize("seed", [1, 2, 3])
 def test_a_region_that_loses_its_engines_is_served_by_all_others_until_they_are_back(seed):
     replay = region_replay.RegionReplay(seed, engine_work(), engines(3))
