--- /dev/null
+++ b/plumarch/gateway/region_attempts_test.py
@@ -0,0 +1,243 @@
+"""Requests that leave their region: what is sent, logged, counted, waited for and refused."""
+
+import asyncio
+import dataclasses
+import json
+from collections.abc import Awaitable, Callable
+
+import pytest
+
+from plumarch.config import routing_table
+from plumarch.core import clock, traffic
+from plumarch.gateway import (
+    admission,
+    attempts,
+    caller_connection,
+    fleet_state,
+    request_run,
+    version_outcomes,
+)
+from plumarch.routing import distance, endpoint_choice
+from plumarch.standins import gateway_parts
+from plumarch.standins import scripted_endpoint as scripted
+
+REGIONS = {"a": "north", "b": "north", "c": "south"}
+LATE_MS = 10_000
+FAR_MS = 60.0
+
+ROUTE = traffic.Route(
+    "r",
+    "h",
+    "/",
+    traffic.RouteKind.SAFE,
+    LATE_MS,
+    400.0,
+    (traffic.ServiceShare("s", 1.0),),
+    max_attempts=3,
+)
+
+
+class RecordedReply:
+    """Takes the answer that a caller would get."""
+
+    def __init__(self) -> None:
+        self.started = False
+        self.status = 0
+        self.headers: dict[bytes, bytes] = {}
+
+    def send(self, status: int, headers: caller_connection.Headers, body: bytes) -> None:
+        self.status, self.headers = status, dict(headers)
+
+    def start(self, status: int, headers: caller_connection.Headers) -> None:
+        self.started, self.status = True, status
+
+    async def chunk(self, data: bytes) -> None:
+        pass
+
+    def finish(self) -> None:
+        pass
+
+    def abort(self) -> None:
+        pass
+
+
+def endpoint(name: str, data_centre: str, address: str = "127.0.0.1:1") -> traffic.Endpoint:
+    return traffic.Endpoint(name, "s", address, data_centre, 4, traffic.EndpointState.READY)
+
+
+def state_with(steady: clock.Clock, *endpoints: traffic.Endpoint) -> fleet_state.FleetState:
+    state = gateway_parts.new_state(steady)
+    state.distances.regions = REGIONS
+    state.registry.replace(list(endpoints), 1, "store")
+    return state
+
+
+def table(service: traffic.Service) -> routing_table.RoutingTable:
+    return routing_table.build(
+        routing_table.Configuration(1, (ROUTE,), (service,), (), traffic.CallerLimits())
+    )
+
+
+def admitted(
+    steady: clock.Clock, time_left_ms: float = LATE_MS, prompt_tokens: int = 0
+) -> admission.Admitted:
+    return admission.Admitted(
+        request=caller_connection.CallerRequest(
+            b"GET", b"/", ((b"host", b"h"),), b"", steady.now()
+        ),
+        id="r1",
+        route=ROUTE,
+        service="s",
+        workspace=None,
+        units=0.0,
+        ends_ms=steady.now() + time_left_ms,
+        parts=(),
+        prompt_tokens=prompt_tokens,
+        version=1,
+    )
+
+
+def lines(state: fleet_state.FleetState, kind: str) -> list[dict[str, object]]:
+    found = [json.loads(line) for line in bytes(state.log.pending).splitlines()]
+    return [one for one in found if one["kind"] == kind]
+
+
+def play(test: Callable[[], Awaitable[None]]) -> None:
+    asyncio.run(asyncio.wait_for(test(), 30))
+
+
+async def answers(request: scripted.ReceivedRequest, writer: asyncio.StreamWriter) -> None:
+    writer.write(scripted.answer(request))
+
+
+async def breaks(request: scripted.ReceivedRequest, writer: asyncio.StreamWriter) -> None:
+    writer.transport.abort()
+
+
+async def serve(
+    state: fleet_state.FleetState, one: admission.Admitted
+) -> tuple[request_run.Outcome, RecordedReply]:
+    reply = RecordedReply()
+    return await request_run.RequestRun(state, one, reply).serve(), reply
+
+
+def test_a_send_to_another_region_is_logged_with_the_reason_and_counted():
+    async def test() -> None:
+        steady = clock.MonotonicClock()
+        far = await scripted.ScriptedEndpoint(answers).start()
+        state = state_with(steady, endpoint("e1", "c", far.address))
+        outcome, _ = await serve(state, admitted(steady))
+        assert outcome.status == 200
+        [sent] = lines(state, "sent")
+        assert sent["locality"] == "other_region"
+        assert sent["leaves_region"] == "no_room_near"
+        assert sent["round_trip_ms"] == FAR_MS
+        assert state.measures.sends.counts == {("s", "other_region"): 1.0}
+        assert b"plumarch_gateway_sends_total" in state.measures.text()
+        told = int(far.received[0].headers["x-deadline-ms"])
+        assert told <= LATE_MS - FAR_MS
+        await far.stop()
+
+    play(test)
+
+
+def test_a_repeat_goes_to_the_sister_data_centre_first_and_then_to_another_region():
+    async def test() -> None:
+        steady = clock.MonotonicClock()
+        started = [
+            await scripted.ScriptedEndpoint(one).start() for one in (breaks, breaks, answers)
+        ]
+        state = state_with(
+            steady,
+            *(
+                endpoint(f"e{number}", "abc"[number], one.address)
+                for number, one in enumerate(started)
+            ),
+        )
+        outcome, _ = await serve(state, admitted(steady))
+        assert outcome.status == 200
+        sent = lines(state, "sent")
+        assert [one["endpoint"] for one in sent] == ["e0", "e1", "e2"]
+        assert [one["leaves_region"] for one in sent] == ["", "", "repeat"]
+        assert [one["locality"] for one in sent] == [
+            "same_data_centre",
+            "same_region",
+            "other_region",
+        ]
+        for one in started:
+            await one.stop()
+
+    play(test)
+
+
+def test_what_cannot_be_in_time_anywhere_is_refused_at_once_and_told_when_there_will_be_room():
+    async def test() -> None:
+        steady = clock.MonotonicClock()
+        far = await scripted.ScriptedEndpoint(answers).start()
+        state = state_with(steady, endpoint("e1", "c", far.address))
+        scaling = traffic.Scaling(0, 4, 3_000.0, 0.2, {"a": 1.0})
+        state.adopt_table(table(traffic.Service("s", scaling=scaling)), "store")
+        outcome, reply = await serve(state, admitted(steady, time_left_ms=100.0))
+        assert outcome == request_run.Outcome(503, "no_endpoint")
+        assert far.received == []
+        assert float(reply.headers[b"retry-after"]) >= scaling.boot_ms / 1_000.0
+        [told] = lines(state, "no_endpoint")
+        assert told["too_far"] == 1
+        await far.stop()
+
+    play(test)
+
+
+def test_the_way_counts_in_whether_a_first_token_can_be_in_time():
+    steady = clock.ManualClock()
+    state = state_with(steady, endpoint("e1", "c"))
+    run = request_run.RequestRun(state, admitted(steady, prompt_tokens=100), RecordedReply())
+    near = endpoint_choice.Choice(
+        endpoint("e0", "a"), 0.0, 100.0, 1, waiting_tokens=8_000.0, place_wait_ms=0.0
+    )
+    assert not run._hopeless(near)
+    assert run._hopeless(dataclasses.replace(near, way_ms=2 * FAR_MS))
+
+
+@pytest.mark.parametrize(("data_centre", "added_ms"), [("a", 0.0), ("b", 0.0), ("c", FAR_MS)])
+def test_time_limits_grow_by_the_way_to_another_region_only(data_centre: str, added_ms: float):
+    steady = clock.ManualClock()
+    there = endpoint("e1", data_centre)
+    state = state_with(steady, there)
+    assert attempts._connect_timeout_ms(state, there) == (
+        attempts.CONNECT_TIMEOUT_MS + attempts.CONNECT_ROUND_TRIPS * added_ms
+    )
+    run = request_run.RequestRun(state, admitted(steady), RecordedReply())
+    choice = endpoint_choice.Choice(there, 0.0, 0.0, 1)
+    attempt = attempts.Attempt(choice, None, round_trip_ms=added_ms)  # type: ignore[arg-type]
+    patience_ms = request_run.PATIENCE_TARGETS * ROUTE.target_ms
+    assert run._patience_ms(attempt) == patience_ms + added_ms
+
+
+def test_the_way_is_no_work_of_the_endpoint():
+    steady = clock.ManualClock()
+    there = endpoint("e1", "c")
+    state = state_with(steady, there)
+    run = request_run.RequestRun(state, admitted(steady), RecordedReply())
+    choice = endpoint_choice.Choice(there, 0.0, 0.0, 1)
+    attempt = attempts.Attempt(choice, None, round_trip_ms=FAR_MS)  # type: ignore[arg-type]
+    steady.advance_to(150)
+    run._first_token(attempt)
+    version_outcomes.note(state, run.admitted, attempt, failed=False)
+    assert state.chooser.work.expected_ms("s") == 90.0
+    assert state.answer_times.by_route["r"].value == 90.0
+
+
+def test_a_data_centre_without_a_region_is_logged_once():
+    steady = clock.ManualClock()
+    state = state_with(steady, endpoint("e1", "c"))
+    for name in ("e2", "e3"):
+        changes = state.registry.replace([endpoint("e1", "c"), endpoint(name, "x")], 2, "store")
+        state.registry_changed(changes, "store")
+    assert [one["data_centre"] for one in lines(state, "region_unknown")] == ["x"]
+
+
+def test_the_shared_distances_are_those_that_choices_go_by():
+    state = gateway_parts.new_state(clock.ManualClock())
+    assert isinstance(state.distances, distance.Distances)
+    assert state.chooser.distances is state.distances
--- a/plumarch/routing/data_centre_reach_test.py
+++ b/plumarch/routing/data_centre_reach_test.py
@@ -64,3 +64,14 @@
         assert reach.failed("b", "b1")
     left = reach.known["b"].out_until_ms - time.now()
     assert left == data_centre_reach.LONGEST_PAUSE_MS
+
+
+def test_a_farther_data_centre_is_left_out_for_longer():
+    time = clock.ManualClock()
+    reach = reach_of(time)
+    for name in ("b1", "b2"):
+        reach.failed("b", name, 120.0)
+    time.advance_to(data_centre_reach.FIRST_PAUSE_MS + 359)
+    assert reach.is_out("b")
+    time.advance_to(data_centre_reach.FIRST_PAUSE_MS + 360)
+    assert not reach.is_out("b")
--- a/plumarch/routing/distance.py
+++ b/plumarch/routing/distance.py
@@ -109,7 +109,10 @@
 
     def is_in_region(self, data_centre: str) -> bool:
         """Return whether a data centre is of this node's region."""
-        return not self.regions or self.region_of(data_centre) == self.own_region()
+        regions = self.regions
+        return not regions or regions.get(data_centre, data_centre) == regions.get(
+            self.own, self.own
+        )
 
     def is_first_unnamed(self, data_centre: str) -> bool:
         """Return whether a data centre without a region is met for the first time."""
