--- a/plumarch/gateway/fleet_state.py
+++ b/plumarch/gateway/fleet_state.py
@@ -8,7 +8,7 @@
 from plumarch.core import rollouts
 from plumarch.core.clock import Clock
 from plumarch.fleet import engine_demand, usage, version_tally
-from plumarch.gateway import decision_log, dialect, measures
+from plumarch.gateway import centre_contact, decision_log, dialect, measures
 from plumarch.limits import attempt_budget, memory_account, workspace_quota
 from plumarch.membership.registry import EndpointChange, Registry
 from plumarch.routing import (
@@ -52,6 +52,7 @@
       distances: how far data centres are from this one.
       memory: what is held on behalf of callers and endpoints.
       limits: what endpoints bear.
+      contact: how well the other data centres are heard.
       tell_prompt: tells the other nodes of a prompt sent to an engine.
       reaches_store: whether the platform's store answered the last call.
       stops_at_ms: when the process will end, once it was told to and balancers know; or None.
@@ -79,6 +80,9 @@
     distances: distance.Distances
     memory: memory_account.MemoryAccount
     limits: endpoint_limits.EndpointLimits
+    contact: centre_contact.CentreContact = dataclasses.field(
+        default_factory=centre_contact.CentreContact
+    )
     table: routing_table.RoutingTable | None = None
     table_source: str = ""
     tell_prompt: Callable[[SentPrompt], None] | None = None
@@ -125,6 +129,7 @@
         """Log changes of endpoints, and forget what no longer exists."""
         if not changes:
             return
+        self._tell_unnamed_regions()
         for change in changes:
             endpoint = change.endpoint
             self.log.write(
@@ -139,6 +144,16 @@
                 revision=change.revision,
                 source=source,
             )
+        self._forget_gone()
+
+    def _tell_unnamed_regions(self) -> None:
+        """Log once each data centre that has no region; all ways to it count as far."""
+        met = {self.data_centre, *(one.data_centre for one in self.registry.endpoints.values())}
+        for data_centre in sorted(met):
+            if self.distances.is_first_unnamed(data_centre):
+                self.log.write("region_unknown", urgent=True, data_centre=data_centre)
+
+    def _forget_gone(self) -> None:
         existing = set(self.registry.endpoints)
         self.chooser.keep_only(existing)
         self.health.keep_only(existing)
