Engines over regions: shares of the demand by region, and a reserve where it is cheapest

The plan spread engines evenly over all data centres and rounded up in each. Where data centres lie in several regions it now places most of what a region asks for in it, and the reserve where price and the way to other regions cost least. With one region nothing changes. Not fed with demand by region yet.

--- a/plumarch/fleet/engine_places.py
+++ b/plumarch/fleet/engine_places.py
@@ -1,6 +1,7 @@
 """Where endpoints of a service run: kinds by data centre, orders given, and even spreading."""
 
 import dataclasses
+from collections.abc import Iterable
 
 from plumarch.core import traffic
 
@@ -38,3 +39,13 @@
             break
         counts[min(open_names, key=lambda name: counts[name])] += 1
     return counts
+
+
+def ready(service: str, endpoints: Iterable[traffic.Endpoint]) -> dict[Place, int]:
+    """Return how many endpoints of a service take new work, by place."""
+    found: dict[Place, int] = {}
+    for endpoint in endpoints:
+        if endpoint.service == service and endpoint.state is traffic.EndpointState.READY:
+            place = Place(endpoint.data_centre, endpoint.spot)
+            found[place] = found.get(place, 0) + 1
+    return found
--- a/plumarch/fleet/engine_plan.py
+++ b/plumarch/fleet/engine_plan.py
@@ -7,6 +7,8 @@
 
 Who doesn't know the demand lets nothing go: a node that has just begun to hear the fleet sees
 hardly any of its requests. It holds what the holder before it needed, or else what runs.
+
+Where data centres lie in several regions, fleet/engine_regions says how many go where.
 """
 
 import dataclasses
@@ -14,7 +16,7 @@
 from collections.abc import Iterable, Mapping
 
 from plumarch.core import clock, records, traffic
-from plumarch.fleet import engine_places
+from plumarch.fleet import engine_firm, engine_places, engine_regions, region_demand
 
 FLOOR = 0.85
 """Part of the needed endpoints below which firm ones are ordered: those that are left serve most
@@ -80,6 +82,7 @@
       sized_for: endpoints that the demand asked for last.
       began_ms: when the plan began.
       last_new_ms: when an endpoint of the first start was told last.
+      regions: where the demand arises; set by who samples it.
     """
 
     clock: clock.Clock
@@ -94,6 +97,7 @@
     began_ms: int | None = None
     last_new_ms: int = 0
     given: dict[engine_places.Place, engine_places.Given] = dataclasses.field(default_factory=dict)
+    regions: region_demand.RegionView = region_demand.ONE_REGION
 
     def sample_demand(
         self, engines: float, speed_known: bool = True, hears_all: bool = True
@@ -141,15 +145,22 @@
         self._follow_demand()
         places = len(scaling.prices)
         most = scaling.maximum * places
-        least = max(1, scaling.minimum) * places
+        # Over regions a request may be served elsewhere: the least of each is no need of its own.
+        least = 1 if self._over_regions(scaling) else max(1, scaling.minimum) * places
         return min(most, max(least, self.size()))
 
+    def _over_regions(self, scaling: traffic.Scaling) -> bool:
+        return self.regions.are_several(scaling.prices)
+
+    def _lost_at_once(self) -> float:
+        """Return the loss to cover; none before the demand is known at the first start."""
+        return LOST_AT_ONCE if self._demand_known() or not self.first_seen else 0.0
+
     def spot_wanted(self, scaling: traffic.Scaling) -> int:
         """Return how many reclaimable endpoints are wanted: what is needed, and a reserve."""
         needed = self.needed(scaling)
         places = len(scaling.prices)
-        lost = LOST_AT_ONCE if self._demand_known() or not self.first_seen else 0.0
-        left = max(1.0, places - lost)
+        left = max(1.0, places - self._lost_at_once())
         reserved = math.ceil(needed / left) * places
         return min(scaling.maximum * places, reserved)
 
@@ -164,7 +175,7 @@
         self, scaling: traffic.Scaling, ready: Mapping[engine_places.Place, int]
     ) -> dict[engine_places.Place, int]:
         """Return the wanted counts by place, given those that are ready."""
-        spot = engine_places.spread(self.spot_wanted(scaling), scaling)
+        spot = self._spot_counts(scaling, ready)
         if self._refused_now() or self._holds_what_runs():
             # One that is let go now could not be had back, or may be needed.
             spot = {
@@ -173,10 +184,23 @@
             }
         wanted = {engine_places.Place(name, True): count for name, count in spot.items()}
         firm = self._firm_wanted(scaling, ready)
+        firm = engine_regions.holds(self.regions, firm, False, ready, self.given)
         for name, count in firm.items():
             wanted[engine_places.Place(name, False)] = count
         return wanted
 
+    def _spot_counts(
+        self, scaling: traffic.Scaling, ready: Mapping[engine_places.Place, int]
+    ) -> dict[str, int]:
+        """Return reclaimable counts by data centre, spread evenly or by region."""
+        if not self._over_regions(scaling):
+            return engine_places.spread(self.spot_wanted(scaling), scaling)
+        refused = frozenset(self._refused_lately())
+        lost, needed = self._lost_at_once(), self.needed(scaling)
+        counts = engine_regions.spot_counts(scaling, self.regions, needed, lost, refused)
+        counts = engine_regions.holds(self.regions, counts, True, ready, self.given)
+        return engine_regions.let_go_last(counts, ready)
+
     def _holds_what_runs(self) -> bool:
         """Return whether endpoints that run are kept whatever the plan says.
 
@@ -199,23 +223,23 @@
         needed = self.needed(scaling)
         spot_ready = sum(count for place, count in ready.items() if place.spot)
         firm_ready = sum(count for place, count in ready.items() if not place.spot)
-        lacking = math.ceil(FLOOR * needed) - self._spot_ready_or_coming(scaling, ready)
+        lacking = math.ceil(FLOOR * needed) - sum(self._spot_by_centre(scaling, ready).values())
         kept = firm_ready if self._holds_what_runs() else min(firm_ready, needed - spot_ready)
-        hedge = self._lacking_after_next_losses(needed, ready) if self._refused_now() else 0
+        hedge = self._lacking_after_next_losses(scaling, ready) if self._refused_now() else 0
         lacking = max(lacking, kept, hedge, 0)
-        counts = dict.fromkeys(scaling.prices, 0)
-        for _ in range(lacking):
-            name = self._firm_place(scaling, ready, counts)
-            if name is None:
-                break
-            counts[name] += 1
-        return counts
+        spot = self._spot_by_centre(scaling, ready)
+        return engine_firm.spread(scaling, self.regions, needed, lacking, ready, spot)
 
-    @staticmethod
-    def _lacking_after_next_losses(needed: int, ready: Mapping[engine_places.Place, int]) -> int:
+    def _lacking_after_next_losses(
+        self, scaling: traffic.Scaling, ready: Mapping[engine_places.Place, int]
+    ) -> int:
         """Return how many firm endpoints are lacking once further data centres are reclaimed."""
-        spot = sorted((count for place, count in ready.items() if place.spot), reverse=True)
-        return math.ceil(FLOOR * needed) - sum(spot[LOST_WHILE_REFUSED:])
+        spot = [count for place, count in ready.items() if place.spot]
+        if self._over_regions(scaling):
+            # Reclaimable ones were ordered in place of the lost ones, and boot as fast.
+            spot = list(self._spot_by_centre(scaling, ready).values())
+        left = sum(sorted(spot, reverse=True)[LOST_WHILE_REFUSED:])
+        return math.ceil(FLOOR * self.needed(scaling)) - left
 
     def _firm_at_first(
         self, scaling: traffic.Scaling, ready: Mapping[engine_places.Place, int]
@@ -235,61 +259,33 @@
             )
         return counts
 
-    def _spot_ready_or_coming(
+    def _spot_by_centre(
         self, scaling: traffic.Scaling, ready: Mapping[engine_places.Place, int]
-    ) -> int:
+    ) -> dict[str, int]:
         """Return the reclaimable endpoints that are ready, or ordered and not yet overdue."""
-        total = 0
-        for name in scaling.prices:
-            place = engine_places.Place(name, True)
-            count = ready.get(place, 0)
-            given = self.given.get(place)
-            if given is not None and not given.refused and not self._overdue(given, scaling):
-                count = max(count, given.count)
-            total += count
-        return total
+        found = {name: ready.get(engine_places.Place(name, True), 0) for name in scaling.prices}
+        for place, given in self.given.items():
+            is_coming = place.spot and not given.refused and not self._overdue(given, scaling)
+            if is_coming and place.data_centre in found:
+                found[place.data_centre] = max(found[place.data_centre], given.count)
+        return found
 
     def _refused_now(self) -> bool:
         """Return whether an order for reclaimable endpoints was refused lately."""
+        return bool(self._refused_lately())
+
+    def _refused_lately(self) -> list[str]:
+        """Return the data centres that had no reclaimable endpoints lately."""
         now = self.clock.now()
-        return any(
-            given.refused and place.spot and now - given.at_ms < 2 * REPEAT_MS
+        return [
+            place.data_centre
             for place, given in self.given.items()
-        )
+            if given.refused and place.spot and now - given.at_ms < 2 * REPEAT_MS
+        ]
 
     def _overdue(self, given: engine_places.Given, scaling: traffic.Scaling) -> bool:
         return self.clock.now() - given.at_ms >= scaling.boot_ms + BOOT_MARGIN_MS
 
-    def _firm_place(
-        self,
-        scaling: traffic.Scaling,
-        ready: Mapping[engine_places.Place, int],
-        counts: Mapping[str, int],
-    ) -> str | None:
-        """Return where the next firm endpoint goes: where one runs already, else the cheapest."""
-        open_places = []
-        for name, price in scaling.prices.items():
-            # The limit holds for both kinds together, and the platform doesn't say what it holds
-            # back: 23 firm ones ordered where there was room for 9 were missing 8 s later.
-            running = ready.get(engine_places.Place(name, False), 0)
-            room = max(running, scaling.maximum - ready.get(engine_places.Place(name, True), 0))
-            if counts[name] >= room:
-                continue
-            runs_already = running > counts[name]
-            open_places.append((not runs_already, counts[name], price, name))
-        return min(open_places)[3] if open_places else None
-
-    def _ready(self, endpoints: Iterable[traffic.Endpoint]) -> dict[engine_places.Place, int]:
-        ready: dict[engine_places.Place, int] = {}
-        for endpoint in endpoints:
-            if endpoint.service != self.service:
-                continue
-            if endpoint.state is not traffic.EndpointState.READY:
-                continue
-            place = engine_places.Place(endpoint.data_centre, endpoint.spot)
-            ready[place] = ready.get(place, 0) + 1
-        return ready
-
     def orders(
         self,
         scaling: traffic.Scaling,
@@ -302,7 +298,7 @@
           may_shrink: whether endpoints may be let go; not while a roll-out runs, since an order
             does not say of which version.
         """
-        ready = self._ready(endpoints)
+        ready = engine_places.ready(self.service, endpoints)
         if not self._settled():
             return []
         due = []
@@ -338,7 +334,7 @@
 
     def _find_running(self, endpoints: Iterable[traffic.Endpoint]) -> None:
         """Learn how many endpoints are needed from those that run, without the reserve in them."""
-        ready = self._ready(endpoints)
+        ready = engine_places.ready(self.service, endpoints)
         centres = len({place.data_centre for place in ready})
         left = max(1.0, centres - LOST_AT_ONCE)
         kept = round(sum(ready.values()) * left / max(1, centres))
--- /dev/null
+++ b/plumarch/fleet/engine_reserve.py
@@ -0,0 +1,163 @@
+"""Where reclaimable endpoints go if data centres lie in several regions, and what that costs.
+
+A data centre's reclaimable endpoints are lost all at once. More of them in it replace none of
+them, so that the reserve lies in its sister data centres or in other regions. Which is cheaper
+follows from prices, and from what the way to another region takes of the callers' target.
+"""
+
+import collections
+import dataclasses
+import functools
+import math
+from collections.abc import Iterable, Mapping
+
+WAY_OF_TARGET = 0.2
+"""Part of a first token's target that the way to another region may take, so that endpoints there
+are a reserve. A judgement: reading and waiting take four fifths and more."""
+
+LOCAL_PART = 0.85
+"""Part of what a region's callers ask for that is placed in it at least. Needs hold a margin (half
+of the time is for reading at most), so that in calm times the rest is served there as well."""
+
+LEVELS_TRIED = 3
+"""Sizes of the largest data centre that are tried, from the least possible on: a larger one is a
+larger loss, and pays only where prices differ much."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Site:
+    """A data centre in which reclaimable endpoints may be ordered.
+
+    Attributes:
+      price: a second of one.
+      share: part of the demand that arises in its region.
+      least: how many there are at least.
+      most: how many there may be.
+    """
+
+    name: str
+    region: str
+    price: float
+    share: float
+    least: int
+    most: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Placement:
+    """Endpoints by data centre, as pairs of name and count.
+
+    Attributes:
+      cost: of a second of all, with what ways between regions take.
+      survivors: endpoints that are left after the loss that was to be covered.
+    """
+
+    counts: tuple[tuple[str, int], ...]
+    cost: float
+    survivors: float
+
+
+@functools.lru_cache(maxsize=64)
+def placement(sites: tuple[Site, ...], needed: int, lost: float, way: float) -> Placement:
+    """Return the cheapest placement that leaves what is needed after a loss.
+
+    Args:
+      needed: endpoints that all regions need together.
+      lost: data centres that may be lost at once, the largest ones.
+      way: what a request to another region costs, as a part of the tightest target. Beyond
+        WAY_OF_TARGET each region is a reserve for itself only.
+    """
+    if way <= WAY_OF_TARGET:
+        return _cheapest(sites, _local(sites, needed), needed, lost, way)
+    found = []
+    for region in sorted({site.region for site in sites}):
+        own = tuple(site for site in sites if site.region == region)
+        need = math.ceil(needed * own[0].share)
+        found.append(_cheapest(own, {region: need}, need, lost, 0.0))
+    return Placement(
+        tuple(pair for one in found for pair in one.counts),
+        sum(one.cost for one in found),
+        sum(one.survivors for one in found),
+    )
+
+
+def survivors(counts: Iterable[int], lost: float) -> float:
+    """Return how many endpoints are left once the largest data centres are lost.
+
+    Args:
+      lost: how many of them; of the last one a part, if it is no whole number.
+    """
+    largest = sorted(counts, reverse=True)
+    lost = min(lost, max(0, len(largest) - 1))
+    whole = int(lost)
+    partly = (lost - whole) * largest[whole] if whole < len(largest) else 0.0
+    return sum(largest[whole:]) - partly
+
+
+def _local(sites: tuple[Site, ...], needed: int) -> dict[str, int]:
+    """Return how many endpoints each region holds at least, without rounding up for each."""
+    shares = {site.region: site.share for site in sites}
+    total = max(sum(shares.values()), 1e-9)
+    exact = {one: LOCAL_PART * needed * share / total for one, share in shares.items()}
+    found = {region: int(count) for region, count in exact.items()}
+    left = round(LOCAL_PART * needed) - sum(found.values())
+    by_rest = sorted(exact, key=lambda region: (found[region] - exact[region], region))
+    for region in by_rest[: max(0, left)]:
+        found[region] += 1
+    return found
+
+
+def _cheapest(
+    sites: tuple[Site, ...], local: Mapping[str, int], needed: int, lost: float, way: float
+) -> Placement:
+    """Return the cheapest of the placements with several sizes of the largest data centre."""
+    base = _base(sites, local)
+    lost = min(lost, len(sites) - 1.0)
+    lowest = max(math.ceil(needed / (len(sites) - lost)), max(base.values()))
+    found = [_fill(sites, base, lowest + more, needed, lost, way) for more in range(LEVELS_TRIED)]
+    # Where the limits leave too few, what leaves most is best.
+    return min(found, key=lambda one: (-min(one.survivors, needed), one.cost))
+
+
+def _base(sites: tuple[Site, ...], local: Mapping[str, int]) -> dict[str, int]:
+    """Return what each region holds itself, spread evenly over its data centres."""
+    counts = {site.name: site.least for site in sites}
+    for region, wanted in local.items():
+        own = [site for site in sites if site.region == region]
+        while sum(counts[site.name] for site in own) < wanted:
+            open_sites = [site for site in own if counts[site.name] < site.most]
+            if not open_sites:
+                break
+            least = min(open_sites, key=lambda one: (counts[one.name], one.price, one.name))
+            counts[least.name] += 1
+    return counts
+
+
+def _fill(
+    sites: tuple[Site, ...],
+    base: Mapping[str, int],
+    level: int,
+    needed: int,
+    lost: float,
+    way: float,
+) -> Placement:
+    """Add endpoints up to a level in each data centre, the cheapest first, until enough are left.
+
+    The demand of other regions gets to an endpoint over a way, which makes it worth less.
+    """
+    counts = collections.Counter(base)
+    ranked = sorted(sites, key=lambda one: (_cost(one, way), one.name))
+    while survivors(counts.values(), lost) < needed:
+        site = next((one for one in ranked if counts[one.name] < min(level, one.most)), None)
+        if site is None:
+            break
+        counts[site.name] += 1
+    return Placement(
+        tuple((site.name, counts[site.name]) for site in sites),
+        sum(counts[site.name] * _cost(site, way) for site in sites),
+        survivors(counts.values(), lost),
+    )
+
+
+def _cost(site: Site, way: float) -> float:
+    return site.price * (1.0 + way * (1.0 - site.share))
