--- a/plumarch/fleet/engine_plan.py
+++ b/plumarch/fleet/engine_plan.py
@@ -83,6 +83,7 @@
       began_ms: when the plan began.
       last_new_ms: when an endpoint of the first start was told last.
       regions: where the demand arises; set by who samples it.
+      placed: reclaimable endpoints that were wanted last, by data centre.
     """
 
     clock: clock.Clock
@@ -98,6 +99,7 @@
     last_new_ms: int = 0
     given: dict[engine_places.Place, engine_places.Given] = dataclasses.field(default_factory=dict)
     regions: region_demand.RegionView = region_demand.ONE_REGION
+    placed: dict[str, int] = dataclasses.field(default_factory=dict)
 
     def sample_demand(
         self, engines: float, speed_known: bool = True, hears_all: bool = True
@@ -182,6 +184,7 @@
                 name: max(spot[name], ready.get(engine_places.Place(name, True), 0))
                 for name in spot
             }
+        self.placed = spot
         wanted = {engine_places.Place(name, True): count for name, count in spot.items()}
         firm = self._firm_wanted(scaling, ready)
         firm = engine_regions.holds(self.regions, firm, False, ready, self.given)
--- a/plumarch/fleet/region_demand.py
+++ b/plumarch/fleet/region_demand.py
@@ -36,7 +36,7 @@
 
     def of(self, data_centre: str) -> str:
         """Return a data centre's region; one that is not named is a region of its own."""
-        return self.region_of.get(data_centre, data_centre)
+        return self.region_of.get(data_centre, data_centre) if self.region_of else ""
 
     def are_several(self, data_centres: Mapping[str, float]) -> bool:
         """Return whether data centres belong to more than one region."""
--- /dev/null
+++ b/plumarch/gateway/engine_gauges.py
@@ -0,0 +1,57 @@
+"""What operators see of engines by region: gauges, and figures in the lines of orders."""
+
+import collections
+from typing import Any
+
+from plumarch.core import traffic
+from plumarch.fleet import engine_places, engine_plan
+from plumarch.gateway import fleet_state
+
+
+def show(
+    state: fleet_state.FleetState, plan: engine_plan.EnginePlan, scaling: traffic.Scaling
+) -> None:
+    """Set a service's gauges, as a node that hears of the fleet's requests sees it."""
+    regions, measures = plan.regions, state.measures
+    for region, share in regions.shares_of(scaling.prices).items():
+        measures.engine_demand.set(plan.demand * share, plan.service, region)
+    counts: collections.Counter[tuple[str, bool]] = collections.Counter()
+    ready = engine_places.ready(plan.service, state.registry.endpoints.values())
+    for place, count in ready.items():
+        counts[regions.of(place.data_centre), place.spot] += count
+    for region in {regions.of(name) for name in scaling.prices}:
+        for spot in (False, True):
+            kind = "spot" if spot else "firm"
+            measures.engines.set(counts[region, spot], plan.service, region, kind)
+        measures.regions_in_part.set(region in regions.in_part, region)
+
+
+def clear(state: fleet_state.FleetState) -> None:
+    """Show nothing, since this node does not hear of the fleet's requests any more."""
+    for gauge in (
+        state.measures.engine_demand,
+        state.measures.engines,
+        state.measures.regions_in_part,
+    ):
+        gauge.values.clear()
+
+
+def of_order(
+    plan: engine_plan.EnginePlan, scaling: traffic.Scaling, data_centre: str
+) -> dict[str, Any]:
+    """Return what a line tells of a data centre's region; nothing where there is but one."""
+    regions = plan.regions
+    if not regions.are_several(scaling.prices):
+        return {}
+    region = regions.of(data_centre)
+    share = regions.shares_of(scaling.prices)[region]
+    needed = plan.needed(scaling) * share
+    placed = sum(count for name, count in plan.placed.items() if regions.of(name) == region)
+    return {
+        "region": region,
+        "region_demand": round(plan.demand * share, 2),
+        "region_needed": round(needed, 2),
+        "region_reserve": round(placed - needed, 2),
+        "in_part": region in regions.in_part,
+        "way": round(regions.way, 3),
+    }
--- a/plumarch/gateway/engine_orders.py
+++ b/plumarch/gateway/engine_orders.py
@@ -1,10 +1,11 @@
 """Engines ordered by the holder of the duties, by plans that each node keeps for its turn."""
 
+import dataclasses
 from collections.abc import Callable, Mapping
 
 from plumarch.core import errors, records, traffic
-from plumarch.fleet import engine_demand, engine_plan
-from plumarch.gateway import fleet_state, ports, rollout_duty
+from plumarch.fleet import engine_demand, engine_plan, region_demand
+from plumarch.gateway import engine_gauges, fleet_state, ports, region_sums, rollout_duty
 from plumarch.membership import fleet_view
 from plumarch.routing import engine_speed
 
@@ -22,6 +23,8 @@
       plans: by service.
       sampled_ms: when the demand was sampled last; 0 while this node isn't told of all requests.
       sampled_charged: units that all nodes had been charged by then.
+      sums: what the nodes of each region admitted since.
+      regions: the demand by region; empty where all data centres are of one.
     """
 
     def __init__(
@@ -40,6 +43,8 @@
         self.plans: dict[str, engine_plan.EnginePlan] = {}
         self.sampled_ms = 0
         self.sampled_charged = 0.0
+        self.sums = region_sums.RegionSums(state, view)
+        self.regions = region_demand.RegionDemand()
 
     def keep_plans(self) -> None:
         """Keep the plans of all services up to date on each node, for the day it takes over."""
@@ -63,6 +68,8 @@
         if not self.view.sees_fleet():
             # Members know the level of an allotment, not what was charged to it.
             self.sampled_ms = 0
+            self.regions.forget()
+            engine_gauges.clear(self.state)
             for plan in self.plans.values():
                 plan.lose_demand()
             return
@@ -71,13 +78,53 @@
         charged = self.state.quota.total_charged()
         rate = max(0.0, charged - self.sampled_charged) * 1000.0 / (now - self.sampled_ms)
         hears_all = self.view.heard_fraction() >= HEARD_FOR_DEMAND
-        if self.sampled_ms:
+        if not self.sampled_ms:
+            self.sums.begin()
+        else:
+            if self.state.distances.regions:
+                rate = self._sample_regions(now - self.sampled_ms)
             for plan in self.plans.values():
                 known = self._learned(plan.service) is not None
                 plan.sample_demand(self._engines_busy(plan.service, rate), known, hears_all)
+                self._show(plan)
         self.sampled_ms = now
         self.sampled_charged = charged
 
+    def _show(self, plan: engine_plan.EnginePlan) -> None:
+        table = self.state.table
+        service = table.services.get(plan.service) if table is not None else None
+        if service is not None and service.scaling is not None:
+            plan.regions = self._regions_of(plan.service, service.scaling)
+            engine_gauges.show(self.state, plan, service.scaling)
+
+    def _sample_regions(self, elapsed_ms: int) -> float:
+        """Take in what the last second asked for in each region.
+
+        Returns:
+          Units a second over all regions. What was asked for in one that is heard in part counts
+          on, since its callers still reach its nodes.
+        """
+        rates = {
+            region: units * 1000.0 / elapsed_ms for region, units in self.sums.admitted().items()
+        }
+        before = self.regions.in_part
+        in_part = self.sums.in_part(HEARD_FOR_DEMAND)
+        total = self.regions.sample(rates, in_part)
+        if in_part != before:
+            self.state.log.write("regions_in_part", regions=sorted(in_part), before=sorted(before))
+        return total
+
+    def _regions_of(self, service: str, scaling: traffic.Scaling) -> region_demand.RegionView:
+        """Return the regions as a service is planned by now."""
+        distances = self.state.distances
+        if not distances.regions:
+            return region_demand.ONE_REGION
+        region_of = {name: distances.region_of(name) for name in scaling.prices}
+        way = region_sums.way_part(self.state, service, scaling.prices)
+        # Also between two samples: what is heard in part from now on must not shrink now.
+        in_part = self.regions.in_part | self.sums.in_part(HEARD_FOR_DEMAND)
+        return dataclasses.replace(self.regions.view(region_of, way), in_part=in_part)
+
     def _engines_busy(self, service: str, units_per_s: float) -> float:
         """Return how many engines of a service the requests of all nodes ask for now."""
         state = self.state
@@ -141,6 +188,7 @@
         answered: Callable[[], None],
     ) -> None:
         plan = self.plans[service]
+        plan.regions = self._regions_of(service, scaling)
         rolls = self.rollouts.is_running(service)
         for order in plan.orders(scaling, self.rollouts.serving(service), may_shrink=not rolls):
             refused = False
@@ -171,6 +219,7 @@
             spot=order.spot,
             refused=refused,
             demand=round(plan.demand, 2),
+            **engine_gauges.of_order(plan, scaling, order.data_centre),
             learned=self._learned(order.service),
             needed=plan.needed(scaling),
             token=lease.token,
--- a/plumarch/gateway/measures.py
+++ b/plumarch/gateway/measures.py
@@ -41,6 +41,29 @@
         return found
 
 
+@dataclasses.dataclass(slots=True)
+class Gauge:
+    """A value for each combination of labels, as of when it was set last."""
+
+    name: str
+    text: str
+    label_names: Labels
+    values: dict[Labels, float] = dataclasses.field(default_factory=dict)
+
+    def set(self, value: float, *labels: str) -> None:
+        """Set a value."""
+        self.values[labels] = value
+
+    def family(self) -> "metrics_core.Metric":
+        """Return all values for Prometheus."""
+        from prometheus_client import metrics_core
+
+        found = metrics_core.GaugeMetricFamily(self.name, self.text, labels=self.label_names)
+        for labels, value in self.values.items():
+            found.add_metric(labels, value)
+        return found
+
+
 @dataclasses.dataclass(slots=True)
 class Distribution:
     """How many observations fell into each bucket, the last one unbounded, and their sum."""
@@ -110,6 +133,20 @@
         self.dependency = Counter(
             "plumarch_gateway_dependency_failures", "Failed calls, by dependency.", ("dependency",)
         )
+        by_region = ("service", "region")
+        self.engine_demand = Gauge(
+            "plumarch_engine_demand", "Engines that callers ask for, by region.", by_region
+        )
+        self.engines = Gauge(
+            "plumarch_engines",
+            "Engines that take work, by region and kind (firm, spot).",
+            (*by_region, "kind"),
+        )
+        self.regions_in_part = Gauge(
+            "plumarch_region_in_part",
+            "1 for a region of which too few nodes are heard to let engines go there.",
+            ("region",),
+        )
         self.state: dict[str, float] = {}
         self.lines_dropped = 0
 
@@ -119,6 +156,8 @@
 
         for one in (self.first_byte, self.total, self.answers, self.attempts, self.dependency):
             yield one.family()
+        for gauge in (self.engine_demand, self.engines, self.regions_in_part):
+            yield gauge.family()
         yield metrics_core.GaugeMetricFamily(
             "plumarch_log_lines_dropped", "Log lines dropped.", value=self.lines_dropped
         )
--- a/plumarch/limits/workspace_quota.py
+++ b/plumarch/limits/workspace_quota.py
@@ -14,6 +14,7 @@
 takes over the level of a peer that runs for longer.
 """
 
+import collections
 import dataclasses
 from collections.abc import Mapping
 
@@ -141,6 +142,8 @@
       fraction: the part of all nodes that is heard now, this one included.
       news_age_ms: time between heartbeats of a node.
       workspaces: those of the configuration in force, by name.
+      charged_by: units charged since this process started, over all workspaces, by who admitted
+        them: "" for this node, a node's name, or a group of nodes.
     """
 
     clock: clock.Clock
@@ -151,6 +154,9 @@
     workspaces: Mapping[str, traffic.Workspace] = dataclasses.field(default_factory=dict)
     buckets: dict[str, Bucket] = dataclasses.field(default_factory=dict)
     heard: dict[tuple[str, str], float] = dataclasses.field(default_factory=dict)
+    charged_by: collections.defaultdict[str, float] = dataclasses.field(
+        default_factory=lambda: collections.defaultdict(float)
+    )
 
     def admit(self, workspace: traffic.Workspace, units: float, rank: int = 0) -> float:
         """Charge a request.
@@ -173,6 +179,7 @@
             return max(1.0, (needed - available) / max(refill, 1e-9) * 1000.0)
         self._charge(bucket, units)
         bucket.spent += units
+        self.charged_by[""] += units
         return 0.0
 
     def _least(self, workspace: traffic.Workspace, units: float) -> float:
@@ -198,7 +205,7 @@
         bucket.part -= units
         bucket.charged += units
 
-    def _charge_others(self, name: str, units: float) -> None:
+    def _charge_others(self, source: str, name: str, units: float) -> None:
         """Charge what others admitted to a bucket that is up to date.
 
         A bucket that was full would otherwise be refilled for a time before the charge.
@@ -206,6 +213,7 @@
         workspace = self.workspaces.get(name)
         if workspace is not None:
             self._charge(self._refill(workspace), units)
+            self.charged_by[source.partition("#")[0]] += units
 
     def refund(self, workspace: traffic.Workspace, units: float) -> None:
         """Give back what a request was charged that did not run."""
@@ -213,6 +221,7 @@
         if bucket is not None and workspace.rate > 0:
             self._charge(bucket, -units)
             bucket.spent -= units
+            self.charged_by[""] -= units
 
     def hear_fraction(self, fraction: float) -> None:
         """Take in which part of all nodes is heard from now on."""
@@ -276,7 +285,7 @@
         if known is None or known == spent:
             return {}
         self.heard[(node, workspace)] = spent
-        self._charge_others(workspace, spent - known)
+        self._charge_others(node, workspace, spent - known)
         return {workspace: spent - known}
 
     def heard_sums(
@@ -291,7 +300,7 @@
         """
         for name, units in charged.items():
             if name in self.buckets:
-                self._charge_others(name, units)
+                self._charge_others(group, name, units)
                 key = (group, name)
                 self.heard[key] = self.heard.get(key, 0.0) + units
         for name, level in levels.items():
@@ -328,6 +337,7 @@
         """Drop what is known of an incarnation that is gone."""
         for key in [key for key in self.heard if key[0] == node]:
             del self.heard[key]
+        self.charged_by.pop(node.partition("#")[0], None)
 
     def _refill(self, workspace: traffic.Workspace) -> Bucket:
         now = self.clock.now()
