--- a/plumarch/fleet/engine_plan.py
+++ b/plumarch/fleet/engine_plan.py
@@ -178,7 +178,7 @@
     ) -> dict[engine_places.Place, int]:
         """Return the wanted counts by place, given those that are ready."""
         spot = self._spot_counts(scaling, ready)
-        if self._refused_now() or self._holds_what_runs():
+        if self._refused_lately() or self._holds_what_runs():
             # One that is let go now could not be had back, or may be needed.
             spot = {
                 name: max(spot[name], ready.get(engine_places.Place(name, True), 0))
@@ -198,11 +198,12 @@
         """Return reclaimable counts by data centre, spread evenly or by region."""
         if not self._over_regions(scaling):
             return engine_places.spread(self.spot_wanted(scaling), scaling)
-        refused = frozenset(self._refused_lately())
-        lost, needed = self._lost_at_once(), self.needed(scaling)
-        counts = engine_regions.spot_counts(scaling, self.regions, needed, lost, refused)
+        known = self.regions if self._demand_known() else self.regions.without_shares()
+        needed, lost, refused = self.needed(scaling), self._lost_at_once(), self._refused_lately()
+        next_loss = engine_regions.Loss(math.ceil(FLOOR * needed), LOST_WHILE_REFUSED)
+        counts = engine_regions.spot_counts(scaling, known, needed, lost, refused, next_loss)
         counts = engine_regions.holds(self.regions, counts, True, ready, self.given)
-        return engine_regions.let_go_last(counts, ready)
+        return engine_regions.let_go_last(counts, ready, self._spot_by_centre(scaling, ready))
 
     def _holds_what_runs(self) -> bool:
         """Return whether endpoints that run are kept whatever the plan says.
@@ -226,11 +227,11 @@
         needed = self.needed(scaling)
         spot_ready = sum(count for place, count in ready.items() if place.spot)
         firm_ready = sum(count for place, count in ready.items() if not place.spot)
-        lacking = math.ceil(FLOOR * needed) - sum(self._spot_by_centre(scaling, ready).values())
+        lacking = math.ceil(FLOOR * needed) - sum(self._spot_in_time(scaling, ready).values())
         kept = firm_ready if self._holds_what_runs() else min(firm_ready, needed - spot_ready)
-        hedge = self._lacking_after_next_losses(scaling, ready) if self._refused_now() else 0
+        hedge = self._lacking_after_next_losses(scaling, ready) if self._refused_lately() else 0
         lacking = max(lacking, kept, hedge, 0)
-        spot = self._spot_by_centre(scaling, ready)
+        spot = self._spot_in_time(scaling, ready)
         return engine_firm.spread(scaling, self.regions, needed, lacking, ready, spot)
 
     def _lacking_after_next_losses(
@@ -240,7 +241,7 @@
         spot = [count for place, count in ready.items() if place.spot]
         if self._over_regions(scaling):
             # Reclaimable ones were ordered in place of the lost ones, and boot as fast.
-            spot = list(self._spot_by_centre(scaling, ready).values())
+            spot = list(self._spot_in_time(scaling, ready).values())
         left = sum(sorted(spot, reverse=True)[LOST_WHILE_REFUSED:])
         return math.ceil(FLOOR * self.needed(scaling)) - left
 
@@ -266,25 +267,34 @@
         self, scaling: traffic.Scaling, ready: Mapping[engine_places.Place, int]
     ) -> dict[str, int]:
         """Return the reclaimable endpoints that are ready, or ordered and not yet overdue."""
-        found = {name: ready.get(engine_places.Place(name, True), 0) for name in scaling.prices}
-        for place, given in self.given.items():
-            is_coming = place.spot and not given.refused and not self._overdue(given, scaling)
-            if is_coming and place.data_centre in found:
-                found[place.data_centre] = max(found[place.data_centre], given.count)
+        coming = {
+            place.data_centre: given.count
+            for place, given in self.given.items()
+            if place.spot and not given.refused and not self._overdue(given, scaling)
+        }
+        found = {}
+        for name in scaling.prices:
+            count = ready.get(engine_places.Place(name, True), 0)
+            found[name] = max(count, coming.get(name, 0))
         return found
 
-    def _refused_now(self) -> bool:
-        """Return whether an order for reclaimable endpoints was refused lately."""
-        return bool(self._refused_lately())
+    def _spot_in_time(
+        self, scaling: traffic.Scaling, ready: Mapping[engine_places.Place, int]
+    ) -> dict[str, int]:
+        """Return the reclaimable endpoints that are there as soon as firm ones could be."""
+        found = self._spot_by_centre(scaling, ready)
+        if self._over_regions(scaling):
+            return engine_regions.with_ordered_now(found, self.placed, self.given)
+        return found
 
-    def _refused_lately(self) -> list[str]:
+    def _refused_lately(self) -> frozenset[str]:
         """Return the data centres that had no reclaimable endpoints lately."""
         now = self.clock.now()
-        return [
+        return frozenset(
             place.data_centre
             for place, given in self.given.items()
             if given.refused and place.spot and now - given.at_ms < 2 * REPEAT_MS
-        ]
+        )
 
     def _overdue(self, given: engine_places.Given, scaling: traffic.Scaling) -> bool:
         return self.clock.now() - given.at_ms >= scaling.boot_ms + BOOT_MARGIN_MS
--- a/plumarch/fleet/engine_regions.py
+++ b/plumarch/fleet/engine_regions.py
@@ -3,6 +3,7 @@
 Pure functions over what the plan knows: what is needed, what runs or is coming, what was refused.
 """
 
+import dataclasses
 import math
 from collections.abc import Mapping
 
@@ -10,12 +11,29 @@
 from plumarch.fleet import engine_places, engine_reserve, region_demand
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Loss:
+    """A loss to be covered.
+
+    Attributes:
+      left: endpoints that are to be left.
+      data_centres: how many may be lost.
+    """
+
+    left: int
+    data_centres: float
+
+
+NO_LOSS = Loss(0, 0.0)
+
+
 def spot_counts(
     scaling: traffic.Scaling,
     regions: region_demand.RegionView,
     needed: int,
     lost: float,
-    refused: frozenset[str],
+    refused: frozenset[str] = frozenset(),
+    next_loss: Loss = NO_LOSS,
 ) -> dict[str, int]:
     """Return reclaimable endpoints by data centre, what is needed and a reserve.
 
@@ -25,10 +43,13 @@
     Args:
       lost: data centres that may be lost at once.
       refused: data centres that had no reclaimable ones lately.
+      next_loss: what is to be left of others that are lost while some are refused.
     """
     counts = dict(_placed(scaling, regions, needed, lost, frozenset()).counts)
-    if refused and len(refused) < len(scaling.prices):
-        for name, count in _placed(scaling, regions, needed, lost, refused).counts:
+    if not refused or len(refused) == len(scaling.prices):
+        return counts
+    for least, gone in ((needed, lost), (next_loss.left, next_loss.data_centres)):
+        for name, count in _placed(scaling, regions, least, gone, refused).counts:
             counts[name] = max(counts[name], count)
     return counts
 
@@ -81,13 +102,45 @@
 
 
 def let_go_last(
-    counts: Mapping[str, int], ready: Mapping[engine_places.Place, int]
+    counts: Mapping[str, int],
+    ready: Mapping[engine_places.Place, int],
+    coming: Mapping[str, int],
 ) -> dict[str, int]:
-    """Return reclaimable counts that let none go before its replacement elsewhere runs."""
-    run = {name: ready.get(engine_places.Place(name, True), 0) for name in counts}
-    if sum(run.values()) >= sum(counts.values()):
-        return dict(counts)
-    return {name: max(count, run[name]) for name, count in counts.items()}
+    """Return reclaimable counts that let only those go in whose place as many run elsewhere.
+
+    Args:
+      coming: those that run or boot, by data centre.
+    """
+    run = sum(ready.get(engine_places.Place(name, True), 0) for name in counts)
+    spare = max(0, run - sum(counts.values()))
+    kept = dict(counts)
+    for name in sorted(counts, key=lambda name: (counts[name] - coming[name], name)):
+        excess = max(0, coming[name] - counts[name])
+        kept[name] += max(0, excess - spare)
+        spare -= min(excess, spare)
+    return kept
+
+
+def with_ordered_now(
+    coming: Mapping[str, int],
+    wanted: Mapping[str, int],
+    given: Mapping[engine_places.Place, engine_places.Given],
+) -> dict[str, int]:
+    """Return reclaimable endpoints with those that are ordered in this moment.
+
+    Without them firm ones were ordered beside them, and let go again a moment later.
+
+    Args:
+      coming: those that run or boot, by data centre.
+      wanted: those that are wanted now.
+      given: the last orders.
+    """
+    found = dict(coming)
+    for name, count in wanted.items():
+        last = given.get(engine_places.Place(name, True))
+        if last is None or (last.count < count and not last.refused):
+            found[name] = max(found[name], count)
+    return found
 
 
 def lacking(
--- a/plumarch/fleet/engine_reserve.py
+++ b/plumarch/fleet/engine_reserve.py
@@ -19,10 +19,6 @@
 """Part of what a region's callers ask for that is placed in it at least. Needs hold a margin (half
 of the time is for reading at most), so that in calm times the rest is served there as well."""
 
-LEVELS_TRIED = 3
-"""Sizes of the largest data centre that are tried, from the least possible on: a larger one is a
-larger loss, and pays only where prices differ much."""
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Site:
@@ -110,13 +106,11 @@
 def _cheapest(
     sites: tuple[Site, ...], local: Mapping[str, int], needed: int, lost: float, way: float
 ) -> Placement:
-    """Return the cheapest of the placements with several sizes of the largest data centre."""
+    """Return a placement whose largest data centre is as small as can be: it is what gets lost."""
     base = _base(sites, local)
     lost = min(lost, len(sites) - 1.0)
-    lowest = max(math.ceil(needed / (len(sites) - lost)), max(base.values()))
-    found = [_fill(sites, base, lowest + more, needed, lost, way) for more in range(LEVELS_TRIED)]
-    # Where the limits leave too few, what leaves most is best.
-    return min(found, key=lambda one: (-min(one.survivors, needed), one.cost))
+    level = max(math.ceil(needed / (len(sites) - lost)), *base.values())
+    return _fill(sites, base, level, needed, lost, way)
 
 
 def _base(sites: tuple[Site, ...], local: Mapping[str, int]) -> dict[str, int]:
--- a/plumarch/fleet/region_demand.py
+++ b/plumarch/fleet/region_demand.py
@@ -42,6 +42,10 @@
         """Return whether data centres belong to more than one region."""
         return bool(self.region_of) and len({self.of(name) for name in data_centres}) > 1
 
+    def without_shares(self) -> "RegionView":
+        """Return the regions as if it was not known where the demand arises."""
+        return dataclasses.replace(self, shares={})
+
     def shares_of(self, data_centres: Mapping[str, float]) -> dict[str, float]:
         """Return the shares of the regions of data centres; as these are spread until known."""
         found: dict[str, float] = {}
--- /dev/null
+++ b/plumarch/standins/engine_cloud.py
@@ -0,0 +1,119 @@
+"""A platform that boots and reclaims engines on virtual time, for replays of plans."""
+
+import dataclasses
+from collections.abc import Mapping
+
+from plumarch.core import clock, records, traffic
+from plumarch.fleet import engine_places
+
+
+@dataclasses.dataclass(slots=True)
+class Engine:
+    """One engine.
+
+    Attributes:
+      ready_ms: when it has booted.
+      ends_ms: when it is gone, or None while nothing ends it.
+    """
+
+    id: str
+    place: engine_places.Place
+    ready_ms: int
+    ends_ms: int | None = None
+
+
+@dataclasses.dataclass(slots=True)
+class EngineCloud:
+    """The engines of one service.
+
+    Attributes:
+      engines: those that boot or run.
+      none_until_ms: until when a data centre has no reclaimable ones.
+      notice_ms: how long a reclaimed engine still runs; it takes no new work.
+      paid: prices of all seconds so far, a firm engine at price 1 counting 1.
+      paid_firm: the part of it for firm ones.
+      refusals: orders for which there were none.
+    """
+
+    clock: clock.ManualClock
+    service: str
+    scaling: traffic.Scaling
+    notice_ms: int = 2_000
+    engines: list[Engine] = dataclasses.field(default_factory=list)
+    none_until_ms: dict[str, int] = dataclasses.field(default_factory=dict)
+    paid: float = 0.0
+    paid_firm: float = 0.0
+    refusals: int = 0
+    started: int = 0
+
+    def begin(self, firm: Mapping[str, int]) -> None:
+        """Let firm engines run by data centre, as operators started them."""
+        for name, count in firm.items():
+            for _ in range(count):
+                self._start(engine_places.Place(name, False), 0)
+
+    def order(self, order: records.EngineOrder) -> bool:
+        """Take an order in.
+
+        Returns:
+          Whether it was refused, since there are no reclaimable ones.
+        """
+        place = engine_places.Place(order.data_centre, order.spot)
+        kept = [one for one in self.engines if one.place == place and one.ends_ms is None]
+        now = self.clock.now()
+        for one in sorted(kept, key=lambda one: one.ready_ms)[order.count :]:
+            one.ends_ms = now
+        more = order.count - len(kept)
+        if more <= 0:
+            return False
+        if order.spot and self.none_until_ms.get(order.data_centre, 0) > now:
+            self.refusals += 1
+            return True
+        here = [one for one in self.engines if one.place.data_centre == order.data_centre]
+        # What is beyond the limit is held back without a word.
+        for _ in range(min(more, self.scaling.maximum - len(here))):
+            self._start(place, round(self.scaling.boot_ms))
+        return False
+
+    def reclaim(self, data_centre: str, none_for_ms: int) -> None:
+        """Take all reclaimable engines of a data centre away, after the notice."""
+        now = self.clock.now()
+        self.none_until_ms[data_centre] = now + self.notice_ms + none_for_ms
+        for one in self.engines:
+            if one.place == engine_places.Place(data_centre, True):
+                booting = one.ready_ms > now
+                one.ends_ms = now if booting else min(one.ends_ms or now, now) + self.notice_ms
+
+    def advance(self, by_ms: int) -> None:
+        """Let time pass and be paid for."""
+        for one in self.engines:
+            price = self.scaling.prices[one.place.data_centre] * by_ms / 1_000.0
+            self.paid += price * (self.scaling.spot_price if one.place.spot else 1.0)
+            self.paid_firm += 0.0 if one.place.spot else price
+        self.clock.advance_to(self.clock.now() + by_ms)
+        now = self.clock.now()
+        self.engines = [one for one in self.engines if one.ends_ms is None or one.ends_ms > now]
+
+    def endpoints(self) -> list[traffic.Endpoint]:
+        """Return the engines that have booted, as a registry tells of them."""
+        now = self.clock.now()
+        return [
+            traffic.Endpoint(
+                one.id,
+                self.service,
+                "1:1",
+                one.place.data_centre,
+                8,
+                traffic.EndpointState.READY
+                if one.ends_ms is None
+                else traffic.EndpointState.DRAINING,
+                one.place.spot,
+            )
+            for one in self.engines
+            if one.ready_ms <= now
+        ]
+
+    def _start(self, place: engine_places.Place, boot_ms: int) -> None:
+        self.started += 1
+        engine = Engine(f"e{self.started}", place, self.clock.now() + boot_ms)
+        self.engines.append(engine)
