--- /dev/null
+++ b/plumarch/fleet/engine_regions.py
@@ -0,0 +1,176 @@
+"""Counts of endpoints by data centre where these lie in several regions.
+
+Pure functions over what the plan knows: what is needed, what runs or is coming, what was refused.
+"""
+
+import dataclasses
+import math
+from collections.abc import Mapping
+
+from plumarch.core import traffic
+from plumarch.fleet import engine_places, engine_reserve, region_demand
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Loss:
+    """A loss to be covered.
+
+    Attributes:
+      left: endpoints that are to be left.
+      data_centres: how many may be lost.
+    """
+
+    left: int
+    data_centres: float
+
+
+NO_LOSS = Loss(0, 0.0)
+
+
+def spot_counts(
+    scaling: traffic.Scaling,
+    regions: region_demand.RegionView,
+    needed: int,
+    lost: float,
+    refused: frozenset[str] = frozenset(),
+    next_loss: Loss = NO_LOSS,
+) -> dict[str, int]:
+    """Return reclaimable endpoints by data centre, what is needed and a reserve.
+
+    While some data centres have none, the others hold what is needed and a reserve among
+    themselves: these come as soon as firm ones would, and cost a fraction of them.
+
+    Args:
+      lost: data centres that may be lost at once.
+      refused: data centres that had no reclaimable ones lately.
+      next_loss: what is to be left of others that are lost while some are refused.
+    """
+    counts = dict(_placed(scaling, regions, needed, lost, frozenset()).counts)
+    if not refused or len(refused) == len(scaling.prices):
+        return counts
+    for least, gone in ((needed, lost), (next_loss.left, next_loss.data_centres)):
+        for name, count in _placed(scaling, regions, least, gone, refused).counts:
+            counts[name] = max(counts[name], count)
+    return counts
+
+
+def _placed(
+    scaling: traffic.Scaling,
+    regions: region_demand.RegionView,
+    needed: int,
+    lost: float,
+    without: frozenset[str],
+) -> engine_reserve.Placement:
+    prices = {name: price for name, price in scaling.prices.items() if name not in without}
+    shares = regions.shares_of(prices)
+    sites = tuple(
+        engine_reserve.Site(
+            name,
+            regions.of(name),
+            price * scaling.spot_price,
+            shares[regions.of(name)],
+            scaling.minimum,
+            scaling.maximum,
+        )
+        for name, price in sorted(prices.items())
+    )
+    return engine_reserve.placement(sites, needed, lost, regions.way)
+
+
+def holds(
+    regions: region_demand.RegionView,
+    counts: Mapping[str, int],
+    spot: bool,
+    ready: Mapping[engine_places.Place, int],
+    given: Mapping[engine_places.Place, engine_places.Given],
+) -> dict[str, int]:
+    """Return counts that let nothing go in regions that are heard in part.
+
+    What was ordered there last is kept as well, so that it comes back after a reclaim.
+
+    Args:
+      spot: which kind they are of.
+    """
+    held = dict(counts)
+    for name in counts:
+        if regions.of(name) not in regions.in_part:
+            continue
+        place = engine_places.Place(name, spot)
+        ordered = given[place].count if spot and place in given else 0
+        held[name] = max(counts[name], ready.get(place, 0), ordered)
+    return held
+
+
+def let_go_last(
+    counts: Mapping[str, int],
+    ready: Mapping[engine_places.Place, int],
+    coming: Mapping[str, int],
+) -> dict[str, int]:
+    """Return reclaimable counts that let only those go in whose place as many run elsewhere.
+
+    Args:
+      coming: those that run or boot, by data centre.
+    """
+    run = sum(ready.get(engine_places.Place(name, True), 0) for name in counts)
+    spare = max(0, run - sum(counts.values()))
+    kept = dict(counts)
+    for name in sorted(counts, key=lambda name: (counts[name] - coming[name], name)):
+        excess = max(0, coming[name] - counts[name])
+        kept[name] += max(0, excess - spare)
+        spare -= min(excess, spare)
+    return kept
+
+
+def with_ordered_now(
+    coming: Mapping[str, int],
+    wanted: Mapping[str, int],
+    given: Mapping[engine_places.Place, engine_places.Given],
+) -> dict[str, int]:
+    """Return reclaimable endpoints with those that are ordered in this moment.
+
+    Without them firm ones were ordered beside them, and let go again a moment later.
+
+    Args:
+      coming: those that run or boot, by data centre.
+      wanted: those that are wanted now.
+      given: the last orders.
+    """
+    found = dict(coming)
+    for name, count in wanted.items():
+        last = given.get(engine_places.Place(name, True))
+        if last is None or (last.count < count and not last.refused):
+            found[name] = max(found[name], count)
+    return found
+
+
+def lacking(
+    scaling: traffic.Scaling,
+    regions: region_demand.RegionView,
+    needed: int,
+    here: Mapping[str, int],
+) -> dict[str, int]:
+    """Return how many endpoints each region lacks of what its callers ask for.
+
+    Args:
+      here: endpoints by data centre.
+    """
+    found = {}
+    for region, share in regions.shares_of(scaling.prices).items():
+        own = sum(count for name, count in here.items() if regions.of(name) == region)
+        found[region] = math.floor(engine_reserve.LOCAL_PART * needed * share) - own
+    return found
+
+
+def firm_cost(
+    regions: region_demand.RegionView, data_centre: str, price: float, lacks: Mapping[str, int]
+) -> float:
+    """Return what a firm endpoint costs, with the way of the requests that it serves.
+
+    Args:
+      lacks: how many endpoints each region lacks.
+    """
+    if max(lacks.values(), default=0) <= 0 or lacks.get(regions.of(data_centre), 0) > 0:
+        return price
+    if regions.way > engine_reserve.WAY_OF_TARGET:
+        return math.inf
+    return price * (1.0 + regions.way)
