--- a/plumarch/gateway/attempts.py
+++ b/plumarch/gateway/attempts.py
@@ -270,6 +270,7 @@
         endpoint=choice.endpoint.id,
         service=admitted.service,
         cost=round(choice.cost, 2),
+        expected_ms=round(choice.expected_ms),
         unread_tokens=round(choice.unread_tokens),
         candidates=choice.considered,
         attempt=progress.sends + 1,
