--- a/plumarch/daemon/status_pages.py
+++ b/plumarch/daemon/status_pages.py
@@ -35,3 +35,5 @@
         sizes["registry_age_ms"] = state.registry.age_ms()
         sizes["endpoints"] = len(state.registry.endpoints)
         sizes["heard_fraction"] = state.quota.fraction
+        for data_centre in state.distances.measured:
+            sizes[f"round_trip_ms:{data_centre}"] = state.distances.round_trip_ms(data_centre)
--- a/plumarch/gateway/region_attempts_test.py
+++ b/plumarch/gateway/region_attempts_test.py
@@ -9,6 +9,7 @@
 
 from plumarch.config import routing_table
 from plumarch.core import clock, traffic
+from plumarch.daemon import status_pages
 from plumarch.gateway import (
     admission,
     attempts,
@@ -188,6 +189,16 @@
     play(test)
 
 
+def test_a_refusal_tells_when_a_place_in_the_region_is_free():
+    steady = clock.ManualClock()
+    state = state_with(steady, endpoint("e0", "a"), endpoint("e1", "c"))
+    state.chooser.speed("s").run_ms.value = 900.0
+    state.chooser.tell("x", {"e0": endpoint_choice.Load(12)})
+    hurried = admitted(steady, time_left_ms=100.0)
+    assert attempts.choose(state, hurried, attempts.Progress()) is None
+    assert attempts.when_room(state, hurried) == 900.0 * 9 / 4
+
+
 def test_the_way_counts_in_whether_a_first_token_can_be_in_time():
     steady = clock.ManualClock()
     state = state_with(steady, endpoint("e1", "c"))
@@ -237,6 +248,16 @@
     assert [one["data_centre"] for one in lines(state, "region_unknown")] == ["x"]
 
 
+def test_the_metrics_page_shows_the_way_to_each_data_centre_that_was_connected_to():
+    state = state_with(clock.ManualClock())
+    for _ in range(distance.LEAST_CONNECTS):
+        state.distances.connected("c", 42.0)
+    pages = status_pages.StatusPages(state, lambda: True)
+    request = caller_connection.CallerRequest(b"GET", b"/metrics", (), b"", 0)
+    asyncio.run(pages.handle(request, RecordedReply()))
+    assert state.measures.state["round_trip_ms:c"] == 42.0
+
+
 def test_the_shared_distances_are_those_that_choices_go_by():
     state = gateway_parts.new_state(clock.ManualClock())
     assert isinstance(state.distances, distance.Distances)
