--- a/plumarch/routing/endpoint_choice.py
+++ b/plumarch/routing/endpoint_choice.py
@@ -199,7 +199,7 @@
         slots = max(1, endpoint.slots)
         work_ms = self.work.expected_ms(endpoint.service)
         place_wait_ms = max(0, running + 1 - slots) * work_ms / slots
-        way_ms = self._way_ms(endpoint)
+        way_ms = self._way_ms(endpoint.data_centre)
         return Choice(
             endpoint,
             running / slots,
@@ -237,16 +237,18 @@
             if least is None or weighed[1] < least[1]:
                 least = weighed
         if least is not None:
-            best = self._engine_choice(least, len(candidates))
+            best = self._engine_choice(least, len(candidates), 0.0)
         if locality_choice.stays(best, away, terms, seed):
             return best
         options: list[Choice] = []
+        ways = {name: self._way_ms(name) for name in dict.fromkeys(one.data_centre for one in away)}
         for region in locality_choice.by_region(away, self.distances):
             there = dataclasses.replace(
                 prompt, owners=engine_record.owners(region, owned, len(HELD_BY_OWNERS))
             )
             for weighed in self._weigh(region, there):
-                options.append(self._engine_choice(weighed, len(candidates)))
+                way_ms = ways[weighed[0].data_centre]
+                options.append(self._engine_choice(weighed, len(candidates), way_ms))
         return _taken(*locality_choice.choose(best, options, terms, seed))
 
     def _weigh(
@@ -254,22 +256,22 @@
     ) -> Iterator[Weighed]:
         """Yield the engines of one region with their costs, the way there not counted."""
         owning = {name for names in prompt.owners for name in names}
+        tokens, records = float(prompt.tokens), self.records
         for endpoint in candidates:
-            load = self.load(endpoint.id)
+            name = endpoint.id
+            load = self.load(name)
             speed = self.speed(endpoint.service)
-            unread = float(prompt.tokens)
-            if endpoint.id in owning or endpoint.id in self.records:
-                record = self.records.get(endpoint.id)
-                unread -= engine_record.held(endpoint.id, record, prompt, HELD_BY_OWNERS)
+            unread = tokens
+            if name in owning or name in records:
+                unread -= engine_record.held(name, records.get(name), prompt, HELD_BY_OWNERS)
             place_wait_ms = speed.place_wait_ms(load.running, endpoint.slots)
             cost = speed.reading_ms(unread + load.prompt_tokens) + place_wait_ms
             cost += RUNNING_MS * load.running + self._other_centre(endpoint) * OTHER_CENTRE_MS
             yield endpoint, cost, unread, load, place_wait_ms
 
-    def _engine_choice(self, weighed: Weighed, considered: int) -> Choice:
+    def _engine_choice(self, weighed: Weighed, considered: int, way_ms: float) -> Choice:
         """Return an engine as a choice, with when its first token is expected."""
         endpoint, cost, unread, load, place_wait_ms = weighed
-        way_ms = self._way_ms(endpoint)
         cost += way_ms
         return Choice(
             endpoint,
@@ -287,8 +289,8 @@
         """Return 1 for another data centre of the region; that of another region has its way."""
         return 0 if endpoint.data_centre == self.data_centre else 1
 
-    def _way_ms(self, endpoint: traffic.Endpoint) -> float:
-        return self.distances.way_ms(endpoint.data_centre) if self.distances else 0.0
+    def _way_ms(self, data_centre: str) -> float:
+        return self.distances.way_ms(data_centre) if self.distances else 0.0
 
     def _shuffled(
         self, candidates: Sequence[traffic.Endpoint], seed: int
