--- a/plumarch/daemon/status_pages.py
+++ b/plumarch/daemon/status_pages.py
@@ -38,3 +38,5 @@
         sizes["data_centres_known"] = state.contact.known
         sizes["data_centres_unheard"] = state.contact.unheard
         sizes["data_centre_news_oldest_ms"] = state.contact.oldest_ms
+        for data_centre in state.distances.measured:
+            sizes[f"round_trip_ms:{data_centre}"] = state.distances.round_trip_ms(data_centre)
