--- /dev/null
+++ b/plumarch/gateway/region_duties_test.py
@@ -0,0 +1,283 @@
+"""Duties over regions: one holder, taken over when its region is cut off; no region shrunk unseen.
+
+Six data centres in three regions on virtual time, with up to 60 ms between nodes. The store and
+the cloud are one each; a region may be cut off from the other regions, from them, or from both.
+"""
+
+import contextlib
+from collections.abc import Mapping
+
+import hypothesis
+import pytest
+from hypothesis import strategies
+
+from plumarch.config import routing_table
+from plumarch.core import errors, records, traffic
+from plumarch.gateway import duties
+from plumarch.membership import tiers
+from plumarch.routing import distance, engine_speed
+from plumarch.standins import gossip_fleet
+
+SCHEDULE = duties.UsageSchedule(5_000, 1_500, 7_500)
+REGIONS = {f"dc-{letter}": "nnssww"[number] for number, letter in enumerate("abcdef")}
+PRICES = dict.fromkeys(REGIONS, 1.0)
+SIZE = gossip_fleet.Size(6, 5)
+RUN_EACH = 8
+"""Engines that run in each data centre: far more than are asked for."""
+
+KNOWN_MS = 16_000
+"""After this time the plans of all coordinators know the demand, and let engines go."""
+
+TAKEN_OVER_MS = 6_000
+"""Silence of the holder, its last heartbeats, a turn of the next one, and a roll of the record."""
+
+SPACE = traffic.Workspace("w", ("k",), counts_tokens=True, rate=1e6, burst=1e6)
+SERVICE = traffic.Service("s", scaling=traffic.Scaling(1, 20, 4_000.0, 0.18, PRICES))
+
+
+class Platform:
+    """The store and the cloud behind it.
+
+    Attributes:
+      out_of_reach: names of nodes that reach neither.
+      fence: the highest token that was acted under.
+      holders: who acted under each token.
+      orders: those taken, with who gave them.
+    """
+
+    def __init__(self) -> None:
+        self.record: records.Record | None = None
+        self.revision = 0
+        self.out_of_reach: set[str] = set()
+        self.fence = 0
+        self.holders: dict[int, str] = {}
+        self.orders: list[tuple[str, records.EngineOrder]] = []
+
+    def reach(self, node: str) -> None:
+        if node in self.out_of_reach:
+            raise errors.PlatformUnavailable("out of reach")
+
+    def act(self, node: str, token: int) -> None:
+        self.reach(node)
+        assert self.holders.setdefault(token, node) == node
+        if token < self.fence:
+            raise errors.StaleToken("older")
+        self.fence = token
+
+
+class Reached:
+    """The platform as one process reaches it."""
+
+    def __init__(self, platform: Platform, node: gossip_fleet.Node) -> None:
+        self.platform = platform
+        self.name = node.name
+        self.process = f"{node.name}#{node.view.incarnation}"
+
+    async def read_record(self, kind: str, name: str) -> records.Record | None:
+        self.platform.reach(self.name)
+        return self.platform.record
+
+    async def write_record(self, kind: str, record: records.Record) -> records.Record:
+        platform = self.platform
+        platform.reach(self.name)
+        if record.revision != (platform.record.revision if platform.record else 0):
+            raise errors.PlatformConflict("changed")
+        platform.revision += 1
+        platform.record = records.Record(record.name, record.value, platform.revision)
+        return platform.record
+
+    async def report_usage(
+        self, lease: records.Lease, window: int, counts: Mapping[str, int]
+    ) -> None:
+        self.platform.act(self.name, lease.token)
+
+    async def order(self, lease: records.Lease, order: records.EngineOrder) -> None:
+        self.platform.act(self.name, lease.token)
+        self.platform.orders.append((self.name, order))
+
+
+class Session:
+    """A fleet whose nodes hold the duties in turn."""
+
+    def __init__(self, seed: int = 1) -> None:
+        self.fleet = gossip_fleet.GossipFleet(SIZE, seed)
+        self.fleet.late_ms = 60
+        self.platform = Platform()
+        self.duties: dict[gossip_fleet.Node, duties.Duties] = {}
+        for node in self.fleet.live():
+            self.equip(node)
+
+    def equip(self, node: gossip_fleet.Node) -> None:
+        """Give a process its duties, and what it knows from the store."""
+        state, time = node.state, self.fleet.time
+        state.distances = distance.Distances(time, node.data_centre, REGIONS)
+        configuration = routing_table.Configuration(
+            2, (), (SERVICE,), (SPACE,), traffic.CallerLimits()
+        )
+        state.adopt_table(routing_table.build(configuration), "store")
+        run = [
+            traffic.Endpoint(
+                f"{name}-{number}", "s", "1:1", name, 96, traffic.EndpointState.READY, True
+            )
+            for name in PRICES
+            for number in range(RUN_EACH)
+        ]
+        state.registry.replace(run, 1, "store")
+        for _ in range(2 * engine_speed.KNOWN_AFTER):
+            state.chooser.speed("s").first_token(2_000.0, 400.0)
+        reached = Reached(self.platform, node)
+        self.duties[node] = duties.Duties(
+            state,
+            node.view,
+            node.gossip.duty,
+            reached,  # type: ignore[arg-type]
+            reached,  # type: ignore[arg-type]
+            SCHEDULE,
+        )
+
+    def run(self, for_ms: int) -> None:
+        """Let time pass while callers ask for a little at each node."""
+        for _ in range(for_ms // duties.TICK_MS):
+            self.fleet.run(duties.TICK_MS)
+            for node in self.fleet.live():
+                if node.frozen:
+                    continue
+                node.state.quota.admit(SPACE, 100.0)
+                step = self.duties[node].step()
+                with contextlib.suppress(StopIteration):
+                    step.send(None)
+                    raise AssertionError("the step waits for something")
+
+    def holders(self) -> list[gossip_fleet.Node]:
+        return [node for node in self.fleet.live() if self.duties[node].status.token]
+
+    def cut_off(self, region: str, from_platform: bool = False) -> None:
+        """Cut a region off from the others."""
+        self.fleet.cut = lambda one, other: (
+            (region_of(one) == region) != (region_of(other) == region)
+        )
+        names = {node.name for node in self.fleet.live() if region_of(node) == region}
+        self.platform.out_of_reach = names if from_platform else set()
+
+    def heal(self) -> None:
+        """Join all regions."""
+        self.fleet.cut = lambda one, other: False
+        self.platform.out_of_reach = set()
+
+    def restart(self, node: gossip_fleet.Node) -> None:
+        """Kill a process and start another one in its place."""
+        del self.duties[node]
+        self.equip(self.fleet.start(node.number, node.data_centre))
+
+
+def region_of(node: gossip_fleet.Node) -> str:
+    return REGIONS[node.data_centre]
+
+
+def shrunk(orders: list[tuple[str, records.EngineOrder]]) -> set[str]:
+    """Return the regions in which fewer engines were ordered than run."""
+    return {
+        REGIONS[order.data_centre] for _, order in orders if order.spot and order.count < RUN_EACH
+    }
+
+
+def test_one_node_holds_the_duties_and_shrinks_all_regions_that_it_hears():
+    session = Session()
+    session.run(20_000)
+    [holder] = session.holders()
+    assert holder.view.role is tiers.Role.COORDINATOR
+    assert shrunk(session.platform.orders) == set(REGIONS.values())
+
+
+@pytest.mark.parametrize("from_platform", [False, True])
+def test_when_the_holders_region_is_cut_off_another_region_takes_over(from_platform: bool):
+    session = Session()
+    session.run(KNOWN_MS)
+    [before] = session.holders()
+    region = region_of(before)
+    session.platform.orders.clear()
+    session.cut_off(region, from_platform)
+    session.run(TAKEN_OVER_MS)
+    after = [node for node in session.holders() if region_of(node) != region]
+    assert len(after) == 1
+    session.run(20_000)
+    outside = [one for one in session.platform.orders if one[0] == after[0].name]
+    assert region not in shrunk(outside)
+    session.heal()
+    session.run(2 * duties.DISPLACED_PAUSE_MS)
+    assert len(session.holders()) == 1
+
+
+def test_a_holder_cut_off_from_the_others_only_shrinks_none_of_their_engines():
+    session = Session()
+    session.run(KNOWN_MS)
+    [holder] = session.holders()
+    session.platform.orders.clear()
+    session.cut_off(region_of(holder))
+    session.run(20_000)
+    given = [one for one in session.platform.orders if region_of_name(one[0]) == region_of(holder)]
+    assert shrunk(given) <= {region_of(holder)}
+
+
+def region_of_name(node: str) -> str:
+    return REGIONS[node.rpartition("-")[0]]
+
+
+def test_a_region_cut_off_from_the_platform_only_hands_the_duties_on():
+    session = Session()
+    session.run(8_000)
+    [before] = session.holders()
+    region = region_of(before)
+    session.platform.out_of_reach = {
+        node.name for node in session.fleet.live() if region_of(node) == region
+    }
+    session.run(12_000)
+    holders = session.holders()
+    assert len(holders) == 1
+    assert region_of(holders[0]) != region
+
+
+ACTIONS = ("pass", "pass", "cut", "cut both", "platform", "heal", "kill holder", "freeze", "thaw")
+STEPS = strategies.lists(
+    strategies.tuples(strategies.sampled_from(ACTIONS), strategies.integers(0, 1_000)),
+    min_size=4,
+    max_size=9,
+)
+
+
+@hypothesis.settings(max_examples=5, derandomize=True, deadline=None)
+@hypothesis.given(STEPS, strategies.integers(0, 1_000))
+def test_never_two_holders_under_one_token_whatever_is_cut(steps: list[tuple[str, int]], seed: int):
+    """The platform asserts it at each call; once all is well one node holds the duties."""
+    session = Session(seed)
+    session.run(4_000)
+    for name, pick in steps:
+        play(session, name, pick)
+        session.run(1_500)
+    session.heal()
+    for node in session.fleet.live():
+        if node.frozen:
+            session.fleet.thaw(node)
+    session.run(2 * duties.DISPLACED_PAUSE_MS)
+    assert len(session.holders()) == 1
+
+
+def play(session: Session, name: str, pick: int) -> None:
+    """Do one thing to a fleet."""
+    region = "nsw"[pick % 3]
+    nodes = session.fleet.live()
+    node = (session.holders() or nodes)[0]
+    if name in ("cut", "cut both"):
+        session.cut_off(region, from_platform=name == "cut both")
+    elif name == "platform":
+        session.platform.out_of_reach = {one.name for one in nodes if region_of(one) == region}
+    elif name == "heal":
+        session.heal()
+    elif name == "kill holder":
+        session.restart(node)
+    elif name == "freeze":
+        node.frozen = True
+    elif name == "thaw":
+        for one in nodes:
+            if one.frozen:
+                session.fleet.thaw(one)
