Duties: a region that is cut off leaves them to a holder that lives elsewhere

A node that hears at most half of all nodes now takes over only once the record stood unchanged for 2.5 s; a holder that hears less than 0.9 of them writes it each second.

Ruled out: leaving the duties to the majority only (the last region would never take them over), a longer pause after a displacement (the next node of the region takes them all the same).

--- a/plumarch/fleet/duty_lease.py
+++ b/plumarch/fleet/duty_lease.py
@@ -39,6 +39,7 @@
       windows: counts of the newest usage windows, fixed before they are reported.
       sizes: endpoints that each service had at the first start.
       rollouts: the last roll-out of each service.
+      renewals: how often a holder wrote it only to show that it lives.
     """
 
     holder: str
@@ -47,6 +48,7 @@
     windows: dict[str, dict[str, int]] = {}
     sizes: dict[str, int] = {}
     rollouts: dict[str, RolloutRecord] = {}
+    renewals: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -109,6 +111,41 @@
     return HeldRecord(msgspec.structs.replace(held.record, rollouts=rollouts), held.revision)
 
 
+def renewed(held: HeldRecord) -> HeldRecord:
+    """Return the record as a holder writes it to show that it lives."""
+    record = msgspec.structs.replace(held.record, renewals=held.record.renewals + 1)
+    return HeldRecord(record, held.revision)
+
+
+@dataclasses.dataclass(slots=True)
+class RecordWatch:
+    """Since when a record stands unchanged, by one who looks at it again and again.
+
+    Attributes:
+      revision: of the record when it was seen last.
+      since_ms: when it was seen first.
+      looked_ms: when it was looked at last.
+    """
+
+    revision: int = -1
+    since_ms: int = 0
+    looked_ms: int = 0
+
+    def unchanged_ms(self, held: HeldRecord, now: int, pause_ms: int) -> int:
+        """Look at the record.
+
+        Args:
+          pause_ms: after a longer pause between two looks the time counts anew.
+        Returns:
+          For how long it is known to stand unchanged.
+        """
+        if held.revision != self.revision or now - self.looked_ms > pause_ms:
+            self.revision = held.revision
+            self.since_ms = now
+        self.looked_ms = now
+        return now - self.since_ms
+
+
 def is_mine(held: HeldRecord | None, node: str, incarnation: int) -> bool:
     """Return whether a record names a process as the holder."""
     if held is None:
--- a/plumarch/gateway/duties.py
+++ b/plumarch/gateway/duties.py
@@ -39,6 +39,23 @@
 """A holder that reaches neither store nor cloud for this long lets another one try."""
 
 
+MOST = 0.5
+"""A node that hears more than this part of all nodes takes the duties over from a holder that it
+doesn't hear. One that hears less may be cut off with its region, while the holder lives elsewhere:
+two regions took the duties from one another every three seconds, and each counted usage and demand
+by its own nodes."""
+
+HOLDER_GONE_MS = 2_500
+"""Such a node takes over once the record stood unchanged for this long: two renewals and a look."""
+
+RENEW_MS = 1_000
+"""A holder that doesn't hear nearly all nodes writes the record at least this often."""
+
+NEARLY_ALL = 0.9
+"""A holder that hears this part writes it with each usage window only; what is left is a few nodes,
+which wait for that."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class UsageSchedule:
     """When usage windows are reported, in ms after their end.
@@ -102,6 +119,8 @@
         self.rollouts = rollout_duty.RolloutDuty(state, store, exposure)
         self.reach = follower.Dependency(state, "duties")
         self.leaving = False
+        self.watch = duty_lease.RecordWatch()
+        self.renewed_ms = 0
         self.engines = engine_orders.EngineOrders(state, view, cloud, self.rollouts, first_start)
 
     def lease(self) -> records.Lease:
@@ -147,7 +166,9 @@
             self.known_token = max(self.known_token, self.view.newest_token())
             await self._attempt(self._maybe_take_over)
             return
-        if self.tasks.usage:
+        if self._renewal_due():
+            await self._attempt(self._renew)
+        if self.status.token and self.tasks.usage:
             await self._attempt(self._report_usage)
         # Engines are ordered all the same: the store may be down while the cloud is not.
         if self.status.token and self.tasks.scaling:
@@ -216,6 +237,8 @@
         self.not_before_ms = self.state.clock.now() + TRY_PAUSE_MS
         found = duty_lease.decode(await self.store.read_record(duty_lease.KIND, duty_lease.NAME))
         if not duty_lease.is_mine(found, self.view.node, self.view.incarnation):
+            if found is not None and self._may_live_elsewhere(found):
+                return
             if found is not None and found.record.token > self.known_token:
                 self._wait_for_holder(found.record)
                 return
@@ -232,6 +255,51 @@
             "duty_taken", urgent=True, token=found.record.token, revision=found.revision
         )
 
+    def _may_live_elsewhere(self, found: duty_lease.HeldRecord) -> bool:
+        """Return whether the holder may live among nodes that are cut off from this one."""
+        fraction = self.view.heard_fraction()
+        now = self.state.clock.now()
+        unchanged_ms = self.watch.unchanged_ms(found, now, 2 * TRY_PAUSE_MS)
+        if fraction > MOST:
+            return False
+        few = fraction <= 1.0 - NEARLY_ALL
+        wait_ms = HOLDER_GONE_MS + (self.schedule.window_ms if few else 0)
+        if unchanged_ms >= wait_ms:
+            return False
+        self.reach.answered()
+        self.state.log.write(
+            "duty_left",
+            holder=found.record.holder,
+            token=found.record.token,
+            fraction=round(fraction, 3),
+            unchanged_ms=unchanged_ms,
+        )
+        return True
+
+    def _renewal_due(self) -> bool:
+        now = self.state.clock.now()
+        return (
+            self.held is not None
+            and now - self.renewed_ms >= RENEW_MS
+            and self.view.heard_fraction() < NEARLY_ALL
+        )
+
+    async def _renew(self) -> None:
+        """Show those that don't hear this holder that it lives.
+
+        Raises:
+          PlatformConflict: another one holds the duties.
+        """
+        assert self.held is not None
+        self.renewed_ms = self.state.clock.now()
+        try:
+            self.held = await self._write(duty_lease.renewed(self.held))
+        except errors.PlatformConflict:
+            raise
+        except errors.PlatformError as error:
+            # The duties go on where the cloud is reached and the store is not.
+            self.state.log.write("duty_not_renewed", error=str(error))
+
     def _wait_for_holder(self, record: duty_lease.DutyRecord) -> None:
         """Let a holder be heard that took the duties just now, or long ago and is gone."""
         self.reach.answered()
--- a/plumarch/gateway/region_duties_test.py
+++ b/plumarch/gateway/region_duties_test.py
@@ -40,6 +40,7 @@
 
     Attributes:
       out_of_reach: names of nodes that reach neither.
+      without_store: whether the store answers nobody.
       fence: the highest token that was acted under.
       holders: who acted under each token.
       orders: those taken, with who gave them.
@@ -49,6 +50,7 @@
         self.record: records.Record | None = None
         self.revision = 0
         self.out_of_reach: set[str] = set()
+        self.without_store = False
         self.fence = 0
         self.holders: dict[int, str] = {}
         self.orders: list[tuple[str, records.EngineOrder]] = []
@@ -57,6 +59,11 @@
         if node in self.out_of_reach:
             raise errors.PlatformUnavailable("out of reach")
 
+    def reach_store(self, node: str) -> None:
+        self.reach(node)
+        if self.without_store:
+            raise errors.PlatformUnavailable("the store is down")
+
     def act(self, node: str, token: int) -> None:
         self.reach(node)
         assert self.holders.setdefault(token, node) == node
@@ -74,12 +81,12 @@
         self.process = f"{node.name}#{node.view.incarnation}"
 
     async def read_record(self, kind: str, name: str) -> records.Record | None:
-        self.platform.reach(self.name)
+        self.platform.reach_store(self.name)
         return self.platform.record
 
     async def write_record(self, kind: str, record: records.Record) -> records.Record:
         platform = self.platform
-        platform.reach(self.name)
+        platform.reach_store(self.name)
         if record.revision != (platform.record.revision if platform.record else 0):
             raise errors.PlatformConflict("changed")
         platform.revision += 1
@@ -208,6 +215,53 @@
     assert len(session.holders()) == 1
 
 
+def test_a_region_cut_off_from_the_others_only_leaves_the_duties_to_these():
+    session = Session()
+    session.run(KNOWN_MS)
+    [before] = session.holders()
+    region = region_of(before)
+    session.cut_off(region)
+    session.run(TAKEN_OVER_MS)
+    [after] = session.holders()
+    assert region_of(after) != region
+    token = session.duties[after].status.token
+    session.run(25_000)
+    assert session.holders() == [after]
+    assert session.duties[after].status.token == token
+
+
+def test_regions_that_are_all_cut_off_from_each_other_leave_the_duties_where_they_are():
+    session = Session()
+    session.run(KNOWN_MS)
+    holders = session.holders()
+    session.fleet.cut = lambda one, other: region_of(one) != region_of(other)
+    session.run(25_000)
+    assert session.holders() == holders
+
+
+def test_the_last_region_takes_the_duties_over_when_the_others_are_gone():
+    session = Session()
+    session.run(KNOWN_MS)
+    [before] = session.holders()
+    last = next(region for region in "nsw" if region != region_of(before))
+    for node in session.fleet.live():
+        node.alive = region_of(node) == last
+    session.run(duties.HOLDER_GONE_MS + TAKEN_OVER_MS)
+    assert len(session.holders()) == 1
+
+
+def test_renewals_that_the_store_does_not_answer_cost_no_holder_the_duties():
+    session = Session()
+    for node in session.duties.values():
+        node.tasks = duties.DutyTasks(usage=False, scaling=True)
+    session.run(KNOWN_MS)
+    [holder] = session.holders()
+    session.fleet.cut = lambda one, other: region_of(one) != region_of(other)
+    session.platform.without_store = True
+    session.run(10_000)
+    assert session.holders() == [holder]
+
+
 def test_a_holder_cut_off_from_the_others_only_shrinks_none_of_their_engines():
     session = Session()
     session.run(KNOWN_MS)
