--- a/plumarch/daemon/status_pages.py
+++ b/plumarch/daemon/status_pages.py
@@ -35,3 +35,4 @@
         sizes["registry_age_ms"] = state.registry.age_ms()
         sizes["endpoints"] = len(state.registry.endpoints)
         sizes["heard_fraction"] = state.quota.fraction
+        state.measures.endpoint_limits = state.limits.lowered(state.registry.endpoints)
--- a/plumarch/gateway/admission.py
+++ b/plumarch/gateway/admission.py
@@ -45,6 +45,7 @@
       units: what it was charged of its workspace's allotment.
       ends_ms: when it is given up, by the steady clock.
       prompt_tokens: tokens of its prompt.
+      most_out: the most tokens that its answer may have.
     """
 
     request: caller_connection.CallerRequest
@@ -57,6 +58,7 @@
     parts: tuple[traffic.PromptPart, ...]
     prompt_tokens: int
     version: int
+    most_out: int = 0
 
     def workspace_name(self) -> str:
         """Return the workspace's name, or "" for a public route."""
@@ -108,6 +110,7 @@
         parts=parse_parts(request.header(names.prompt_parts)),
         prompt_tokens=prompt_tokens,
         version=table.version,
+        most_out=most_out,
     )
 
 
--- a/plumarch/gateway/attempts.py
+++ b/plumarch/gateway/attempts.py
@@ -5,7 +5,14 @@
 import h11
 
 from plumarch.core import traffic
-from plumarch.gateway import admission, dialect, errors, exchange, fleet_state
+from plumarch.gateway import (
+    admission,
+    dialect,
+    endpoint_outcomes,
+    errors,
+    exchange,
+    fleet_state,
+)
 from plumarch.routing import endpoint_choice, return_times
 
 CONNECT_TIMEOUT_MS = 250.0
@@ -37,11 +44,13 @@
     """A connection to an endpoint on which a request was sent.
 
     Attributes:
+      given: what its endpoint was given.
       first_ms: how long after the send its first event came, or None before that.
     """
 
     choice: endpoint_choice.Choice
     exchange: exchange.Exchange
+    given: endpoint_outcomes.Given
     sent_ms: int = 0
     saw_first_token: bool = False
     first_ms: int | None = None
@@ -50,6 +59,10 @@
 class NotRun(errors.ExchangeError):
     """The endpoint said that it did not run the request."""
 
+    def __init__(self, status: int) -> None:
+        super().__init__(f"endpoint answered {status}, not run")
+        self.status = status
+
 
 def choose(
     state: fleet_state.FleetState, admitted: admission.Admitted, progress: Progress
@@ -73,6 +86,7 @@
             registry_source=state.registry.source,
         )
         return None
+    candidates = endpoint_outcomes.preferred(state, candidates, repeated)
     seed = state.rng.randrange(1 << 30)
     if admitted.prompt_tokens:
         return state.chooser.choose_engine(candidates, admitted.parts, admitted.prompt_tokens, seed)
@@ -85,6 +99,8 @@
     """Return the endpoints that can be reached, answer well, and have room."""
     reachable = [one for one in ready if not state.reach.is_out(one.data_centre)]
     usable = state.health.usable(reachable or ready)
+    if endpoint_outcomes.share_wait_ms(state, admitted, usable):
+        return []
     return [one for one in usable if _has_room(state, admitted, one)]
 
 
@@ -99,7 +115,8 @@
         running = state.chooser.total_running(ready)
         slots = sum(max(1, one.slots) for one in ready)
         run_ms = state.chooser.speed(admitted.service).run_ms.value
-        return return_times.when_a_place_is_free(running, slots, run_ms)
+        free_ms = return_times.when_a_place_is_free(running, slots, run_ms)
+        return max(free_ms, endpoint_outcomes.share_wait_ms(state, admitted, ready))
     service = state.table.services.get(admitted.service) if state.table else None
     if service is not None and service.scaling is not None:
         return return_times.when_booted(service.scaling.boot_ms)
@@ -110,7 +127,7 @@
     state: fleet_state.FleetState, admitted: admission.Admitted, endpoint: traffic.Endpoint
 ) -> bool:
     running = state.chooser.running(endpoint.id)
-    return state.limits.has_room(endpoint, running, bool(admitted.prompt_tokens))
+    return state.limits.has_room(endpoint, running, endpoint_outcomes.demand_of(admitted))
 
 
 async def send(
@@ -121,9 +138,26 @@
 ) -> Attempt:
     """Send a request to an endpoint over a fresh connection.
 
+    It counts as the endpoint's load from now on: requests that come while this one connects
+    would all choose the same endpoint otherwise.
+
     Raises:
       ConnectFailed: no byte was sent.
     """
+    state.chooser.begin(choice)
+    try:
+        return await _send(state, admitted, progress, choice)
+    except BaseException:
+        state.chooser.end(choice, saw_first_token=False)
+        raise
+
+
+async def _send(
+    state: fleet_state.FleetState,
+    admitted: admission.Admitted,
+    progress: Progress,
+    choice: endpoint_choice.Choice,
+) -> Attempt:
     endpoint = choice.endpoint
     progress.tried.add(endpoint.id)
     state.reach.try_again(endpoint.data_centre)
@@ -134,11 +168,14 @@
         opened = await exchange.connect(endpoint.address, min(CONNECT_TIMEOUT_MS, time_left))
     except errors.ConnectFailed:
         state.health.failure(endpoint.id)
+        endpoint_outcomes.unreached(state, endpoint)
         _note_unreached(state, endpoint)
         state.measures.attempts.add(admitted.service, "no_connection")
         raise
     state.reach.connected(endpoint.data_centre)
-    state.distances.connected(endpoint.data_centre, state.clock.now() - began_ms)
+    connect_ms = state.clock.now() - began_ms
+    state.distances.connected(endpoint.data_centre, connect_ms)
+    state.health.paces.connected(endpoint.id, connect_ms)
     headers = _headers(state, admitted, progress, endpoint)
     request = admitted.request
     try:
@@ -150,7 +187,7 @@
     progress.unresolved += 1
     if progress.sends == 1:
         state.budget.first(admitted.service)
-    state.chooser.begin(choice, admitted.parts)
+    state.chooser.remember(choice, admitted.parts)
     if admitted.prompt_tokens:
         state.work.sent(admitted.service, admitted.units, choice.unread_tokens)
         if state.tell_prompt is not None:
@@ -162,7 +199,8 @@
                     admitted.units,
                 )
             )
-    return Attempt(choice, opened, state.clock.now())
+    given = endpoint_outcomes.given(state, admitted, choice)
+    return Attempt(choice, opened, given, state.clock.now())
 
 
 def _note_unreached(state: fleet_state.FleetState, endpoint: traffic.Endpoint) -> None:
@@ -238,7 +276,7 @@
     names = state.names
     if head.status_code in PROMISED_NOT_RUN:
         if head.status_code == NOT_RUN_STATUS or dialect.header_value(head.headers, names.not_run):
-            raise NotRun(f"endpoint answered {head.status_code}, not run")
+            raise NotRun(head.status_code)
         raise errors.ConnectionBroken(f"endpoint answered {head.status_code} without a promise")
     if dialect.header_value(head.headers, names.request_id) not in ("", admitted.id):
         raise errors.ConnectionBroken("the answer is another request's")
@@ -259,6 +297,12 @@
         state.usage.began(admitted.workspace.name, state.wall.now())
 
 
+def was_lost(attempt: Attempt) -> bool:
+    """Return whether the endpoint ended the connection, and did not only answer badly."""
+    transport = attempt.exchange.transport
+    return transport is None or transport.is_closing()
+
+
 def end(state: fleet_state.FleetState, attempt: Attempt) -> None:
     """Close the connection, which cancels the request if it still runs."""
     attempt.exchange.close()
@@ -266,3 +310,4 @@
         held_ms = state.clock.now() - attempt.sent_ms
         state.chooser.speed(attempt.choice.endpoint.service).ended(held_ms)
     state.chooser.end(attempt.choice, attempt.saw_first_token)
+    endpoint_outcomes.ended(state, attempt.given)
--- /dev/null
+++ b/plumarch/gateway/endpoint_outcomes.py
@@ -0,0 +1,174 @@
+"""What requests show of the endpoints that they are sent to, and which endpoints that leaves.
+
+Limits, paces and records are kept by the modules of `routing`, which know nothing of requests;
+here they are told what happens, and changes are logged.
+"""
+
+import dataclasses
+from collections.abc import Sequence
+
+from plumarch.core import traffic
+from plumarch.gateway import admission, fleet_state
+from plumarch.routing import answer_times, endpoint_choice, endpoint_limits, fall_guard
+
+TOO_MUCH = frozenset({429, 503})
+"""Statuses by which an endpoint that did not run a request says that it holds too much."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Given:
+    """A request that an endpoint was given.
+
+    Attributes:
+      number: by which its pace awaits the answer, or None if it is not known how long that takes.
+    """
+
+    endpoint: traffic.Endpoint
+    demand: endpoint_limits.Demand
+    number: int | None
+
+
+def demand_of(admitted: admission.Admitted) -> endpoint_limits.Demand:
+    """Return what a request asks of an endpoint."""
+    return endpoint_limits.demand(
+        admitted.prompt_tokens,
+        admitted.most_out,
+        len(admitted.request.body),
+        admission.urgency(admitted),
+    )
+
+
+def preferred(
+    state: fleet_state.FleetState, endpoints: Sequence[traffic.Endpoint], repeated: bool
+) -> list[traffic.Endpoint]:
+    """Return those of the endpoints with room that a request had better go to.
+
+    Args:
+      repeated: whether it failed at another one already.
+    """
+    quick = state.health.paces.without_slow(endpoints, state.chooser.running)
+    return state.health.best(quick, state.chooser.running, repeated)
+
+
+def share_wait_ms(
+    state: fleet_state.FleetState,
+    admitted: admission.Admitted,
+    endpoints: Sequence[traffic.Endpoint],
+) -> float:
+    """Return how long a request has to wait because an endpoint of its service fell; 0 mostly."""
+    fall = state.limits.falls.recent(admitted.service)
+    if fall is None:
+        return 0.0
+    left = [one for one in endpoints if one.id != fall.endpoint]
+    running = state.chooser.total_running(left)
+    slots = sum(max(1, one.slots) for one in left)
+    rank = admission.urgency(admitted)
+    return state.limits.falls.wait_ms(admitted.service, running, slots, rank)
+
+
+def given(
+    state: fleet_state.FleetState,
+    admitted: admission.Admitted,
+    choice: endpoint_choice.Choice,
+) -> Given:
+    """Note that an endpoint was given a request."""
+    demand = demand_of(admitted)
+    endpoint = choice.endpoint
+    state.limits.sent(endpoint, demand)
+    expected_ms = _expected_ms(state, admitted, choice)
+    number = None
+    if expected_ms is not None:
+        number = state.health.paces.sent(endpoint.id, expected_ms)
+    return Given(endpoint, demand, number)
+
+
+def _expected_ms(
+    state: fleet_state.FleetState,
+    admitted: admission.Admitted,
+    choice: endpoint_choice.Choice,
+) -> float | None:
+    """Return how long a first byte should take, or None if too little is known."""
+    if admitted.prompt_tokens:
+        speed = state.chooser.speed(admitted.service)
+        return speed.expect_ms(choice.tokens_to_read(), choice.place_wait_ms)
+    mean = state.answer_times.by_route.get(admitted.route.name)
+    if mean is None or mean.seen < answer_times.KNOWN_AFTER:
+        return None
+    return mean.value
+
+
+def first_byte(state: fleet_state.FleetState, one: Given) -> None:
+    """Note that an endpoint's answer began."""
+    running = state.chooser.running(one.endpoint.id)
+    state.limits.bore(one.endpoint, running)
+    if one.number is None:
+        return
+    took = state.health.paces.answered(one.endpoint.id, one.number)
+    if took is not None:
+        state.limits.answered(one.endpoint, running, took, one.demand.is_engine)
+        _log_limit(state, one.endpoint)
+
+
+def refused(state: fleet_state.FleetState, one: Given, status: int) -> None:
+    """Note that an endpoint did not run a request."""
+    if status not in TOO_MUCH:
+        return
+    running = max(0, state.chooser.running(one.endpoint.id) - 1)
+    state.limits.refused(one.endpoint, running, one.demand.is_engine)
+    _log_limit(state, one.endpoint)
+
+
+def lost(state: fleet_state.FleetState, one: Given) -> None:
+    """Note that a connection ended while its request ran."""
+    running = state.chooser.running(one.endpoint.id)
+    elsewhere = _elsewhere(state, one.endpoint)
+    _note_fall(state, one.endpoint, state.limits.lost(one.endpoint, running, elsewhere))
+
+
+def unreached(state: fleet_state.FleetState, endpoint: traffic.Endpoint) -> None:
+    """Note that an endpoint could not be connected to."""
+    elsewhere = _elsewhere(state, endpoint)
+    _note_fall(state, endpoint, state.limits.unreached(endpoint, elsewhere))
+
+
+def ended(state: fleet_state.FleetState, one: Given) -> None:
+    """Note that a request is over at an endpoint."""
+    state.limits.ended(one.endpoint, one.demand)
+    if one.number is not None:
+        state.health.paces.ended(one.endpoint.id, one.number)
+
+
+def _elsewhere(state: fleet_state.FleetState, endpoint: traffic.Endpoint) -> int:
+    ready = state.registry.ready(endpoint.service)
+    return state.chooser.total_running(one for one in ready if one.id != endpoint.id)
+
+
+def _note_fall(
+    state: fleet_state.FleetState, endpoint: traffic.Endpoint, fall: fall_guard.Fall | None
+) -> None:
+    if fall is None:
+        return
+    state.measures.falls.add(endpoint.service)
+    state.log.write(
+        "endpoint_fell",
+        endpoint=endpoint.id,
+        service=endpoint.service,
+        held=fall.held,
+        weight=round(fall.weight),
+        slots=fall.slots,
+        elsewhere=fall.elsewhere,
+        others_bear=state.limits.falls.requests(endpoint.service, endpoint.slots),
+        others_bear_weight=state.limits.falls.weight(endpoint.service),
+    )
+
+
+def _log_limit(state: fleet_state.FleetState, endpoint: traffic.Endpoint) -> None:
+    changed = state.limits.changed(endpoint)
+    if changed is not None:
+        state.log.write(
+            "endpoint_limit",
+            endpoint=endpoint.id,
+            service=endpoint.service,
+            limit=round(changed, 1),
+            running=state.chooser.running(endpoint.id),
+        )
--- a/plumarch/gateway/fleet_state.py
+++ b/plumarch/gateway/fleet_state.py
@@ -101,6 +101,7 @@
         self.table = table
         self.table_source = source
         self.quota.keep_only(table.workspaces)
+        self.limits.services = table.services
         self.log.write(
             "configuration", urgent=True, version=table.version, before=before, source=source
         )
@@ -142,3 +143,4 @@
         existing = set(self.registry.endpoints)
         self.chooser.keep_only(existing)
         self.health.keep_only(existing)
+        self.limits.keep_only(existing)
--- a/plumarch/gateway/measures.py
+++ b/plumarch/gateway/measures.py
@@ -87,6 +87,7 @@
 
     Attributes:
       state: sizes and versions by name, set when somebody asks.
+      endpoint_limits: of endpoints that are given less than in calm times, set when somebody asks.
     """
 
     def __init__(self) -> None:
@@ -110,15 +111,28 @@
         self.dependency = Counter(
             "plumarch_gateway_dependency_failures", "Failed calls, by dependency.", ("dependency",)
         )
+        self.falls = Counter(
+            "plumarch_gateway_endpoint_falls", "Endpoints that fell with work.", ("service",)
+        )
         self.state: dict[str, float] = {}
+        self.endpoint_limits: dict[str, float] = {}
         self.lines_dropped = 0
 
     def collect(self) -> Iterator["metrics_core.Metric"]:
         """Return all metrics for Prometheus; the library calls this."""
         from prometheus_client import metrics_core
 
-        for one in (self.first_byte, self.total, self.answers, self.attempts, self.dependency):
+        counted = (self.answers, self.attempts, self.dependency, self.falls)
+        for one in (self.first_byte, self.total, *counted):
             yield one.family()
+        limits = metrics_core.GaugeMetricFamily(
+            "plumarch_gateway_endpoint_limit",
+            "Requests that an endpoint is given at once, where it is fewer than in calm times.",
+            labels=("endpoint",),
+        )
+        for endpoint, limit in self.endpoint_limits.items():
+            limits.add_metric((endpoint,), limit)
+        yield limits
         yield metrics_core.GaugeMetricFamily(
             "plumarch_log_lines_dropped", "Log lines dropped.", value=self.lines_dropped
         )
--- /dev/null
+++ b/plumarch/gateway/pressure_test.py
@@ -0,0 +1,136 @@
+"""Endpoints that are slow, fail now and then, or fall over when they hold too much."""
+
+import asyncio
+
+from plumarch.core import clock
+from plumarch.gateway import caller_connection, relay, relay_test
+from plumarch.standins import gateway_parts
+from plumarch.standins import scripted_endpoint as scripted
+
+CALLERS = 45
+
+
+class Pressed:
+    """Endpoints that hold what they are sent until they are released, or fall over.
+
+    Attributes:
+      bears: how many requests each holds at most; with one more it falls, for good.
+      held: the requests of each.
+      fallen: those that fell.
+      answered: callers that have their final answer.
+    """
+
+    def __init__(self, bears: list[int]) -> None:
+        self.bears = bears
+        self.held: list[set[asyncio.StreamWriter]] = [set() for _ in bears]
+        self.fallen: set[int] = set()
+        self.answered: list[int] = []
+        self.moved = asyncio.Condition()
+        self.release = asyncio.Event()
+        self.gateway: relay_test.Gateway | None = None
+
+    def answering(self, number: int) -> scripted.Answering:
+        async def hold(request: scripted.ReceivedRequest, writer: asyncio.StreamWriter) -> None:
+            if number in self.fallen:
+                relay_test.reset(writer)
+                return
+            self.held[number].add(writer)
+            if len(self.held[number]) > self.bears[number]:
+                await self._fall(number)
+                return
+            await self._note()
+            await self.release.wait()
+            if number not in self.fallen:
+                writer.write(scripted.answer(request))
+
+        return hold
+
+    async def _fall(self, number: int) -> None:
+        assert self.gateway is not None
+        self.fallen.add(number)
+        await self.gateway.endpoints[number].stop()
+        for writer in self.held[number]:
+            relay_test.reset(writer)
+        self.held[number].clear()
+        await self._note()
+
+    async def _note(self) -> None:
+        async with self.moved:
+            self.moved.notify_all()
+
+    async def ask(self) -> None:
+        assert self.gateway is not None
+        found = await self.gateway.ask("/safe/")
+        self.answered.append(found.status)
+        await self._note()
+
+    async def settled(self, callers: int) -> None:
+        """Wait until each caller has its answer or its request is held."""
+        async with self.moved:
+            await self.moved.wait_for(
+                lambda: len(self.answered) + sum(map(len, self.held)) == callers
+            )
+
+
+def test_when_one_endpoint_falls_none_of_the_others_may_fall():
+    async def test() -> None:
+        pressed = Pressed([10, 20, 20])
+        async with relay_test.Gateway(*(pressed.answering(n) for n in range(3))) as gateway:
+            pressed.gateway = gateway
+            asked = [asyncio.create_task(pressed.ask()) for _ in range(CALLERS)]
+            await pressed.settled(CALLERS)
+            first = pressed.answered.copy()
+            again = [asyncio.create_task(pressed.ask()) for _ in first]
+            await pressed.settled(CALLERS + len(again))
+            assert pressed.fallen == {0}
+            pressed.release.set()
+            await asyncio.gather(*asked, *again)
+            assert pressed.answered.count(200) >= 16
+
+    relay_test.play(test)
+
+
+class ManualGateway(relay_test.Gateway):
+    """A gateway whose time moves only when a test says so."""
+
+    def __init__(self, time: clock.ManualClock, *answering: scripted.Answering) -> None:
+        super().__init__(*answering)
+        self.state = gateway_parts.new_state(time)
+        self.callers = caller_connection.CallerServer(time, relay.Relay(self.state))
+        self.callers.limits = relay_test.TABLE.configuration.limits
+
+
+def test_no_request_goes_to_a_slow_endpoint_while_another_is_free():
+    async def test() -> None:
+        time = clock.ManualClock()
+        takes = {0: 20, 1: 20, 2: 20}
+
+        def taking(number: int) -> scripted.Answering:
+            async def answering(
+                request: scripted.ReceivedRequest, writer: asyncio.StreamWriter
+            ) -> None:
+                time.advance_to(time.now() + takes[number])
+                writer.write(scripted.answer(request))
+
+            return answering
+
+        async with ManualGateway(time, *(taking(number) for number in range(3))) as gateway:
+            for _ in range(10):
+                assert (await gateway.ask("/safe/")).status == 200
+            takes[0] = 200
+            before = len(gateway.endpoints[0].received)
+            for _ in range(20):
+                assert (await gateway.ask("/safe/")).status == 200
+            assert len(gateway.endpoints[0].received) - before <= 5
+
+    relay_test.play(test)
+
+
+def test_a_second_try_prefers_the_endpoint_with_the_best_record():
+    async def test() -> None:
+        failing = relay_test.answers("500 Oops")
+        async with relay_test.Gateway(failing, failing, relay_test.answers()) as gateway:
+            found = [(await gateway.ask("/safe/")).status for _ in range(20)]
+            assert found.count(500) <= 2
+
+    relay_test.play(test)
--- a/plumarch/gateway/request_run.py
+++ b/plumarch/gateway/request_run.py
@@ -16,6 +16,7 @@
     attempts,
     caller_connection,
     dialect,
+    endpoint_outcomes,
     errors,
     event_stream,
     fleet_state,
@@ -161,8 +162,9 @@
                 state.health.success(endpoint)
             version_outcomes.note(state, self.admitted, attempt, failed)
             return outcome
-        except attempts.NotRun:
+        except attempts.NotRun as error:
             progress.unresolved -= 1
+            endpoint_outcomes.refused(state, attempt.given, error.status)
             progress.last_fault = label = "not_run"
         except RepeatElsewhere:
             progress.last_fault = label = "failed"
@@ -175,6 +177,8 @@
         except errors.ConnectionBroken as error:
             progress.last_fault = label = "broken"
             state.health.failure(endpoint)
+            if attempts.was_lost(attempt):
+                endpoint_outcomes.lost(state, attempt.given)
             version_outcomes.note(state, self.admitted, attempt, failed=True)
             state.log.write("broken", request=self.admitted.id, endpoint=endpoint, why=str(error))
         finally:
@@ -269,6 +273,7 @@
             return
         attempt.saw_first_token = True
         self.state.chooser.first_token(attempt.choice)
+        endpoint_outcomes.first_byte(self.state, attempt.given)
         attempt.first_ms = self.state.clock.now() - attempt.sent_ms
         on_trial = version_outcomes.is_on_trial(self.state, attempt.choice.endpoint)
         if self.admitted.prompt_tokens and not on_trial:
--- /dev/null
+++ b/plumarch/routing/concurrency_limit_test.py
@@ -0,0 +1,176 @@
+"""Two ways to learn what an endpoint bears, on the same seeded loads."""
+
+import collections
+import dataclasses
+import random
+from collections.abc import Callable
+
+import pytest
+
+from plumarch.routing import concurrency_limit
+
+SLOTS = 8
+MOST = 24.0
+TARGET_MS = 400
+RUN_MS = 100.0
+STEP_MS = 5
+LASTS_MS = 20_000
+RESTART_MS = 1_000
+
+Build = Callable[[float, float], concurrency_limit.ConcurrencyLimit]
+BOTH: dict[str, Build] = {
+    "additive": concurrency_limit.AdditiveIncrease,
+    "gradient": concurrency_limit.LatencyGradient,
+}
+
+
+@dataclasses.dataclass(frozen=True)
+class Pattern:
+    """A load, and an endpoint that bears so much.
+
+    Attributes:
+      rate: requests a second, by time.
+      run_ms: how long one runs, by time.
+      places: how many it holds before it refuses.
+      falls_at: weight at which it falls over.
+      heavy: part of the requests that weigh four.
+    """
+
+    rate: Callable[[int], float]
+    run_ms: Callable[[int], float] = lambda now: RUN_MS
+    places: int = 1_000
+    falls_at: float = 1_000.0
+    heavy: float = 0.0
+
+
+PATTERNS = {
+    "calm": Pattern(lambda now: 40.0),
+    "burst": Pattern(lambda now: 300.0 if now % 4_000 < 800 else 40.0, places=14),
+    "slow": Pattern(lambda now: 60.0, lambda now: 400.0 if 5_000 < now < 10_000 else RUN_MS),
+    "falls": Pattern(lambda now: 200.0 if now % 3_000 < 500 else 50.0, falls_at=18.0),
+    "heavy": Pattern(lambda now: 90.0 if now % 3_000 < 1_000 else 40.0, falls_at=32.0, heavy=0.2),
+}
+
+
+@dataclasses.dataclass
+class Result:
+    """What callers got of one pattern."""
+
+    good: int = 0
+    late: int = 0
+    refused_by_limit: int = 0
+    refused_by_endpoint: int = 0
+    lost: int = 0
+    falls: int = 0
+
+
+@dataclasses.dataclass
+class Held:
+    """A request at the endpoint."""
+
+    sent_ms: int
+    weight: float
+    left_ms: float
+
+
+def replay(build: Build, pattern: Pattern, seed: int = 1) -> Result:
+    """Play a load against one endpoint that works on SLOTS at once, the oldest first."""
+    rng = random.Random(seed)
+    limit = build(float(SLOTS), MOST)
+    found = Result()
+    held: collections.deque[Held] = collections.deque()
+    up_from = 0
+    for now in range(0, LASTS_MS, STEP_MS):
+        for one in list(held)[:SLOTS]:
+            one.left_ms -= STEP_MS
+            if one.left_ms <= 0:
+                held.remove(one)
+                limit.answered(len(held) + 1, (now - one.sent_ms) / RUN_MS, now)
+                if now - one.sent_ms <= TARGET_MS:
+                    found.good += 1
+                else:
+                    found.late += 1
+        if rng.random() >= pattern.rate(now) * STEP_MS / 1_000.0:
+            continue
+        weight = 4.0 if rng.random() < pattern.heavy else 1.0
+        left_ms = pattern.run_ms(now) * rng.uniform(0.5, 1.5)
+        if now < up_from or len(held) >= limit.value(now):
+            found.refused_by_limit += 1
+        elif len(held) >= pattern.places:
+            found.refused_by_endpoint += 1
+            limit.refused(len(held), now)
+        else:
+            held.append(Held(now, weight, left_ms))
+        if sum(one.weight for one in held) >= pattern.falls_at:
+            limit.fell(len(held), now)
+            found.falls += 1
+            found.lost += len(held)
+            held.clear()
+            up_from = now + RESTART_MS
+    return found
+
+
+@pytest.mark.parametrize("name", list(BOTH))
+def test_in_calm_times_the_limit_stays_at_its_most(name):
+    limit = BOTH[name](float(SLOTS), MOST)
+    rng = random.Random(2)
+    for now in range(0, 60_000, 20):
+        limit.answered(rng.randrange(SLOTS + 1), rng.expovariate(1.0), now)
+        assert limit.value(now) == MOST
+
+
+@pytest.mark.parametrize("name", list(BOTH))
+def test_it_stays_between_its_bounds_whatever_comes(name):
+    for seed in range(20):
+        rng = random.Random(seed)
+        limit = BOTH[name](float(SLOTS), MOST)
+        now = 0
+        for _ in range(300):
+            now += rng.randrange(500)
+            sign = rng.randrange(3)
+            if sign == 0:
+                limit.answered(rng.uniform(0, 40), rng.expovariate(0.5), now)
+            elif sign == 1:
+                limit.refused(rng.uniform(0, 40), now)
+            else:
+                limit.fell(rng.uniform(0, 40), now)
+            assert SLOTS <= limit.value(now) <= MOST
+
+
+def test_after_a_refusal_it_recovers_with_time_alone():
+    limit = concurrency_limit.AdditiveIncrease(float(SLOTS), MOST)
+    limit.refused(12.0, 0)
+    assert limit.value(0) == pytest.approx(9.6)
+    assert limit.value(round(concurrency_limit.RECOVERY_MS)) == MOST
+
+
+def test_what_made_it_fall_is_not_tried_again_for_long():
+    limit = concurrency_limit.AdditiveIncrease(float(SLOTS), MOST)
+    limit.fell(18.0, 0)
+    recovered = round(concurrency_limit.RECOVERY_MS)
+    assert limit.value(recovered) == pytest.approx(14.4)
+    assert limit.value(concurrency_limit.FALL_KEPT_MS - 1) == pytest.approx(14.4)
+    assert limit.value(concurrency_limit.FALL_KEPT_MS) == MOST
+
+
+def totals(name: str) -> Result:
+    found = Result()
+    for pattern in PATTERNS.values():
+        for seed in range(5):
+            for field, count in dataclasses.asdict(replay(BOTH[name], pattern, seed)).items():
+                setattr(found, field, getattr(found, field) + count)
+    return found
+
+
+def test_the_default_spends_far_fewer_sends_for_as_many_good_answers():
+    additive, gradient = totals("additive"), totals("gradient")
+    assert additive.good >= 0.995 * gradient.good
+    assert additive.refused_by_endpoint < 0.5 * gradient.refused_by_endpoint
+    assert additive.falls <= gradient.falls
+    assert additive.lost <= gradient.lost
+
+
+def test_an_endpoint_with_a_hidden_limit_falls_seldom_in_place_of_in_each_burst():
+    for name in BOTH:
+        found = replay(BOTH[name], PATTERNS["falls"])
+        assert found.falls <= 1, name
--- a/plumarch/routing/endpoint_choice.py
+++ b/plumarch/routing/endpoint_choice.py
@@ -254,6 +254,10 @@
         load = self.own.setdefault(choice.endpoint.id, Load())
         load.running += 1
         load.prompt_tokens += choice.unread_tokens
+        self.remember(choice, parts)
+
+    def remember(self, choice: Choice, parts: Sequence[traffic.PromptPart]) -> None:
+        """Remember which parts an engine was sent."""
         if parts:
             record = self.records.setdefault(choice.endpoint.id, EngineRecord())
             now = self.clock.now()
--- a/plumarch/routing/endpoint_health.py
+++ b/plumarch/routing/endpoint_health.py
@@ -3,12 +3,17 @@
 An endpoint is left out after several failures in a row, or when most of its recent answers
 failed, for a time that doubles with each relapse. Never more than half of a service's
 endpoints are left out: beyond that the failures are likely not the endpoints' own.
+
+One that fails some of its requests, and answers others in between, is never left out. Its record
+over more answers shows it, and requests go to those with a better one while they are free.
 """
 
 import dataclasses
-from collections.abc import Sequence
+import math
+from collections.abc import Callable, Sequence
 
 from plumarch.core import clock, traffic
+from plumarch.routing import endpoint_pace
 
 FAILURES_IN_ROW = 2
 DECAY = 0.75
@@ -18,6 +23,24 @@
 FIRST_EJECTION_MS = 2_000
 LONGEST_EJECTION_MS = 15_000
 
+RECORD_DECAY = 0.95
+"""Weight of the past in the record, at each answer; some twenty answers tell an endpoint that
+fails one in seven from a sound one."""
+
+RECORD_FORGOTTEN_MS = 20_000.0
+"""Half of a record is forgotten in this time, so that an endpoint that was mended is tried again;
+by then a process has been restarted."""
+
+FORGETTABLE = 0.01
+"""A record with a smaller part of failures says nothing."""
+
+GREY = 0.06
+"""Part of failures by which a record must be worse than the best one before first sends avoid an
+endpoint: one or two failures in twenty answers."""
+
+NO_BETTER = 0.02
+"""Records that differ by less are alike."""
+
 
 @dataclasses.dataclass(slots=True)
 class Health:
@@ -26,20 +49,32 @@
     Attributes:
       rate: decayed part of its answers that failed.
       out_until_ms: it gets no work before then.
+      record: part of its answers that failed, over more answers; all failures weigh alike.
+      recorded_ms: when it last answered.
     """
 
     in_row: int = 0
     rate: float = 0.0
     out_until_ms: int = 0
     ejections: int = 0
+    record: float = 0.0
+    recorded_ms: int = 0
 
 
 @dataclasses.dataclass(slots=True)
 class EndpointHealth:
-    """Failures and ejections by endpoint identifier."""
+    """Failures and ejections by endpoint identifier.
+
+    Attributes:
+      paces: how slow endpoints are.
+    """
 
     clock: clock.Clock
     known: dict[str, Health] = dataclasses.field(default_factory=dict)
+    paces: endpoint_pace.EndpointPaces = dataclasses.field(init=False)
+
+    def __post_init__(self) -> None:
+        self.paces = endpoint_pace.EndpointPaces(self.clock)
 
     def success(self, endpoint: str) -> None:
         """Count a sound answer."""
@@ -48,7 +83,8 @@
             return
         health.in_row = 0
         health.rate *= DECAY
-        if health.rate < 0.05:
+        self._record(health, failed=False)
+        if health.rate < 0.05 and health.record < FORGETTABLE:
             del self.known[endpoint]
 
     def failure(self, endpoint: str, weight: float = 1.0) -> bool:
@@ -61,6 +97,7 @@
         """
         health = self.known.setdefault(endpoint, Health())
         health.rate = health.rate * DECAY + weight * (1.0 - DECAY)
+        self._record(health, failed=True)
         if weight >= 1.0:
             health.in_row += 1
         if health.in_row < FAILURES_IN_ROW and health.rate < WORST_RATE:
@@ -75,6 +112,37 @@
         health.rate = 0.25
         return True
 
+    def _record(self, health: Health, failed: bool) -> None:
+        now = self.clock.now()
+        before = _faded(health, now)
+        health.record = before * RECORD_DECAY + (1.0 - RECORD_DECAY if failed else 0.0)
+        health.recorded_ms = now
+
+    def record(self, endpoint: str) -> float:
+        """Return which part of an endpoint's answers failed lately."""
+        health = self.known.get(endpoint)
+        return _faded(health, self.clock.now()) if health is not None else 0.0
+
+    def best(
+        self,
+        endpoints: Sequence[traffic.Endpoint],
+        running: Callable[[str], int],
+        repeated: bool,
+    ) -> list[traffic.Endpoint]:
+        """Return the endpoints that a request had better go to, by their records.
+
+        Args:
+          running: requests at an endpoint.
+          repeated: whether the request failed already: then only the best records will do.
+            Otherwise those much worse are left out, while a better one has a free place.
+        """
+        records = {one.id: self.record(one.id) for one in endpoints}
+        bound = min(records.values(), default=0.0) + (NO_BETTER if repeated else GREY)
+        better = [one for one in endpoints if records[one.id] <= bound]
+        if repeated or any(running(one.id) < one.slots for one in better):
+            return better
+        return list(endpoints)
+
     def usable(self, endpoints: Sequence[traffic.Endpoint]) -> list[traffic.Endpoint]:
         """Return the endpoints that are not left out, or all if too many would be."""
         now = self.clock.now()
@@ -89,3 +157,8 @@
         """Forget endpoints that no longer exist."""
         for name in [name for name in self.known if name not in endpoints]:
             del self.known[name]
+        self.paces.keep_only(endpoints)
+
+
+def _faded(health: Health, now: int) -> float:
+    return health.record * math.pow(0.5, (now - health.recorded_ms) / RECORD_FORGOTTEN_MS)
--- a/plumarch/routing/endpoint_health_test.py
+++ b/plumarch/routing/endpoint_health_test.py
@@ -1,7 +1,10 @@
 """Ejection of endpoints by the answers to real requests."""
 
+import dataclasses
+import random
+
 from plumarch.core import clock, traffic
-from plumarch.routing import endpoint_health
+from plumarch.routing import endpoint_choice, endpoint_health
 
 
 def endpoints(count: int) -> list[traffic.Endpoint]:
@@ -57,3 +60,91 @@
         health.failure(name)
         health.failure(name)
     assert len(health.usable(endpoints(3))) == 3
+
+
+def idle(_: str) -> int:
+    return 0
+
+
+def test_the_second_try_goes_to_the_best_record():
+    health = endpoint_health.EndpointHealth(clock.ManualClock())
+    health.failure("e0", 0.3)
+    assert ids(health.best(endpoints(3), idle, repeated=False)) == ["e0", "e1", "e2"]
+    assert ids(health.best(endpoints(3), idle, repeated=True)) == ["e1", "e2"]
+
+
+def test_first_tries_avoid_a_grey_endpoint_while_another_is_free():
+    health = endpoint_health.EndpointHealth(clock.ManualClock())
+    for _ in range(3):
+        health.failure("e0", 0.3)
+        health.success("e0")
+    assert ids(health.best(endpoints(3), idle, repeated=False)) == ["e1", "e2"]
+    full = {"e1": 8, "e2": 8}
+    found = health.best(endpoints(3), lambda name: full.get(name, 0), repeated=False)
+    assert len(found) == 3
+
+
+def test_when_all_fail_alike_none_is_avoided():
+    health = endpoint_health.EndpointHealth(clock.ManualClock())
+    for name in ("e0", "e1", "e2"):
+        health.failure(name, 0.3)
+        health.failure(name, 0.3)
+    assert len(health.best(endpoints(3), idle, repeated=True)) == 3
+
+
+def test_a_grey_endpoint_is_tried_again_in_time():
+    time = clock.ManualClock()
+    health = endpoint_health.EndpointHealth(time)
+    for _ in range(20):
+        health.failure("e0", 0.3)
+        health.success("e0")
+    assert len(health.best(endpoints(3), idle, repeated=False)) == 2
+    time.advance_to(5 * round(endpoint_health.RECORD_FORGOTTEN_MS))
+    assert len(health.best(endpoints(3), idle, repeated=False)) == 3
+
+
+@dataclasses.dataclass
+class Replay:
+    """Requests of two sends at most to endpoints that fail a part of theirs."""
+
+    parts: tuple[float, ...]
+    by_record: bool
+    apart_ms: int = 20
+    lasts: int = 100
+
+    def failed(self, seed: int, requests: int = 3_000) -> int:
+        """Return how many requests ended with a failure."""
+        time = clock.ManualClock()
+        rng = random.Random(seed)
+        health = endpoint_health.EndpointHealth(time)
+        chooser = endpoint_choice.EndpointChooser(time, "a")
+        failing = {f"e{number}": part for number, part in enumerate(self.parts)}
+        running: list[tuple[int, endpoint_choice.Choice]] = []
+        count = 0
+        for _ in range(requests):
+            time.advance_to(time.now() + self.apart_ms)
+            while running and running[0][0] <= time.now():
+                chooser.end(running.pop(0)[1], True)
+            tried: set[str] = set()
+            for _ in range(2):
+                found = health.usable([one for one in endpoints(3) if one.id not in tried])
+                if self.by_record:
+                    found = health.best(found, chooser.running, bool(tried))
+                choice = chooser.choose_plain(found, rng.randrange(1 << 30))
+                tried.add(choice.endpoint.id)
+                chooser.begin(choice)
+                running.append((time.now() + self.lasts, choice))
+                if rng.random() >= failing[choice.endpoint.id]:
+                    health.success(choice.endpoint.id)
+                    break
+                health.failure(choice.endpoint.id, 0.3)
+            else:
+                count += 1
+        return count
+
+
+def test_fewer_requests_fail_twice_when_records_steer():
+    for parts in ((0.14, 0.01, 0.01), (0.4, 0.01, 0.01), (0.14, 0.14, 0.01), (0.4, 0.3, 0.01)):
+        before = sum(Replay(parts, False).failed(seed) for seed in range(5))
+        after = sum(Replay(parts, True).failed(seed) for seed in range(5))
+        assert after < 0.6 * before, (parts, before, after)
--- a/plumarch/routing/endpoint_limits.py
+++ b/plumarch/routing/endpoint_limits.py
@@ -1,11 +1,16 @@
-"""How many requests an endpoint is given at once: what it bears, as far as is known.
+"""How much an endpoint is given at once: what it bears, as far as is known.
 
-Its places come from the registry and the configuration. What it bears beyond them is learned.
+Its places come from the registry and the configuration, and so do its limit of connections and
+the tokens that its cache holds. What it bears beyond them is learned: by its refusals, by falls,
+and by answers that come far too late.
 """
 
 import dataclasses
+import math
+from collections.abc import Callable, Mapping
 
 from plumarch.core import clock, traffic
+from plumarch.routing import concurrency_limit, fall_guard
 
 QUEUE_FACTOR = 3.0
 """Requests at a plain endpoint, in multiples of its slots, before it counts as full."""
@@ -15,18 +20,275 @@
 wait counts among the costs, and a wait beyond its target refuses it. A judgement: half a batch
 is as long as a target lets anything wait."""
 
+CACHE_FACTOR = 1.5
+"""Tokens that an engine is given, in multiples of what its cache holds: as many requests wait
+beside those that run, and the parts that prompts share are counted in each of them."""
+
+BYTES_PER_TOKEN = 4
+"""What a byte of a body weighs against a prompt token, for endpoints that read no prompts: a token
+of text is about four bytes."""
+
+EXPECTED_OUT = 0.5
+"""Part of the most tokens asked for that an answer holds, on average over its run."""
+
+MEAN_WEIGHT = 0.05
+"""Weight of a request in the mean that stands for requests of other nodes; some twenty."""
+
+TOLD_PAUSE_MS = 1_000
+"""A changed limit is told once in this time for each endpoint, so that logs stay readable."""
+
+TOLD_CHANGE = 0.1
+"""Part by which a limit must have changed to be told."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Demand:
+    """What a request asks of an endpoint.
+
+    Attributes:
+      weight: in tokens: those of its prompt and expected answer, or its body's.
+      is_engine: whether it is a prompt for an engine.
+      rank: 0 is the most urgent.
+    """
+
+    weight: float = 0.0
+    is_engine: bool = False
+    rank: int = 0
+
+
+PLAIN = Demand()
+
+
+def demand(prompt_tokens: int, most_out: int, body_bytes: int, rank: int = 0) -> Demand:
+    """Return what a request asks of an endpoint.
+
+    Args:
+      most_out: the most tokens that its answer may have.
+    """
+    if prompt_tokens:
+        return Demand(prompt_tokens + EXPECTED_OUT * most_out, True, rank)
+    return Demand(body_bytes / BYTES_PER_TOKEN, False, rank)
+
+
+@dataclasses.dataclass(slots=True)
+class Held:
+    """What this node's requests at one endpoint are, and weigh."""
+
+    requests: int = 0
+    weight: float = 0.0
+
+
+NOTHING = Held()
+"""Stands for endpoints that hold none of this node's requests; never changed."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ToldLimit:
+    """A learned limit that was logged, and when."""
+
+    limit: float
+    at_ms: int
+
 
 @dataclasses.dataclass(slots=True)
 class EndpointLimits:
-    """What endpoints bear."""
+    """What endpoints bear.
+
+    Attributes:
+      services: services by name, as configured.
+      learned: limits of endpoints that refused, fell or answered, by identifier.
+      held: this node's requests, by endpoint identifier.
+      mean_weight: of a request of each service; stands for those of other nodes.
+      told: limits that were logged, by endpoint identifier.
+    """
 
     clock: clock.Clock
+    falls: fall_guard.FallGuard = dataclasses.field(init=False)
+    build: Callable[[float, float], concurrency_limit.ConcurrencyLimit] = (
+        concurrency_limit.AdditiveIncrease
+    )
+    services: dict[str, traffic.Service] = dataclasses.field(default_factory=dict)
+    learned: dict[str, concurrency_limit.ConcurrencyLimit] = dataclasses.field(default_factory=dict)
+    held: dict[str, Held] = dataclasses.field(default_factory=dict)
+    mean_weight: dict[str, float] = dataclasses.field(default_factory=dict)
+    told: dict[str, ToldLimit] = dataclasses.field(default_factory=dict)
 
-    def has_room(self, endpoint: traffic.Endpoint, running: int, is_engine: bool) -> bool:
+    def __post_init__(self) -> None:
+        self.falls = fall_guard.FallGuard(self.clock)
+
+    def has_room(self, endpoint: traffic.Endpoint, running: int, demand: Demand = PLAIN) -> bool:
         """Return whether an endpoint may be given a further request.
 
         Args:
           running: requests of all nodes that run or wait there, as far as known.
         """
-        factor = ENGINE_QUEUE_FACTOR if is_engine else QUEUE_FACTOR
-        return running < factor * max(1, endpoint.slots)
+        if running >= self.requests(endpoint, demand.is_engine):
+            return False
+        if running <= 0:
+            return True
+        return self.weight_at(endpoint, running) + demand.weight <= self.weight(endpoint)
+
+    def requests(self, endpoint: traffic.Endpoint, is_engine: bool) -> float:
+        """Return how many requests an endpoint is given at once."""
+        limits = [most_requests(endpoint, is_engine)]
+        service = self.services.get(endpoint.service)
+        if service is not None and service.connection_limit > 0:
+            limits.append(float(service.connection_limit))
+        learned = self.learned.get(endpoint.id)
+        if learned is not None:
+            limits.append(learned.value(self.clock.now()))
+        by_falls = self.falls.requests(endpoint.service, endpoint.slots)
+        if by_falls is not None:
+            limits.append(by_falls)
+        return min(limits)
+
+    def weight(self, endpoint: traffic.Endpoint) -> float:
+        """Return what the requests at an endpoint may weigh together, in tokens."""
+        service = self.services.get(endpoint.service)
+        known = math.inf
+        if service is not None and service.engine is not None and service.engine.cache_tokens:
+            known = CACHE_FACTOR * service.engine.cache_tokens
+        by_falls = self.falls.weight(endpoint.service)
+        return known if by_falls is None else min(known, by_falls)
+
+    def weight_at(self, endpoint: traffic.Endpoint, running: int) -> float:
+        """Return what the requests at an endpoint weigh: this node's own, and others' by the mean.
+
+        Args:
+          running: requests of all nodes there.
+        """
+        own = self.held.get(endpoint.id, NOTHING)
+        others = max(0, running - own.requests)
+        return own.weight + others * self.mean_weight.get(endpoint.service, 0.0)
+
+    def sent(self, endpoint: traffic.Endpoint, demand: Demand) -> None:
+        """Count a request sent."""
+        held = self.held.setdefault(endpoint.id, Held())
+        held.requests += 1
+        held.weight += demand.weight
+        mean = self.mean_weight.setdefault(endpoint.service, demand.weight)
+        self.mean_weight[endpoint.service] = mean + MEAN_WEIGHT * (demand.weight - mean)
+
+    def ended(self, endpoint: traffic.Endpoint, demand: Demand) -> None:
+        """Count a request as over."""
+        held = self.held.get(endpoint.id)
+        if held is None:
+            return
+        held.requests -= 1
+        held.weight -= demand.weight
+        if held.requests <= 0:
+            del self.held[endpoint.id]
+
+    def bore(self, endpoint: traffic.Endpoint, running: int) -> None:
+        """Take in that an endpoint answers while it holds so many requests."""
+        self.falls.lives(endpoint.id)
+        self.falls.bore(endpoint.service, self.weight_at(endpoint, running))
+
+    def answered(
+        self, endpoint: traffic.Endpoint, running: int, took: float, is_engine: bool
+    ) -> None:
+        """Take in how long a first byte took.
+
+        Args:
+          running: requests there when it came.
+          took: in multiples of what was expected.
+        """
+        self._limit(endpoint, is_engine).answered(running, took, self.clock.now())
+
+    def refused(self, endpoint: traffic.Endpoint, running: int, is_engine: bool) -> None:
+        """Take in that an endpoint refused a request as too much.
+
+        One that refuses while it has places does so for another reason.
+
+        Args:
+          running: requests there besides the one that it refused.
+        """
+        if running >= endpoint.slots:
+            self._limit(endpoint, is_engine).refused(running, self.clock.now())
+
+    def changed(self, endpoint: traffic.Endpoint) -> float | None:
+        """Return an endpoint's learned limit if it changed enough since it was last told."""
+        limit = self.learned.get(endpoint.id)
+        if limit is None:
+            return None
+        now = self.clock.now()
+        value = limit.value(now)
+        told = self.told.get(endpoint.id)
+        before = told.limit if told is not None else limit.most
+        if abs(value - before) < TOLD_CHANGE * before:
+            return None
+        if told is not None and now - told.at_ms < TOLD_PAUSE_MS:
+            return None
+        self.told[endpoint.id] = ToldLimit(value, now)
+        return value
+
+    def lowered(self, endpoints: Mapping[str, traffic.Endpoint]) -> dict[str, float]:
+        """Return the limits of endpoints that are given less than in calm times.
+
+        Args:
+          endpoints: those that exist, by identifier.
+        """
+        found = {}
+        for name, endpoint in endpoints.items():
+            service = self.services.get(endpoint.service)
+            is_engine = service is not None and service.engine is not None
+            limit = self.requests(endpoint, is_engine)
+            if limit < most_requests(endpoint, is_engine):
+                found[name] = limit
+        return found
+
+    def lost(
+        self, endpoint: traffic.Endpoint, running: int, elsewhere: int
+    ) -> fall_guard.Fall | None:
+        """Take in that a connection ended while its request ran.
+
+        Args:
+          running: requests at the endpoint, with this one.
+          elsewhere: requests that the service's other endpoints hold.
+        Returns:
+          The fall, if that shows that the endpoint fell.
+        """
+        losses = self.falls.lost(endpoint.id, running, self.weight_at(endpoint, running))
+        return self._fell(endpoint, losses, elsewhere)
+
+    def unreached(self, endpoint: traffic.Endpoint, elsewhere: int) -> fall_guard.Fall | None:
+        """Take in that an endpoint can't be connected to; like `lost`."""
+        return self._fell(endpoint, self.falls.unreached(endpoint.id), elsewhere)
+
+    def _fell(
+        self, endpoint: traffic.Endpoint, losses: fall_guard.Losses | None, elsewhere: int
+    ) -> fall_guard.Fall | None:
+        if losses is None or endpoint.state is traffic.EndpointState.DRAINING:
+            return None
+        now = self.clock.now()
+        fall = fall_guard.Fall(
+            endpoint.id, now, losses.held, losses.weight, endpoint.slots, elsewhere
+        )
+        learned = self.learned.get(endpoint.id)
+        if learned is not None and fall.by_count():
+            learned.fell(fall.held, now)
+        self.falls.fell(endpoint.service, fall)
+        return fall
+
+    def _limit(
+        self, endpoint: traffic.Endpoint, is_engine: bool
+    ) -> concurrency_limit.ConcurrencyLimit:
+        found = self.learned.get(endpoint.id)
+        if found is None:
+            least = float(max(1, endpoint.slots))
+            most = most_requests(endpoint, is_engine)
+            found = self.learned[endpoint.id] = self.build(least, most)
+        return found
+
+    def keep_only(self, endpoints: set[str]) -> None:
+        """Forget endpoints that no longer exist."""
+        for name in [name for name in self.learned if name not in endpoints]:
+            del self.learned[name]
+            self.told.pop(name, None)
+        self.falls.keep_only(endpoints)
+
+
+def most_requests(endpoint: traffic.Endpoint, is_engine: bool) -> float:
+    """Return how many requests an endpoint is given in calm times."""
+    factor = ENGINE_QUEUE_FACTOR if is_engine else QUEUE_FACTOR
+    return factor * max(1, endpoint.slots)
--- /dev/null
+++ b/plumarch/routing/endpoint_pace_test.py
@@ -0,0 +1,98 @@
+"""Endpoints that answer, but slowly."""
+
+from plumarch.core import clock, traffic
+from plumarch.routing import endpoint_pace
+
+EXPECTED_MS = 100.0
+
+
+def endpoints(count: int) -> list[traffic.Endpoint]:
+    return [
+        traffic.Endpoint(f"e{number}", "s", "1:1", "a", 8, traffic.EndpointState.READY)
+        for number in range(count)
+    ]
+
+
+class Service:
+    """Endpoints that answer at a pace."""
+
+    def __init__(self) -> None:
+        self.time = clock.ManualClock()
+        self.paces = endpoint_pace.EndpointPaces(self.time)
+
+    def answer(self, endpoint: str, times: float) -> None:
+        number = self.paces.sent(endpoint, EXPECTED_MS)
+        self.time.advance_to(self.time.now() + round(times * EXPECTED_MS))
+        self.paces.answered(endpoint, number)
+
+    def ids(self, running: dict[str, int]) -> list[str]:
+        found = self.paces.without_slow(endpoints(3), lambda name: running.get(name, 0))
+        return [one.id for one in found]
+
+
+def test_a_slow_endpoint_gets_nothing_while_another_is_free():
+    service = Service()
+    for _ in range(5):
+        service.answer("e0", 6.0)
+        service.answer("e1", 1.0)
+        service.answer("e2", 1.0)
+    assert service.ids({"e1": 7, "e2": 8}) == ["e1", "e2"]
+
+
+def test_when_none_is_free_it_gets_the_places_that_its_pace_allows_and_no_queue():
+    service = Service()
+    for _ in range(5):
+        service.answer("e0", 6.0)
+        service.answer("e1", 1.0)
+    full = {"e1": 8, "e2": 8}
+    assert service.ids(full) == ["e1", "e2", "e0"]
+    assert service.ids({**full, "e0": 4}) == ["e1", "e2"]
+
+
+def test_what_slows_all_of_them_makes_none_slow():
+    service = Service()
+    for _ in range(5):
+        for name in ("e0", "e1", "e2"):
+            service.answer(name, 6.0)
+    assert len(service.ids({})) == 3
+
+
+def test_one_long_answer_makes_none_slow():
+    service = Service()
+    service.answer("e0", 6.0)
+    assert len(service.ids({})) == 3
+
+
+def test_an_endpoint_that_hangs_is_noticed_before_its_request_is_given_up():
+    service = Service()
+    number = service.paces.sent("e0", EXPECTED_MS)
+    service.time.advance_to(round(endpoint_pace.HANGS * EXPECTED_MS) + 1)
+    assert service.ids({}) == ["e1", "e2"]
+    service.paces.ended("e0", number)
+    service.time.advance_to(60_000)
+    assert len(service.ids({})) == 3
+
+
+def test_slow_connects_count():
+    service = Service()
+    service.paces.connected("e0", 2.0)
+    for _ in range(10):
+        service.paces.connected("e0", 200.0)
+    assert service.ids({}) == ["e1", "e2"]
+
+
+def test_far_endpoints_with_steady_connects_are_not_slow():
+    service = Service()
+    for _ in range(10):
+        service.paces.connected("e0", 80.0)
+        service.paces.connected("e1", 1.0)
+    assert len(service.ids({})) == 3
+
+
+def test_a_slow_endpoint_is_tried_again_after_some_seconds():
+    service = Service()
+    for _ in range(20):
+        service.answer("e0", 8.0)
+    assert service.ids({}) == ["e1", "e2"]
+    service.time.advance_to(service.time.now() + 10_000)
+    assert len(service.ids({})) == 3
--- /dev/null
+++ b/plumarch/routing/fall_guard.py
@@ -0,0 +1,209 @@
+"""What a service's other endpoints are given after one of them fell over.
+
+An endpoint that falls gives its load back at once: its callers and this fleet repeat it, and the
+next endpoint may fall under it. So after a fall the service as a whole takes on a bounded share of
+what was lost, which grows again with time, urgent requests first. And what made one endpoint fall
+is kept from the others: they have as much memory as it had, as far as anybody knows.
+"""
+
+import dataclasses
+
+from plumarch.core import clock
+from plumarch.routing import concurrency_limit
+
+SHARE = 0.25
+"""Part of what the fallen endpoint held that the others may take on at once. With four others or
+more each gets a sixteenth of its load, which is less than loads differ anyhow."""
+
+GROWS_MS = 4_000
+"""Time in which the rest of it is let in: a caller that was turned away comes back within it."""
+
+RANK_STEP = 0.05
+"""Part of the room that each rank leaves to the more urgent ones."""
+
+LEAST_PART = 0.5
+"""The least urgent ranks still get this part of the room, so that none is starved."""
+
+LOST_TOGETHER_MS = 250
+"""Connections of an endpoint that are lost within this time are lost together: a crash ends all at
+once, and this is a connect's time limit, within which a process sees them end."""
+
+LOSSES = 2
+"""Connections lost together that are a fall. One alone may be the fault of its own request."""
+
+
+@dataclasses.dataclass(slots=True)
+class Losses:
+    """Connections that one endpoint lost lately.
+
+    Attributes:
+      first_ms: when the first of them was lost.
+      held: requests that it held then.
+      weight: what they weighed.
+    """
+
+    first_ms: int
+    held: int
+    weight: float
+    count: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Fall:
+    """An endpoint fell.
+
+    Attributes:
+      endpoint: its identifier.
+      held: requests that it held.
+      weight: what they weighed, in tokens.
+      slots: requests that it worked on at once.
+      elsewhere: requests that the service's other endpoints held then.
+    """
+
+    endpoint: str
+    at_ms: int
+    held: int
+    weight: float
+    slots: int
+    elsewhere: int
+
+    def by_count(self) -> bool:
+        """Return whether it held more requests than it works on at once.
+
+        One that fell with less was lost for another reason, or by what its requests weighed.
+        """
+        return self.held > self.slots
+
+
+@dataclasses.dataclass(slots=True)
+class ServiceFalls:
+    """What falls taught about the endpoints of one service.
+
+    Attributes:
+      last: the latest fall.
+      per_slot: requests for each slot that an endpoint may hold, or None.
+      weight: what the requests of an endpoint may weigh, or None.
+      borne: the greatest weight under which an endpoint answered well lately.
+    """
+
+    last: Fall | None = None
+    per_slot: float | None = None
+    weight: float | None = None
+    learned_ms: int = 0
+    borne: float = 0.0
+
+
+@dataclasses.dataclass(slots=True)
+class FallGuard:
+    """Falls of endpoints, by service, and the losses by which they are noticed.
+
+    Attributes:
+      losses: connections lost lately, by endpoint identifier.
+    """
+
+    clock: clock.Clock
+    services: dict[str, ServiceFalls] = dataclasses.field(default_factory=dict)
+    losses: dict[str, Losses] = dataclasses.field(default_factory=dict)
+
+    def lost(self, endpoint: str, held: int, weight: float) -> Losses | None:
+        """Count a connection that ended while its request ran.
+
+        Args:
+          held: requests at the endpoint, with this one.
+        Returns:
+          What was lost, once it shows that the endpoint fell; each fall is told once.
+        """
+        now = self.clock.now()
+        losses = self.losses.get(endpoint)
+        if losses is None or now - losses.first_ms > LOST_TOGETHER_MS:
+            losses = self.losses[endpoint] = Losses(now, held, weight)
+        losses.count += 1
+        return losses if losses.count == LOSSES else None
+
+    def unreached(self, endpoint: str) -> Losses | None:
+        """Take in that an endpoint can't be connected to.
+
+        Returns:
+          What was lost, if it had lost one connection just before; that makes it a fall.
+        """
+        losses = self.losses.get(endpoint)
+        if losses is None or losses.count >= LOSSES:
+            return None
+        if self.clock.now() - losses.first_ms > LOST_TOGETHER_MS:
+            return None
+        losses.count = LOSSES
+        return losses
+
+    def lives(self, endpoint: str) -> None:
+        """Take in an answer: what the endpoint lost before it was no fall."""
+        self.losses.pop(endpoint, None)
+
+    def bore(self, service: str, weight: float) -> None:
+        """Take in that an endpoint answered well while its requests weighed so much."""
+        falls = self.services.setdefault(service, ServiceFalls())
+        falls.borne = max(weight, falls.borne)
+
+    def fell(self, service: str, fall: Fall) -> None:
+        """Take in a fall."""
+        falls = self.services.setdefault(service, ServiceFalls())
+        by_weight = fall.weight > falls.borne > 0
+        if fall.by_count() or by_weight:
+            falls.learned_ms = fall.at_ms
+        if fall.by_count():
+            falls.per_slot = concurrency_limit.DECREASE * fall.held / max(1, fall.slots)
+        if by_weight:
+            falls.weight = max(falls.borne, concurrency_limit.DECREASE * fall.weight)
+        falls.last = fall
+
+    def requests(self, service: str, slots: int) -> float | None:
+        """Return how many requests an endpoint may hold by what falls taught, never under its
+        slots, or None if they taught nothing."""
+        falls = self._learned(service)
+        if falls is None or falls.per_slot is None:
+            return None
+        return max(1.0, falls.per_slot) * max(1, slots)
+
+    def weight(self, service: str) -> float | None:
+        """Return what an endpoint's requests may weigh by what falls taught, or None."""
+        falls = self._learned(service)
+        return falls.weight if falls is not None else None
+
+    def _learned(self, service: str) -> ServiceFalls | None:
+        falls = self.services.get(service)
+        if falls is None:
+            return None
+        if self.clock.now() - falls.learned_ms < concurrency_limit.FALL_KEPT_MS:
+            return falls
+        falls.per_slot = falls.weight = None
+        return None
+
+    def recent(self, service: str) -> Fall | None:
+        """Return the last fall of a service while its load is still let in by parts."""
+        falls = self.services.get(service)
+        if falls is None or falls.last is None:
+            return None
+        return falls.last if self.clock.now() - falls.last.at_ms < GROWS_MS else None
+
+    def wait_ms(self, service: str, running: int, slots: int, rank: int) -> float:
+        """Return in how many ms a service takes on a request of a rank; 0 is now.
+
+        Args:
+          running: requests at all its endpoints that are left.
+          slots: requests that they work on at once; below that nothing waits.
+          rank: 0 is the most urgent.
+        """
+        fall = self.recent(service)
+        if fall is None or running < slots:
+            return 0.0
+        age_ms = self.clock.now() - fall.at_ms
+        part = max(LEAST_PART, 1.0 - RANK_STEP * rank)
+        wanted_share = ((running + 1) / part - fall.elsewhere) / max(1, fall.held)
+        if wanted_share <= SHARE:
+            return 0.0
+        grown_ms = (wanted_share - SHARE) / (1.0 - SHARE) * GROWS_MS
+        return max(0.0, min(float(GROWS_MS), grown_ms) - age_ms)
+
+    def keep_only(self, endpoints: set[str]) -> None:
+        """Forget losses of endpoints that no longer exist."""
+        for name in [name for name in self.losses if name not in endpoints]:
+            del self.losses[name]
