Tests of falls and limits; a service's limits are looked up once for a request

Cause: limits were looked up for each endpoint by itself, and a loss under light work bounded its service as well. Change: with_room takes all endpoints of a service; only a fall with more requests than slots, or heavier work than any borne before, bounds what the others take on.

Ruled out: bounding after every fall; the load of an endpoint that crashed with free places fits the others as it always did.

--- a/plumarch/gateway/attempts.py
+++ b/plumarch/gateway/attempts.py
@@ -101,7 +101,8 @@
     usable = state.health.usable(reachable or ready)
     if endpoint_outcomes.share_wait_ms(state, admitted, usable):
         return []
-    return [one for one in usable if _has_room(state, admitted, one)]
+    demand = endpoint_outcomes.demand_of(admitted)
+    return state.limits.with_room(admitted.service, usable, state.chooser.running, demand)
 
 
 def when_room(state: fleet_state.FleetState, admitted: admission.Admitted) -> float:
@@ -123,13 +124,6 @@
     return return_times.LEAST_MS
 
 
-def _has_room(
-    state: fleet_state.FleetState, admitted: admission.Admitted, endpoint: traffic.Endpoint
-) -> bool:
-    running = state.chooser.running(endpoint.id)
-    return state.limits.has_room(endpoint, running, endpoint_outcomes.demand_of(admitted))
-
-
 async def send(
     state: fleet_state.FleetState,
     admitted: admission.Admitted,
--- a/plumarch/gateway/endpoint_outcomes.py
+++ b/plumarch/gateway/endpoint_outcomes.py
@@ -157,7 +157,7 @@
         weight=round(fall.weight),
         slots=fall.slots,
         elsewhere=fall.elsewhere,
-        others_bear=state.limits.falls.requests(endpoint.service, endpoint.slots),
+        others_bear_per_slot=state.limits.falls.per_slot(endpoint.service),
         others_bear_weight=state.limits.falls.weight(endpoint.service),
     )
 
--- a/plumarch/gateway/pressure_test.py
+++ b/plumarch/gateway/pressure_test.py
@@ -1,9 +1,12 @@
 """Endpoints that are slow, fail now and then, or fall over when they hold too much."""
 
 import asyncio
+import dataclasses
+import math
 
-from plumarch.core import clock
-from plumarch.gateway import caller_connection, relay, relay_test
+from plumarch.core import clock, traffic
+from plumarch.gateway import admission, attempts, caller_connection, relay, relay_test
+from plumarch.routing import endpoint_choice, fall_guard
 from plumarch.standins import gateway_parts
 from plumarch.standins import scripted_endpoint as scripted
 
@@ -90,6 +93,32 @@
     relay_test.play(test)
 
 
+def admitted(rank: int) -> admission.Admitted:
+    route = dataclasses.replace(relay_test.TABLE.configuration.routes[0], priority=rank)
+    request = caller_connection.CallerRequest(b"GET", b"/safe/", (), b"", 0)
+    return admission.Admitted(request, "r", route, "s", None, 0.0, 60_000.0, (), 0, 1)
+
+
+def test_after_a_fall_the_less_urgent_are_refused_and_told_when_to_come_back():
+    time = clock.ManualClock()
+    state = gateway_parts.new_state(time)
+    endpoints = [
+        traffic.Endpoint(f"e{number}", "s", "1:1", "a", 8, traffic.EndpointState.READY)
+        for number in range(3)
+    ]
+    state.registry.replace(endpoints, 1, "store")
+    state.chooser.own = {one.id: endpoint_choice.Load(13) for one in endpoints}
+    for _ in range(2):
+        state.limits.lost(endpoints[0], 18, 24)
+    tried = attempts.Progress(tried={"e0"})
+    assert attempts.choose(state, admitted(0), tried) is not None
+    assert attempts.choose(state, admitted(2), tried) is None
+    back_in_ms = attempts.when_room(state, admitted(2))
+    assert 0 < back_in_ms < fall_guard.GROWS_MS
+    time.advance_to(math.ceil(back_in_ms))
+    assert attempts.choose(state, admitted(2), tried) is not None
+
+
 class ManualGateway(relay_test.Gateway):
     """A gateway whose time moves only when a test says so."""
 
--- a/plumarch/routing/endpoint_health.py
+++ b/plumarch/routing/endpoint_health.py
@@ -136,7 +136,11 @@
           repeated: whether the request failed already: then only the best records will do.
             Otherwise those much worse are left out, while a better one has a free place.
         """
-        records = {one.id: self.record(one.id) for one in endpoints}
+        if not self.known:
+            return list(endpoints)
+        records = {
+            one.id: self.record(one.id) if one.id in self.known else 0.0 for one in endpoints
+        }
         bound = min(records.values(), default=0.0) + (NO_BETTER if repeated else GREY)
         better = [one for one in endpoints if records[one.id] <= bound]
         if repeated or any(running(one.id) < one.slots for one in better):
--- a/plumarch/routing/endpoint_limits.py
+++ b/plumarch/routing/endpoint_limits.py
@@ -7,7 +7,7 @@
 
 import dataclasses
 import math
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Sequence
 
 from plumarch.core import clock, traffic
 from plumarch.routing import concurrency_limit, fall_guard
@@ -82,6 +82,23 @@
 """Stands for endpoints that hold none of this node's requests; never changed."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Bounds:
+    """What each endpoint of a service is given at once; infinite where nothing is known.
+
+    Attributes:
+      per_slot: requests for each slot, in calm times.
+      per_slot_by_falls: the same, by what falls taught.
+      connections: requests, each of which has a connection.
+      weight: what its requests may weigh together, in tokens.
+    """
+
+    per_slot: float
+    per_slot_by_falls: float
+    connections: float
+    weight: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ToldLimit:
     """A learned limit that was logged, and when."""
@@ -116,40 +133,56 @@
     def __post_init__(self) -> None:
         self.falls = fall_guard.FallGuard(self.clock)
 
-    def has_room(self, endpoint: traffic.Endpoint, running: int, demand: Demand = PLAIN) -> bool:
-        """Return whether an endpoint may be given a further request.
+    def with_room(
+        self,
+        service: str,
+        endpoints: Sequence[traffic.Endpoint],
+        running: Callable[[str], int],
+        demand: Demand = PLAIN,
+    ) -> list[traffic.Endpoint]:
+        """Return the endpoints of a service that may be given a further request.
+
+        No limit of requests that is learned goes below an endpoint's slots.
 
         Args:
-          running: requests of all nodes that run or wait there, as far as known.
+          running: requests of all nodes that run or wait at an endpoint, as far as known.
         """
-        if running >= self.requests(endpoint, demand.is_engine):
-            return False
-        if running <= 0:
-            return True
-        return self.weight_at(endpoint, running) + demand.weight <= self.weight(endpoint)
+        bounds = self.bounds(service, demand.is_engine)
+        found = []
+        for endpoint in endpoints:
+            now_running = running(endpoint.id)
+            has_place = now_running < min(endpoint.slots, bounds.connections)
+            if not has_place and now_running >= self.requests(endpoint, bounds):
+                continue
+            if bounds.weight < math.inf and now_running > 0:
+                weight = self.weight_at(endpoint, now_running) + demand.weight
+                if weight > bounds.weight:
+                    continue
+            found.append(endpoint)
+        return found
+
+    def bounds(self, name: str, is_engine: bool) -> Bounds:
+        """Return what each endpoint of a service is given, by what is known of the service."""
+        service = self.services.get(name)
+        weight = math.inf
+        if service is not None and service.engine is not None and service.engine.cache_tokens:
+            weight = CACHE_FACTOR * service.engine.cache_tokens
+        by_falls = self.falls.weight(name)
+        per_slot = self.falls.per_slot(name)
+        return Bounds(
+            per_slot=ENGINE_QUEUE_FACTOR if is_engine else QUEUE_FACTOR,
+            per_slot_by_falls=math.inf if per_slot is None else per_slot,
+            connections=float(service.connection_limit or math.inf) if service else math.inf,
+            weight=weight if by_falls is None else min(weight, by_falls),
+        )
 
-    def requests(self, endpoint: traffic.Endpoint, is_engine: bool) -> float:
+    def requests(self, endpoint: traffic.Endpoint, bounds: Bounds) -> float:
         """Return how many requests an endpoint is given at once."""
-        limits = [most_requests(endpoint, is_engine)]
-        service = self.services.get(endpoint.service)
-        if service is not None and service.connection_limit > 0:
-            limits.append(float(service.connection_limit))
+        most = min(bounds.per_slot, bounds.per_slot_by_falls) * max(1, endpoint.slots)
         learned = self.learned.get(endpoint.id)
         if learned is not None:
-            limits.append(learned.value(self.clock.now()))
-        by_falls = self.falls.requests(endpoint.service, endpoint.slots)
-        if by_falls is not None:
-            limits.append(by_falls)
-        return min(limits)
-
-    def weight(self, endpoint: traffic.Endpoint) -> float:
-        """Return what the requests at an endpoint may weigh together, in tokens."""
-        service = self.services.get(endpoint.service)
-        known = math.inf
-        if service is not None and service.engine is not None and service.engine.cache_tokens:
-            known = CACHE_FACTOR * service.engine.cache_tokens
-        by_falls = self.falls.weight(endpoint.service)
-        return known if by_falls is None else min(known, by_falls)
+            most = min(most, learned.value(self.clock.now()))
+        return min(most, bounds.connections)
 
     def weight_at(self, endpoint: traffic.Endpoint, running: int) -> float:
         """Return what the requests at an endpoint weigh: this node's own, and others' by the mean.
@@ -232,7 +265,7 @@
         for name, endpoint in endpoints.items():
             service = self.services.get(endpoint.service)
             is_engine = service is not None and service.engine is not None
-            limit = self.requests(endpoint, is_engine)
+            limit = self.requests(endpoint, self.bounds(endpoint.service, is_engine))
             if limit < most_requests(endpoint, is_engine):
                 found[name] = limit
         return found
--- /dev/null
+++ b/plumarch/routing/endpoint_limits_test.py
@@ -0,0 +1,121 @@
+"""What endpoints are given at once: known limits, and what they showed."""
+
+import random
+
+from plumarch.core import clock, traffic
+from plumarch.routing import concurrency_limit, endpoint_limits, fall_guard
+
+SLOTS = 8
+PROMPT = endpoint_limits.demand(2_000, 200, 0)
+
+
+def endpoint(name: str = "e0") -> traffic.Endpoint:
+    return traffic.Endpoint(name, "s", "1:1", "a", SLOTS, traffic.EndpointState.READY)
+
+
+def limits(service: traffic.Service | None = None) -> endpoint_limits.EndpointLimits:
+    found = endpoint_limits.EndpointLimits(clock.ManualClock())
+    if service is not None:
+        found.services = {service.name: service}
+    return found
+
+
+def has_room(
+    found: endpoint_limits.EndpointLimits,
+    running: int,
+    demand: endpoint_limits.Demand = endpoint_limits.PLAIN,
+    name: str = "e0",
+) -> bool:
+    return bool(found.with_room("s", [endpoint(name)], lambda _: running, demand))
+
+
+def advance(found: endpoint_limits.EndpointLimits, to_ms: int) -> None:
+    assert isinstance(found.clock, clock.ManualClock)
+    found.clock.advance_to(to_ms)
+
+
+def test_in_calm_times_an_endpoint_is_given_its_slots_times_the_factor():
+    found = limits()
+    rng = random.Random(1)
+    for now in range(0, 30_000, 10):
+        advance(found, now)
+        running = rng.randrange(SLOTS + 1)
+        found.bore(endpoint(), running)
+        found.answered(endpoint(), running, rng.expovariate(1.0), False)
+        assert has_room(found, 23)
+        assert not has_room(found, 24)
+    assert has_room(found, 11, PROMPT)
+    assert not has_room(found, 12, PROMPT)
+
+
+def test_the_limit_of_connections_holds():
+    found = limits(traffic.Service("s", connection_limit=10))
+    assert has_room(found, 9)
+    assert not has_room(found, 10)
+
+
+def test_prompts_and_answers_stay_within_what_the_cache_holds():
+    model = traffic.EngineModel(SLOTS, 8_000)
+    found = limits(traffic.Service("s", engine=model))
+    assert has_room(found, 0, endpoint_limits.demand(50_000, 0, 0))
+    for _ in range(4):
+        assert has_room(found, found.held.get("e0", endpoint_limits.NOTHING).requests, PROMPT)
+        found.sent(endpoint(), PROMPT)
+    found.sent(endpoint(), PROMPT)
+    assert not has_room(found, 5, PROMPT)
+    found.ended(endpoint(), PROMPT)
+    assert has_room(found, 4, PROMPT)
+
+
+def test_requests_of_other_nodes_weigh_what_this_nodes_weigh_on_average():
+    found = limits()
+    found.sent(endpoint("e1"), PROMPT)
+    assert found.weight_at(endpoint(), 3) == 3 * PROMPT.weight
+    found.sent(endpoint(), endpoint_limits.demand(10_000, 0, 0))
+    assert found.weight_at(endpoint(), 1) == 10_000
+
+
+def test_a_refusal_lowers_the_limit_and_it_recovers_within_seconds():
+    found = limits()
+    found.refused(endpoint(), 15, False)
+    assert has_room(found, 11)
+    assert not has_room(found, 12)
+    assert found.changed(endpoint()) == 12.0
+    assert found.changed(endpoint()) is None
+    assert found.lowered({"e0": endpoint()}) == {"e0": 12.0}
+    advance(found, round(concurrency_limit.RECOVERY_MS))
+    assert has_room(found, 23)
+    assert found.lowered({"e0": endpoint()}) == {}
+
+
+def test_a_refusal_by_an_endpoint_with_free_places_says_nothing_of_its_limit():
+    found = limits()
+    found.refused(endpoint(), SLOTS - 1, False)
+    assert has_room(found, 23)
+
+
+def test_a_fall_is_told_once_and_its_load_is_kept_from_siblings():
+    found = limits()
+    assert found.lost(endpoint(), 15, 30) is None
+    fall = found.lost(endpoint(), 14, 30)
+    assert fall == fall_guard.Fall("e0", 0, 15, 0.0, SLOTS, 30)
+    assert found.lost(endpoint(), 13, 30) is None
+    assert has_room(found, 11, name="e1")
+    assert not has_room(found, 12, name="e1")
+
+
+def test_an_endpoint_that_leaves_does_not_fall():
+    found = limits()
+    leaving = traffic.Endpoint("e0", "s", "1:1", "a", SLOTS, traffic.EndpointState.DRAINING)
+    for _ in range(3):
+        assert found.lost(leaving, 15, 30) is None
+    assert has_room(found, 23, name="e1")
+
+
+def test_endpoints_that_are_gone_are_forgotten():
+    found = limits()
+    found.refused(endpoint(), 15, False)
+    found.changed(endpoint())
+    found.lost(endpoint(), 15, 30)
+    found.keep_only(set())
+    assert not found.learned and not found.told and not found.falls.losses
--- a/plumarch/routing/endpoint_pace.py
+++ b/plumarch/routing/endpoint_pace.py
@@ -126,13 +126,17 @@
         pace = self.known.get(endpoint)
         if pace is None:
             return 1.0
+        score = pace.mean
+        if not pace.awaited and score <= SLOW:
+            return score
         now = self.clock.now()
-        score = self._faded(pace, now)
-        oldest = next(iter(pace.awaited.values()), None)
-        if oldest is not None:
+        if score > 1.0:
+            score = self._faded(pace, now)
+        for oldest in pace.awaited.values():
             waited = (now - oldest.sent_ms) / oldest.expected_ms
             if waited > HANGS:
                 score = max(score, min(MOST, waited))
+            break
         return score
 
     def slow(self, endpoints: Sequence[traffic.Endpoint]) -> dict[str, float]:
@@ -140,8 +144,9 @@
 
         What makes all of them slow is no fault of one, so that each is measured by the middle one.
         """
-        scores = {one.id: self.score(one.id) for one in endpoints}
-        if len(scores) < 2:
+        known = self.known
+        scores = {one.id: self.score(one.id) if one.id in known else 1.0 for one in endpoints}
+        if len(scores) < 2 or max(scores.values()) <= SLOW:
             return {}
         usual = max(1.0, statistics.median_low(scores.values()))
         return {name: score / usual for name, score in scores.items() if score > SLOW * usual}
--- a/plumarch/routing/fall_guard.py
+++ b/plumarch/routing/fall_guard.py
@@ -80,7 +80,7 @@
     """What falls taught about the endpoints of one service.
 
     Attributes:
-      last: the latest fall.
+      last: the latest fall under more than endpoints bear every day.
       per_slot: requests for each slot that an endpoint may hold, or None.
       weight: what the requests of an endpoint may weigh, or None.
       borne: the greatest weight under which an endpoint answered well lately.
@@ -144,24 +144,29 @@
         falls.borne = max(weight, falls.borne)
 
     def fell(self, service: str, fall: Fall) -> None:
-        """Take in a fall."""
+        """Take in a fall.
+
+        One under no more than endpoints bear every day is a loss like any other, and its load may
+        go to the others at once.
+        """
         falls = self.services.setdefault(service, ServiceFalls())
         by_weight = fall.weight > falls.borne > 0
-        if fall.by_count() or by_weight:
-            falls.learned_ms = fall.at_ms
+        if not fall.by_count() and not by_weight:
+            return
+        falls.learned_ms = fall.at_ms
         if fall.by_count():
             falls.per_slot = concurrency_limit.DECREASE * fall.held / max(1, fall.slots)
         if by_weight:
             falls.weight = max(falls.borne, concurrency_limit.DECREASE * fall.weight)
         falls.last = fall
 
-    def requests(self, service: str, slots: int) -> float | None:
-        """Return how many requests an endpoint may hold by what falls taught, never under its
-        slots, or None if they taught nothing."""
+    def per_slot(self, service: str) -> float | None:
+        """Return how many requests for each slot an endpoint may hold by what falls taught, 1 at
+        least, or None if they taught nothing."""
         falls = self._learned(service)
         if falls is None or falls.per_slot is None:
             return None
-        return max(1.0, falls.per_slot) * max(1, slots)
+        return max(1.0, falls.per_slot)
 
     def weight(self, service: str) -> float | None:
         """Return what an endpoint's requests may weigh by what falls taught, or None."""
