--- a/plumarch/daemon/status_pages.py
+++ b/plumarch/daemon/status_pages.py
@@ -40,3 +40,7 @@
         sizes["data_centre_news_oldest_ms"] = state.contact.oldest_ms
         for data_centre in state.distances.measured:
             sizes[f"round_trip_ms:{data_centre}"] = state.distances.round_trip_ms(data_centre)
+        limits = state.measures.endpoint_limits
+        limits.values.clear()
+        for endpoint, limit in state.limits.lowered(state.registry.endpoints).items():
+            limits.set(limit, endpoint)
--- a/plumarch/gateway/attempts.py
+++ b/plumarch/gateway/attempts.py
@@ -6,7 +6,14 @@
 import h11
 
 from plumarch.core import traffic
-from plumarch.gateway import admission, dialect, errors, exchange, fleet_state
+from plumarch.gateway import (
+    admission,
+    dialect,
+    endpoint_outcomes,
+    errors,
+    exchange,
+    fleet_state,
+)
 from plumarch.routing import endpoint_choice, locality_choice, return_times
 
 CONNECT_TIMEOUT_MS = 250.0
@@ -48,12 +55,14 @@
     """A connection to an endpoint on which a request was sent.
 
     Attributes:
+      given: what its endpoint was given.
       first_ms: how long after the send its first event came, or None before that.
       round_trip_ms: the way there and back, if it leads to another region.
     """
 
     choice: endpoint_choice.Choice
     exchange: exchange.Exchange
+    given: endpoint_outcomes.Given
     sent_ms: int = 0
     saw_first_token: bool = False
     first_ms: int | None = None
@@ -63,6 +72,10 @@
 class NotRun(errors.ExchangeError):
     """The endpoint said that it did not run the request."""
 
+    def __init__(self, status: int) -> None:
+        super().__init__(f"endpoint answered {status}, not run")
+        self.status = status
+
 
 def choose(
     state: fleet_state.FleetState, admitted: admission.Admitted, progress: Progress
@@ -111,6 +124,7 @@
 ) -> endpoint_choice.Choice | None:
     if not candidates:
         return None
+    candidates = endpoint_outcomes.preferred(state, candidates, repeated)
     seed = state.rng.randrange(1 << 30)
     if admitted.prompt_tokens:
         return state.chooser.choose_engine(
@@ -125,7 +139,10 @@
     """Return the endpoints that can be reached, answer well, and have room."""
     reachable = [one for one in ready if not state.reach.is_out(one.data_centre)]
     usable = state.health.usable(reachable or ready)
-    return [one for one in usable if _has_room(state, admitted, one)]
+    if endpoint_outcomes.share_wait_ms(state, admitted, usable):
+        return []
+    demand = endpoint_outcomes.demand_of(admitted)
+    return state.limits.with_room(admitted.service, usable, state.chooser.running, demand)
 
 
 def when_room(state: fleet_state.FleetState, admitted: admission.Admitted) -> float:
@@ -144,20 +161,14 @@
         running = state.chooser.total_running(ready)
         slots = sum(max(1, one.slots) for one in ready)
         run_ms = state.chooser.speed(admitted.service).run_ms.value
-        return return_times.when_a_place_is_free(running, slots, run_ms)
+        free_ms = return_times.when_a_place_is_free(running, slots, run_ms)
+        return max(free_ms, endpoint_outcomes.share_wait_ms(state, admitted, ready))
     service = state.table.services.get(admitted.service) if state.table else None
     if service is not None and service.scaling is not None:
         return return_times.when_booted(service.scaling.boot_ms)
     return return_times.LEAST_MS
 
 
-def _has_room(
-    state: fleet_state.FleetState, admitted: admission.Admitted, endpoint: traffic.Endpoint
-) -> bool:
-    running = state.chooser.running(endpoint.id)
-    return state.limits.has_room(endpoint, running, bool(admitted.prompt_tokens))
-
-
 async def send(
     state: fleet_state.FleetState,
     admitted: admission.Admitted,
@@ -166,9 +177,26 @@
 ) -> Attempt:
     """Send a request to an endpoint over a fresh connection.
 
+    It counts as the endpoint's load from now on: requests that come while this one connects
+    would all choose the same endpoint otherwise.
+
     Raises:
       ConnectFailed: no byte was sent.
     """
+    state.chooser.begin(choice)
+    try:
+        return await _send(state, admitted, progress, choice)
+    except BaseException:
+        state.chooser.end(choice, saw_first_token=False)
+        raise
+
+
+async def _send(
+    state: fleet_state.FleetState,
+    admitted: admission.Admitted,
+    progress: Progress,
+    choice: endpoint_choice.Choice,
+) -> Attempt:
     endpoint = choice.endpoint
     progress.tried.add(endpoint.id)
     state.reach.try_again(endpoint.data_centre)
@@ -181,11 +209,14 @@
         )
     except errors.ConnectFailed:
         state.health.failure(endpoint.id)
+        endpoint_outcomes.unreached(state, endpoint)
         _note_unreached(state, endpoint)
         state.measures.attempts.add(admitted.service, "no_connection")
         raise
     state.reach.connected(endpoint.data_centre)
-    state.distances.connected(endpoint.data_centre, state.clock.now() - began_ms)
+    connect_ms = state.clock.now() - began_ms
+    state.distances.connected(endpoint.data_centre, connect_ms)
+    state.health.paces.connected(endpoint.id, connect_ms)
     headers = _headers(state, admitted, progress, endpoint)
     request = admitted.request
     try:
@@ -199,7 +230,7 @@
     progress.unresolved += 1
     if progress.sends == 1:
         state.budget.first(admitted.service)
-    state.chooser.begin(choice, admitted.parts)
+    state.chooser.remember(choice, admitted.parts)
     if admitted.prompt_tokens:
         state.work.sent(admitted.service, admitted.units, choice.unread_tokens)
         if state.tell_prompt is not None:
@@ -211,12 +242,14 @@
                     admitted.units,
                 )
             )
+    given = endpoint_outcomes.given(state, admitted, choice)
     beyond_ms = state.distances.beyond_region_ms(endpoint.data_centre)
-    return Attempt(choice, opened, state.clock.now(), round_trip_ms=beyond_ms)
+    return Attempt(choice, opened, given, state.clock.now(), round_trip_ms=beyond_ms)
 
 
 def _connect_timeout_ms(state: fleet_state.FleetState, endpoint: traffic.Endpoint) -> float:
     """Return how long a connection may take to come up; longer to another region."""
+    given = endpoint_outcomes.given(state, admitted, choice)
     beyond_ms = state.distances.beyond_region_ms(endpoint.data_centre)
     return CONNECT_TIMEOUT_MS + CONNECT_ROUND_TRIPS * beyond_ms
 
@@ -308,7 +341,7 @@
     names = state.names
     if head.status_code in PROMISED_NOT_RUN:
         if head.status_code == NOT_RUN_STATUS or dialect.header_value(head.headers, names.not_run):
-            raise NotRun(f"endpoint answered {head.status_code}, not run")
+            raise NotRun(head.status_code)
         raise errors.ConnectionBroken(f"endpoint answered {head.status_code} without a promise")
     if dialect.header_value(head.headers, names.request_id) not in ("", admitted.id):
         raise errors.ConnectionBroken("the answer is another request's")
@@ -329,6 +362,12 @@
         state.usage.began(admitted.workspace.name, state.wall.now())
 
 
+def was_lost(attempt: Attempt) -> bool:
+    """Return whether the endpoint ended the connection, and did not only answer badly."""
+    transport = attempt.exchange.transport
+    return transport is None or transport.is_closing()
+
+
 def end(state: fleet_state.FleetState, attempt: Attempt) -> None:
     """Close the connection, which cancels the request if it still runs."""
     attempt.exchange.close()
@@ -336,3 +375,4 @@
         held_ms = state.clock.now() - attempt.sent_ms - attempt.round_trip_ms
         state.chooser.speed(attempt.choice.endpoint.service).ended(max(0.0, held_ms))
     state.chooser.end(attempt.choice, attempt.saw_first_token)
+    endpoint_outcomes.ended(state, attempt.given)
--- a/plumarch/gateway/fleet_state.py
+++ b/plumarch/gateway/fleet_state.py
@@ -105,6 +105,7 @@
         self.table = table
         self.table_source = source
         self.quota.keep_only(table.workspaces)
+        self.limits.services = table.services
         self.log.write(
             "configuration", urgent=True, version=table.version, before=before, source=source
         )
@@ -157,3 +158,4 @@
         existing = set(self.registry.endpoints)
         self.chooser.keep_only(existing)
         self.health.keep_only(existing)
+        self.limits.keep_only(existing)
--- a/plumarch/gateway/measures.py
+++ b/plumarch/gateway/measures.py
@@ -152,17 +152,26 @@
             "1 for a region of which too few nodes are heard to let engines go there.",
             ("region",),
         )
+        self.falls = Counter(
+            "plumarch_gateway_endpoint_falls", "Endpoints that fell with work.", ("service",)
+        )
         self.state: dict[str, float] = {}
+        self.endpoint_limits = Gauge(
+            "plumarch_gateway_endpoint_limit",
+            "Requests that an endpoint is given at once, where it is fewer than in calm times.",
+            ("endpoint",),
+        )
         self.lines_dropped = 0
 
     def collect(self) -> Iterator["metrics_core.Metric"]:
         """Return all metrics for Prometheus; the library calls this."""
         from prometheus_client import metrics_core
 
-        counted = (self.answers, self.attempts, self.sends, self.dependency)
+        counted = (self.answers, self.attempts, self.sends, self.dependency, self.falls)
         for one in (self.first_byte, self.total, *counted):
             yield one.family()
-        for gauge in (self.engine_demand, self.engines, self.regions_in_part):
+        gauges = (self.engine_demand, self.engines, self.regions_in_part, self.endpoint_limits)
+        for gauge in gauges:
             yield gauge.family()
         yield metrics_core.GaugeMetricFamily(
             "plumarch_log_lines_dropped", "Log lines dropped.", value=self.lines_dropped
