--- a/plumarch/daemon/gateway.py
+++ b/plumarch/daemon/gateway.py
@@ -26,7 +26,7 @@
     registration,
     relay,
 )
-from plumarch.limits import attempt_budget, memory_account, workspace_quota
+from plumarch.limits import attempt_budget, memory_account, memory_admission, workspace_quota
 from plumarch.membership import fleet_view, registry
 from plumarch.routing import (
     answer_times,
@@ -102,7 +102,7 @@
             rollout.Exposure(settings.rollouts.exposure_share, settings.rollouts.exposure_slack),
             self.gossiper.beat_soon,
         )
-        self.callers = caller_connection.CallerServer(self.clock, relay.Relay(self.state))
+        self.callers = relay.new_server(self.state)
         pages = status_pages.StatusPages(self.state, self.ready)
         self.pages = caller_connection.CallerServer(self.clock, pages)
         self.stopping = False
@@ -143,6 +143,7 @@
                 now, settings.node.data_centre, settings.regions.data_centres
             ),
             memory=memory_account.of_limit(settings.memory.limit_mb),
+            pressure=memory_admission.MemoryAdmission(now),
             limits=endpoint_limits.EndpointLimits(now),
         )
 
--- a/plumarch/daemon/status_pages.py
+++ b/plumarch/daemon/status_pages.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 
-from plumarch.gateway import caller_connection, fleet_state
+from plumarch.gateway import caller_requests, fleet_state
 
 METRICS_PATH = b"/metrics"
 TEXT = [(b"content-type", b"text/plain; version=0.0.4")]
@@ -16,7 +16,7 @@
         self.ready = ready
 
     async def handle(
-        self, request: caller_connection.CallerRequest, reply: caller_connection.Reply
+        self, request: caller_requests.CallerRequest, reply: caller_requests.Reply
     ) -> None:
         """Answer one request."""
         if request.target.partition(b"?")[0] == METRICS_PATH:
@@ -35,3 +35,6 @@
         sizes["registry_age_ms"] = state.registry.age_ms()
         sizes["endpoints"] = len(state.registry.endpoints)
         sizes["heard_fraction"] = state.quota.fraction
+        sizes["memory_budget_bytes"] = state.memory.budget
+        for purpose, held in state.memory.held.items():
+            sizes[f"memory_{purpose.value}_bytes"] = held
--- a/plumarch/gateway/admission.py
+++ b/plumarch/gateway/admission.py
@@ -5,7 +5,9 @@
 
 from plumarch.config import routing_table
 from plumarch.core import hashing, traffic
-from plumarch.gateway import caller_connection, dialect, fleet_state
+from plumarch.gateway import caller_requests, dialect, fleet_state
+from plumarch.limits import memory_admission
+from plumarch.routing import return_times
 
 RETRY_WITHOUT_CONFIGURATION_MS = 500.0
 RETRY_ELSEWHERE_MS = 10.0
@@ -47,7 +49,7 @@
       prompt_tokens: tokens of its prompt.
     """
 
-    request: caller_connection.CallerRequest
+    request: caller_requests.CallerRequest
     id: str
     route: traffic.Route
     service: str
@@ -65,13 +67,27 @@
 
 def urgency(admitted: Admitted) -> int:
     """Return how urgent a request is to an engine: 0 first; a workspace's rank goes first."""
-    workspace_rank = admitted.workspace.priority if admitted.workspace else 0
-    route_rank = min(admitted.route.priority, ROUTE_RANKS - 1)
+    return _rank(admitted.workspace, admitted.route)
+
+
+def _rank(workspace: traffic.Workspace | None, route: traffic.Route) -> int:
+    workspace_rank = workspace.priority if workspace else 0
+    route_rank = min(route.priority, ROUTE_RANKS - 1)
     return min(LEAST_URGENT, max(0, workspace_rank) * ROUTE_RANKS + max(0, route_rank))
 
 
+def too_much_held(state: fleet_state.FleetState, admitted: Admitted) -> Refusal:
+    """Return the refusal of a request whose workspace may hold no more, and refund it."""
+    if admitted.workspace is not None:
+        state.quota.refund(admitted.workspace, admitted.units)
+    back_in_ms = return_times.spread(
+        state.pressure.back_in_ms(len(admitted.request.body)), state.rng
+    )
+    return Refusal(503, "workspace_memory", back_in_ms, admitted.workspace_name())
+
+
 def admit(
-    state: fleet_state.FleetState, request: caller_connection.CallerRequest
+    state: fleet_state.FleetState, request: caller_requests.CallerRequest
 ) -> Admitted | Refusal:
     """Decide whether a request is taken on, and charge its workspace."""
     table = state.table
@@ -82,7 +98,7 @@
     route = table.match(request.header(b"host"), path)
     if route is None:
         return Refusal(404, "no_route")
-    workspace = None
+    workspace: traffic.Workspace | None = None
     if table.workspaces and not route.public:
         key = _key_of(request.header(b"authorization"), names.key_scheme)
         workspace = table.workspaces_by_key.get(key)
@@ -90,6 +106,12 @@
             return Refusal(401, "unknown_key")
     if _ends_too_soon(state, route):
         return Refusal(503, "stopping", RETRY_ELSEWHERE_MS)
+    rank = _rank(workspace, route)
+    held = memory_admission.Held(state.memory.total(), state.memory.budget)
+    back_in_ms = state.pressure.refuse(held, len(request.body), rank, state.memory.given_back)
+    if back_in_ms is not None:
+        back_in_ms = return_times.spread(back_in_ms, state.rng)
+        return Refusal(503, "memory", back_in_ms, workspace.name if workspace else "")
     prompt_tokens, most_out = _token_counts(request.header(names.token_counts))
     units = _units(workspace, prompt_tokens + most_out)
     if workspace is not None:
@@ -151,13 +173,18 @@
     return float(tokens or workspace.plain_tokens)
 
 
-def _time_allowed(
-    request: caller_connection.CallerRequest, names: dialect.Dialect, route: traffic.Route
-) -> float:
+def time_asked_ms(names: dialect.Dialect, headers: caller_requests.Headers) -> float:
+    """Return how long a request may take by its own word, or the default."""
     try:
-        asked = float(request.header(names.deadline_ms))
+        return float(dialect.header_value(headers, names.deadline_ms))
     except ValueError:
-        asked = DEFAULT_DEADLINE_MS
+        return DEFAULT_DEADLINE_MS
+
+
+def _time_allowed(
+    request: caller_requests.CallerRequest, names: dialect.Dialect, route: traffic.Route
+) -> float:
+    asked = time_asked_ms(names, request.headers)
     return min(asked, route.timeout_ms) if route.timeout_ms > 0 else asked
 
 
--- a/plumarch/gateway/admission_test.py
+++ b/plumarch/gateway/admission_test.py
@@ -5,7 +5,7 @@
 import pytest
 
 from plumarch.core import traffic
-from plumarch.gateway import admission, caller_connection
+from plumarch.gateway import admission, caller_requests
 
 ROUTE = traffic.Route(
     "r", "h", "/", traffic.RouteKind.STREAMING, 1_000, 100, (traffic.ServiceShare("s", 1.0),)
@@ -17,7 +17,7 @@
     if workspace_rank is not None:
         space = traffic.Workspace("w", ("k",), priority=workspace_rank)
     return admission.Admitted(
-        request=caller_connection.CallerRequest(b"POST", b"/", (), b"", 0),
+        request=caller_requests.CallerRequest(b"POST", b"/", (), b"", 0),
         id="r1",
         route=dataclasses.replace(ROUTE, priority=route_rank),
         service="s",
--- a/plumarch/gateway/attempts.py
+++ b/plumarch/gateway/attempts.py
@@ -22,14 +22,24 @@
       tried: endpoints that it was sent to or that could not be reached.
       sends: how many endpoints bytes were sent to.
       unresolved: sends of which it is not known that the request did not run.
+      let_go: sends that were ended because the caller did not read; they count as no attempts.
       last_event_id: of the last event that the caller got, in this answer or by its own word.
+      first_ms: when the first byte of the answer was ready, from the request's arrival; or None.
+      events: passed on to the caller.
     """
 
     tried: set[str] = dataclasses.field(default_factory=set)
     sends: int = 0
     unresolved: int = 0
+    let_go: int = 0
     last_fault: str = ""
     last_event_id: str = ""
+    first_ms: int | None = None
+    events: int = 0
+
+    def attempts(self) -> int:
+        """Return the sends that count against the most that a route allows."""
+        return self.sends - self.let_go
 
 
 @dataclasses.dataclass(slots=True)
@@ -142,7 +152,14 @@
     headers = _headers(state, admitted, progress, endpoint)
     request = admitted.request
     try:
-        opened.send(request.method, request.target, headers, request.body)
+        opened.send(
+            request.method,
+            request.target,
+            headers,
+            request.body,
+            state.memory,
+            admitted.workspace_name(),
+        )
     except errors.ConnectFailed:
         opened.close()
         raise
@@ -232,7 +249,11 @@
       ConnectionBroken: the answer broke off, is another request's, or can't be trusted.
       AnswerTimeout: nothing came.
     """
-    head = await attempt.exchange.next_within(wait_ms)
+    try:
+        head = await attempt.exchange.next_within(wait_ms)
+    except errors.NotHandedOver as error:
+        state.health.failure(attempt.choice.endpoint.id)
+        raise NotRun(str(error)) from error
     if not isinstance(head, h11.Response):
         raise errors.ConnectionBroken("the answer has no head")
     names = state.names
--- a/plumarch/gateway/caller_connection.py
+++ b/plumarch/gateway/caller_connection.py
@@ -7,75 +7,30 @@
 import asyncio
 import contextlib
 import dataclasses
-from collections.abc import Callable, Sequence
-from typing import Protocol
+from collections.abc import Callable
 
 import h11
 
 from plumarch.core import clock, traffic
-from plumarch.gateway import dialect, keepalive
-
-Headers = Sequence[tuple[bytes, bytes]]
+from plumarch.gateway import caller_requests, dialect, incoming_body, keepalive, outgoing
+from plumarch.limits import memory_account
 
 LINGER_S = 1.0
 """How long unread bytes are taken in after a final answer, so that it is not lost in a reset."""
 
-READ_AHEAD_BYTES = 262_144
-"""Bytes of later requests that are taken in while one is served."""
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class CallerRequest:
-    """A request read whole.
-
-    Attributes:
-      headers: names in lower case.
-      began_ms: when its first byte arrived.
-    """
+READ_AHEAD_BYTES = 65_536
+"""Bytes of later requests that are taken in while one is served: a head and a short body."""
 
-    method: bytes
-    target: bytes
-    headers: tuple[tuple[bytes, bytes], ...]
-    body: bytes
-    began_ms: int
+BODY_TIME_MS = 30_000.0
+"""How long a body may take where the request doesn't say how long it may."""
 
-    def header(self, name: bytes) -> str:
-        """Return a header's value, or ""."""
-        return dialect.header_value(self.headers, name)
-
-
-class Reply(Protocol):
-    """The answer to one request."""
-
-    started: bool
-
-    def send(self, status: int, headers: Headers, body: bytes) -> None:
-        """Send a whole answer."""
-        ...
+CALLER_STALL_MS = 10_000.0
+"""A caller that reads nothing for so long is ended. A judgement: longer than a lost network or a
+caller's busy spell lasts, shorter than most requests' own deadlines."""
 
-    def start(self, status: int, headers: Headers) -> None:
-        """Begin an answer whose length is not known."""
-        ...
-
-    async def chunk(self, data: bytes) -> None:
-        """Send a part of its body; waits while the caller does not read."""
-        ...
-
-    def finish(self) -> None:
-        """End the answer as complete."""
-        ...
-
-    def abort(self) -> None:
-        """End the answer so that the caller sees that it is not complete."""
-        ...
-
-
-class RequestHandler(Protocol):
-    """Serves requests."""
-
-    async def handle(self, request: CallerRequest, reply: Reply) -> None:
-        """Answer one request; cancelled if the caller leaves."""
-        ...
+FULL_RETRY_AFTER = b"1.000"
+"""When a caller whose body there was no room for had better come back, in s: as long as a slow
+body takes that holds room."""
 
 
 @dataclasses.dataclass(slots=True)
@@ -85,13 +40,23 @@
     Attributes:
       limits: of the configuration in force.
       draining: whether each answer ends its connection.
+      memory: what is held for callers.
+      time_allowed_ms: tells how long a request may take, by its headers.
+      cut: told of a caller that is ended, why, and what it hasn't read.
+      stall_ms: how long a caller may read nothing.
     """
 
     clock: clock.Clock
-    handler: RequestHandler
+    handler: caller_requests.RequestHandler
     limits: traffic.CallerLimits = dataclasses.field(default_factory=traffic.CallerLimits)
     draining: bool = False
     connections: set["CallerConnection"] = dataclasses.field(default_factory=set)
+    memory: memory_account.MemoryAccount = dataclasses.field(
+        default_factory=lambda: memory_account.of_limit(memory_account.DEFAULT_LIMIT_MB)
+    )
+    time_allowed_ms: Callable[[caller_requests.Headers], float] = lambda _: BODY_TIME_MS
+    cut: Callable[[str, int], None] = lambda _, __: None
+    stall_ms: float = CALLER_STALL_MS
 
     def connection(self) -> "CallerConnection":
         """Return the protocol for a new connection."""
@@ -122,13 +87,14 @@
         self.task: asyncio.Task[None] | None = None
         self.timer: asyncio.TimerHandle | None = None
         self.head: h11.Request | None = None
-        self.body: list[bytes] = []
-        self.body_size = 0
+        self.body = incoming_body.IncomingBody(server.memory, self)
+        self.ahead = memory_account.Holding(self, "", memory_account.Purpose.REQUEST_BODIES)
+        self.output: outgoing.Outgoing | None = None
+        self.unread = memory_account.Holding(self, "", memory_account.Purpose.UNREAD_ANSWERS)
         self.began_ms = -1
         self.started = False
         self.lingering = False
-        self.writable = asyncio.Event()
-        self.writable.set()
+        self.ended_because = ""
 
     def _new_http(self) -> h11.Connection:
         limit = self.server.limits.header_bytes
@@ -141,6 +107,14 @@
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
         keepalive.watch(transport)
+        outgoing.keep_little_in_kernel(transport)
+        self.output = outgoing.Outgoing(
+            transport,
+            self.server.memory,
+            self.unread,
+            self.server.stall_ms,
+            lambda: self.cut("caller_stalled"),
+        )
         self.server.connections.add(self)
         self._await_request()
 
@@ -148,13 +122,25 @@
         """Take bytes in, and go on as far as they allow."""
         if self.lingering:
             return
+        self.http.receive_data(data)
+        self._take_in()
+
+    def _take_in(self) -> None:
+        """Go on with what has arrived."""
         if self.began_ms < 0 and self.task is None:
             self.began_ms = self.server.clock.now()
             self._set_timer(self.server.limits.header_timeout_ms, self._head_too_slow)
-        self.http.receive_data(data)
+        self.body.heard(self.server.clock.now())
         if self.task is None:
             self._advance()
-        elif len(self.http.trailing_data[0]) > READ_AHEAD_BYTES and self.transport is not None:
+        self._count_ahead()
+
+    def _count_ahead(self) -> None:
+        """Count bytes that arrived and can't be read as a request yet."""
+        ahead = len(self.http.trailing_data[0])
+        if not self.server.memory.resize(self.ahead, ahead):
+            self.cut("no_memory")
+        elif ahead > READ_AHEAD_BYTES and self.task is not None and self.transport is not None:
             self.transport.pause_reading()
 
     def eof_received(self) -> bool:
@@ -165,24 +151,26 @@
         """Stop work for a caller that left."""
         self.server.connections.discard(self)
         self._stop_timer()
-        self.writable.set()
+        if self.output is not None:
+            self.output.end()
+        self.body.end()
+        self.server.memory.resize(self.ahead, 0)
         if self.task is not None:
             self.task.cancel()
 
     def pause_writing(self) -> None:
-        """Hold back chunks while the caller does not read."""
-        self.writable.clear()
+        """Do nothing: what the caller doesn't read is counted at each write."""
 
     def resume_writing(self) -> None:
-        """Let chunks go on."""
-        self.writable.set()
+        """Note that the caller has read all."""
+        if self.output is not None:
+            self.output.count()
 
     # Reading a request.
 
     def _await_request(self) -> None:
         self.head = None
-        self.body = []
-        self.body_size = 0
+        self.body.end()
         self.began_ms = -1
         self.started = False
         self._set_timer(self.server.limits.idle_timeout_ms, self.close_if_idle)
@@ -198,6 +186,7 @@
                 elif isinstance(event, h11.EndOfMessage):
                     self._serve()
                 else:
+                    self._await_body()
                     return
         except h11.RemoteProtocolError as error:
             self._reject(error.error_status_hint)
@@ -209,15 +198,32 @@
         if size + len(head.target) > self.server.limits.header_bytes:
             self._reject(431)
             return
+        now = self.server.clock.now()
+        ends_ms = self.began_ms + self.server.time_allowed_ms(head.headers)
+        self.body.begin(self.server.limits, now, ends_ms)
+        if _declared_size(head) > self.server.limits.body_bytes:
+            self._reject(413)
+            return
         if self.http.they_are_waiting_for_100_continue:
             informed = h11.InformationalResponse(status_code=100, headers=[])
             self._write(self.http.send(informed))
 
     def _take_body(self, data: bytes) -> None:
-        self.body.append(data)
-        self.body_size += len(data)
-        if self.body_size > self.server.limits.body_bytes:
-            self._reject(413)
+        refused = self.body.take(data)
+        if refused:
+            self._reject(refused)
+
+    def _await_body(self) -> None:
+        if self.head is not None and self.timer is None:
+            self._set_timer(self.body.next_look_ms(self.server.clock.now()), self._look_at_body)
+
+    def _look_at_body(self) -> None:
+        """Refuse a body that doesn't come; nothing of it was sent on."""
+        self._stop_timer()
+        if self.body.too_slow(self.server.clock.now()):
+            self._reject(408)
+        else:
+            self._await_body()
 
     def _head_too_slow(self) -> None:
         if self.head is None:
@@ -225,27 +231,32 @@
 
     def _reject(self, status: int) -> None:
         """Refuse what can't be read as a request, and end the connection."""
-        self.send(status, [(b"connection", b"close")], b"")
+        headers = [(b"connection", b"close")]
+        if status == incoming_body.NO_ROOM:
+            headers.append((b"retry-after", FULL_RETRY_AFTER))
+        self.body.end()
+        self.send(status, headers, b"")
         self._linger()
 
     # Serving it.
 
     def _serve(self) -> None:
         assert self.head is not None
-        request = CallerRequest(
+        request = caller_requests.CallerRequest(
             bytes(self.head.method),
             bytes(self.head.target),
             tuple((bytes(name), bytes(value)) for name, value in self.head.headers),
-            b"".join(self.body),
+            self.body.whole(),
             self.began_ms,
         )
-        self.body = []
+        self._stop_timer()
         self.task = asyncio.get_running_loop().create_task(self._run(request))
 
-    async def _run(self, request: CallerRequest) -> None:
+    async def _run(self, request: caller_requests.CallerRequest) -> None:
         with contextlib.suppress(asyncio.CancelledError):
             await self.server.handler.handle(request, self)
         self.task = None
+        self.body.end()
         self._next_request()
 
     def _next_request(self) -> None:
@@ -255,8 +266,8 @@
             self.http.start_next_cycle()
             self._await_request()
             self.transport.resume_reading()
-            if self.http.trailing_data[0]:
-                self.data_received(b"")
+            if self.ahead.size:
+                self._take_in()
         elif self.http.our_state is h11.MUST_CLOSE:
             self._linger()
         else:
@@ -264,7 +275,7 @@
 
     # The Reply.
 
-    def send(self, status: int, headers: Headers, body: bytes) -> None:
+    def send(self, status: int, headers: caller_requests.Headers, body: bytes) -> None:
         """Send a whole answer."""
         sized = [*headers, (b"content-length", str(len(body)).encode())]
         self.start(status, sized)
@@ -272,7 +283,7 @@
             self._write(self.http.send(h11.Data(data=body)))
         self.finish()
 
-    def start(self, status: int, headers: Headers) -> None:
+    def start(self, status: int, headers: caller_requests.Headers) -> None:
         """Begin an answer."""
         self.started = True
         named = list(headers)
@@ -282,11 +293,24 @@
         with contextlib.suppress(h11.LocalProtocolError):
             self._write(self.http.send(response))
 
-    async def chunk(self, data: bytes) -> None:
+    def assign(self, workspace: str) -> bool:
+        """Say whose request it is; False if the workspace may not hold as much as it does."""
+        memory = self.server.memory
+        return memory.assign(self.unread, workspace) and memory.assign(self.body.holding, workspace)
+
+    def chunk(self, data: bytes) -> None:
         """Send a part of the body."""
         self._write(self.http.send(h11.Data(data=data)))
-        if not self.writable.is_set():
-            await self.writable.wait()
+
+    def has_room(self, size: int) -> bool:
+        """Return whether the caller has read all, or little enough for so many bytes more."""
+        unread = self.output.unread() if self.output is not None else 0
+        return not unread or unread + size <= self.server.memory.stream_bound()
+
+    async def drained(self) -> None:
+        """Wait until the caller has read all that it was sent."""
+        if self.output is not None:
+            await self.output.empty.wait()
 
     def finish(self) -> None:
         """End the answer as complete."""
@@ -294,10 +318,17 @@
             self._write(self.http.send(h11.EndOfMessage()))
 
     def abort(self) -> None:
-        """End the connection at once."""
+        """End the connection at once; what was not read is dropped."""
         if self.transport is not None:
             self.transport.abort()
 
+    def cut(self, reason: str) -> None:
+        """End a caller for what it doesn't read, or for what there is no room for."""
+        if not self.ended_because:
+            self.ended_because = reason
+            self.server.cut(reason, self.unread.size)
+        self.abort()
+
     # The end of a connection.
 
     def close_if_idle(self) -> None:
@@ -310,19 +341,26 @@
         if self.transport is None or self.lingering:
             return
         self.lingering = True
-        self._set_timer(LINGER_S * 1000.0, self.abort)
+        self._set_timer(LINGER_S * 1000.0, self._linger_over)
         if self.transport.can_write_eof():
             with contextlib.suppress(OSError):
                 self.transport.write_eof()
 
+    def _linger_over(self) -> None:
+        """End the connection, but not before the caller has read its answer, or is cut."""
+        if self.output is not None and self.output.unread():
+            self._set_timer(LINGER_S * 1000.0, self._linger_over)
+        else:
+            self.abort()
+
     # Small things.
 
     def _is_head(self) -> bool:
         return self.head is not None and bytes(self.head.method) == b"HEAD"
 
     def _write(self, data: bytes | None) -> None:
-        if data and self.transport is not None and not self.transport.is_closing():
-            self.transport.write(data)
+        if data and self.output is not None and not self.output.write(data):
+            self.cut("no_memory")
 
     def _set_timer(self, delay_ms: float, action: Callable[[], None]) -> None:
         self._stop_timer()
@@ -350,5 +388,10 @@
 }
 
 
+def _declared_size(head: h11.Request) -> int:
+    """Return the length that a request's body is said to have; h11 lets only numbers through."""
+    return int(dialect.header_value(head.headers, b"content-length") or 0)
+
+
 def _reason(status: int) -> bytes:
     return REASONS.get(status, b"")
--- /dev/null
+++ b/plumarch/gateway/caller_requests.py
@@ -0,0 +1,84 @@
+"""A caller's request, its answer, and who serves it, as the parts of the gateway see them."""
+
+import dataclasses
+from collections.abc import Sequence
+from typing import Protocol
+
+from plumarch.gateway import dialect
+
+Headers = Sequence[tuple[bytes, bytes]]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallerRequest:
+    """A request read whole.
+
+    Attributes:
+      headers: names in lower case.
+      began_ms: when its first byte arrived.
+    """
+
+    method: bytes
+    target: bytes
+    headers: tuple[tuple[bytes, bytes], ...]
+    body: bytes
+    began_ms: int
+
+    def header(self, name: bytes) -> str:
+        """Return a header's value, or ""."""
+        return dialect.header_value(self.headers, name)
+
+
+class Reply(Protocol):
+    """The answer to one request.
+
+    Attributes:
+      ended_because: why it was cut short by the gateway, or "".
+    """
+
+    started: bool
+    ended_because: str
+
+    def assign(self, workspace: str) -> bool:
+        """Say whose request it is; False if the workspace may not hold as much as it does."""
+        ...
+
+    def send(self, status: int, headers: Headers, body: bytes) -> None:
+        """Send a whole answer."""
+        ...
+
+    def start(self, status: int, headers: Headers) -> None:
+        """Begin an answer whose length is not known."""
+        ...
+
+    def chunk(self, data: bytes) -> None:
+        """Send a part of its body."""
+        ...
+
+    def has_room(self, size: int) -> bool:
+        """Return whether the caller has read enough to be sent so many bytes more."""
+        ...
+
+    async def drained(self) -> None:
+        """Wait until the caller has read all that it was sent."""
+        ...
+
+    def cut(self, reason: str) -> None:
+        """End the answer so, because the caller does not read it."""
+        ...
+
+    def finish(self) -> None:
+        """End the answer as complete."""
+        ...
+
+    def abort(self) -> None:
+        """End the answer so that the caller sees that it is not complete."""
+        ...
+
+
+class RequestHandler(Protocol):
+    """Serves requests."""
+
+    async def handle(self, request: CallerRequest, reply: Reply) -> None:
+        """Answer one request; cancelled if the caller leaves."""
+        ...
--- a/plumarch/gateway/errors.py
+++ b/plumarch/gateway/errors.py
@@ -17,3 +17,11 @@
 
 class AnswerTimeout(errors.DeliveryUnknown, ExchangeError):
     """The endpoint stayed silent for longer than the request can wait."""
+
+
+class NotHandedOver(errors.NotDelivered, ExchangeError):
+    """A connection came up, but it took no byte of the request, so the request did not run."""
+
+
+class NoMemory(errors.DeliveryUnknown, ExchangeError):
+    """The answer can't be held: this node holds too much already. Ask another node."""
--- a/plumarch/gateway/exchange.py
+++ b/plumarch/gateway/exchange.py
@@ -11,15 +11,36 @@
 import h11
 
 from plumarch.core import addresses
-from plumarch.gateway import errors, keepalive
+from plumarch.gateway import errors, keepalive, outgoing
+from plumarch.limits import memory_account
 
 Headers = Sequence[tuple[bytes, bytes]]
 
 ReceivedEvent = h11.Response | h11.Data | h11.EndOfMessage
 
+READ_BYTES = 16_384
+"""Bytes that are read from a connection at once. Many connections are read in one turn of the
+loop, before any of the bytes is passed on."""
 
-class Exchange(asyncio.Protocol):
-    """A connection on which requests are sent and answers are read as events."""
+READ_AHEAD_BYTES = 65_536
+"""Bytes that are taken in while nobody asks for them; then the connection is not read."""
+
+REQUEST_STALL_MS = 3_000.0
+"""How long an endpoint may take no byte of a request. As long as a silent peer is waited for."""
+
+ARRIVING = bytearray(READ_BYTES)
+"""Where bytes arrive, for all connections: they are copied out before the next read."""
+
+
+class Exchange(asyncio.BufferedProtocol):
+    """A connection on which requests are sent and answers are read as events.
+
+    Attributes:
+      unparsed: bytes that arrived and were not asked for yet, at most.
+      held_back: whether reading waits for resume().
+      taken_nothing: whether the connection was given up before it accepted a byte of a request.
+      outgoing: counts the request while the endpoint reads it, if it is counted.
+    """
 
     def __init__(self) -> None:
         self.http = h11.Connection(h11.CLIENT, max_incomplete_event_size=65_536)
@@ -27,6 +48,10 @@
         self.arrived = asyncio.Event()
         self.fault: str = ""
         self.at_end = False
+        self.unparsed = 0
+        self.held_back = False
+        self.taken_nothing = False
+        self.outgoing: outgoing.Outgoing | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keep the transport; notice a silent peer."""
@@ -34,14 +59,41 @@
         self.transport = transport
         keepalive.watch(transport)
 
-    def data_received(self, data: bytes) -> None:
+    def get_buffer(self, sizehint: int) -> bytearray:
+        """Return where to put the bytes that come next."""
+        return ARRIVING
+
+    def buffer_updated(self, nbytes: int) -> None:
         """Take bytes in."""
         try:
-            self.http.receive_data(data)
+            self.http.receive_data(bytes(memoryview(ARRIVING)[:nbytes]))
         except (h11.RemoteProtocolError, RuntimeError) as error:
             self.fault = str(error)
+        self.unparsed += nbytes
+        if self.unparsed > READ_AHEAD_BYTES and self.transport is not None:
+            self.transport.pause_reading()
         self.arrived.set()
 
+    def hold_back(self) -> None:
+        """Read nothing from the endpoint until resume()."""
+        self.held_back = True
+        if self.transport is not None:
+            self.transport.pause_reading()
+
+    def resume(self) -> None:
+        """Read again."""
+        self.held_back = False
+        if self.transport is not None:
+            self.transport.resume_reading()
+
+    def pause_writing(self) -> None:
+        """Do nothing: what the endpoint doesn't read is counted at each write."""
+
+    def resume_writing(self) -> None:
+        """Note that the endpoint has read all."""
+        if self.outgoing is not None:
+            self.outgoing.count()
+
     def eof_received(self) -> bool:
         """Note an orderly end of the peer's bytes."""
         if not self.at_end:
@@ -57,13 +109,26 @@
         """Note the end of the connection; without an orderly end it is a reset."""
         if not self.at_end:
             self.fault = self.fault or f"connection lost: {exc or 'closed'}"
+        if self.outgoing is not None:
+            self.outgoing.end()
         self.arrived.set()
 
-    def send(self, method: bytes, target: bytes, headers: Headers, body: bytes) -> None:
+    def send(
+        self,
+        method: bytes,
+        target: bytes,
+        headers: Headers,
+        body: bytes,
+        memory: memory_account.MemoryAccount | None = None,
+        workspace: str = "",
+    ) -> None:
         """Write a whole request.
 
+        Args:
+          memory: where the request counts until the endpoint has read it, if it does.
+          workspace: whose request it is.
         Raises:
-          ConnectionBroken: the connection has ended.
+          ConnectFailed: the connection has ended, or the request can't be held: no byte is sent.
         """
         if self.transport is None or self.transport.is_closing():
             raise errors.ConnectFailed("The connection ended before the request. Try again.")
@@ -76,20 +141,48 @@
             parts.append(self.http.send(h11.EndOfMessage()))
         except h11.LocalProtocolError as error:
             raise errors.ConnectFailed(f"The request can't be framed: {error}.") from error
-        self.transport.write(b"".join(part for part in parts if part))
+        request = b"".join(part for part in parts if part)
+        if memory is None:
+            self.transport.write(request)
+        else:
+            self._write_counted(request, memory, workspace)
+
+    def _write_counted(
+        self, request: bytes, memory: memory_account.MemoryAccount, workspace: str
+    ) -> None:
+        assert self.transport is not None
+        purpose = memory_account.Purpose.UNSENT_REQUESTS
+        holding = memory_account.Holding(self, workspace, purpose)
+        if not memory.resize(holding, len(request)):
+            raise errors.ConnectFailed("The request can't be held. Ask another node.")
+        outgoing.keep_little_in_kernel(self.transport)
+        self.outgoing = outgoing.Outgoing(
+            self.transport, memory, holding, REQUEST_STALL_MS, self._not_read
+        )
+        self.outgoing.write(request)
+
+    def _not_read(self) -> None:
+        """Give up an endpoint that doesn't read its request."""
+        assert self.outgoing is not None
+        self.taken_nothing = self.outgoing.unread() == self.outgoing.written
+        self.fault = self.fault or "the endpoint does not read the request"
+        self.close()
+        self.arrived.set()
 
     async def next(self) -> ReceivedEvent:
         """Return the next part of the answer; informational answers are skipped.
 
         Raises:
+          NotHandedOver: no byte of the request was accepted.
           ConnectionBroken: the answer broke off or is not HTTP.
         """
         while True:
             event = self._parse()
             if event is not None:
                 return event
+            self._all_parsed()
             if self.fault or self.at_end:
-                raise errors.ConnectionBroken(self.fault or "the connection ended")
+                raise self._broken()
             self.arrived.clear()
             await self.arrived.wait()
 
@@ -106,6 +199,17 @@
         except TimeoutError as error:
             raise errors.AnswerTimeout(f"nothing came for {wait_ms:.0f} ms") from error
 
+    def _broken(self) -> errors.ExchangeError:
+        if self.taken_nothing:
+            return errors.NotHandedOver(self.fault)
+        return errors.ConnectionBroken(self.fault or "the connection ended")
+
+    def _all_parsed(self) -> None:
+        """Read on: what arrived is parsed as far as it goes."""
+        self.unparsed = 0
+        if not self.held_back and self.transport is not None:
+            self.transport.resume_reading()
+
     def _parse(self) -> ReceivedEvent | None:
         try:
             while True:
--- a/plumarch/gateway/fleet_state.py
+++ b/plumarch/gateway/fleet_state.py
@@ -9,7 +9,7 @@
 from plumarch.core.clock import Clock
 from plumarch.fleet import engine_demand, usage, version_tally
 from plumarch.gateway import decision_log, dialect, measures
-from plumarch.limits import attempt_budget, memory_account, workspace_quota
+from plumarch.limits import attempt_budget, memory_account, memory_admission, workspace_quota
 from plumarch.membership.registry import EndpointChange, Registry
 from plumarch.routing import (
     answer_times,
@@ -51,6 +51,7 @@
       answer_times: how long plain requests take, by route.
       distances: how far data centres are from this one.
       memory: what is held on behalf of callers and endpoints.
+      pressure: who is turned away when much of it is held.
       limits: what endpoints bear.
       tell_prompt: tells the other nodes of a prompt sent to an engine.
       reaches_store: whether the platform's store answered the last call.
@@ -78,6 +79,7 @@
     answer_times: answer_times.AnswerTimes
     distances: distance.Distances
     memory: memory_account.MemoryAccount
+    pressure: memory_admission.MemoryAdmission
     limits: endpoint_limits.EndpointLimits
     table: routing_table.RoutingTable | None = None
     table_source: str = ""
--- /dev/null
+++ b/plumarch/gateway/incoming_body.py
@@ -0,0 +1,73 @@
+"""The body of a caller's request while it arrives: bounded in bytes, time and pauses."""
+
+from collections.abc import Hashable
+
+from plumarch.core import traffic
+from plumarch.limits import memory_account
+
+TOO_LARGE = 413
+NO_ROOM = 503
+
+
+class IncomingBody:
+    """A body that arrives, and is kept until its request is answered.
+
+    Attributes:
+      limits: what the caller may send.
+      heard_ms: when bytes came last.
+      ends_ms: when the request is given up.
+    """
+
+    def __init__(self, memory: memory_account.MemoryAccount, connection: Hashable) -> None:
+        self.memory = memory
+        self.holding = memory_account.Holding(connection, "", memory_account.Purpose.REQUEST_BODIES)
+        self.data = bytearray()
+        self.limits = traffic.CallerLimits()
+        self.heard_ms = 0
+        self.ends_ms = 0.0
+
+    def begin(self, limits: traffic.CallerLimits, now: int, ends_ms: float) -> None:
+        """Expect a body."""
+        self.limits = limits
+        self.heard_ms = now
+        self.ends_ms = ends_ms
+
+    def heard(self, now: int) -> None:
+        """Note that bytes came."""
+        self.heard_ms = now
+
+    def take(self, data: bytes) -> int:
+        """Take bytes in.
+
+        Returns:
+          0, or the status to refuse the request with.
+        """
+        size = self.holding.size + len(data)
+        if size > self.limits.body_bytes:
+            return TOO_LARGE
+        if not self.memory.resize(self.holding, size):
+            return NO_ROOM
+        self.data += data
+        return 0
+
+    def too_slow(self, now: int) -> bool:
+        """Return whether nothing came for too long, or the request's time is over."""
+        return now >= self.ends_ms or now - self.heard_ms >= self.limits.idle_timeout_ms
+
+    def next_look_ms(self, now: int) -> float:
+        """Return in which time the body may first be too slow."""
+        return max(1.0, min(self.ends_ms, self.heard_ms + self.limits.idle_timeout_ms) - now)
+
+    def whole(self) -> bytes:
+        """Return the body, which is counted until the end of its request."""
+        found = bytes(self.data)
+        self.data.clear()
+        self.memory.turn(self.holding, memory_account.Purpose.KEPT_BODIES)
+        return found
+
+    def end(self) -> None:
+        """Give back what was held."""
+        self.data.clear()
+        self.memory.resize(self.holding, 0)
+        self.memory.assign(self.holding, "")
+        self.memory.turn(self.holding, memory_account.Purpose.REQUEST_BODIES)
--- a/plumarch/gateway/keepalive.py
+++ b/plumarch/gateway/keepalive.py
@@ -30,3 +30,18 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, IDLE_S)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, INTERVAL_S)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, PROBES)
+
+
+def allow_unread(transport: asyncio.BaseTransport, more_ms: int) -> None:
+    """Let the kernel wait longer for a peer that has no room for bytes.
+
+    It counts the time of a peer that answers its probes but has no room for more like that of a
+    silent one.
+
+    Args:
+      more_ms: on top of the time that a silent peer is waited for; 0 for that time again.
+    """
+    sock = transport.get_extra_info("socket")
+    if sock is not None and sock.fileno() >= 0:
+        limit_ms = SILENCE_LIMIT_MS + more_ms
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, limit_ms)
--- a/plumarch/gateway/measures.py
+++ b/plumarch/gateway/measures.py
@@ -110,6 +110,14 @@
         self.dependency = Counter(
             "plumarch_gateway_dependency_failures", "Failed calls, by dependency.", ("dependency",)
         )
+        self.callers_cut = Counter(
+            "plumarch_gateway_callers_cut", "Callers ended for what they didn't read.", ("reason",)
+        )
+        self.streams = Counter(
+            "plumarch_gateway_streams",
+            "Streams let go because their callers did not read, and those resumed.",
+            ("what",),
+        )
         self.state: dict[str, float] = {}
         self.lines_dropped = 0
 
@@ -117,8 +125,16 @@
         """Return all metrics for Prometheus; the library calls this."""
         from prometheus_client import metrics_core
 
-        for one in (self.first_byte, self.total, self.answers, self.attempts, self.dependency):
-            yield one.family()
+        for distribution in (self.first_byte, self.total):
+            yield distribution.family()
+        for counter in (
+            self.answers,
+            self.attempts,
+            self.dependency,
+            self.callers_cut,
+            self.streams,
+        ):
+            yield counter.family()
         yield metrics_core.GaugeMetricFamily(
             "plumarch_log_lines_dropped", "Log lines dropped.", value=self.lines_dropped
         )
--- /dev/null
+++ b/plumarch/gateway/outgoing.py
@@ -0,0 +1,144 @@
+"""Bytes on their way to a peer: counted while it doesn't read them, ended when it reads nothing.
+
+asyncio's transports take any amount of bytes and keep what the socket doesn't accept. Here that
+rest is counted in the node's account of memory; bytes for which there is no room are not kept.
+"""
+
+import asyncio
+import fcntl
+import socket
+import struct
+import termios
+from collections.abc import Callable
+
+from plumarch.gateway import keepalive
+from plumarch.limits import memory_account, read_progress
+
+CHECK_MS = 1_000.0
+"""How often a peer with bytes to read is looked at; well below the times that it is allowed."""
+
+KERNEL_UNSENT_BYTES = 65_536
+"""Unsent bytes that the kernel takes over for a connection. More would be memory that is not
+counted here, and is not needed: what is on its way already is bounded by TCP itself."""
+
+
+class Outgoing:
+    """The bytes written to one connection.
+
+    Attributes:
+      written: bytes since the start.
+      empty: set while all bytes were accepted by the socket.
+      stalled: called when the peer took none for too long.
+    """
+
+    def __init__(
+        self,
+        transport: asyncio.Transport,
+        memory: memory_account.MemoryAccount,
+        holding: memory_account.Holding,
+        stall_ms: float,
+        stalled: Callable[[], None],
+    ) -> None:
+        self.transport = transport
+        self.memory = memory
+        self.holding = holding
+        self.progress = read_progress.ReadProgress(stall_ms)
+        self.stalled = stalled
+        self.written = 0
+        self.timer: asyncio.TimerHandle | None = None
+        self.empty = asyncio.Event()
+        self.empty.set()
+        # The transport tells of each time that its buffer is empty again, whatever its size was.
+        transport.set_write_buffer_limits(0)
+
+    def write(self, data: bytes) -> bool:
+        """Write.
+
+        Returns:
+          False if what the socket didn't accept may not be held: the connection must be aborted.
+        """
+        if self.transport.is_closing():
+            return True
+        self.written += len(data)
+        self.transport.write(data)
+        return self.count()
+
+    def count(self) -> bool:
+        """Count what the socket didn't accept yet.
+
+        Returns:
+          False if so much may not be held.
+        """
+        unread = self.unread()
+        if not unread and not self.holding.size:
+            return True
+        if not self.memory.resize(self.holding, unread):
+            return False
+        if not unread:
+            self.empty.set()
+            self._stop_timer()
+            keepalive.allow_unread(self.transport, 0)
+        elif self.empty.is_set():
+            self.empty.clear()
+            # The kernel must not end the peer before its time to read is over.
+            keepalive.allow_unread(self.transport, round(self.progress.limit_ms))
+            self.progress.begin(self.taken(), _now_ms())
+            self._check_later()
+        return True
+
+    def unread(self) -> int:
+        """Return the bytes that the socket didn't accept."""
+        return self.transport.get_write_buffer_size()
+
+    def taken(self) -> int:
+        """Return the bytes that the peer acknowledged, as far as the system tells."""
+        return self.written - self.unread() - _unacknowledged(self.transport)
+
+    def end(self) -> None:
+        """Stop counting: the connection is over, and its buffers are gone."""
+        self._stop_timer()
+        self.memory.resize(self.holding, 0)
+        self.empty.set()
+
+    def _check(self) -> None:
+        self.timer = None
+        self.count()
+        if self.empty.is_set():
+            return
+        if self.progress.stalled(self.taken(), _now_ms()):
+            self.stalled()
+        else:
+            self._check_later()
+
+    def _check_later(self) -> None:
+        delay_ms = min(CHECK_MS, self.progress.limit_ms)
+        self.timer = asyncio.get_running_loop().call_later(delay_ms / 1000.0, self._check)
+
+    def _stop_timer(self) -> None:
+        if self.timer is not None:
+            self.timer.cancel()
+            self.timer = None
+
+
+def keep_little_in_kernel(transport: asyncio.BaseTransport) -> None:
+    """Bound the unsent bytes that the kernel keeps for a connection."""
+    sock = transport.get_extra_info("socket")
+    if sock is not None:
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NOTSENT_LOWAT, KERNEL_UNSENT_BYTES)
+
+
+def _unacknowledged(transport: asyncio.BaseTransport) -> int:
+    """Return the bytes in the kernel that the peer did not acknowledge.
+
+    The kernel asks for more bytes only after a large part of its buffer is free. A slow peer
+    would look like one that reads nothing by that alone.
+    """
+    sock = transport.get_extra_info("socket")
+    if sock is None or sock.fileno() < 0:
+        return 0
+    answer = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, struct.pack("i", 0))
+    return int(struct.unpack("i", answer)[0])
+
+
+def _now_ms() -> float:
+    return asyncio.get_running_loop().time() * 1000.0
--- a/plumarch/gateway/relay.py
+++ b/plumarch/gateway/relay.py
@@ -2,7 +2,13 @@
 
 from typing import Any
 
-from plumarch.gateway import admission, caller_connection, fleet_state, request_run
+from plumarch.gateway import (
+    admission,
+    caller_connection,
+    caller_requests,
+    fleet_state,
+    request_run,
+)
 
 
 class Relay:
@@ -12,15 +18,18 @@
         self.state = state
 
     async def handle(
-        self, request: caller_connection.CallerRequest, reply: caller_connection.Reply
+        self, request: caller_requests.CallerRequest, reply: caller_requests.Reply
     ) -> None:
         """Answer one request."""
         admitted = admission.admit(self.state, request)
         if isinstance(admitted, admission.Refusal):
             self._refuse(request, reply, admitted)
             return
+        if not reply.assign(admitted.workspace_name()):
+            self._refuse(request, reply, admission.too_much_held(self.state, admitted))
+            return
         run = request_run.RequestRun(self.state, admitted, reply)
-        outcome = request_run.Outcome(499, "caller_left")
+        outcome = request_run.Outcome(request_run.CALLER_LEFT, "caller_left")
         try:
             outcome = await run.serve()
         except Exception as error:
@@ -30,12 +39,26 @@
             outcome = request_run.Outcome(502, "internal_fault")
             run.fail(outcome)
         finally:
+            if outcome.status == request_run.CALLER_LEFT and reply.ended_because:
+                outcome = request_run.Outcome(outcome.status, reply.ended_because)
             self._record(admitted, run, outcome)
 
+    def time_allowed_ms(self, headers: caller_requests.Headers) -> float:
+        """Return how long a request may take by its own word."""
+        return admission.time_asked_ms(self.state.names, headers)
+
+    def caller_cut(self, reason: str, unread: int) -> None:
+        """Record that a caller was ended for what it did not read."""
+        state = self.state
+        state.measures.callers_cut.add(reason)
+        state.log.write(
+            "caller_cut", urgent=True, reason=reason, unread=unread, held=state.memory.total()
+        )
+
     def _refuse(
         self,
-        request: caller_connection.CallerRequest,
-        reply: caller_connection.Reply,
+        request: caller_requests.CallerRequest,
+        reply: caller_requests.Reply,
         refusal: admission.Refusal,
     ) -> None:
         state = self.state
@@ -76,17 +99,17 @@
             reason=outcome.reason,
             sends=run.progress.sends,
             **_speed_seen(state, admitted),
-            first_ms=run.first_ms,
+            first_ms=run.progress.first_ms,
             total_ms=total_ms,
-            events=run.events,
+            events=run.progress.events,
             fault=run.progress.last_fault,
         )
         workspace = admitted.workspace_name()
         kind = admitted.route.kind.value
         state.measures.answers.add(workspace, str(outcome.status), outcome.reason)
         state.measures.total.observe(total_ms / 1000.0, workspace, kind)
-        if run.first_ms is not None:
-            state.measures.first_byte.observe(run.first_ms / 1000.0, workspace, kind)
+        if run.progress.first_ms is not None:
+            state.measures.first_byte.observe(run.progress.first_ms / 1000.0, workspace, kind)
 
 
 def _speed_seen(state: fleet_state.FleetState, admitted: admission.Admitted) -> dict[str, Any]:
@@ -100,3 +123,15 @@
         "mean_ms_per_token": round(speed.mean_ms_per_token(), 5),
         "run_ms": round(speed.run_ms.value),
     }
+
+
+def new_server(state: fleet_state.FleetState) -> caller_connection.CallerServer:
+    """Return the server of callers of a node."""
+    handler = Relay(state)
+    return caller_connection.CallerServer(
+        state.clock,
+        handler,
+        memory=state.memory,
+        time_allowed_ms=handler.time_allowed_ms,
+        cut=handler.caller_cut,
+    )
--- a/plumarch/gateway/relay_test.py
+++ b/plumarch/gateway/relay_test.py
@@ -8,7 +8,7 @@
 
 from plumarch.config import routing_table
 from plumarch.core import clock, traffic
-from plumarch.gateway import caller_connection, relay
+from plumarch.gateway import relay
 from plumarch.routing import endpoint_choice
 from plumarch.standins import gateway_parts
 from plumarch.standins import scripted_endpoint as scripted
@@ -69,7 +69,7 @@
         self.answering = answering
         self.endpoints: list[scripted.ScriptedEndpoint] = []
         self.state = gateway_parts.new_state(now)
-        self.callers = caller_connection.CallerServer(now, relay.Relay(self.state))
+        self.callers = relay.new_server(self.state)
         self.callers.limits = TABLE.configuration.limits
 
     async def __aenter__(self) -> "Gateway":
--- a/plumarch/gateway/request_run.py
+++ b/plumarch/gateway/request_run.py
@@ -14,16 +14,19 @@
 from plumarch.gateway import (
     admission,
     attempts,
-    caller_connection,
+    caller_requests,
     dialect,
     errors,
-    event_stream,
     fleet_state,
+    stream_relay,
     version_outcomes,
+    whole_answers,
 )
 from plumarch.routing import endpoint_choice, return_times
 
-ANSWER_BYTES_LIMIT = 16 * 1024 * 1024
+CALLER_LEFT = 499
+"""Stands in logs for the status of an answer that its caller didn't take."""
+
 PATIENCE_TARGETS = 1.6
 """A repeatable request waits this many targets for one endpoint's answer."""
 
@@ -51,8 +54,8 @@
 
 
 def send_refusal(
-    reply: caller_connection.Reply,
-    request: caller_connection.CallerRequest,
+    reply: caller_requests.Reply,
+    request: caller_requests.CallerRequest,
     refusal: admission.Refusal,
     id_header: bytes,
 ) -> None:
@@ -82,7 +85,7 @@
         self,
         state: fleet_state.FleetState,
         admitted: admission.Admitted,
-        reply: caller_connection.Reply,
+        reply: caller_requests.Reply,
     ) -> None:
         self.state = state
         self.admitted = admitted
@@ -90,10 +93,9 @@
         self.progress = attempts.Progress(
             last_event_id=admitted.request.header(state.names.last_event_id)
         )
-        self.first_ms: int | None = None
-        self.events = 0
         self.failed_answer: WholeAnswer | None = None
         self.back_in_ms = return_times.LEAST_MS
+        self.let_go = False
 
     async def serve(self) -> Outcome:
         """Make attempts until one answers or the request is given up."""
@@ -116,9 +118,21 @@
             outcome = await self._attempt(choice)
             if outcome is not None:
                 return outcome
+            if self.let_go:
+                await self._until_read()
+                continue
             if not self._may_try_again():
                 return self._give_up(self.progress.last_fault, 502)
 
+    async def _until_read(self) -> None:
+        """Wait until the caller of a stream that was let go has read all."""
+        await self.reply.drained()
+        self.let_go = False
+        self.state.measures.streams.add("resumed")
+        self.state.log.write(
+            "stream_resumed", request=self.admitted.id, after=self.progress.last_event_id
+        )
+
     def _hopeless(self, choice: endpoint_choice.Choice) -> bool:
         """Return whether a first send is expected to miss its target by far, for others' sake.
 
@@ -161,6 +175,13 @@
                 state.health.success(endpoint)
             version_outcomes.note(state, self.admitted, attempt, failed)
             return outcome
+        except stream_relay.LetGo:
+            label = "let_go"
+            self._note_let_go(attempt)
+        except stream_relay.CallerTooSlow:
+            return Outcome(CALLER_LEFT, self.reply.ended_because)
+        except errors.NoMemory:
+            return self.fail(Outcome(502, "no_memory"))
         except attempts.NotRun:
             progress.unresolved -= 1
             progress.last_fault = label = "not_run"
@@ -182,6 +203,20 @@
             state.measures.attempts.add(self.admitted.service, label)
         return None
 
+    def _note_let_go(self, attempt: attempts.Attempt) -> None:
+        """Note a run that is ended for the caller's sake: it says nothing about the endpoint."""
+        self.let_go = True
+        self.progress.let_go += 1
+        self.progress.tried.discard(attempt.choice.endpoint.id)
+        self.state.measures.streams.add("let_go")
+        self.state.log.write(
+            "stream_let_go",
+            request=self.admitted.id,
+            endpoint=attempt.choice.endpoint.id,
+            after=self.progress.last_event_id,
+            held=self.state.memory.total(),
+        )
+
     def _may_try_again(self) -> bool:
         """Return whether a further endpoint may be tried, and spend the budget for it."""
         route = self.admitted.route
@@ -189,7 +224,7 @@
             return True
         if self.progress.unresolved and not route.repeatable():
             return False
-        if self.progress.sends >= route.max_attempts:
+        if self.progress.attempts() >= route.max_attempts:
             return False
         return self.state.budget.take(self.admitted.service)
 
@@ -197,14 +232,18 @@
         head = await attempts.read_head(self.state, self.admitted, attempt, self._patience_ms())
         media = dialect.header_value(head.headers, b"content-type")
         if head.status_code == 200 and media.startswith("text/event-stream"):
-            return await self._relay_events(attempt, head)
+            stream = stream_relay.StreamRelay(
+                self.state, self.admitted, self.progress, self.reply, self._patience_ms
+            )
+            await stream.relay(attempt, head)
+            return Outcome(head.status_code, "relayed")
         return await self._relay_whole(attempt, head)
 
     def _patience_ms(self) -> float:
         """Return how long to wait for the endpoint at hand."""
         route = self.admitted.route
         left = self.admitted.ends_ms - self.state.clock.now()
-        if not route.repeatable() or self.progress.sends >= route.max_attempts:
+        if not route.repeatable() or self.progress.attempts() >= route.max_attempts:
             return left
         wanted = PATIENCE_TARGETS * route.target_ms
         if route.kind is traffic.RouteKind.STREAMING:
@@ -213,72 +252,28 @@
 
     async def _relay_whole(self, attempt: attempts.Attempt, head: h11.Response) -> Outcome:
         """Relay an answer that is read whole first, so that a broken one is never begun."""
-        body = await attempt.exchange.read_body(ANSWER_BYTES_LIMIT)
-        self._first_token(attempt)
-        if head.status_code >= SERVER_ERRORS and self._worth_repeating():
-            self.failed_answer = WholeAnswer(head, body)
-            raise RepeatElsewhere("the endpoint failed, and another one may answer")
-        if self.reply.started:
-            raise errors.ConnectionBroken(f"the stream can't go on: {head.status_code}")
-        return self._send_whole(WholeAnswer(head, body))
+        holding = whole_answers.new_holding(attempt, self.admitted)
+        try:
+            body = await whole_answers.read(self.state.memory, attempt.exchange, head, holding)
+            stream_relay.note_first_token(self.state, self.admitted, attempt, self.reply.started)
+            if head.status_code >= SERVER_ERRORS and self._worth_repeating():
+                self.failed_answer = WholeAnswer(head, body)
+                raise RepeatElsewhere("the endpoint failed, and another one may answer")
+            if self.reply.started:
+                raise errors.ConnectionBroken(f"the stream can't go on: {head.status_code}")
+            return self._send_whole(WholeAnswer(head, body))
+        finally:
+            self.state.memory.resize(holding, 0)
 
     def _send_whole(self, answer: WholeAnswer) -> Outcome:
-        self.first_ms = self.state.clock.now() - self.admitted.request.began_ms
+        self.progress.first_ms = self.state.clock.now() - self.admitted.request.began_ms
         headers = attempts.answer_headers(answer.head, self.state.names)
         self.reply.send(answer.head.status_code, headers, answer.body)
         return Outcome(answer.head.status_code, "relayed")
 
     def _worth_repeating(self) -> bool:
         route = self.admitted.route
-        return route.repeatable() and self.progress.sends < route.max_attempts
-
-    async def _relay_events(self, attempt: attempts.Attempt, head: h11.Response) -> Outcome:
-        """Relay whole events as they come; an answer that breaks goes on or breaks visibly."""
-        splitter = event_stream.Splitter()
-        while True:
-            part = await attempt.exchange.next_within(self._patience_ms())
-            if isinstance(part, h11.EndOfMessage):
-                break
-            for event in splitter.feed(bytes(part.data) if isinstance(part, h11.Data) else b""):
-                await self._relay_event(attempt, head, event)
-        if splitter.rest:
-            raise errors.ConnectionBroken("the stream ended inside an event")
-        if not self.reply.started:
-            self.reply.start(head.status_code, attempts.answer_headers(head, self.state.names))
-        self.reply.finish()
-        return Outcome(head.status_code, "relayed")
-
-    async def _relay_event(
-        self, attempt: attempts.Attempt, head: h11.Response, event: event_stream.Event
-    ) -> None:
-        if event.id and not event_stream.follows(self.progress.last_event_id, event.id):
-            raise errors.ConnectionBroken(
-                f"event {event.id} came after {self.progress.last_event_id}"
-            )
-        self._first_token(attempt)
-        if not self.reply.started:
-            self.first_ms = self.state.clock.now() - self.admitted.request.began_ms
-            self.reply.start(head.status_code, attempts.answer_headers(head, self.state.names))
-        await self.reply.chunk(event.raw)
-        self.events += 1
-        if event.id:
-            self.progress.last_event_id = event.id
-
-    def _first_token(self, attempt: attempts.Attempt) -> None:
-        if attempt.saw_first_token:
-            return
-        attempt.saw_first_token = True
-        self.state.chooser.first_token(attempt.choice)
-        attempt.first_ms = self.state.clock.now() - attempt.sent_ms
-        on_trial = version_outcomes.is_on_trial(self.state, attempt.choice.endpoint)
-        if self.admitted.prompt_tokens and not on_trial:
-            waited_ms = attempt.first_ms
-            waited_ms -= round(attempt.choice.place_wait_ms)
-            speed = self.state.chooser.speed(self.admitted.service)
-            others_waited = attempt.choice.waiting_tokens > 0
-            speed.first_token(attempt.choice.tokens_to_read(), waited_ms, others_waited)
-        if not self.reply.started:
-            attempts.count_began(self.state, self.admitted)
+        return route.repeatable() and self.progress.attempts() < route.max_attempts
 
     def _give_up(self, reason: str, status: int) -> Outcome:
         """Answer for good; "not run" only if that is certain."""
--- /dev/null
+++ b/plumarch/gateway/stream_relay.py
@@ -0,0 +1,177 @@
+"""A stream's events passed on as they come, at the caller's pace without holding up the endpoint.
+
+Events that the caller doesn't read yet wait in its connection's buffer, which is counted. Beyond
+the stream's bound its run is let go, to be resumed when the caller has read all, or, where that
+may not be, the endpoint isn't read for a while.
+"""
+
+import asyncio
+from collections.abc import Callable
+
+import h11
+
+from plumarch.gateway import (
+    admission,
+    attempts,
+    caller_requests,
+    errors,
+    event_stream,
+    fleet_state,
+    version_outcomes,
+)
+from plumarch.limits import memory_account
+
+PAUSE_LIMIT_MS = 5_000.0
+"""How long an endpoint isn't read for a caller's sake. It cuts the answer off by itself after some
+seconds, and keeps a place for it until then."""
+
+EVENT_BYTES_LIMIT = 1_048_576
+"""The longest event: one that never ends must not be gathered for ever."""
+
+
+class LetGo(errors.ExchangeError):
+    """The run was given up because the caller doesn't read; it may go on later."""
+
+
+class CallerTooSlow(errors.ExchangeError):
+    """The caller read too little for too long, and was ended."""
+
+
+class StreamRelay:
+    """Passes one run's events on."""
+
+    def __init__(
+        self,
+        state: fleet_state.FleetState,
+        admitted: admission.Admitted,
+        progress: attempts.Progress,
+        reply: caller_requests.Reply,
+        patience_ms: Callable[[], float],
+    ) -> None:
+        self.state = state
+        self.admitted = admitted
+        self.progress = progress
+        self.reply = reply
+        self.patience_ms = patience_ms
+
+    async def relay(self, attempt: attempts.Attempt, head: h11.Response) -> None:
+        """Pass on all events, then end the answer as complete.
+
+        Raises:
+          ConnectionBroken: the stream broke off, or is not whole or not in order.
+          AnswerTimeout: nothing came for too long.
+          LetGo: the caller must read before the stream goes on.
+          CallerTooSlow: the caller was ended.
+        """
+        splitter = event_stream.Splitter()
+        holding = memory_account.Holding(
+            attempt.exchange,
+            self.admitted.workspace_name(),
+            memory_account.Purpose.UNREAD_ANSWERS,
+        )
+        try:
+            while True:
+                part = await attempt.exchange.next_within(self.patience_ms())
+                if isinstance(part, h11.EndOfMessage):
+                    break
+                if isinstance(part, h11.Data):
+                    await self._take(attempt, head, splitter, bytes(part.data), holding)
+        finally:
+            self.state.memory.resize(holding, 0)
+        if splitter.rest:
+            raise errors.ConnectionBroken("the stream ended inside an event")
+        self._start(head)
+        self.reply.finish()
+
+    async def _take(
+        self,
+        attempt: attempts.Attempt,
+        head: h11.Response,
+        splitter: event_stream.Splitter,
+        data: bytes,
+        holding: memory_account.Holding,
+    ) -> None:
+        for event in splitter.feed(data):
+            self._check_order(event)
+            if not self.reply.has_room(len(event.raw)):
+                if self._may_be_let_go():
+                    raise LetGo(f"the caller doesn't read on after {self.progress.last_event_id}")
+                self._count(holding, len(data) + attempt.exchange.unparsed)
+                await self._pause(attempt)
+            self._pass_on(attempt, head, event)
+        rest = len(splitter.rest)
+        if rest > EVENT_BYTES_LIMIT:
+            raise errors.ConnectionBroken(f"an event is longer than {EVENT_BYTES_LIMIT} bytes")
+        if rest or holding.size:
+            self._count(holding, rest)
+
+    def _check_order(self, event: event_stream.Event) -> None:
+        last = self.progress.last_event_id
+        if event.id and not event_stream.follows(last, event.id):
+            raise errors.ConnectionBroken(f"event {event.id} came after {last}")
+
+    def _may_be_let_go(self) -> bool:
+        return self.admitted.route.repeatable() and self.progress.last_event_id.isdigit()
+
+    def _count(self, holding: memory_account.Holding, size: int) -> None:
+        """Count what waits here for the caller or for the end of an event."""
+        if not self.state.memory.resize(holding, size):
+            self.reply.cut("no_memory")
+            raise CallerTooSlow(f"no room for {size} bytes of a stream")
+
+    async def _pause(self, attempt: attempts.Attempt) -> None:
+        """Read nothing from the endpoint until the caller has read all."""
+        attempt.exchange.hold_back()
+        try:
+            async with asyncio.timeout(PAUSE_LIMIT_MS / 1000.0):
+                await self.reply.drained()
+        except TimeoutError as error:
+            self.reply.cut("caller_too_slow")
+            raise CallerTooSlow("the endpoint can't be kept waiting") from error
+        finally:
+            attempt.exchange.resume()
+
+    def _pass_on(
+        self, attempt: attempts.Attempt, head: h11.Response, event: event_stream.Event
+    ) -> None:
+        note_first_token(self.state, self.admitted, attempt, self.reply.started)
+        self._start(head)
+        self.reply.chunk(event.raw)
+        self.progress.events += 1
+        if event.id:
+            self.progress.last_event_id = event.id
+
+    def _start(self, head: h11.Response) -> None:
+        if self.reply.started:
+            return
+        if self.progress.first_ms is None:
+            self.progress.first_ms = self.state.clock.now() - self.admitted.request.began_ms
+        headers = attempts.answer_headers(head, self.state.names)
+        self.reply.start(head.status_code, headers)
+
+
+def note_first_token(
+    state: fleet_state.FleetState,
+    admitted: admission.Admitted,
+    attempt: attempts.Attempt,
+    began_before: bool,
+) -> None:
+    """Note that an endpoint answers, once for each attempt.
+
+    Args:
+      began_before: whether the caller's answer was begun by an earlier attempt.
+    """
+    if attempt.saw_first_token:
+        return
+    attempt.saw_first_token = True
+    state.chooser.first_token(attempt.choice)
+    attempt.first_ms = state.clock.now() - attempt.sent_ms
+    on_trial = version_outcomes.is_on_trial(state, attempt.choice.endpoint)
+    if admitted.prompt_tokens and not on_trial:
+        waited_ms = attempt.first_ms
+        waited_ms -= round(attempt.choice.place_wait_ms)
+        speed = state.chooser.speed(admitted.service)
+        others_waited = attempt.choice.waiting_tokens > 0
+        speed.first_token(attempt.choice.tokens_to_read(), waited_ms, others_waited)
+    if not began_before:
+        attempts.count_began(state, admitted)
--- /dev/null
+++ b/plumarch/gateway/whole_answers.py
@@ -0,0 +1,93 @@
+"""Answers that are read whole before a caller gets a byte, within the node's memory."""
+
+import asyncio
+
+import h11
+
+from plumarch.gateway import admission, attempts, dialect, errors, exchange
+from plumarch.limits import memory_account
+
+ANSWER_BYTES_LIMIT = 16 * 1024 * 1024
+ROOM_WAIT_MS = 2_000.0
+"""How long an answer waits for room. An endpoint cuts one off that stays unread for some seconds,
+and what arrived of it is not counted meanwhile."""
+
+HEAD_BYTES = 2_048
+"""Room for the head that goes to the caller with the body."""
+
+
+def new_holding(attempt: attempts.Attempt, admitted: admission.Admitted) -> memory_account.Holding:
+    """Return what counts the bytes of an answer, none yet."""
+    return memory_account.Holding(
+        attempt.exchange,
+        admitted.workspace_name(),
+        memory_account.Purpose.UNREAD_ANSWERS,
+    )
+
+
+async def read(
+    memory: memory_account.MemoryAccount,
+    source: exchange.Exchange,
+    head: h11.Response,
+    holding: memory_account.Holding,
+) -> bytes:
+    """Read the rest of an answer's body.
+
+    A length that is told is reserved at once: answers that take their room bit by bit could all
+    wait for each other.
+
+    Raises:
+      ConnectionBroken: it broke off, or is longer than answers may be.
+      NoMemory: there was no room for it in time.
+    """
+    told = int(dialect.header_value(head.headers, b"content-length") or 0)
+    if told > ANSWER_BYTES_LIMIT:
+        raise errors.ConnectionBroken(f"the answer is longer than {ANSWER_BYTES_LIMIT} bytes")
+    await _hold(memory, source, holding, told + HEAD_BYTES)
+    body = bytearray()
+    while True:
+        event = await source.next()
+        if isinstance(event, h11.EndOfMessage):
+            return bytes(body)
+        if isinstance(event, h11.Data):
+            if len(body) + len(event.data) > ANSWER_BYTES_LIMIT:
+                raise errors.ConnectionBroken(
+                    f"the answer is longer than {ANSWER_BYTES_LIMIT} bytes"
+                )
+            needed = len(body) + len(event.data) + HEAD_BYTES
+            if needed > holding.size:
+                await _hold(memory, source, holding, needed)
+            body += event.data
+
+
+async def _hold(
+    memory: memory_account.MemoryAccount,
+    source: exchange.Exchange,
+    holding: memory_account.Holding,
+    size: int,
+) -> None:
+    """Hold so many bytes, if need be after others have given some back.
+
+    Raises:
+      NoMemory: there was no room in time.
+    """
+    if _try(memory, holding, size):
+        return
+    source.hold_back()
+    try:
+        # What arrived already stays here while the answer waits, so it counts.
+        if not memory.resize(holding, holding.size + source.unparsed):
+            raise errors.NoMemory(f"no room for {source.unparsed} bytes that arrived")
+        async with asyncio.timeout(ROOM_WAIT_MS / 1000.0):
+            while not _try(memory, holding, size):
+                given_back = asyncio.Event()
+                memory.waiting.append(given_back.set)
+                await given_back.wait()
+    except TimeoutError as error:
+        raise errors.NoMemory(f"no room for an answer of {size} bytes") from error
+    finally:
+        source.resume()
+
+
+def _try(memory: memory_account.MemoryAccount, holding: memory_account.Holding, size: int) -> bool:
+    return memory.may_hold_answer(holding, size) and memory.resize(holding, size)
--- a/plumarch/limits/memory_account.py
+++ b/plumarch/limits/memory_account.py
@@ -7,48 +7,165 @@
 
 import dataclasses
 import enum
+from collections.abc import Callable, Hashable
+from typing import TypeVar
 
 BUDGET_SHARE = 0.6
 """Part of the process's limit that is held for requests at most. The rest is the interpreter with
 its code (some 20 MB), tables, logs, and garbage that is not collected yet."""
 
+CONNECTION_SHARE = 1 / 6
+"""Part of the budget that one connection holds at most: a few large answers fit, and one caller
+alone never brings the node near the load at which others are turned away."""
+
+WORKSPACE_SHARE = 1 / 2
+"""Part of the budget that one workspace holds at most; as above, but a node may well serve one
+workspace only."""
+
+ANSWERS_SHARE = 1 / 4
+"""Part of the budget for answers. Unread answers last for as long as callers please; request
+bodies, which arrive before anything ran, get what is left."""
+
+STREAM_PART = 1 / 8
+"""A stream may hold this part of the room for answers that nobody uses: 3.3 MB on a free node with
+a budget of 120 MB, some 60 KB each with 500 slow readers. All streams together never fill it."""
+
 BYTES_PER_MB = 2**20
 
+DEFAULT_LIMIT_MB = 512.0
+"""Memory of a process whose settings don't name any."""
+
+Key = TypeVar("Key", bound=Hashable)
+
 
 class Purpose(enum.Enum):
     """What bytes are held for."""
 
     REQUEST_BODIES = "request_bodies"
+    KEPT_BODIES = "kept_bodies"
     UNREAD_ANSWERS = "unread_answers"
     UNSENT_REQUESTS = "unsent_requests"
 
 
+@dataclasses.dataclass(slots=True)
+class Holding:
+    """What is held for one purpose on one connection.
+
+    Attributes:
+      connection: of a caller or to an endpoint.
+      workspace: "" while it is not known, or for a public route.
+    """
+
+    connection: Hashable
+    workspace: str
+    purpose: Purpose
+    size: int = 0
+
+
 @dataclasses.dataclass(slots=True)
 class MemoryAccount:
-    """Bytes held, by purpose.
+    """Bytes held by purpose, connection and workspace; never more than the budget.
 
     Attributes:
       budget: the most bytes that may be held.
+      given_back: bytes given back since the start.
+      waiting: called once when bytes are given back.
     """
 
     budget: int
     held: dict[Purpose, int] = dataclasses.field(default_factory=lambda: dict.fromkeys(Purpose, 0))
+    by_connection: dict[Hashable, int] = dataclasses.field(default_factory=dict)
+    by_workspace: dict[str, int] = dataclasses.field(default_factory=dict)
+    given_back: int = 0
+    waiting: list[Callable[[], None]] = dataclasses.field(default_factory=list)
 
     def total(self) -> int:
         """Return the bytes held for all purposes."""
         return sum(self.held.values())
 
-    def hold(self, purpose: Purpose, size: int) -> None:
-        """Count bytes as held."""
-        self.held[purpose] += size
-
-    def release(self, purpose: Purpose, size: int) -> None:
-        """Count bytes as given back."""
-        self.held[purpose] = max(0, self.held[purpose] - size)
-
-    def has_room(self, size: int) -> bool:
-        """Return whether so many bytes more may be held."""
-        return self.total() + size <= self.budget
+    def resize(self, holding: Holding, size: int) -> bool:
+        """Change what is held; less is always accepted.
+
+        Args:
+          size: bytes held from now on; 0 ends the holding.
+        Returns:
+          False if so much may not be held: the holding is as it was, and the caller must not keep
+          the bytes.
+        """
+        more = size - holding.size
+        if more > 0 and not self._may_grow(holding, more):
+            return False
+        holding.size = size
+        self.held[holding.purpose] += more
+        _add(self.by_connection, holding.connection, more)
+        _add(self.by_workspace, holding.workspace, more)
+        if more < 0:
+            self.given_back -= more
+            self._wake()
+        return True
+
+    def assign(self, holding: Holding, workspace: str) -> bool:
+        """Say whose the bytes of a holding are, once it is known.
+
+        Returns:
+          False if the workspace may not hold so much: the holding is as it was.
+        """
+        if workspace == holding.workspace:
+            return True
+        if not self._workspace_has_room(workspace, holding.size):
+            return False
+        _add(self.by_workspace, holding.workspace, -holding.size)
+        _add(self.by_workspace, workspace, holding.size)
+        holding.workspace = workspace
+        return True
+
+    def turn(self, holding: Holding, purpose: Purpose) -> None:
+        """Say that bytes are held for another purpose from now on."""
+        self.held[holding.purpose] -= holding.size
+        self.held[purpose] += holding.size
+        holding.purpose = purpose
+
+    def may_hold_answer(self, holding: Holding, size: int) -> bool:
+        """Return whether a whole answer fits into the room for answers.
+
+        One that is larger than this room is let in when it is the only one.
+        """
+        others = self.held[Purpose.UNREAD_ANSWERS] - holding.size
+        return not others or others + size <= ANSWERS_SHARE * self.budget
+
+    def stream_bound(self) -> int:
+        """Return how many unread bytes a stream may hold now.
+
+        It falls with what all answers hold (the dynamic threshold of shared buffers): a stream
+        that is unread alone may hold much, and many such streams share the room equally.
+        """
+        free = ANSWERS_SHARE * self.budget - self.held[Purpose.UNREAD_ANSWERS]
+        return max(0, round(STREAM_PART * free))
+
+    def _may_grow(self, holding: Holding, more: int) -> bool:
+        if self.total() + more > self.budget:
+            return False
+        connection = self.by_connection.get(holding.connection, 0)
+        if connection + more > CONNECTION_SHARE * self.budget:
+            return False
+        return self._workspace_has_room(holding.workspace, more)
+
+    def _workspace_has_room(self, workspace: str, more: int) -> bool:
+        held = self.by_workspace.get(workspace, 0)
+        return not workspace or held + more <= WORKSPACE_SHARE * self.budget
+
+    def _wake(self) -> None:
+        waiting, self.waiting = self.waiting, []
+        for wake in waiting:
+            wake()
+
+
+def _add(sizes: dict[Key, int], key: Key, more: int) -> None:
+    size = sizes.get(key, 0) + more
+    if size:
+        sizes[key] = size
+    else:
+        sizes.pop(key, None)
 
 
 def of_limit(limit_mb: float) -> MemoryAccount:
--- /dev/null
+++ b/plumarch/limits/memory_account_test.py
@@ -0,0 +1,113 @@
+"""Whatever comes, no more is held than may be."""
+
+import random
+
+import hypothesis
+from hypothesis import strategies
+
+from plumarch.limits import memory_account
+from plumarch.limits.memory_account import Holding, Purpose
+
+BUDGET = 120_000
+LIMIT_MB = 200
+
+
+def answers(connection: object, size: int, account: memory_account.MemoryAccount) -> Holding:
+    holding = Holding(connection, "", Purpose.UNREAD_ANSWERS)
+    assert account.resize(holding, size)
+    return holding
+
+
+def test_the_budget_is_a_part_of_the_limit():
+    assert memory_account.of_limit(LIMIT_MB).budget <= 0.6 * LIMIT_MB * 2**20
+
+
+steps = strategies.lists(
+    strategies.tuples(
+        strategies.integers(0, 5),
+        strategies.integers(0, 2),
+        strategies.sampled_from(list(Purpose)),
+        strategies.integers(0, BUDGET),
+        strategies.booleans(),
+    ),
+    max_size=80,
+)
+
+
+@hypothesis.given(steps)
+@hypothesis.settings(derandomize=True, max_examples=300, deadline=None)
+def test_bounds_hold_whatever_readers_sizes_and_ends_come(
+    script: list[tuple[int, int, Purpose, int, bool]],
+):
+    rng = random.Random(len(script))
+    account = memory_account.MemoryAccount(BUDGET)
+    open_ones: dict[tuple[int, int, Purpose], Holding] = {}
+    for connection, space, purpose, size, turns in script:
+        workspace = f"w{space}" if space else ""
+        key = (connection, space, purpose)
+        holding = open_ones.setdefault(key, Holding(connection, workspace, purpose))
+        before = holding.size
+        assert account.resize(holding, size) or holding.size == before < size
+        if turns:
+            account.turn(holding, rng.choice(list(Purpose)))
+            account.assign(holding, rng.choice(["", "w1", "w2"]))
+        check(account, list(open_ones.values()))
+    for holding in open_ones.values():
+        assert account.resize(holding, 0)
+    assert account.total() == 0
+    assert account.by_connection == account.by_workspace == {}
+
+
+def check(account: memory_account.MemoryAccount, holdings: list[Holding]) -> None:
+    total = sum(one.size for one in holdings)
+    assert account.total() == total <= account.budget
+    for purpose in Purpose:
+        assert account.held[purpose] == sum(one.size for one in holdings if one.purpose is purpose)
+    assert all(
+        size <= memory_account.CONNECTION_SHARE * BUDGET for size in account.by_connection.values()
+    )
+    for workspace, size in account.by_workspace.items():
+        assert not workspace or size <= memory_account.WORKSPACE_SHARE * BUDGET
+
+
+def test_streams_alone_never_fill_the_room_for_answers():
+    rng = random.Random(7)
+    account = memory_account.MemoryAccount(BUDGET)
+    streams = [Holding(number, "", Purpose.UNREAD_ANSWERS) for number in range(500)]
+    for _ in range(5_000):
+        stream = rng.choice(streams)
+        wanted = stream.size + rng.randrange(200)
+        if wanted <= account.stream_bound():
+            assert account.resize(stream, wanted)
+        elif rng.random() < 0.1:
+            account.resize(stream, 0)
+        assert account.total() <= memory_account.ANSWERS_SHARE * BUDGET
+
+
+def test_a_stream_may_hold_less_the_more_others_hold():
+    account = memory_account.MemoryAccount(BUDGET)
+    alone = account.stream_bound()
+    answers("a", 10_000, account)
+    beside = account.stream_bound()
+    answers("b", 10_000, account)
+    assert alone > beside > account.stream_bound() > 0
+
+
+def test_a_large_answer_waits_for_others_and_is_let_in_alone():
+    account = memory_account.MemoryAccount(BUDGET)
+    first = answers("a", 15_000, account)
+    second = Holding("b", "", Purpose.UNREAD_ANSWERS)
+    assert not account.may_hold_answer(second, 18_000)
+    woken: list[bool] = []
+    account.waiting.append(lambda: woken.append(account.may_hold_answer(second, 18_000)))
+    account.resize(first, 0)
+    assert woken == [True]
+    assert account.waiting == []
+
+
+def test_bytes_given_back_are_counted_for_the_rate():
+    account = memory_account.MemoryAccount(BUDGET)
+    holding = answers("a", 900, account)
+    account.resize(holding, 400)
+    account.resize(holding, 0)
+    assert account.given_back == 900
--- a/plumarch/standins/gateway_parts.py
+++ b/plumarch/standins/gateway_parts.py
@@ -5,7 +5,7 @@
 from plumarch.core import clock
 from plumarch.fleet import engine_demand, usage, version_tally
 from plumarch.gateway import decision_log, dialect, fleet_state, measures
-from plumarch.limits import attempt_budget, memory_account, workspace_quota
+from plumarch.limits import attempt_budget, memory_account, memory_admission, workspace_quota
 from plumarch.membership import registry
 from plumarch.routing import (
     answer_times,
@@ -52,5 +52,6 @@
         answer_times=answer_times.AnswerTimes(),
         distances=distance.Distances(steady, "a"),
         memory=memory_account.of_limit(MEMORY_MB),
+        pressure=memory_admission.MemoryAdmission(steady),
         limits=endpoint_limits.EndpointLimits(steady),
     )
