Slow callers and slow requests have tests; a workspace leaves room for others' answers

Cause: one workspace's unread answers could fill the whole room for answers, and then a short whole answer of another one waited for it in vain and failed.

Change: a workspace has three quarters of that room at most, and a whole answer of up to 64 KB is bounded by the budget only. Tests for what becomes of slow callers, slow bodies and endpoints that do not read.

Ruled out: no bound for whole answers at all (large ones then wait for each other).

--- /dev/null
+++ b/plumarch/gateway/slow_requests_test.py
@@ -0,0 +1,288 @@
+"""Requests that arrive slowly or without end, and endpoints that don't read them."""
+
+import asyncio
+import dataclasses
+import socket
+
+import pytest
+
+from plumarch.core import traffic
+from plumarch.gateway import errors, exchange, incoming_body, relay_test
+from plumarch.limits import memory_account
+from plumarch.standins import scripted_endpoint as scripted
+
+LIMITS = traffic.CallerLimits(body_bytes=5_000, idle_timeout_ms=100.0)
+
+
+def head(*lines: str) -> bytes:
+    first = ["POST /unsafe/ HTTP/1.1", "Host: h.example", "Authorization: Bearer key", *lines]
+    return ("\r\n".join(first) + "\r\n\r\n").encode()
+
+
+async def said(gateway: relay_test.Gateway, *parts: bytes) -> relay_test.Answer:
+    """Return what a caller is told that sends some bytes and keeps its connection open."""
+    reader, writer = await gateway.connect()
+    for part in parts:
+        writer.write(part)
+        await writer.drain()
+    found = await relay_test.read_answer(reader)
+    writer.close()
+    return found
+
+
+def nothing_held(gateway: relay_test.Gateway) -> bool:
+    return gateway.state.memory.total() == 0
+
+
+async def until_nothing_held(gateway: relay_test.Gateway) -> None:
+    while not nothing_held(gateway):
+        await asyncio.sleep(0.001)
+
+
+# Bodies that arrive slowly.
+
+
+def new_body(budget: int = 120_000) -> incoming_body.IncomingBody:
+    body = incoming_body.IncomingBody(memory_account.MemoryAccount(budget), "c")
+    body.begin(LIMITS, 1_000, 1_500.0)
+    return body
+
+
+def test_a_body_by_the_byte_is_taken_until_the_requests_time_is_over():
+    body = new_body()
+    for now in range(1_000, 1_500, 90):
+        body.heard(now)
+        assert body.take(b"x") == 0
+        assert not body.too_slow(now + 89) or now + 89 >= 1_500
+    assert not body.too_slow(1_499)
+    assert body.too_slow(1_500)
+
+
+def test_a_body_that_stops_is_too_slow_after_the_idle_time():
+    body = new_body()
+    body.heard(1_010)
+    assert body.next_look_ms(1_010) == 100
+    assert not body.too_slow(1_109)
+    assert body.too_slow(1_110)
+
+
+def test_bytes_of_a_body_are_counted_until_its_request_is_answered():
+    body = new_body()
+    assert body.take(b"x" * 5_000) == 0
+    assert body.take(b"x") == incoming_body.TOO_LARGE
+    assert body.whole() == b"x" * 5_000
+    held = body.memory.held
+    assert held[memory_account.Purpose.KEPT_BODIES] == 5_000
+    body.end()
+    assert body.memory.total() == 0
+    assert body.memory.by_connection == {}
+
+
+def test_a_body_for_which_there_is_no_room_is_refused():
+    assert new_body(budget=60).take(b"x" * 11) == incoming_body.NO_ROOM
+
+
+@pytest.mark.parametrize(
+    ("sent", "status"),
+    [
+        ([head("Content-Length: 50"), b"half"], 408),
+        ([head("Content-Length: 50", "X-Deadline-Ms: 5"), b"half"], 408),
+        ([head("Content-Length: 5001")], 413),
+        ([head("Transfer-Encoding: chunked"), scripted.chunk(b"x" * 3_000), b"bb9\r\n"], 408),
+        ([head("Transfer-Encoding: chunked"), *[scripted.chunk(b"x" * 1_000)] * 6], 413),
+    ],
+    ids=["stops", "late", "declared", "chunk stops", "never ends"],
+)
+def test_a_body_that_does_not_come_whole_is_refused_and_nothing_is_sent_on(
+    sent: list[bytes], status: int
+):
+    async def test() -> None:
+        async with relay_test.Gateway(relay_test.answers()) as gateway:
+            gateway.callers.limits = LIMITS
+            found = await said(gateway, *sent)
+            assert (found.status, gateway.sends()) == (status, 0)
+            await until_nothing_held(gateway)
+
+    relay_test.play(test)
+
+
+def test_without_room_for_a_body_the_answer_says_when_to_come_back():
+    async def test() -> None:
+        async with relay_test.Gateway(relay_test.answers()) as gateway:
+            gateway.state.memory.budget = 6_000
+            found = await said(gateway, head("Content-Length: 4000"), b"x" * 4_000)
+            assert (found.status, gateway.sends()) == (503, 0)
+            assert float(found.headers["retry-after"]) > 0
+            await until_nothing_held(gateway)
+
+    relay_test.play(test)
+
+
+def test_requests_in_a_row_on_one_connection_are_all_answered():
+    async def test() -> None:
+        async with relay_test.Gateway(relay_test.answers(body=b"one")) as gateway:
+            reader, writer = await gateway.connect()
+            request = relay_test.request_bytes("/safe/", body=b"a body")
+            writer.write(request * 3 + request[:30])
+            for _ in range(3):
+                assert (await relay_test.read_answer(reader)).body == b"one"
+            writer.write(request[30:])
+            assert (await relay_test.read_answer(reader)).body == b"one"
+            assert [one.body for one in gateway.endpoints[0].received] == [b"a body"] * 4
+            writer.close()
+            await until_nothing_held(gateway)
+
+    relay_test.play(test)
+
+
+# Near the budget.
+
+
+def test_near_the_budget_the_least_urgent_are_refused_first_and_nothing_is_sent():
+    async def test() -> None:
+        async with relay_test.Gateway(relay_test.answers()) as gateway:
+            memory = gateway.state.memory
+            holdings = [
+                memory_account.Holding(number, "", memory_account.Purpose.KEPT_BODIES)
+                for number in range(10)
+            ]
+            for holding in holdings:
+                assert memory.resize(holding, round(memory.budget * 0.08))
+            table = gateway.state.table
+            assert table is not None
+            routes = {one.name: one for one in table.configuration.routes}
+            later = dataclasses.replace(routes["safe"], name="l", path_prefix="/later/", priority=2)
+            space = dataclasses.replace(table.workspaces["w"], priority=2)
+            configuration = dataclasses.replace(
+                table.configuration,
+                version=2,
+                routes=(routes["open"], routes["safe"], later),
+                workspaces=(space,),
+            )
+            gateway.state.adopt_table(relay_test.routing_table.build(configuration), "store")
+            assert (await gateway.ask("/open/")).status == 200
+            found = await gateway.ask("/later/")
+            assert (found.status, gateway.sends()) == (503, 1)
+            assert float(found.headers["retry-after"]) > 0
+            assert memory.resize(holdings[0], round(memory.budget * 0.16))
+            assert memory.resize(holdings[1], round(memory.budget * 0.16))
+            assert (await gateway.ask("/open/")).status == 503
+            for holding in holdings:
+                memory.resize(holding, 0)
+            assert (await gateway.ask("/later/")).status == 200
+
+    relay_test.play(test)
+
+
+def test_a_workspace_that_holds_too_much_is_refused_and_not_charged():
+    async def test() -> None:
+        async with relay_test.Gateway(relay_test.answers()) as gateway:
+            memory = gateway.state.memory
+            holdings = [
+                memory_account.Holding(number, "w", memory_account.Purpose.UNREAD_ANSWERS)
+                for number in range(4)
+            ]
+            for holding in holdings:
+                assert memory.resize(holding, memory.budget // 8)
+            found = await gateway.ask("/safe/", body=b"a body")
+            assert (found.status, gateway.sends()) == (503, 0)
+            assert (await gateway.ask("/open/", key="", body=b"a body")).status == 200
+
+    relay_test.play(test)
+
+
+# Endpoints that don't read.
+
+
+def deaf_endpoint() -> socket.socket:
+    """Listen, but never read."""
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
+    sock.bind(("127.0.0.1", 0))
+    sock.listen()
+    return sock
+
+
+def test_a_request_that_an_endpoint_reads_in_part_is_given_up_as_unknown(
+    monkeypatch: pytest.MonkeyPatch,
+):
+    monkeypatch.setattr(exchange, "REQUEST_STALL_MS", 50.0)
+
+    async def test() -> None:
+        deaf = deaf_endpoint()
+        async with relay_test.Gateway(relay_test.answers()) as gateway:
+            endpoints = gateway.state.registry.endpoints
+            address = f"127.0.0.1:{deaf.getsockname()[1]}"
+            endpoints["e0"] = dataclasses.replace(endpoints["e0"], address=address)
+            gateway.callers.limits = traffic.CallerLimits()
+            body = b"x" * traffic.CallerLimits().body_bytes
+            found = await gateway.ask("/unsafe/", body=body)
+            assert (found.status, "retry-after" in found.headers) == (502, False)
+            await until_nothing_held(gateway)
+        deaf.close()
+
+    relay_test.play(test)
+
+
+class FullTransport(asyncio.Transport):
+    """A transport whose socket accepts no byte."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.waiting = 0
+        self.aborted = False
+
+    def set_write_buffer_limits(self, high: int | None = None, low: int | None = None) -> None:
+        return
+
+    def get_write_buffer_size(self) -> int:
+        return self.waiting
+
+    def write(self, data: bytes | bytearray | memoryview) -> None:
+        self.waiting += len(data)
+
+    def is_closing(self) -> bool:
+        return self.aborted
+
+    def resume_reading(self) -> None:
+        return
+
+    def abort(self) -> None:
+        self.aborted = True
+
+
+@pytest.mark.parametrize(
+    ("accepted", "expected"), [(0, errors.NotHandedOver), (1, errors.ConnectionBroken)]
+)
+def test_only_a_request_of_which_no_byte_was_accepted_has_not_run(
+    accepted: int, expected: type[Exception], monkeypatch: pytest.MonkeyPatch
+):
+    monkeypatch.setattr(exchange, "REQUEST_STALL_MS", 5.0)
+
+    async def test() -> None:
+        opened = exchange.Exchange()
+        transport = FullTransport()
+        opened.connection_made(transport)
+        memory = memory_account.MemoryAccount(120_000)
+        opened.send(b"POST", b"/", [(b"host", b"h"), (b"content-length", b"1")], b"x", memory)
+        transport.waiting -= accepted
+        with pytest.raises(expected):
+            await opened.next()
+        assert transport.aborted
+        opened.connection_lost(None)
+        assert memory.total() == 0
+
+    relay_test.play(test)
+
+
+def test_a_request_for_which_there_is_no_room_is_not_sent():
+    async def test() -> None:
+        opened = exchange.Exchange()
+        transport = FullTransport()
+        opened.connection_made(transport)
+        headers = [(b"host", b"h"), (b"content-length", b"100")]
+        with pytest.raises(errors.ConnectFailed):
+            opened.send(b"POST", b"/", headers, b"x" * 100, memory_account.MemoryAccount(120), "w")
+        assert transport.waiting == 0
+
+    relay_test.play(test)
--- a/plumarch/limits/memory_account.py
+++ b/plumarch/limits/memory_account.py
@@ -26,6 +26,14 @@
 """Part of the budget for answers. Unread answers last for as long as callers please; request
 bodies, which arrive before anything ran, get what is left."""
 
+ANSWERS_WORKSPACE_SHARE = 3 / 4
+"""Part of the room for answers that one workspace holds at most, so that its slow readers leave
+some to others."""
+
+SMALL_ANSWER_BYTES = 65_536
+"""A whole answer up to this length doesn't wait for room among answers, only the budget bounds it:
+most callers read theirs at once, and slow readers of large ones must not hold them up."""
+
 STREAM_PART = 1 / 8
 """A stream may hold this part of the room for answers that nobody uses: 3.3 MB on a free node with
 a budget of 120 MB, some 60 KB each with 500 slow readers. All streams together never fill it."""
@@ -76,6 +84,7 @@
     held: dict[Purpose, int] = dataclasses.field(default_factory=lambda: dict.fromkeys(Purpose, 0))
     by_connection: dict[Hashable, int] = dataclasses.field(default_factory=dict)
     by_workspace: dict[str, int] = dataclasses.field(default_factory=dict)
+    answers_by_workspace: dict[str, int] = dataclasses.field(default_factory=dict)
     given_back: int = 0
     waiting: list[Callable[[], None]] = dataclasses.field(default_factory=list)
 
@@ -95,10 +104,8 @@
         more = size - holding.size
         if more > 0 and not self._may_grow(holding, more):
             return False
+        self._add_up(holding, more)
         holding.size = size
-        self.held[holding.purpose] += more
-        _add(self.by_connection, holding.connection, more)
-        _add(self.by_workspace, holding.workspace, more)
         if more < 0:
             self.given_back -= more
             self._wake()
@@ -114,16 +121,16 @@
             return True
         if not self._workspace_has_room(workspace, holding.size):
             return False
-        _add(self.by_workspace, holding.workspace, -holding.size)
-        _add(self.by_workspace, workspace, holding.size)
+        self._add_up(holding, -holding.size)
         holding.workspace = workspace
+        self._add_up(holding, holding.size)
         return True
 
     def turn(self, holding: Holding, purpose: Purpose) -> None:
         """Say that bytes are held for another purpose from now on."""
-        self.held[holding.purpose] -= holding.size
-        self.held[purpose] += holding.size
+        self._add_up(holding, -holding.size)
         holding.purpose = purpose
+        self._add_up(holding, holding.size)
 
     def may_hold_answer(self, holding: Holding, size: int) -> bool:
         """Return whether a whole answer fits into the room for answers.
@@ -131,16 +138,33 @@
         One that is larger than this room is let in when it is the only one.
         """
         others = self.held[Purpose.UNREAD_ANSWERS] - holding.size
-        return not others or others + size <= ANSWERS_SHARE * self.budget
+        if not others or size <= SMALL_ANSWER_BYTES:
+            return True
+        return size - holding.size <= self._answers_room(holding.workspace)
 
-    def stream_bound(self) -> int:
+    def stream_bound(self, workspace: str) -> int:
         """Return how many unread bytes a stream may hold now.
 
         It falls with what all answers hold (the dynamic threshold of shared buffers): a stream
         that is unread alone may hold much, and many such streams share the room equally.
         """
-        free = ANSWERS_SHARE * self.budget - self.held[Purpose.UNREAD_ANSWERS]
-        return max(0, round(STREAM_PART * free))
+        return max(0, round(STREAM_PART * self._answers_room(workspace)))
+
+    def _answers_room(self, workspace: str) -> float:
+        """Return the room that answers of a workspace still have."""
+        room = ANSWERS_SHARE * self.budget
+        free = room - self.held[Purpose.UNREAD_ANSWERS]
+        if not workspace:
+            return free
+        held = self.answers_by_workspace.get(workspace, 0)
+        return min(free, ANSWERS_WORKSPACE_SHARE * room - held)
+
+    def _add_up(self, holding: Holding, more: int) -> None:
+        self.held[holding.purpose] += more
+        _add(self.by_connection, holding.connection, more)
+        _add(self.by_workspace, holding.workspace, more)
+        if holding.purpose is Purpose.UNREAD_ANSWERS:
+            _add(self.answers_by_workspace, holding.workspace, more)
 
     def _may_grow(self, holding: Holding, more: int) -> bool:
         if self.total() + more > self.budget:
