--- a/plumarch/daemon/gateway.py
+++ b/plumarch/daemon/gateway.py
@@ -104,7 +104,7 @@
         )
         self.callers = relay.new_server(self.state)
         pages = status_pages.StatusPages(self.state, self.ready)
-        self.pages = caller_connection.CallerServer(self.clock, pages)
+        self.pages = caller_connection.CallerServer(self.clock, pages, memory=self.state.memory)
         self.stopping = False
         self.tasks: list[asyncio.Task[None]] = []
         self.listeners: list[asyncio.Server] = []
--- a/plumarch/gateway/caller_connection.py
+++ b/plumarch/gateway/caller_connection.py
@@ -305,8 +305,9 @@
     def has_room(self, size: int) -> bool:
         """Return whether the caller has read all, or little enough for so many bytes more."""
         unread = self.output.unread() if self.output is not None else 0
-        bound = self.server.memory.stream_bound(self.unread.workspace)
-        return not unread or unread + size <= bound
+        if not unread:
+            return True
+        return unread + size <= self.server.memory.stream_bound(self.unread.workspace)
 
     async def drained(self) -> None:
         """Wait until the caller has read all that it was sent."""
--- a/plumarch/gateway/exchange.py
+++ b/plumarch/gateway/exchange.py
@@ -155,11 +155,17 @@
         holding = memory_account.Holding(self, workspace, purpose)
         if not memory.resize(holding, len(request)):
             raise errors.ConnectFailed("The request can't be held. Ask another node.")
-        outgoing.keep_little_in_kernel(self.transport)
+        if len(request) > outgoing.KERNEL_UNSENT_BYTES:
+            outgoing.keep_little_in_kernel(self.transport)
+        self.transport.write(request)
+        if not self.transport.get_write_buffer_size():
+            memory.resize(holding, 0)
+            return
         self.outgoing = outgoing.Outgoing(
             self.transport, memory, holding, REQUEST_STALL_MS, self._not_read
         )
-        self.outgoing.write(request)
+        self.outgoing.written = len(request)
+        self.outgoing.count()
 
     def _not_read(self) -> None:
         """Give up an endpoint that doesn't read its request."""
--- a/plumarch/limits/memory_account.py
+++ b/plumarch/limits/memory_account.py
@@ -102,6 +102,8 @@
           the bytes.
         """
         more = size - holding.size
+        if not more:
+            return True
         if more > 0 and not self._may_grow(holding, more):
             return False
         self._add_up(holding, more)
@@ -117,7 +119,8 @@
         Returns:
           False if the workspace may not hold so much: the holding is as it was.
         """
-        if workspace == holding.workspace:
+        if not holding.size or workspace == holding.workspace:
+            holding.workspace = workspace
             return True
         if not self._workspace_has_room(workspace, holding.size):
             return False
@@ -128,9 +131,10 @@
 
     def turn(self, holding: Holding, purpose: Purpose) -> None:
         """Say that bytes are held for another purpose from now on."""
-        self._add_up(holding, -holding.size)
+        if holding.size:
+            self._add_up(holding, -holding.size)
+            self._add_up(dataclasses.replace(holding, purpose=purpose), holding.size)
         holding.purpose = purpose
-        self._add_up(holding, holding.size)
 
     def may_hold_answer(self, holding: Holding, size: int) -> bool:
         """Return whether a whole answer fits into the room for answers.
