A body that is not sent again is given back when its stream begins

Cause: the prompt of a stream that may run once was kept until the stream's end. Also an answer to HEAD told a length that would have been reserved, and a stop ended connections on which a ready answer was still being read.

Change: forget_body() at the stream's first byte; connections with unread answers count as busy. A test with callers of all kinds at random checks that all that is held is given back.

--- a/plumarch/gateway/admission.py
+++ b/plumarch/gateway/admission.py
@@ -1,6 +1,7 @@
 """Whether a request is taken on: route, key, allotment."""
 
 import dataclasses
+import math
 from collections.abc import Sequence
 
 from plumarch.config import routing_table
@@ -176,9 +177,10 @@
 def time_asked_ms(names: dialect.Dialect, headers: caller_requests.Headers) -> float:
     """Return how long a request may take by its own word, or the default."""
     try:
-        return float(dialect.header_value(headers, names.deadline_ms))
+        asked = float(dialect.header_value(headers, names.deadline_ms))
     except ValueError:
         return DEFAULT_DEADLINE_MS
+    return asked if math.isfinite(asked) else DEFAULT_DEADLINE_MS
 
 
 def _time_allowed(
--- a/plumarch/gateway/caller_connection.py
+++ b/plumarch/gateway/caller_connection.py
@@ -63,8 +63,8 @@
         return CallerConnection(self)
 
     def busy(self) -> int:
-        """Return how many connections have a request in progress."""
-        return sum(1 for connection in self.connections if connection.task is not None)
+        """Return how many connections have a request in progress, or a ready answer to read."""
+        return sum(1 for one in self.connections if one.task is not None or one.unread.size)
 
     def close_idle(self) -> None:
         """End the connections on which no request has begun."""
@@ -87,6 +87,7 @@
         self.task: asyncio.Task[None] | None = None
         self.timer: asyncio.TimerHandle | None = None
         self.head: h11.Request | None = None
+        self.request: caller_requests.CallerRequest | None = None
         self.body = incoming_body.IncomingBody(server.memory, self)
         self.ahead = memory_account.Holding(self, "", memory_account.Purpose.REQUEST_BODIES)
         self.output: outgoing.Outgoing | None = None
@@ -250,13 +251,14 @@
             self.began_ms,
         )
         self._stop_timer()
+        self.request = request
         self.task = asyncio.get_running_loop().create_task(self._run(request))
 
     async def _run(self, request: caller_requests.CallerRequest) -> None:
         with contextlib.suppress(asyncio.CancelledError):
             await self.server.handler.handle(request, self)
         self.task = None
-        self.body.end()
+        self.forget_body()
         self._next_request()
 
     def _next_request(self) -> None:
@@ -289,7 +291,9 @@
         named = list(headers)
         if self.server.draining:
             named.append((b"connection", b"close"))
-        response = h11.Response(status_code=status, headers=named, reason=_reason(status))
+        response = h11.Response(
+            status_code=status, headers=named, reason=caller_requests.reason(status)
+        )
         with contextlib.suppress(h11.LocalProtocolError):
             self._write(self.http.send(response))
 
@@ -298,6 +302,12 @@
         memory = self.server.memory
         return memory.assign(self.unread, workspace) and memory.assign(self.body.holding, workspace)
 
+    def forget_body(self) -> None:
+        """Give back the request's body, which is not sent again."""
+        if self.request is not None:
+            self.request.body = b""
+        self.body.end()
+
     def chunk(self, data: bytes) -> None:
         """Send a part of the body."""
         self._write(self.http.send(h11.Data(data=data)))
@@ -375,25 +385,6 @@
             self.timer = None
 
 
-REASONS = {
-    200: b"OK",
-    400: b"Bad Request",
-    401: b"Unauthorized",
-    404: b"Not Found",
-    408: b"Request Timeout",
-    413: b"Content Too Large",
-    429: b"Too Many Requests",
-    431: b"Request Header Fields Too Large",
-    502: b"Bad Gateway",
-    503: b"Service Unavailable",
-    504: b"Gateway Timeout",
-}
-
-
 def _declared_size(head: h11.Request) -> int:
     """Return the length that a request's body is said to have; h11 lets only numbers through."""
     return int(dialect.header_value(head.headers, b"content-length") or 0)
-
-
-def _reason(status: int) -> bytes:
-    return REASONS.get(status, b"")
--- a/plumarch/gateway/caller_requests.py
+++ b/plumarch/gateway/caller_requests.py
@@ -9,11 +9,27 @@
 Headers = Sequence[tuple[bytes, bytes]]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+REASONS = {
+    200: b"OK",
+    400: b"Bad Request",
+    401: b"Unauthorized",
+    404: b"Not Found",
+    408: b"Request Timeout",
+    413: b"Content Too Large",
+    429: b"Too Many Requests",
+    431: b"Request Header Fields Too Large",
+    502: b"Bad Gateway",
+    503: b"Service Unavailable",
+    504: b"Gateway Timeout",
+}
+
+
+@dataclasses.dataclass(slots=True)
 class CallerRequest:
     """A request read whole.
 
     Attributes:
+      body: emptied once it is certain that it isn't sent again.
       headers: names in lower case.
       began_ms: when its first byte arrived.
     """
@@ -51,6 +67,10 @@
         """Begin an answer whose length is not known."""
         ...
 
+    def forget_body(self) -> None:
+        """Give back the request's body, which is not sent again."""
+        ...
+
     def chunk(self, data: bytes) -> None:
         """Send a part of its body."""
         ...
@@ -82,3 +102,8 @@
     async def handle(self, request: CallerRequest, reply: Reply) -> None:
         """Answer one request; cancelled if the caller leaves."""
         ...
+
+
+def reason(status: int) -> bytes:
+    """Return the words beside a status, or b"" for one that the gateway gives none."""
+    return REASONS.get(status, b"")
--- /dev/null
+++ b/plumarch/gateway/mixed_readers_test.py
@@ -0,0 +1,98 @@
+"""Callers of all kinds at once, at random: what is held is bounded, and all of it is given back."""
+
+import asyncio
+import random
+
+import pytest
+
+from plumarch.gateway import relay_test, slow_callers_test
+from plumarch.standins import scripted_endpoint as scripted
+
+CALLERS = 40
+WHOLE = b"w" * 150_000
+PATHS = ("/chat/", "/diff/", "/safe/", "/unsafe/")
+KINDS = ("fast", "slow", "late", "leaves", "never")
+
+
+class Crowd:
+    """Callers that read fast, slowly, late, in part, or not at all."""
+
+    def __init__(self, gateway: relay_test.Gateway, seed: int) -> None:
+        self.gateway = gateway
+        self.rng = random.Random(seed)
+        self.most_held = 0
+
+    async def answer(self, request: scripted.ReceivedRequest, writer: asyncio.StreamWriter) -> None:
+        self.look()
+        if "/safe/" in request.line or "/unsafe/" in request.line:
+            writer.write(scripted.answer(request, body=WHOLE))
+        else:
+            await slow_callers_test.Flood().answer(request, writer)
+        self.look()
+
+    def look(self) -> None:
+        """Note what is held, whose parts must add up to it."""
+        memory = self.gateway.state.memory
+        self.most_held = max(self.most_held, memory.total())
+        assert sum(memory.by_connection.values()) == memory.total()
+
+    async def call(self, kind: str, path: str) -> None:
+        """Call once; an answer that is whole must be the right one."""
+        sock = await slow_callers_test.silent_caller(self.gateway, path)
+        if kind == "never":
+            await asyncio.sleep(0.01 * self.rng.random())
+            sock.close()
+            return
+        limit = 2**20 if kind == "fast" else 2**10
+        reader, writer = await asyncio.open_connection(sock=sock, limit=limit)
+        body = b""
+        try:
+            while True:
+                if kind == "late":
+                    await asyncio.sleep(0.002)
+                part = await reader.read(2**16 if kind == "fast" else self.rng.randrange(1, 9_000))
+                body += part
+                if not part or body.endswith(b"0\r\n\r\n") or body.count(b"w") == len(WHOLE):
+                    break
+                if kind == "leaves" and self.rng.random() < 0.1:
+                    break
+        except ConnectionError:
+            return
+        finally:
+            writer.close()
+        if body.endswith(b"\r\n0\r\n\r\n"):
+            whole = [scripted.chunk(slow_callers_test.padded(n)) for n in EVENT_NUMBERS]
+            assert body.partition(b"\r\n\r\n")[2] == b"".join(whole) + scripted.chunk(b"")
+
+
+EVENT_NUMBERS = range(1, slow_callers_test.EVENTS + 1)
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_what_is_held_for_a_mixed_crowd_is_bounded_and_given_back(seed: int):
+    async def test() -> None:
+        crowds: list[Crowd] = []
+
+        async def answer(request: scripted.ReceivedRequest, writer: asyncio.StreamWriter) -> None:
+            await crowds[0].answer(request, writer)
+
+        async with relay_test.Gateway(answer, answer) as gateway:
+            crowd = Crowd(gateway, seed)
+            crowds.append(crowd)
+            memory = gateway.state.memory
+            memory.budget = 4 * 2**20
+            slow_callers_test.small_socket_buffers(gateway)
+            slow_callers_test.widen(gateway)
+            rng = random.Random(seed)
+            calls = [crowd.call(rng.choice(KINDS), rng.choice(PATHS)) for _ in range(CALLERS)]
+            await asyncio.gather(*calls)
+            await slow_callers_test.until(lambda: slow_callers_test.all_given_back(gateway))
+            assert 0 < crowd.most_held <= memory.budget
+            assert memory.by_workspace == memory.answers_by_workspace == {}
+            assert not logged_fault(gateway)
+
+    relay_test.play(test)
+
+
+def logged_fault(gateway: relay_test.Gateway) -> bool:
+    return slow_callers_test.logged(gateway, b'"kind":"fault"')
--- a/plumarch/gateway/request_run.py
+++ b/plumarch/gateway/request_run.py
@@ -254,7 +254,10 @@
         """Relay an answer that is read whole first, so that a broken one is never begun."""
         holding = whole_answers.new_holding(attempt, self.admitted)
         try:
-            body = await whole_answers.read(self.state.memory, attempt.exchange, head, holding)
+            method = self.admitted.request.method
+            body = await whole_answers.read(
+                self.state.memory, attempt.exchange, head, holding, method
+            )
             stream_relay.note_first_token(self.state, self.admitted, attempt, self.reply.started)
             if head.status_code >= SERVER_ERRORS and self._worth_repeating():
                 self.failed_answer = WholeAnswer(head, body)
--- a/plumarch/gateway/slow_callers_test.py
+++ b/plumarch/gateway/slow_callers_test.py
@@ -352,3 +352,14 @@
                 one.sock.close()
 
     relay_test.play(test)
+
+
+def test_an_answer_to_head_reserves_nothing_for_the_length_that_it_tells():
+    async def test() -> None:
+        async with relay_test.Gateway(relay_test.answers(body=b"", length=10**9)) as gateway:
+            reader, writer = await gateway.connect()
+            writer.write(relay_test.request_bytes("/safe/").replace(b"GET", b"HEAD"))
+            assert (await reader.readuntil(b"\r\n\r\n")).startswith(b"HTTP/1.1 200 ")
+            writer.close()
+
+    relay_test.play(test)
--- a/plumarch/gateway/stream_relay.py
+++ b/plumarch/gateway/stream_relay.py
@@ -148,6 +148,8 @@
             self.progress.first_ms = self.state.clock.now() - self.admitted.request.began_ms
         headers = attempts.answer_headers(head, self.state.names)
         self.reply.start(head.status_code, headers)
+        if not self.admitted.route.repeatable():
+            self.reply.forget_body()
 
 
 def note_first_token(
--- a/plumarch/gateway/whole_answers.py
+++ b/plumarch/gateway/whole_answers.py
@@ -30,17 +30,20 @@
     source: exchange.Exchange,
     head: h11.Response,
     holding: memory_account.Holding,
+    method: bytes = b"GET",
 ) -> bytes:
     """Read the rest of an answer's body.
 
     A length that is told is reserved at once: answers that take their room bit by bit could all
-    wait for each other.
+    wait for each other. An answer to HEAD tells a length without having a body.
 
     Raises:
       ConnectionBroken: it broke off, or is longer than answers may be.
       NoMemory: there was no room for it in time.
     """
     told = int(dialect.header_value(head.headers, b"content-length") or 0)
+    if method == b"HEAD":
+        told = 0
     if told > ANSWER_BYTES_LIMIT:
         raise errors.ConnectionBroken(f"the answer is longer than {ANSWER_BYTES_LIMIT} bytes")
     await _hold(memory, source, holding, told + HEAD_BYTES)
