--- a/plumarch/daemon/gateway.py
+++ b/plumarch/daemon/gateway.py
@@ -26,7 +26,7 @@
     registration,
     relay,
 )
-from plumarch.limits import attempt_budget, memory_account, workspace_quota
+from plumarch.limits import attempt_budget, memory_account, memory_admission, workspace_quota
 from plumarch.membership import fleet_view, registry
 from plumarch.routing import (
     answer_times,
@@ -102,9 +102,9 @@
             rollout.Exposure(settings.rollouts.exposure_share, settings.rollouts.exposure_slack),
             self.gossiper.beat_soon,
         )
-        self.callers = caller_connection.CallerServer(self.clock, relay.Relay(self.state))
+        self.callers = relay.new_server(self.state)
         pages = status_pages.StatusPages(self.state, self.ready)
-        self.pages = caller_connection.CallerServer(self.clock, pages)
+        self.pages = caller_connection.CallerServer(self.clock, pages, memory=self.state.memory)
         self.stopping = False
         self.tasks: list[asyncio.Task[None]] = []
         self.listeners: list[asyncio.Server] = []
@@ -146,6 +146,7 @@
             answer_times=answer_times.AnswerTimes(),
             distances=distances,
             memory=memory_account.of_limit(settings.memory.limit_mb),
+            pressure=memory_admission.MemoryAdmission(now),
             limits=endpoint_limits.EndpointLimits(now),
         )
 
--- a/plumarch/gateway/attempts.py
+++ b/plumarch/gateway/attempts.py
@@ -40,14 +40,24 @@
       tried: endpoints that it was sent to or that could not be reached.
       sends: how many endpoints bytes were sent to.
       unresolved: sends of which it is not known that the request did not run.
+      let_go: sends that were ended because the caller did not read; they count as no attempts.
       last_event_id: of the last event that the caller got, in this answer or by its own word.
+      first_ms: when the first byte of the answer was ready, from the request's arrival; or None.
+      events: passed on to the caller.
     """
 
     tried: set[str] = dataclasses.field(default_factory=set)
     sends: int = 0
     unresolved: int = 0
+    let_go: int = 0
     last_fault: str = ""
     last_event_id: str = ""
+    first_ms: int | None = None
+    events: int = 0
+
+    def attempts(self) -> int:
+        """Return the sends that count against the most that a route allows."""
+        return self.sends - self.let_go
 
 
 @dataclasses.dataclass(slots=True)
@@ -70,10 +80,14 @@
 
 
 class NotRun(errors.ExchangeError):
-    """The endpoint said that it did not run the request."""
+    """An endpoint did not run the request: it said so, or got no byte of it.
+
+    Attributes:
+      status: what it said, or None if it got nothing.
+    """
 
-    def __init__(self, status: int) -> None:
-        super().__init__(f"endpoint answered {status}, not run")
+    def __init__(self, why: str, status: int | None = None) -> None:
+        super().__init__(why)
         self.status = status
 
 
@@ -124,7 +138,7 @@
 ) -> endpoint_choice.Choice | None:
     if not candidates:
         return None
-    candidates = endpoint_outcomes.preferred(state, candidates, repeated)
+    candidates = endpoint_outcomes.preferred(state, candidates, terms.repeated)
     seed = state.rng.randrange(1 << 30)
     if admitted.prompt_tokens:
         return state.chooser.choose_engine(
@@ -220,7 +234,14 @@
     headers = _headers(state, admitted, progress, endpoint)
     request = admitted.request
     try:
-        opened.send(request.method, request.target, headers, request.body)
+        opened.send(
+            request.method,
+            request.target,
+            headers,
+            request.body,
+            state.memory,
+            admitted.workspace_name(),
+        )
     except errors.ConnectFailed:
         opened.close()
         raise
@@ -249,7 +270,6 @@
 
 def _connect_timeout_ms(state: fleet_state.FleetState, endpoint: traffic.Endpoint) -> float:
     """Return how long a connection may take to come up; longer to another region."""
-    given = endpoint_outcomes.given(state, admitted, choice)
     beyond_ms = state.distances.beyond_region_ms(endpoint.data_centre)
     return CONNECT_TIMEOUT_MS + CONNECT_ROUND_TRIPS * beyond_ms
 
@@ -335,13 +355,17 @@
       ConnectionBroken: the answer broke off, is another request's, or can't be trusted.
       AnswerTimeout: nothing came.
     """
-    head = await attempt.exchange.next_within(wait_ms)
+    try:
+        head = await attempt.exchange.next_within(wait_ms)
+    except errors.NotHandedOver as error:
+        state.health.failure(attempt.choice.endpoint.id)
+        raise NotRun(str(error)) from error
     if not isinstance(head, h11.Response):
         raise errors.ConnectionBroken("the answer has no head")
     names = state.names
     if head.status_code in PROMISED_NOT_RUN:
         if head.status_code == NOT_RUN_STATUS or dialect.header_value(head.headers, names.not_run):
-            raise NotRun(head.status_code)
+            raise NotRun(f"endpoint answered {head.status_code}, not run", head.status_code)
         raise errors.ConnectionBroken(f"endpoint answered {head.status_code} without a promise")
     if dialect.header_value(head.headers, names.request_id) not in ("", admitted.id):
         raise errors.ConnectionBroken("the answer is another request's")
--- a/plumarch/gateway/fleet_state.py
+++ b/plumarch/gateway/fleet_state.py
@@ -9,7 +9,7 @@
 from plumarch.core.clock import Clock
 from plumarch.fleet import engine_demand, usage, version_tally
 from plumarch.gateway import centre_contact, decision_log, dialect, measures
-from plumarch.limits import attempt_budget, memory_account, workspace_quota
+from plumarch.limits import attempt_budget, memory_account, memory_admission, workspace_quota
 from plumarch.membership.registry import EndpointChange, Registry
 from plumarch.routing import (
     answer_times,
@@ -51,6 +51,7 @@
       answer_times: how long plain requests take, by route.
       distances: how far data centres are from this one.
       memory: what is held on behalf of callers and endpoints.
+      pressure: who is turned away when much of it is held.
       limits: what endpoints bear.
       contact: how well the other data centres are heard.
       tell_prompt: tells the other nodes of a prompt sent to an engine.
@@ -79,6 +80,7 @@
     answer_times: answer_times.AnswerTimes
     distances: distance.Distances
     memory: memory_account.MemoryAccount
+    pressure: memory_admission.MemoryAdmission
     limits: endpoint_limits.EndpointLimits
     contact: centre_contact.CentreContact = dataclasses.field(
         default_factory=centre_contact.CentreContact
--- a/plumarch/gateway/measures.py
+++ b/plumarch/gateway/measures.py
@@ -155,6 +155,14 @@
         self.falls = Counter(
             "plumarch_gateway_endpoint_falls", "Endpoints that fell with work.", ("service",)
         )
+        self.callers_cut = Counter(
+            "plumarch_gateway_callers_cut", "Callers ended for what they didn't read.", ("reason",)
+        )
+        self.streams = Counter(
+            "plumarch_gateway_streams",
+            "Streams let go because their callers did not read, and those resumed.",
+            ("what",),
+        )
         self.state: dict[str, float] = {}
         self.endpoint_limits = Gauge(
             "plumarch_gateway_endpoint_limit",
@@ -167,9 +175,18 @@
         """Return all metrics for Prometheus; the library calls this."""
         from prometheus_client import metrics_core
 
-        counted = (self.answers, self.attempts, self.sends, self.dependency, self.falls)
-        for one in (self.first_byte, self.total, *counted):
-            yield one.family()
+        for distribution in (self.first_byte, self.total):
+            yield distribution.family()
+        for counter in (
+            self.answers,
+            self.attempts,
+            self.sends,
+            self.dependency,
+            self.falls,
+            self.callers_cut,
+            self.streams,
+        ):
+            yield counter.family()
         gauges = (self.engine_demand, self.engines, self.regions_in_part, self.endpoint_limits)
         for gauge in gauges:
             yield gauge.family()
--- a/plumarch/gateway/pressure_test.py
+++ b/plumarch/gateway/pressure_test.py
@@ -95,7 +95,7 @@
 
 def admitted(rank: int) -> admission.Admitted:
     route = dataclasses.replace(relay_test.TABLE.configuration.routes[0], priority=rank)
-    request = caller_connection.CallerRequest(b"GET", b"/safe/", (), b"", 0)
+    request = caller_requests.CallerRequest(b"GET", b"/safe/", (), b"", 0)
     return admission.Admitted(request, "r", route, "s", None, 0.0, 60_000.0, (), 0, 1)
 
 
--- a/plumarch/gateway/region_attempts_test.py
+++ b/plumarch/gateway/region_attempts_test.py
@@ -13,9 +13,11 @@
 from plumarch.gateway import (
     admission,
     attempts,
-    caller_connection,
+    caller_requests,
+    endpoint_outcomes,
     fleet_state,
     request_run,
+    stream_relay,
     version_outcomes,
 )
 from plumarch.routing import distance, endpoint_choice
@@ -46,10 +48,10 @@
         self.status = 0
         self.headers: dict[bytes, bytes] = {}
 
-    def send(self, status: int, headers: caller_connection.Headers, body: bytes) -> None:
+    def send(self, status: int, headers: caller_requests.Headers, body: bytes) -> None:
         self.status, self.headers = status, dict(headers)
 
-    def start(self, status: int, headers: caller_connection.Headers) -> None:
+    def start(self, status: int, headers: caller_requests.Headers) -> None:
         self.started, self.status = True, status
 
     async def chunk(self, data: bytes) -> None:
@@ -83,9 +85,7 @@
     steady: clock.Clock, time_left_ms: float = LATE_MS, prompt_tokens: int = 0
 ) -> admission.Admitted:
     return admission.Admitted(
-        request=caller_connection.CallerRequest(
-            b"GET", b"/", ((b"host", b"h"),), b"", steady.now()
-        ),
+        request=caller_requests.CallerRequest(b"GET", b"/", ((b"host", b"h"),), b"", steady.now()),
         id="r1",
         route=ROUTE,
         service="s",
@@ -220,7 +220,7 @@
     )
     run = request_run.RequestRun(state, admitted(steady), RecordedReply())
     choice = endpoint_choice.Choice(there, 0.0, 0.0, 1)
-    attempt = attempts.Attempt(choice, None, round_trip_ms=added_ms)  # type: ignore[arg-type]
+    attempt = attempts.Attempt(choice, None, None, round_trip_ms=added_ms)  # type: ignore[arg-type]
     patience_ms = request_run.PATIENCE_TARGETS * ROUTE.target_ms
     assert run._patience_ms(attempt) == patience_ms + added_ms
 
@@ -231,9 +231,10 @@
     state = state_with(steady, there)
     run = request_run.RequestRun(state, admitted(steady), RecordedReply())
     choice = endpoint_choice.Choice(there, 0.0, 0.0, 1)
-    attempt = attempts.Attempt(choice, None, round_trip_ms=FAR_MS)  # type: ignore[arg-type]
+    given = endpoint_outcomes.given(state, run.admitted, choice)
+    attempt = attempts.Attempt(choice, None, given, round_trip_ms=FAR_MS)  # type: ignore[arg-type]
     steady.advance_to(150)
-    run._first_token(attempt)
+    stream_relay.note_first_token(state, run.admitted, attempt, began_before=False)
     version_outcomes.note(state, run.admitted, attempt, failed=False)
     assert state.chooser.work.expected_ms("s") == 90.0
     assert state.answer_times.by_route["r"].value == 90.0
@@ -253,7 +254,7 @@
     for _ in range(distance.LEAST_CONNECTS):
         state.distances.connected("c", 42.0)
     pages = status_pages.StatusPages(state, lambda: True)
-    request = caller_connection.CallerRequest(b"GET", b"/metrics", (), b"", 0)
+    request = caller_requests.CallerRequest(b"GET", b"/metrics", (), b"", 0)
     asyncio.run(pages.handle(request, RecordedReply()))
     assert state.measures.state["round_trip_ms:c"] == 42.0
 
--- a/plumarch/standins/region_replay.py
+++ b/plumarch/standins/region_replay.py
@@ -9,7 +9,7 @@
 import heapq
 import itertools
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Sequence
 
 from plumarch.core import clock, traffic
 from plumarch.routing import distance, endpoint_choice, endpoint_limits, locality_choice
@@ -110,12 +110,13 @@
 class RegionReplay:
     """A fleet, its callers, and all that was sent."""
 
-    def __init__(self, seed: int, work: Work, endpoints: Iterable[traffic.Endpoint]) -> None:
+    def __init__(self, seed: int, work: Work, endpoints: Sequence[traffic.Endpoint]) -> None:
         self.time = clock.ManualClock()
         self.rng = random.Random(seed)
         self.work = work
         self.limits = endpoint_limits.EndpointLimits(self.time)
         self.endpoints = {one.id: SimulatedEndpoint(one, [0.0] * one.slots) for one in endpoints}
+        self.service = endpoints[0].service
         self.gone: set[str] = set()
         self.nodes = [SimulatedNode(name, self.time) for name in DATA_CENTRES for _ in range(NODES)]
         self.sent: list[Sent] = []
@@ -193,12 +194,9 @@
         self, node: SimulatedNode, parts: tuple[traffic.PromptPart, ...]
     ) -> endpoint_choice.Choice | None:
         is_engine = self.work.prompt_tokens > 0
-        ready = [
-            one.endpoint
-            for name, one in self.endpoints.items()
-            if name not in self.gone
-            and self.limits.has_room(one.endpoint, node.chooser.running(name), is_engine)
-        ]
+        live = [one.endpoint for name, one in self.endpoints.items() if name not in self.gone]
+        demand = endpoint_limits.Demand(is_engine=is_engine)
+        ready = self.limits.with_room(self.service, live, node.chooser.running, demand)
         seed = self.rng.randrange(1 << 30)
         if is_engine:
             tokens, terms = self.work.prompt_tokens, self.work.terms
