--- a/plumarch/routing/locality_choice_test.py
+++ b/plumarch/routing/locality_choice_test.py
@@ -230,6 +230,15 @@
     assert not replay.refused
 
 
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_where_all_regions_are_busy_none_sends_its_load_to_the_others(seed):
+    work = plain_work(north=150.0, east=150.0, south=150.0)
+    replay = region_replay.RegionReplay(seed, work, plain_endpoints())
+    replay.run_until(15_000)
+    assert left_part(replay.sent) <= 0.05
+    assert not replay.refused
+
+
 @pytest.mark.parametrize("seed", [1, 2, 3])
 def test_a_region_that_loses_its_plain_endpoints_is_served_by_all_others_until_they_are_back(seed):
     replay = region_replay.RegionReplay(seed, plain_work(), plain_endpoints())
