--- a/plumarch/gateway/pressure_test.py
+++ b/plumarch/gateway/pressure_test.py
@@ -5,7 +5,14 @@
 import math
 
 from plumarch.core import clock, traffic
-from plumarch.gateway import admission, attempts, caller_connection, relay, relay_test
+from plumarch.gateway import (
+    admission,
+    attempts,
+    caller_connection,
+    caller_requests,
+    relay,
+    relay_test,
+)
 from plumarch.routing import endpoint_choice, fall_guard
 from plumarch.standins import gateway_parts
 from plumarch.standins import scripted_endpoint as scripted
