A version is judged by periods of one share, and by the latest alone

Cause: all answers since the order were judged together. A trouble that strikes both versions late, when the new one gets most requests, made a good one look bad; one that turns bad with load hid behind its good answers before; steps followed one another faster than news of answers came.

Before, 8 of 120 bad beside 23 of 2,030 (a trouble of both) was BAD and 16 of 925 with 7 of the last 25 was GOOD; the new tests show both.

--- a/plumarch/fleet/rollout.py
+++ b/plumarch/fleet/rollout.py
@@ -28,9 +28,10 @@
 """Answers of the new version after which more of them hardly change a verdict: they show an excess
 of 5 in 100 in 99 of 100 cases. What is left of the exposure is for the steps that follow."""
 
-STEPS = ((0.5, 0.2), (0.54, 0.4), (0.58, 0.7), (0.62, 1.0))
+STEPS = ((0.5, 0.2), (0.55, 0.4), (0.6, 0.7), (0.66, 1.0))
 """From which part of the time on it gets which share, if it is judged good all the while. Less than
-all first: a version that is bad only under load gets half as much until that is seen."""
+all first: a version that is bad only under load gets half as much until that is seen, and news of
+answers are half a second old. Later steps leave less time to what runs on the old endpoints."""
 
 JUDGED_BY = 0.75
 """A version that isn't judged good by this part of the time is rolled back."""
@@ -107,6 +108,7 @@
       began_ms: when the order was first seen, by the time of day.
       share: the part of the requests that the version gets now.
       reason: why the stage is what it is, with figures.
+      periods: when its share changed; a plan that was taken over begins with one.
     """
 
     wall: clock.Clock
@@ -119,6 +121,7 @@
     stage: Stage = Stage.WAITING
     share: float = 0.0
     reason: str = "ordered"
+    periods: version_verdict.SharePeriods = version_verdict.SharePeriods()
 
     def step(self, sight: Sight) -> bool:
         """Decide anew.
@@ -129,6 +132,7 @@
         before = (self.stage, self.share)
         if not self.stage.is_over():
             self._decide(sight)
+            self.periods = self.periods.with_share(self.share, sight.by_route)
         return (self.stage, self.share) != before
 
     def elapsed(self) -> float:
@@ -136,7 +140,8 @@
         return (self.wall.now() - self.began_ms) / max(1.0, self.order.duration_ms)
 
     def _decide(self, sight: Sight) -> None:
-        verdict, figures = version_verdict.judge_all(self.rule, sight.by_route)
+        periods = self.periods.parted(sight.by_route)
+        verdict, figures = version_verdict.judge_all(self.rule, *periods)
         if sight.vetoed or verdict is version_verdict.Verdict.BAD:
             self._enter(Stage.ROLLED_BACK, 0.0, figures if not sight.vetoed else "vetoed")
             return
--- a/plumarch/fleet/version_tally.py
+++ b/plumarch/fleet/version_tally.py
@@ -27,6 +27,11 @@
         """Return the sum of both."""
         return Tally(self.answers + other.answers, self.bad + other.bad)
 
+    def since(self, earlier: "Tally") -> "Tally":
+        """Return what was counted after an earlier count."""
+        answers = max(0, self.answers - earlier.answers)
+        return Tally(answers, min(answers, max(0, self.bad - earlier.bad)))
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class VersionPair:
@@ -35,6 +40,17 @@
     new: Tally
     old: Tally
 
+    def plus(self, other: "VersionPair") -> "VersionPair":
+        """Return the sum of both."""
+        return VersionPair(self.new.plus(other.new), self.old.plus(other.old))
+
+    def since(self, earlier: "VersionPair") -> "VersionPair":
+        """Return what was counted after an earlier count."""
+        return VersionPair(self.new.since(earlier.new), self.old.since(earlier.old))
+
+
+NOTHING_COUNTED = VersionPair(Tally(), Tally())
+
 
 @dataclasses.dataclass(slots=True)
 class TallyBook:
--- a/plumarch/fleet/version_verdict_test.py
+++ b/plumarch/fleet/version_verdict_test.py
@@ -54,3 +54,38 @@
     assert found == sorted(found)
     found = [version_verdict.bad_probability(pair((n, 0), (1_000, 10))) for n in (1, 10, 100)]
     assert found == sorted(found, reverse=True)
+
+
+EARLY, LATE = pair((50, 0), (2_000, 20)), pair((70, 8), (30, 3))
+"""A trouble of a tenth more strikes both in a period in which the new version serves most."""
+
+
+def test_trouble_of_both_while_the_share_is_large_is_no_sign_of_a_bad_version():
+    assert RULE.judge(EARLY.plus(LATE)) is Verdict.BAD
+    assert RULE.judge_periods([EARLY, LATE]) is not Verdict.BAD
+    assert version_verdict.judge_all(RULE, {"r": EARLY}, {"r": LATE})[0] is not Verdict.BAD
+
+
+def test_a_version_that_turns_bad_with_a_larger_share_is_found_by_the_latest_period():
+    good, bad = pair((900, 9), (9_000, 90)), pair((25, 7), (60, 1))
+    assert RULE.judge(good.plus(bad)) is not Verdict.BAD
+    verdict, why = version_verdict.judge_all(RULE, {"r": good}, {"r": bad})
+    assert verdict is Verdict.BAD
+    assert "7 of 25" in why
+
+
+def test_without_old_answers_much_is_still_bad_and_little_is_not():
+    before = {"r": pair((300, 3), (3_000, 30))}
+    little, much = {"r": pair((40, 3), (0, 0))}, {"r": pair((40, 12), (0, 0))}
+    assert version_verdict.judge_all(RULE, before, little)[0] is not Verdict.BAD
+    assert version_verdict.judge_all(RULE, before, much)[0] is Verdict.BAD
+
+
+def test_answers_are_parted_by_the_share_that_a_version_had():
+    periods = version_verdict.SharePeriods()
+    assert periods.parted({"r": EARLY}) == [{"r": EARLY}]
+    periods = periods.with_share(0.1, {}).with_share(0.1, {"r": EARLY})
+    assert periods.parted({"r": EARLY}) == [{"r": EARLY}]
+    periods = periods.with_share(0.4, {"r": EARLY})
+    both = {"r": EARLY.plus(LATE), "s": LATE}
+    assert periods.parted(both) == [{"r": EARLY}, {"r": LATE, "s": LATE}]
--- a/plumarch/gateway/rollout_duty.py
+++ b/plumarch/gateway/rollout_duty.py
@@ -32,6 +32,7 @@
       orders: the newest order of each service, while this node holds the duties.
       plans: how far each roll-out is.
       told: the last state that operators were told, by service.
+      periods: in which a version had one share as far as this node saw, by service and version.
     """
 
     def __init__(
@@ -43,6 +44,7 @@
         self.orders: dict[str, rollouts.RolloutOrder] = {}
         self.plans: dict[str, rollout.RolloutPlan] = {}
         self.told: dict[str, tuple[str, rollouts.RolloutState]] = {}
+        self.periods: dict[tuple[str, str], version_verdict.SharePeriods] = {}
         self.steps = 0
 
     def enabled(self) -> bool:
@@ -211,11 +213,17 @@
         certain = version_verdict.CERTAINLY_BAD if sees_fleet else ALONE_CERTAIN
         rule = version_verdict.ProbabilityRule(bad_from=certain)
         stopped = False
-        for split in self.state.splits.running():
+        running = self.state.splits.running()
+        keys = {(split.service, split.version) for split in running}
+        self.periods = {key: one for key, one in self.periods.items() if key in keys}
+        for split in running:
             if split.vetoed:
                 continue
             by_route = self.state.answers.by_route(split.service, split.version)
-            verdict, figures = version_verdict.judge_all(rule, by_route)
+            key = (split.service, split.version)
+            before = self.periods.get(key, version_verdict.SharePeriods())
+            periods = self.periods[key] = before.with_share(split.share, by_route)
+            verdict, figures = version_verdict.judge_all(rule, *periods.parted(by_route))
             if verdict is version_verdict.Verdict.BAD:
                 self.state.splits.veto(split.service)
                 self.state.log.write(
