The way to an endpoint isn't its pace; tests of falls by weight, their log line and metrics

Cause: the expected time of a first byte left out the round trip, by which an endpoint of another region would look slow. Tests of routing, relay, pressure and measures green.

--- a/plumarch/gateway/endpoint_outcomes.py
+++ b/plumarch/gateway/endpoint_outcomes.py
@@ -87,14 +87,18 @@
     admitted: admission.Admitted,
     choice: endpoint_choice.Choice,
 ) -> float | None:
-    """Return how long a first byte should take, or None if too little is known."""
+    """Return how long a first byte should take, or None if too little is known.
+
+    The way there and back is no fault of an endpoint: a far one isn't slow by it.
+    """
+    way_ms = state.distances.round_trip_ms(choice.endpoint.data_centre)
     if admitted.prompt_tokens:
         speed = state.chooser.speed(admitted.service)
-        return speed.expect_ms(choice.tokens_to_read(), choice.place_wait_ms)
+        return way_ms + speed.expect_ms(choice.tokens_to_read(), choice.place_wait_ms)
     mean = state.answer_times.by_route.get(admitted.route.name)
     if mean is None or mean.seen < answer_times.KNOWN_AFTER:
         return None
-    return mean.value
+    return way_ms + mean.value
 
 
 def first_byte(state: fleet_state.FleetState, one: Given) -> None:
--- a/plumarch/gateway/measures_test.py
+++ b/plumarch/gateway/measures_test.py
@@ -26,6 +26,15 @@
     assert f"plumarch_total_seconds_sum{{{labels}}} 99.315" in text
 
 
+def test_falls_and_lowered_limits_stand_by_service_and_endpoint():
+    found = measures.Measures()
+    found.falls.add("s")
+    found.endpoint_limits["e1"] = 9.5
+    text = found.text().decode()
+    assert 'plumarch_gateway_endpoint_falls_total{service="s"} 1.0' in text
+    assert 'plumarch_gateway_endpoint_limit{endpoint="e1"} 9.5' in text
+
+
 def test_sizes_stand_by_their_names():
     found = measures.Measures()
     found.state["endpoints"] = 7
--- a/plumarch/gateway/pressure_test.py
+++ b/plumarch/gateway/pressure_test.py
@@ -89,6 +89,9 @@
             pressed.release.set()
             await asyncio.gather(*asked, *again)
             assert pressed.answered.count(200) >= 16
+            log = gateway.state.log.pending
+            assert log.count(b'"kind":"endpoint_fell"') == 1
+            assert gateway.state.measures.falls.counts == {("s",): 1.0}
 
     relay_test.play(test)
 
--- a/plumarch/routing/endpoint_limits_test.py
+++ b/plumarch/routing/endpoint_limits_test.py
@@ -104,6 +104,27 @@
     assert not has_room(found, 12, name="e1")
 
 
+def test_heavy_prompts_that_made_one_fall_are_kept_from_its_siblings():
+    found = limits()
+    light, heavy = endpoint_limits.demand(500, 0, 0), endpoint_limits.demand(6_000, 0, 0)
+    for _ in range(4):
+        found.sent(endpoint("e1"), light)
+    found.bore(endpoint("e1"), 4)
+    for _ in range(3):
+        found.sent(endpoint(), heavy)
+    found.lost(endpoint(), 3, 4)
+    assert found.lost(endpoint(), 2, 4) is not None
+    bears = concurrency_limit.DECREASE * 18_000
+    assert found.bounds("s", True).weight == bears
+    assert has_room(found, 4, heavy, "e1")
+    for _ in range(2):
+        found.sent(endpoint("e1"), heavy)
+    assert not has_room(found, 6, heavy, "e1")
+    assert not has_room(found, 6, light, "e1")
+    found.ended(endpoint("e1"), heavy)
+    assert has_room(found, 5, light, "e1")
+
+
 def test_an_endpoint_that_leaves_does_not_fall():
     found = limits()
     leaving = traffic.Endpoint("e0", "s", "1:1", "a", SLOTS, traffic.EndpointState.DRAINING)
