--- a/plumarch/gateway/gossiper.py
+++ b/plumarch/gateway/gossiper.py
@@ -364,6 +364,7 @@
         self._hear_fraction()
         self.composer.tell_all()
         self.coordination.tell_all = True
+        self.introductions.meet(peer)
 
     def _seeks(self, near: bool) -> bool:
         """Return whether a node that sent a heartbeat here looks for its coordinators.
--- a/plumarch/gateway/introductions.py
+++ b/plumarch/gateway/introductions.py
@@ -104,6 +104,8 @@
         Args:
           leaving: whether this process is about to end.
         """
+        for peer in told.peers:
+            self.view.learn(peer.name, peer.address)
         live = self.view.centres_heard()
         now = self.state.clock.now()
         news: set[str] = set()
@@ -117,6 +119,16 @@
         if news and self.view.role is not tiers.Role.MEMBER:
             self.send(self.composer.question(leaving), news)
 
+    def meet(self, peer: peer_node.Peer) -> None:
+        """Tell a node that is heard for the first time, or again, of all nodes of a small fleet.
+
+        Heartbeats name some of them now and then, by which the last pairs of 20 nodes heard each
+        other more than five seconds after their start.
+        """
+        if self.view.known_size() <= tiers.FLAT_FLEET:
+            known = [gossip.KnownPeer(one.name, one.address) for one in self.view.live()]
+            self.send(gossip.CentreDirectory(self.view.node, [], known), [peer.address])
+
     def take_elders(self, beat: gossip.Heartbeat) -> None:
         """Take in whom a node of another data centre calls the elders of it."""
         if beat.elders and beat.data_centre not in self.view.centres_heard():
--- a/plumarch/membership/known_centres.py
+++ b/plumarch/membership/known_centres.py
@@ -85,9 +85,9 @@
             known.elders = (*known.elders, elder)
 
     def seed(self, address: str, now: int) -> None:
-        """Note an address that this node was given."""
+        """Note an address that this node was given; heartbeats are sent there at first anyway."""
         elder = tiers.Elder(tiers.Age(0, address), address)
-        self.seeds.setdefault(address, KnownCentre((elder,), now))
+        self.seeds.setdefault(address, KnownCentre((elder,), now, asked_ms=now))
 
     def to_ask(self, live: Collection[str], heard: Collection[str], now: int) -> set[str]:
         """Return the addresses to ask now, which count as asked from then on.
--- a/plumarch/peers/gossip.py
+++ b/plumarch/peers/gossip.py
@@ -214,10 +214,16 @@
 
 
 class CentreDirectory(msgspec.Struct, array_like=True, frozen=True, tag=5):
-    """Data centres that a coordinator hears, for one that hears other ones."""
+    """Whom a node hears, for one that hears others; no sign of life, since it has no figures.
+
+    Attributes:
+      centres: data centres that the sender, a coordinator, hears.
+      peers: all nodes that it hears, where the fleet is a small one.
+    """
 
     node: str
     centres: list[KnownCentre]
+    peers: list[KnownPeer] = []
 
 
 class ToldLevel(msgspec.Struct, array_like=True, frozen=True):
