Usage windows are complete over cuts of a region and loss of its coordinators

The holder took any summary after the window's end for its usage, but usage is in some summaries only, and an ended window in fewer. Now it is kept as of when each window was told, and the holder waits for these, and for data centres that it knows of and never heard.

What coordinators had counted themselves was known to each other and died with them. They tell their usage to the next two elders now.

Ruled out: taking the largest sum of old and new coordinators, which was there and loses the dead ones'.

--- a/plumarch/gateway/coordination.py
+++ b/plumarch/gateway/coordination.py
@@ -85,6 +85,7 @@
             reported=told.reported,
             usage_age_ms=told.usage_age_ms,
             told_ms=now,
+            usage_told=self._usage_told(told, now - told.usage_age_ms),
         )
         self.duty.reported = max(self.duty.reported, told.reported)
         self._charge(told)
@@ -97,6 +98,15 @@
             counts = {one.window: one.counts for one in told.usage}
             self.state.usage.heard_sums(CENTRE + told.data_centre, counts)
 
+    def _usage_told(self, told: gossip.CentreSummary, as_of_ms: int) -> dict[int, int]:
+        """Return as of when the newest usage windows of a data centre were told."""
+        before = self.view.centres.get(told.data_centre)
+        known = dict(before.usage_told) if before is not None else {}
+        for one in told.usage:
+            known[one.window] = max(as_of_ms, known.get(one.window, as_of_ms))
+        newest = sorted(known)[-heartbeats.USAGE_WINDOWS :]
+        return {window: known[window] for window in newest}
+
     def _charge(self, told: gossip.CentreSummary) -> None:
         sums = {one.workspace: one.spent for one in told.spending}
         author = f"{told.node}#{told.incarnation}"
--- a/plumarch/gateway/duties.py
+++ b/plumarch/gateway/duties.py
@@ -268,7 +268,7 @@
         if window > newest_due:
             return
         ended = (window + 1) * self.schedule.window_ms
-        if wall - ended < self.schedule.late_ms and not self._all_heard_since(wall - ended):
+        if wall - ended < self.schedule.late_ms and not self._all_heard_since(window, wall - ended):
             return
         counts = await self._fixed_counts(window)
         await self.cloud.report_usage(self.lease(), window, counts)
@@ -278,12 +278,14 @@
             "usage_reported", window=window, counts=counts, token=self.status.token
         )
 
-    def _all_heard_since(self, ago_ms: int) -> bool:
+    def _all_heard_since(self, window: int, ago_ms: int) -> bool:
         """Return whether each node that may exist told its counts since a window's end."""
+        if self.view.unheard_centres():
+            return False
         now = self.state.clock.now()
         two_beats = heartbeats.USAGE_EVERY * max(gossiper.BEAT_MS, self.view.interval_ms)
         heard_ms = [peer.heard_ms for peer in self.view.known_directly() if peer.incarnation] + [
-            centre.told_ms - centre.usage_age_ms for centre in self.view.centres.values()
+            centre.usage_told.get(window) for centre in self.view.centres.values()
         ]
         return all(at is not None and now - at < ago_ms - two_beats for at in heard_ms)
 
--- a/plumarch/gateway/gossiper.py
+++ b/plumarch/gateway/gossiper.py
@@ -146,6 +146,9 @@
         beat = self.composer.next(self.leaving)
         self.member.sent(beat)
         self._send(beat, told)
+        if beat.usage and self.view.role is tiers.Role.COORDINATOR:
+            successors = self.view.elders()[tiers.COORDINATORS : tiers.ELDERS]
+            self._send(heartbeats.usage_only(beat), [one.address for one in successors])
         self.introductions.step(self.leaving)
 
     def _news_age_ms(self) -> float:
@@ -391,6 +394,8 @@
         role = self.view.role
         near = beat.data_centre == self.state.data_centre
         if role is tiers.Role.MEMBER:
+            if near:
+                self._take_usage(beat)
             return
         if role is tiers.Role.COORDINATOR and not near and beat.data_centre in self.view.centres:
             return
@@ -408,8 +413,13 @@
         state.chooser.tell(beat.node, load_reports.taken_all(beat.loads))
         speed_reports.take(state, beat.node, beat.speeds)
         version_reports.take_answers(state, incarnation, beat.answers)
+        self._take_usage(beat)
+
+    def _take_usage(self, beat: gossip.Heartbeat) -> None:
+        """Take in a node's usage; a member keeps it for when it coordinates itself."""
         if beat.usage:
-            state.usage.heard_from(incarnation, {told.window: told.counts for told in beat.usage})
+            counts = {told.window: told.counts for told in beat.usage}
+            self.state.usage.heard_from(f"{beat.node}#{beat.incarnation}", counts)
 
     def _knows_more(self, told: gossip.Versions) -> bool:
         state = self.state
--- a/plumarch/gateway/heartbeats.py
+++ b/plumarch/gateway/heartbeats.py
@@ -179,6 +179,17 @@
         return [gossip.KnownPeer(peer.name, peer.address) for peer in chosen]
 
 
+def usage_only(beat: gossip.Heartbeat) -> gossip.Heartbeat:
+    """Return what a coordinator tells those that would follow it; they don't answer.
+
+    Only coordinators hear what each node counted. Where all of a data centre die at once, what
+    they had counted themselves would be lost with them.
+    """
+    return msgspec.structs.replace(
+        beat, spending=[], loads=[], peers=[], sequence=0, speeds=[], versions=[], answers=[]
+    )
+
+
 def windows_told(counter: usage.UsageCounter, wall_ms: int, whole: bool) -> int:
     """Return how many usage windows are told, the newest first."""
     if whole:
--- a/plumarch/gateway/introductions.py
+++ b/plumarch/gateway/introductions.py
@@ -137,9 +137,9 @@
 
     def remember(self, peer: peer_node.Peer) -> None:
         """Keep in mind a node that is counted no more, for when it is reached again."""
-        if peer.incarnation and not peer.leaving:
+        if peer.heard_ms is not None and not peer.leaving:
             elder = tiers.Elder(peer.age(), peer.address)
-            self.view.all_centres.remember(peer.data_centre, elder, self.state.clock.now())
+            self.view.all_centres.remember(peer.data_centre, elder, peer.heard_ms)
 
     def _note(self, unheard: list[str]) -> None:
         """Log when a data centre begins and ends not to be heard, and keep what gauges show."""
--- /dev/null
+++ b/plumarch/gateway/introductions_test.py
@@ -0,0 +1,103 @@
+"""What is told of data centres that are not heard, and how much is sent about them."""
+
+import itertools
+
+import msgspec
+
+from plumarch.gateway import introductions
+from plumarch.membership import known_centres, tiers
+from plumarch.peers import gossip
+from plumarch.standins import gossip_fleet
+
+SIZE = gossip_fleet.Size(4, 7, regions=2)
+SETTLE_MS = 4_000
+
+
+def settled() -> gossip_fleet.GossipFleet:
+    fleet = gossip_fleet.GossipFleet(SIZE, knows_all=False)
+    fleet.run(SETTLE_MS)
+    return fleet
+
+
+def coordinator(fleet: gossip_fleet.GossipFleet) -> gossip_fleet.Node:
+    found = fleet.with_role(tiers.Role.COORDINATOR)
+    return next(node for node in found if node.data_centre == "dc-b")
+
+
+def lines(node: gossip_fleet.Node, event: bytes) -> int:
+    return bytes(node.state.log.pending).count(b'"' + event + b'"')
+
+
+def test_a_data_centre_that_is_not_heard_is_noted_when_it_begins_and_when_it_ends():
+    fleet = settled()
+    node = coordinator(fleet)
+    contact = node.state.contact
+    assert (contact.known, contact.unheard) == (3, 0)
+    assert contact.oldest_ms < introductions.NOTED_MS
+    begun, ended = lines(node, b"centre_unheard"), lines(node, b"centre_heard")
+    fleet.cut = lambda one, two: (one.data_centre == "dc-c") != (two.data_centre == "dc-c")
+    fleet.run(6_000)
+    assert lines(node, b"centre_unheard") == begun + 1
+    assert lines(node, b"centre_heard") == ended
+    assert (contact.known, contact.unheard) == (3, 1)
+    assert 5_000 < contact.oldest_ms <= 6_000
+    fleet.cut = lambda one, two: False
+    fleet.run(1_500)
+    assert lines(node, b"centre_unheard") == begun + 1
+    assert lines(node, b"centre_heard") == ended + 1
+    assert (contact.known, contact.unheard) == (3, 0)
+
+
+def test_a_directory_is_sent_where_views_differ_and_not_each_time():
+    fleet = settled()
+    node = coordinator(fleet)
+    sent: list[gossip.Datagram] = []
+    node.gossip.introductions.send = lambda message, to: sent.append(message)
+    other = next(one for one in fleet.live() if one.data_centre == "dc-c")
+    summary = other.gossip.coordination.summary()
+    node.gossip.take_summary(summary, other.address)
+    assert not sent
+    for _ in range(3):
+        node.gossip.introductions.compare(with_digest(summary, 7), leaving=False)
+    [directory] = sent
+    assert isinstance(directory, gossip.CentreDirectory)
+    assert [one.data_centre for one in directory.centres] == ["dc-a", "dc-c", "dc-d"]
+    assert {len(one.elders) for one in directory.centres} == {tiers.COORDINATORS}
+    fleet.time.advance_to(fleet.time.now() + introductions.TELL_AGAIN_MS)
+    node.gossip.introductions.compare(with_digest(summary, 7), leaving=False)
+    assert len(sent) == 2
+    node.gossip.introductions.compare(with_digest(summary, 0), leaving=False)
+    assert len(sent) == 2
+
+
+def with_digest(summary: gossip.CentreSummary, digest: int) -> gossip.CentreSummary:
+    """Return a summary of one that hears other data centres; 0 is told by older processes."""
+    return msgspec.structs.replace(summary, centres_heard=digest)
+
+
+def test_those_that_stay_silent_are_asked_less_and_less():
+    centres = known_centres.KnownCentres()
+    elder = tiers.Elder(tiers.Age(1, "n"), "10.0.0.1:7")
+    assert centres.told("dc-z", (elder,), 1_000)
+    assert not centres.told("dc-z", (elder,), 1_100)
+    asked = [
+        now
+        for now in range(1_000, 121_000, 250)
+        if centres.to_ask({"dc-a"}, set(), now) == {"10.0.0.1:7"}
+    ]
+    pauses = [later - earlier for earlier, later in itertools.pairwise(asked)]
+    assert pauses[0] == known_centres.ASK_MS
+    assert pauses == sorted(pauses)
+    assert pauses[-1] == known_centres.ASK_LONGEST_MS
+    assert not centres.to_ask({"dc-z"}, set(), 130_000)
+    assert not centres.to_ask(set(), set(), 1_001 + known_centres.FORGET_MS)
+    assert not centres.centres
+
+
+def test_a_seed_is_asked_until_it_is_reached():
+    centres = known_centres.KnownCentres()
+    centres.seed("10.0.0.9:7", 1_000)
+    assert not centres.to_ask(set(), set(), 1_100)
+    assert centres.to_ask(set(), set(), 1_500) == {"10.0.0.9:7"}
+    assert not centres.to_ask(set(), {"10.0.0.9:7"}, 9_000)
+    assert centres.to_ask(set(), set(), 3_600_000_000) == {"10.0.0.9:7"}
--- a/plumarch/gateway/large_fleet_quota_test.py
+++ b/plumarch/gateway/large_fleet_quota_test.py
@@ -171,3 +171,56 @@
         for other in nodes:
             if other.frozen:
                 fleet.thaw(other)
+
+
+OVER_REGIONS = gossip_fleet.Size(4, 7, workspaces=1, rate=RATE, burst=BURST, regions=2)
+
+REGION_STEPS = strategies.lists(
+    strategies.tuples(
+        strategies.sampled_from(
+            ["cut region", "cut centre", "kill coordinator", "kill some", "freeze", "lose", "heal"]
+        ),
+        strategies.integers(0, 1_000),
+        strategies.integers(2, 30),
+    ),
+    min_size=3,
+    max_size=8,
+)
+
+
+@pytest.mark.parametrize("with_coordinators", [False, True])
+def test_a_region_that_is_cut_off_and_comes_back_gets_no_more_than_is_owed(with_coordinators: bool):
+    session = Session(OVER_REGIONS, 1, knows_all=False)
+    session.serve(3_000)
+    harm_region(session, 0)
+    if with_coordinators:
+        for node in session.fleet.with_role(tiers.Role.COORDINATOR):
+            session.restart(node)
+    session.serve(8_000)
+    session.fleet.cut = lambda one, other: False
+    session.serve(5_000)
+    assert session.most <= ALLOWED, session.most / ALLOWED
+
+
+@hypothesis.settings(max_examples=8, derandomize=True, deadline=None)
+@hypothesis.given(REGION_STEPS, strategies.integers(0, 1_000))
+def test_the_rule_holds_in_random_sessions_over_regions(steps, seed):
+    session = Session(OVER_REGIONS, seed)
+    for kind, pick, length in steps:
+        if kind == "cut region":
+            harm_region(session, pick)
+        else:
+            harm(session, kind, pick)
+        session.serve(length * 100)
+    session.fleet.cut = lambda one, other: False
+    session.serve(2_000)
+    assert session.most <= ALLOWED, session.most / ALLOWED
+
+
+def harm_region(session: Session, pick: int) -> None:
+    """Cut one region off from the others."""
+    fleet = session.fleet
+    region = sorted(set(fleet.regions.values()))[pick % OVER_REGIONS.regions]
+    fleet.cut = lambda one, other: (
+        (fleet.region_of(one) == region) != (fleet.region_of(other) == region)
+    )
--- /dev/null
+++ b/plumarch/gateway/usage_told_test.py
@@ -0,0 +1,47 @@
+"""Which usage windows a coordinator was told of, and since when."""
+
+import msgspec
+
+from plumarch.gateway import heartbeats
+from plumarch.membership import tiers
+from plumarch.peers import gossip
+from plumarch.standins import gossip_fleet
+
+
+def test_a_window_counts_as_told_as_of_the_oldest_figure_in_it():
+    fleet = gossip_fleet.GossipFleet(gossip_fleet.Size(3, 12))
+    fleet.run(3_000)
+    node = fleet.with_role(tiers.Role.COORDINATOR)[0]
+    other = next(one for one in fleet.live() if one.data_centre == "dc-c")
+    sums = node.gossip.coordination
+    first = node.state.usage.window_at(fleet.time.now()) + 1
+    usage = [gossip.WindowUsage(first + number, {"w0": 1}) for number in range(5)]
+    summary = msgspec.structs.replace(
+        other.gossip.coordination.summary(), usage=usage, usage_age_ms=250
+    )
+    sums.take_summary(summary)
+    as_of = fleet.time.now() - 250
+    told = node.view.centres["dc-c"].usage_told
+    newest = range(first + 5 - heartbeats.USAGE_WINDOWS, first + 5)
+    assert told == dict.fromkeys(newest, as_of)
+    fleet.time.advance_to(fleet.time.now() + 1_000)
+    sums.take_summary(msgspec.structs.replace(summary, usage=[], usage_age_ms=0))
+    assert node.view.centres["dc-c"].usage_told == told
+
+
+def test_what_coordinators_counted_themselves_stays_with_those_that_follow_them():
+    fleet = gossip_fleet.GossipFleet(gossip_fleet.Size(3, 12))
+    fleet.run(3_000)
+    now = fleet.time.now()
+    coordinators = fleet.with_role(tiers.Role.COORDINATOR)
+    for node in coordinators:
+        node.state.usage.began("w0", now)
+    fleet.run(1_200)
+    for node in coordinators:
+        if node.data_centre == "dc-a":
+            node.alive = False
+    fleet.run(4_000)
+    successors = fleet.with_role(tiers.Role.COORDINATOR)
+    assert len(successors) == 6
+    for node in successors:
+        assert node.state.usage.total(node.state.usage.window_at(now)) == {"w0": 6}
--- a/plumarch/membership/fleet_view.py
+++ b/plumarch/membership/fleet_view.py
@@ -247,6 +247,15 @@
             return {self.data_centre, *self.live_centres()}
         return {one.data_centre for one in self.peers.values() if self.is_heard(one)}
 
+    def unheard_centres(self) -> list[str]:
+        """Return the other data centres that count among the fleet and never told this node."""
+        since_ms = self.clock.now() - FORGET_MS
+        return [
+            name
+            for name, one in self.all_centres.centres.items()
+            if one.since_ms >= since_ms and name not in {*self.centres, *self.centres_heard()}
+        ]
+
     def digest(self) -> int:
         """Return a digest of the data centres that are heard, for a coordinator to tell."""
         return known_centres.digest(self.centres_heard())
--- a/plumarch/membership/known_centres.py
+++ b/plumarch/membership/known_centres.py
@@ -78,9 +78,9 @@
         known.elders = elders
         return is_news
 
-    def remember(self, name: str, elder: tiers.Elder, now: int) -> None:
-        """Note a node that was heard itself and is counted no more."""
-        known = self.centres.setdefault(name, KnownCentre((), now, heard=True))
+    def remember(self, name: str, elder: tiers.Elder, heard_ms: int) -> None:
+        """Note a node that was heard itself, at some time, and is counted no more."""
+        known = self.centres.setdefault(name, KnownCentre((), heard_ms, heard=True))
         if elder not in known.elders and len(known.elders) < tiers.ELDERS:
             known.elders = (*known.elders, elder)
 
--- a/plumarch/membership/tiers.py
+++ b/plumarch/membership/tiers.py
@@ -11,7 +11,7 @@
 
 import dataclasses
 import enum
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 
 FLAT_FLEET = 24
 """Up to this many nodes, each tells each other one. At that size a node sends and takes in some
@@ -65,6 +65,7 @@
       reported: the newest usage window reported, as far as known there.
       usage_age_ms: how old the oldest of its nodes' news was when it was told.
       told_ms: when it was told, by this node's clock.
+      usage_told: as of when usage windows were told, by this node's clock and by window.
     """
 
     nodes: int
@@ -75,6 +76,7 @@
     reported: int
     usage_age_ms: int
     told_ms: int
+    usage_told: Mapping[int, int] = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
