--- a/plumarch/membership/known_centres.py
+++ b/plumarch/membership/known_centres.py
@@ -78,16 +78,16 @@
         known.elders = elders
         return is_news
 
-    def remember(self, name: str, elder: tiers.Elder, now: int) -> None:
-        """Note a node that was heard itself and is counted no more."""
-        known = self.centres.setdefault(name, KnownCentre((), now, heard=True))
+    def remember(self, name: str, elder: tiers.Elder, heard_ms: int) -> None:
+        """Note a node that was heard itself, at some time, and is counted no more."""
+        known = self.centres.setdefault(name, KnownCentre((), heard_ms, heard=True))
         if elder not in known.elders and len(known.elders) < tiers.ELDERS:
             known.elders = (*known.elders, elder)
 
     def seed(self, address: str, now: int) -> None:
-        """Note an address that this node was given."""
+        """Note an address that this node was given; heartbeats are sent there at first anyway."""
         elder = tiers.Elder(tiers.Age(0, address), address)
-        self.seeds.setdefault(address, KnownCentre((elder,), now))
+        self.seeds.setdefault(address, KnownCentre((elder,), now, asked_ms=now))
 
     def to_ask(self, live: Collection[str], heard: Collection[str], now: int) -> set[str]:
         """Return the addresses to ask now, which count as asked from then on.
