--- /dev/null
+++ b/plumarch/gateway/region_quota_test.py
@@ -0,0 +1,157 @@
+"""Allotments over regions: never over, with late news, while regions are cut off or killed.
+
+The rule and its sessions are those of large_fleet_quota_test; here up to 300 ms pass until news
+of another region are there, and whole regions fail.
+"""
+
+import hypothesis
+import pytest
+from hypothesis import strategies
+
+from plumarch.gateway import large_fleet_quota_test
+from plumarch.membership import tiers
+from plumarch.standins import gossip_fleet
+
+RATE = large_fleet_quota_test.RATE
+ALLOWED = large_fleet_quota_test.ALLOWED
+SIZE = gossip_fleet.Size(6, 6, workspaces=1, rate=RATE, burst=large_fleet_quota_test.BURST)
+REGIONS = {f"dc-{letter}": "nnssww"[number] for number, letter in enumerate("abcdef")}
+REFUSED_OF_OWED = 0.01
+
+
+def region_of(node: gossip_fleet.Node) -> str:
+    return REGIONS[node.data_centre]
+
+
+def new_session(seed: int, late_ms: int) -> large_fleet_quota_test.Session:
+    """Return a fleet whose news take up to some time on their way."""
+    session = large_fleet_quota_test.Session(SIZE, seed)
+    session.fleet.late_ms = late_ms
+    session.fleet.run(2_000)
+    return session
+
+
+def cut_off(session: large_fleet_quota_test.Session, region: str) -> None:
+    session.fleet.cut = lambda one, other: (
+        (region_of(one) == region) != (region_of(other) == region)
+    )
+
+
+def asked(
+    session: large_fleet_quota_test.Session, for_ms: int, of_rate: float, most: float
+) -> float:
+    """Let callers ask for a part of the rate.
+
+    Args:
+      most: units of the largest request.
+    Returns:
+      The part of the requests that was refused.
+    """
+    step_ms = large_fleet_quota_test.STEP_MS
+    owed, count, refused = 0.0, 0, 0
+    for _ in range(for_ms // step_ms):
+        session.fleet.run(step_ms)
+        owed += of_rate * RATE * step_ms / 1000.0
+        while owed > 0:
+            units = session.rng.uniform(200, most)
+            owed -= units
+            node = session.rng.choice(session.fleet.live())
+            count += 1
+            if node.state.quota.admit(session.space, units) == 0:
+                session.note(units)
+                session.send(node, units)
+            else:
+                refused += 1
+    return refused / max(1, count)
+
+
+@pytest.mark.parametrize("late_ms", [60, 150, 300])
+def test_in_calm_times_hardly_anything_owed_is_refused(late_ms: int):
+    session = new_session(1, late_ms)
+    asked(session, 4_000, 0.5, 3_000.0)
+    assert asked(session, 20_000, 0.95, 3_000.0) <= REFUSED_OF_OWED
+
+
+@pytest.mark.parametrize("late_ms", [60, 150, 300])
+def test_regions_that_hear_each_other_late_are_never_over(late_ms: int):
+    session = new_session(2, late_ms)
+    session.serve(12_000)
+    assert session.most <= ALLOWED, session.most / ALLOWED
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_a_load_that_meets_regions_all_cut_off_from_each_other(seed: int):
+    session = new_session(seed, 60)
+    asked(session, 9_000, 0.5, 9_000.0)
+    session.fleet.cut = lambda one, other: region_of(one) != region_of(other)
+    session.serve(8_000)
+    session.fleet.cut = lambda one, other: False
+    session.serve(4_000)
+    assert session.most <= ALLOWED, session.most / ALLOWED
+
+
+def test_what_repeats_may_cost_is_parted_by_all_nodes_that_may_exist():
+    session = new_session(1, 60)
+    cut_off(session, "n")
+    session.fleet.run(10_000)
+    budgets = [node.state.budget for node in session.fleet.live()]
+    assert sum(one.extra / one.nodes for one in budgets) <= budgets[0].extra
+
+
+STEPS = strategies.lists(
+    strategies.tuples(
+        strategies.sampled_from(
+            ["cut region", "cut all", "kill region", "kill coordinators", "freeze", "heal", "heal"]
+        ),
+        strategies.integers(0, 1_000),
+        strategies.integers(2, 25),
+    ),
+    min_size=3,
+    max_size=8,
+)
+
+
+# Without shrinking: a session takes seconds, and shrinking one took six minutes.
+@hypothesis.settings(
+    max_examples=10,
+    derandomize=True,
+    deadline=None,
+    phases=(hypothesis.Phase.explicit, hypothesis.Phase.generate),
+)
+@hypothesis.given(STEPS, strategies.integers(0, 1_000), strategies.sampled_from([60, 150, 300]))
+def test_the_rule_holds_whatever_happens_to_regions(
+    steps: list[tuple[str, int, int]], seed: int, late_ms: int
+):
+    session = new_session(seed, late_ms)
+    for kind, pick, length in steps:
+        harm(session, kind, pick)
+        session.serve(length * 100)
+    session.fleet.cut = lambda one, other: False
+    session.serve(2_000)
+    assert session.most <= ALLOWED, session.most / ALLOWED
+
+
+def harm(session: large_fleet_quota_test.Session, kind: str, pick: int) -> None:
+    """Do one thing to a region."""
+    fleet = session.fleet
+    region = "nsw"[pick % 3]
+    own = [node for node in fleet.live() if region_of(node) == region]
+    if kind == "cut region":
+        cut_off(session, region)
+    elif kind == "cut all":
+        fleet.cut = lambda one, other: region_of(one) != region_of(other)
+    elif kind == "kill region":
+        for node in own:
+            session.restart(node)
+    elif kind == "kill coordinators":
+        for node in fleet.with_role(tiers.Role.COORDINATOR):
+            if node in own:
+                session.restart(node)
+    elif kind == "freeze":
+        for node in own[pick % 2 :: 2]:
+            node.frozen = True
+    else:
+        fleet.cut = lambda one, other: False
+        for node in fleet.live():
+            if node.frozen:
+                fleet.thaw(node)
