--- a/plumarch/limits/centre_spending.py
+++ b/plumarch/limits/centre_spending.py
@@ -3,6 +3,9 @@
 Each data centre has two coordinators or more that tell the same sum, each as it counted since its
 own start. One of them is charged by; what another one told meanwhile is kept, and charged if the
 first falls silent, so that a coordinator's death loses nothing and counts nothing twice.
+
+A data centre that was silent as a whole, and is heard again, tells by the same coordinators what it
+spent meanwhile: these are kept for a while.
 """
 
 import dataclasses
@@ -10,6 +13,10 @@
 
 from plumarch.core import clock
 
+KEPT_MS = 30_000
+"""How long the coordinators of a data centre are kept that fell silent as a whole; nodes are
+forgotten after the same time."""
+
 
 @dataclasses.dataclass(slots=True)
 class Author:
@@ -43,10 +50,15 @@
 
 @dataclasses.dataclass(slots=True)
 class CentreSpending:
-    """The coordinators that told sums, by data centre; the first one is charged by."""
+    """The coordinators that told sums, by data centre; the first one is charged by.
+
+    Attributes:
+      silent: those that were heard last before a data centre fell silent as a whole.
+    """
 
     clock: clock.Clock
     authors: dict[str, list[Author]] = dataclasses.field(default_factory=dict)
+    silent: dict[str, list[Author]] = dataclasses.field(default_factory=dict)
 
     def charge(
         self,
@@ -68,10 +80,11 @@
         """
         now = self.clock.now()
         known = self.authors.setdefault(data_centre, [])
-        known[:] = [one for one in known if one.name == author or now - one.heard_ms <= silence_ms]
+        self._drop_silent(data_centre, known, now, silence_ms)
         teller = next((one for one in known if one.name == author), None)
         if teller is None:
-            teller = Author(author, now)
+            teller = self._back(data_centre, author, now) if not known else None
+            teller = teller or Author(author, now)
             known.append(teller)
         teller.take_in(sums, now)
         if leads:
@@ -82,3 +95,21 @@
         for other in known[1:]:
             other.uncharged.clear()
         return teller.take_uncharged()
+
+    def _drop_silent(
+        self, data_centre: str, known: list[Author], now: int, silence_ms: float
+    ) -> None:
+        """Drop those that fell silent; all at once are kept aside, since they may come back."""
+        live = [one for one in known if now - one.heard_ms <= silence_ms]
+        if known and not live:
+            self.silent[data_centre] = list(known)
+        known[:] = live
+
+    def _back(self, data_centre: str, name: str, now: int) -> Author | None:
+        """Return a coordinator whose data centre is heard again, as it was known before.
+
+        The others begin anew: what they told until now is in its sums.
+        """
+        before = self.silent.pop(data_centre, [])
+        found = next((one for one in before if one.name == name), None)
+        return found if found is not None and now - found.heard_ms <= KEPT_MS else None
--- a/plumarch/limits/centre_spending_test.py
+++ b/plumarch/limits/centre_spending_test.py
@@ -84,3 +84,25 @@
     assert found.charge("b", "y", {"w": 50.0}, SILENCE_MS, leads=True) == {"w": 20.0}
     # What the other one told beyond it is charged again: a round's spending, on the safe side.
     assert found.charge("b", "x", {"w": 60.0}, SILENCE_MS, leads=True) == {"w": 30.0}
+
+
+def test_what_a_data_centre_spent_while_it_was_not_heard_is_charged_when_it_is_back():
+    time = clock.ManualClock()
+    found = centre_spending.CentreSpending(time)
+    found.charge("b", "x", {"w": 100.0}, SILENCE_MS)
+    found.charge("b", "y", {"w": 40.0}, SILENCE_MS)
+    time.advance_to(5 * SILENCE_MS)
+    assert found.charge("b", "y", {"w": 90.0}, SILENCE_MS) == {"w": 50.0}
+    assert found.charge("b", "x", {"w": 150.0}, SILENCE_MS) == {}
+    assert found.charge("b", "x", {"w": 160.0}, SILENCE_MS, leads=True) == {"w": 10.0}
+
+
+def test_a_coordinator_that_is_back_after_another_one_was_charged_by_begins_anew():
+    time = clock.ManualClock()
+    found = centre_spending.CentreSpending(time)
+    found.charge("b", "x", {"w": 100.0}, SILENCE_MS)
+    time.advance_to(2 * SILENCE_MS)
+    found.charge("b", "y", {"w": 40.0}, SILENCE_MS)
+    assert found.charge("b", "y", {"w": 70.0}, SILENCE_MS) == {"w": 30.0}
+    assert found.charge("b", "x", {"w": 130.0}, SILENCE_MS) == {}
+    assert found.charge("b", "x", {"w": 130.0}, SILENCE_MS, leads=True) == {}
