The kernel doesn't end a caller that pauses while a ready answer lies in it

Cause: TCP_USER_TIMEOUT counts the time of a peer that answers but has no room like that of a silent one, so a caller that paused for more than 3 s lost an answer that was ready.

Change: while a peer has bytes to take, by the kernel's own count, the limit is longer by the time that it may take nothing; with nothing to take it is 3 s again, and silent callers are noticed as before. A silent caller with bytes under way is noticed after 10 s in place of 3 s.

Ruled out: a longer limit for all callers at all times (it delays keep-alive probes' verdict too).

A refusal for want of room names a return time by the rate at which memory is given back.

--- a/plumarch/gateway/caller_connection.py
+++ b/plumarch/gateway/caller_connection.py
@@ -28,9 +28,9 @@
 """A caller that reads nothing for so long is ended. A judgement: longer than a lost network or a
 caller's busy spell lasts, shorter than most requests' own deadlines."""
 
-FULL_RETRY_AFTER = b"1.000"
-"""When a caller whose body there was no room for had better come back, in s: as long as a slow
-body takes that holds room."""
+FULL_BACK_MS = 1_000.0
+"""When a caller whose body there was no room for had better come back, where nothing is known of
+how fast memory is given back."""
 
 
 @dataclasses.dataclass(slots=True)
@@ -43,6 +43,7 @@
       memory: what is held for callers.
       time_allowed_ms: tells how long a request may take, by its headers.
       cut: told of a caller that is ended, why, and what it hasn't read.
+      back_in_ms: tells when there may be room for so many bytes.
       stall_ms: how long a caller may read nothing.
     """
 
@@ -56,6 +57,7 @@
     )
     time_allowed_ms: Callable[[caller_requests.Headers], float] = lambda _: BODY_TIME_MS
     cut: Callable[[str, int], None] = lambda _, __: None
+    back_in_ms: Callable[[int], float] = lambda _: FULL_BACK_MS
     stall_ms: float = CALLER_STALL_MS
 
     def connection(self) -> "CallerConnection":
@@ -234,7 +236,8 @@
         """Refuse what can't be read as a request, and end the connection."""
         headers = [(b"connection", b"close")]
         if status == incoming_body.NO_ROOM:
-            headers.append((b"retry-after", FULL_RETRY_AFTER))
+            back_in_ms = self.server.back_in_ms(self.body.holding.size)
+            headers.append((b"retry-after", f"{back_in_ms / 1000.0:.3f}".encode()))
         self.body.end()
         self.send(status, headers, b"")
         self._linger()
--- a/plumarch/gateway/exchange.py
+++ b/plumarch/gateway/exchange.py
@@ -164,8 +164,7 @@
         self.outgoing = outgoing.Outgoing(
             self.transport, memory, holding, REQUEST_STALL_MS, self._not_read
         )
-        self.outgoing.written = len(request)
-        self.outgoing.count()
+        self.outgoing.follow(len(request))
 
     def _not_read(self) -> None:
         """Give up an endpoint that doesn't read its request."""
--- a/plumarch/gateway/outgoing.py
+++ b/plumarch/gateway/outgoing.py
@@ -15,7 +15,8 @@
 from plumarch.limits import memory_account, read_progress
 
 CHECK_MS = 1_000.0
-"""How often a peer with bytes to read is looked at; well below the times that it is allowed."""
+"""How often a peer with bytes to read is looked at; well below the times that it is allowed, and
+below the one after which the kernel ends a peer that has no room."""
 
 KERNEL_UNSENT_BYTES = 65_536
 """Unsent bytes that the kernel takes over for a connection. More would be memory that is not
@@ -28,6 +29,7 @@
     Attributes:
       written: bytes since the start.
       empty: set while all bytes were accepted by the socket.
+      patience_ms: how much longer the kernel waits for the peer than for others.
       stalled: called when the peer took none for too long.
     """
 
@@ -45,6 +47,7 @@
         self.progress = read_progress.ReadProgress(stall_ms)
         self.stalled = stalled
         self.written = 0
+        self.patience_ms = 0
         self.timer: asyncio.TimerHandle | None = None
         self.empty = asyncio.Event()
         self.empty.set()
@@ -59,8 +62,20 @@
         """
         if self.transport.is_closing():
             return True
-        self.written += len(data)
         self.transport.write(data)
+        return self.follow(len(data))
+
+    def follow(self, size: int) -> bool:
+        """Count bytes that were just written, and look later whether the peer takes them.
+
+        Returns:
+          False if what the socket didn't accept may not be held.
+        """
+        if self.timer is None:
+            # Nothing was under way: the peer has taken all that was written before.
+            self.progress.begin(self.written, _now_ms())
+            self._check_later()
+        self.written += size
         return self.count()
 
     def count(self) -> bool:
@@ -74,16 +89,10 @@
             return True
         if not self.memory.resize(self.holding, unread):
             return False
-        if not unread:
-            self.empty.set()
-            self._stop_timer()
-            keepalive.allow_unread(self.transport, 0)
-        elif self.empty.is_set():
+        if unread:
             self.empty.clear()
-            # The kernel must not end the peer before its time to read is over.
-            keepalive.allow_unread(self.transport, round(self.progress.limit_ms))
-            self.progress.begin(self.taken(), _now_ms())
-            self._check_later()
+        else:
+            self.empty.set()
         return True
 
     def unread(self) -> int:
@@ -103,13 +112,22 @@
     def _check(self) -> None:
         self.timer = None
         self.count()
-        if self.empty.is_set():
+        taken = self.taken()
+        if taken == self.written:
+            self._be_patient(0)
             return
-        if self.progress.stalled(self.taken(), _now_ms()):
+        # The kernel must not end the peer before its time to read is over.
+        self._be_patient(round(self.progress.limit_ms))
+        if self.progress.stalled(taken, _now_ms()):
             self.stalled()
         else:
             self._check_later()
 
+    def _be_patient(self, more_ms: int) -> None:
+        if more_ms != self.patience_ms:
+            self.patience_ms = more_ms
+            keepalive.allow_unread(self.transport, more_ms)
+
     def _check_later(self) -> None:
         delay_ms = min(CHECK_MS, self.progress.limit_ms)
         self.timer = asyncio.get_running_loop().call_later(delay_ms / 1000.0, self._check)
--- a/plumarch/gateway/relay.py
+++ b/plumarch/gateway/relay.py
@@ -9,6 +9,7 @@
     fleet_state,
     request_run,
 )
+from plumarch.routing import return_times
 
 
 class Relay:
@@ -47,6 +48,12 @@
         """Return how long a request may take by its own word."""
         return admission.time_asked_ms(self.state.names, headers)
 
+    def back_in_ms(self, size: int) -> float:
+        """Return when a caller had better come back with a body that there was no room for."""
+        pressure = self.state.pressure
+        pressure.learn(self.state.memory.given_back)
+        return return_times.spread(pressure.back_in_ms(size), self.state.rng)
+
     def caller_cut(self, reason: str, unread: int) -> None:
         """Record that a caller was ended for what it did not read."""
         state = self.state
@@ -134,4 +141,5 @@
         memory=state.memory,
         time_allowed_ms=handler.time_allowed_ms,
         cut=handler.caller_cut,
+        back_in_ms=handler.back_in_ms,
     )
--- a/plumarch/gateway/slow_callers_test.py
+++ b/plumarch/gateway/slow_callers_test.py
@@ -8,7 +8,14 @@
 
 import pytest
 
-from plumarch.gateway import exchange, relay_test, stream_relay, whole_answers
+from plumarch.gateway import (
+    exchange,
+    keepalive,
+    outgoing,
+    relay_test,
+    stream_relay,
+    whole_answers,
+)
 from plumarch.standins import scripted_endpoint as scripted
 
 CALLERS = 500
@@ -365,3 +372,34 @@
             writer.close()
 
     relay_test.play(test)
+
+
+def test_the_kernel_waits_longer_for_a_caller_only_while_it_has_bytes_to_take(
+    monkeypatch: pytest.MonkeyPatch,
+):
+    monkeypatch.setattr(outgoing, "CHECK_MS", 5.0)
+
+    async def test() -> None:
+        flood = Flood(whole_bytes=60_000)
+        async with relay_test.Gateway(flood.answer) as gateway:
+            # All of the answer lies in the kernel: its socket buffer is the system's own.
+            caller = SlowCaller(await silent_caller(gateway, "/safe/"))
+            await until(lambda: bool(gateway.callers.connections))
+            [connection] = gateway.callers.connections
+            assert connection.transport is not None
+            sock = connection.transport.get_extra_info("socket")
+
+            def limit_ms() -> int:
+                found = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT)
+                assert isinstance(found, int)
+                return found
+
+            assert limit_ms() == keepalive.SILENCE_LIMIT_MS
+            patient_ms = keepalive.SILENCE_LIMIT_MS + round(gateway.callers.stall_ms)
+            await until(lambda: limit_ms() == patient_ms)
+            reader, writer = await asyncio.open_connection(sock=caller.sock, limit=2**20)
+            assert (await relay_test.read_answer(reader)).body == flood.whole
+            await until(lambda: limit_ms() == keepalive.SILENCE_LIMIT_MS)
+            writer.close()
+
+    relay_test.play(test)
--- a/plumarch/limits/memory_admission.py
+++ b/plumarch/limits/memory_admission.py
@@ -91,7 +91,7 @@
         Args:
           given_back: bytes that were given back since the start.
         """
-        self._learn(given_back)
+        self.learn(given_back)
         if not is_refused(held, size, rank):
             return None
         over = held.total + size - round(START * held.budget)
@@ -103,7 +103,8 @@
             return LONGEST_BACK_MS
         return min(LONGEST_BACK_MS, max(LEAST_BACK_MS, over / self.rate))
 
-    def _learn(self, given_back: int) -> None:
+    def learn(self, given_back: int) -> None:
+        """Take in how many bytes were given back since the start."""
         now = self.clock.now()
         if self.looked_ms < 0:
             self.given_back, self.looked_ms = given_back, now
