A stream that was let go waits for a place when its caller reads again

Cause: it gave its place up for others' sake, and broke off if all places were taken just then.

Ruled out: keeping the place reserved, which is what letting go is there to avoid.

--- a/plumarch/gateway/request_run.py
+++ b/plumarch/gateway/request_run.py
@@ -40,6 +40,13 @@
 """Part of the prompt tokens before the first event that are others', below which none is refused
 so: the engine is as good as free, and the request is late by its own length. A judgement."""
 
+RESUME_WAIT_MS = 5_000.0
+"""How long a stream that was let go waits for a place when its caller reads again: some requests
+end in it, and the caller has what lies in the kernel to read meanwhile. A judgement."""
+
+RESUME_CHECK_MS = 100.0
+"""When it looks for one again; twice as late each time, as each look writes a line."""
+
 SERVER_ERRORS = 500
 DOUBTFUL_FAILURE = 0.3
 """Weight of an endpoint's own 5xx as a failure of the endpoint."""
@@ -96,6 +103,7 @@
         self.failed_answer: WholeAnswer | None = None
         self.back_in_ms = return_times.LEAST_MS
         self.let_go = False
+        self.resumes_until_ms = 0.0
 
     async def serve(self) -> Outcome:
         """Make attempts until one answers or the request is given up."""
@@ -107,8 +115,13 @@
             return self._give_up("timeout", 504)
 
     async def _attempt_all(self) -> Outcome:
+        wait_ms = RESUME_CHECK_MS
         while True:
             choice = attempts.choose(self.state, self.admitted, self.progress)
+            if choice is None and self._waits_for_place():
+                await asyncio.sleep(wait_ms / 1000.0)
+                wait_ms *= 2.0
+                continue
             if choice is None:
                 self.back_in_ms = attempts.when_room(self.state, self.admitted)
                 return self._give_up(self.progress.last_fault or "no_endpoint", 502)
@@ -120,6 +133,7 @@
                 return outcome
             if self.let_go:
                 await self._until_read()
+                wait_ms = RESUME_CHECK_MS
                 continue
             if not self._may_try_again():
                 return self._give_up(self.progress.last_fault, 502)
@@ -128,11 +142,16 @@
         """Wait until the caller of a stream that was let go has read all."""
         await self.reply.drained()
         self.let_go = False
+        self.resumes_until_ms = self.state.clock.now() + RESUME_WAIT_MS
         self.state.measures.streams.add("resumed")
         self.state.log.write(
             "stream_resumed", request=self.admitted.id, after=self.progress.last_event_id
         )
 
+    def _waits_for_place(self) -> bool:
+        """Return whether a stream that gave up its place for others' sake waits for another one."""
+        return self.state.clock.now() < self.resumes_until_ms
+
     def _hopeless(self, choice: endpoint_choice.Choice) -> bool:
         """Return whether a first send is expected to miss its target by far, for others' sake.
 
--- a/plumarch/gateway/slow_callers_test.py
+++ b/plumarch/gateway/slow_callers_test.py
@@ -13,6 +13,7 @@
     keepalive,
     outgoing,
     relay_test,
+    request_run,
     stream_relay,
     whole_answers,
 )
@@ -199,7 +200,12 @@
     return [one for endpoint in gateway.endpoints for one in endpoint.received]
 
 
-def test_a_stream_let_go_that_no_endpoint_takes_up_breaks_visibly():
+def test_a_stream_let_go_that_no_endpoint_takes_up_breaks_visibly(
+    monkeypatch: pytest.MonkeyPatch,
+):
+    monkeypatch.setattr(request_run, "RESUME_WAIT_MS", 20.0)
+    monkeypatch.setattr(request_run, "RESUME_CHECK_MS", 1.0)
+
     async def test() -> None:
         flood = Flood()
         async with relay_test.Gateway(flood.answer) as gateway:
@@ -216,6 +222,29 @@
     relay_test.play(test)
 
 
+def test_a_stream_let_go_waits_for_a_place_when_its_caller_reads_again(
+    monkeypatch: pytest.MonkeyPatch,
+):
+    monkeypatch.setattr(request_run, "RESUME_WAIT_MS", 20_000.0)
+    monkeypatch.setattr(request_run, "RESUME_CHECK_MS", 1.0)
+
+    async def test() -> None:
+        flood = Flood()
+        async with relay_test.Gateway(flood.answer) as gateway:
+            gateway.state.memory.budget = LITTLE_BUDGET
+            caller = await slow_caller(gateway, "/chat/")
+            await until(lambda: logged(gateway, b"stream_let_go"))
+            endpoints = list(gateway.state.registry.endpoints.values())
+            gateway.state.registry.replace([], 2, "store")
+            reading = asyncio.get_running_loop().create_task(caller.read_answer())
+            await until(lambda: logged(gateway, b'"no_endpoint"'))
+            gateway.state.registry.replace(endpoints, 3, "store")
+            found = await reading
+            assert (found.whole, found.body) == (True, ALL_EVENTS)
+
+    relay_test.play(test)
+
+
 def test_a_stream_that_may_not_be_resumed_waits_for_a_slow_caller():
     async def test() -> None:
         flood = Flood()
