--- a/plumarch/gateway/slow_callers_test.py
+++ b/plumarch/gateway/slow_callers_test.py
@@ -8,7 +8,15 @@
 
 import pytest
 
-from plumarch.gateway import exchange, relay_test, stream_relay, whole_answers
+from plumarch.gateway import (
+    exchange,
+    keepalive,
+    outgoing,
+    relay_test,
+    request_run,
+    stream_relay,
+    whole_answers,
+)
 from plumarch.standins import scripted_endpoint as scripted
 
 CALLERS = 500
@@ -192,7 +200,12 @@
     return [one for endpoint in gateway.endpoints for one in endpoint.received]
 
 
-def test_a_stream_let_go_that_no_endpoint_takes_up_breaks_visibly():
+def test_a_stream_let_go_that_no_endpoint_takes_up_breaks_visibly(
+    monkeypatch: pytest.MonkeyPatch,
+):
+    monkeypatch.setattr(request_run, "RESUME_WAIT_MS", 20.0)
+    monkeypatch.setattr(request_run, "RESUME_CHECK_MS", 1.0)
+
     async def test() -> None:
         flood = Flood()
         async with relay_test.Gateway(flood.answer) as gateway:
@@ -209,6 +222,29 @@
     relay_test.play(test)
 
 
+def test_a_stream_let_go_waits_for_a_place_when_its_caller_reads_again(
+    monkeypatch: pytest.MonkeyPatch,
+):
+    monkeypatch.setattr(request_run, "RESUME_WAIT_MS", 20_000.0)
+    monkeypatch.setattr(request_run, "RESUME_CHECK_MS", 1.0)
+
+    async def test() -> None:
+        flood = Flood()
+        async with relay_test.Gateway(flood.answer) as gateway:
+            gateway.state.memory.budget = LITTLE_BUDGET
+            caller = await slow_caller(gateway, "/chat/")
+            await until(lambda: logged(gateway, b"stream_let_go"))
+            endpoints = list(gateway.state.registry.endpoints.values())
+            gateway.state.registry.replace([], 2, "store")
+            reading = asyncio.get_running_loop().create_task(caller.read_answer())
+            await until(lambda: logged(gateway, b'"no_endpoint"'))
+            gateway.state.registry.replace(endpoints, 3, "store")
+            found = await reading
+            assert (found.whole, found.body) == (True, ALL_EVENTS)
+
+    relay_test.play(test)
+
+
 def test_a_stream_that_may_not_be_resumed_waits_for_a_slow_caller():
     async def test() -> None:
         flood = Flood()
@@ -365,3 +401,34 @@
             writer.close()
 
     relay_test.play(test)
+
+
+def test_the_kernel_waits_longer_for_a_caller_only_while_it_has_bytes_to_take(
+    monkeypatch: pytest.MonkeyPatch,
+):
+    monkeypatch.setattr(outgoing, "CHECK_MS", 5.0)
+
+    async def test() -> None:
+        flood = Flood(whole_bytes=60_000)
+        async with relay_test.Gateway(flood.answer) as gateway:
+            # All of the answer lies in the kernel: its socket buffer is the system's own.
+            caller = SlowCaller(await silent_caller(gateway, "/safe/"))
+            await until(lambda: bool(gateway.callers.connections))
+            [connection] = gateway.callers.connections
+            assert connection.transport is not None
+            sock = connection.transport.get_extra_info("socket")
+
+            def limit_ms() -> int:
+                found = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT)
+                assert isinstance(found, int)
+                return found
+
+            assert limit_ms() == keepalive.SILENCE_LIMIT_MS
+            patient_ms = keepalive.SILENCE_LIMIT_MS + round(gateway.callers.stall_ms)
+            await until(lambda: limit_ms() == patient_ms)
+            reader, writer = await asyncio.open_connection(sock=caller.sock, limit=2**20)
+            assert (await relay_test.read_answer(reader)).body == flood.whole
+            await until(lambda: limit_ms() == keepalive.SILENCE_LIMIT_MS)
+            writer.close()
+
+    relay_test.play(test)
