--- a/plumarch/gateway/region_quota_test.py
+++ b/plumarch/gateway/region_quota_test.py
@@ -1,7 +1,9 @@
 """Allotments over regions: never over, with late news, while regions are cut off or killed.
 
 The rule and its sessions are those of large_fleet_quota_test; here up to 300 ms pass until news
-of another region are there, and whole regions fail.
+of another region are there, and whole regions fail. The random sessions here are a few: of 46
+others 14 were over, all with processes that were killed or frozen beside cuts, or with two cuts
+of all regions (KNOWN-RED.txt).
 """
 
 import hypothesis
@@ -131,6 +133,51 @@
     assert session.most <= ALLOWED, session.most / ALLOWED
 
 
+Steps = list[tuple[str, int, int]]
+
+SESSIONS_OVER: tuple[tuple[int, int, Steps], ...] = (
+    (
+        743,
+        300,
+        [
+            ("kill coordinators", 400, 12),
+            ("kill coordinators", 64, 4),
+            ("kill region", 993, 21),
+            ("kill coordinators", 114, 10),
+            ("cut all", 803, 21),
+        ],
+    ),
+    (
+        78,
+        300,
+        [
+            ("cut all", 579, 4),
+            ("kill region", 373, 11),
+            ("freeze", 547, 5),
+            ("kill coordinators", 918, 10),
+            ("cut region", 805, 3),
+            ("heal", 302, 2),
+            ("freeze", 686, 2),
+        ],
+    ),
+)
+"""Seed, delay and steps of sessions in which a fleet admitted more than the rule allows."""
+
+
+@pytest.mark.xfail(strict=True, reason="KNOWN-RED.txt: processes killed or frozen beside cuts")
+def test_the_rule_holds_while_processes_are_killed_beside_cuts():
+    found = []
+    for seed, late_ms, steps in SESSIONS_OVER:
+        session = new_session(seed, late_ms)
+        for kind, pick, length in steps:
+            harm(session, kind, pick)
+            session.serve(length * 100)
+        session.fleet.cut = lambda one, other: False
+        session.serve(2_000)
+        found.append(session.most / ALLOWED)
+    assert max(found) <= 1.0, found
+
+
 def harm(session: large_fleet_quota_test.Session, kind: str, pick: int) -> None:
     """Do one thing to a region."""
     fleet = session.fleet
--- a/plumarch/membership/fleet_view.py
+++ b/plumarch/membership/fleet_view.py
@@ -19,13 +19,22 @@
 FORGET_MS = 30_000
 """A node silent for this long is no longer counted among the fleet."""
 
-
 TRUSTED_NEWS_MS = 600
 """A member admits from the fleet's part by news that are younger than this, and else from its own
 node's part. News come each 100 ms, and from the second coordinator each 400 ms if the first
 one falls silent. By the 1,200 ms after which a node counts as silent, each of 24 nodes that were
 cut off alone admitted from the whole for twice as long."""
 
+FRESH_SUMMARY_MS = 400
+"""A data centre counts in the part of an allotment that is heard while its summary is younger than
+this: three of them. By the 1,200 ms after which it counts as silent, three regions that were
+cut off from each other had each spent a whole burst."""
+
+SUMMARIES_MISSED = 2.5
+SUMMARY_MS_EACH = 25.0
+"""With many data centres summaries are rarer, by this time for each (two coordinators, 80 summaries
+a second); then it counts while no more of them are missed."""
+
 SMALL_FLEET = 12
 """Up to this size each node follows the store."""
 
@@ -226,9 +235,15 @@
                 if one.data_centre not in told and self.is_heard(one)
             ]
         )
-        heard += sum(centre.heard for centre in told.values())
+        oldest = self.clock.now() - self._fresh_summary_ms()
+        heard += sum(one.heard for one in told.values() if one.told_ms >= oldest)
         return min(1.0, heard / max(size, heard))
 
+    def _fresh_summary_ms(self) -> float:
+        """Return how old a data centre's summary may be that counts as heard by allotments."""
+        rarer_ms = SUMMARIES_MISSED * SUMMARY_MS_EACH * len(self.centres)
+        return min(self.silence_ms(), max(FRESH_SUMMARY_MS, rarer_ms))
+
     def live_centres(self) -> dict[str, tiers.CentreView]:
         """Return the other data centres whose coordinators are heard."""
         now, limit = self.clock.now(), self.silence_ms()
