An endpoint that announced its end after it was chosen doesn't count as fallen

Cause: a request keeps its endpoint as it was when it was chosen, so that the state that tells a planned end from a fall was always READY. Engines that are taken back after their notice with work left throttled their service for 4 s and lowered its limits for 60 s. Change: losses and refused connects are judged by the registry's state as of now; an entry that vanished counts as left, unless it vanished without notice. Ruled out: to look the endpoint up in routing/endpoint_limits, which knows no registry.

--- a/plumarch/gateway/endpoint_outcomes.py
+++ b/plumarch/gateway/endpoint_outcomes.py
@@ -123,12 +123,14 @@
     """Note that a connection ended while its request ran."""
     running = state.chooser.running(one.endpoint.id)
     elsewhere = _elsewhere(state, one.endpoint)
-    _note_fall(state, one.endpoint, state.limits.lost(one.endpoint, running, elsewhere))
+    endpoint = _as_told(state, one.endpoint)
+    _note_fall(state, endpoint, state.limits.lost(endpoint, running, elsewhere))
 
 
 def unreached(state: fleet_state.FleetState, endpoint: traffic.Endpoint) -> None:
     """Note that an endpoint could not be connected to."""
     elsewhere = _elsewhere(state, endpoint)
+    endpoint = _as_told(state, endpoint)
     _note_fall(state, endpoint, state.limits.unreached(endpoint, elsewhere))
 
 
@@ -139,6 +141,19 @@
         state.health.paces.ended(one.endpoint.id, one.number)
 
 
+def _as_told(state: fleet_state.FleetState, endpoint: traffic.Endpoint) -> traffic.Endpoint:
+    """Return an endpoint with its state as of now, which a request keeps as of its choice.
+
+    One that vanished and is not among those that vanished without notice had said that it leaves.
+    """
+    told = state.registry.endpoints.get(endpoint.id)
+    if told is not None:
+        return told
+    if endpoint.id in state.registry.lapsed:
+        return endpoint
+    return dataclasses.replace(endpoint, state=traffic.EndpointState.DRAINING)
+
+
 def _elsewhere(state: fleet_state.FleetState, endpoint: traffic.Endpoint) -> int:
     ready = state.registry.ready(endpoint.service)
     return state.chooser.total_running(one for one in ready if one.id != endpoint.id)
--- a/plumarch/gateway/pressure_test.py
+++ b/plumarch/gateway/pressure_test.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 import math
+from collections.abc import Callable
 
 from plumarch.core import clock, traffic
 from plumarch.gateway import (
@@ -10,10 +11,11 @@
     attempts,
     caller_connection,
     caller_requests,
+    endpoint_outcomes,
     relay,
     relay_test,
 )
-from plumarch.routing import endpoint_choice, fall_guard
+from plumarch.routing import endpoint_choice, endpoint_limits, fall_guard
 from plumarch.standins import gateway_parts
 from plumarch.standins import scripted_endpoint as scripted
 
@@ -126,6 +128,34 @@
     assert attempts.choose(state, admitted(2), tried) is not None
 
 
+def after_losses_of_one_that_changed(
+    *changes: Callable[[traffic.Endpoint], list[traffic.Endpoint]],
+) -> fall_guard.Fall | None:
+    """Return the fall by two losses of an endpoint that was told of anew after it was chosen."""
+    state = gateway_parts.new_state(clock.ManualClock())
+    one = traffic.Endpoint("e0", "s", "1:1", "a", 8, traffic.EndpointState.READY)
+    state.registry.replace([one], 1, "store")
+    state.chooser.own = {"e0": endpoint_choice.Load(13)}
+    for number, change in enumerate(changes):
+        state.registry.replace(change(one), 2 + number, "store")
+    for _ in range(2):
+        endpoint_outcomes.lost(state, endpoint_outcomes.Given(one, endpoint_limits.PLAIN, None))
+    return state.limits.falls.recent("s")
+
+
+def test_an_endpoint_that_announced_its_end_after_it_was_chosen_does_not_fall():
+    def draining(one: traffic.Endpoint) -> list[traffic.Endpoint]:
+        return [dataclasses.replace(one, state=traffic.EndpointState.DRAINING)]
+
+    def gone(_: traffic.Endpoint) -> list[traffic.Endpoint]:
+        return []
+
+    assert after_losses_of_one_that_changed() is not None
+    assert after_losses_of_one_that_changed(gone) is not None
+    assert after_losses_of_one_that_changed(draining) is None
+    assert after_losses_of_one_that_changed(draining, gone) is None
+
+
 class ManualGateway(relay_test.Gateway):
     """A gateway whose time moves only when a test says so."""
 
