After a fall the less urgent wait for room in the lost load only

Cause: the part that a rank leaves to the more urgent ones was taken of all that the service's endpoints hold, not of the lost load's share. In a service of 100 busy endpoints whose one lost 9 requests, all ranks but the first were refused for 4 s, although the others held no more than before. Change: the rank's part applies to the share of the lost load, as the design says. Ruled out: no ranks at all after a fall; urgent requests had to wait behind others then.

--- a/plumarch/routing/fall_guard.py
+++ b/plumarch/routing/fall_guard.py
@@ -202,7 +202,7 @@
             return 0.0
         age_ms = self.clock.now() - fall.at_ms
         part = max(LEAST_PART, 1.0 - RANK_STEP * rank)
-        wanted_share = ((running + 1) / part - fall.elsewhere) / max(1, fall.held)
+        wanted_share = (running + 1 - fall.elsewhere) / (part * max(1, fall.held))
         if wanted_share <= SHARE:
             return 0.0
         grown_ms = (wanted_share - SHARE) / (1.0 - SHARE) * GROWS_MS
--- a/plumarch/routing/fall_guard_test.py
+++ b/plumarch/routing/fall_guard_test.py
@@ -89,6 +89,14 @@
     assert found.wait_ms("s", 1_000, 16, 9) == 0.0
 
 
+def test_no_rank_waits_while_the_others_hold_no_more_than_before_the_fall():
+    found, _ = guard()
+    found.fell("s", fall(SLOTS + 1, elsewhere=840))
+    for rank in range(10):
+        assert found.wait_ms("s", 839, 792, rank) == 0.0
+        assert found.wait_ms("s", 845, 792, rank) > 0.0
+
+
 def test_free_places_are_open_to_all_ranks_after_a_fall():
     found, _ = guard()
     found.fell("s", fall(20, elsewhere=0))
