One fall delays nothing where many endpoints share what was lost

Cause: the gate after a fall compares what a service's endpoints hold with what they held as one fell, and lets a quarter of the lost load in at once. In a large busy service that is less than its load varies by itself, so that a single crash refused requests for up to 4 s. Change: where 16 or more endpoints are left, nothing waits. Each of them gets a sixteenth of the lost load at most, the same as the quarter gives to four. The limit for each slot that a fall teaches stands. Ruled out: a wider gate in proportion to the load; what varies by itself isn't known.

--- a/plumarch/gateway/endpoint_outcomes.py
+++ b/plumarch/gateway/endpoint_outcomes.py
@@ -60,6 +60,8 @@
     if fall is None:
         return 0.0
     left = [one for one in endpoints if one.id != fall.endpoint]
+    if len(left) >= fall_guard.MANY:
+        return 0.0
     running = state.chooser.total_running(left)
     slots = sum(max(1, one.slots) for one in left)
     rank = admission.urgency(admitted)
--- a/plumarch/gateway/pressure_test.py
+++ b/plumarch/gateway/pressure_test.py
@@ -128,6 +128,30 @@
     assert attempts.choose(state, admitted(2), tried) is not None
 
 
+def wait_after_a_fall(others: int) -> float:
+    """Return how long a request waits as one of many busy endpoints fell with 12 requests.
+
+    Args:
+      others: endpoints that are left, with 12 requests each and the whole lost load besides.
+    """
+    state = gateway_parts.new_state(clock.ManualClock())
+    endpoints = [
+        traffic.Endpoint(f"e{number}", "s", "1:1", "a", 8, traffic.EndpointState.READY)
+        for number in range(1 + others)
+    ]
+    state.registry.replace(endpoints, 1, "store")
+    state.chooser.own = {one.id: endpoint_choice.Load(12) for one in endpoints}
+    state.chooser.own["e1"] = endpoint_choice.Load(24)
+    for _ in range(2):
+        state.limits.lost(endpoints[0], 12, 12 * others)
+    return endpoint_outcomes.share_wait_ms(state, admitted(0), endpoints)
+
+
+def test_one_fall_delays_nothing_where_many_others_share_what_is_lost():
+    assert wait_after_a_fall(15) > 0.0
+    assert wait_after_a_fall(16) == 0.0
+
+
 def after_losses_of_one_that_changed(
     *changes: Callable[[traffic.Endpoint], list[traffic.Endpoint]],
 ) -> fall_guard.Fall | None:
--- a/plumarch/routing/fall_guard.py
+++ b/plumarch/routing/fall_guard.py
@@ -15,6 +15,10 @@
 """Part of what the fallen endpoint held that the others may take on at once. With four others or
 more each gets a sixteenth of its load, which is less than loads differ anyhow."""
 
+MANY = 16
+"""Others of a service among which the whole load of a fallen endpoint is let in at once: each gets
+a sixteenth of it at most, as with SHARE among four."""
+
 GROWS_MS = 4_000
 """Time in which the rest of it is let in: a caller that was turned away comes back within it."""
 
