A worse endpoint in reach is taken where the better ones are too far to answer in time

Cause: slow endpoints and those with worse records are dropped before regions are weighed. Where all better ones are of another region and can't answer by the deadline, the request was refused although its region had room. Change: without a choice among the better ones, all with room are weighed. Ruled out: to weigh records and paces region by region; a region whose only endpoint hangs must still be left.

--- a/plumarch/gateway/attempts.py
+++ b/plumarch/gateway/attempts.py
@@ -138,7 +138,20 @@
 ) -> endpoint_choice.Choice | None:
     if not candidates:
         return None
-    candidates = endpoint_outcomes.preferred(state, candidates, terms.repeated)
+    preferred = endpoint_outcomes.preferred(state, candidates, terms.repeated)
+    choice = _choose_by_load(state, admitted, preferred, terms)
+    if choice is None and len(preferred) < len(candidates):
+        # The better ones are too far: one that is worse may still answer in time.
+        choice = _choose_by_load(state, admitted, candidates, terms)
+    return choice
+
+
+def _choose_by_load(
+    state: fleet_state.FleetState,
+    admitted: admission.Admitted,
+    candidates: list[traffic.Endpoint],
+    terms: locality_choice.Terms,
+) -> endpoint_choice.Choice | None:
     seed = state.rng.randrange(1 << 30)
     if admitted.prompt_tokens:
         return state.chooser.choose_engine(
--- a/plumarch/gateway/region_attempts_test.py
+++ b/plumarch/gateway/region_attempts_test.py
@@ -199,6 +199,20 @@
     assert attempts.when_room(state, hurried) == 900.0 * 9 / 4
 
 
+@pytest.mark.parametrize("tried", [set(), {"e2"}])
+def test_a_worse_endpoint_of_the_region_is_taken_where_better_ones_are_too_far(tried: set[str]):
+    steady = clock.ManualClock()
+    state = state_with(steady, endpoint("e0", "a"), endpoint("e1", "c"))
+    for _ in range(3):
+        state.health.failure("e0", request_run.DOUBTFUL_FAILURE)
+    for time_left_ms, expected in ((LATE_MS, "e1"), (100.0, "e0")):
+        choice = attempts.choose(
+            state, admitted(steady, time_left_ms), attempts.Progress(tried=set(tried))
+        )
+        assert choice is not None
+        assert choice.endpoint.id == expected
+
+
 def test_the_way_counts_in_whether_a_first_token_can_be_in_time():
     steady = clock.ManualClock()
     state = state_with(steady, endpoint("e1", "c"))
