An answer that was read whole counts once as it goes to its caller

Cause: its bytes still counted as an answer being read while they were written to the caller, where what it doesn't read counts as well. A ready answer was cut off for want of room for twice its length. Change: the first holding is given back before the answer is written; nothing else runs between. Ruled out: to hand the holding over to the connection, which counts by what the socket takes.

--- a/plumarch/gateway/request_run.py
+++ b/plumarch/gateway/request_run.py
@@ -275,6 +275,8 @@
                 raise RepeatElsewhere("the endpoint failed, and another one may answer")
             if self.reply.started:
                 raise errors.ConnectionBroken(f"the stream can't go on: {head.status_code}")
+            # From here on it counts as what the caller has to read.
+            self.state.memory.resize(holding, 0)
             return self._send_whole(WholeAnswer(head, body))
         finally:
             self.state.memory.resize(holding, 0)
--- a/plumarch/gateway/slow_callers_test.py
+++ b/plumarch/gateway/slow_callers_test.py
@@ -9,6 +9,7 @@
 import pytest
 
 from plumarch.gateway import exchange, relay_test, stream_relay, whole_answers
+from plumarch.limits import memory_account
 from plumarch.standins import scripted_endpoint as scripted
 
 CALLERS = 500
@@ -280,6 +281,24 @@
     relay_test.play(test)
 
 
+def test_an_answer_counts_once_as_it_goes_to_a_slow_caller():
+    async def test() -> None:
+        flood = Flood(whole_bytes=300_000)
+        async with relay_test.Gateway(flood.answer) as gateway:
+            memory = gateway.state.memory
+            memory.budget = LITTLE_BUDGET
+            # The workspace has room for the answer, but not for twice as much.
+            for number in range(2):
+                other = memory_account.Holding(number, "w", memory_account.Purpose.KEPT_BODIES)
+                assert memory.resize(other, 270_000)
+            caller = await slow_caller(gateway, "/safe/")
+            await until(lambda: logged(gateway, b'"answered"'))
+            found = await caller.read_answer()
+            assert (found.whole, found.body) == (True, flood.whole)
+
+    relay_test.play(test)
+
+
 def test_a_whole_answer_waits_until_others_have_read_theirs(monkeypatch: pytest.MonkeyPatch):
     monkeypatch.setattr(whole_answers, "ROOM_WAIT_MS", 20_000.0)
 
