A caller that closes its side stops its run also while it has bytes to read

Change: the end of the caller's side cancels the run at once. What it was sent stays readable, and a ready answer is still delivered. Ruled out: to abort the connection there; a caller may close its side and read its answer.

--- a/plumarch/gateway/caller_connection.py
+++ b/plumarch/gateway/caller_connection.py
@@ -145,7 +145,12 @@
             self.transport.pause_reading()
 
     def eof_received(self) -> bool:
-        """Treat a caller that closed its side as gone."""
+        """Treat a caller that closed its side as gone.
+
+        The connection itself ends when the caller has read all that it was sent, or is cut.
+        """
+        if self.task is not None:
+            self.task.cancel()
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
