Without room to send a request no further endpoint is connected to

Cause: a request that a node can't hold on its way to an endpoint looked like an endpoint that can't be connected to, so that a node short of memory connected to all endpoints of the service in vain, one after another, for each such request, and told 'no_connection'. Change: the request is given up at once as refused for memory, or as unknown if an earlier send is; the return time is that of the memory. Ruled out: to wait for room; the caller's other nodes may have it now.

--- a/plumarch/gateway/errors.py
+++ b/plumarch/gateway/errors.py
@@ -11,6 +11,10 @@
     """No connection came up: no byte was sent, so the request did not run."""
 
 
+class NoRoomToSend(ConnectFailed):
+    """The request can't be held on its way to an endpoint, whichever that is: no byte was sent."""
+
+
 class ConnectionBroken(errors.DeliveryUnknown, ExchangeError):
     """The connection ended or carried invalid bytes after the request: it may have run."""
 
--- a/plumarch/gateway/exchange.py
+++ b/plumarch/gateway/exchange.py
@@ -128,7 +128,8 @@
           memory: where the request counts until the endpoint has read it, if it does.
           workspace: whose request it is.
         Raises:
-          ConnectFailed: the connection has ended, or the request can't be held: no byte is sent.
+          ConnectFailed: the connection has ended: no byte is sent.
+          NoRoomToSend: the request can't be held: no byte is sent.
         """
         if self.transport is None or self.transport.is_closing():
             raise errors.ConnectFailed("The connection ended before the request. Try again.")
@@ -154,7 +155,7 @@
         purpose = memory_account.Purpose.UNSENT_REQUESTS
         holding = memory_account.Holding(self, workspace, purpose)
         if not memory.resize(holding, len(request)):
-            raise errors.ConnectFailed("The request can't be held. Ask another node.")
+            raise errors.NoRoomToSend("The request can't be held. Ask another node.")
         if len(request) > outgoing.KERNEL_UNSENT_BYTES:
             outgoing.keep_little_in_kernel(self.transport)
         self.transport.write(request)
--- a/plumarch/gateway/request_run.py
+++ b/plumarch/gateway/request_run.py
@@ -162,6 +162,9 @@
         state, progress = self.state, self.progress
         try:
             attempt = await attempts.send(state, self.admitted, progress, choice)
+        except errors.NoRoomToSend:
+            self.back_in_ms = state.pressure.back_in_ms(len(self.admitted.request.body))
+            return self._give_up("memory", 502)
         except errors.ConnectFailed:
             progress.last_fault = "no_connection"
             return None
--- a/plumarch/gateway/slow_requests_test.py
+++ b/plumarch/gateway/slow_requests_test.py
@@ -191,6 +191,25 @@
     relay_test.play(test)
 
 
+def test_without_room_to_send_a_request_no_further_endpoint_is_connected_to():
+    async def test() -> None:
+        answering = [relay_test.answers() for _ in range(3)]
+        async with relay_test.Gateway(*answering) as gateway:
+            memory = gateway.state.memory
+            memory.budget = 30_000
+            # The workspace has room for the body, but not for it on its way as well.
+            for number in range(3):
+                other = memory_account.Holding(number, "w", memory_account.Purpose.UNREAD_ANSWERS)
+                assert memory.resize(other, 2_600)
+            found = await gateway.ask("/safe/", body=b"x" * 4_000)
+            assert (found.status, found.body, gateway.sends()) == (503, b"memory\n", 0)
+            assert float(found.headers["retry-after"]) > 0.0
+            assert bytes(gateway.state.log.pending).count(b'"kind":"sent"') == 1
+            assert gateway.state.chooser.own == {}
+
+    relay_test.play(test)
+
+
 # Endpoints that don't read.
 
 
