Endpoints are slow against those of their region, not against idle ones elsewhere

Cause: the middle of a service's times was taken over all regions. Endpoints of other regions that get no work count as quick, so that a busy region whose answers took longer than expected was left by all of its requests at once, while the choice over regions lets a part leave only. Change: with two endpoints or more in the region, paces are compared within it, and those elsewhere with each other. An only endpoint is still compared with those elsewhere. Ruled out: the same for records; a sound endpoint elsewhere serves a second try better.

--- a/plumarch/gateway/endpoint_outcomes.py
+++ b/plumarch/gateway/endpoint_outcomes.py
@@ -9,12 +9,23 @@
 
 from plumarch.core import traffic
 from plumarch.gateway import admission, fleet_state
-from plumarch.routing import answer_times, endpoint_choice, endpoint_limits, fall_guard
+from plumarch.routing import (
+    answer_times,
+    endpoint_choice,
+    endpoint_limits,
+    fall_guard,
+    locality_choice,
+)
 
 TOO_MUCH = frozenset({429, 503})
 """Statuses by which an endpoint that did not run a request says that it holds too much."""
 
 
+LEAST_COMPARED = 2
+"""Endpoints of a region from which on they are compared with each other: an only one that hangs
+shows by those elsewhere alone."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Given:
     """A request that an endpoint was given.
@@ -46,10 +57,25 @@
     Args:
       repeated: whether it failed at another one already.
     """
-    quick = state.health.paces.without_slow(endpoints, state.chooser.running)
+    quick = _without_slow(state, endpoints)
     return state.health.best(quick, state.chooser.running, repeated)
 
 
+def _without_slow(
+    state: fleet_state.FleetState, endpoints: Sequence[traffic.Endpoint]
+) -> list[traffic.Endpoint]:
+    """Return endpoints without those that are slow against the others of their region.
+
+    Those of other regions are idle mostly, and look quick by that. Whether a region as a whole is
+    too slow is weighed by the choice.
+    """
+    paces, running = state.health.paces, state.chooser.running
+    near, away = locality_choice.parted(endpoints, state.distances)
+    if len(near) < LEAST_COMPARED:
+        return paces.without_slow(endpoints, running)
+    return paces.without_slow(near, running) + paces.without_slow(away, running)
+
+
 def share_wait_ms(
     state: fleet_state.FleetState,
     admitted: admission.Admitted,
--- a/plumarch/gateway/region_attempts_test.py
+++ b/plumarch/gateway/region_attempts_test.py
@@ -20,7 +20,7 @@
     stream_relay,
     version_outcomes,
 )
-from plumarch.routing import distance, endpoint_choice
+from plumarch.routing import distance, endpoint_choice, endpoint_pace
 from plumarch.standins import gateway_parts
 from plumarch.standins import scripted_endpoint as scripted
 
@@ -213,6 +213,32 @@
         assert choice.endpoint.id == expected
 
 
+@pytest.mark.parametrize(("slow", "expected"), [("e0 e1", "e0 e1"), ("e0", "e1")])
+def test_endpoints_are_slow_against_those_of_their_region_not_against_idle_ones_elsewhere(
+    slow: str, expected: str
+):
+    steady = clock.ManualClock()
+    away = [endpoint(f"far{number}", "c") for number in range(8)]
+    state = state_with(steady, endpoint("e0", "a"), endpoint("e1", "a"), *away)
+    for name in slow.split():
+        state.health.paces.known[name] = endpoint_pace.Pace(mean=4.0)
+    chosen = {
+        choice.endpoint.id
+        for _ in range(20)
+        if (choice := attempts.choose(state, admitted(steady), attempts.Progress())) is not None
+    }
+    assert chosen == set(expected.split())
+
+
+def test_an_only_endpoint_of_the_region_is_slow_against_those_elsewhere():
+    steady = clock.ManualClock()
+    state = state_with(steady, endpoint("e0", "a"), endpoint("e1", "c"), endpoint("e2", "c"))
+    state.health.paces.known["e0"] = endpoint_pace.Pace(mean=4.0)
+    choice = attempts.choose(state, admitted(steady), attempts.Progress())
+    assert choice is not None
+    assert choice.endpoint.id != "e0"
+
+
 def test_the_way_counts_in_whether_a_first_token_can_be_in_time():
     steady = clock.ManualClock()
     state = state_with(steady, endpoint("e1", "c"))
