A failed answer that is kept for a second try counts as held

Cause: the body of an endpoint's own failure, up to 16 MB, is kept while another endpoint is tried, but its holding was given back as soon as it was read. So what a node held was not bounded by its account. Change: the holding lasts until the answer is sent, replaced, or the request has ended. Ruled out: to drop large bodies of failures; the caller must get the answer whole.

--- a/plumarch/gateway/request_run.py
+++ b/plumarch/gateway/request_run.py
@@ -23,6 +23,7 @@
     version_outcomes,
     whole_answers,
 )
+from plumarch.limits import memory_account
 from plumarch.routing import endpoint_choice, return_times
 
 CALLER_LEFT = 499
@@ -95,6 +96,7 @@
             last_event_id=admitted.request.header(state.names.last_event_id)
         )
         self.failed_answer: WholeAnswer | None = None
+        self.failed_holding: memory_account.Holding | None = None
         self.back_in_ms = return_times.LEAST_MS
         self.let_go = False
 
@@ -106,6 +108,14 @@
                 return await self._attempt_all()
         except TimeoutError:
             return self._give_up("timeout", 504)
+        finally:
+            self._keep_failed(None)
+
+    def _keep_failed(self, holding: memory_account.Holding | None) -> None:
+        """Count a failed answer that is kept, in place of the one before."""
+        if self.failed_holding is not None:
+            self.state.memory.resize(self.failed_holding, 0)
+        self.failed_holding = holding
 
     async def _attempt_all(self) -> Outcome:
         while True:
@@ -275,6 +285,7 @@
             stream_relay.note_first_token(self.state, self.admitted, attempt, self.reply.started)
             if head.status_code >= SERVER_ERRORS and self._worth_repeating():
                 self.failed_answer = WholeAnswer(head, body)
+                self._keep_failed(holding)
                 raise RepeatElsewhere("the endpoint failed, and another one may answer")
             if self.reply.started:
                 raise errors.ConnectionBroken(f"the stream can't go on: {head.status_code}")
@@ -282,7 +293,8 @@
             self.state.memory.resize(holding, 0)
             return self._send_whole(WholeAnswer(head, body))
         finally:
-            self.state.memory.resize(holding, 0)
+            if holding is not self.failed_holding:
+                self.state.memory.resize(holding, 0)
 
     def _send_whole(self, answer: WholeAnswer) -> Outcome:
         self.progress.first_ms = self.state.clock.now() - self.admitted.request.began_ms
@@ -300,6 +312,7 @@
             self.reply.abort()
             return Outcome(status, f"broken_off_{reason}")
         if self.failed_answer is not None:
+            self._keep_failed(None)
             return self._send_whole(self.failed_answer)
         if self.progress.unresolved:
             return self.fail(Outcome(status, reason))
--- a/plumarch/gateway/slow_callers_test.py
+++ b/plumarch/gateway/slow_callers_test.py
@@ -298,6 +298,31 @@
     relay_test.play(test)
 
 
+@pytest.mark.parametrize("second", ["200 OK", "500 Oops"])
+def test_a_failed_answer_that_is_kept_for_a_second_try_counts_until_that_has_ended(second: str):
+    async def test() -> None:
+        asked, go_on = asyncio.Event(), asyncio.Event()
+        kept = b"x" * 100_000
+
+        async def last(request: scripted.ReceivedRequest, writer: asyncio.StreamWriter) -> None:
+            asked.set()
+            await go_on.wait()
+            writer.write(scripted.answer(request, second, body=kept))
+
+        first = relay_test.answers("500 Oops", body=kept)
+        async with relay_test.Gateway(first, last) as gateway:
+            answer = asyncio.create_task(gateway.ask("/safe/"))
+            await asked.wait()
+            held = gateway.state.memory.held
+            assert held[memory_account.Purpose.UNREAD_ANSWERS] >= len(kept)
+            go_on.set()
+            found = await answer
+            assert (found.status, found.body) == (int(second[:3]), kept)
+            await until(lambda: all_given_back(gateway))
+
+    relay_test.play(test)
+
+
 def test_an_answer_counts_once_as_it_goes_to_a_slow_caller():
     async def test() -> None:
         flood = Flood(whole_bytes=300_000)
