--- a/plumarch/gateway/endpoint_outcomes.py
+++ b/plumarch/gateway/endpoint_outcomes.py
@@ -9,12 +9,23 @@
 
 from plumarch.core import traffic
 from plumarch.gateway import admission, fleet_state
-from plumarch.routing import answer_times, endpoint_choice, endpoint_limits, fall_guard
+from plumarch.routing import (
+    answer_times,
+    endpoint_choice,
+    endpoint_limits,
+    fall_guard,
+    locality_choice,
+)
 
 TOO_MUCH = frozenset({429, 503})
 """Statuses by which an endpoint that did not run a request says that it holds too much."""
 
 
+LEAST_COMPARED = 2
+"""Endpoints of a region from which on they are compared with each other: an only one that hangs
+shows by those elsewhere alone."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Given:
     """A request that an endpoint was given.
@@ -46,10 +57,25 @@
     Args:
       repeated: whether it failed at another one already.
     """
-    quick = state.health.paces.without_slow(endpoints, state.chooser.running)
+    quick = _without_slow(state, endpoints)
     return state.health.best(quick, state.chooser.running, repeated)
 
 
+def _without_slow(
+    state: fleet_state.FleetState, endpoints: Sequence[traffic.Endpoint]
+) -> list[traffic.Endpoint]:
+    """Return endpoints without those that are slow against the others of their region.
+
+    Those of other regions are idle mostly, and look quick by that. Whether a region as a whole is
+    too slow is weighed by the choice.
+    """
+    paces, running = state.health.paces, state.chooser.running
+    near, away = locality_choice.parted(endpoints, state.distances)
+    if len(near) < LEAST_COMPARED:
+        return paces.without_slow(endpoints, running)
+    return paces.without_slow(near, running) + paces.without_slow(away, running)
+
+
 def share_wait_ms(
     state: fleet_state.FleetState,
     admitted: admission.Admitted,
@@ -60,6 +86,8 @@
     if fall is None:
         return 0.0
     left = [one for one in endpoints if one.id != fall.endpoint]
+    if len(left) >= fall_guard.MANY:
+        return 0.0
     running = state.chooser.total_running(left)
     slots = sum(max(1, one.slots) for one in left)
     rank = admission.urgency(admitted)
@@ -126,12 +154,14 @@
     """Note that a connection ended while its request ran."""
     running = state.chooser.running(one.endpoint.id)
     elsewhere = _elsewhere(state, one.endpoint)
-    _note_fall(state, one.endpoint, state.limits.lost(one.endpoint, running, elsewhere))
+    endpoint = _as_told(state, one.endpoint)
+    _note_fall(state, endpoint, state.limits.lost(endpoint, running, elsewhere))
 
 
 def unreached(state: fleet_state.FleetState, endpoint: traffic.Endpoint) -> None:
     """Note that an endpoint could not be connected to."""
     elsewhere = _elsewhere(state, endpoint)
+    endpoint = _as_told(state, endpoint)
     _note_fall(state, endpoint, state.limits.unreached(endpoint, elsewhere))
 
 
@@ -142,6 +172,19 @@
         state.health.paces.ended(one.endpoint.id, one.number)
 
 
+def _as_told(state: fleet_state.FleetState, endpoint: traffic.Endpoint) -> traffic.Endpoint:
+    """Return an endpoint with its state as of now, which a request keeps as of its choice.
+
+    One that vanished and is not among those that vanished without notice had said that it leaves.
+    """
+    told = state.registry.endpoints.get(endpoint.id)
+    if told is not None:
+        return told
+    if endpoint.id in state.registry.lapsed:
+        return endpoint
+    return dataclasses.replace(endpoint, state=traffic.EndpointState.DRAINING)
+
+
 def _elsewhere(state: fleet_state.FleetState, endpoint: traffic.Endpoint) -> int:
     ready = state.registry.ready(endpoint.service)
     return state.chooser.total_running(one for one in ready if one.id != endpoint.id)
--- a/plumarch/gateway/slow_callers_test.py
+++ b/plumarch/gateway/slow_callers_test.py
@@ -16,6 +16,7 @@
     relay_test,
     whole_answers,
 )
+from plumarch.limits import memory_account
 from plumarch.standins import scripted_endpoint as scripted
 
 CALLERS = 500
@@ -193,6 +194,23 @@
     relay_test.play(test)
 
 
+@pytest.mark.parametrize("path", ["/chat/", "/diff/"])
+def test_a_caller_that_closes_its_side_stops_its_run_also_with_bytes_unread(path: str):
+    async def test() -> None:
+        flood = Flood()
+        async with relay_test.Gateway(flood.answer) as gateway:
+            gateway.state.memory.budget = LITTLE_BUDGET
+            caller = await slow_caller(gateway, path)
+            await until(lambda: paused(gateway) or logged(gateway, b"stream_let_go"))
+            caller.sock.shutdown(socket.SHUT_WR)
+            await until(lambda: logged(gateway, b'"answered"'))
+            assert logged(gateway, b"caller_left")
+            assert gateway.state.chooser.own == {}
+            caller.sock.close()
+
+    relay_test.play(test)
+
+
 def test_a_ready_answer_is_delivered_late_also_on_a_connection_that_ends():
     async def test() -> None:
         flood = Flood(whole_bytes=300_000)
@@ -210,6 +228,49 @@
     relay_test.play(test)
 
 
+@pytest.mark.parametrize("second", ["200 OK", "500 Oops"])
+def test_a_failed_answer_that_is_kept_for_a_second_try_counts_until_that_has_ended(second: str):
+    async def test() -> None:
+        asked, go_on = asyncio.Event(), asyncio.Event()
+        kept = b"x" * 100_000
+
+        async def last(request: scripted.ReceivedRequest, writer: asyncio.StreamWriter) -> None:
+            asked.set()
+            await go_on.wait()
+            writer.write(scripted.answer(request, second, body=kept))
+
+        first = relay_test.answers("500 Oops", body=kept)
+        async with relay_test.Gateway(first, last) as gateway:
+            answer = asyncio.create_task(gateway.ask("/safe/"))
+            await asked.wait()
+            held = gateway.state.memory.held
+            assert held[memory_account.Purpose.UNREAD_ANSWERS] >= len(kept)
+            go_on.set()
+            found = await answer
+            assert (found.status, found.body) == (int(second[:3]), kept)
+            await until(lambda: all_given_back(gateway))
+
+    relay_test.play(test)
+
+
+def test_an_answer_counts_once_as_it_goes_to_a_slow_caller():
+    async def test() -> None:
+        flood = Flood(whole_bytes=300_000)
+        async with relay_test.Gateway(flood.answer) as gateway:
+            memory = gateway.state.memory
+            memory.budget = LITTLE_BUDGET
+            # The workspace has room for the answer, but not for twice as much.
+            for number in range(2):
+                other = memory_account.Holding(number, "w", memory_account.Purpose.KEPT_BODIES)
+                assert memory.resize(other, 270_000)
+            caller = await slow_caller(gateway, "/safe/")
+            await until(lambda: logged(gateway, b'"answered"'))
+            found = await caller.read_answer()
+            assert (found.whole, found.body) == (True, flood.whole)
+
+    relay_test.play(test)
+
+
 def test_a_whole_answer_waits_until_others_have_read_theirs(monkeypatch: pytest.MonkeyPatch):
     monkeypatch.setattr(whole_answers, "ROOM_WAIT_MS", 20_000.0)
 
