--- a/plumarch/gateway/slow_callers_test.py
+++ b/plumarch/gateway/slow_callers_test.py
@@ -194,23 +194,6 @@
     relay_test.play(test)
 
 
-@pytest.mark.parametrize("path", ["/chat/", "/diff/"])
-def test_a_caller_that_closes_its_side_stops_its_run_also_with_bytes_unread(path: str):
-    async def test() -> None:
-        flood = Flood()
-        async with relay_test.Gateway(flood.answer) as gateway:
-            gateway.state.memory.budget = LITTLE_BUDGET
-            caller = await slow_caller(gateway, path)
-            await until(lambda: paused(gateway) or logged(gateway, b"stream_let_go"))
-            caller.sock.shutdown(socket.SHUT_WR)
-            await until(lambda: logged(gateway, b'"answered"'))
-            assert logged(gateway, b"caller_left")
-            assert gateway.state.chooser.own == {}
-            caller.sock.close()
-
-    relay_test.play(test)
-
-
 def test_a_ready_answer_is_delivered_late_also_on_a_connection_that_ends():
     async def test() -> None:
         flood = Flood(whole_bytes=300_000)
--- a/plumarch/gateway/slow_streams_test.py
+++ b/plumarch/gateway/slow_streams_test.py
@@ -173,3 +173,22 @@
                 one.sock.close()
 
     relay_test.play(test)
+
+
+@pytest.mark.parametrize("path", ["/chat/", "/diff/"])
+def test_a_caller_that_closes_its_side_stops_its_run_also_with_bytes_unread(path: str):
+    async def test() -> None:
+        flood = slow_callers_test.Flood()
+        async with relay_test.Gateway(flood.answer) as gateway:
+            gateway.state.memory.budget = slow_callers_test.LITTLE_BUDGET
+            caller = await slow_callers_test.slow_caller(gateway, path)
+            await slow_callers_test.until(
+                lambda: paused(gateway) or slow_callers_test.logged(gateway, b"stream_let_go")
+            )
+            caller.sock.shutdown(socket.SHUT_WR)
+            await slow_callers_test.until(lambda: slow_callers_test.logged(gateway, b'"answered"'))
+            assert slow_callers_test.logged(gateway, b"caller_left")
+            assert gateway.state.chooser.own == {}
+            caller.sock.close()
+
+    relay_test.play(test)
