--- a/plumarch/gateway/slow_streams_test.py
+++ b/plumarch/gateway/slow_streams_test.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import gc
+import socket
 
 import pytest
 
