Duties: refused calls are made again after pauses, each kind by itself

Cause: a holder whose call was refused made it again with each tick, 4 a second, and each is paid for. A roll-out's record that could not be written was held up with the shrinking of other shares behind it, and a smaller share whose record failed was never recorded.

Smaller shares are put in force before anything that may wait or fail; what is in force and not recorded is recorded with the next try.

Ruled out: one pause for all work, which would hold up orders of engines while only the store is down; pauses over a second, as engines take seconds to boot.

--- a/plumarch/gateway/duties.py
+++ b/plumarch/gateway/duties.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from plumarch.core import errors, records
+from plumarch.core import backoff, errors, records
 from plumarch.fleet import duty_lease, rollout
 from plumarch.gateway import (
     engine_orders,
@@ -56,6 +56,11 @@
 which wait for that."""
 
 
+RETRY = backoff.Backoff(first_ms=500.0, longest_ms=1_000.0)
+"""Pauses of one kind of work after failures: without them each tick makes a call that is refused
+and paid for. Longer ones would hold up orders of engines, which take seconds to boot."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class UsageSchedule:
     """When usage windows are reported, in ms after their end.
@@ -118,6 +123,7 @@
         self.tell_soon = tell_soon
         self.rollouts = rollout_duty.RolloutDuty(state, store, exposure)
         self.reach = follower.Dependency(state, "duties")
+        self.retries = backoff.Retries(state.clock, state.rng, RETRY)
         self.leaving = False
         self.watch = duty_lease.RecordWatch()
         self.renewed_ms = 0
@@ -133,17 +139,26 @@
             await self.step()
             await asyncio.sleep(TICK_MS / 1000.0)
 
-    async def _attempt(self, work: Callable[[], Awaitable[None]]) -> None:
-        """Do one thing that is due; a failure ends it, and perhaps the holding."""
+    async def _attempt(self, kind: str, work: Callable[[], Awaitable[None]]) -> None:
+        """Do one thing that is due; a failure ends it, and perhaps the holding.
+
+        Args:
+          kind: what failures are counted and paused under.
+        """
+        if not self.retries.is_due(kind):
+            return
         try:
             await work()
+            self.retries.done(kind)
         except errors.StaleToken as error:
             self._resign(f"displaced: {error}", DISPLACED_PAUSE_MS)
         except errors.PlatformConflict as error:
             self._resign(f"conflict: {error}", DISPLACED_PAUSE_MS)
         except errors.PlatformError as error:
+            self.retries.failed(kind)
             self._out_of_reach(error)
         except msgspec.DecodeError as error:
+            self.retries.failed(kind)
             self._out_of_reach(errors.PlatformNonsense(f"The duties' record: {error}."))
 
     async def step(self) -> None:
@@ -164,33 +179,39 @@
             return
         if not self.status.token:
             self.known_token = max(self.known_token, self.view.newest_token())
-            await self._attempt(self._maybe_take_over)
+            await self._attempt("take over", self._maybe_take_over)
             return
         if self._renewal_due():
-            await self._attempt(self._renew)
+            await self._attempt("renew", self._renew)
         if self.status.token and self.tasks.usage:
-            await self._attempt(self._report_usage)
+            await self._attempt("usage", self._report_usage)
         # Engines are ordered all the same: the store may be down while the cloud is not.
         if self.status.token and self.tasks.scaling:
-            await self._attempt(self._order_engines)
+            await self._attempt("engines", self._order_engines)
         if self.status.token and self.rollouts.enabled():
-            await self._attempt(self._roll_out)
+            self._shrink_rollouts()
+            await self._attempt("roll out", self._roll_out)
 
     async def follow_rollouts(self) -> None:
         """Follow the orders of roll-outs while this node holds the duties, forever."""
         await self.rollouts.follow(lambda: self.status.token > 0)
 
-    async def _roll_out(self) -> None:
-        """Carry out what is due of the roll-outs."""
+    def _shrink_rollouts(self) -> None:
+        """Put smaller shares in force: they are safe whatever becomes of the record."""
         assert self.held is not None
         for plan, before in self.rollouts.decide(self.held.record):
-            # A smaller share is safe whatever becomes of the record, and is not to wait for it.
-            grows = before is None or plan.share > before.share
-            if not grows:
+            if before is not None and plan.share <= before.share:
                 self._put_in_force(plan)
+
+    async def _roll_out(self) -> None:
+        """Carry out what else is due of the roll-outs."""
+        assert self.held is not None
+        for plan, _ in self.rollouts.decide(self.held.record):
+            await self._record_rollout(plan)
+            self._put_in_force(plan)
+        # What is in force already, and was not recorded because that failed.
+        for plan in list(self.rollouts.plans.values()):
             await self._record_rollout(plan)
-            if grows:
-                self._put_in_force(plan)
         await self.rollouts.tell_operators()
 
     def _put_in_force(self, plan: rollout.RolloutPlan) -> None:
