--- a/plumarch/gateway/registration_test.py
+++ b/plumarch/gateway/registration_test.py
@@ -19,6 +19,8 @@
     lists: int = 0
     writes: int = 0
     lose: int = 0
+    late: int = 0
+    left: list[records.Record] = dataclasses.field(default_factory=list)
     down: bool = False
 
     async def list_records(self, kind: str) -> list[records.Record]:
@@ -28,6 +30,13 @@
         return list(self.found.values())
 
     async def write_record(self, kind: str, record: records.Record) -> records.Record:
+        if self.late:
+            self.late -= 1
+            self.left.append(record)
+            raise errors.PlatformAnswerLost("silence")
+        return self.apply(record)
+
+    def apply(self, record: records.Record) -> records.Record:
         known = self.found.get(record.name)
         if record.revision != (known.revision if known else 0):
             raise errors.PlatformConflict("changed")
@@ -113,6 +122,32 @@
     assert store.writes == 6
 
 
+def test_writes_carried_out_late_have_no_effect_beside_those_made_in_their_place():
+    fleet = gossip_fleet.GossipFleet(gossip_fleet.Size(2, 3))
+    store = Store(late=4)
+    entries = register_all(fleet, store)
+    run(fleet, entries)
+    assert (len(store.left), store.writes) == (4, 6)
+    for record in store.left:
+        with pytest.raises(errors.PlatformConflict):
+            store.apply(record)
+    run(fleet, entries)
+    assert store.writes == 6
+
+
+def test_writes_carried_out_late_are_found_and_not_made_again():
+    fleet = gossip_fleet.GossipFleet(gossip_fleet.Size(2, 3))
+    store = Store(late=6)
+    entries = register_all(fleet, store)
+    while len(store.left) < 6:
+        fleet.run(500)
+        step(entries)
+    for record in store.left:
+        store.apply(record)
+    run(fleet, entries)
+    assert store.writes == 6
+
+
 def test_nodes_without_seeds_find_each_other_by_the_store():
     fleet = gossip_fleet.GossipFleet(gossip_fleet.Size(3, 12))
     store = Store()
--- a/plumarch/gateway/store_calls_test.py
+++ b/plumarch/gateway/store_calls_test.py
@@ -5,6 +5,7 @@
 import pytest
 
 from plumarch.core import traffic
+from plumarch.gateway import follower
 from plumarch.membership import store_followers
 from plumarch.standins import gossip_fleet, store_replay, virtual_time
 
@@ -149,6 +150,20 @@
     play(SIZE, test)
 
 
+def test_a_node_turned_away_from_its_start_serves_and_hears_of_changes_by_its_peers():
+    async def test(replay: store_replay.StoreReplay, store: store_replay.CountedStore) -> None:
+        alone = {"dc-a-0", "dc-b-3", "dc-c-11"}
+        store.refused |= alone
+        store.put(endpoint())
+        await replay.run(SETTLE_MS)
+        assert replay.behind() == []
+        for name in alone:
+            assert replay.fleet.nodes[name].state.table_source != follower.STORE
+        await change_all(replay)
+
+    play(SIZE, test)
+
+
 def test_a_data_centre_that_is_cut_off_from_the_others_has_two_followers_again():
     async def test(replay: store_replay.StoreReplay, store: store_replay.CountedStore) -> None:
         await replay.run(SETTLE_MS)
