A node that starts reads the records of others from a list that may be old

Cause: each node that starts reads who else is written down, at the full price, while it only needs some that live.

Change: that list is asked for with stale=1, which costs a tenth and is outside the rate. After a conflict or a lost answer the records are read as they stand, since an old list can't tell what became of a write.

Ruled out: the same for the first lists of the configuration and of endpoints: what a node serves by would be seconds old on top of the time that a change may take.

--- a/plumarch/gateway/ports.py
+++ b/plumarch/gateway/ports.py
@@ -83,8 +83,12 @@
         """
         ...
 
-    async def list_records(self, kind: str) -> list[records.Record]:
-        """Read all objects of a kind of the product's own."""
+    async def list_records(self, kind: str, stale: bool = False) -> list[records.Record]:
+        """Read all objects of a kind of the product's own.
+
+        Args:
+          stale: whether they may be some seconds old, which costs less.
+        """
         ...
 
     async def read_record(self, kind: str, name: str) -> records.Record | None:
--- a/plumarch/gateway/registration.py
+++ b/plumarch/gateway/registration.py
@@ -33,7 +33,13 @@
 
 
 class Registration:
-    """One node's entry in the store."""
+    """One node's entry in the store.
+
+    Attributes:
+      read_ms: when the records were read last; None if they are to be read now.
+      known: the records as they were read or written last, by name.
+      contested: whether a write conflicted or got no answer since.
+    """
 
     def __init__(
         self,
@@ -50,6 +56,7 @@
         self.begun_ms = state.clock.now()
         self.read_ms: int | None = None
         self.known: dict[str, records.Record] = {}
+        self.contested = False
 
     async def run(self) -> None:
         """Keep the entry right, forever."""
@@ -78,7 +85,10 @@
             await self._write(wanted)
 
     async def _read(self) -> None:
-        found = await self.store.list_records(node_record.KIND)
+        # A list that may be old costs a tenth and names nodes as well; it can't settle what became
+        # of a write.
+        found = await self.store.list_records(node_record.KIND, stale=not self.contested)
+        self.contested = False
         self.dependency.answered()
         self.read_ms = self.state.clock.now()
         self.known = {record.name: record for record in found}
@@ -124,6 +134,7 @@
             self.known[name] = await self.store.write_record(node_record.KIND, record)
         except (errors.PlatformConflict, errors.PlatformAnswerLost):
             self.read_ms = None
+            self.contested = True
             raise
         self.dependency.answered()
         self.state.log.write("registered", name=name, nodes=[one.address for one in wanted.nodes])
--- a/plumarch/gateway/registration_test.py
+++ b/plumarch/gateway/registration_test.py
@@ -13,21 +13,28 @@
 
 @dataclasses.dataclass
 class Store:
-    """A store that counts its calls, and refuses or loses some."""
+    """A store that counts its calls, and refuses or loses some.
+
+    Attributes:
+      old: the records as lists show them that may be some seconds old.
+    """
 
     found: dict[str, records.Record] = dataclasses.field(default_factory=dict)
+    old: dict[str, records.Record] = dataclasses.field(default_factory=dict)
     lists: int = 0
+    stale_lists: int = 0
     writes: int = 0
     lose: int = 0
     late: int = 0
     left: list[records.Record] = dataclasses.field(default_factory=list)
     down: bool = False
 
-    async def list_records(self, kind: str) -> list[records.Record]:
+    async def list_records(self, kind: str, stale: bool = False) -> list[records.Record]:
         if self.down:
             raise errors.PlatformUnavailable("down")
         self.lists += 1
-        return list(self.found.values())
+        self.stale_lists += stale
+        return list((self.old if stale else self.found).values())
 
     async def write_record(self, kind: str, record: records.Record) -> records.Record:
         if self.late:
@@ -148,10 +155,20 @@
     assert store.writes == 6
 
 
+def test_what_became_of_a_write_is_not_settled_by_a_list_that_may_be_old():
+    fleet = gossip_fleet.GossipFleet(gossip_fleet.Size(2, 3))
+    store = Store(lose=2)
+    entries = register_all(fleet, store)
+    run(fleet, entries)
+    assert store.old == {}
+    assert (store.lists, store.stale_lists, store.writes) == (8, 6, 6)
+
+
 def test_nodes_without_seeds_find_each_other_by_the_store():
     fleet = gossip_fleet.GossipFleet(gossip_fleet.Size(3, 12))
     store = Store()
     run(fleet, register_all(fleet, store))
+    store.old = dict(store.found)
     fleet.seeds = ()
     newcomer = fleet.start(40, "dc-b", knows_all=False)
     entry = registration.Registration(
--- a/plumarch/standins/store_replay.py
+++ b/plumarch/standins/store_replay.py
@@ -145,9 +145,9 @@
         ]
         return ports.EndpointNews(tuple(changes), self.store.revision)
 
-    async def list_records(self, kind: str) -> list[records.Record]:
+    async def list_records(self, kind: str, stale: bool = False) -> list[records.Record]:
         """Read all records."""
-        await self._call("list records", LIST_LIMIT_MS)
+        await self._call("list records" + " (stale)" * stale, LIST_LIMIT_MS)
         return list(self.store.kept.values())
 
     async def write_record(self, kind: str, record: records.Record) -> records.Record:
