A holder that the store turns away alone hands the duties on

Change: a holder that the store doesn't answer for 1.5 s while other candidates are answered resigns. Ruled out: resigning while the store answers nobody (test). The test failed before: the same node held on.

--- a/plumarch/gateway/duties.py
+++ b/plumarch/gateway/duties.py
@@ -127,6 +127,7 @@
         self.leaving = False
         self.watch = duty_lease.RecordWatch()
         self.renewed_ms = 0
+        self.store_answered_ms = state.clock.now()
         self.engines = engine_orders.EngineOrders(state, view, cloud, self.rollouts, first_start)
 
     def lease(self) -> records.Lease:
@@ -177,6 +178,8 @@
             if self.status.token:
                 self._resign("stopping", DISPLACED_PAUSE_MS)
             return
+        if self._is_turned_away() and self.status.token:
+            self._resign("the store answers other nodes", DISPLACED_PAUSE_MS)
         if not self.status.token:
             self.known_token = max(self.known_token, self.view.newest_token())
             await self._attempt("take over", self._maybe_take_over)
@@ -192,6 +195,18 @@
             self._shrink_rollouts()
             await self._attempt("roll out", self._roll_out)
 
+    def _is_turned_away(self) -> bool:
+        """Return whether the store answers other nodes for a while, and not this one.
+
+        The cloud may answer a holder all the time. Without this, the order of a roll-out was seen
+        11 s after it was given, since the store turned the holder away alone.
+        """
+        now = self.state.clock.now()
+        if self.state.reaches_store:
+            self.store_answered_ms = now
+        others = any(one.reaches_store and one.candidate for one in self.view.live())
+        return others and now - self.store_answered_ms > OUT_OF_REACH_MS
+
     async def follow_rollouts(self) -> None:
         """Follow the orders of roll-outs while this node holds the duties, forever."""
         await self.rollouts.follow(lambda: self.status.token > 0)
@@ -346,6 +361,7 @@
             if found is None or not is_mine or found.record.token != wanted.record.token:
                 raise
             return found
+        self.state.reaches_store = True
         return duty_lease.HeldRecord(wanted.record, written.revision)
 
     async def _report_usage(self) -> None:
--- a/plumarch/gateway/duties_test.py
+++ b/plumarch/gateway/duties_test.py
@@ -283,6 +283,30 @@
     assert holders[0] is not holder
 
 
+def test_a_holder_that_the_store_turns_away_alone_hands_the_duties_on():
+    """Its cloud answers all the time; orders of roll-outs would wait for the store meanwhile."""
+    world = World(1)
+    pass_time(world, 3_000)
+    [holder] = [node for node in world.nodes if node.duties.status.token]
+    world.refused[holder.number] = True
+    holder.state.reaches_store = False
+    pass_time(world, duties.OUT_OF_REACH_MS + 1_000)
+    holders = [node for node in world.nodes if node.duties.status.token]
+    assert len(holders) == 1
+    assert holders[0] is not holder
+
+
+def test_a_holder_keeps_the_duties_while_the_store_answers_nobody():
+    world = World(1)
+    pass_time(world, 3_000)
+    [holder] = [node for node in world.nodes if node.duties.status.token]
+    for node in world.nodes:
+        world.refused[node.number] = True
+        node.state.reaches_store = False
+    pass_time(world, duties.OUT_OF_REACH_MS + 500)
+    assert holder.duties.status.token
+
+
 def test_a_holder_whose_token_is_refused_stops_at_once():
     world = World(1)
     pass_time(world, 3_000)
