--- a/plumarch/gateway/snapshots.py
+++ b/plumarch/gateway/snapshots.py
@@ -99,6 +99,9 @@
                 await writer.drain()
         except (OSError, TimeoutError, EOFError, msgspec.DecodeError, errors.PeerProtocolError):
             pass
+        except asyncio.CancelledError:
+            # Only the process's end cancels this; asyncio would print a cancelled task as an error.
+            pass
         finally:
             writer.close()
 
--- a/plumarch/gateway/snapshots_test.py
+++ b/plumarch/gateway/snapshots_test.py
@@ -1,5 +1,6 @@
 """Snapshots handed to peers: compressed where that pays, and not put together for each of them."""
 
+import asyncio
 import zlib
 
 import pytest
@@ -66,3 +67,26 @@
         snapshots._unpack(zlib.compress(bytes(20_000)))
     with pytest.raises(errors.PeerProtocolError, match="inflated"):
         snapshots._unpack(b"\x78nonsense")
+
+
+def test_a_process_that_ends_during_an_answer_prints_no_error():
+    found = []
+
+    async def end_while_asked() -> None:
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda _, context: found.append(context["message"]))
+        before = asyncio.all_tasks()
+        server = await asyncio.start_server(exchange(1).serve, "127.0.0.1", 0)
+        _, writer = await asyncio.open_connection(*server.sockets[0].getsockname())
+        while not (serving := asyncio.all_tasks() - before):
+            await asyncio.sleep(0.001)
+        await asyncio.sleep(0.01)
+        for task in serving:
+            task.cancel()
+        await asyncio.wait(serving)
+        await asyncio.sleep(0)
+        writer.close()
+        server.close()
+
+    asyncio.run(end_while_asked())
+    assert found == []
