--- a/plumarch/core/backoff.py
+++ b/plumarch/core/backoff.py
@@ -9,6 +9,9 @@
 from plumarch.core import clock
 
 MOST_DOUBLINGS = 8
+"""Bounds the power of two after thousands of failures; by then the pauses in use have
+grown to their longest."""
+
 LEAST_PART = 0.5
 """Each pause is drawn from this part of its length up, so that nodes that failed together don't
 call again together."""
@@ -42,6 +45,7 @@
     """When work of several kinds, each of which fails by itself, may be tried again.
 
     Attributes:
+      backoff: how long to wait after failures of one kind.
       failures: how often each kind failed in a row.
       not_before_ms: when each kind that failed last may be tried again.
     """
--- a/plumarch/fleet/engine_firm.py
+++ b/plumarch/fleet/engine_firm.py
@@ -43,7 +43,7 @@
     lacks = engine_regions.lacking(scaling, regions, needed, both) if over_regions else {}
     for name, price in scaling.prices.items():
         # The limit holds for both kinds together, and the platform doesn't say what it holds
-        # back: 23 firm ones ordered where there was room for 9 were missing 8 s later.
+        # back: what is ordered beyond the room would be waited for in vain.
         running = ready.get(engine_places.Place(name, False), 0)
         room = max(running, scaling.maximum - ready.get(engine_places.Place(name, True), 0))
         if counts[name] >= room:
--- a/plumarch/fleet/version_verdict.py
+++ b/plumarch/fleet/version_verdict.py
@@ -3,8 +3,7 @@
 Grey endpoints, cut data centres and lost answers strike both versions alike, so that a version is
 only judged against what the other one does on the same routes at the same time.
 
-Compared were fixed limits, a sequential likelihood ratio, and the probabilities used here
-(bench.rollout_trials, docs/design/rollouts.md).
+The other rules that were weighed: docs/design/rollouts.md.
 """
 
 import dataclasses
@@ -28,12 +27,12 @@
 """Probability of a bad version from which on it is rolled back at once."""
 
 PROBABLY_GOOD = 0.24
-"""Probability of a bad version below which it gets more requests than a bad one may. By these two,
-5 of 200 bad versions get more than they may and 165 of 200 good ones are completed
-(bench.rollout_trials, 400 seeds)."""
+"""Probability of a bad version below which it gets more requests than a bad one may. A lower one
+rolls more good versions back, a higher one lets more bad ones through (docs/design/rollouts.md)."""
 
 LEAST_RATE = 1e-4
 LEAST_LIKELIHOOD = 1e-300
+"""What stands for 0 where a logarithm is taken."""
 
 PERIOD_ANSWERS = 30.0
 """Weight of the usual rate in a period, in answers: a trouble of a tenth more that strikes both is
--- a/plumarch/gateway/caller_requests.py
+++ b/plumarch/gateway/caller_requests.py
@@ -8,7 +8,6 @@
 
 Headers = Sequence[tuple[bytes, bytes]]
 
-
 REASONS = {
     200: b"OK",
     400: b"Bad Request",
@@ -22,6 +21,7 @@
     503: b"Service Unavailable",
     504: b"Gateway Timeout",
 }
+"""Words beside the statuses that the gateway itself answers with."""
 
 
 @dataclasses.dataclass(slots=True)
@@ -49,6 +49,7 @@
     """The answer to one request.
 
     Attributes:
+      started: whether its head was sent.
       ended_because: why it was cut short by the gateway, or "".
     """
 
--- a/plumarch/gateway/duties.py
+++ b/plumarch/gateway/duties.py
@@ -26,8 +26,8 @@
 TRY_PAUSE_MS = 800
 HEAR_HOLDER_MS = 400
 """A holder that the record names and of whom this node never heard has this long to be heard: two
-heartbeats, or a round between data centres and one to the members. Without it three nodes took
-the duties from one another within 0.2 s after most of a fleet had lost power."""
+heartbeats, or a round between data centres and one to the members. Without it nodes that start
+together would take the duties from one another."""
 
 DISPLACED_PAUSE_MS = 8_000
 """A node that another one displaced leaves the duties alone for this long."""
@@ -38,15 +38,15 @@
 OUT_OF_REACH_MS = 1_500
 """A holder that reaches neither store nor cloud for this long lets another one try."""
 
-
-MOST = 0.5
+MAJORITY = 0.5
 """A node that hears more than this part of all nodes takes the duties over from a holder that it
 doesn't hear. One that hears less may be cut off with its region, while the holder lives elsewhere:
-two regions took the duties from one another every three seconds, and each counted usage and demand
+two regions would take the duties from one another in turn, and each would count usage and demand
 by its own nodes."""
 
 HOLDER_GONE_MS = 2_500
-"""Such a node takes over once the record stood unchanged for this long: two renewals and a look."""
+"""A node that hears no majority takes over once the record stood unchanged for this long: two
+renewals and a look."""
 
 RENEW_MS = 1_000
 """A holder that doesn't hear nearly all nodes writes the record at least this often."""
@@ -55,7 +55,6 @@
 """A holder that hears this part writes it with each usage window only; what is left is a few nodes,
 which wait for that."""
 
-
 RETRY = backoff.Backoff(first_ms=500.0, longest_ms=1_000.0)
 """Pauses of one kind of work after failures: without them each tick makes a call that is refused
 and paid for. Longer ones would hold up orders of engines, which take seconds to boot."""
@@ -258,7 +257,7 @@
         self.not_before_ms = self.state.clock.now() + TRY_PAUSE_MS
         found = duty_lease.decode(await self.store.read_record(duty_lease.KIND, duty_lease.NAME))
         if not duty_lease.is_mine(found, self.view.node, self.view.incarnation):
-            if found is not None and self._may_live_elsewhere(found):
+            if found is not None and self._holder_may_live(found):
                 return
             if found is not None and found.record.token > self.known_token:
                 self._wait_for_holder(found.record)
@@ -276,12 +275,12 @@
             "duty_taken", urgent=True, token=found.record.token, revision=found.revision
         )
 
-    def _may_live_elsewhere(self, found: duty_lease.HeldRecord) -> bool:
+    def _holder_may_live(self, found: duty_lease.HeldRecord) -> bool:
         """Return whether the holder may live among nodes that are cut off from this one."""
         fraction = self.view.heard_fraction()
         now = self.state.clock.now()
         unchanged_ms = self.watch.unchanged_ms(found, now, 2 * TRY_PAUSE_MS)
-        if fraction > MOST:
+        if fraction > MAJORITY:
             return False
         few = fraction <= 1.0 - NEARLY_ALL
         wait_ms = HOLDER_GONE_MS + (self.schedule.window_ms if few else 0)
--- a/plumarch/gateway/endpoint_outcomes.py
+++ b/plumarch/gateway/endpoint_outcomes.py
@@ -20,7 +20,6 @@
 TOO_MUCH = frozenset({429, 503})
 """Statuses by which an endpoint that did not run a request says that it holds too much."""
 
-
 LEAST_COMPARED = 2
 """Endpoints of a region from which on they are compared with each other: an only one that hangs
 shows by those elsewhere alone."""
@@ -31,7 +30,8 @@
     """A request that an endpoint was given.
 
     Attributes:
-      number: by which its pace awaits the answer, or None if it is not known how long that takes.
+      demand: what it asks of the endpoint.
+      number: of `EndpointPaces.sent`, or None if it is not known how long an answer should take.
     """
 
     endpoint: traffic.Endpoint
--- a/plumarch/gateway/incoming_body.py
+++ b/plumarch/gateway/incoming_body.py
@@ -7,12 +7,15 @@
 
 TOO_LARGE = 413
 NO_ROOM = 503
+"""Statuses to refuse with: the body is over the caller's limit, or this node can't hold it."""
 
 
 class IncomingBody:
     """A body that arrives, and is kept until its request is answered.
 
     Attributes:
+      holding: what counts its bytes in the node's account of memory.
+      data: what has arrived; emptied once the body is whole.
       limits: what the caller may send.
       heard_ms: when bytes came last.
       ends_ms: when the request is given up.
--- a/plumarch/gateway/introductions.py
+++ b/plumarch/gateway/introductions.py
@@ -29,13 +29,13 @@
 
 @dataclasses.dataclass(slots=True)
 class Introductions:
-    """One node's side of it; a member leaves it to its coordinators.
+    """One node's introductions; a member leaves asking to its coordinators.
 
     Attributes:
       send: sends a message to addresses.
-      told: when a directory was sent, by whom it was for, and with which digest.
+      told: when a directory was sent to each node, and the digest it was sent with.
       silent: since when each known data centre is not heard.
-      noted: those of them of which the log tells.
+      noted: those of them that were logged.
     """
 
     state: fleet_state.FleetState
@@ -122,8 +122,8 @@
     def meet(self, peer: peer_node.Peer) -> None:
         """Tell a node that is heard for the first time, or again, of all nodes of a small fleet.
 
-        Heartbeats name some of them now and then, by which the last pairs of 20 nodes heard each
-        other more than five seconds after their start.
+        Heartbeats name some of them now and then: by these alone the last pairs of nodes would hear
+        each other only some seconds after their start.
         """
         if self.view.known_size() <= tiers.FLAT_FLEET:
             known = [gossip.KnownPeer(one.name, one.address) for one in self.view.live()]
--- a/plumarch/gateway/region_sums.py
+++ b/plumarch/gateway/region_sums.py
@@ -1,4 +1,4 @@
-"""What this node knows of each region: what its nodes admitted, and which part of them is heard."""
+"""What this node knows of each region: what its nodes admitted, and how many of them are heard."""
 
 import collections
 import dataclasses
@@ -17,7 +17,8 @@
     """Sums by region since they were asked for last.
 
     Attributes:
-      before: units that each source had admitted then, in all.
+      before: units that each source had admitted then, in all; sources as in
+        `workspace_quota.charged_by`.
     """
 
     state: fleet_state.FleetState
@@ -55,7 +56,7 @@
         A region of which a named data centre is not known at all is one of them.
 
         Args:
-          least: that part.
+          least: the part of a region's nodes that must be heard.
         """
         state = self.state
         nodes: collections.Counter[str] = collections.Counter()
--- a/plumarch/gateway/whole_answers.py
+++ b/plumarch/gateway/whole_answers.py
@@ -8,6 +8,9 @@
 from plumarch.limits import memory_account
 
 ANSWER_BYTES_LIMIT = 16 * 1024 * 1024
+"""The longest answer that is read whole; a longer one is an endpoint's fault, and would take the
+room of many others."""
+
 ROOM_WAIT_MS = 2_000.0
 """How long an answer waits for room. An endpoint cuts one off that stays unread for some seconds,
 and what arrived of it is not counted meanwhile."""
--- a/plumarch/routing/concurrency_limit.py
+++ b/plumarch/routing/concurrency_limit.py
@@ -1,8 +1,9 @@
 """How many requests one endpoint is given at once, when it shows that it bears fewer.
 
-Two ways, both without I/O. Additive increase, multiplicative decrease comes down at refusals,
-falls and answers that are far too late, and grows again with time. The gradient follows the time
-to the first byte: as that grows against its usual value, the limit shrinks in proportion. Neither
+Two rules, both without I/O. Nodes use additive increase, multiplicative decrease: it comes down
+at refusals, falls and answers that are far too late, and grows again with time. The latency
+gradient is the rule that it is compared with (docs/design/pressure-endpoints.md): it follows the
+time to the first byte, and shrinks in proportion as that grows against its usual value. Neither
 goes below the places that the endpoint is known to have, nor above what it is given in calm times.
 """
 
@@ -146,6 +147,7 @@
       least: it never goes below this.
       most: what it may hold in calm times.
       current: the limit so far.
+      ceiling: what it may hold at most until `ceiling_until_ms`, after a fall.
     """
 
     least: float
--- a/plumarch/routing/distance.py
+++ b/plumarch/routing/distance.py
@@ -33,7 +33,6 @@
 """Round trips in ms before one was measured, as operators state them for links inside a data
 centre, between those of a region, and between regions some hundred kilometres apart."""
 
-
 FRESH_CONNECTION_ROUND_TRIPS = 2
 """Round trips until the first byte of an answer: one opens the connection, one carries the request;
 no connection is used twice."""
@@ -47,8 +46,8 @@
 
 LOW_RANK = 1
 """Which of the kept connections is taken for the way, the shortest being 0: waiting only ever adds
-to a way, and one that is too short to be true (an endpoint's address used again nearer by) is
-passed over."""
+to a way, and one that is too short to be true (an address that an endpoint nearer by has taken
+over) is passed over."""
 
 
 @dataclasses.dataclass(slots=True)
--- a/plumarch/routing/endpoint_limits.py
+++ b/plumarch/routing/endpoint_limits.py
@@ -114,6 +114,8 @@
     """What endpoints bear.
 
     Attributes:
+      falls: what falls taught about each service.
+      build: makes the learned limit of an endpoint, of its slots and its limit in calm times.
       services: services by name, as configured.
       learned: limits of endpoints that refused, fell or answered, by identifier.
       held: this node's requests, by endpoint identifier.
@@ -144,7 +146,7 @@
     ) -> list[traffic.Endpoint]:
         """Return the endpoints of a service that may be given a further request.
 
-        No limit of requests that is learned goes below an endpoint's slots.
+        A learned limit of requests never goes below an endpoint's slots.
 
         Args:
           running: requests of all nodes that run or wait at an endpoint, as far as known.
@@ -232,7 +234,7 @@
           running: requests there when it came.
           took: in multiples of what was expected.
         """
-        self._limit(endpoint, is_engine).answered(running, took, self.clock.now())
+        self._learned_limit(endpoint, is_engine).answered(running, took, self.clock.now())
 
     def refused(self, endpoint: traffic.Endpoint, running: int, is_engine: bool) -> None:
         """Take in that an endpoint refused a request as too much.
@@ -243,7 +245,7 @@
           running: requests there besides the one that it refused.
         """
         if running >= endpoint.slots:
-            self._limit(endpoint, is_engine).refused(running, self.clock.now())
+            self._learned_limit(endpoint, is_engine).refused(running, self.clock.now())
 
     def changed(self, endpoint: traffic.Endpoint) -> float | None:
         """Return an endpoint's learned limit if it changed enough since it was last told."""
@@ -309,7 +311,7 @@
         self.falls.fell(endpoint.service, fall)
         return fall
 
-    def _limit(
+    def _learned_limit(
         self, endpoint: traffic.Endpoint, is_engine: bool
     ) -> concurrency_limit.ConcurrencyLimit:
         found = self.learned.get(endpoint.id)
--- a/plumarch/routing/endpoint_pace.py
+++ b/plumarch/routing/endpoint_pace.py
@@ -25,6 +25,7 @@
 as a slow answer: the endpoint accepts late, or its link loses packets."""
 
 SLOW_CONNECT_MS = 30.0
+"""What a busy process may add to a short connect without fault of the endpoint."""
 
 WEIGHT = 0.25
 """Weight of an answer; two or three slow ones make an endpoint slow, one alone never does."""
@@ -51,8 +52,9 @@
 
     Attributes:
       mean: time of its answers, in multiples of what was expected.
+      at_ms: when the mean was last changed; it fades from then on.
       shortest_connect_ms: of all its connects.
-      awaited: by request and attempt, the oldest first.
+      awaited: by the number that `EndpointPaces.sent` gave, the oldest first.
     """
 
     mean: float = 1.0
@@ -63,7 +65,12 @@
 
 @dataclasses.dataclass(slots=True)
 class EndpointPaces:
-    """Paces by endpoint identifier."""
+    """How slow endpoints are.
+
+    Attributes:
+      known: by endpoint identifier.
+      last: the number given to the last request sent.
+    """
 
     clock: clock.Clock
     known: dict[str, Pace] = dataclasses.field(default_factory=dict)
--- a/plumarch/routing/engine_record.py
+++ b/plumarch/routing/engine_record.py
@@ -9,7 +9,7 @@
 from plumarch.core import hashing, traffic
 
 RECORD_PARTS = 4_000
-"""Parts remembered for each engine."""
+"""Parts remembered for each engine; it bounds what a node holds for it."""
 
 
 @dataclasses.dataclass(slots=True)
--- a/plumarch/routing/fall_guard.py
+++ b/plumarch/routing/fall_guard.py
@@ -44,6 +44,7 @@
       first_ms: when the first of them was lost.
       held: requests that it held then.
       weight: what they weighed.
+      count: how many were lost since; LOSSES make a fall.
     """
 
     first_ms: int
@@ -87,6 +88,7 @@
       last: the latest fall under more than endpoints bear every day.
       per_slot: requests for each slot that an endpoint may hold, or None.
       weight: what the requests of an endpoint may weigh, or None.
+      learned_ms: when the two before were learned; they are forgotten after FALL_KEPT_MS.
       borne: the greatest weight under which an endpoint answered well lately.
     """
 
@@ -165,8 +167,10 @@
         falls.last = fall
 
     def per_slot(self, service: str) -> float | None:
-        """Return how many requests for each slot an endpoint may hold by what falls taught, 1 at
-        least, or None if they taught nothing."""
+        """Return how many requests for each slot an endpoint may hold by falls, or None.
+
+        It is 1 at least: a fall says nothing against an endpoint's slots.
+        """
         falls = self._learned(service)
         if falls is None or falls.per_slot is None:
             return None
