--- a/plumarch/gateway/attempts.py
+++ b/plumarch/gateway/attempts.py
@@ -160,7 +160,7 @@
     """Return the endpoints that can be reached, answer well, and have room."""
     reachable = [one for one in ready if not state.reach.is_out(one.data_centre)]
     usable = state.health.usable(reachable or ready)
-    if endpoint_outcomes.share_wait_ms(state, admitted, usable):
+    if endpoint_outcomes.wait_after_fall_ms(state, admitted, usable):
         return []
     demand = endpoint_outcomes.demand_of(admitted)
     return state.limits.with_room(admitted.service, usable, state.chooser.running, demand)
@@ -183,7 +183,7 @@
         slots = sum(max(1, one.slots) for one in ready)
         run_ms = state.chooser.speed(admitted.service).run_ms.value
         free_ms = return_times.when_a_place_is_free(running, slots, run_ms)
-        return max(free_ms, endpoint_outcomes.share_wait_ms(state, admitted, ready))
+        return max(free_ms, endpoint_outcomes.wait_after_fall_ms(state, admitted, ready))
     service = state.table.services.get(admitted.service) if state.table else None
     if service is not None and service.scaling is not None:
         return return_times.when_booted(service.scaling.boot_ms)
--- a/plumarch/gateway/caller_connection.py
+++ b/plumarch/gateway/caller_connection.py
@@ -41,9 +41,9 @@
       limits: of the configuration in force.
       draining: whether each answer ends its connection.
       memory: what is held for callers.
-      time_allowed_ms: tells how long a request may take, by its headers.
-      cut: told of a caller that is ended, why, and what it hasn't read.
-      back_in_ms: tells when there may be room for so many bytes.
+      time_allowed_ms: returns how long a request may take, by its headers.
+      cut: called when a caller is ended: why, and how many bytes it hasn't read.
+      back_in_ms: returns after how long there may be room for so many bytes.
       stall_ms: how long a caller may read nothing.
     """
 
--- a/plumarch/gateway/endpoint_outcomes.py
+++ b/plumarch/gateway/endpoint_outcomes.py
@@ -70,13 +70,13 @@
     too slow is weighed by the choice.
     """
     paces, running = state.health.paces, state.chooser.running
-    near, away = locality_choice.parted(endpoints, state.distances)
+    near, away = locality_choice.near_and_away(endpoints, state.distances)
     if len(near) < LEAST_COMPARED:
         return paces.without_slow(endpoints, running)
     return paces.without_slow(near, running) + paces.without_slow(away, running)
 
 
-def share_wait_ms(
+def wait_after_fall_ms(
     state: fleet_state.FleetState,
     admitted: admission.Admitted,
     endpoints: Sequence[traffic.Endpoint],
@@ -86,7 +86,7 @@
     if fall is None:
         return 0.0
     left = [one for one in endpoints if one.id != fall.endpoint]
-    if len(left) >= fall_guard.MANY:
+    if len(left) >= fall_guard.MANY_OTHERS:
         return 0.0
     running = state.chooser.total_running(left)
     slots = sum(max(1, one.slots) for one in left)
--- a/plumarch/gateway/pressure_test.py
+++ b/plumarch/gateway/pressure_test.py
@@ -147,7 +147,7 @@
     state.chooser.own["e1"] = endpoint_choice.Load(24)
     for _ in range(2):
         state.limits.lost(endpoints[0], 12, 12 * others)
-    return endpoint_outcomes.share_wait_ms(state, admitted(0), endpoints)
+    return endpoint_outcomes.wait_after_fall_ms(state, admitted(0), endpoints)
 
 
 def test_one_fall_delays_nothing_where_many_others_share_what_is_lost():
--- a/plumarch/gateway/registration.py
+++ b/plumarch/gateway/registration.py
@@ -85,8 +85,8 @@
             await self._write(wanted)
 
     async def _read(self) -> None:
-        # A list that may be old costs a tenth and names nodes as well; it can't settle what became
-        # of a write.
+        # A list that may be old costs less and names nodes as well; it can't settle what became of
+        # a write.
         found = await self.store.list_records(node_record.KIND, stale=not self.contested)
         self.contested = False
         self.dependency.answered()
--- a/plumarch/gateway/rounds.py
+++ b/plumarch/gateway/rounds.py
@@ -29,7 +29,7 @@
 FAR_SECOND_MS = 500
 """How often the second coordinator of a data centre in another region is told itself: so often that
 it holds nobody for silent after one loss, should the oldest one freeze that passes on to it what it
-hears otherwise. Bytes between regions are ten times as dear as those between data centres."""
+hears otherwise. Bytes between regions are dearer than those within one."""
 
 OLDEST_SILENT_ROUNDS = 2.5
 """An oldest coordinator that missed so many rounds passes nothing on: the second one of its data
--- a/plumarch/membership/fleet_view.py
+++ b/plumarch/membership/fleet_view.py
@@ -27,8 +27,8 @@
 
 FRESH_SUMMARY_MS = 400
 """A data centre counts in the part of an allotment that is heard while its summary is younger than
-this: three of them. By the 1,200 ms after which it counts as silent, three regions that were
-cut off from each other had each spent a whole burst."""
+this: three may be missed. Until it counts as silent, after 1,200 ms, regions that are cut off from
+each other would each spend a whole burst."""
 
 SUMMARIES_MISSED = 2.5
 SUMMARY_MS_EACH = 25.0
--- a/plumarch/routing/endpoint_choice.py
+++ b/plumarch/routing/endpoint_choice.py
@@ -80,7 +80,8 @@
 
 
 Weighed = tuple[traffic.Endpoint, float, float, Load, float]
-"""An engine, its cost, tokens that it has to read, its load, and the wait for a place there."""
+"""An engine, its cost in ms, the prompt tokens that it doesn't hold, its load, and the wait for a
+place there in ms."""
 
 
 @dataclasses.dataclass(slots=True)
@@ -172,7 +173,7 @@
         Args:
           seed: breaks ties, differently for each request.
         """
-        near, away = locality_choice.parted(candidates, self.distances)
+        near, away = locality_choice.near_and_away(candidates, self.distances)
         best = self._least_loaded(near, seed, len(candidates))
         if locality_choice.stays(best, away, terms, seed):
             return best
@@ -225,7 +226,7 @@
           parts: the prompt's parts, in order; the last one may be the request's own.
           prompt_tokens: the whole prompt.
         """
-        near, away = locality_choice.parted(candidates, self.distances)
+        near, away = locality_choice.near_and_away(candidates, self.distances)
         keys = part_keys(parts)
         owned = keys[: _shared_count(parts, prompt_tokens)]
         prompt = engine_record.Prompt(
--- a/plumarch/routing/fall_guard.py
+++ b/plumarch/routing/fall_guard.py
@@ -11,13 +11,13 @@
 from plumarch.core import clock
 from plumarch.routing import concurrency_limit
 
-SHARE = 0.25
+FIRST_SHARE = 0.25
 """Part of what the fallen endpoint held that the others may take on at once. With four others or
 more each gets a sixteenth of its load, which is less than loads differ anyhow."""
 
-MANY = 16
+MANY_OTHERS = 16
 """Others of a service among which the whole load of a fallen endpoint is let in at once: each gets
-a sixteenth of it at most, as with SHARE among four."""
+a sixteenth of it at most, as with FIRST_SHARE among four."""
 
 GROWS_MS = 4_000
 """Time in which the rest of it is let in: a caller that was turned away comes back within it."""
@@ -216,9 +216,9 @@
         age_ms = self.clock.now() - fall.at_ms
         part = max(LEAST_PART, 1.0 - RANK_STEP * rank)
         wanted_share = (running + 1 - fall.elsewhere) / (part * max(1, fall.held))
-        if wanted_share <= SHARE:
+        if wanted_share <= FIRST_SHARE:
             return 0.0
-        grown_ms = (wanted_share - SHARE) / (1.0 - SHARE) * GROWS_MS
+        grown_ms = (wanted_share - FIRST_SHARE) / (1.0 - FIRST_SHARE) * GROWS_MS
         return max(0.0, min(float(GROWS_MS), grown_ms) - age_ms)
 
     def keep_only(self, endpoints: set[str]) -> None:
--- a/plumarch/routing/locality_choice.py
+++ b/plumarch/routing/locality_choice.py
@@ -87,7 +87,7 @@
 AnyOption = TypeVar("AnyOption", bound=Option)
 
 
-def parted(
+def near_and_away(
     candidates: Sequence[traffic.Endpoint], distances: distance.Distances | None
 ) -> tuple[Sequence[traffic.Endpoint], Sequence[traffic.Endpoint]]:
     """Return the endpoints of the own region, and all others."""
