--- a/plumarch/routing/fall_guard.py
+++ b/plumarch/routing/fall_guard.py
@@ -89,7 +89,7 @@
       per_slot: requests for each slot that an endpoint may hold, or None.
       weight: what the requests of an endpoint may weigh, or None.
       learned_ms: when the two before were learned; they are forgotten after FALL_KEPT_MS.
-      borne: the greatest weight under which an endpoint answered well lately.
+      borne: the greatest weight under which an endpoint answered since this process started.
     """
 
     last: Fall | None = None
