--- a/plumarch/routing/fall_guard.py
+++ b/plumarch/routing/fall_guard.py
@@ -11,13 +11,13 @@
 from plumarch.core import clock
 from plumarch.routing import concurrency_limit
 
-SHARE = 0.25
+FIRST_SHARE = 0.25
 """Part of what the fallen endpoint held that the others may take on at once. With four others or
 more each gets a sixteenth of its load, which is less than loads differ anyhow."""
 
-MANY = 16
+MANY_OTHERS = 16
 """Others of a service among which the whole load of a fallen endpoint is let in at once: each gets
-a sixteenth of it at most, as with SHARE among four."""
+a sixteenth of it at most, as with FIRST_SHARE among four."""
 
 GROWS_MS = 4_000
 """Time in which the rest of it is let in: a caller that was turned away comes back within it."""
@@ -44,6 +44,7 @@
       first_ms: when the first of them was lost.
       held: requests that it held then.
       weight: what they weighed.
+      count: how many were lost since; LOSSES make a fall.
     """
 
     first_ms: int
@@ -87,7 +88,8 @@
       last: the latest fall under more than endpoints bear every day.
       per_slot: requests for each slot that an endpoint may hold, or None.
       weight: what the requests of an endpoint may weigh, or None.
-      borne: the greatest weight under which an endpoint answered well lately.
+      learned_ms: when the two before were learned; they are forgotten after FALL_KEPT_MS.
+      borne: the greatest weight under which an endpoint answered since this process started.
     """
 
     last: Fall | None = None
@@ -165,8 +167,10 @@
         falls.last = fall
 
     def per_slot(self, service: str) -> float | None:
-        """Return how many requests for each slot an endpoint may hold by what falls taught, 1 at
-        least, or None if they taught nothing."""
+        """Return how many requests for each slot an endpoint may hold by falls, or None.
+
+        It is 1 at least: a fall says nothing against an endpoint's slots.
+        """
         falls = self._learned(service)
         if falls is None or falls.per_slot is None:
             return None
@@ -212,9 +216,9 @@
         age_ms = self.clock.now() - fall.at_ms
         part = max(LEAST_PART, 1.0 - RANK_STEP * rank)
         wanted_share = (running + 1 - fall.elsewhere) / (part * max(1, fall.held))
-        if wanted_share <= SHARE:
+        if wanted_share <= FIRST_SHARE:
             return 0.0
-        grown_ms = (wanted_share - SHARE) / (1.0 - SHARE) * GROWS_MS
+        grown_ms = (wanted_share - FIRST_SHARE) / (1.0 - FIRST_SHARE) * GROWS_MS
         return max(0.0, min(float(GROWS_MS), grown_ms) - age_ms)
 
     def keep_only(self, endpoints: set[str]) -> None:
