What a newcomer stumbled on: an unused setting, a figure that stood twice, a rule that only a test used

bounds.contact_ms was read and used nowhere; two modules named the round trips of a fresh connection; the gradient rule lives in its test now. The line no_endpoint tells how long a rank still waits after a fall, where the reader is sent by OPERATIONS. No decision changes.

--- a/plumarch/daemon/gateway_settings.py
+++ b/plumarch/daemon/gateway_settings.py
@@ -104,7 +104,6 @@
     quota_slack: fields.NotNegative = 0.0
     usage_window_s: fields.Positive = 5.0
     usage_delay_s: fields.Positive = 10.0
-    contact_ms: fields.Positive = 5_000.0
 
 
 class RolloutsSection(ini.Section, frozen=True):
--- a/plumarch/gateway/attempts.py
+++ b/plumarch/gateway/attempts.py
@@ -104,6 +104,7 @@
             too_far=len(candidates),
             split=state.splits.of(admitted.service),
             tried=len(progress.tried),
+            after_fall_ms=round(endpoint_outcomes.wait_after_fall_ms(state, admitted, ready)),
             registry_revision=state.registry.revision,
             registry_age_ms=state.registry.age_ms(),
             registry_source=state.registry.source,
--- a/plumarch/gateway/region_sums.py
+++ b/plumarch/gateway/region_sums.py
@@ -6,10 +6,7 @@
 
 from plumarch.gateway import coordination, fleet_state
 from plumarch.membership import fleet_view
-
-FRESH_CONNECTION = 2
-"""Round trips until a request on a fresh connection has got there and its answer back: engines of
-another region are seldom called, so that no connection to them is kept."""
+from plumarch.routing import distance
 
 
 @dataclasses.dataclass(slots=True)
@@ -112,4 +109,4 @@
     ]
     if not targets or not ways:
         return 0.0
-    return FRESH_CONNECTION * max(ways) / min(targets)
+    return distance.FRESH_CONNECTION_ROUND_TRIPS * max(ways) / min(targets)
--- a/plumarch/routing/concurrency_limit.py
+++ b/plumarch/routing/concurrency_limit.py
@@ -1,10 +1,9 @@
 """How many requests one endpoint is given at once, when it shows that it bears fewer.
 
-Two rules, both without I/O. Nodes use additive increase, multiplicative decrease: it comes down
-at refusals, falls and answers that are far too late, and grows again with time. The latency
-gradient is the rule that it is compared with (docs/design/pressure-endpoints.md): it follows the
-time to the first byte, and shrinks in proportion as that grows against its usual value. Neither
-goes below the places that the endpoint is known to have, nor above what it is given in calm times.
+Additive increase, multiplicative decrease, without I/O: the limit comes down at refusals, falls and
+answers that are far too late, and grows again with time. It goes neither below the places that the
+endpoint is known to have, nor above what it is given in calm times. The test compares it with a rule
+that follows the gradient of the time to the first byte (docs/design/pressure-endpoints.md).
 """
 
 import dataclasses
@@ -137,50 +136,3 @@
     def _lower(self, value: float, now: int) -> None:
         self.low = max(self.least, value)
         self.lowered_ms = now
-
-
-@dataclasses.dataclass(slots=True)
-class LatencyGradient:
-    """Follows the usual time to the first byte, divided by the recent one.
-
-    Attributes:
-      least: it never goes below this.
-      most: what it may hold in calm times.
-      current: the limit so far.
-      ceiling: what it may hold at most until `ceiling_until_ms`, after a fall.
-    """
-
-    least: float
-    most: float
-    current: float = 0.0
-    ceiling: float = 0.0
-    ceiling_until_ms: int = 0
-    times: TimeMeans = dataclasses.field(default_factory=TimeMeans)
-
-    def __post_init__(self) -> None:
-        self.current = self.most
-
-    def value(self, now: int) -> float:
-        """Return how much it may hold now."""
-        top = min(self.most, self.ceiling) if now < self.ceiling_until_ms else self.most
-        return min(top, self.current)
-
-    def answered(self, held: float, took: float, now: int) -> None:
-        """Follow the gradient, with a tolerance of what a calm queue takes."""
-        self.times.observe(took)
-        gradient = LATE_FACTOR * self.times.usual / max(0.01, self.times.recent)
-        if held <= self.least:
-            gradient = 1.0
-        wanted = self.current * min(1.0, gradient) + self.current**0.5
-        moved = self.current + RECENT_WEIGHT * (wanted - self.current)
-        self.current = min(self.most, max(self.least, moved))
-
-    def refused(self, held: float, now: int) -> None:
-        """Come down below what it held."""
-        self.current = max(self.least, min(self.current, DECREASE * held))
-
-    def fell(self, held: float, now: int) -> None:
-        """Come down below what it held, and stay there for long."""
-        self.ceiling = max(self.least, DECREASE * held)
-        self.ceiling_until_ms = now + FALL_KEPT_MS
-        self.current = max(self.least, DECREASE * self.ceiling)
--- a/plumarch/routing/concurrency_limit_test.py
+++ b/plumarch/routing/concurrency_limit_test.py
@@ -9,6 +9,56 @@
 
 from plumarch.routing import concurrency_limit
 
+
+@dataclasses.dataclass(slots=True)
+class LatencyGradient:
+    """Follows the usual time to the first byte, divided by the recent one.
+
+    Attributes:
+      least: it never goes below this.
+      most: what it may hold in calm times.
+      current: the limit so far.
+      ceiling: what it may hold at most until `ceiling_until_ms`, after a fall.
+    """
+
+    least: float
+    most: float
+    current: float = 0.0
+    ceiling: float = 0.0
+    ceiling_until_ms: int = 0
+    times: concurrency_limit.TimeMeans = dataclasses.field(
+        default_factory=concurrency_limit.TimeMeans
+    )
+
+    def __post_init__(self) -> None:
+        self.current = self.most
+
+    def value(self, now: int) -> float:
+        """Return how much it may hold now."""
+        top = min(self.most, self.ceiling) if now < self.ceiling_until_ms else self.most
+        return min(top, self.current)
+
+    def answered(self, held: float, took: float, now: int) -> None:
+        """Follow the gradient, with a tolerance of what a calm queue takes."""
+        self.times.observe(took)
+        gradient = concurrency_limit.LATE_FACTOR * self.times.usual / max(0.01, self.times.recent)
+        if held <= self.least:
+            gradient = 1.0
+        wanted = self.current * min(1.0, gradient) + self.current**0.5
+        moved = self.current + concurrency_limit.RECENT_WEIGHT * (wanted - self.current)
+        self.current = min(self.most, max(self.least, moved))
+
+    def refused(self, held: float, now: int) -> None:
+        """Come down below what it held."""
+        self.current = max(self.least, min(self.current, concurrency_limit.DECREASE * held))
+
+    def fell(self, held: float, now: int) -> None:
+        """Come down below what it held, and stay there for long."""
+        self.ceiling = max(self.least, concurrency_limit.DECREASE * held)
+        self.ceiling_until_ms = now + concurrency_limit.FALL_KEPT_MS
+        self.current = max(self.least, concurrency_limit.DECREASE * self.ceiling)
+
+
 SLOTS = 8
 MOST = 24.0
 TARGET_MS = 400
@@ -20,7 +70,7 @@
 Build = Callable[[float, float], concurrency_limit.ConcurrencyLimit]
 BOTH: dict[str, Build] = {
     "additive": concurrency_limit.AdditiveIncrease,
-    "gradient": concurrency_limit.LatencyGradient,
+    "gradient": LatencyGradient,
 }
 
 
