--- a/plumarch/routing/concurrency_limit.py
+++ b/plumarch/routing/concurrency_limit.py
@@ -2,8 +2,8 @@
 
 Additive increase, multiplicative decrease, without I/O: the limit comes down at refusals, falls and
 answers that are far too late, and grows again with time. It goes neither below the places that the
-endpoint is known to have, nor above what it is given in calm times. The test compares it with a rule
-that follows the gradient of the time to the first byte (docs/design/pressure-endpoints.md).
+endpoint is known to have, nor above what it is given in calm times. The test compares it with a
+rule that follows the gradient of the time to the first byte (docs/design/pressure-endpoints.md).
 """
 
 import dataclasses
