A tenth of the nodes or less, cut off, leaves the duties to a holder that lives

Cause: a cut-off part waits one usage window and 2.5 s before it takes over, and a holder that hears 0.9 or more wrote the record with windows only. Windows come 11 s apart once nodes are not heard (reported late), and not at all where a fleet reports no usage. At exactly a tenth neither side took the longer way: 1.0 - 0.9 is less than 0.1, and 0.9 is not less than 0.9.

Change: such a holder writes the record at the latest a window's length and 1 s after its last write. The cut-off part says its tenth as the holder does. Writes of windows count as renewals.

Ruled out: renewing each second whenever a node is not heard, which would pay for a write a second at the loss of any node; a longer wait of the few, which does not help where no window is written.

--- a/plumarch/gateway/duties.py
+++ b/plumarch/gateway/duties.py
@@ -52,8 +52,9 @@
 """A holder that doesn't hear nearly all nodes writes the record at least this often."""
 
 NEARLY_ALL = 0.9
-"""A holder that hears this part writes it with each usage window only; what is left is a few nodes,
-which wait for that."""
+"""A holder that hears this part, and not all, writes it RENEW_MS after the length of a usage window
+at the latest, since a window may be reported late or by nobody. What is left is a few nodes, which
+wait for that."""
 
 
 RETRY = backoff.Backoff(first_ms=500.0, longest_ms=1_000.0)
@@ -126,7 +127,7 @@
         self.retries = backoff.Retries(state.clock, state.rng, RETRY)
         self.leaving = False
         self.watch = duty_lease.RecordWatch()
-        self.renewed_ms = 0
+        self.written_ms = 0
         self.engines = engine_orders.EngineOrders(state, view, cloud, self.rollouts, first_start)
 
     def lease(self) -> records.Lease:
@@ -283,7 +284,8 @@
         unchanged_ms = self.watch.unchanged_ms(found, now, 2 * TRY_PAUSE_MS)
         if fraction > MOST:
             return False
-        few = fraction <= 1.0 - NEARLY_ALL
+        # Said as the holder says it: 1.0 - 0.9 is less than a tenth.
+        few = 1.0 - fraction >= NEARLY_ALL
         wait_ms = HOLDER_GONE_MS + (self.schedule.window_ms if few else 0)
         if unchanged_ms >= wait_ms:
             return False
@@ -298,12 +300,12 @@
         return True
 
     def _renewal_due(self) -> bool:
-        now = self.state.clock.now()
-        return (
-            self.held is not None
-            and now - self.renewed_ms >= RENEW_MS
-            and self.view.heard_fraction() < NEARLY_ALL
-        )
+        fraction = self.view.heard_fraction()
+        if self.held is None or fraction >= 1.0:
+            return False
+        few_left = fraction >= NEARLY_ALL
+        pause_ms = RENEW_MS + (self.schedule.window_ms if few_left else 0)
+        return self.state.clock.now() - self.written_ms >= pause_ms
 
     async def _renew(self) -> None:
         """Show those that don't hear this holder that it lives.
@@ -312,7 +314,7 @@
           PlatformConflict: another one holds the duties.
         """
         assert self.held is not None
-        self.renewed_ms = self.state.clock.now()
+        self.written_ms = self.state.clock.now()
         try:
             self.held = await self._write(duty_lease.renewed(self.held))
         except errors.PlatformConflict:
@@ -346,6 +348,7 @@
             if found is None or not is_mine or found.record.token != wanted.record.token:
                 raise
             return found
+        self.written_ms = self.state.clock.now()
         return duty_lease.HeldRecord(wanted.record, written.revision)
 
     async def _report_usage(self) -> None:
--- a/plumarch/gateway/region_duties_test.py
+++ b/plumarch/gateway/region_duties_test.py
@@ -106,8 +106,8 @@
 class Session:
     """A fleet whose nodes hold the duties in turn."""
 
-    def __init__(self, seed: int = 1) -> None:
-        self.fleet = gossip_fleet.GossipFleet(SIZE, seed)
+    def __init__(self, seed: int = 1, size: gossip_fleet.Size = SIZE) -> None:
+        self.fleet = gossip_fleet.GossipFleet(size, seed)
         self.fleet.late_ms = 60
         self.platform = Platform()
         self.duties: dict[gossip_fleet.Node, duties.Duties] = {}
@@ -239,6 +239,25 @@
     assert session.holders() == holders
 
 
+@pytest.mark.parametrize("with_usage", [False, True])
+@pytest.mark.parametrize("counts", [(6, 6, 5, 5, 5, 3), (6, 6, 6, 5, 5, 2)])
+def test_a_tenth_of_the_nodes_or_less_that_is_cut_off_leaves_the_duties_to_their_holder(
+    counts: tuple[int, ...], with_usage: bool
+):
+    session = Session(size=gossip_fleet.Size(6, 5, counts=counts))
+    for node in session.duties.values():
+        node.tasks = duties.DutyTasks(usage=with_usage, scaling=True)
+    session.run(KNOWN_MS)
+    [holder] = session.holders()
+    assert holder.data_centre != "dc-f"
+    session.fleet.cut = lambda one, other: (
+        (one.data_centre == "dc-f") != (other.data_centre == "dc-f")
+    )
+    for _ in range(25):
+        session.run(1_000)
+        assert session.holders() == [holder]
+
+
 def test_the_last_region_takes_the_duties_over_when_the_others_are_gone():
     session = Session()
     session.run(KNOWN_MS)
