The age of news of other data centres isn't that of a node that was lost

Cause: a data centre is kept in mind from the first node of it that is forgotten. Where its nodes tell one by one (small fleets, the own data centre), its time was never set again: the gauge of the oldest news rose to an hour while all were heard, and one that fell silent 55 minutes after such a loss was forgotten 5 minutes later. A coordinator that became a member kept its counts.

Ruled out: taking the gauge from the unheard ones alone, which leaves the time to forget wrong.

--- a/plumarch/gateway/introductions.py
+++ b/plumarch/gateway/introductions.py
@@ -56,6 +56,8 @@
             self._note([])
             return
         live = self.view.centres_heard()
+        one_by_one = live - self.view.centres.keys()
+        self.view.all_centres.still_heard(one_by_one, self.state.clock.now())
         self._note(self.view.all_centres.unheard(live))
         self._ask(live, leaving)
 
@@ -160,6 +162,9 @@
                     elders=[elder.address for elder in known[name].elders],
                 )
         contact = self.state.contact
+        if self.view.role is tiers.Role.MEMBER:
+            contact.known = contact.unheard = contact.oldest_ms = 0
+            return
         contact.known = len(known.keys() - {self.state.data_centre})
         contact.unheard = len(unheard)
         contact.oldest_ms = max([0, *(now - one.since_ms for one in known.values())])
--- a/plumarch/gateway/introductions_test.py
+++ b/plumarch/gateway/introductions_test.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from plumarch.gateway import introductions
-from plumarch.membership import known_centres, tiers
+from plumarch.membership import fleet_view, known_centres, tiers
 from plumarch.peers import gossip
 from plumarch.standins import gossip_fleet
 
@@ -101,3 +101,32 @@
     assert centres.to_ask(set(), set(), 1_500) == {"10.0.0.9:7"}
     assert not centres.to_ask(set(), {"10.0.0.9:7"}, 9_000)
     assert centres.to_ask(set(), set(), 3_600_000_000) == {"10.0.0.9:7"}
+
+
+def test_a_node_that_is_gone_makes_no_data_centre_silent_that_is_heard():
+    fleet = gossip_fleet.GossipFleet(gossip_fleet.Size(3, 3))
+    fleet.run(SETTLE_MS)
+    for gone in [node for node in fleet.live() if node.number == 2]:
+        gone.alive = False
+    fleet.run(fleet_view.FORGET_MS + 5_000)
+    cut_ms = fleet.time.now()
+    for node in fleet.live():
+        assert node.state.contact.unheard == 0
+        assert node.state.contact.oldest_ms < introductions.NOTED_MS
+    fleet.cut = lambda one, two: one.data_centre != two.data_centre
+    fleet.run(5_000)
+    for node in fleet.live():
+        assert node.state.contact.unheard == 2
+        for name in {"dc-a", "dc-b", "dc-c"} - {node.data_centre}:
+            assert node.view.all_centres.centres[name].since_ms >= cut_ms
+
+
+def test_a_coordinator_that_became_a_member_shows_no_contact():
+    fleet = settled()
+    node = coordinator(fleet)
+    assert node.state.contact.known == 3
+    node.view.role = tiers.Role.MEMBER
+    fleet.time.advance_to(fleet.time.now() + 60_000)
+    node.gossip.introductions.step(False)
+    contact = node.state.contact
+    assert (contact.known, contact.unheard, contact.oldest_ms) == (0, 0, 0)
--- a/plumarch/membership/known_centres.py
+++ b/plumarch/membership/known_centres.py
@@ -64,6 +64,12 @@
         asked_ms = self.centres[name].asked_ms if name in self.centres else 0
         self.centres[name] = KnownCentre(elders, now, asked_ms, heard=True)
 
+    def still_heard(self, names: Iterable[str], now: int) -> None:
+        """Note data centres that are heard by their nodes, and not by sums that they tell."""
+        for name in names:
+            if name in self.centres:
+                self.centres[name].since_ms = now
+
     def told(self, name: str, elders: tuple[tiers.Elder, ...], now: int) -> bool:
         """Note what another one tells of a data centre that is not heard.
 
