Seeds that the settings name no more are not asked any more

Cause: each reload of the settings added its seeds to those that are asked as long as the process runs, and took none out: the list grew with each change, and old addresses were asked each 2 s.

Change: a reload replaces the seeds that are asked. The data centres that never told are looked for with one set, instead of one for each data centre known; no test shows that, it is the same result.

Ruled out: forgetting seeds after some time, which a node that was cut off for longer needs.

--- a/plumarch/gateway/gossiper.py
+++ b/plumarch/gateway/gossiper.py
@@ -81,17 +81,18 @@
         self.learn_seeds(self.seeds)
 
     def learn_seeds(self, seeds: tuple[str, ...]) -> None:
-        """Learn of nodes that may exist; all nodes listen on the same port.
+        """Learn of nodes that may exist, in place of those that the settings named before.
+
+        All nodes listen on the same port.
 
         Args:
           seeds: IP or IP:port of nodes; a port is ignored.
         """
         _, port = addresses.split(self.view.address)
-        for seed in seeds:
-            host = seed.rpartition(":")[0] or seed
-            address = f"{host}:{port}"
+        known = {f"{seed.rpartition(':')[0] or seed}:{port}" for seed in seeds}
+        for address in sorted(known):
             self.view.learn(address, address)
-            self.view.all_centres.seed(address, self.state.clock.now())
+        self.view.all_centres.keep_seeds(known, self.state.clock.now())
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keep the transport."""
--- a/plumarch/gateway/introductions_test.py
+++ b/plumarch/gateway/introductions_test.py
@@ -130,3 +130,13 @@
     node.gossip.introductions.step(False)
     contact = node.state.contact
     assert (contact.known, contact.unheard, contact.oldest_ms) == (0, 0, 0)
+
+
+def test_seeds_that_the_settings_name_no_more_are_not_asked_any_more():
+    fleet = gossip_fleet.GossipFleet(gossip_fleet.Size(2, 2))
+    gossip_of_one = fleet.live()[0].gossip
+    for number in range(5):
+        gossip_of_one.learn_seeds((f"10.9.0.{number}", "10.9.1.1"))
+    port = gossip_fleet.PORT
+    seeds = gossip_of_one.view.all_centres.seeds
+    assert set(seeds) == {f"10.9.0.4:{port}", f"10.9.1.1:{port}"}
--- a/plumarch/membership/fleet_view.py
+++ b/plumarch/membership/fleet_view.py
@@ -262,10 +262,11 @@
     def unheard_centres(self) -> list[str]:
         """Return the other data centres that count among the fleet and never told this node."""
         since_ms = self.clock.now() - FORGET_MS
+        told = self.centres.keys() | self.centres_heard()
         return [
             name
             for name, one in self.all_centres.centres.items()
-            if one.since_ms >= since_ms and name not in {*self.centres, *self.centres_heard()}
+            if one.since_ms >= since_ms and name not in told
         ]
 
     def digest(self) -> int:
--- a/plumarch/membership/known_centres.py
+++ b/plumarch/membership/known_centres.py
@@ -53,7 +53,7 @@
 
     Attributes:
       centres: by name.
-      seeds: by address; they are asked for as long as the process runs.
+      seeds: by address; they are asked for as long as the settings name them.
     """
 
     centres: dict[str, KnownCentre] = dataclasses.field(default_factory=dict)
@@ -90,6 +90,13 @@
         if elder not in known.elders and len(known.elders) < tiers.ELDERS:
             known.elders = (*known.elders, elder)
 
+    def keep_seeds(self, addresses: Collection[str], now: int) -> None:
+        """Note the addresses that this node is given now, in place of those before."""
+        for address in self.seeds.keys() - set(addresses):
+            del self.seeds[address]
+        for address in addresses:
+            self.seed(address, now)
+
     def seed(self, address: str, now: int) -> None:
         """Note an address that this node was given; heartbeats are sent there at first anyway."""
         elder = tiers.Elder(tiers.Age(0, address), address)
