--- a/plumarch/membership/known_centres.py
+++ b/plumarch/membership/known_centres.py
@@ -53,7 +53,7 @@
 
     Attributes:
       centres: by name.
-      seeds: by address; they are asked for as long as the process runs.
+      seeds: by address; they are asked for as long as the settings name them.
     """
 
     centres: dict[str, KnownCentre] = dataclasses.field(default_factory=dict)
@@ -64,6 +64,12 @@
         asked_ms = self.centres[name].asked_ms if name in self.centres else 0
         self.centres[name] = KnownCentre(elders, now, asked_ms, heard=True)
 
+    def still_heard(self, names: Iterable[str], now: int) -> None:
+        """Note data centres that are heard by their nodes, and not by sums that they tell."""
+        for name in names:
+            if name in self.centres:
+                self.centres[name].since_ms = now
+
     def told(self, name: str, elders: tuple[tiers.Elder, ...], now: int) -> bool:
         """Note what another one tells of a data centre that is not heard.
 
@@ -84,6 +90,13 @@
         if elder not in known.elders and len(known.elders) < tiers.ELDERS:
             known.elders = (*known.elders, elder)
 
+    def keep_seeds(self, addresses: Collection[str], now: int) -> None:
+        """Note the addresses that this node is given now, in place of those before."""
+        for address in self.seeds.keys() - set(addresses):
+            del self.seeds[address]
+        for address in addresses:
+            self.seed(address, now)
+
     def seed(self, address: str, now: int) -> None:
         """Note an address that this node was given; heartbeats are sent there at first anyway."""
         elder = tiers.Elder(tiers.Age(0, address), address)
