--- a/plumarch/gateway/duties.py
+++ b/plumarch/gateway/duties.py
@@ -296,7 +296,7 @@
         fraction = self.view.heard_fraction()
         now = self.state.clock.now()
         unchanged_ms = self.watch.unchanged_ms(found, now, 2 * TRY_PAUSE_MS)
-        if fraction > MAJORITY:
+        if fraction > MAJORITY or self._is_small():
             return False
         # Said as the holder says it: 1.0 - 0.9 is less than a tenth.
         few = 1.0 - fraction >= NEARLY_ALL
@@ -313,9 +313,17 @@
         )
         return True
 
+    def _is_small(self) -> bool:
+        """Return whether a part that is cut off takes the duties at once, as in a small fleet.
+
+        One lost node is much of it: the record would be written all the time, at a price, and the
+        survivor of two nodes would wait for a holder that is gone.
+        """
+        return self.view.size() <= tiers.FLAT_FLEET and not self.state.distances.regions
+
     def _renewal_due(self) -> bool:
         fraction = self.view.heard_fraction()
-        if self.held is None or fraction >= 1.0:
+        if self.held is None or fraction >= 1.0 or self._is_small():
             return False
         few_left = fraction >= NEARLY_ALL
         pause_ms = RENEW_MS + (self.schedule.window_ms if few_left else 0)
--- a/plumarch/gateway/duties_test.py
+++ b/plumarch/gateway/duties_test.py
@@ -307,6 +307,20 @@
     assert holder.duties.status.token
 
 
+def test_in_a_small_fleet_the_loss_of_a_node_costs_no_write():
+    world = World(1)
+    pass_time(world, 3_000)
+    [holder] = [node for node in world.nodes if node.duties.status.token]
+    [lost] = [node for node in world.nodes if node is not holder][:1]
+    world.group[lost.number] = 1
+    lost.frozen = True
+    pass_time(world, 2_000)
+    before = world.revision
+    windows = len(world.usage)
+    pass_time(world, 20_000)
+    assert world.revision - before == len(world.usage) - windows > 0
+
+
 def test_a_holder_whose_token_is_refused_stops_at_once():
     world = World(1)
     pass_time(world, 3_000)
