A random session of cuts and kills that is over is played each time, and listed

Change: the session stands as an explicit example, so that the test is red in each run; its check is as it was; listed.

--- a/plumarch/gateway/region_quota_test.py
+++ b/plumarch/gateway/region_quota_test.py
@@ -113,7 +113,20 @@
 )
 
 
-# Without shrinking: a session takes seconds, and shrinking one took six minutes.
+# Which sessions are generated depends on the modules that are loaded, so one that is over is played
+# each time. Without shrinking: a session takes seconds, and shrinking one took six minutes.
+@hypothesis.example(
+    steps=[
+        ("cut all", 115, 7),
+        ("kill coordinators", 700, 19),
+        ("kill coordinators", 230, 8),
+        ("heal", 413, 11),
+        ("kill region", 175, 20),
+        ("cut all", 159, 22),
+    ],
+    seed=6,
+    late_ms=60,
+)
 @hypothesis.settings(
     max_examples=10,
     derandomize=True,
