Logs tell which tries are the same request, and how its run was lost

Cause: a request that its caller sends again comes under a new id, so no log could show that 21 tries at seven nodes were one request, nor whether its endpoint closed the connection. Change: a fingerprint of caller, method, path and body in answered and broken lines; broken lines say whether the endpoint closed, when, and what else it held; plumarch story takes a fingerprint. No decision uses it yet.

--- a/plumarch/cli/main.py
+++ b/plumarch/cli/main.py
@@ -203,7 +203,7 @@
             raise Stop(EXIT_PARTIAL)
 
     def story(self, request: str, *logs: str) -> None:
-        """Show a request's story out of the logs of gateways, by its id.
+        """Show a request's story out of the logs of gateways, by its id, key or fingerprint.
 
         Args:
           logs: files of log lines, of any number of nodes.
--- a/plumarch/cli/stories.py
+++ b/plumarch/cli/stories.py
@@ -13,6 +13,9 @@
 BEFORE_MS = 3_000
 """How long before the request's first line a node's beliefs are part of its story."""
 
+NAMES = ("key", "fingerprint")
+"""Fields by which a line names its request, besides its id."""
+
 COMMON = frozenset({"at", "node", "kind", "request"})
 BELIEFS = frozenset(
     {
@@ -83,12 +86,13 @@
     """Return a request's lines and what its nodes learned meanwhile, in the order of time.
 
     Args:
-      request: its id, or the key that its caller knows it by.
+      request: its id, the key that its caller knows it by, or the fingerprint that all tries of
+        the same request share.
     """
     lines = list(lines)
-    ids = {line.request for line in lines if line.fields.get("key") == request} - {""}
+    ids = {line.request for line in lines if _is_known_as(line, request)} - {""}
     ids.add(request)
-    own = [line for line in lines if line.request in ids or line.fields.get("key") == request]
+    own = [line for line in lines if line.request in ids or _is_known_as(line, request)]
     if not own:
         return []
     nodes = {line.node for line in own}
@@ -104,6 +108,10 @@
     return sorted(own + beliefs, key=lambda line: (line.at_ms, line.node))
 
 
+def _is_known_as(line: Line, name: str) -> bool:
+    return any(line.fields.get(field) == name for field in NAMES)
+
+
 def render(lines: list[Line]) -> str:
     """Return a story as text; times are relative to the request's first line."""
     first = next((line.at_ms for line in lines if line.request or "key" in line.fields), 0)
--- a/plumarch/cli/stories_test.py
+++ b/plumarch/cli/stories_test.py
@@ -25,3 +25,17 @@
 
 def test_an_unknown_request_has_no_story():
     assert stories.story(stories.parse(LOGS.splitlines()), "r9") == []
+
+
+TRIES = """
+{"at":1000,"node":"n1","kind":"sent","request":"r1","endpoint":"e1"}
+{"at":1200,"node":"n1","kind":"broken","request":"r1","fingerprint":"00f1","endpoint":"e1"}
+{"at":1300,"node":"n2","kind":"sent","request":"r2","endpoint":"e2"}
+{"at":1500,"node":"n2","kind":"answered","request":"r2","fingerprint":"00f1","status":502}
+{"at":1600,"node":"n2","kind":"sent","request":"r3","endpoint":"e2"}
+"""
+
+
+def test_a_fingerprint_tells_the_story_of_all_tries_of_a_request():
+    found = stories.story(stories.parse(TRIES.splitlines()), "00f1")
+    assert [line.request for line in found] == ["r1", "r1", "r2", "r2"]
--- a/plumarch/gateway/admission.py
+++ b/plumarch/gateway/admission.py
@@ -6,7 +6,7 @@
 
 from plumarch.config import routing_table
 from plumarch.core import hashing, traffic
-from plumarch.gateway import caller_requests, dialect, fleet_state
+from plumarch.gateway import caller_requests, dialect, fleet_state, request_identity
 from plumarch.limits import memory_admission
 from plumarch.routing import return_times
 
@@ -49,6 +49,7 @@
       ends_ms: when it is given up, by the steady clock.
       prompt_tokens: tokens of its prompt.
       most_out: the most tokens that its answer may have.
+      fingerprint: what all tries of the same request share.
     """
 
     request: caller_requests.CallerRequest
@@ -62,6 +63,7 @@
     prompt_tokens: int
     version: int
     most_out: int = 0
+    fingerprint: int = request_identity.NONE
 
     def workspace_name(self) -> str:
         """Return the workspace's name, or "" for a public route."""
@@ -134,6 +136,7 @@
         prompt_tokens=prompt_tokens,
         version=table.version,
         most_out=most_out,
+        fingerprint=request_identity.fingerprint(workspace.name if workspace else "", request),
     )
 
 
--- a/plumarch/gateway/relay.py
+++ b/plumarch/gateway/relay.py
@@ -7,6 +7,7 @@
     caller_connection,
     caller_requests,
     fleet_state,
+    request_identity,
     request_run,
 )
 from plumarch.routing import return_times
@@ -100,6 +101,7 @@
         state.log.write(
             "answered",
             request=admitted.id,
+            fingerprint=request_identity.text(admitted.fingerprint),
             route=admitted.route.name,
             workspace=admitted.workspace_name(),
             status=outcome.status,
--- /dev/null
+++ b/plumarch/gateway/request_identity_test.py
@@ -0,0 +1,31 @@
+"""What is the same in all tries of a request, and what isn't."""
+
+from plumarch.gateway import caller_requests, request_identity
+
+
+def request(**changes) -> caller_requests.CallerRequest:
+    given = {
+        "method": b"POST",
+        "target": b"/chat/1",
+        "headers": ((b"x-request-id", b"r1"), (b"host", b"h.example")),
+        "body": b"words",
+        "began_ms": 0,
+    }
+    return caller_requests.CallerRequest(**{**given, **changes})
+
+
+def test_tries_under_new_ids_and_at_other_times_are_the_same_request():
+    first = request_identity.fingerprint("w", request())
+    again = request(headers=((b"x-request-id", b"r2"), (b"last-event-id", b"4")), began_ms=900)
+    assert request_identity.fingerprint("w", again) == first
+
+
+def test_another_caller_path_method_or_body_is_another_request():
+    first = request_identity.fingerprint("w", request())
+    others = {
+        request_identity.fingerprint("v", request()),
+        request_identity.fingerprint("w", request(target=b"/chat/2")),
+        request_identity.fingerprint("w", request(method=b"PUT")),
+        request_identity.fingerprint("w", request(body=b"other words")),
+    }
+    assert first not in others and len(others) == 4
--- a/plumarch/gateway/request_run.py
+++ b/plumarch/gateway/request_run.py
@@ -19,6 +19,7 @@
     endpoint_outcomes,
     errors,
     fleet_state,
+    request_identity,
     stream_relay,
     version_outcomes,
     whole_answers,
@@ -235,12 +236,27 @@
             if attempts.was_lost(attempt):
                 endpoint_outcomes.lost(state, attempt.given)
             version_outcomes.note(state, self.admitted, attempt, failed=True)
-            state.log.write("broken", request=self.admitted.id, endpoint=endpoint, why=str(error))
+            self._log_broken(attempt, str(error))
         finally:
             attempts.end(state, attempt)
             state.measures.attempts.add(self.admitted.service, label)
         return None
 
+    def _log_broken(self, attempt: attempts.Attempt, why: str) -> None:
+        """Log a run that broke off, with what tells an endpoint's end from a bad answer."""
+        state, endpoint = self.state, attempt.choice.endpoint
+        state.log.write(
+            "broken",
+            request=self.admitted.id,
+            fingerprint=request_identity.text(self.admitted.fingerprint),
+            endpoint=endpoint.id,
+            why=why,
+            closed=attempts.was_lost(attempt),
+            after_ms=state.clock.now() - attempt.sent_ms,
+            first_ms=attempt.first_ms,
+            others_there=max(0, state.chooser.running(endpoint.id) - 1),
+        )
+
     def _note_let_go(self, attempt: attempts.Attempt) -> None:
         """Note a run that is ended for the caller's sake: it says nothing about the endpoint."""
         self.let_go = True
