The quarantine stands in the store, and the store grants its trials

Cause: what nodes tell each other of a request that ends its endpoints is lost with all of them, and doesn't reach a node that is cut off from its peers and not from the store. Change: one object, written and followed by the oldest node of each part of the fleet that hears itself (one watch in 20 s), read by each claim of a trial; removing it lets all requests run again. A node that is heard for the first time is told what is held back. Figures, virtual time: 9 and 36 nodes that lost all processes, a node cut off alone, and two parts of a cut fleet hold the request back within 3 s.

--- a/plumarch/daemon/gateway.py
+++ b/plumarch/daemon/gateway.py
@@ -23,6 +23,7 @@
     heartbeats,
     measures,
     ports,
+    quarantine_record,
     registration,
     relay,
 )
@@ -97,6 +98,9 @@
             lambda: self.view.watches_store(settings.node.data_centre),
             self.view.shares_following,
         )
+        self.quarantine = quarantine_record.QuarantineRecord(
+            self.state, store, self.view.is_oldest_candidate
+        )
         self.duties = duties.Duties(
             self.state,
             self.view,
@@ -198,6 +202,8 @@
             self.duties.run,
             self.duties.follow_rollouts,
             self.registration.run,
+            self.quarantine.follow_forever,
+            self.quarantine.keep_forever,
             self._keep_house,
             self._watch_settings,
         ):
--- a/plumarch/gateway/gossiper.py
+++ b/plumarch/gateway/gossiper.py
@@ -391,6 +391,7 @@
         self.composer.tell_all()
         self.coordination.tell_all = True
         self.introductions.meet(peer)
+        self.suspects.meet(peer.address)
 
     def _seeks(self, near: bool) -> bool:
         """Return whether a node that sent a heartbeat here looks for its coordinators.
--- a/plumarch/gateway/ports.py
+++ b/plumarch/gateway/ports.py
@@ -46,6 +46,23 @@
     revision: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RecordList:
+    """All objects of a kind of the product's own as of a revision."""
+
+    records: tuple[records.Record, ...]
+    revision: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RecordNews:
+    """Objects of a kind that came or changed, and the names of those removed, up to a revision."""
+
+    changed: tuple[records.Record, ...]
+    removed: tuple[str, ...]
+    revision: int
+
+
 class Store(Protocol):
     """The platform's store."""
 
@@ -83,7 +100,7 @@
         """
         ...
 
-    async def list_records(self, kind: str, stale: bool = False) -> list[records.Record]:
+    async def list_records(self, kind: str, stale: bool = False) -> RecordList:
         """Read all objects of a kind of the product's own.
 
         Args:
@@ -91,6 +108,10 @@
         """
         ...
 
+    async def watch_records(self, kind: str, revision: int, wait_ms: int) -> RecordNews:
+        """Wait for changes of objects of a kind of the product's own."""
+        ...
+
     async def read_record(self, kind: str, name: str) -> records.Record | None:
         """Read one object."""
         ...
--- /dev/null
+++ b/plumarch/gateway/quarantine_record_test.py
@@ -0,0 +1,183 @@
+"""The quarantine outlives all processes, reaches nodes cut off, and grants one trial at a time."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+import pytest
+
+from plumarch.gateway import quarantine_record
+from plumarch.limits import quarantine
+from plumarch.standins import gossip_fleet, store_replay, virtual_time
+
+SMALL = gossip_fleet.Size(3, 3)
+LARGE = gossip_fleet.Size(3, 12)
+SETTLE_MS = 4_000
+CONTACT_MS = 3_000
+"""Within this time whoever reaches the store is to know."""
+
+
+def play(
+    size: gossip_fleet.Size, test: Callable[[store_replay.StoreReplay], Awaitable[None]]
+) -> None:
+    async def run() -> None:
+        replay = store_replay.StoreReplay(size, store_replay.CountedStore())
+        try:
+            await replay.run(SETTLE_MS)
+            await test(replay)
+        finally:
+            replay.stop()
+
+    virtual_time.run(run())
+
+
+def see_ends(node: gossip_fleet.Node, first: int, count: int, fingerprint: str = "f") -> None:
+    for number in range(first, first + count):
+        node.state.quarantine.ended(fingerprint, f"e{number}", quarantine.EARLY_POINTS)
+        assert node.state.tell_suspect is not None
+        node.state.tell_suspect(fingerprint)
+
+
+def without_hold(replay: store_replay.StoreReplay) -> list[str]:
+    live = replay.fleet.live()
+    return [node.name for node in live if node.state.quarantine.hold("f") is None]
+
+
+@pytest.mark.parametrize("size", [SMALL, LARGE])
+def test_a_fleet_that_lost_all_its_processes_still_holds_a_request_back(size: gossip_fleet.Size):
+    async def test(replay: store_replay.StoreReplay) -> None:
+        see_ends(replay.fleet.live()[4], 0, 3)
+        await replay.run(500)
+        replay.restart_all()
+        assert len(without_hold(replay)) == len(replay.fleet.live())
+        await replay.run(CONTACT_MS)
+        assert without_hold(replay) == []
+
+    play(size, test)
+
+
+@pytest.mark.parametrize("size", [SMALL, LARGE])
+def test_a_node_that_hears_nobody_and_reaches_the_store_learns_of_it(size: gossip_fleet.Size):
+    async def test(replay: store_replay.StoreReplay) -> None:
+        alone = replay.fleet.live()[-1]
+        replay.fleet.cut = lambda one, other: alone in (one, other)
+        await replay.run(2_000)
+        see_ends(replay.fleet.live()[0], 0, 3)
+        await replay.run(CONTACT_MS)
+        assert without_hold(replay) == []
+
+    play(size, test)
+
+
+@pytest.mark.parametrize("size", [SMALL, LARGE])
+def test_ends_that_were_seen_on_both_sides_of_a_cut_add_up(size: gossip_fleet.Size):
+    async def test(replay: store_replay.StoreReplay) -> None:
+        far = "dc-c"
+        replay.fleet.cut = lambda one, other: (one.data_centre == far) != (other.data_centre == far)
+        await replay.run(2_000)
+        live = replay.fleet.live()
+        see_ends(next(node for node in live if node.data_centre != far), 0, 2)
+        see_ends(next(node for node in live if node.data_centre == far), 2, 1)
+        await replay.run(CONTACT_MS)
+        assert without_hold(replay) == []
+
+    play(size, test)
+
+
+def test_what_was_seen_while_the_store_was_away_is_written_once_it_is_back():
+    async def test(replay: store_replay.StoreReplay) -> None:
+        replay.store.down = True
+        await replay.run(1_000)
+        see_ends(replay.fleet.live()[0], 0, 3)
+        await replay.run(3_000)
+        replay.store.down = False
+        await replay.run(6_000)
+        replay.restart_all()
+        await replay.run(CONTACT_MS)
+        assert without_hold(replay) == []
+
+    play(SMALL, test)
+
+
+def test_single_ends_are_not_written_and_an_idle_fleet_makes_few_calls_for_the_record():
+    async def test(replay: store_replay.StoreReplay) -> None:
+        before = dict(replay.store.by_call)
+        for number, node in enumerate(replay.fleet.live()):
+            see_ends(node, number, 1, fingerprint=f"bystander-{number}")
+        await replay.run(60_000)
+        assert replay.store.by_call["write record"] == before["write record"]
+        assert replay.store.by_call["watch records"] - before.get("watch records", 0) <= 4
+
+    play(LARGE, test)
+
+
+def test_of_all_nodes_that_claim_a_trial_one_gets_it():
+    async def test(replay: store_replay.StoreReplay) -> None:
+        see_ends(replay.fleet.live()[0], 0, 3)
+        await replay.run(1_000)
+        claims = list(replay.quarantines.values())
+        assert not any(await asyncio.gather(*(one.claim("f") for one in claims)))
+        await replay.run(quarantine.FIRST_TRIAL_MS)
+        granted = await asyncio.gather(*(one.claim("f") for one in claims))
+        assert sum(granted) == 1
+        await replay.run(1_000)
+        assert not any(await asyncio.gather(*(one.claim("f") for one in claims)))
+
+    play(SMALL, test)
+
+
+def test_without_the_store_no_trial_is_granted():
+    async def test(replay: store_replay.StoreReplay) -> None:
+        see_ends(replay.fleet.live()[0], 0, 3)
+        await replay.run(quarantine.FIRST_TRIAL_MS + 1_000)
+        replay.store.down = True
+        assert not await replay.quarantines[replay.fleet.live()[0].name].claim("f")
+
+    play(SMALL, test)
+
+
+@pytest.mark.parametrize("size", [SMALL, LARGE])
+def test_operators_let_all_run_again_by_removing_the_record(size: gossip_fleet.Size):
+    async def test(replay: store_replay.StoreReplay) -> None:
+        see_ends(replay.fleet.live()[0], 0, 3)
+        await replay.run(1_000)
+        assert without_hold(replay) == []
+        replay.store.remove(quarantine_record.KIND, quarantine_record.NAME)
+        await replay.run(1_000)
+        assert len(without_hold(replay)) == len(replay.fleet.live())
+        await replay.run(10_000)
+        assert len(without_hold(replay)) == len(replay.fleet.live())
+
+    play(size, test)
+
+
+def test_a_record_that_cannot_be_read_is_written_anew():
+    async def test(replay: store_replay.StoreReplay) -> None:
+        see_ends(replay.fleet.live()[0], 0, 3)
+        await replay.run(1_000)
+        key = (quarantine_record.KIND, quarantine_record.NAME)
+        record = replay.store.kept[key]
+        replay.store.revision += 1
+        spoiled = quarantine_record.records.Record(record.name, "[[", replay.store.revision)
+        replay.store.kept[key] = spoiled
+        replay.store.wake()
+        await replay.run(1_000)
+        assert without_hold(replay) == []
+        found = quarantine_record.decode(replay.store.kept[key].value)
+        assert found is not None and [one.fingerprint for one in found] == ["f"]
+
+    play(SMALL, test)
+
+
+def test_the_record_keeps_the_most_suspect_within_its_bound():
+    now = 1_700_000_000_000
+    found = {
+        f"{number:03}": quarantine.Suspect(
+            f"{number:03}",
+            tuple(quarantine.End(f"e{end}", now - number, 3) for end in range(2 + number % 2)),
+        )
+        for number in range(200)
+    }
+    kept = quarantine_record.kept(found, now)
+    assert len(kept) == quarantine_record.MOST_KEPT
+    assert all(one.is_held() for one in kept)
+    assert quarantine_record.decode(quarantine_record.encode(kept)) == kept
--- a/plumarch/gateway/registration_test.py
+++ b/plumarch/gateway/registration_test.py
@@ -6,7 +6,7 @@
 import pytest
 
 from plumarch.core import errors, records
-from plumarch.gateway import registration
+from plumarch.gateway import ports, registration
 from plumarch.membership import node_record, tiers
 from plumarch.standins import gossip_fleet
 
@@ -29,12 +29,13 @@
     left: list[records.Record] = dataclasses.field(default_factory=list)
     down: bool = False
 
-    async def list_records(self, kind: str, stale: bool = False) -> list[records.Record]:
+    async def list_records(self, kind: str, stale: bool = False) -> ports.RecordList:
         if self.down:
             raise errors.PlatformUnavailable("down")
         self.lists += 1
         self.stale_lists += stale
-        return list((self.old if stale else self.found).values())
+        found = self.old if stale else self.found
+        return ports.RecordList(tuple(found.values()), self.writes)
 
     async def write_record(self, kind: str, record: records.Record) -> records.Record:
         if self.late:
--- a/plumarch/gateway/suspect_news.py
+++ b/plumarch/gateway/suspect_news.py
@@ -83,6 +83,13 @@
             news = gossip.SuspectNews(self.node, found[first : first + SUSPECTS_EACH])
             self.send(news, recipients)
 
+    def meet(self, address: str) -> None:
+        """Tell a node that is heard for the first time, or again, what is held back."""
+        held = self.state.quarantine.held()[:SUSPECTS_EACH]
+        if held:
+            told = [suspect_entries.told(one) for one in held]
+            self.send(gossip.SuspectNews(self.node, told), [address])
+
     def take(self, told: gossip.SuspectNews) -> None:
         """Take in what another node tells."""
         suspects = [suspect_entries.taken(one) for one in told.suspects]
--- a/plumarch/standins/store_replay.py
+++ b/plumarch/standins/store_replay.py
@@ -12,7 +12,7 @@
 
 from plumarch.config import routing_table
 from plumarch.core import errors, records, traffic
-from plumarch.gateway import follower, ports, registration, snapshots
+from plumarch.gateway import follower, ports, quarantine_record, registration, snapshots
 from plumarch.membership import registry
 from plumarch.standins import gossip_fleet
 
@@ -30,7 +30,8 @@
       refused: names of nodes that are turned away at once.
       silent: names of nodes whose calls, also those that wait, are not answered.
       down: whether all are turned away.
-      kept: the records of nodes, by name.
+      kept: records, by kind and name.
+      removed: the revisions at which records were removed.
       reads: reading calls, refused ones too, by second.
       writes: the same of writing calls.
       by_call: calls by what they are.
@@ -40,7 +41,8 @@
     configured_at: int = 1
     revision: int = 1
     endpoints: dict[str, tuple[int, traffic.Endpoint]] = dataclasses.field(default_factory=dict)
-    kept: dict[str, records.Record] = dataclasses.field(default_factory=dict)
+    kept: dict[tuple[str, str], records.Record] = dataclasses.field(default_factory=dict)
+    removed: dict[tuple[str, str], int] = dataclasses.field(default_factory=dict)
     refused: set[str] = dataclasses.field(default_factory=set)
     silent: set[str] = dataclasses.field(default_factory=set)
     down: bool = False
@@ -54,15 +56,23 @@
         self.version += 1
         self.revision += 1
         self.configured_at = self.revision
-        self._wake()
+        self.wake()
 
     def put(self, endpoint: traffic.Endpoint) -> None:
         """Write an endpoint's entry."""
         self.revision += 1
         self.endpoints[endpoint.id] = (self.revision, endpoint)
-        self._wake()
+        self.wake()
 
-    def _wake(self) -> None:
+    def remove(self, kind: str, name: str) -> None:
+        """Remove a record, as an operator does."""
+        del self.kept[(kind, name)]
+        self.revision += 1
+        self.removed[(kind, name)] = self.revision
+        self.wake()
+
+    def wake(self) -> None:
+        """Let those that wait look again."""
         self.changed.set()
         self.changed = asyncio.Event()
 
@@ -145,20 +155,43 @@
         ]
         return ports.EndpointNews(tuple(changes), self.store.revision)
 
-    async def list_records(self, kind: str, stale: bool = False) -> list[records.Record]:
-        """Read all records."""
+    async def list_records(self, kind: str, stale: bool = False) -> ports.RecordList:
+        """Read all records of a kind."""
         await self._call("list records" + " (stale)" * stale, LIST_LIMIT_MS)
-        return list(self.store.kept.values())
+        return ports.RecordList(self._records(kind, 0), self.store.revision)
+
+    async def watch_records(self, kind: str, revision: int, wait_ms: int) -> ports.RecordNews:
+        """Wait for changes of records of a kind."""
+        await self._call("watch records", wait_ms + WATCH_MARGIN_MS)
+        await self._wait(lambda: self._records_changed(kind), revision, wait_ms)
+        removed = self.store.removed.items()
+        gone = [name for (of, name), at in removed if of == kind and at > revision]
+        return ports.RecordNews(self._records(kind, revision), tuple(gone), self.store.revision)
+
+    def _records_changed(self, kind: str) -> int:
+        written = [one.revision for one in self._records(kind, 0)]
+        removed = [at for (of, _), at in self.store.removed.items() if of == kind]
+        return max([0, *written, *removed])
+
+    def _records(self, kind: str, after: int) -> tuple[records.Record, ...]:
+        found = [one for (of, _), one in self.store.kept.items() if of == kind]
+        return tuple(one for one in found if one.revision > after)
+
+    async def read_record(self, kind: str, name: str) -> records.Record | None:
+        """Read one record."""
+        await self._call("read record", LIST_LIMIT_MS)
+        return self.store.kept.get((kind, name))
 
     async def write_record(self, kind: str, record: records.Record) -> records.Record:
         """Write a record under its revision."""
         await self._call("write record", LIST_LIMIT_MS, writes=True)
-        known = self.store.kept.get(record.name)
+        known = self.store.kept.get((kind, record.name))
         if record.revision != (known.revision if known else 0):
             raise errors.PlatformConflict("changed")
         self.store.revision += 1
         written = dataclasses.replace(record, revision=self.store.revision)
-        self.store.kept[record.name] = written
+        self.store.kept[(kind, record.name)] = written
+        self.store.wake()
         return written
 
 
@@ -167,6 +200,7 @@
 
     Attributes:
       tasks: what each live process runs, by its node's name.
+      quarantines: each process's side of the record of suspect requests.
     """
 
     def __init__(self, size: gossip_fleet.Size, store: CountedStore, seed: int = 1) -> None:
@@ -174,6 +208,7 @@
         self.store = store
         self.fleet = gossip_fleet.GossipFleet(size, seed, knows_all=False)
         self.tasks: dict[str, list[asyncio.Task[None]]] = {}
+        self.quarantines: dict[str, quarantine_record.QuarantineRecord] = {}
         for node in self.fleet.live():
             self._begin(node)
 
@@ -190,7 +225,13 @@
             node.view.shares_following,
         )
         entry = registration.Registration(node.state, node.view, node.gossip, reached)
+        record = quarantine_record.QuarantineRecord(
+            node.state, reached, node.view.is_oldest_candidate
+        )
+        self.quarantines[node.name] = record
         self.tasks[node.name] = [
+            asyncio.ensure_future(record.follow_forever()),
+            asyncio.ensure_future(record.keep_forever()),
             asyncio.ensure_future(following.follow_configuration()),
             asyncio.ensure_future(following.follow_endpoints()),
             asyncio.ensure_future(entry.run()),
