--- a/plumarch/standins/virtual.py
+++ b/plumarch/standins/virtual.py
@@ -158,6 +158,8 @@
         self.incarnations: collections.Counter[str] = collections.Counter()
         self.attempts: dict[tuple[str, int], FakeEndpoint] = {}
         self.told: list[str] = []
+        self.poison: set[str] = set()
+        """Keys of requests that end each endpoint that begins to run them."""
         self.interfere: Callable[[Host, events.Action], bool] | None = None
         self.bytes_sent: collections.Counter[str] = collections.Counter()
 
@@ -496,6 +498,10 @@
                 request.repeatable,
             )
         )
+        if request.key in self.poison:
+            endpoint.calls[(request.id, call.action.attempt)] = call
+            self.at(PREFILL_MS, lambda: self.kill_endpoint(endpoint.info.name))
+            return
         if endpoint.break_at == "ran":
             endpoint.break_at = ""
             self._fail(call, True, "connection reset before the answer")
