Accepted work under which endpoints ended is tried seldom, and given up if its time ends before

Cause: a draft or review whose connection broke was tried again within two seconds, without limit, at each home that it got. Change: ends of endpoints count against a run as in the gateway's quarantine, also at its next home; from three on it waits 60 s, four times as long each further time, or ends as unknown at once. Ruled out: ending it at the third end (a draft of 20 minutes may outlive an outage of engines).

--- a/plumarch/core/events.py
+++ b/plumarch/core/events.py
@@ -90,12 +90,18 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class EndpointFailed:
-    """An endpoint call failed; delivered is False only if no byte of it was written."""
+    """An endpoint call failed.
+
+    Attributes:
+      delivered: False only if no byte of it was written.
+      broken: whether its connection broke, as it does when the endpoint ends.
+    """
 
     request_id: str
     attempt: int
     delivered: bool
     why: str
+    broken: bool = False
 
 
 class PlatformStatus(enum.StrEnum):
--- a/plumarch/core/messages.py
+++ b/plumarch/core/messages.py
@@ -199,6 +199,7 @@
     Attributes:
       import_from: address of the engine that runs it now and can export its KV cache.
       import_attempt: the attempt under which that engine knows it.
+      points: what the ends of endpoints that ran it speak against it, as in limits.quarantine.
     """
 
     request: data.Request
@@ -209,6 +210,7 @@
     copy_holder: str = ""
     import_from: str = ""
     import_attempt: int = 0
+    points: int = 0
 
 
 class Adopted(Message, frozen=True):
--- a/plumarch/endpoints/client.py
+++ b/plumarch/endpoints/client.py
@@ -43,6 +43,16 @@
     errors.EndpointError,
 )
 
+BROKEN = (
+    httpx.ReadError,
+    httpx.RemoteProtocolError,
+    aiohttp.ServerDisconnectedError,
+    aiohttp.ClientOSError,
+    aiohttp.ClientPayloadError,
+    errors.DeliveryUnknown,
+)
+"""Errors by which a connection broke while its request ran."""
+
 CONNECTIONS = 4_000
 KEEP_ALIVE_S = 2.0
 JSON = {"Content-Type": "application/json"}
@@ -135,7 +145,8 @@
         except NEVER_SENT as error:
             sink(events.EndpointFailed(request.id, order.attempt, False, repr(error)))
         except FAILED as error:
-            sink(events.EndpointFailed(request.id, order.attempt, True, repr(error)))
+            broken = isinstance(error, BROKEN)
+            sink(events.EndpointFailed(request.id, order.attempt, True, repr(error), broken))
         except (msgspec.MsgspecError, UnicodeDecodeError) as error:
             why = f"not an engine's stream: {error}"
             sink(events.EndpointFailed(request.id, order.attempt, True, why))
--- a/plumarch/limits/quarantine.py
+++ b/plumarch/limits/quarantine.py
@@ -59,6 +59,14 @@
 leave some 3,000 requests to all nodes; beyond the bound those with the fewest points go first."""
 
 
+def pause_ms(trials: int) -> int:
+    """Return how long a request is held back after so many trials."""
+    found = FIRST_TRIAL_MS
+    for _ in range(min(trials, TRIALS_COUNTED)):
+        found *= TRIAL_FACTOR
+    return min(LONGEST_PAUSE_MS, found)
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class End:
     """An endpoint that ended while it ran a request.
@@ -106,11 +114,8 @@
 
     def next_trial_ms(self) -> int:
         """Return when it may be tried again."""
-        pause_ms = FIRST_TRIAL_MS
-        for _ in range(min(self.trials, TRIALS_COUNTED)):
-            pause_ms *= TRIAL_FACTOR
         newest = self.ends[-1].at_ms if self.ends else 0
-        return max(newest, self.tried_ms) + min(LONGEST_PAUSE_MS, pause_ms)
+        return max(newest, self.tried_ms) + pause_ms(self.trials)
 
     def is_over(self, now: int) -> bool:
         """Return whether it can be forgotten."""
--- a/plumarch/node/adoption.py
+++ b/plumarch/node/adoption.py
@@ -107,6 +107,7 @@
             run.copy_holder,
             self.dispatcher.engine_of(run),
             run.attempt(),
+            run.points,
         )
         self.ctx.send(run.adopter, message)
 
@@ -158,6 +159,7 @@
             copy_holder=m.copy_holder,
             import_from=m.import_from,
             import_attempt=m.import_attempt,
+            points=m.points,
         )
         self.table.add(run)
         self.copies.drop(request.id)
--- a/plumarch/node/dispatch.py
+++ b/plumarch/node/dispatch.py
@@ -5,7 +5,7 @@
 
 from plumarch.config import state as config_state
 from plumarch.core import context, data, events
-from plumarch.limits import fair_queue, retry_budget
+from plumarch.limits import fair_queue, quarantine, retry_budget
 from plumarch.node import runs, watchers
 from plumarch.routing import placement
 
@@ -83,6 +83,10 @@
         request = run.request
         run.phase = runs.Phase.QUEUED
         run.queued_ms = self.ctx.now()
+        if run.points >= quarantine.LIMIT and not run.not_before_ms:
+            # It was held back at its home before, and waits here as long again.
+            self._hold_back(run)
+            return True
         cost = float(request.prompt_tokens + request.max_tokens) or 1.0
         entry = fair_queue.Entry(
             request.id,
@@ -209,7 +213,8 @@
         known = len(run.tokens)
         if event.position > known:
             self.ctx.act(events.Abort(event.request_id, event.attempt))
-            self._failed(run, True, "tokens are missing from the stream")
+            why = "tokens are missing from the stream"
+            self._failed(run, events.EndpointFailed(event.request_id, event.attempt, True, why))
             return
         news = event.tokens[known - event.position :]
         self._end_superseded(run)
@@ -264,7 +269,7 @@
         """Take in the failure of the attempt in progress."""
         run = self._current(event.request_id, event.attempt)
         if run is not None:
-            self._failed(run, event.delivered, event.why)
+            self._failed(run, event)
 
     def _free(self, run: runs.Run) -> None:
         """Count a run's place as free again."""
@@ -272,9 +277,10 @@
         self.running[(run.request.target, run.request.workspace)] -= 1
         self.dirty = True
 
-    def _failed(self, run: runs.Run, delivered: bool, why: str) -> None:
+    def _failed(self, run: runs.Run, event: events.EndpointFailed) -> None:
         request = run.request
         endpoint = run.endpoint
+        delivered = event.delivered
         self._free(run)
         run.tried.add(endpoint)
         run.endpoint = ""
@@ -283,14 +289,35 @@
             run.handed_over = run.handed_over_before
         if not delivered:
             self.places.unreachable(endpoint)
-        self.ctx.note(request, "fail", f"attempt {run.attempt()}", why)
+        self.ctx.note(request, "fail", f"attempt {run.attempt()}", event.why)
+        if event.broken:
+            made_tokens = run.last_token_ms >= run.started_ms
+            run.points += quarantine.LATE_POINTS if made_tokens else quarantine.EARLY_POINTS
         if delivered and not request.repeatable:
             self.on_end(run, data.Outcome.UNKNOWN, data.Reason.INTERRUPTED, None)
+        elif event.broken and run.points >= quarantine.LIMIT:
+            self._hold_back(run)
         elif run.waits() or self.budget.take(request.workspace):
             self._retry_later(run)
         else:
             self.on_refuse(run, data.Reason.RETRY_BUDGET)
 
+    def _hold_back(self, run: runs.Run) -> None:
+        """Try a run again after a long pause, or give it up if its time ends before.
+
+        Too many endpoints ended as they began to run it: each further try would cost one more, and
+        all that runs there.
+        """
+        trials = (run.points - quarantine.LIMIT) // quarantine.EARLY_POINTS
+        pause_ms = quarantine.pause_ms(trials)
+        self.ctx.count("held_back", run.request.workspace)
+        self.ctx.note(run.request, "hold", f"{pause_ms} ms", "its endpoints ended under it")
+        if pause_ms >= run.left_ms(self.ctx.now()):
+            self.on_end(run, data.Outcome.UNKNOWN, data.Reason.INTERRUPTED, None)
+            return
+        run.not_before_ms = self.ctx.now() + pause_ms
+        self.delayed[run.request.id] = run
+
     def _retry_later(self, run: runs.Run) -> None:
         self.ctx.count("retries", run.request.workspace)
         ceiling = min(BACKOFF_LIMIT_MS, BACKOFF_MS * 2 ** min(run.tries, 7))
--- a/plumarch/node/runs.py
+++ b/plumarch/node/runs.py
@@ -49,6 +49,7 @@
       recorded: a slot holds a record of the key that names this home.
       handed_over: a byte of it may have reached an endpoint, here or at an earlier home.
       handed_over_before: the same before the attempt in progress.
+      points: what the ends of endpoints that ran it speak against it, as in limits.quarantine.
       superseded: attempt that goes on at a leaving endpoint until the next one answers.
       import_from: address of the engine at which its former home ran it, for its KV cache.
       weakened: which promise does not hold for it, or "".
@@ -67,6 +68,7 @@
     told_accepted: bool = False
     endpoint: str = ""
     tried: set[str] = dataclasses.field(default_factory=set)
+    points: int = 0
     tokens: list[str] = dataclasses.field(default_factory=list)
     watchers: dict[str, Watcher] = dataclasses.field(default_factory=dict)
     queued_ms: int = 0
--- a/plumarch/standins/virtual.py
+++ b/plumarch/standins/virtual.py
@@ -457,7 +457,7 @@
         endpoint = self.endpoints[name]
         endpoint.alive = False
         for call in list(endpoint.calls.values()):
-            self._fail(call, True, "connection reset")
+            self._fail(call, True, "connection reset", broken=True)
         endpoint.calls.clear()
 
     def _hand_over(self, host: Host, action: events.HandOver) -> None:
@@ -504,7 +504,7 @@
             return
         if endpoint.break_at == "ran":
             endpoint.break_at = ""
-            self._fail(call, True, "connection reset before the answer")
+            self._fail(call, True, "connection reset before the answer", broken=True)
             return
         endpoint.calls[(request.id, call.action.attempt)] = call
         if request.kind is data.EndpointKind.SERVICE:
@@ -576,9 +576,9 @@
         event = events.EndpointDone(request.id, call.action.attempt, reply, call.recomputed)
         self._to_node(call, event)
 
-    def _fail(self, call: Call, delivered: bool, why: str) -> None:
+    def _fail(self, call: Call, delivered: bool, why: str, broken: bool = False) -> None:
         request = call.action.request
-        event = events.EndpointFailed(request.id, call.action.attempt, delivered, why)
+        event = events.EndpointFailed(request.id, call.action.attempt, delivered, why, broken)
         self._to_node(call, event)
 
     def _to_node(self, call: Call, event: events.Event) -> None:
--- a/tests/poison_work_test.py
+++ b/tests/poison_work_test.py
@@ -2,8 +2,8 @@
 
 A draft that a node has accepted is tried again until its time is over, at any engine that takes it.
 Where engines crash as they begin to read it, each of these tries ends one more, with all that runs
-there: in this session 80 engines ended in 80 seconds, one try a second for as long as new ones came,
-since its retries wait two seconds at most and nothing counts the engines lost.
+there: in this session 80 engines ended in 80 seconds, since retries wait two seconds at most and
+nothing counted the engines that were lost.
 """
 
 import dataclasses
@@ -70,3 +70,35 @@
     fleet.run(MINUTE_MS)
     assert len(fleet.ended) <= ENDED_BEFORE + 1, len(fleet.ended)
     assert all(other.ends == [data.Outcome.DONE] for other in others)
+
+
+def test_work_whose_time_ends_before_the_next_try_is_given_up_at_once():
+    fleet, draft = poisoned(quarantine.FIRST_TRIAL_MS // 2)
+    caller = fleet.world.call("a1", draft)
+    fleet.run(6_000)
+    assert caller.ends == [data.Outcome.UNKNOWN]
+    assert len(fleet.ended) == ENDED_BEFORE
+
+
+def test_ends_are_counted_on_when_the_work_gets_another_home():
+    fleet, draft = poisoned(20 * MINUTE_MS)
+    fleet.world.call("a1", draft)
+    fleet.run(6_000)
+    for name, told in (("a1", ("a1", "b1", "c1")), ("b1", ("b1", "c1"))):
+        fleet.world.reclaim((name,), 3_000, told)
+        fleet.run(6_000)
+    assert len(fleet.ended) <= ENDED_BEFORE, len(fleet.ended)
+
+
+def test_work_that_outlives_the_loss_of_several_engines_is_done():
+    """Engines that end for another reason take tokens with them that were made before."""
+    fleet = Fleet()
+    draft = fleet.draft("a1", "long", 20 * MINUTE_MS, tokens=400)
+    caller = fleet.world.call("a1", draft)
+    for _ in range(6):
+        fleet.run(1_000)
+        for endpoint in list(fleet.world.endpoints.values()):
+            if endpoint.calls:
+                fleet.world.kill_endpoint(endpoint.info.name)
+    fleet.run(MINUTE_MS)
+    assert caller.ends == [data.Outcome.DONE]
