Coordinators count on what was admitted in the ledger of those that died

Cause (both listed tests of region_quota_test): increments of a replicated counter are dropped when who counts changes. A coordinator that follows on one that died counted from the first figure it heard of each node; other data centres took its first sum as where counting begins; at the end of a cut each side took back parts that had been used. Traced by the true level of the bucket beside the believed ones: -66,000 against -34,000 to 37,000. Change: one ledger a data centre, counted on by successors and compared across authors; members tell what was counted of them; lower levels are taken over for a second after a data centre is heard again; what a group admitted unheard is charged less the refill that covered it; a process that starts amid a cut takes over what its group has overdrawn; a coordinator that just started doesn't lower its members' levels.

--- a/plumarch/gateway/coordination.py
+++ b/plumarch/gateway/coordination.py
@@ -9,9 +9,10 @@
     heartbeats,
     load_reports,
     speed_reports,
+    spending_ledger,
     version_reports,
 )
-from plumarch.limits import centre_spending
+from plumarch.limits import centre_spending, workspace_quota
 from plumarch.membership import fleet_view, peer_node, tiers
 from plumarch.peers import gossip, recent_changes
 from plumarch.routing import endpoint_choice
@@ -22,6 +23,11 @@
 WHOLE_AT_RETURN = 3
 """How many whole summaries are told once a data centre is heard for the first time, or again."""
 
+ANEW_MS = 1_000
+"""How long lower levels of a data centre are taken over that is heard for the first time, or again:
+until the coordinators of all have told each other what was admitted meanwhile, over slow links too.
+A coordinator that followed on one that died doesn't know what others told before."""
+
 USAGE_EVERY = 4
 """Every how many rounds usage is told."""
 
@@ -37,11 +43,14 @@
     """A coordinator's sums.
 
     Attributes:
-      spent: units that the nodes of the own data centre were heard to admit, this one left out.
+      ledger: who began to count what the nodes of the own data centre admitted.
+      spent: what was counted in it, by workspace.
+      own_counted: the part of this node's own spending that is counted in it.
       taken_in: sequence of the last heartbeat or notice of each node of it, by name.
       rounds: news composed so far.
       summaries: summaries composed so far.
       newest: incarnation and number of the last summary of each coordinator elsewhere.
+      anew_until_ms: until when each data centre counts as heard since just now.
       whole_summaries: how many of the next summaries tell all figures.
       tell_all: whether the next news are whole, for a member that was not heard before.
     """
@@ -50,11 +59,16 @@
     view: fleet_view.FleetView
     duty: heartbeats.DutyStatus
     elsewhere: centre_spending.CentreSpending
-    spent: collections.Counter[str] = dataclasses.field(default_factory=collections.Counter)
+    ledger: tiers.Age = dataclasses.field(init=False)
+    spent: collections.defaultdict[str, float] = dataclasses.field(
+        default_factory=lambda: collections.defaultdict(float)
+    )
+    own_counted: dict[str, float] = dataclasses.field(default_factory=dict)
     taken_in: dict[str, int] = dataclasses.field(default_factory=dict)
     rounds: int = 0
     summaries: int = 0
     newest: dict[str, tuple[int, int]] = dataclasses.field(default_factory=dict)
+    anew_until_ms: dict[str, int] = dataclasses.field(default_factory=dict)
     whole_summaries: int = 0
     tell_all: bool = True
     spending_news: recent_changes.RecentChanges[float] = dataclasses.field(
@@ -68,6 +82,9 @@
     )
     told_fraction: float = 0.0
 
+    def __post_init__(self) -> None:
+        self.ledger = self.view.age()
+
     # Other data centres.
 
     def take_summary(self, told: gossip.CentreSummary) -> bool:
@@ -85,6 +102,7 @@
         if told.data_centre not in self.view.live_centres():
             # Windows that ended while it was not heard are told in whole summaries only.
             self.whole_summaries = WHOLE_AT_RETURN
+            self.anew_until_ms[told.data_centre] = now + ANEW_MS
         self.view.all_centres.heard(told.data_centre, elders.taken(told.elders), now)
         self.view.centres[told.data_centre] = tiers.CentreView(
             nodes=told.nodes,
@@ -99,7 +117,7 @@
             oldest_ms=now if _leads(told) else self._oldest_ms(told.data_centre),
         )
         self.duty.reported = max(self.duty.reported, told.reported)
-        self._charge(told)
+        self._charge(told, now < self.anew_until_ms[told.data_centre])
         loads = load_reports.taken_all(told.loads)
         self.state.chooser.tell(CENTRE + told.data_centre, loads)
         speed_reports.take(self.state, CENTRE + told.data_centre, told.speeds)
@@ -124,14 +142,74 @@
         newest = sorted(known)[-heartbeats.USAGE_WINDOWS :]
         return {window: known[window] for window in newest}
 
-    def _charge(self, told: gossip.CentreSummary) -> None:
+    def _charge(self, told: gossip.CentreSummary, anew: bool) -> None:
+        """Charge what another data centre admitted.
+
+        Args:
+          anew: whether it is heard since just now, for the first time in this role or again.
+        """
         sums = {one.workspace: one.spent for one in told.spending}
         author = f"{told.node}#{told.incarnation}"
         charged = self.elsewhere.charge(
-            told.data_centre, author, sums, self.view.silence_ms(), _leads(told)
+            told.data_centre,
+            author,
+            sums,
+            self.view.silence_ms(),
+            _leads(told),
+            self._ledger_of(told),
         )
-        levels = {one.workspace: one.level for one in told.spending if one.settled}
-        self.state.quota.heard_sums(CENTRE + told.data_centre, charged, levels)
+        levels = {
+            one.workspace: workspace_quota.TakenOver(one.level, one.overdrawn)
+            for one in told.spending
+            if one.settled
+        }
+        share = min(1.0, told.nodes / max(1, self.view.size()))
+        self.state.quota.heard_sums(CENTRE + told.data_centre, charged, levels, anew, share)
+
+    def _ledger_of(self, told: gossip.CentreSummary) -> centre_spending.Ledger:
+        """Return the ledger in which a coordinator elsewhere counts."""
+        if not told.ledger:
+            return centre_spending.UNNAMED
+        begun = tiers.Age(told.ledger[0].incarnation, told.ledger[0].name)
+        name = f"{begun.name}#{begun.incarnation}"
+        return centre_spending.Ledger(name, begun.incarnation > self.view.incarnation)
+
+    # The ledger of the own data centre.
+
+    def count_on(self, ledger: spending_ledger.FollowedLedger) -> None:
+        """Begin to coordinate: count on in the ledger that this node followed, or in a new one."""
+        if ledger.begun_by is None:
+            self.ledger = self.view.age()
+        else:
+            self.ledger = ledger.begun_by
+        self.spent = collections.defaultdict(float, ledger.spent)
+        self.own_counted = dict(ledger.counted)
+
+    def followed(self) -> spending_ledger.FollowedLedger:
+        """Return the ledger for this node to follow once it coordinates no more."""
+        self._count_own()
+        return spending_ledger.FollowedLedger(self.ledger, dict(self.spent), dict(self.own_counted))
+
+    def adopt_ledger(self, ledger: spending_ledger.FollowedLedger) -> None:
+        """Count on in the ledger of an older coordinator of the own data centre.
+
+        Both count the same nodes, each by what it hears: the larger sum is the truer one.
+        """
+        if ledger.begun_by is None:
+            return
+        self._count_own()
+        if ledger.begun_by != self.ledger:
+            self.ledger = ledger.begun_by
+            self.spent = collections.defaultdict(float, ledger.spent)
+            return
+        for name, units in ledger.spent.items():
+            self.spent[name] = max(self.spent[name], units)
+
+    def _count_own(self) -> None:
+        """Count what this node admitted itself."""
+        for name, bucket in self.state.quota.buckets.items():
+            self.spent[name] += bucket.spent - self.own_counted.get(name, 0.0)
+            self.own_counted[name] = bucket.spent
 
     def summary(self) -> gossip.CentreSummary:
         """Return what to tell the coordinators of other data centres now."""
@@ -164,8 +242,12 @@
             answers=version_reports.answers_told(state, self._is_near),
             centres_heard=view.digest(),
             sequence=self.summaries,
+            ledger=[self._ledger_told()],
         )
 
+    def _ledger_told(self) -> gossip.KnownElder:
+        return gossip.KnownElder(self.ledger.name, self.ledger.incarnation, "")
+
     def _candidate(self, neighbours: list[peer_node.Peer]) -> list[gossip.KnownElder]:
         ages = [one.age() for one in neighbours if one.candidate and not one.leaving]
         if self.duty.candidate:
@@ -180,10 +262,17 @@
 
     def _spending(self, whole: bool) -> list[gossip.CentreSpending]:
         report = self.state.quota.report()
-        sums = {name: told.spent + self.spent[name] for name, told in report.items()}
+        self._count_own()
+        sums = {name: self.spent[name] for name in report}
         changed = self.spending_news.select(sums)
         return [
-            gossip.CentreSpending(name, round(sums[name]), round(told.level), told.settled)
+            gossip.CentreSpending(
+                name,
+                round(sums[name]),
+                round(told.level),
+                told.settled,
+                round(told.overdrawn),
+            )
             for name, told in report.items()
             if whole or name in changed
         ]
@@ -230,7 +319,8 @@
         Args:
           sequence: number of its heartbeat or notice; a late one goes before no newer one.
         """
-        self.spent.update(charged)
+        for name, units in charged.items():
+            self.spent[name] += units
         self.taken_in[node] = max(sequence, self.taken_in.get(node, 0))
 
     def news(self) -> gossip.FleetNews:
@@ -242,10 +332,17 @@
         self.told_fraction = fraction
         self.rounds += 1
         quota.refill_all()
+        self._count_own()
         charged = {name: bucket.charged for name, bucket in quota.buckets.items()}
         changed = self.level_news.select(charged)
         levels = [
-            gossip.ToldLevel(name, round(bucket.level), round(bucket.part), bucket.settled)
+            gossip.ToldLevel(
+                name,
+                round(bucket.level),
+                round(bucket.part),
+                bucket.settled,
+                round(self.spent[name]),
+            )
             for name, bucket in quota.buckets.items()
             if whole or name in changed
         ]
@@ -265,6 +362,7 @@
             loads=self._fleet_loads(whole),
             whole=whole,
             versions=version_reports.shares_told(state),
+            ledger=[self._ledger_told()],
         )
 
     def _fleet_loads(self, whole: bool) -> list[gossip.EndpointLoad]:
--- a/plumarch/gateway/followed_news.py
+++ b/plumarch/gateway/followed_news.py
@@ -3,7 +3,7 @@
 import collections
 import dataclasses
 
-from plumarch.gateway import elders, fleet_state, load_reports
+from plumarch.gateway import elders, fleet_state, load_reports, spending_ledger
 from plumarch.limits import workspace_quota
 from plumarch.membership import fleet_view, tiers
 from plumarch.peers import gossip
@@ -40,6 +40,7 @@
     Attributes:
       told: the figures of the last heartbeats, oldest first.
       loads: the loads of all nodes, this one included, by who told them and endpoint.
+      ledger: how far its coordinators have counted what the nodes of the data centre admitted.
     """
 
     state: fleet_state.FleetState
@@ -48,6 +49,9 @@
         default_factory=lambda: collections.deque(maxlen=HEARTBEATS_KEPT)
     )
     loads: dict[str, dict[str, endpoint_choice.Load]] = dataclasses.field(default_factory=dict)
+    ledger: spending_ledger.FollowedLedger = dataclasses.field(
+        default_factory=spending_ledger.FollowedLedger
+    )
 
     def sent(self, beat: gossip.Heartbeat) -> None:
         """Remember what a heartbeat told."""
@@ -100,6 +104,9 @@
         """
         known = next((one for one in self.told if one.sequence == taken_in), None)
         quota = self.state.quota
+        self.ledger.take_in(news)
+        if known is not None:
+            self.ledger.counted |= known.spent
         buckets = {}
         for one in news.levels:
             bucket = quota.buckets.get(one.workspace)
--- a/plumarch/gateway/gossiper.py
+++ b/plumarch/gateway/gossiper.py
@@ -1,7 +1,7 @@
 """What nodes tell one another: heartbeats, notices, sums of data centres, news of the fleet."""
 
 import asyncio
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from typing import Any, cast
 
 import msgspec
@@ -18,6 +18,7 @@
     rounds,
     snapshots,
     speed_reports,
+    spending_ledger,
     suspect_news,
     told_figures,
     version_reports,
@@ -153,7 +154,7 @@
             # What one counts of a node begins with the first figure that it hears.
             self.composer.tell_all()
         self.told = told
-        beat = self.composer.next(self.leaving)
+        beat = self.composer.next(self.leaving, self._counted())
         self.member.sent(beat)
         self._send(beat, told)
         if beat.usage and self.view.role is tiers.Role.COORDINATOR:
@@ -162,6 +163,17 @@
         self.introductions.step(self.leaving)
         self.suspects.step()
 
+    def _counted(self) -> Mapping[str, float] | None:
+        """Return the part of this node's spending that the coordinators of its data centre counted.
+
+        None where there are none: each node hears each other one.
+        """
+        if self.view.role is tiers.Role.COORDINATOR:
+            return self.coordination.own_counted
+        if self.view.role is tiers.Role.FLAT and self.view.size() <= tiers.FLAT_FLEET:
+            return None
+        return self.member.ledger.counted
+
     def _news_age_ms(self) -> float:
         """Return the age of news of other nodes' spending, as a rule.
 
@@ -232,6 +244,10 @@
             elders=[elder.age.name for elder in self.view.elders()[: tiers.ELDERS]],
             news_age_ms=self.view.news_age_ms(),
         )
+        if role is tiers.Role.COORDINATOR:
+            self.coordination.count_on(self.member.ledger)
+        elif before is tiers.Role.COORDINATOR:
+            self.member.ledger = self.coordination.followed()
         told_figures.forget_for_role(self.state, self.view, self.coordination)
         self.coordination.tell_all = True
         self._beat_for_role()
@@ -343,11 +359,20 @@
             self.snapshots.fetch_from(news.address)
         if not self.member.take_in(news):
             return
+        self._adopt_ledger(news)
         if self.view.role is not tiers.Role.MEMBER:
             self._decide_role()
         if self.view.role is tiers.Role.MEMBER:
             self.member.adopt_figures(news, taken_in)
 
+    def _adopt_ledger(self, news: gossip.FleetNews) -> None:
+        """Count on in the ledger of an older coordinator, once all of it was told."""
+        is_older = tiers.Age(news.incarnation, news.node) < self.view.age()
+        if self.view.role is tiers.Role.COORDINATOR and news.whole and is_older:
+            told = spending_ledger.FollowedLedger()
+            told.take_in(news)
+            self.coordination.adopt_ledger(told)
+
     def take_in(self, beat: gossip.Heartbeat) -> None:
         """Take in a node's heartbeat."""
         known = self.view.peers.get(beat.node)
@@ -428,7 +453,9 @@
         charged = state.quota.heard_from(
             incarnation,
             {
-                told.workspace: workspace_quota.PeerSpending(told.spent, told.level, told.settled)
+                told.workspace: workspace_quota.PeerSpending(
+                    told.spent, told.level, told.settled, told.counted, told.overdrawn
+                )
                 for told in beat.spending
             },
         )
--- a/plumarch/gateway/heartbeats.py
+++ b/plumarch/gateway/heartbeats.py
@@ -2,6 +2,7 @@
 
 import collections
 import dataclasses
+from collections.abc import Mapping
 
 import msgspec
 
@@ -72,18 +73,27 @@
         """Make the next heartbeats whole, for a node that was not heard before."""
         self.whole_beats = WHOLE_AT_NEWCOMERS
 
-    def next(self, leaving: bool) -> gossip.Heartbeat:
+    def next(self, leaving: bool, counted: Mapping[str, float] | None = None) -> gossip.Heartbeat:
         """Return the heartbeat to send now.
 
         Args:
           leaving: whether this process is about to end.
+          counted: the part of this node's spending that its coordinators are known to have counted,
+            by workspace; None where each node hears each other one.
         """
         state = self.state
         whole = self.whole_beats > 0 or self.beats % WHOLE_EVERY == 0
         report = state.quota.report()
         changed = self.spending_news.select({name: told.spent for name, told in report.items()})
         spending = [
-            gossip.Spending(name, round(told.spent), round(told.level), told.settled)
+            gossip.Spending(
+                name,
+                round(told.spent),
+                round(told.level),
+                told.settled,
+                round(told.spent if counted is None else min(told.spent, counted.get(name, 0.0))),
+                round(told.overdrawn),
+            )
             for name, told in report.items()
             if whole or name in changed
         ]
--- a/plumarch/gateway/region_quota_test.py
+++ b/plumarch/gateway/region_quota_test.py
@@ -1,9 +1,15 @@
 """Allotments over regions: never over, with late news, while regions are cut off or killed.
 
 The rule and its sessions are those of large_fleet_quota_test; here up to 300 ms pass until news
-of another region are there, and whole regions fail. The random sessions here are a few: of 46
-others 14 were over, all with processes that were killed or frozen beside cuts, or with two cuts
-of all regions (KNOWN-RED.txt).
+of another region are there, and whole regions fail. The random sessions here are a few: of 238
+others three were over, by up to 1.027 (KNOWN-RED.txt).
+
+Sessions were over by up to 1.3, nine of 48, while coordinators that follow on those that died began
+to count at nothing: what the others had admitted since the last sums that were told was charged by
+nobody, on any node and for good, and at the end of a cut each side gave itself the others' parts
+before it had heard that these were used. What settled it were the true level of the bucket beside
+those that nodes believed: 1.5 s after the coordinators of a region were killed it was -66,000 where
+they went by -34,000 to 37,000, and the gap stayed until the end.
 """
 
 import hypothesis
@@ -178,18 +184,88 @@
 
 
 def test_the_rule_holds_while_processes_are_killed_beside_cuts():
-    found = []
-    for seed, late_ms, steps in SESSIONS_OVER:
-        session = new_session(seed, late_ms)
-        for kind, pick, length in steps:
-            harm(session, kind, pick)
-            session.serve(length * 100)
-        session.fleet.cut = lambda one, other: False
-        session.serve(2_000)
-        found.append(session.most / ALLOWED)
+    found = [most_of_allowed(*session) for session in SESSIONS_OVER]
     assert max(found) <= 1.0, found
 
 
+SESSIONS_STILL_OVER: tuple[tuple[int, int, Steps], ...] = (
+    (
+        19,
+        150,
+        [
+            ("cut all", 66, 9),
+            ("kill coordinators", 317, 23),
+            ("kill region", 175, 18),
+            ("cut all", 165, 2),
+            ("kill region", 652, 7),
+            ("heal", 125, 2),
+            ("kill coordinators", 482, 18),
+        ],
+    ),
+    (
+        912,
+        300,
+        [
+            ("kill region", 935, 3),
+            ("kill coordinators", 4, 18),
+            ("heal", 326, 8),
+            ("kill coordinators", 510, 19),
+            ("heal", 757, 13),
+            ("freeze", 153, 19),
+            ("heal", 734, 10),
+            ("freeze", 478, 14),
+        ],
+    ),
+    (
+        988,
+        150,
+        [
+            ("heal", 306, 4),
+            ("kill coordinators", 314, 15),
+            ("kill region", 927, 15),
+            ("kill region", 698, 9),
+            ("kill region", 190, 6),
+        ],
+    ),
+)
+"""Sessions that are over by a few parts in a hundred: what killed processes admitted last, and had
+not told, three times or more within a window, is charged by nobody."""
+
+
+def most_of_allowed(seed: int, late_ms: int, steps: Steps) -> float:
+    session = new_session(seed, late_ms)
+    for kind, pick, length in steps:
+        harm(session, kind, pick)
+        session.serve(length * 100)
+    session.fleet.cut = lambda one, other: False
+    session.serve(2_000)
+    return session.most / ALLOWED
+
+
+def test_the_rule_holds_while_processes_are_killed_again_and_again():
+    found = [most_of_allowed(*session) for session in SESSIONS_STILL_OVER]
+    assert max(found) <= 1.0, found
+
+
+MOST_REFUSED_AFTER_CUTS = 0.04
+"""0.189 while what others had admitted in a cut was charged as if at one moment; 0.020 since."""
+
+
+def test_regions_that_hear_each_other_again_refuse_little_of_what_is_owed():
+    """At 0.8 of the rate, over 5 s after a cut of 6 s; coordinators were killed before."""
+    refused = []
+    for seed in range(6):
+        session = new_session(seed, 60)
+        asked(session, 6_000, 0.8, 3_000.0)
+        harm(session, "kill coordinators", seed)
+        asked(session, 8_000, 0.8, 3_000.0)
+        harm(session, "cut all", 0)
+        asked(session, 6_000, 0.8, 3_000.0)
+        harm(session, "heal", 0)
+        refused.append(asked(session, 5_000, 0.8, 3_000.0))
+    assert sum(refused) / len(refused) <= MOST_REFUSED_AFTER_CUTS, refused
+
+
 def harm(session: large_fleet_quota_test.Session, kind: str, pick: int) -> None:
     """Do one thing to a region."""
     fleet = session.fleet
--- a/plumarch/gateway/told_figures.py
+++ b/plumarch/gateway/told_figures.py
@@ -38,10 +38,11 @@
     if view.role is not tiers.Role.MEMBER:
         chooser.forget(followed_news.FLEET)
     if view.role is not tiers.Role.COORDINATOR:
+        sums.anew_until_ms.clear()
         for name in list(view.centres):
             chooser.forget(coordination.CENTRE + name)
         view.centres.clear()
-        sums.elsewhere.authors.clear()
+        sums.elsewhere.forget()
     if view.role is tiers.Role.MEMBER:
         for name in [name for name in chooser.told if name != followed_news.FLEET]:
             chooser.forget(name)
--- a/plumarch/limits/centre_spending_test.py
+++ b/plumarch/limits/centre_spending_test.py
@@ -106,3 +106,49 @@
     assert found.charge("b", "y", {"w": 70.0}, SILENCE_MS) == {"w": 30.0}
     assert found.charge("b", "x", {"w": 130.0}, SILENCE_MS) == {}
     assert found.charge("b", "x", {"w": 130.0}, SILENCE_MS, leads=True) == {}
+
+
+BEGUN_SINCE = centre_spending.Ledger("x#1", begun_since=True)
+BEGUN_BEFORE = centre_spending.Ledger("x#1", begun_since=False)
+
+
+def test_a_coordinator_that_counts_on_is_charged_from_where_the_last_one_was():
+    time = clock.ManualClock()
+    found = centre_spending.CentreSpending(time)
+    found.charge("b", "x", {"w": 100.0}, SILENCE_MS, ledger=BEGUN_BEFORE)
+    assert found.charge("b", "x", {"w": 130.0}, SILENCE_MS, ledger=BEGUN_BEFORE) == {"w": 30.0}
+    time.advance_to(2 * SILENCE_MS)
+    assert found.charge("b", "z", {"w": 190.0}, SILENCE_MS, ledger=BEGUN_BEFORE) == {"w": 60.0}
+
+
+def test_one_that_counted_less_gives_nothing_back():
+    time = clock.ManualClock()
+    found = centre_spending.CentreSpending(time)
+    found.charge("b", "x", {"w": 100.0}, SILENCE_MS, ledger=BEGUN_BEFORE)
+    time.advance_to(2 * SILENCE_MS)
+    assert found.charge("b", "z", {"w": 90.0}, SILENCE_MS, ledger=BEGUN_BEFORE) == {}
+    assert found.charge("b", "z", {"w": 95.0}, SILENCE_MS, ledger=BEGUN_BEFORE) == {"w": 5.0}
+
+
+def test_a_ledger_that_began_while_this_node_counted_is_charged_whole():
+    found = centre_spending.CentreSpending(clock.ManualClock())
+    assert found.charge("b", "x", {"w": 40.0}, SILENCE_MS, ledger=BEGUN_SINCE) == {"w": 40.0}
+    assert found.charge("c", "y", {"w": 40.0}, SILENCE_MS, ledger=BEGUN_BEFORE) == {}
+
+
+def test_changing_to_and_fro_between_two_ledgers_charges_nothing_twice():
+    found = centre_spending.CentreSpending(clock.ManualClock())
+    other = centre_spending.Ledger("y#1", begun_since=True)
+    charged = 0.0
+    for step in range(6):
+        ledger = (BEGUN_SINCE, other)[step % 2]
+        more = found.charge("b", "x", {"w": 100.0}, SILENCE_MS, leads=True, ledger=ledger)
+        charged += more.get("w", 0.0)
+    assert charged == 200.0
+
+
+def test_whoever_coordinates_no_more_forgets_all_sums():
+    found = centre_spending.CentreSpending(clock.ManualClock())
+    found.charge("b", "x", {"w": 100.0}, SILENCE_MS, ledger=BEGUN_BEFORE)
+    found.forget()
+    assert found.charge("b", "z", {"w": 500.0}, SILENCE_MS, ledger=BEGUN_BEFORE) == {}
--- a/plumarch/limits/workspace_quota.py
+++ b/plumarch/limits/workspace_quota.py
@@ -101,6 +101,7 @@
       spent: units that this process admitted since its start.
       charged: units that were taken off the level, by whomever they were admitted.
       settled: whether the level rests on more than this process's own short life.
+      spared: units by which it would have been refilled had it not been full.
     """
 
     level: float
@@ -109,6 +110,15 @@
     settled: bool
     spent: float = 0.0
     charged: float = 0.0
+    spared: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Spared:
+    """What a bucket had spared at a time."""
+
+    units: float
+    at_ms: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -125,13 +135,34 @@
     settled: bool
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class TakenOver:
+    """What another node believes to be left of a workspace's allotment.
+
+    Attributes:
+      level: over all nodes.
+      overdrawn: units by which the nodes that it hears have less left than their share of that.
+    """
+
+    level: float
+    overdrawn: float = 0.0
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class PeerSpending:
-    """What a peer says of one workspace: its own spending since its start, and its level."""
+    """What a peer says of one workspace: its own spending since its start, and its level.
+
+    Attributes:
+      counted: the part of its spending that counts as charged when it is heard for the first time;
+        all of it if None.
+      overdrawn: units by which the nodes that it hears have less left than their share.
+    """
 
     spent: float
     level: float
     settled: bool = True
+    counted: float | None = None
+    overdrawn: float = 0.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -142,6 +173,7 @@
       fraction: the part of all nodes that is heard now, this one included.
       news_age_ms: time between heartbeats of a node.
       workspaces: those of the configuration in force, by name.
+      spared_before: what was spared when a group was heard last, by group and workspace.
       charged_by: units charged since this process started, over all workspaces, by who admitted
         them: "" for this node, a node's name, or a group of nodes.
     """
@@ -154,6 +186,7 @@
     workspaces: Mapping[str, traffic.Workspace] = dataclasses.field(default_factory=dict)
     buckets: dict[str, Bucket] = dataclasses.field(default_factory=dict)
     heard: dict[tuple[str, str], float] = dataclasses.field(default_factory=dict)
+    spared_before: dict[tuple[str, str], Spared] = dataclasses.field(default_factory=dict)
     charged_by: collections.defaultdict[str, float] = dataclasses.field(
         default_factory=lambda: collections.defaultdict(float)
     )
@@ -238,7 +271,9 @@
         """Return this node's spending, for its heartbeat, with levels as of now."""
         self.refill_all()
         return {
-            name: PeerSpending(bucket.spent, bucket.level, bucket.settled)
+            name: PeerSpending(
+                bucket.spent, bucket.level, bucket.settled, overdrawn=self._overdrawn(bucket)
+            )
             for name, bucket in self.buckets.items()
         }
 
@@ -267,12 +302,27 @@
             if (node, name) in self.heard:
                 charged |= self.noticed(node, name, told.spent)
                 continue
-            self.heard[(node, name)] = told.spent
-            if told.settled:
-                self._refill(self.workspaces[name])
-                self._take_over(bucket, told.level)
+            charged |= self._heard_first(node, name, told)
         return charged
 
+    def _heard_first(self, node: str, name: str, told: PeerSpending) -> dict[str, float]:
+        """Take in a peer that is heard for the first time.
+
+        What nobody counted of its spending is charged: where a new one counts in place of those
+        that died, it would be missing from all buckets for good otherwise. A full bucket is the
+        most that it can have had of them.
+        """
+        bucket, workspace = self.buckets[name], self.workspaces[name]
+        self.heard[(node, name)] = told.spent
+        uncounted = told.spent - told.counted if told.counted is not None else 0.0
+        uncounted = min(max(0.0, uncounted), self.tolerance.capacity(workspace, self.news_age_ms))
+        if uncounted:
+            self._charge_others(node, name, uncounted)
+        if told.settled:
+            self._refill(workspace)
+            self._take_over(bucket, TakenOver(told.level, told.overdrawn))
+        return {name: uncounted} if uncounted else {}
+
     def noticed(self, node: str, workspace: str, spent: float) -> dict[str, float]:
         """Charge what a peer told between its heartbeats that it admitted.
 
@@ -289,26 +339,61 @@
         return {workspace: spent - known}
 
     def heard_sums(
-        self, group: str, charged: Mapping[str, float], levels: Mapping[str, float]
+        self,
+        group: str,
+        charged: Mapping[str, float],
+        levels: Mapping[str, TakenOver],
+        anew: bool = False,
+        share: float = 1.0,
     ) -> None:
         """Charge what a group of nodes admitted, as one of them sums it up.
 
         Args:
           group: what its sums are kept under.
           charged: units since the last sum, by workspace.
-          levels: units left as it believes, by workspace; taken over by a node that knows less.
+          levels: what is left as it believes, by workspace; taken over by a node that knows less.
+          anew: whether it is heard since just now: then lower levels are taken over, since what
+            this node missed meanwhile would be missing from its bucket for good.
+          share: the part of the fleet's nodes that the group is.
         """
+        self.refill_all()
         for name, units in charged.items():
             if name in self.buckets:
-                self._charge_others(group, name, units)
                 key = (group, name)
                 self.heard[key] = self.heard.get(key, 0.0) + units
+                self._charge_others(group, name, self._due(key, units, share) if anew else units)
+        for name, known in self.buckets.items():
+            self.spared_before[(group, name)] = Spared(known.spared, self.clock.now())
         for name, level in levels.items():
             bucket = self.buckets.get(name)
-            if bucket is not None and not bucket.settled:
+            if bucket is not None and (anew or not bucket.settled):
                 self._refill(self.workspaces[name])
                 self._take_over(bucket, level)
 
+    def _due(self, key: tuple[str, str], units: float, share: float) -> float:
+        """Return what is to be charged of what a group admitted while it was not heard.
+
+        Meanwhile this bucket was refilled for the whole fleet, and could not hold all of it. What
+        the group used of its share of the refill is no debt then, but for as much as it may have
+        admitted just now at once: its share of a full bucket. Without this a fleet at 0.8 of its
+        rate refused 0.189 of all requests for 5 s after regions had been cut off from each other
+        for 6 s; with it 0.020 (virtual time).
+
+        Args:
+          key: the group and the workspace.
+        """
+        bucket, workspace = self.buckets[key[1]], self.workspaces[key[1]]
+        before = self.spared_before.get(key)
+        if before is None:
+            return units
+        silent_s = (self.clock.now() - before.at_ms) / 1000.0
+        refilled = share * self.tolerance.refill(workspace, self.news_age_ms) * silent_s
+        at_once = share * self.tolerance.capacity(workspace, self.news_age_ms)
+        spared = min(bucket.spared - before.units, refilled)
+        used = max(0.0, min(units - at_once, spared))
+        bucket.spared -= used
+        return units - used
+
     def adopt(self, told: Mapping[str, ToldBucket], fraction: float) -> None:
         """Take over the buckets of a coordinator; those that it does not tell go on as they are.
 
@@ -321,18 +406,28 @@
             if workspace is None or workspace.rate <= 0:
                 continue
             bucket = self._refill(workspace)
+            if bucket.settled and not one.settled:
+                # A coordinator that just started tells what it earned since; this node knows more.
+                continue
             bucket.level = one.level
             bucket.part = one.part
-            bucket.settled = bucket.settled or one.settled
+            bucket.settled = one.settled
 
-    def _take_over(self, bucket: Bucket, level: float) -> None:
-        """Take over the level of a peer that is heard for the first time."""
+    def _take_over(self, bucket: Bucket, told: TakenOver) -> None:
+        """Take over what is left by a peer that knows more, or that is heard since just now."""
         if bucket.settled:
-            level = min(level, bucket.level)
-        bucket.part = min(bucket.part, level) if bucket.settled else level * self.fraction
-        bucket.level = level
+            bucket.level = min(told.level, bucket.level)
+            bucket.part = min(bucket.part, bucket.level)
+            return
+        bucket.level = told.level
+        # A process that starts amid a cut has no more left than those that it hears.
+        bucket.part = told.level * self.fraction - told.overdrawn
         bucket.settled = True
 
+    def _overdrawn(self, bucket: Bucket) -> float:
+        """Return the units by which the nodes that are heard have less left than their share."""
+        return max(0.0, max(0.0, bucket.level) * self.fraction - bucket.part)
+
     def forget(self, node: str) -> None:
         """Drop what is known of an incarnation that is gone."""
         for key in [key for key in self.heard if key[0] == node]:
@@ -351,6 +446,7 @@
         refill = self.tolerance.refill(workspace, self.news_age_ms)
         gained = refill * (now - bucket.updated_ms) / 1000.0
         capacity = self.tolerance.capacity(workspace, self.news_age_ms)
+        bucket.spared += max(0.0, bucket.level + gained - capacity)
         bucket.level = min(capacity, bucket.level + gained)
         most = capacity * self.fraction
         bucket.part = min(most, bucket.part + gained * self.fraction)
--- a/plumarch/peers/gossip.py
+++ b/plumarch/peers/gossip.py
@@ -20,12 +20,19 @@
     """What a node admitted of a workspace's allotment since its start, and its level.
 
     The level is settled if it rests on more than the sender's own short life.
+
+    Attributes:
+      counted: the part of what it admitted that its data centre's coordinators are known to have
+        counted; all of it where each node tells each other one.
+      overdrawn: units by which the nodes that the sender hears have less left than their share.
     """
 
     workspace: str
     spent: float
     level: float
     settled: bool
+    counted: float
+    overdrawn: float
 
 
 class EndpointLoad(msgspec.Struct, array_like=True, frozen=True):
@@ -151,18 +158,20 @@
 
 
 class CentreSpending(msgspec.Struct, array_like=True, frozen=True):
-    """What the nodes of a data centre admitted, as the sender counted since its start.
+    """What the nodes of a data centre admitted, as the sender counted in the summary's ledger.
 
     Attributes:
-      spent: units of the workspace's allotment.
+      spent: units of the workspace's allotment since the ledger was begun.
       level: units left of the whole fleet's allotment, as the sender believes.
       settled: whether the level rests on more than the sender's own short life.
+      overdrawn: units by which the nodes that the sender hears have less left than their share.
     """
 
     workspace: str
     spent: float
     level: float
     settled: bool
+    overdrawn: float
 
 
 class CentreSummary(msgspec.Struct, array_like=True, frozen=True, tag=3):
@@ -184,6 +193,7 @@
       answers: of versions on its nodes, while a roll-out runs.
       centres_heard: digest of the data centres that the sender hears, its own included, or 0.
       sequence: number of the summary since the sender's start; 0 where it is not told.
+      ledger: the coordinator that began to count what is told as spent, as a list of one or none.
     """
 
     node: str
@@ -207,6 +217,7 @@
     answers: list[VersionAnswers] = []
     centres_heard: int = 0
     sequence: int = 0
+    ledger: list[KnownElder] = []
 
 
 class KnownCentre(msgspec.Struct, array_like=True, frozen=True):
@@ -236,12 +247,14 @@
       level: units left over all nodes; negative after a large request.
       part: units left for the nodes that the sender hears.
       settled: whether the level rests on more than the sender's own short life.
+      spent: what the nodes of the data centre admitted, as counted in the news' ledger.
     """
 
     workspace: str
     level: float
     part: float
     settled: bool
+    spent: float = 0.0
 
 
 class FleetNews(msgspec.Struct, array_like=True, frozen=True):
@@ -256,6 +269,7 @@
       loads: at endpoints where something changed lately, in some news at all, from all nodes.
       whole: whether endpoints that are not named have no load.
       versions: the shares of versions, as in heartbeats.
+      ledger: as in summaries.
     """
 
     node: str
@@ -273,6 +287,7 @@
     loads: list[EndpointLoad]
     whole: bool
     versions: list[VersionShare] = []
+    ledger: list[KnownElder] = []
 
 
 class MemberNews(msgspec.Struct, array_like=True, frozen=True, tag=4):
