An entry in the store that can't be read costs nothing else

A body with bytes that are no text, or nested without end, was given up, the latter as a fault outside the errors of the platform. Change: each entry is read by itself and in range; one that can't be is withdrawn (not used on as one that vanished), logged once a revision, counted and named on /status and by plumarch status; all others hold and the revision moves on. The same for orders of roll-outs, the product's own objects and what peers hand on. The configuration stays as it was: the last good one holds.

--- a/plumarch/cli/main.py
+++ b/plumarch/cli/main.py
@@ -172,8 +172,16 @@
         if missing:
             raise Stop(EXIT_PARTIAL)
 
-    def status(self, json: bool = False) -> None:
-        """Show nodes, the revision in force on each and its age, and endpoints."""
+    def status(self, json: bool = False, gateways: str = "") -> None:
+        """Show nodes, the revision in force on each and its age, and endpoints.
+
+        Args:
+          gateways: IP:port of the metrics of gateways, by commas: shows in place of the nodes what
+            they can't read in the platform's store, and which requests they hold back.
+        """
+        if gateways:
+            self._gateway_status([one.strip() for one in gateways.split(",") if one.strip()])
+            return
         given = self._settings()
         found, missing = asyncio.run(nodes.statuses(given.nodes, given.token))
         if json:
@@ -187,6 +195,15 @@
         if missing:
             raise Stop(EXIT_PARTIAL)
 
+    def _gateway_status(self, addresses: list[str]) -> None:
+        found, missing = asyncio.run(nodes.gateway_pages(addresses))
+        for text in found.values():
+            print(text, end="")
+        for address, why in sorted(missing.items()):
+            _say(f"{address} was not reached: {why}. Remedy: give the address of its metrics.")
+        if missing:
+            raise Stop(EXIT_PARTIAL)
+
     def explain(self, request: str, json: bool = False) -> None:
         """Show a request's decisions from arrival to answer, by its id or key."""
         given = self._settings()
--- a/plumarch/cli/nodes.py
+++ b/plumarch/cli/nodes.py
@@ -46,6 +46,28 @@
     return found, missing
 
 
+async def gateway_pages(addresses: list[str]) -> tuple[dict[str, str], Missing]:
+    """Return what each gateway's status page says, and why some could not be had.
+
+    Args:
+      addresses: IP:port where they serve metrics.
+    """
+    found: dict[str, str] = {}
+    missing: Missing = {}
+    async with httpx.AsyncClient(timeout=ASK_S) as http:
+        for address in addresses:
+            try:
+                answer = await http.get(f"http://{address}/status")
+            except httpx.HTTPError as error:
+                missing[address] = type(error).__name__
+                continue
+            if answer.status_code == httpx.codes.OK:
+                found[address] = answer.text
+            else:
+                missing[address] = f"status {answer.status_code}"
+    return found, missing
+
+
 async def wait_in_force(
     addresses: dict[str, str], token: str, revision: int, timeout_s: float
 ) -> tuple[dict[str, int], Missing]:
--- a/plumarch/core/addresses.py
+++ b/plumarch/core/addresses.py
@@ -1,5 +1,9 @@
 """Addresses of the form IP:port."""
 
+import ipaddress
+
+LAST_PORT = 65_535
+
 
 def split(address: str) -> tuple[str, int]:
     """Return host and port of an address; brackets around an IPv6 host are dropped.
@@ -9,3 +13,13 @@
     """
     host, _, port = address.rpartition(":")
     return host.strip("[]"), int(port)
+
+
+def is_ip_port(address: str) -> bool:
+    """Return whether an address is that of a process on some machine."""
+    try:
+        host, port = split(address)
+        ipaddress.ip_address(host)
+    except ValueError:
+        return False
+    return 0 < port <= LAST_PORT
--- a/plumarch/core/records.py
+++ b/plumarch/core/records.py
@@ -16,6 +16,23 @@
     revision: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Unreadable:
+    """An object in the store that can't be read; whoever wrote it, it counts for nothing.
+
+    Attributes:
+      kind: what operators know such objects as.
+      name: of the object; "" if that can't be read either.
+      revision: of its last change, or 0.
+      why: the field that is wrong, and how.
+    """
+
+    kind: str
+    name: str
+    revision: int
+    why: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class EngineOrder:
     """A wanted number of endpoints of a service in a data centre, firm or reclaimable."""
--- a/plumarch/core/traffic.py
+++ b/plumarch/core/traffic.py
@@ -144,6 +144,7 @@
       spot: whether it may be reclaimed.
       leaves_in_ms: time left when it announced its end, or None.
       version: of its software; endpoints of several serve beside each other in a roll-out.
+      born_ms: time of day of the process's start, as it says itself; 0 if it doesn't.
     """
 
     id: str
@@ -155,6 +156,7 @@
     spot: bool = False
     leaves_in_ms: float | None = None
     version: str = ""
+    born_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/plumarch/daemon/status_pages.py
+++ b/plumarch/daemon/status_pages.py
@@ -1,15 +1,19 @@
-"""The pages that a gateway serves to the platform and to operators: readiness and metrics."""
+"""The pages that a gateway serves to the platform and to operators: readiness, metrics, status."""
 
 from collections.abc import Callable
 
 from plumarch.gateway import caller_requests, fleet_state
 
 METRICS_PATH = b"/metrics"
+STATUS_PATH = b"/status"
+HELD_NAMED = 20
+"""Requests held back that the status page names."""
+
 TEXT = [(b"content-type", b"text/plain; version=0.0.4")]
 
 
 class StatusPages:
-    """Answers /metrics with all metrics, and any other path with readiness."""
+    """Answers /metrics with all metrics, /status with what needs an operator, else readiness."""
 
     def __init__(self, state: fleet_state.FleetState, ready: Callable[[], bool]) -> None:
         self.state = state
@@ -19,14 +23,26 @@
         self, request: caller_requests.CallerRequest, reply: caller_requests.Reply
     ) -> None:
         """Answer one request."""
-        if request.target.partition(b"?")[0] == METRICS_PATH:
+        path = request.target.partition(b"?")[0]
+        if path == METRICS_PATH:
             self._set_gauges()
             reply.send(200, TEXT, self.state.measures.text())
+        elif path == STATUS_PATH:
+            reply.send(200, TEXT, "".join(f"{line}\n" for line in self._status()).encode())
         elif self.ready():
             reply.send(200, TEXT, b"ready\n")
         else:
             reply.send(503, TEXT, b"not ready\n")
 
+    def _status(self) -> list[str]:
+        """Return a line for each thing that an operator may want to look at."""
+        held = [
+            f"quarantined {one.fingerprint}: ended {', '.join(end.endpoint for end in one.ends)}"
+            for one in self.state.quarantine.held()[:HELD_NAMED]
+        ]
+        unreadable = [f"unreadable {line}" for line in self.state.unreadable.lines()]
+        return [f"node {self.state.node}", *unreadable, *held]
+
     def _set_gauges(self) -> None:
         state = self.state
         sizes = state.measures.state
--- a/plumarch/gateway/decision_log.py
+++ b/plumarch/gateway/decision_log.py
@@ -6,6 +6,7 @@
 """
 
 import dataclasses
+import json
 import os
 from typing import Any
 
@@ -55,7 +56,7 @@
         if self.dropped:
             line["lines_dropped_before"] = self.dropped
             self.dropped = 0
-        self.pending += msgspec.json.encode(line)
+        self.pending += _encoded(line)
         self.pending += b"\n"
 
     def _admitted(self, urgent: bool) -> bool:
@@ -79,3 +80,11 @@
                 self.pending.clear()
                 return
             del self.pending[:written]
+
+
+def _encoded(line: dict[str, Any]) -> bytes:
+    """Return a line as JSON; a string that is no text must not cost the line, or its writer."""
+    try:
+        return msgspec.json.encode(line)
+    except (UnicodeEncodeError, TypeError):
+        return json.dumps(line, default=repr).encode()
--- a/plumarch/gateway/fleet_state.py
+++ b/plumarch/gateway/fleet_state.py
@@ -8,7 +8,13 @@
 from plumarch.core import rollouts
 from plumarch.core.clock import Clock
 from plumarch.fleet import engine_demand, usage, version_tally
-from plumarch.gateway import centre_contact, decision_log, dialect, measures
+from plumarch.gateway import (
+    centre_contact,
+    decision_log,
+    dialect,
+    measures,
+    unreadable_entries,
+)
 from plumarch.limits import (
     attempt_budget,
     memory_account,
@@ -60,6 +66,7 @@
       pressure: who is turned away when much of it is held.
       limits: what endpoints bear.
       quarantine: requests under which endpoints ended.
+      unreadable: entries in the store that can't be read.
       contact: how well the other data centres are heard.
       tell_prompt: tells the other nodes of a prompt sent to an engine.
       tell_suspect: tells them what was learned of a request, by its fingerprint.
@@ -102,6 +109,10 @@
     claim_trial: Callable[[str], Awaitable[bool]] | None = None
     reaches_store: bool = True
     stops_at_ms: int | None = None
+    unreadable: unreadable_entries.UnreadableEntries = dataclasses.field(init=False)
+
+    def __post_init__(self) -> None:
+        self.unreadable = unreadable_entries.UnreadableEntries(self.log, self.measures)
 
     def configuration_version(self) -> int:
         """Return the version of the configuration in force, or -1 before the first one."""
--- a/plumarch/gateway/follower.py
+++ b/plumarch/gateway/follower.py
@@ -48,6 +48,8 @@
 4 s the first one asks 2 / n s after the store is back, and those that it answers tell the rest."""
 
 STORE = "store"
+ENDPOINTS = "endpoint"
+"""What operators know entries of endpoints as."""
 
 News = TypeVar("News")
 
@@ -192,7 +194,9 @@
         known = self.state.registry
         if revision is None:
             found = await self.store.list_endpoints()
-            changes = known.replace(found.endpoints, found.revision, STORE)
+            names = frozenset(one.name for one in found.unreadable)
+            changes = known.replace(found.endpoints, found.revision, STORE, names)
+            self.state.unreadable.listed(ENDPOINTS, found.unreadable)
             reached = found.revision
         else:
             news = await _unless_silent(
@@ -200,6 +204,8 @@
                 lambda: known.changed_revision > revision,
             )
             changes = known.apply(news.changes, news.revision, STORE)
+            read_or_gone = [one.id for one in news.changes if not one.is_unreadable]
+            self.state.unreadable.changed(ENDPOINTS, read_or_gone, news.unreadable)
             reached = news.revision
         self.state.registry_changed(changes, STORE)
         if changes:
--- a/plumarch/gateway/ports.py
+++ b/plumarch/gateway/ports.py
@@ -24,18 +24,20 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class EndpointList:
-    """All endpoints as of a revision."""
+    """All endpoints as of a revision, and the entries that can't be read."""
 
     endpoints: tuple[traffic.Endpoint, ...]
     revision: int
+    unreadable: tuple[records.Unreadable, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class EndpointNews:
-    """Changes of endpoints up to a revision."""
+    """Changes of endpoints up to a revision; an entry that can't be read names none any more."""
 
     changes: tuple[registry.EndpointChange, ...]
     revision: int
+    unreadable: tuple[records.Unreadable, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -44,14 +46,16 @@
 
     changes: tuple[rollouts.RolloutChange, ...]
     revision: int
+    unreadable: tuple[records.Unreadable, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RecordList:
     """All objects of a kind of the product's own as of a revision."""
 
-    records: tuple[records.Record, ...]
+    found: tuple[records.Record, ...]
     revision: int
+    unreadable: tuple[records.Unreadable, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -61,6 +65,7 @@
     changed: tuple[records.Record, ...]
     removed: tuple[str, ...]
     revision: int
+    unreadable: tuple[records.Unreadable, ...] = ()
 
 
 class Store(Protocol):
--- a/plumarch/gateway/quarantine_record.py
+++ b/plumarch/gateway/quarantine_record.py
@@ -103,12 +103,15 @@
             # The first list may be some seconds old: it costs a tenth, and the watch after it
             # begins where it ends.
             found = await self.store.list_records(KIND, stale=self.revision == 0)
-            if not found.records and self.revision:
+            self.state.unreadable.listed(KIND, found.unreadable)
+            if not found.found and self.revision:
                 self._lift()
-            for record in found.records:
+            for record in found.found:
                 self._take(record)
             return found.revision
         news = await self.store.watch_records(KIND, revision, WATCH_MS)
+        changed = [record.name for record in news.changed]
+        self.state.unreadable.changed(KIND, [*changed, *news.removed], news.unreadable)
         if NAME in news.removed:
             self._lift()
         for record in news.changed:
--- a/plumarch/gateway/registration.py
+++ b/plumarch/gateway/registration.py
@@ -91,8 +91,9 @@
         self.contested = False
         self.dependency.answered()
         self.read_ms = self.state.clock.now()
-        self.known = {record.name: record for record in found.records}
-        for record in found.records:
+        self.state.unreadable.listed(node_record.KIND, found.unreadable)
+        self.known = {record.name: record for record in found.found}
+        for record in found.found:
             nodes = node_record.decode(record)
             if nodes is None:
                 self.state.log.write("bad_node_record", name=record.name, value=record.value)
--- a/plumarch/gateway/rollout_duty.py
+++ b/plumarch/gateway/rollout_duty.py
@@ -17,6 +17,9 @@
 """How long the store holds a watch of orders. They are rare, and calls are paid for; a connection
 that falls silent is noticed by probes after 3 s."""
 
+ROLLOUTS = "rollout"
+"""What operators know orders of roll-outs as."""
+
 IDLE_MS = 250.0
 """How often a node that holds no duties asks whether it does."""
 
@@ -78,8 +81,11 @@
         if revision is None:
             news = await self.store.list_rollouts()
             self.orders.clear()
+            self.state.unreadable.listed(ROLLOUTS, news.unreadable)
         else:
             news = await self.store.watch_rollouts(revision, WATCH_MS)
+            names = {one.service for one in news.changes} - {one.name for one in news.unreadable}
+            self.state.unreadable.changed(ROLLOUTS, names, news.unreadable)
         for change in news.changes:
             self.take(change)
         return news.revision
--- a/plumarch/gateway/snapshots.py
+++ b/plumarch/gateway/snapshots.py
@@ -3,11 +3,12 @@
 import asyncio
 import dataclasses
 import zlib
+from collections.abc import Iterable
 
 import msgspec
 
 from plumarch.config import routing_table
-from plumarch.core import addresses, errors
+from plumarch.core import addresses, errors, traffic
 from plumarch.gateway import fleet_state
 from plumarch.peers import frames, gossip
 
@@ -80,16 +81,35 @@
         self._adopt(snapshot)
 
     def _adopt(self, snapshot: gossip.Snapshot) -> None:
-        if snapshot.configuration is not None:
-            table = routing_table.build(snapshot.configuration)
-            self.state.adopt_table(table, snapshot.node)
-        if snapshot.endpoints is not None:
+        for encoded in snapshot.configuration:
+            self._adopt_configuration(snapshot.node, encoded)
+        if snapshot.with_endpoints:
             registry = self.state.registry
             changes = registry.replace(
-                snapshot.endpoints, snapshot.registry_revision, snapshot.node
+                self._readable(snapshot.node, snapshot.endpoints),
+                snapshot.registry_revision,
+                snapshot.node,
             )
             self.state.registry_changed(changes, snapshot.node)
 
+    def _adopt_configuration(self, peer: str, encoded: msgspec.Raw) -> None:
+        try:
+            configuration = gossip.configuration_decoder.decode(encoded)
+        except msgspec.DecodeError as error:
+            self.state.log.write("bad_snapshot", peer=peer, what="configuration", error=str(error))
+            return
+        self.state.adopt_table(routing_table.build(configuration), peer)
+
+    def _readable(self, peer: str, encoded: Iterable[msgspec.Raw]) -> list[traffic.Endpoint]:
+        """Return the endpoints that can be read; one that can't costs no other."""
+        found = []
+        for one in encoded:
+            try:
+                found.append(gossip.endpoint_decoder.decode(one))
+            except msgspec.DecodeError as error:
+                self.state.log.write("bad_snapshot", peer=peer, what="endpoint", error=str(error))
+        return found
+
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Answer one peer that asks for what is newer."""
         try:
@@ -113,8 +133,8 @@
         contents = Contents(
             self.state.configuration_version(),
             self.state.registry.revision,
-            snapshot.configuration is not None,
-            snapshot.endpoints is not None,
+            bool(snapshot.configuration),
+            snapshot.with_endpoints,
         )
         if self.packed is None or self.packed.contents != contents:
             encoded = gossip.encoder.encode(snapshot)
@@ -130,12 +150,17 @@
         fresher = registry.changed_revision > asked.registry_revision
         return gossip.Snapshot(
             self.state.node,
-            table.configuration if table is not None and newer else None,
-            tuple(registry.endpoints.values()) if fresher else None,
+            [_raw(table.configuration)] if table is not None and newer else [],
+            [_raw(one) for one in registry.endpoints.values()] if fresher else [],
+            fresher,
             registry.revision,
         )
 
 
+def _raw(value: object) -> msgspec.Raw:
+    return msgspec.Raw(gossip.encoder.encode(value))
+
+
 def _unpack(answer: bytes) -> gossip.Snapshot:
     """Return the snapshot in an answer.
 
--- /dev/null
+++ b/plumarch/gateway/unreadable_entries.py
@@ -0,0 +1,75 @@
+"""Entries in the store that can't be read, as far as this node reads it: told once, and counted.
+
+Such an entry counts for nothing and costs nothing else. Somebody has to take it away, though.
+"""
+
+import dataclasses
+from collections.abc import Iterable
+
+from plumarch.core import records
+from plumarch.gateway import decision_log, measures
+
+NAMED = 20
+"""Entries of a kind that are logged and named one by one; of more, their number says enough."""
+
+WHY_LIMIT = 300
+"""Characters that are told of why an entry can't be read."""
+
+
+@dataclasses.dataclass(slots=True)
+class UnreadableEntries:
+    """The entries that stand now, by kind and name."""
+
+    log: decision_log.DecisionLog
+    measures: measures.Measures
+    known: dict[str, dict[str, records.Unreadable]] = dataclasses.field(default_factory=dict)
+
+    def listed(self, kind: str, found: Iterable[records.Unreadable]) -> None:
+        """Take in all entries of a kind that can't be read now."""
+        before = self.known.get(kind, {})
+        self.known[kind] = {one.name: one for one in found}
+        for one in self.known[kind].values():
+            self._tell(one, before.get(one.name))
+        self._show(kind)
+
+    def changed(
+        self, kind: str, read_or_gone: Iterable[str], found: Iterable[records.Unreadable]
+    ) -> None:
+        """Take in changes.
+
+        Args:
+          read_or_gone: names of entries that can be read, or don't exist any more.
+        """
+        known = self.known.setdefault(kind, {})
+        for name in read_or_gone:
+            known.pop(name, None)
+        for one in found:
+            before, known[one.name] = known.get(one.name), one
+            self._tell(one, before)
+        self._show(kind)
+
+    def _tell(self, one: records.Unreadable, before: records.Unreadable | None) -> None:
+        """Log an entry once for each of its revisions."""
+        if before is not None and before.revision == one.revision:
+            return
+        if len(self.known[one.kind]) > NAMED:
+            return
+        self.log.write(
+            "entry_unreadable",
+            urgent=True,
+            entry_kind=one.kind,
+            name=one.name,
+            revision=one.revision,
+            why=one.why[:WHY_LIMIT],
+        )
+
+    def _show(self, kind: str) -> None:
+        self.measures.unreadable.set(len(self.known[kind]), kind)
+
+    def lines(self) -> list[str]:
+        """Return a line for each entry, for operators."""
+        return [
+            f"{kind} {one.name or '(no name)'} revision {one.revision}: {one.why[:WHY_LIMIT]}"
+            for kind, found in sorted(self.known.items())
+            for one in list(found.values())[:NAMED]
+        ]
--- a/plumarch/membership/registry.py
+++ b/plumarch/membership/registry.py
@@ -22,11 +22,14 @@
 
     Attributes:
       revision: the source's revision of the change.
+      is_unreadable: whether its entry stands and can't be read: it is not used on for a while, as
+        one is whose entry vanished.
     """
 
     id: str
     revision: int
     endpoint: traffic.Endpoint | None
+    is_unreadable: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -64,10 +67,16 @@
     ready_by_service: dict[str, list[traffic.Endpoint]] = dataclasses.field(default_factory=dict)
 
     def replace(
-        self, endpoints: Iterable[traffic.Endpoint], revision: int, source: str
+        self,
+        endpoints: Iterable[traffic.Endpoint],
+        revision: int,
+        source: str,
+        unreadable: frozenset[str] = frozenset(),
     ) -> list[EndpointChange]:
         """Take a whole list.
 
+        Args:
+          unreadable: identifiers whose entries can't be read.
         Returns:
           What changed by it; nothing if the list is older than what is held.
         """
@@ -75,13 +84,15 @@
             return []
         fresh = {endpoint.id: endpoint for endpoint in endpoints}
         changes = [
-            EndpointChange(name, revision, None) for name in self.endpoints if name not in fresh
+            EndpointChange(name, revision, None, name in unreadable)
+            for name in self.endpoints
+            if name not in fresh
         ]
         for name, endpoint in fresh.items():
             if self.endpoints.get(name) != endpoint:
                 changes.append(EndpointChange(name, revision, endpoint))
         for change in changes:
-            if change.endpoint is None:
+            if change.endpoint is None and not change.is_unreadable:
                 self._note_lapse(self.endpoints[change.id])
         self.endpoints = fresh
         self._confirm(revision, source, bool(changes))
@@ -103,9 +114,11 @@
                 continue
             if change.endpoint is None:
                 vanished = self.endpoints.pop(change.id, None)
-                if vanished is not None:
+                if vanished is None:
+                    continue
+                if not change.is_unreadable:
                     self._note_lapse(vanished)
-                    news.append(change)
+                news.append(change)
             elif self.endpoints.get(change.id) != change.endpoint:
                 self.endpoints[change.id] = change.endpoint
                 news.append(change)
--- a/plumarch/peers/gossip.py
+++ b/plumarch/peers/gossip.py
@@ -341,11 +341,18 @@
 
 
 class Snapshot(msgspec.Struct, array_like=True, frozen=True):
-    """What is newer, or None for what is not."""
+    """What is newer; each part can be read by itself.
+
+    Attributes:
+      configuration: a routing_table.Configuration, encoded, as a list of one or none.
+      endpoints: all endpoints, a traffic.Endpoint each, encoded.
+      with_endpoints: whether these are newer than what the asking node holds; else none are told.
+    """
 
     node: str
-    configuration: routing_table.Configuration | None
-    endpoints: tuple[traffic.Endpoint, ...] | None
+    configuration: list[msgspec.Raw]
+    endpoints: list[msgspec.Raw]
+    with_endpoints: bool
     registry_revision: int
 
 
@@ -369,4 +376,6 @@
 datagram_decoder = msgspec.msgpack.Decoder(Datagram)
 news_decoder = msgspec.msgpack.Decoder(FleetNews)
 request_decoder = msgspec.msgpack.Decoder(SnapshotRequest)
+configuration_decoder = msgspec.msgpack.Decoder(routing_table.Configuration)
+endpoint_decoder = msgspec.msgpack.Decoder(traffic.Endpoint)
 snapshot_decoder = msgspec.msgpack.Decoder(Snapshot)
