What is known of an endpoint ends with its process, also when it starts again under its name

Cause: all that nodes keep of an endpoint stood under its name alone, and the entry that tells a new start under the same name changed nothing of it. Places taken at the old process held the new one full, its failures and learned limit were the new one's, and requests on silent connections waited for their limit.

Change: the identifier of an endpoint is that of its incarnation: name and birth, decided in one place (core/traffic.incarnation). The registry tells a start as one that is gone and one that came; the revision says which is later. gateway/open_runs ends the connections to a process that is no more. Kept by name: owners of shared parts, first endpoints of new versions, firm endpoints of the first start.

Ruled out: a reset of each place at a change (nine to remember, words of others still count); the later birth wins (wrong after a step of the time of day).

--- a/plumarch/core/traffic.py
+++ b/plumarch/core/traffic.py
@@ -137,6 +137,8 @@
 class Endpoint:
     """One incarnation of an endpoint, as the registry last told.
 
+    All that is known of an endpoint is kept by its id, so that nothing of it outlives its process.
+
     Attributes:
       id: the incarnation's identifier; an address may be reused by another one.
       address: IP:port.
@@ -145,6 +147,7 @@
       leaves_in_ms: time left when it announced its end, or None.
       version: of its software; endpoints of several serve beside each other in a roll-out.
       born_ms: time of day of the process's start, as it says itself; 0 if it doesn't.
+      name: what the endpoint calls itself over all its starts; "" if that is the id.
     """
 
     id: str
@@ -157,6 +160,36 @@
     leaves_in_ms: float | None = None
     version: str = ""
     born_ms: int = 0
+    name: str = ""
+
+    def called(self) -> str:
+        """Return what the endpoint calls itself, the same after it started again."""
+        return self.name or self.id
+
+
+DIGITS = "0123456789abcdefghijklmnopqrstuvwxyz"
+BORN_DIGITS = 5
+"""Digits of an incarnation's birth in its identifier, which nodes tell each other ten times a
+second: it comes again after 17 hours, to the millisecond."""
+
+
+def incarnation(name: str, born_ms: int) -> str:
+    """Return the identifier of an endpoint's incarnation.
+
+    Two births only need to be told apart. Which of them is the later one is for the revision of
+    the entry that tells them to say: the time of day may have stepped back between them.
+
+    Args:
+      name: what the endpoint calls itself.
+      born_ms: time of day of its process's start; 0 if it doesn't tell, and name stands alone.
+    """
+    if not born_ms:
+        return name
+    digits = ""
+    for _ in range(BORN_DIGITS):
+        born_ms, digit = divmod(born_ms, len(DIGITS))
+        digits = DIGITS[digit] + digits
+    return f"{name}.{digits}"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/plumarch/fleet/engine_plan.py
+++ b/plumarch/fleet/engine_plan.py
@@ -340,8 +340,9 @@
             self._find_running(endpoints)
             return
         for one in endpoints:
-            if one.service == self.service and not one.spot and one.id not in self.first_seen:
-                self.first_seen.add(one.id)
+            is_new = one.called() not in self.first_seen
+            if one.service == self.service and not one.spot and is_new:
+                self.first_seen.add(one.called())
                 self.last_new_ms = now
         self.first_count = max(self.first_count, len(self.first_seen))
 
--- a/plumarch/gateway/attempts.py
+++ b/plumarch/gateway/attempts.py
@@ -271,6 +271,7 @@
                     admitted.units,
                 )
             )
+    state.runs.begin(endpoint.id, opened)
     given = endpoint_outcomes.given(state, admitted, choice)
     beyond_ms = state.distances.beyond_region_ms(endpoint.data_centre)
     return Attempt(choice, opened, given, state.clock.now(), round_trip_ms=beyond_ms)
@@ -308,7 +309,7 @@
     # The request and its answer take a round trip; what the endpoint does after that is in vain.
     time_left = max(1, int(time_left - state.distances.beyond_region_ms(endpoint.data_centre)))
     headers.append((names.deadline_ms, str(time_left).encode()))
-    headers.append((names.instance, endpoint.id.encode()))
+    headers.append((names.instance, endpoint.called().encode()))
     if admitted.prompt_tokens:
         headers.append((names.urgency, str(admission.urgency(admitted)).encode()))
     if progress.last_event_id:
@@ -403,6 +404,7 @@
 def end(state: fleet_state.FleetState, attempt: Attempt) -> None:
     """Close the connection, which cancels the request if it still runs."""
     attempt.exchange.close()
+    state.runs.end(attempt.choice.endpoint.id, attempt.exchange)
     if attempt.saw_first_token:
         held_ms = state.clock.now() - attempt.sent_ms - attempt.round_trip_ms
         state.chooser.speed(attempt.choice.endpoint.service).ended(max(0.0, held_ms))
--- a/plumarch/gateway/endpoint_outcomes.py
+++ b/plumarch/gateway/endpoint_outcomes.py
@@ -175,12 +175,13 @@
 def _as_told(state: fleet_state.FleetState, endpoint: traffic.Endpoint) -> traffic.Endpoint:
     """Return an endpoint with its state as of now, which a request keeps as of its choice.
 
-    One that vanished and is not among those that vanished without notice had said that it leaves.
+    One that vanished and is neither among those that vanished without notice nor back under its
+    name had said that it leaves.
     """
     told = state.registry.endpoints.get(endpoint.id)
     if told is not None:
         return told
-    if endpoint.id in state.registry.lapsed:
+    if endpoint.id in state.registry.lapsed or endpoint.called() in state.registry.by_name:
         return endpoint
     return dataclasses.replace(endpoint, state=traffic.EndpointState.DRAINING)
 
--- a/plumarch/gateway/exchange.py
+++ b/plumarch/gateway/exchange.py
@@ -39,6 +39,7 @@
       unparsed: bytes that arrived and were not asked for yet, at most.
       held_back: whether reading waits for resume().
       taken_nothing: whether the connection was given up before it accepted a byte of a request.
+      ended_with_peer: whether it was given up because the endpoint is known to have ended.
       outgoing: counts the request while the endpoint reads it, if it is counted.
     """
 
@@ -51,6 +52,7 @@
         self.unparsed = 0
         self.held_back = False
         self.taken_nothing = False
+        self.ended_with_peer = False
         self.outgoing: outgoing.Outgoing | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -258,6 +260,13 @@
         self.http.start_next_cycle()
         return True
 
+    def end_with_peer(self, why: str) -> None:
+        """Give the connection up, since the process at its other end is no more."""
+        self.ended_with_peer = True
+        self.fault = self.fault or why
+        self.close()
+        self.arrived.set()
+
     def close(self) -> None:
         """End the connection at once; a request in progress is thereby cancelled."""
         if self.transport is not None:
--- a/plumarch/gateway/fleet_state.py
+++ b/plumarch/gateway/fleet_state.py
@@ -13,6 +13,7 @@
     decision_log,
     dialect,
     measures,
+    open_runs,
     unreadable_entries,
 )
 from plumarch.limits import (
@@ -67,6 +68,7 @@
       limits: what endpoints bear.
       quarantine: requests under which endpoints ended.
       unreadable: entries in the store that can't be read.
+      runs: connections on which requests run, by endpoint.
       contact: how well the other data centres are heard.
       tell_prompt: tells the other nodes of a prompt sent to an engine.
       tell_suspect: tells them what was learned of a request, by its fingerprint.
@@ -110,6 +112,7 @@
     reaches_store: bool = True
     stops_at_ms: int | None = None
     unreadable: unreadable_entries.UnreadableEntries = dataclasses.field(init=False)
+    runs: open_runs.OpenRuns = dataclasses.field(default_factory=open_runs.OpenRuns)
 
     def __post_init__(self) -> None:
         self.unreadable = unreadable_entries.UnreadableEntries(self.log, self.measures)
@@ -158,6 +161,7 @@
         self._tell_unnamed_regions()
         for change in changes:
             endpoint = change.endpoint
+            lost_runs = self.runs.ended_with(change.id) if change.is_restarted else 0
             self.log.write(
                 "endpoint",
                 endpoint=change.id,
@@ -167,6 +171,8 @@
                 spot=endpoint.spot if endpoint else False,
                 version=endpoint.version if endpoint else "",
                 leaves_in_ms=endpoint.leaves_in_ms if endpoint else None,
+                is_restarted=change.is_restarted,
+                lost_runs=lost_runs,
                 revision=change.revision,
                 source=source,
             )
--- a/plumarch/gateway/lost_runs.py
+++ b/plumarch/gateway/lost_runs.py
@@ -62,12 +62,15 @@
         question = self.questions.get(endpoint.id)
         if question is not None:
             question.runs.append(run)
-        elif now - self.ended_ms.get(endpoint.id, -KNOWN_MS) < KNOWN_MS:
+        elif attempt.exchange.ended_with_peer or self._is_known_to_have_ended(endpoint.id, now):
             self._count(endpoint, [run])
         else:
             asking = asyncio.get_running_loop().create_task(self._ask(endpoint))
             self.questions[endpoint.id] = Question(asking, [run])
 
+    def _is_known_to_have_ended(self, endpoint: str, now: int) -> bool:
+        return now - self.ended_ms.get(endpoint, -KNOWN_MS) < KNOWN_MS
+
     async def settled(self, endpoint: str) -> None:
         """Wait until it is known whether an endpoint ended, if it is being asked."""
         question = self.questions.get(endpoint)
--- a/plumarch/membership/registry.py
+++ b/plumarch/membership/registry.py
@@ -21,15 +21,20 @@
     """An endpoint that came, changed, or is gone (endpoint None).
 
     Attributes:
+      id: what the endpoint calls itself, as a source tells of it; the incarnation's identifier, as
+        the registry tells what changed.
       revision: the source's revision of the change.
       is_unreadable: whether its entry stands and can't be read: it is not used on for a while, as
         one is whose entry vanished.
+      is_restarted: whether it is gone because its process has started again: its entry stands, and
+        names another incarnation.
     """
 
     id: str
     revision: int
     endpoint: traffic.Endpoint | None
     is_unreadable: bool = False
+    is_restarted: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -48,6 +53,7 @@
     fewer endpoints of a service are left than vanished just now, those are used on for a while.
 
     Attributes:
+      by_name: the incarnation that each endpoint is now, by what it calls itself.
       lapsed: endpoints that vanished without notice, by identifier.
       ready_by_service: those that take new work, kept until an endpoint changes.
       revision: the source's revision up to which all changes are known.
@@ -59,6 +65,7 @@
 
     clock: clock.Clock
     endpoints: dict[str, traffic.Endpoint] = dataclasses.field(default_factory=dict)
+    by_name: dict[str, str] = dataclasses.field(default_factory=dict)
     revision: int = -1
     changed_revision: int = -1
     confirmed_ms: int = 0
@@ -83,18 +90,20 @@
         if revision < self.revision:
             return []
         fresh = {endpoint.id: endpoint for endpoint in endpoints}
-        changes = [
-            EndpointChange(name, revision, None, name in unreadable)
-            for name in self.endpoints
-            if name not in fresh
-        ]
-        for name, endpoint in fresh.items():
-            if self.endpoints.get(name) != endpoint:
-                changes.append(EndpointChange(name, revision, endpoint))
-        for change in changes:
-            if change.endpoint is None and not change.is_unreadable:
-                self._note_lapse(self.endpoints[change.id])
-        self.endpoints = fresh
+        by_name = {endpoint.called(): endpoint.id for endpoint in fresh.values()}
+        changes = []
+        for endpoint in self.endpoints.values():
+            if endpoint.id not in fresh:
+                name = endpoint.called()
+                change = EndpointChange(
+                    endpoint.id, revision, None, name in unreadable, name in by_name
+                )
+                changes.append(change)
+                self._note_end(endpoint, change)
+        for endpoint in fresh.values():
+            if self.endpoints.get(endpoint.id) != endpoint:
+                changes.append(EndpointChange(endpoint.id, revision, endpoint))
+        self.endpoints, self.by_name = fresh, by_name
         self._confirm(revision, source, bool(changes))
         return changes
 
@@ -108,23 +117,31 @@
         """
         if revision < self.revision:
             return []
-        news = []
+        news: list[EndpointChange] = []
         for change in changes:
-            if change.revision <= self.revision:
-                continue
-            if change.endpoint is None:
-                vanished = self.endpoints.pop(change.id, None)
-                if vanished is None:
-                    continue
-                if not change.is_unreadable:
-                    self._note_lapse(vanished)
-                news.append(change)
-            elif self.endpoints.get(change.id) != change.endpoint:
-                self.endpoints[change.id] = change.endpoint
-                news.append(change)
+            if change.revision > self.revision:
+                news += self._apply(change)
         self._confirm(revision, source, bool(news))
         return news
 
+    def _apply(self, told: EndpointChange) -> list[EndpointChange]:
+        """Take one change; return what it changes of incarnations."""
+        news = []
+        before = self.by_name.get(told.id)
+        now = told.endpoint.id if told.endpoint is not None else None
+        if before is not None and before != now:
+            change = EndpointChange(
+                before, told.revision, None, told.is_unreadable, told.endpoint is not None
+            )
+            news.append(change)
+            del self.by_name[told.id]
+            self._note_end(self.endpoints.pop(before), change)
+        if told.endpoint is not None and self.endpoints.get(told.endpoint.id) != told.endpoint:
+            news.append(EndpointChange(told.endpoint.id, told.revision, told.endpoint))
+            self.endpoints[told.endpoint.id] = told.endpoint
+            self.by_name[told.id] = told.endpoint.id
+        return news
+
     def _confirm(self, revision: int, source: str, changed: bool) -> None:
         if changed:
             self.changed_revision = revision
@@ -133,7 +150,10 @@
         self.confirmed_ms = self.clock.now()
         self.source = source
 
-    def _note_lapse(self, vanished: traffic.Endpoint) -> None:
+    def _note_end(self, vanished: traffic.Endpoint, change: EndpointChange) -> None:
+        """Note an endpoint to be used on for a while, if its entry vanished without notice."""
+        if change.is_unreadable or change.is_restarted:
+            return
         now = self.clock.now()
         for name in [name for name, one in self.lapsed.items() if self._is_over(one, now)]:
             del self.lapsed[name]
--- a/plumarch/routing/engine_record.py
+++ b/plumarch/routing/engine_record.py
@@ -57,9 +57,13 @@
 def owners(
     candidates: Iterable[traffic.Endpoint], keys: Sequence[int], count: int
 ) -> list[list[str]]:
-    """Return for each key the engines to which all nodes send it, the first one first."""
-    names = [endpoint.id for endpoint in candidates]
-    return [hashing.highest(key, names, count) for key in keys]
+    """Return for each key the engines to which all nodes send it, the first one first.
+
+    An engine that started again owns what it owned before: what the others hold stays there.
+    """
+    ids = {endpoint.called(): endpoint.id for endpoint in candidates}
+    names = list(ids)
+    return [[ids[name] for name in hashing.highest(key, names, count)] for key in keys]
 
 
 def held(
--- a/plumarch/routing/version_split.py
+++ b/plumarch/routing/version_split.py
@@ -153,4 +153,4 @@
     A version that is bad only under load would look good on endpoints that are all but idle.
     """
     count = max(1, math.ceil(share * len(new)))
-    return sorted(new, key=lambda one: one.id)[:count]
+    return sorted(new, key=traffic.Endpoint.called)[:count]
