One answer that another process has its address leaves an endpoint out

Cause: 421 counted as not run and nothing else, so an entry that an earlier process wrote late went on attracting requests for the length of its lease, each of which cost a send of the caller's and one of the fleet's repeats.

Change: routing/endpoint_health.absent: left out at that address for 10 s, also where none is left.

Ruled out: the later revision, or the entry that came first, decides of two with one address: the late one is the later.

--- a/plumarch/gateway/attempts.py
+++ b/plumarch/gateway/attempts.py
@@ -27,7 +27,6 @@
 """An answer expected within this part of its target is soon enough to stay in the region: twice the
 expected time is still in target."""
 
-NOT_RUN_STATUS = 421
 PROMISED_NOT_RUN = frozenset({408, 421, 429, 503})
 """Statuses that promise that a request did not run, when an endpoint says so."""
 
@@ -373,7 +372,7 @@
         raise errors.ConnectionBroken("the answer has no head")
     names = state.names
     if head.status_code in PROMISED_NOT_RUN:
-        if head.status_code == NOT_RUN_STATUS or dialect.header_value(head.headers, names.not_run):
+        if _is_promise(head, names):
             raise NotRun(f"endpoint answered {head.status_code}, not run", head.status_code)
         raise errors.ConnectionBroken(f"endpoint answered {head.status_code} without a promise")
     if dialect.header_value(head.headers, names.request_id) not in ("", admitted.id):
@@ -383,6 +382,11 @@
     return head
 
 
+def _is_promise(head: h11.Response, names: dialect.Dialect) -> bool:
+    is_misdirected = head.status_code == endpoint_outcomes.MISDIRECTED
+    return is_misdirected or bool(dialect.header_value(head.headers, names.not_run))
+
+
 def answer_headers(head: h11.Response, names: dialect.Dialect) -> list[tuple[bytes, bytes]]:
     """Return an endpoint's headers as the caller may see them."""
     dropped = dialect.not_for_callers(names)
--- a/plumarch/gateway/endpoint_outcomes.py
+++ b/plumarch/gateway/endpoint_outcomes.py
@@ -20,6 +20,9 @@
 TOO_MUCH = frozenset({429, 503})
 """Statuses by which an endpoint that did not run a request says that it holds too much."""
 
+MISDIRECTED = 421
+"""Status of a process that is not the endpoint named in a request, and did not run it."""
+
 LEAST_COMPARED = 2
 """Endpoints of a region from which on they are compared with each other: an only one that hangs
 shows by those elsewhere alone."""
@@ -143,6 +146,11 @@
 
 def refused(state: fleet_state.FleetState, one: Given, status: int) -> None:
     """Note that an endpoint did not run a request."""
+    if status == MISDIRECTED:
+        # An entry that stands without its process would go on attracting requests, each of which
+        # costs its caller a send, and the fleet one of its repeats.
+        state.health.absent(one.endpoint)
+        state.log.write("endpoint_absent", endpoint=one.endpoint.id, address=one.endpoint.address)
     if status not in TOO_MUCH:
         return
     running = max(0, state.chooser.running(one.endpoint.id) - 1)
--- a/plumarch/routing/endpoint_health.py
+++ b/plumarch/routing/endpoint_health.py
@@ -6,6 +6,9 @@
 
 One that fails some of its requests, and answers others in between, is never left out. Its record
 over more answers shows it, and requests go to those with a better one while they are free.
+
+One answer that another process has its address proves that an endpoint is not there: it is left
+out whatever is left.
 """
 
 import dataclasses
@@ -38,6 +41,10 @@
 """Part of failures by which a record must be worse than the best one before first sends avoid an
 endpoint: one or two failures in twenty answers."""
 
+ABSENT_MS = 10_000
+"""How long an endpoint is left out that is not at its address: an entry that an earlier process
+wrote late stands for the length of its lease, some seconds."""
+
 NO_BETTER = 0.02
 """Records that differ by less are alike."""
 
@@ -61,16 +68,26 @@
     recorded_ms: int = 0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Absence:
+    """Where an endpoint was found not to be, and until when that is believed."""
+
+    address: str
+    until_ms: int
+
+
 @dataclasses.dataclass(slots=True)
 class EndpointHealth:
     """Failures and ejections by endpoint identifier.
 
     Attributes:
+      absences: endpoints that were not at their address.
       paces: how slow endpoints are.
     """
 
     clock: clock.Clock
     known: dict[str, Health] = dataclasses.field(default_factory=dict)
+    absences: dict[str, Absence] = dataclasses.field(default_factory=dict)
     paces: endpoint_pace.EndpointPaces = dataclasses.field(init=False)
 
     def __post_init__(self) -> None:
@@ -147,11 +164,23 @@
             return better
         return list(endpoints)
 
+    def absent(self, endpoint: traffic.Endpoint) -> None:
+        """Note that another process answered at an endpoint's address."""
+        until_ms = self.clock.now() + ABSENT_MS
+        self.absences[endpoint.id] = Absence(endpoint.address, until_ms)
+
     def usable(self, endpoints: Sequence[traffic.Endpoint]) -> list[traffic.Endpoint]:
-        """Return the endpoints that are not left out, or all if too many would be."""
+        """Return the endpoints that are not left out, or all present ones if too many would be."""
         now = self.clock.now()
-        found = [one for one in endpoints if not self._out(one.id, now)]
-        return found if 2 * len(found) >= len(endpoints) else list(endpoints)
+        present = [one for one in endpoints if not self._is_absent(one, now)]
+        found = [one for one in present if not self._out(one.id, now)]
+        return found if 2 * len(found) >= len(present) else present
+
+    def _is_absent(self, endpoint: traffic.Endpoint, now: int) -> bool:
+        absence = self.absences.get(endpoint.id)
+        if absence is None:
+            return False
+        return absence.address == endpoint.address and now < absence.until_ms
 
     def _out(self, endpoint: str, now: int) -> bool:
         health = self.known.get(endpoint)
@@ -161,6 +190,8 @@
         """Forget endpoints that no longer exist."""
         for name in [name for name in self.known if name not in endpoints]:
             del self.known[name]
+        for name in [name for name in self.absences if name not in endpoints]:
+            del self.absences[name]
         self.paces.keep_only(endpoints)
 
 
