--- a/tests/docs_test.py
+++ b/tests/docs_test.py
@@ -4,6 +4,7 @@
 import re
 import subprocess
 import sys
+import tomllib
 
 ROOT = pathlib.Path(__file__).parent.parent
 
@@ -45,3 +46,13 @@
         documents = files.read([str(ROOT / "examples" / name)])
         assert files.validate(documents) == []
         assert len(documents.texts) == 6
+
+
+def test_each_day_of_our_own_says_which_failure_it_looks_for():
+    days = sorted((ROOT / "deploy" / "days").glob("*.toml"))
+    assert days
+    for path in days:
+        assert path.read_text().startswith("# Looks for: "), path.name
+        (day,) = tomllib.loads(path.read_text())["day"]
+        assert day["name"] == path.stem
+        assert 2 <= len(day["faults"])
