--- a/tests/docs_test.py
+++ b/tests/docs_test.py
@@ -55,4 +55,4 @@
         assert path.read_text().startswith("# Looks for: "), path.name
         (day,) = tomllib.loads(path.read_text())["day"]
         assert day["name"] == path.stem
-        assert 2 <= len(day["faults"])
+        assert len(day["faults"]) >= 2
