--- /dev/null
+++ b/plumarch/gateway/suspension_test.py
@@ -0,0 +1,119 @@
+"""A machine that is suspended for seconds: whoever goes on looks at the clock before it acts.
+
+The time of the event loop stands still meanwhile, so that no timer has fired when a coroutine goes
+on. Each test suspends the machine once at each of the steps that are taken without it.
+"""
+
+import asyncio
+import random
+
+import pytest
+
+from plumarch.core import clock
+from plumarch.gateway import relay, relay_test
+from plumarch.standins import gateway_parts, suspended
+from plumarch.standins import scripted_endpoint as scripted
+
+TIME_MS = 400
+LENGTHS_MS = (500, 3_000, 20_000)
+
+
+async def answers_soon(request: scripted.ReceivedRequest, writer: asyncio.StreamWriter) -> None:
+    await asyncio.sleep(0.005)
+    writer.write(scripted.answer(request))
+
+
+async def streams(request: scripted.ReceivedRequest, writer: asyncio.StreamWriter) -> None:
+    writer.write(scripted.stream_head(request))
+    for number in range(1, 4):
+        writer.write(scripted.chunk(scripted.event(number)))
+        await writer.drain()
+        await asyncio.sleep(0.003)
+    writer.write(scripted.chunk(b""))
+
+
+async def holds(request: scripted.ReceivedRequest, writer: asyncio.StreamWriter) -> None:
+    await asyncio.sleep(2.0)
+
+
+class Play:
+    """One request of a caller, with a suspension at one step or without."""
+
+    def __init__(self, path: str, *answering: scripted.Answering) -> None:
+        self.path = path
+        self.answering = answering
+        self.status = 0
+        self.left_ms: list[int] = []
+
+    async def run(self, suspender: suspended.Suspender) -> None:
+        """Ask once, and note what was done."""
+        async with relay_test.Gateway(*self.answering) as gateway:
+            self.state = gateway_parts.new_state(suspender.time)
+            self.state.registry.replace(gateway.state.registry.endpoints.values(), 1, "store")
+            self.state.adopt_table(relay_test.TABLE, "store")
+            gateway.callers = relay.new_server(self.state)
+            loop = asyncio.get_running_loop()
+            listener = await loop.create_server(gateway.callers.connection, "127.0.0.1", 0)
+            gateway.port = listener.sockets[0].getsockname()[1]
+            loop.set_task_factory(suspender.new_task)
+            await self.ask(gateway)
+            listener.close()
+            sends = [one for endpoint in gateway.endpoints for one in endpoint.received]
+            self.left_ms = [int(one.headers["x-deadline-ms"]) for one in sends]
+
+    async def ask(self, gateway: relay_test.Gateway) -> None:
+        """Ask, and keep the status of the answer; 0 if there is none."""
+        reader, writer = await gateway.connect()
+        asked = relay_test.request_bytes(self.path, body=b"words")
+        writer.write(asked.replace(b"20000", str(TIME_MS).encode()))
+        try:
+            self.status = (await relay_test.read_answer(reader)).status
+        except (asyncio.IncompleteReadError, ConnectionError):
+            self.status = 0
+        writer.close()
+
+
+def play(one: Play, at_step: int, for_ms: int) -> suspended.Suspender:
+    """Run a play; it may take as long as a caller's time on the loop's clock, and no longer."""
+    time = suspended.ShiftedClock(clock.MonotonicClock())
+    suspender = suspended.Suspender(time, at_step, for_ms)
+    asyncio.run(asyncio.wait_for(one.run(suspender), 10))
+    return suspender
+
+
+PLAYS = {
+    "safe": ("/safe/x", answers_soon, answers_soon),
+    "unsafe": ("/unsafe/x", answers_soon, answers_soon),
+    "stream": ("/chat/x", streams, streams),
+    "held": ("/safe/x", holds, answers_soon),
+    "fails": ("/safe/x", relay_test.answers("500 Oops"), answers_soon),
+}
+
+
+@pytest.mark.parametrize("kind", PLAYS)
+def test_wherever_a_request_is_suspended_nothing_is_sent_late_and_no_endpoint_is_blamed(
+    kind: str,
+):
+    steps = play(Play(*PLAYS[kind]), 0, 0).steps
+    rng = random.Random(kind)
+    for step in range(1, steps + 1):
+        one = Play(*PLAYS[kind])
+        for_ms = rng.choice(LENGTHS_MS)
+        play(one, step, for_ms)
+        where = f"step {step} of {steps}, {for_ms} ms"
+        # Where less than 1 ms is left an endpoint is told 1 ms.
+        assert all(left > 1 for left in one.left_ms), where
+        if one.status in (429, 503):
+            assert not one.left_ms, where
+        if kind != "fails":
+            check_no_blame(one, where)
+
+
+def check_no_blame(one: Play, where: str) -> None:
+    state = one.state
+    for endpoint in state.registry.ready("s"):
+        assert state.health.record(endpoint.id) == 0.0, where
+        assert state.health.paces.score(endpoint.id) < 2.0, where
+        assert not state.reach.is_out(endpoint.data_centre), where
+    for mean in state.answer_times.by_route.values():
+        assert mean.value < LENGTHS_MS[0], where
