--- a/plumarch/gateway/lost_runs_test.py
+++ b/plumarch/gateway/lost_runs_test.py
@@ -1,10 +1,12 @@
 """Which lost runs are held against their requests, over loopback."""
 
 import asyncio
+import dataclasses
 from collections.abc import Awaitable, Callable
 
 from plumarch.gateway import relay_test
 from plumarch.limits import quarantine
+from plumarch.membership import registry
 from plumarch.standins import scripted_endpoint as scripted
 
 POISON = b"words that end whatever reads them"
@@ -137,3 +139,25 @@
             assert (await gateway.ask("/chat/x", body=POISON)).status == 503
 
     play(test)
+
+
+def test_an_endpoint_that_is_back_before_it_is_asked_has_ended_by_what_it_says_of_its_start():
+    """A supervisor that holds the port for it takes connections all the time."""
+
+    async def breaks(request: scripted.ReceivedRequest, writer: asyncio.StreamWriter) -> None:
+        writer.transport.abort()
+
+    async def test() -> None:
+        async with gateway_of(1, breaks) as gateway:
+            state = gateway.state
+            (endpoint,) = state.registry.ready("s")
+            answer = await gateway.ask("/unsafe/x", body=POISON)
+            assert answer.status == 502
+            await no_questions(gateway)
+            assert suspects(gateway) == []
+            again = dataclasses.replace(endpoint, id="e0.again", name="e0", born_ms=2)
+            change = registry.EndpointChange("e0", 9, again)
+            state.registry_changed(state.registry.apply([change], 9, "store"), "store")
+            assert [one.points() for one in suspects(gateway)] == [EARLY]
+
+    play(test)
