An endpoint that is back at once has ended by what it says of its start

Cause: whether an endpoint ended was asked by one connection, which one whose port is held for it, or that is back within a millisecond, takes. What it had run was held against nothing, so a request could end it again and again.

Change: runs lost at an endpoint that takes connections are kept for 10 s; if its entry tells a new start by then, they are held against their requests.

Ruled out: counting all broken connections (endpoints break answers off and live); asking again later (the port says the same then).

--- a/plumarch/gateway/fleet_state.py
+++ b/plumarch/gateway/fleet_state.py
@@ -72,6 +72,7 @@
       runs: connections on which requests run, by endpoint.
       contact: how well the other data centres are heard.
       tell_prompt: tells the other nodes of a prompt sent to an engine.
+      endpoint_restarted: told of an endpoint whose process has started again.
       tell_suspect: tells them what was learned of a request, by its fingerprint.
       claim_trial: asks the store whether this node may try a request that is held back.
       reaches_store: whether the platform's store answered the last call.
@@ -110,6 +111,7 @@
     table_source: str = ""
     tell_prompt: Callable[[SentPrompt], None] | None = None
     tell_suspect: Callable[[str], None] | None = None
+    endpoint_restarted: Callable[[str], None] = lambda _: None
     claim_trial: Callable[[str], Awaitable[bool]] | None = None
     reaches_store: bool = True
     stops_at_ms: int | None = None
@@ -163,7 +165,10 @@
         self._tell_unnamed_regions()
         for change in changes:
             endpoint = change.endpoint
-            lost_runs = self.runs.ended_with(change.id) if change.is_restarted else 0
+            lost_runs = 0
+            if change.is_restarted:
+                lost_runs = self.runs.ended_with(change.id)
+                self.endpoint_restarted(change.id)
             self.log.write(
                 "endpoint",
                 endpoint=change.id,
--- a/plumarch/gateway/lost_runs.py
+++ b/plumarch/gateway/lost_runs.py
@@ -2,7 +2,8 @@
 
 A broken connection alone says little: an endpoint breaks an answer off now and then, and goes on.
 One that ended refuses the next connection. So it is asked by one, without a request, and what it
-ran is held against it only if that is refused.
+ran is held against it only if that is refused, or if its entry tells soon after that its process
+was born anew: a port that is held for an endpoint takes connections while it is down.
 """
 
 import asyncio
@@ -15,6 +16,14 @@
 KNOWN_MS = 1_000
 """How long an endpoint that ended is not asked again; no process is back sooner."""
 
+REBORN_MS = 10_000
+"""How long after a loss an endpoint's new start counts as the cause: it is in the store a few
+seconds after its process is up."""
+
+MOST_DOUBTED = 64
+"""Lost runs that are kept of an endpoint for that, the last ones: as many as it has places, mostly.
+One that breaks off answers all the time would have them grow."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class LostRun:
@@ -39,10 +48,20 @@
     runs: list[LostRun]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Doubt:
+    """Runs that were lost at an endpoint that took connections then, and when that was."""
+
+    endpoint: traffic.Endpoint
+    runs: list[LostRun]
+    at_ms: int
+
+
 class LostRuns:
     """Finds out which lost runs were lost with their endpoint.
 
     Attributes:
+      doubts: endpoints that were found to live, by identifier.
       questions: endpoints that are being asked, by identifier.
       ended_ms: when endpoints were found to have ended lately, by identifier.
     """
@@ -51,6 +70,8 @@
         self.state = state
         self.questions: dict[str, Question] = {}
         self.ended_ms: dict[str, int] = {}
+        self.doubts: dict[str, Doubt] = {}
+        state.endpoint_restarted = self.restarted
 
     def note(self, admitted: admission.Admitted, attempt: attempts.Attempt) -> None:
         """Take in a run whose endpoint closed the connection."""
@@ -88,6 +109,7 @@
             self.ended_ms[endpoint.id] = self.state.clock.now()
             self._count(endpoint, runs)
         else:
+            self._keep_doubt(endpoint, runs)
             self.state.log.write(
                 "endpoint_lives",
                 endpoint=endpoint.id,
@@ -95,6 +117,21 @@
                 answered=listens is not None,
             )
 
+    def _keep_doubt(self, endpoint: traffic.Endpoint, runs: list[LostRun]) -> None:
+        now = self.state.clock.now()
+        self.doubts = {
+            name: one for name, one in self.doubts.items() if now - one.at_ms < REBORN_MS
+        }
+        before = self.doubts.get(endpoint.id)
+        earlier = before.runs if before is not None else []
+        self.doubts[endpoint.id] = Doubt(endpoint, (earlier + runs)[-MOST_DOUBTED:], now)
+
+    def restarted(self, endpoint: str) -> None:
+        """Take in that an endpoint's process is no more: what was lost there was lost with it."""
+        doubt = self.doubts.pop(endpoint, None)
+        if doubt is not None and self.state.clock.now() - doubt.at_ms < REBORN_MS:
+            self._count(doubt.endpoint, doubt.runs)
+
     def _forget_old(self) -> None:
         oldest = self.state.clock.now() - KNOWN_MS
         self.ended_ms = {name: at for name, at in self.ended_ms.items() if at >= oldest}
