--- a/plumarch/gateway/lost_runs_test.py
+++ b/plumarch/gateway/lost_runs_test.py
@@ -4,6 +4,7 @@
 import dataclasses
 from collections.abc import Awaitable, Callable
 
+from plumarch.core import traffic
 from plumarch.gateway import relay_test
 from plumarch.limits import quarantine
 from plumarch.membership import registry
@@ -161,3 +162,42 @@
             assert [one.points() for one in suspects(gateway)] == [EARLY]
 
     play(test)
+
+
+def test_a_request_that_was_answered_just_now_is_not_held_back_for_the_ends_beside_it():
+    """Many callers ask the same; a poison request ends three endpoints that begin to run it."""
+    popular = b"words that many callers send"
+    begun = asyncio.Event()
+
+    async def ends_both(request: scripted.ReceivedRequest, writer: asyncio.StreamWriter) -> None:
+        if request.body == popular:
+            begun.set()
+            await asyncio.sleep(0.5)
+        await gateways[0].endpoints[0].stop()
+        writer.transport.abort()
+
+    gateways: list[relay_test.Gateway] = []
+
+    async def test() -> None:
+        async with gateway_of(1, sound) as gateway:
+            gateways.append(gateway)
+            (endpoint,) = gateway.endpoints
+            assert (await gateway.ask("/unsafe/x", body=popular)).status == 200
+            for number in range(3):
+                endpoint.answering = ends_both
+                begun.clear()
+                beside = asyncio.create_task(gateway.ask("/unsafe/x", body=popular))
+                await begun.wait()
+                await gateway.ask("/unsafe/x", body=POISON)
+                assert (await beside).status == 502
+                await no_questions(gateway)
+                await endpoint.start()
+                fresh = traffic.Endpoint(
+                    f"f{number}", "s", endpoint.address, "a", 8, traffic.EndpointState.READY
+                )
+                gateway.state.registry.replace([fresh], 2 + number, "store")
+            endpoint.answering = sound
+            assert (await gateway.ask("/unsafe/x", body=POISON)).status == 503
+            assert (await gateway.ask("/unsafe/x", body=popular)).status == 200
+
+    play(test)
