--- a/plumarch/gateway/attempts.py
+++ b/plumarch/gateway/attempts.py
@@ -10,6 +10,7 @@
     admission,
     dialect,
     endpoint_outcomes,
+    endpoint_words,
     errors,
     exchange,
     fleet_state,
@@ -398,6 +399,7 @@
     if not isinstance(head, h11.Response):
         raise errors.ConnectionBroken("the answer has no head")
     names = state.names
+    _note_words(state, admitted, attempt, head)
     if head.status_code in PROMISED_NOT_RUN:
         if _is_promise(head, names):
             raise NotRun(f"endpoint answered {head.status_code}, not run", head.status_code)
@@ -409,6 +411,32 @@
     return head
 
 
+def _note_words(
+    state: fleet_state.FleetState,
+    admitted: admission.Admitted,
+    attempt: Attempt,
+    head: h11.Response,
+) -> None:
+    """Log a refusal, and what an answer says of its endpoint."""
+    words = endpoint_words.of(head, state.names)
+    if words == endpoint_words.NONE and head.status_code not in PROMISED_NOT_RUN:
+        return
+    endpoint = attempt.choice.endpoint
+    listed = state.registry.endpoints.get(endpoint.id)
+    state.log.write(
+        "endpoint_said",
+        request=admitted.id,
+        endpoint=endpoint.id,
+        status=head.status_code,
+        leaving=words.leaving,
+        retry_after=words.retry_after,
+        after_ms=state.clock.now() - attempt.sent_ms,
+        listed_as=listed.state.value if listed else "gone",
+        registry_revision=state.registry.revision,
+        registry_age_ms=state.registry.age_ms(),
+    )
+
+
 def _is_promise(head: h11.Response, names: dialect.Dialect) -> bool:
     is_misdirected = head.status_code == endpoint_outcomes.MISDIRECTED
     return is_misdirected or bool(dialect.header_value(head.headers, names.not_run))
--- a/plumarch/gateway/dialect.py
+++ b/plumarch/gateway/dialect.py
@@ -33,6 +33,7 @@
       deadline_ms: the time that the caller waits, in milliseconds.
       instance: the incarnation that a request is meant for.
       not_run: set by an endpoint on an answer to a request that it did not run.
+      leaving: set by an endpoint on all its answers once it is about to end; "0" doesn't count.
       signature: proves that an answer is the endpoint's.
       token_counts: prompt tokens and most output tokens, by a comma.
       prompt_parts: the prompt's parts as ID:TOKENS, by commas.
@@ -44,6 +45,7 @@
     workspace: bytes = b"x-workspace"
     instance: bytes = b"x-instance"
     not_run: bytes = b"x-not-run"
+    leaving: bytes = b"x-leaving"
     signature: bytes = b"x-signature"
     token_counts: bytes = b"x-token-counts"
     prompt_parts: bytes = b"x-prompt-parts"
--- /dev/null
+++ b/plumarch/gateway/endpoint_words_test.py
@@ -0,0 +1,49 @@
+"""What answers say of their endpoints is read, and nothing is read into what can't be."""
+
+import h11
+import pytest
+from hypothesis import given, strategies
+
+from plumarch.gateway import dialect, endpoint_words
+
+NAMES = dialect.Dialect()
+
+
+def said(*headers: tuple[bytes, bytes]) -> endpoint_words.Words:
+    return endpoint_words.of(h11.Response(status_code=503, headers=list(headers)), NAMES)
+
+
+def test_most_answers_say_nothing():
+    assert said((b"x-other", b"1")) == endpoint_words.NONE
+
+
+@pytest.mark.parametrize(("value", "leaving"), [(b"1", True), (b"0", False), (b"", False)])
+def test_an_endpoint_that_is_about_to_end(value: bytes, leaving: bool):
+    assert said((NAMES.leaving, value)).leaving is leaving
+
+
+@pytest.mark.parametrize(
+    ("value", "rest_ms"),
+    [
+        (b"3", 3_000.0),
+        (b"0.25", 250.0),
+        (b"0", 0.0),
+        (b"-1", 0.0),
+        (b"nan", 0.0),
+        (b"inf", 0.0),
+        (b"1e400", 0.0),
+        (b"Wed, 21 Oct 2015 07:28:00 GMT", 0.0),
+        (b"soon", 0.0),
+    ],
+)
+def test_a_rest_is_a_number_of_seconds(value: bytes, rest_ms: float):
+    found = said((b"retry-after", value))
+    assert found.rest_ms == rest_ms
+    assert found.retry_after == value.decode()
+
+
+@given(strategies.binary(max_size=200).map(lambda raw: bytes(b for b in raw if 32 < b < 127)))
+def test_no_value_is_a_fault(value: bytes):
+    found = said((b"retry-after", value), (NAMES.leaving, value))
+    assert 0.0 <= found.rest_ms < float("inf")
+    assert len(found.retry_after) <= endpoint_words.TOLD_CHARACTERS
