An endpoint that says in its answers that it leaves gets nothing more

Cause: a node learned who leaves from the store's list alone. What the answer of the endpoint itself told was passed on to the caller, and read by nobody. The store was silent for 13 s, and so was the list.

Change: each answer's head is read for it, whatever the answer is to its request (but 421: another process). The registry keeps the word by incarnation, and has the endpoint as draining against every list, for the choice as well as for falls, entries that lapse, engines ordered and sends that were connecting. A process born after the word is not meant; one that was alive then is, also if the node knew only of an earlier one under its name. 10 min after the last word an endpoint that is still listed as ready is used again.

Ruled out: that a list had brought it back (the same revision in all lines), and sends that were decided before (first attempts of requests that had just come). Telling other nodes: each hears it with its first answer, from an endpoint that serves on meanwhile; a new message would have to be read by builds that don't know it.

--- a/plumarch/gateway/attempts.py
+++ b/plumarch/gateway/attempts.py
@@ -10,7 +10,6 @@
     admission,
     dialect,
     endpoint_outcomes,
-    endpoint_words,
     errors,
     exchange,
     fleet_state,
@@ -28,9 +27,6 @@
 """An answer expected within this part of its target is soon enough to stay in the region: twice the
 expected time is still in target."""
 
-PROMISED_NOT_RUN = frozenset({408, 421, 429, 503})
-"""Statuses that promise that a request did not run, when an endpoint says so."""
-
 
 @dataclasses.dataclass(slots=True)
 class Progress:
@@ -245,7 +241,8 @@
         state.health.paces.connected(endpoint.id, connect_ms)
     try:
         check_time(state, admitted)
-    except TimeoutError:
+        _check_still_wanted(state, endpoint)
+    except (TimeoutError, errors.ConnectFailed):
         opened.close()
         raise
     headers = _headers(state, admitted, progress, endpoint)
@@ -296,6 +293,17 @@
         raise TimeoutError
 
 
+def _check_still_wanted(state: fleet_state.FleetState, endpoint: traffic.Endpoint) -> None:
+    """Send nothing to an endpoint that turned out to leave while the connection came up.
+
+    Raises:
+      ConnectFailed: it did.
+    """
+    told = state.registry.endpoints.get(endpoint.id)
+    if told is not None and told.state is traffic.EndpointState.DRAINING:
+        raise errors.ConnectFailed(f"{endpoint.id} leaves. Ask another one.")
+
+
 def was_suspended(state: fleet_state.FleetState, attempt: Attempt) -> bool:
     """Return whether this process was suspended since an attempt was sent.
 
@@ -399,8 +407,8 @@
     if not isinstance(head, h11.Response):
         raise errors.ConnectionBroken("the answer has no head")
     names = state.names
-    _note_words(state, admitted, attempt, head)
-    if head.status_code in PROMISED_NOT_RUN:
+    endpoint_outcomes.answered(state, admitted, attempt.given, attempt.sent_ms, head)
+    if head.status_code in endpoint_outcomes.PROMISED_NOT_RUN:
         if _is_promise(head, names):
             raise NotRun(f"endpoint answered {head.status_code}, not run", head.status_code)
         raise errors.ConnectionBroken(f"endpoint answered {head.status_code} without a promise")
@@ -411,32 +419,6 @@
     return head
 
 
-def _note_words(
-    state: fleet_state.FleetState,
-    admitted: admission.Admitted,
-    attempt: Attempt,
-    head: h11.Response,
-) -> None:
-    """Log a refusal, and what an answer says of its endpoint."""
-    words = endpoint_words.of(head, state.names)
-    if words == endpoint_words.NONE and head.status_code not in PROMISED_NOT_RUN:
-        return
-    endpoint = attempt.choice.endpoint
-    listed = state.registry.endpoints.get(endpoint.id)
-    state.log.write(
-        "endpoint_said",
-        request=admitted.id,
-        endpoint=endpoint.id,
-        status=head.status_code,
-        leaving=words.leaving,
-        retry_after=words.retry_after,
-        after_ms=state.clock.now() - attempt.sent_ms,
-        listed_as=listed.state.value if listed else "gone",
-        registry_revision=state.registry.revision,
-        registry_age_ms=state.registry.age_ms(),
-    )
-
-
 def _is_promise(head: h11.Response, names: dialect.Dialect) -> bool:
     is_misdirected = head.status_code == endpoint_outcomes.MISDIRECTED
     return is_misdirected or bool(dialect.header_value(head.headers, names.not_run))
--- a/plumarch/gateway/endpoint_outcomes.py
+++ b/plumarch/gateway/endpoint_outcomes.py
@@ -7,8 +7,10 @@
 import dataclasses
 from collections.abc import Sequence
 
+import h11
+
 from plumarch.core import traffic
-from plumarch.gateway import admission, fleet_state
+from plumarch.gateway import admission, endpoint_words, fleet_state
 from plumarch.routing import (
     answer_times,
     endpoint_choice,
@@ -17,6 +19,9 @@
     locality_choice,
 )
 
+PROMISED_NOT_RUN = frozenset({408, 421, 429, 503})
+"""Statuses that promise that a request did not run, when an endpoint says so."""
+
 TOO_MUCH = frozenset({429, 503})
 """Statuses by which an endpoint that did not run a request says that it holds too much."""
 
@@ -132,6 +137,43 @@
     return way_ms + mean.value
 
 
+def answered(
+    state: fleet_state.FleetState,
+    admitted: admission.Admitted,
+    one: Given,
+    sent_ms: int,
+    head: h11.Response,
+) -> None:
+    """Take in what the head of an answer says of its endpoint, whatever it is to the request.
+
+    Args:
+      sent_ms: when the request was sent; the process that answers was there by then.
+    """
+    words = endpoint_words.of(head, state.names)
+    if words == endpoint_words.NONE and head.status_code not in PROMISED_NOT_RUN:
+        return
+    endpoint, now = one.endpoint, state.clock.now()
+    listed = state.registry.endpoints.get(endpoint.id)
+    state.log.write(
+        "endpoint_said",
+        request=admitted.id,
+        endpoint=endpoint.id,
+        status=head.status_code,
+        leaving=words.leaving,
+        retry_after=words.retry_after,
+        after_ms=now - sent_ms,
+        listed_as=listed.state.value if listed else "gone",
+        registry_revision=state.registry.revision,
+        registry_age_ms=state.registry.age_ms(),
+    )
+    if head.status_code == MISDIRECTED:
+        # Another process has the address: what it says is not about the endpoint.
+        return
+    # The store may be silent for long while an endpoint that leaves says so in all its answers.
+    if words.leaving and state.registry.says_it_leaves(endpoint, state.wall.now() - now + sent_ms):
+        state.measures.leaving_said.add(endpoint.service)
+
+
 def first_byte(state: fleet_state.FleetState, one: Given) -> None:
     """Note that an endpoint's answer began."""
     running = state.chooser.running(one.endpoint.id)
--- a/plumarch/gateway/measures.py
+++ b/plumarch/gateway/measures.py
@@ -155,6 +155,11 @@
         self.falls = Counter(
             "plumarch_gateway_endpoint_falls", "Endpoints that fell with work.", ("service",)
         )
+        self.leaving_said = Counter(
+            "plumarch_gateway_endpoints_leaving_by_answer",
+            "Endpoints of which an answer of their own told first that they leave.",
+            ("service",),
+        )
         self.quarantined = Counter(
             "plumarch_gateway_quarantine",
             "Requests held back because endpoints ended under them, and those cleared.",
@@ -198,6 +203,7 @@
             self.sends,
             self.dependency,
             self.falls,
+            self.leaving_said,
             self.quarantined,
             self.callers_cut,
             self.streams,
--- a/plumarch/membership/registry.py
+++ b/plumarch/membership/registry.py
@@ -8,6 +8,7 @@
 from collections.abc import Iterable
 
 from plumarch.core import clock, traffic
+from plumarch.membership import leaving_words
 
 LAPSE_MS = 1_400
 """How long endpoints that vanished without notice, most of a service at once, are still used."""
@@ -53,6 +54,8 @@
     fewer endpoints of a service are left than vanished just now, those are used on for a while.
 
     Attributes:
+      endpoints: by identifier; one that said itself that it leaves is draining here, whatever its
+        entry tells.
       by_name: the incarnation that each endpoint is now, by what it calls itself.
       lapsed: endpoints that vanished without notice, by identifier.
       ready_by_service: those that take new work, kept until an endpoint changes.
@@ -72,6 +75,10 @@
     source: str = ""
     lapsed: dict[str, Lapsed] = dataclasses.field(default_factory=dict)
     ready_by_service: dict[str, list[traffic.Endpoint]] = dataclasses.field(default_factory=dict)
+    words: leaving_words.LeavingWords = dataclasses.field(init=False)
+
+    def __post_init__(self) -> None:
+        self.words = leaving_words.LeavingWords(self.clock)
 
     def replace(
         self,
@@ -89,7 +96,7 @@
         """
         if revision < self.revision:
             return []
-        fresh = {endpoint.id: endpoint for endpoint in endpoints}
+        fresh = {endpoint.id: self.words.applied(endpoint) for endpoint in endpoints}
         by_name = {endpoint.called(): endpoint.id for endpoint in fresh.values()}
         changes = []
         for endpoint in self.endpoints.values():
@@ -128,21 +135,44 @@
         """Take one change; return what it changes of incarnations."""
         news = []
         before = self.by_name.get(told.id)
-        now = told.endpoint.id if told.endpoint is not None else None
+        endpoint = self.words.applied(told.endpoint) if told.endpoint is not None else None
+        now = endpoint.id if endpoint is not None else None
         if before is not None and before != now:
             change = EndpointChange(
-                before, told.revision, None, told.is_unreadable, told.endpoint is not None
+                before, told.revision, None, told.is_unreadable, endpoint is not None
             )
             news.append(change)
             del self.by_name[told.id]
             self._note_end(self.endpoints.pop(before), change)
-        if told.endpoint is not None and self.endpoints.get(told.endpoint.id) != told.endpoint:
-            news.append(EndpointChange(told.endpoint.id, told.revision, told.endpoint))
-            self.endpoints[told.endpoint.id] = told.endpoint
-            self.by_name[told.id] = told.endpoint.id
+        if endpoint is not None and self.endpoints.get(endpoint.id) != endpoint:
+            news.append(EndpointChange(endpoint.id, told.revision, endpoint))
+            self.endpoints[endpoint.id] = endpoint
+            self.by_name[told.id] = endpoint.id
         return news
 
+    def says_it_leaves(self, endpoint: traffic.Endpoint, alive_ms: int) -> bool:
+        """Take in that an endpoint says itself that it leaves.
+
+        Args:
+          endpoint: the incarnation that was asked.
+          alive_ms: time of day at which the process that answered was alive for certain.
+        Returns:
+          Whether that is news.
+        """
+        if not self.words.note(endpoint, alive_ms):
+            return False
+        listed = self.endpoints.get(self.by_name.get(endpoint.called(), ""))
+        if listed is not None:
+            self.endpoints[listed.id] = self.words.applied(listed)
+        self.lapsed.pop(endpoint.id, None)
+        self.ready_by_service = {}
+        return True
+
     def _confirm(self, revision: int, source: str, changed: bool) -> None:
+        for listed in self.words.take_back_old():
+            if listed.id in self.endpoints:
+                self.endpoints[listed.id] = listed
+                self.ready_by_service = {}
         if changed:
             self.changed_revision = revision
             self.ready_by_service = {}
@@ -154,6 +184,7 @@
         """Note an endpoint to be used on for a while, if its entry vanished without notice."""
         if change.is_unreadable or change.is_restarted:
             return
+        self.words.vanished(vanished)
         now = self.clock.now()
         for name in [name for name, one in self.lapsed.items() if self._is_over(one, now)]:
             del self.lapsed[name]
