An endpoint that refuses and asks for rest gets nothing in that time

Cause: a refusal counted for the request that got it only, and for the endpoint's learned limit where all its places are taken. The Retry-After beside it was read by nobody. An endpoint that refuses runs little, so it is the cheapest choice for the next request, which is refused as well, and costs one of the fleet's repeats.

Change: endpoints that refuse (503, 429) with a Retry-After in seconds are left out by this node for so long (10 min at the longest): by the choice, and by sends whose connection was coming up. Where all endpoints of a service rest, callers are told at once that their request has not run, and when the first one has rested. Values that are no time to come ask for none. A rest is a process's, by the same rule as the word that it leaves (traffic.Endpoint.is_meant).

Ruled out: a rest that was kept too short or for another endpoint (nothing was kept), sends that were under way (first attempts 0.1 to 1.4 s after the refusal). One request sent to see whether it takes work again before the time is over: it was asked for nothing; and telling other nodes, since each is asked by itself.

--- a/plumarch/core/traffic.py
+++ b/plumarch/core/traffic.py
@@ -166,6 +166,18 @@
         """Return what the endpoint calls itself, the same after it started again."""
         return self.name or self.id
 
+    def is_meant(self, asked: str, alive_ms: int) -> bool:
+        """Return whether an answer that came from this name's address is this incarnation's own.
+
+        The process that answered may have started after the entry of the one that was asked. One
+        born after the answer's connection came up did not send it.
+
+        Args:
+          asked: identifier of the incarnation that was asked.
+          alive_ms: time of day at which the connection to the process that answered came up.
+        """
+        return self.id == asked or 0 < self.born_ms <= alive_ms
+
 
 DIGITS = "0123456789abcdefghijklmnopqrstuvwxyz"
 BORN_DIGITS = 5
--- a/plumarch/daemon/status_pages.py
+++ b/plumarch/daemon/status_pages.py
@@ -50,6 +50,10 @@
         sizes["registry_revision"] = state.registry.revision
         sizes["registry_age_ms"] = state.registry.age_ms()
         sizes["endpoints"] = len(state.registry.endpoints)
+        sizes["endpoints_leaving_by_answer"] = len(state.registry.words.known)
+        sizes["endpoints_resting"] = sum(
+            1 for one in state.registry.endpoints.values() if state.rests.left_ms(one)
+        )
         sizes["heard_fraction"] = state.quota.fraction
         sizes["data_centres_known"] = state.contact.known
         sizes["data_centres_unheard"] = state.contact.unheard
--- a/plumarch/gateway/attempts.py
+++ b/plumarch/gateway/attempts.py
@@ -86,9 +86,10 @@
 ) -> endpoint_choice.Choice | None:
     """Choose an endpoint that was not tried yet, or None if there is none with room."""
     ready = [one for one in state.registry.ready(admitted.service) if one.id not in progress.tried]
+    awake = state.rests.without(ready)
     repeated = bool(progress.tried)
     candidates: list[traffic.Endpoint] = []
-    for group in state.splits.groups(admitted.service, ready, admitted.id, repeated):
+    for group in state.splits.groups(admitted.service, awake, admitted.id, repeated):
         candidates = candidates or _with_room(state, admitted, group)
     choice = _choose_among(state, admitted, candidates, _terms(state, admitted, repeated))
     if choice is None:
@@ -97,6 +98,7 @@
             request=admitted.id,
             service=admitted.service,
             ready=len(ready),
+            resting=len(ready) - len(awake),
             too_far=len(candidates),
             split=state.splits.of(admitted.service),
             tried=len(progress.tried),
@@ -167,10 +169,14 @@
     """Return when a request that no endpoint had room for had better come back, in ms.
 
     Where endpoints are ready, that is when one of their places is free, in the region if it has
-    any; where none is, or all are too far, when those have booted that are ordered in their place.
+    any, or when the first of them has rested if all of them asked for that; where none is ready, or
+    all are too far, when those have booted that are ordered in their place.
     """
     time_left_ms = admitted.ends_ms - state.clock.now()
-    all_ready = state.registry.ready(admitted.service)
+    rest_ms = all_rest_ms(state, admitted)
+    if rest_ms:
+        return float(rest_ms)
+    all_ready = state.rests.without(state.registry.ready(admitted.service))
     near = [one for one in all_ready if state.distances.is_in_region(one.data_centre)]
     ready = near or [
         one for one in all_ready if state.distances.way_ms(one.data_centre) < time_left_ms
@@ -187,6 +193,11 @@
     return return_times.LEAST_MS
 
 
+def all_rest_ms(state: fleet_state.FleetState, admitted: admission.Admitted) -> int:
+    """Return when the first endpoint of a service has rested; 0 if one doesn't rest."""
+    return state.rests.all_rest_ms(state.registry.ready(admitted.service))
+
+
 async def send(
     state: fleet_state.FleetState,
     admitted: admission.Admitted,
@@ -294,14 +305,16 @@
 
 
 def _check_still_wanted(state: fleet_state.FleetState, endpoint: traffic.Endpoint) -> None:
-    """Send nothing to an endpoint that turned out to leave while the connection came up.
+    """Send nothing to an endpoint that said so to another request while the connection came up.
 
     Raises:
-      ConnectFailed: it did.
+      ConnectFailed: it leaves, or rests.
     """
     told = state.registry.endpoints.get(endpoint.id)
     if told is not None and told.state is traffic.EndpointState.DRAINING:
         raise errors.ConnectFailed(f"{endpoint.id} leaves. Ask another one.")
+    if state.rests.left_ms(endpoint):
+        raise errors.ConnectFailed(f"{endpoint.id} asked for rest. Ask another one.")
 
 
 def was_suspended(state: fleet_state.FleetState, attempt: Attempt) -> bool:
--- a/plumarch/gateway/endpoint_outcomes.py
+++ b/plumarch/gateway/endpoint_outcomes.py
@@ -153,6 +153,12 @@
     if words == endpoint_words.NONE and head.status_code not in PROMISED_NOT_RUN:
         return
     endpoint, now = one.endpoint, state.clock.now()
+    alive_ms = state.wall.now() - now + sent_ms
+    rests_ms = 0
+    if words.rest_ms and head.status_code in TOO_MUCH:
+        # It runs little by refusing, so that it would be the next request's first choice again.
+        rests_ms = state.rests.ask(endpoint, alive_ms, words.rest_ms)
+        state.measures.rests.add(endpoint.service)
     listed = state.registry.endpoints.get(endpoint.id)
     state.log.write(
         "endpoint_said",
@@ -161,6 +167,7 @@
         status=head.status_code,
         leaving=words.leaving,
         retry_after=words.retry_after,
+        rests_ms=rests_ms,
         after_ms=now - sent_ms,
         listed_as=listed.state.value if listed else "gone",
         registry_revision=state.registry.revision,
@@ -170,7 +177,7 @@
         # Another process has the address: what it says is not about the endpoint.
         return
     # The store may be silent for long while an endpoint that leaves says so in all its answers.
-    if words.leaving and state.registry.says_it_leaves(endpoint, state.wall.now() - now + sent_ms):
+    if words.leaving and state.registry.says_it_leaves(endpoint, alive_ms):
         state.measures.leaving_said.add(endpoint.service)
 
 
--- a/plumarch/gateway/fleet_state.py
+++ b/plumarch/gateway/fleet_state.py
@@ -31,6 +31,7 @@
     endpoint_choice,
     endpoint_health,
     endpoint_limits,
+    endpoint_rests,
     version_split,
 )
 
@@ -66,6 +67,7 @@
       memory: what is held on behalf of callers and endpoints.
       pressure: who is turned away when much of it is held.
       limits: what endpoints bear.
+      rests: endpoints that asked this node for rest.
       quarantine: requests under which endpoints ended.
       unreadable: entries in the store that can't be read.
       suspensions: when this process did not run.
@@ -116,9 +118,11 @@
     reaches_store: bool = True
     stops_at_ms: int | None = None
     unreadable: unreadable_entries.UnreadableEntries = dataclasses.field(init=False)
+    rests: endpoint_rests.EndpointRests = dataclasses.field(init=False)
     runs: open_runs.OpenRuns = dataclasses.field(default_factory=open_runs.OpenRuns)
 
     def __post_init__(self) -> None:
+        self.rests = endpoint_rests.EndpointRests(self.clock)
         self.unreadable = unreadable_entries.UnreadableEntries(self.log, self.measures)
 
     def configuration_version(self) -> int:
--- a/plumarch/gateway/measures.py
+++ b/plumarch/gateway/measures.py
@@ -160,6 +160,11 @@
             "Endpoints of which an answer of their own told first that they leave.",
             ("service",),
         )
+        self.rests = Counter(
+            "plumarch_gateway_endpoint_rests",
+            "Refusals by which an endpoint asked this node for some time of rest.",
+            ("service",),
+        )
         self.quarantined = Counter(
             "plumarch_gateway_quarantine",
             "Requests held back because endpoints ended under them, and those cleared.",
@@ -204,6 +209,7 @@
             self.dependency,
             self.falls,
             self.leaving_said,
+            self.rests,
             self.quarantined,
             self.callers_cut,
             self.streams,
--- a/plumarch/membership/leaving_words.py
+++ b/plumarch/membership/leaving_words.py
@@ -74,7 +74,7 @@
             # It tells no birth, so an entry that comes back is the only sign of a new start.
             del self.known[listed.called()]
             return listed
-        if not _speaks_of(word, listed):
+        if not listed.is_meant(word.id, word.alive_ms):
             return listed
         word.listed, word.is_gone = listed, False
         if listed.state is traffic.EndpointState.DRAINING:
@@ -97,12 +97,3 @@
         old = [name for name, word in self.known.items() if now - word.said_ms >= KEPT_MS]
         words = [self.known.pop(name) for name in old]
         return [word.listed for word in words if word.listed is not None]
-
-
-def _speaks_of(word: LeavingWord, listed: traffic.Endpoint) -> bool:
-    """Return whether a word is about the incarnation that an entry tells of.
-
-    One born after the word was said is not meant. One that was alive then is, also if the node
-    knew of an earlier one under its name only.
-    """
-    return listed.id == word.id or 0 < listed.born_ms <= word.alive_ms
