--- a/plumarch/core/events.py
+++ b/plumarch/core/events.py
@@ -95,6 +95,7 @@
     Attributes:
       delivered: False only if no byte of it was written.
       broken: whether its connection broke, as it does when the endpoint ends.
+      rest_ms: how long the endpoint wants nothing more from this node; 0 if it doesn't say.
     """
 
     request_id: str
@@ -102,6 +103,7 @@
     delivered: bool
     why: str
     broken: bool = False
+    rest_ms: float = 0.0
 
 
 class PlatformStatus(enum.StrEnum):
--- a/plumarch/standins/virtual.py
+++ b/plumarch/standins/virtual.py
@@ -92,6 +92,8 @@
     Attributes:
       fencing: highest token seen for each slot.
       break_at: where the next call is interrupted: "", "connect", "sent" or "ran".
+      sheds_ms: the rest that it asks for as it refuses each call, or None if it takes them.
+      refused: how many calls it refused.
     """
 
     info: data.Endpoint
@@ -99,6 +101,8 @@
     slow: float = 1.0
     fencing: dict[int, int] = dataclasses.field(default_factory=dict)
     break_at: str = ""
+    sheds_ms: int | None = None
+    refused: int = 0
     calls: dict[tuple[str, int], Call] = dataclasses.field(default_factory=dict)
     cached: dict[int, None] = dataclasses.field(default_factory=dict)
     model: EngineModel = EngineModel()
@@ -483,6 +487,10 @@
 
     def _execute(self, endpoint: FakeEndpoint, call: Call) -> None:
         request = call.action.request
+        if endpoint.sheds_ms is not None:
+            endpoint.refused += 1
+            self._fail(call, False, "endpoint refused the call", rest_ms=endpoint.sheds_ms)
+            return
         if endpoint.break_at == "sent":
             # The endpoint never acts on what it got, but the caller can't know.
             endpoint.break_at = ""
@@ -576,9 +584,13 @@
         event = events.EndpointDone(request.id, call.action.attempt, reply, call.recomputed)
         self._to_node(call, event)
 
-    def _fail(self, call: Call, delivered: bool, why: str, broken: bool = False) -> None:
+    def _fail(
+        self, call: Call, delivered: bool, why: str, broken: bool = False, rest_ms: float = 0.0
+    ) -> None:
         request = call.action.request
-        event = events.EndpointFailed(request.id, call.action.attempt, delivered, why, broken)
+        event = events.EndpointFailed(
+            request.id, call.action.attempt, delivered, why, broken, rest_ms
+        )
         self._to_node(call, event)
 
     def _to_node(self, call: Call, event: events.Event) -> None:
--- /dev/null
+++ b/tests/asked_rest_work_test.py
@@ -0,0 +1,42 @@
+"""Engines of accepted work that refuse calls and ask for some seconds of rest.
+
+A node asked an engine that refuses everything again every two seconds: a call that was refused
+counted as one that could not be connected to, which makes an engine the last choice for so long,
+and the rest that it had asked for was read by nobody. In this session both engines of a data centre
+were asked three times within six of their ten seconds.
+"""
+
+from plumarch.core import data
+from plumarch.proof import invariants
+from plumarch.standins import virtual
+
+NODES = {"a1": "a", "b1": "b"}
+REST_MS = 10_000
+CHATS = 20
+PAUSE_MS = 300
+
+
+def engines(world: virtual.World, data_centre: str) -> list[virtual.FakeEndpoint]:
+    return [
+        one
+        for one in world.endpoints.values()
+        if one.info.data_centre == data_centre and one.info.kind is data.EndpointKind.ENGINE
+    ]
+
+
+def ask(world: virtual.World, key: str) -> invariants.CallerView:
+    return world.call("a1", virtual.request(world, "a1", data.RequestClass.CHAT, key))
+
+
+def test_engines_that_asked_for_rest_are_left_alone_for_so_long():
+    world = virtual.build(NODES, engines_each=2)
+    shedding = engines(world, "a")
+    for engine in shedding:
+        engine.sheds_ms = REST_MS
+    callers = []
+    for number in range(CHATS):
+        callers.append(ask(world, f"chat-{number}"))
+        world.run(PAUSE_MS)
+    assert [one.refused for one in shedding] == [1, 1]
+    world.run(REST_MS)
+    assert all(one.ends == [data.Outcome.DONE] for one in callers)
