The daemon leaves engines alone that refused work and asked for rest

Cause: the same as in the gateway: the Retry-After beside a refusal was read by nobody.

The reading of Retry-After has one place, core/retry_after.

--- a/plumarch/core/errors.py
+++ b/plumarch/core/errors.py
@@ -46,7 +46,15 @@
 
 
 class NotDelivered(EndpointError):
-    """The call failed before its first byte was written: it can't have run."""
+    """The call failed before its first byte was written, or was refused: it can't have run.
+
+    Attributes:
+      rest_ms: how long the endpoint wants nothing more, if it refused and says so; else 0.
+    """
+
+    def __init__(self, why: str, rest_ms: float = 0.0) -> None:
+        super().__init__(why)
+        self.rest_ms = rest_ms
 
 
 class DeliveryUnknown(EndpointError):
--- a/plumarch/endpoints/client.py
+++ b/plumarch/endpoints/client.py
@@ -13,7 +13,7 @@
 import msgspec
 import yarl
 
-from plumarch.core import data, errors, events
+from plumarch.core import data, errors, events, retry_after
 from plumarch.endpoints import protocol
 
 CONNECT_S = 2.0
@@ -143,7 +143,12 @@
             else:
                 await self._run_once(order, sink)
         except NEVER_SENT as error:
-            sink(events.EndpointFailed(request.id, order.attempt, False, repr(error)))
+            rest_ms = error.rest_ms if isinstance(error, errors.NotDelivered) else 0.0
+            sink(
+                events.EndpointFailed(
+                    request.id, order.attempt, False, repr(error), rest_ms=rest_ms
+                )
+            )
         except FAILED as error:
             broken = isinstance(error, BROKEN)
             sink(events.EndpointFailed(request.id, order.attempt, True, repr(error), broken))
@@ -182,7 +187,8 @@
         body = self._engine_body(order, name)
         async with self.repeatable().post(url, data=body, headers=JSON) as answer:
             if answer.status == httpx.codes.SERVICE_UNAVAILABLE:
-                raise errors.NotDelivered("The engine refused the request.")
+                rest_ms = retry_after.milliseconds(answer.headers.get(retry_after.HEADER, ""))
+                raise errors.NotDelivered("The engine refused the request.", rest_ms)
             if answer.status != httpx.codes.OK:
                 raise errors.EndpointError(f"The engine answered {answer.status}.")
             recomputed = await self._read_stream(order, name, answer, sink)
--- a/plumarch/gateway/endpoint_words.py
+++ b/plumarch/gateway/endpoint_words.py
@@ -4,14 +4,12 @@
 """
 
 import dataclasses
-import math
 
 import h11
 
+from plumarch.core import retry_after
 from plumarch.gateway import dialect
 
-RETRY_AFTER = b"retry-after"
-
 NOT_LEAVING = frozenset({"", "0"})
 """Values of the header of leaving endpoints that say nothing."""
 
@@ -41,16 +39,7 @@
 def of(head: h11.Response, names: dialect.Dialect) -> Words:
     """Return what an answer says of its endpoint."""
     leaving = dialect.header_value(head.headers, names.leaving) not in NOT_LEAVING
-    retry_after = dialect.header_value(head.headers, RETRY_AFTER)
-    if not leaving and not retry_after:
+    asked = dialect.header_value(head.headers, retry_after.HEADER.encode())
+    if not leaving and not asked:
         return NONE
-    return Words(leaving, _milliseconds(retry_after), retry_after[:TOLD_CHARACTERS])
-
-
-def _milliseconds(seconds: str) -> float:
-    """Return a number of seconds in ms, or 0 for what is no time to come."""
-    try:
-        found = float(seconds) * 1000.0
-    except ValueError:
-        return 0.0
-    return found if math.isfinite(found) and found > 0 else 0.0
+    return Words(leaving, retry_after.milliseconds(asked), asked[:TOLD_CHARACTERS])
--- a/plumarch/node/dispatch.py
+++ b/plumarch/node/dispatch.py
@@ -287,7 +287,9 @@
         run.phase = runs.Phase.QUEUED
         if not delivered:
             run.handed_over = run.handed_over_before
-        if not delivered:
+        if not delivered and event.rest_ms:
+            self.places.rest(endpoint, event.rest_ms)
+        elif not delivered:
             self.places.unreachable(endpoint)
         self.ctx.note(request, "fail", f"attempt {run.attempt()}", event.why)
         if event.broken:
--- a/plumarch/routing/placement.py
+++ b/plumarch/routing/placement.py
@@ -6,9 +6,10 @@
 """
 
 import dataclasses
+import math
 
 from plumarch.core import context, data
-from plumarch.routing import ownership
+from plumarch.routing import endpoint_rests, ownership
 
 PREFILL_MS_PER_TOKEN = 0.25
 """Assumed time to compute one prompt token, until an engine's own rate is known."""
@@ -71,8 +72,13 @@
     measured: int = 0
     out_until_ms: int = 0
     unreachable_until_ms: int = 0
+    rests_until_ms: int = 0
     cached: dict[int, int] = dataclasses.field(default_factory=dict)
 
+    def is_in(self, now: int) -> bool:
+        """Return whether the endpoint is left out for no reason."""
+        return max(self.out_until_ms, self.unreachable_until_ms, self.rests_until_ms) <= now
+
 
 class Placement:
     """The endpoints a node can reach, and the choice among them."""
@@ -174,6 +180,16 @@
         if seen is not None:
             seen.unreachable_until_ms = self.ctx.now() + UNREACHABLE_MS
 
+    def rest(self, name: str, rest_ms: float) -> None:
+        """Leave an endpoint alone for as long as it asked for when it refused a request.
+
+        It runs little by refusing, and would be the best choice for the next request.
+        """
+        seen = self.seen.get(name)
+        if seen is not None:
+            until_ms = self.ctx.now() + math.ceil(min(rest_ms, endpoint_rests.LONGEST_MS))
+            seen.rests_until_ms = max(seen.rests_until_ms, until_ms)
+
     def measured(self, name: str, delay_ms: int) -> None:
         """Take in how long an endpoint took to its first answer."""
         seen = self.seen.get(name)
@@ -282,6 +298,8 @@
         seen = self.seen[endpoint.name]
         if seen.out_until_ms > self.ctx.now():
             return "ejected as slow"
+        if seen.rests_until_ms > self.ctx.now():
+            return "asked for rest"
         if endpoint.name in self.owned:
             if seen.in_flight >= self._room(endpoint, request):
                 return "full"
@@ -301,9 +319,7 @@
         """Return whether this node owns an endpoint of the target that can be used."""
         now = self.ctx.now()
         return any(
-            e.name in self.owned
-            and e.name not in self.leaving
-            and max(self.seen[e.name].out_until_ms, self.seen[e.name].unreachable_until_ms) <= now
+            e.name in self.owned and e.name not in self.leaving and self.seen[e.name].is_in(now)
             for e in self.by_target.get((request.kind, request.target), [])
         )
 
--- a/tests/asked_rest_work_test.py
+++ b/tests/asked_rest_work_test.py
@@ -40,3 +40,18 @@
     assert [one.refused for one in shedding] == [1, 1]
     world.run(REST_MS)
     assert all(one.ends == [data.Outcome.DONE] for one in callers)
+
+
+def test_work_waits_while_all_rest_and_is_done_when_they_have_rested():
+    world = virtual.build({"a1": "a"}, engines_each=2)
+    for engine in engines(world, "a"):
+        engine.sheds_ms = 1_500
+    caller = ask(world, "chat")
+    world.run(500)
+    for engine in engines(world, "a"):
+        engine.sheds_ms = None
+    world.run(900)
+    assert caller.ends == []
+    world.run(3_000)
+    assert caller.ends == [data.Outcome.DONE]
+    assert [one.refused for one in engines(world, "a")] == [1, 1]
