A request that was answered just now is hardly to blame for an end beside it

Cause: requests that many callers make alike, such as status checks, are in their first steps at almost any endpoint that ends.

Change: the end of a request that this node saw answered within the last minute counts 1 point in place of 3. It can still be held back, by nine such ends, so that being popular is no way round.

One assertion of quarantine_test told that an end right after an answer counts in full, which was the fault; it now tells that it counts least within the minute, and in full after it. Lifting by operators is no answer: tested by itself.

Ruled out: leaving out what was answered altogether (a request that ends endpoints only at times would never be held back); telling answers to all nodes (one message a request).

--- a/plumarch/gateway/quarantine_record.py
+++ b/plumarch/gateway/quarantine_record.py
@@ -136,7 +136,7 @@
         """Let all requests run again, since operators removed the record."""
         self.revision, self.recorded = 0, {}
         known = self.state.quarantine
-        lifted = [name for name in known.suspects if known.answered(name)]
+        lifted = [name for name in known.suspects if known.cleared(name)]
         self.state.log.write("quarantine_lifted", urgent=True, requests=len(lifted))
         for name in lifted:
             self._tell(name)
--- a/plumarch/limits/quarantine.py
+++ b/plumarch/limits/quarantine.py
@@ -13,6 +13,7 @@
 from collections.abc import Iterable
 
 from plumarch.core import clock
+from plumarch.limits import recent_answers
 
 EARLY_POINTS = 3
 """What an endpoint's end counts that came as the request began to run there."""
@@ -141,10 +142,15 @@
     Attributes:
       clock: the time of day, since nodes and the store share what is kept.
       suspects: by fingerprint.
+      answers: requests that were answered lately.
     """
 
     clock: clock.Clock
     suspects: dict[str, Suspect] = dataclasses.field(default_factory=dict)
+    answers: recent_answers.RecentAnswers = dataclasses.field(init=False)
+
+    def __post_init__(self) -> None:
+        self.answers = recent_answers.RecentAnswers(self.clock)
 
     def hold(self, fingerprint: str) -> Hold | None:
         """Return how long a request is held back, or None if it may run."""
@@ -161,10 +167,14 @@
     def ended(self, fingerprint: str, endpoint: str, points: int) -> bool:
         """Take in that an endpoint ended while it ran a request.
 
+        One that was answered lately is as little to blame as one that had run for long.
+
         Returns:
           Whether it is held back by that from now on.
         """
         was_held = self.hold(fingerprint) is not None
+        if self.answers.has(fingerprint):
+            points = min(points, LATE_POINTS)
         end = End(endpoint, self.clock.now(), points)
         self.merge([Suspect(fingerprint, (end,))])
         return not was_held and self.hold(fingerprint) is not None
@@ -172,6 +182,15 @@
     def answered(self, fingerprint: str) -> bool:
         """Take in that an endpoint answered a request: what ended others was something else.
 
+        Returns:
+          Whether anything spoke against it.
+        """
+        self.answers.note(fingerprint)
+        return self.cleared(fingerprint)
+
+    def cleared(self, fingerprint: str) -> bool:
+        """Take in that what was known of a request is void.
+
         Returns:
           Whether anything spoke against it.
         """
--- a/plumarch/limits/quarantine_test.py
+++ b/plumarch/limits/quarantine_test.py
@@ -8,7 +8,7 @@
 from hypothesis import strategies
 
 from plumarch.core import clock
-from plumarch.limits import quarantine
+from plumarch.limits import quarantine, recent_answers
 
 START_MS = 1_700_000_000_000
 EARLY, LATE = quarantine.EARLY_POINTS, quarantine.LATE_POINTS
@@ -68,6 +68,19 @@
     assert known.hold("f") is None and not known.answered("f")
     wall.time_ms += 1_000
     known.ended("f", "e7", EARLY)
+    assert known.points("f") == quarantine.LATE_POINTS
+    wall.time_ms += recent_answers.KEPT_MS
+    known.ended("f", "e8", EARLY)
+    assert known.points("f") == quarantine.LATE_POINTS + EARLY
+
+
+def test_one_that_was_cleared_without_an_answer_counts_as_before():
+    known, wall = new()
+    hold_back(known)
+    wall.time_ms += 1_000
+    assert known.cleared("f")
+    wall.time_ms += 1_000
+    known.ended("f", "e7", EARLY)
     assert known.points("f") == EARLY
 
 
