--- a/plumarch/gateway/snapshots.py
+++ b/plumarch/gateway/snapshots.py
@@ -175,7 +175,7 @@
             raise errors.PeerProtocolError(f"The snapshot can't be inflated: {error}.") from error
         if inflater.unconsumed_tail:
             raise errors.PeerProtocolError("The snapshot is larger than a frame may be.")
-    return gossip.snapshot_decoder.decode(answer)
+    return gossip.decode_snapshot(answer)
 
 
 async def _ask(address: str, request: gossip.SnapshotRequest) -> gossip.Snapshot:
--- a/plumarch/peers/gossip.py
+++ b/plumarch/peers/gossip.py
@@ -379,3 +379,12 @@
 configuration_decoder = msgspec.msgpack.Decoder(routing_table.Configuration)
 endpoint_decoder = msgspec.msgpack.Decoder(traffic.Endpoint)
 snapshot_decoder = msgspec.msgpack.Decoder(Snapshot)
+
+
+def decode_snapshot(encoded: bytes) -> Snapshot:
+    """Return a snapshot.
+
+    Raises:
+      msgspec.DecodeError: it can't be read.
+    """
+    return snapshot_decoder.decode(encoded)
--- /dev/null
+++ b/plumarch/peers/message_samples.py
@@ -0,0 +1,119 @@
+"""Encoded samples of what a build tells other nodes and keeps in the store, for later ones to read.
+
+    python -m plumarch.peers.message_samples NAME
+
+writes those of the checked-out build to samples/NAME.json, once for each build that went into
+service. With PYTHONPATH set to an earlier checkout, this file run by its path samples that one.
+"""
+
+import collections.abc
+import dataclasses
+import enum
+import json
+import pathlib
+import sys
+import types
+import typing
+
+import msgspec
+
+FOLDER = pathlib.Path(__file__).parent / "samples"
+
+RAW_PARTS = {
+    ("Snapshot", "configuration"): "Configuration",
+    ("Snapshot", "endpoints"): "Endpoint",
+    ("MemberNews", "news"): "FleetNews",
+}
+"""What the parts hold that are encoded by themselves, by message and field."""
+
+
+class Sampler:
+    """Makes values with all their fields set."""
+
+    def __init__(self, known: dict[str, type]) -> None:
+        self.known = known
+
+    def value(self, kind: object, owner: str = "", field: str = "") -> object:
+        """Return a value of a type.
+
+        Args:
+          owner: the message that it is in.
+          field: its name there.
+        """
+        if kind is msgspec.Raw:
+            part = self.known[RAW_PARTS[owner, field]]
+            return msgspec.Raw(msgspec.msgpack.encode(self.value(part)))
+        if isinstance(kind, type) and not typing.get_args(kind):
+            return self._plain(kind, field)
+        origin, arguments = typing.get_origin(kind), typing.get_args(kind)
+        if origin in (list, tuple, collections.abc.Sequence):
+            return origin_list(origin, self.value(arguments[0], owner, field))
+        if origin in (dict, collections.abc.Mapping):
+            key = "7" if arguments[0] is str else self.value(arguments[0])
+            return {key: self.value(arguments[1], owner, field)}
+        if origin in (typing.Union, types.UnionType):
+            return self.value(arguments[0], owner, field)
+        raise TypeError(f"{owner}.{field} is a {kind}: say in message_samples how to sample it.")
+
+    def _plain(self, kind: type, field: str) -> object:
+        samples = {str: f"{field}-1", int: 7, float: 2.5, bool: True}
+        if kind in samples:
+            return samples[kind]
+        if issubclass(kind, enum.Enum):
+            return next(iter(kind))
+        hints = typing.get_type_hints(kind)
+        if dataclasses.is_dataclass(kind):
+            names = [one.name for one in dataclasses.fields(kind)]
+        else:
+            names = [
+                one.name for one in msgspec.structs.fields(typing.cast(type[msgspec.Struct], kind))
+            ]
+        return kind(**{name: self.value(hints[name], kind.__name__, name) for name in names})
+
+
+def origin_list(origin: object, element: object) -> object:
+    """Return a sequence of one element, of the kind that its field is declared as."""
+    return (element,) if origin is tuple else [element]
+
+
+def samples() -> dict[str, str]:
+    """Return what this build sends and stores, encoded, in hex, by message."""
+    from plumarch.config import routing_table
+    from plumarch.core import traffic
+    from plumarch.fleet import duty_lease
+    from plumarch.membership import node_record
+    from plumarch.peers import gossip
+
+    told = [*typing.get_args(gossip.Datagram), gossip.FleetNews]
+    told += [gossip.SnapshotRequest, gossip.Snapshot]
+    known = {one.__name__: one for one in told}
+    known |= {"Configuration": routing_table.Configuration, "Endpoint": traffic.Endpoint}
+    sampler = Sampler(known)
+    found = {
+        one.__name__: msgspec.msgpack.encode(sampler.value(one)).hex()
+        for one in [*told, routing_table.Configuration, traffic.Endpoint]
+    }
+    stored = {"DutyRecord": duty_lease.DutyRecord, "NodeRecord": list[node_record.NodeRecord]}
+    try:
+        from plumarch.peers import suspect_entries
+
+        stored["ToldSuspect"] = list[suspect_entries.ToldSuspect]
+    except ImportError:
+        pass  # A build from before requests were held back keeps no record of them.
+    for name, kind in stored.items():
+        found[name] = msgspec.json.encode(sampler.value(kind)).hex()
+    return found
+
+
+def main() -> None:
+    """Write the samples of this build."""
+    if len(sys.argv) != 2:
+        sys.exit("Name the build: python -m plumarch.peers.message_samples NAME")
+    FOLDER.mkdir(exist_ok=True)
+    path = FOLDER / f"{sys.argv[1]}.json"
+    path.write_text(json.dumps(samples(), indent=1, sort_keys=True) + "\n", encoding="utf-8")
+    print(f"{path.name} written.")
+
+
+if __name__ == "__main__":
+    main()
