Messages of earlier builds are read, and they are told what they read

Nothing told what may change, and no test held a build to it.

Change: what doesn't tell has a default that says what its absence means (what a node admitted counts as counted whole; nothing is overdrawn). An asker says that it takes parts; one that doesn't say gets parts first, and the other shape if it asks once more for what it just got, since ask alike and read different ones. Loads told by an endpoint's name count for its incarnation. A message that can't be read is counted by kind and sender's build, and logged once a sender and kind.

Ruled out: a version in each message (what sends has none, and a number says less than what is there); refusing other builds.

--- a/plumarch/daemon/gateway.py
+++ b/plumarch/daemon/gateway.py
@@ -9,7 +9,7 @@
 import socket
 from collections.abc import Awaitable, Callable
 
-from plumarch.core import clock, errors, suspension
+from plumarch.core import build, clock, errors, suspension
 from plumarch.daemon import gateway_settings, listening, status_pages
 from plumarch.fleet import engine_demand, rollout, usage, version_tally
 from plumarch.gateway import (
@@ -216,6 +216,7 @@
         self.state.log.write(
             "start",
             urgent=True,
+            build=build.NAME,
             incarnation=self.view.incarnation,
             callers=listen.callers,
             data_centre=self.settings.node.data_centre,
--- a/plumarch/gateway/coordination.py
+++ b/plumarch/gateway/coordination.py
@@ -118,7 +118,7 @@
         )
         self.duty.reported = max(self.duty.reported, told.reported)
         self._charge(told, now < self.anew_until_ms[told.data_centre])
-        loads = load_reports.taken_all(told.loads)
+        loads = load_reports.taken_all(told.loads, self.state.registry.by_name)
         self.state.chooser.tell(CENTRE + told.data_centre, loads)
         speed_reports.take(self.state, CENTRE + told.data_centre, told.speeds)
         version_reports.take_shares(self.state, told.versions)
--- a/plumarch/gateway/followed_news.py
+++ b/plumarch/gateway/followed_news.py
@@ -56,7 +56,7 @@
     def sent(self, beat: gossip.Heartbeat) -> None:
         """Remember what a heartbeat told."""
         spent = {name: bucket.spent for name, bucket in self.state.quota.buckets.items()}
-        loads = load_reports.taken_all(beat.loads)
+        loads = load_reports.taken_all(beat.loads, self.state.registry.by_name)
         self.told.append(ToldFigures(beat.sequence, spent, loads))
 
     def noticed(self, notice: gossip.LoadNotice) -> None:
@@ -121,7 +121,7 @@
 
     def _adopt_loads(self, news: gossip.FleetNews, mine: dict[str, endpoint_choice.Load]) -> None:
         """Keep the loads of the others: what is told less what of it is this node's own."""
-        told = load_reports.taken_all(news.loads)
+        told = load_reports.taken_all(news.loads, self.state.registry.by_name)
         known = self.loads.get(news.node)
         if known is None and not news.whole:
             return
--- a/plumarch/gateway/gossiper.py
+++ b/plumarch/gateway/gossiper.py
@@ -21,6 +21,7 @@
     spending_ledger,
     suspect_news,
     told_figures,
+    unreadable_messages,
     version_reports,
 )
 from plumarch.limits import centre_spending, workspace_quota
@@ -59,6 +60,7 @@
         self.duty = duty
         self.seeds = seeds
         self.leaving = False
+        self.unreadable = unreadable_messages.UnreadableMessages(state, view)
         self.transport: asyncio.DatagramTransport | None = None
         self.composer = heartbeats.HeartbeatComposer(state, view, duty)
         elsewhere = centre_spending.CentreSpending(state.clock)
@@ -295,7 +297,7 @@
         try:
             told = gossip.datagram_decoder.decode(data)
         except msgspec.DecodeError as error:
-            self.state.log.write("bad_heartbeat", sender=str(addr[0]), error=str(error))
+            self.unreadable.note(str(addr[0]), data, error)
             return
         match told:
             case gossip.Heartbeat():
@@ -344,7 +346,7 @@
         try:
             news = gossip.news_decoder.decode(told.news)
         except msgspec.DecodeError as error:
-            self.state.log.write("bad_heartbeat", sender=sender, error=str(error))
+            self.unreadable.note(sender, bytes(told.news), error)
             return
         self.take_news(news, told.taken_in)
 
@@ -392,6 +394,7 @@
             if self.view.role is not tiers.Role.MEMBER:
                 self._decide_role()
         peer.leaving = beat.leaving
+        peer.build = beat.build
         peer.reaches_store = beat.reaches_store
         peer.token = beat.token
         peer.candidate = beat.candidate
@@ -459,14 +462,18 @@
             incarnation,
             {
                 told.workspace: workspace_quota.PeerSpending(
-                    told.spent, told.level, told.settled, told.counted, told.overdrawn
+                    told.spent,
+                    told.level,
+                    told.settled,
+                    told.spent if told.counted is None else told.counted,
+                    told.overdrawn,
                 )
                 for told in beat.spending
             },
         )
         if near:
             self.coordination.take_told(beat.node, beat.sequence, charged)
-        state.chooser.tell(beat.node, load_reports.taken_all(beat.loads))
+        state.chooser.tell(beat.node, load_reports.taken_all(beat.loads, state.registry.by_name))
         speed_reports.take(state, beat.node, beat.speeds)
         version_reports.take_answers(state, incarnation, beat.answers)
         self._take_usage(beat)
--- a/plumarch/gateway/heartbeats.py
+++ b/plumarch/gateway/heartbeats.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from plumarch.core import build
 from plumarch.fleet import usage
 from plumarch.gateway import elders, fleet_state, load_reports, speed_reports, version_reports
 from plumarch.membership import fleet_view, tiers
@@ -160,6 +161,7 @@
             reaches_store=state.reaches_store,
             elders=self._elders() if with_elders else [],
             nodes=self.view.counted_size(),
+            build=build.NAME,
         )
 
     def _elders(self) -> list[gossip.KnownElder]:
--- a/plumarch/gateway/load_reports.py
+++ b/plumarch/gateway/load_reports.py
@@ -27,6 +27,13 @@
     return endpoint_choice.Load(report.running, float(report.prompt_tokens))
 
 
-def taken_all(reports: Iterable[gossip.EndpointLoad]) -> dict[str, endpoint_choice.Load]:
-    """Return loads that were told, as they are kept, by endpoint identifier."""
-    return {report.endpoint: taken(report) for report in reports}
+def taken_all(
+    reports: Iterable[gossip.EndpointLoad], by_name: Mapping[str, str]
+) -> dict[str, endpoint_choice.Load]:
+    """Return loads that were told, as they are kept, by endpoint identifier.
+
+    Args:
+      by_name: the incarnation that each endpoint is now, by what it calls itself: by that builds
+        tell them that don't tell incarnations apart.
+    """
+    return {by_name.get(report.endpoint, report.endpoint): taken(report) for report in reports}
--- a/plumarch/gateway/measures.py
+++ b/plumarch/gateway/measures.py
@@ -175,6 +175,11 @@
             "Entries in the store that can't be read, as far as this node reads it.",
             ("kind",),
         )
+        self.unreadable_messages = Counter(
+            "plumarch_gateway_unreadable_messages",
+            "Messages of other nodes that this build can't read, by kind and the sender's build.",
+            ("kind", "build"),
+        )
         self.suspended = Gauge(
             "plumarch_gateway_suspended_seconds",
             "For how long this process did not run: machine suspended, or process stopped.",
@@ -210,6 +215,7 @@
             self.falls,
             self.leaving_said,
             self.rests,
+            self.unreadable_messages,
             self.quarantined,
             self.callers_cut,
             self.streams,
--- /dev/null
+++ b/plumarch/gateway/mixed_builds_test.py
@@ -0,0 +1,88 @@
+"""Two builds side by side: what is asked, answered and heard between them."""
+
+import asyncio
+
+import msgspec
+
+from plumarch.core import clock, traffic
+from plumarch.gateway import load_reports, snapshots, unreadable_messages
+from plumarch.gateway.relay_test import TABLE
+from plumarch.membership import fleet_view
+from plumarch.peers import frames, gossip
+from plumarch.routing import endpoint_choice
+from plumarch.standins import gateway_parts
+
+ENDPOINT = traffic.Endpoint(
+    "e.0000a", "s", "10.0.0.1:80", "a", 8, traffic.EndpointState.READY, born_ms=10, name="e"
+)
+
+
+async def served(exchange: snapshots.SnapshotExchange, asked: gossip.SnapshotRequest) -> bytes:
+    server = await asyncio.start_server(exchange.serve, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    writer.write(frames.pack(gossip.encoder.encode(asked)))
+    answer = await frames.read(reader, gossip.FRAME_LIMIT)
+    writer.close()
+    server.close()
+    return answer
+
+
+def new_exchange() -> snapshots.SnapshotExchange:
+    state = gateway_parts.new_state(clock.ManualClock(1_000))
+    state.adopt_table(TABLE, "store")
+    state.registry.replace([ENDPOINT], 5, "store")
+    return snapshots.SnapshotExchange(state)
+
+
+def test_an_asker_that_takes_parts_gets_them_each_time():
+    async def test() -> None:
+        exchange = new_exchange()
+        asked = gossip.SnapshotRequest(-1, -1, takes_parts=True)
+        for _ in range(3):
+            told = gossip.snapshot_decoder.decode(await served(exchange, asked))
+            assert len(told.endpoints) == 1
+
+    asyncio.run(test())
+
+
+def test_an_asker_that_does_not_tell_gets_the_other_shape_if_it_asks_once_more():
+    """It could not read the first one, so it still asks for the same."""
+
+    async def test() -> None:
+        exchange = new_exchange()
+        asked = gossip.SnapshotRequest(-1, -1)
+        gossip.snapshot_decoder.decode(await served(exchange, asked))
+        whole = gossip.whole_snapshot_decoder.decode(await served(exchange, asked))
+        assert whole.configuration == TABLE.configuration
+        assert whole.endpoints == (ENDPOINT,) and whole.registry_revision == 5
+        gossip.snapshot_decoder.decode(await served(exchange, asked))
+        newer = gossip.SnapshotRequest(1, 4)
+        assert gossip.snapshot_decoder.decode(await served(exchange, newer)).configuration == []
+
+    asyncio.run(test())
+
+
+def test_a_load_told_by_an_endpoints_name_is_its_incarnations():
+    told = [load_reports.told("e", endpoint_choice.Load(3, 100.0))]
+    told.append(load_reports.told("f.0000b", endpoint_choice.Load(1, 0.0)))
+    found = load_reports.taken_all(told, {"e": ENDPOINT.id})
+    assert {name: one.running for name, one in found.items()} == {"e.0000a": 3, "f.0000b": 1}
+
+
+def test_a_kind_that_is_not_known_is_counted_each_time_and_told_once():
+    state = gateway_parts.new_state(clock.ManualClock(1_000))
+    view = fleet_view.FleetView(state.clock, "n", 1, "10.0.0.9:7", "a")
+    peer = view.heard("m", 5, "10.0.0.8:7", "a")
+    assert peer is not None
+    peer.build = "later"
+    unreadable = unreadable_messages.UnreadableMessages(state, view)
+    for data in (b"\x92\x63\x01", b"\x92\x63\x01", b"", b"\xc1", b"\x91\xcd\xff\xff", b"\x01"):
+        unreadable.note("10.0.0.8", data, msgspec.DecodeError("x" * 1_000))
+    counts = state.measures.unreadable_messages.counts
+    assert counts == {("99", "later"): 2.0, ("none", "later"): 4.0}
+    lines = bytes(state.log.pending).splitlines()
+    assert len(lines) == 2 and all(len(line) < 500 for line in lines)
+    for number in range(1_000):
+        unreadable.note(f"10.0.1.{number}", b"", msgspec.DecodeError("no"))
+    assert len(unreadable.told) == unreadable_messages.MOST_TOLD
--- a/plumarch/gateway/snapshots.py
+++ b/plumarch/gateway/snapshots.py
@@ -22,6 +22,9 @@
 """Bytes from which on a snapshot is compressed: one of 1,400 routes shrinks to a twentieth, and
 some forty nodes fetch it from one coordinator over a link of 20 Mbit/s at the same moment."""
 
+MOST_UNTOLD = 512
+"""Peers of earlier builds whose last question is kept; more than the largest fleet has nodes."""
+
 ZLIB_LEVEL = 1
 ZLIB_FIRST_BYTE = 0x78
 """What compressed bytes begin with; MessagePack of a snapshot begins with an array."""
@@ -35,6 +38,7 @@
     registry_revision: int
     with_configuration: bool
     with_endpoints: bool
+    in_parts: bool
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -45,17 +49,27 @@
     encoded: bytes
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Untold:
+    """What a peer asked that doesn't tell which shape of answer it takes, and which one it got."""
+
+    asked: gossip.SnapshotRequest
+    in_parts: bool
+
+
 class SnapshotExchange:
     """One node's side of the snapshots.
 
     Attributes:
       packed: the last answer.
+      untold: what peers asked last that don't tell which shape they take, by IP.
     """
 
     def __init__(self, state: fleet_state.FleetState) -> None:
         self.state = state
         self.fetching: asyncio.Task[None] | None = None
         self.packed: PackedAnswer | None = None
+        self.untold: dict[str, Untold] = {}
 
     def fetch_from(self, address: str) -> None:
         """Begin to fetch what a peer knows beyond this node, unless a fetch runs."""
@@ -71,6 +85,7 @@
             self.state.configuration_version(),
             self.state.registry.revision,
             takes_compressed=True,
+            takes_parts=True,
         )
         try:
             async with asyncio.timeout(FETCH_TIMEOUT_MS / 1000.0):
@@ -115,7 +130,8 @@
         try:
             async with asyncio.timeout(FETCH_TIMEOUT_MS / 1000.0):
                 asked = gossip.request_decoder.decode(await frames.read(reader, gossip.FRAME_LIMIT))
-                writer.write(frames.pack(self._answer(asked)))
+                in_parts = self._takes_parts(writer.get_extra_info("peername")[0], asked)
+                writer.write(frames.pack(self._answer(asked, in_parts)))
                 await writer.drain()
         except (OSError, TimeoutError, EOFError, msgspec.DecodeError, errors.PeerProtocolError):
             pass
@@ -125,24 +141,51 @@
         finally:
             writer.close()
 
-    def _answer(self, asked: gossip.SnapshotRequest) -> bytes:
+    def _takes_parts(self, peer: str, asked: gossip.SnapshotRequest) -> bool:
+        """Return which shape of answer a peer takes.
+
+        Two earlier builds take different ones, and ask alike. One that asks once more for what it
+        just got could not read it, and gets the other shape.
+        """
+        if asked.takes_parts:
+            return True
+        before = self.untold.pop(peer, None)
+        in_parts = not (before.asked == asked and before.in_parts) if before is not None else True
+        self.untold[peer] = Untold(asked, in_parts)
+        while len(self.untold) > MOST_UNTOLD:
+            del self.untold[next(iter(self.untold))]
+        return in_parts
+
+    def _answer(self, asked: gossip.SnapshotRequest, in_parts: bool = True) -> bytes:
         """Return the answer to one peer; the same one is not put together twice."""
         snapshot = self._snapshot(asked)
+        told = snapshot if in_parts else self._whole(snapshot)
         if not asked.takes_compressed:
-            return gossip.encoder.encode(snapshot)
+            return gossip.encoder.encode(told)
         contents = Contents(
             self.state.configuration_version(),
             self.state.registry.revision,
             bool(snapshot.configuration),
             snapshot.with_endpoints,
+            in_parts,
         )
         if self.packed is None or self.packed.contents != contents:
-            encoded = gossip.encoder.encode(snapshot)
+            encoded = gossip.encoder.encode(told)
             if len(encoded) >= LEAST_COMPRESSED:
                 encoded = zlib.compress(encoded, ZLIB_LEVEL)
             self.packed = PackedAnswer(contents, encoded)
         return self.packed.encoded
 
+    def _whole(self, snapshot: gossip.Snapshot) -> gossip.WholeSnapshot:
+        """Return a snapshot as earlier builds take it."""
+        table = self.state.table
+        return gossip.WholeSnapshot(
+            snapshot.node,
+            table.configuration if table is not None and snapshot.configuration else None,
+            tuple(self.state.registry.endpoints.values()) if snapshot.with_endpoints else None,
+            snapshot.registry_revision,
+        )
+
     def _snapshot(self, asked: gossip.SnapshotRequest) -> gossip.Snapshot:
         table = self.state.table
         registry = self.state.registry
@@ -150,17 +193,13 @@
         fresher = registry.changed_revision > asked.registry_revision
         return gossip.Snapshot(
             self.state.node,
-            [_raw(table.configuration)] if table is not None and newer else [],
-            [_raw(one) for one in registry.endpoints.values()] if fresher else [],
+            [gossip.raw(table.configuration)] if table is not None and newer else [],
+            [gossip.raw(one) for one in registry.endpoints.values()] if fresher else [],
             fresher,
             registry.revision,
         )
 
 
-def _raw(value: object) -> msgspec.Raw:
-    return msgspec.Raw(gossip.encoder.encode(value))
-
-
 def _unpack(answer: bytes) -> gossip.Snapshot:
     """Return the snapshot in an answer.
 
--- a/plumarch/membership/peer_node.py
+++ b/plumarch/membership/peer_node.py
@@ -17,6 +17,7 @@
       candidate: whether it could take the duties over now.
       reaches_store: whether the platform's store answers it.
       nodes: how many nodes it counts in the fleet.
+      build: of the product, as it tells; "" if it doesn't.
     """
 
     name: str
@@ -30,6 +31,7 @@
     candidate: bool = True
     reaches_store: bool = True
     nodes: int = 0
+    build: str = ""
 
     def age(self) -> tiers.Age:
         """Return what nodes are ordered by."""
--- a/plumarch/peers/gossip.py
+++ b/plumarch/peers/gossip.py
@@ -2,6 +2,10 @@
 
 A heartbeat is one MessagePack datagram. It names the versions that a node holds; a peer that
 holds older ones fetches the newer ones over TCP from the same port.
+
+Builds run side by side while VMs are replaced, so what one tells another reads: fields are added at
+the end of a message only, with a default that says what their absence means, and none is taken out
+or gets another type or meaning (docs/design/mixed-builds.md).
 """
 
 from typing import Protocol
@@ -23,7 +27,8 @@
 
     Attributes:
       counted: the part of what it admitted that its data centre's coordinators are known to have
-        counted; all of it where each node tells each other one.
+        counted; all of it where each node tells each other one, or None from a node that doesn't
+        tell.
       overdrawn: units by which the nodes that the sender hears have less left than their share.
     """
 
@@ -31,8 +36,8 @@
     spent: float
     level: float
     settled: bool
-    counted: float
-    overdrawn: float
+    counted: float | None = None
+    overdrawn: float = 0.0
 
 
 class EndpointLoad(msgspec.Struct, array_like=True, frozen=True):
@@ -132,6 +137,7 @@
       speeds: what the sender learned of engines; in some heartbeats.
       versions: the shares of versions, while a roll-out runs and some time after.
       answers: of versions on the sender, while a roll-out runs.
+      build: of the sender, or "" from one that doesn't tell.
     """
 
     node: str
@@ -155,6 +161,7 @@
     speeds: list[EngineSpeed] = []
     versions: list[VersionShare] = []
     answers: list[VersionAnswers] = []
+    build: str = ""
 
 
 class CentreSpending(msgspec.Struct, array_like=True, frozen=True):
@@ -171,7 +178,7 @@
     spent: float
     level: float
     settled: bool
-    overdrawn: float
+    overdrawn: float = 0.0
 
 
 class CentreSummary(msgspec.Struct, array_like=True, frozen=True, tag=3):
@@ -333,11 +340,14 @@
 
     Attributes:
       takes_compressed: whether the answer may be compressed.
+      takes_parts: whether the answer may be a Snapshot. A node that doesn't tell takes either that
+        or a WholeSnapshot, by its build.
     """
 
     configuration: int
     registry_revision: int
     takes_compressed: bool = False
+    takes_parts: bool = False
 
 
 class Snapshot(msgspec.Struct, array_like=True, frozen=True):
@@ -356,6 +366,15 @@
     registry_revision: int
 
 
+class WholeSnapshot(msgspec.Struct, array_like=True, frozen=True):
+    """What is newer, as earlier builds tell and take it; None for what is not."""
+
+    node: str
+    configuration: routing_table.Configuration | None
+    endpoints: tuple[traffic.Endpoint, ...] | None
+    registry_revision: int
+
+
 class Versions(Protocol):
     """What says which configuration and endpoints its sender knows."""
 
@@ -379,6 +398,7 @@
 configuration_decoder = msgspec.msgpack.Decoder(routing_table.Configuration)
 endpoint_decoder = msgspec.msgpack.Decoder(traffic.Endpoint)
 snapshot_decoder = msgspec.msgpack.Decoder(Snapshot)
+whole_snapshot_decoder = msgspec.msgpack.Decoder(WholeSnapshot)
 
 
 def decode_snapshot(encoded: bytes) -> Snapshot:
@@ -387,4 +407,19 @@
     Raises:
       msgspec.DecodeError: it can't be read.
     """
-    return snapshot_decoder.decode(encoded)
+    try:
+        return snapshot_decoder.decode(encoded)
+    except msgspec.DecodeError:
+        told = whole_snapshot_decoder.decode(encoded)
+    return Snapshot(
+        told.node,
+        [raw(told.configuration)] if told.configuration is not None else [],
+        [raw(one) for one in told.endpoints or ()],
+        told.endpoints is not None,
+        told.registry_revision,
+    )
+
+
+def raw(value: object) -> msgspec.Raw:
+    """Return a part of a message, encoded by itself."""
+    return msgspec.Raw(encoder.encode(value))
--- a/plumarch/peers/message_compat_test.py
+++ b/plumarch/peers/message_compat_test.py
@@ -8,6 +8,7 @@
 import json
 
 import msgspec
+import pytest
 
 from plumarch.fleet import duty_lease
 from plumarch.membership import node_record
@@ -45,3 +46,40 @@
 
 def test_all_that_earlier_builds_tell_is_read():
     assert {build: unread(told_by(build)) for build in BUILDS} == {build: [] for build in BUILDS}
+
+
+def test_a_snapshot_of_an_earlier_build_holds_what_it_told():
+    for build in BUILDS:
+        told = gossip.decode_snapshot(told_by(build)["Snapshot"])
+        [configuration] = told.configuration
+        assert gossip.configuration_decoder.decode(configuration).version == 7
+        [endpoint] = told.endpoints
+        assert gossip.endpoint_decoder.decode(endpoint).id == "id-1"
+        assert (told.with_endpoints, told.registry_revision) == (True, 7)
+
+
+def test_earlier_builds_take_what_an_asker_of_theirs_is_told():
+    """As they read it: by the shape that they knew, where what is added at the end is left out."""
+    snapshot = gossip.decode_snapshot(told_by("f8b1b9f")["Snapshot"])
+    whole = gossip.WholeSnapshot(
+        snapshot.node, gossip.configuration_decoder.decode(snapshot.configuration[0]), (), 7
+    )
+    read = gossip.whole_snapshot_decoder.decode(gossip.encoder.encode(whole))
+    assert read == whole
+
+
+DATAGRAMS = sorted(set(told_by("b4136a9")) - set(READERS))
+
+
+@pytest.mark.parametrize("name", DATAGRAMS)
+def test_whatever_is_added_at_the_end_or_was_not_there_yet_is_no_fault(name: str):
+    earliest = told_by("f8b1b9f").get(name) or told_by("b4136a9")[name]
+    parts = msgspec.msgpack.decode(bytes.fromhex(message_samples.samples()[name]))
+    for count in range(len(msgspec.msgpack.decode(earliest)), len(parts) + 1):
+        gossip.datagram_decoder.decode(msgspec.msgpack.encode(parts[:count]))
+    gossip.datagram_decoder.decode(msgspec.msgpack.encode([*parts, "new", {"new": [1]}]))
+
+
+def test_this_builds_own_samples_are_read():
+    told = {name: bytes.fromhex(encoded) for name, encoded in message_samples.samples().items()}
+    assert unread(told) == []
