--- a/plumarch/daemon/gateway.py
+++ b/plumarch/daemon/gateway.py
@@ -116,7 +116,7 @@
         )
         self.wakes = wakes.Wakes(self.state, self.gossiper.begin_contact)
         self.callers = relay.new_server(self.state)
-        pages = status_pages.StatusPages(self.state, self.ready)
+        pages = status_pages.StatusPages(self.state, self.ready, self.view)
         self.pages = caller_connection.CallerServer(self.clock, pages, memory=self.state.memory)
         self.stopping = False
         self.tasks: list[asyncio.Task[None]] = []
--- a/plumarch/daemon/status_pages.py
+++ b/plumarch/daemon/status_pages.py
@@ -2,22 +2,32 @@
 
 from collections.abc import Callable
 
-from plumarch.gateway import caller_requests, fleet_state
+from plumarch.gateway import builds, caller_requests, fleet_state
+from plumarch.membership import fleet_view
 
 METRICS_PATH = b"/metrics"
 STATUS_PATH = b"/status"
 HELD_NAMED = 20
 """Requests held back that the status page names."""
 
+LEFT_OUT_NAMED = 20
+"""Endpoints that the status page names as leaving, and as many as resting."""
+
 TEXT = [(b"content-type", b"text/plain; version=0.0.4")]
 
 
 class StatusPages:
     """Answers /metrics with all metrics, /status with what needs an operator, else readiness."""
 
-    def __init__(self, state: fleet_state.FleetState, ready: Callable[[], bool]) -> None:
+    def __init__(
+        self,
+        state: fleet_state.FleetState,
+        ready: Callable[[], bool],
+        view: fleet_view.FleetView | None = None,
+    ) -> None:
         self.state = state
         self.ready = ready
+        self.view = view
 
     async def handle(
         self, request: caller_requests.CallerRequest, reply: caller_requests.Reply
@@ -41,7 +51,18 @@
             for one in self.state.quarantine.held()[:HELD_NAMED]
         ]
         unreadable = [f"unreadable {line}" for line in self.state.unreadable.lines()]
-        return [f"node {self.state.node}", *unreadable, *held]
+        heard = builds.lines(self.view) if self.view is not None else []
+        return [f"node {self.state.node}", *heard, *self._left_out(), *unreadable, *held]
+
+    def _left_out(self) -> list[str]:
+        """Return a line for each endpoint that is left out for what it said in an answer."""
+        state, found = self.state, []
+        for name in list(state.registry.words.known)[:LEFT_OUT_NAMED]:
+            found.append(f"leaves by its own word: {name}")
+        resting = [one for one in state.registry.endpoints.values() if state.rests.left_ms(one)]
+        for one in resting[:LEFT_OUT_NAMED]:
+            found.append(f"asked for rest: {one.id}, {state.rests.left_ms(one)} ms more")
+        return found
 
     def _set_gauges(self) -> None:
         state = self.state
