--- a/plumarch/gateway/mixed_builds_test.py
+++ b/plumarch/gateway/mixed_builds_test.py
@@ -57,6 +57,9 @@
         assert whole.configuration == TABLE.configuration
         assert whole.endpoints == (ENDPOINT,) and whole.registry_revision == 5
         gossip.snapshot_decoder.decode(await served(exchange, asked))
+        nothing_new = gossip.SnapshotRequest(1, 5)
+        for _ in range(3):
+            gossip.snapshot_decoder.decode(await served(exchange, nothing_new))
         newer = gossip.SnapshotRequest(1, 4)
         assert gossip.snapshot_decoder.decode(await served(exchange, newer)).configuration == []
 
--- a/plumarch/gateway/snapshots.py
+++ b/plumarch/gateway/snapshots.py
@@ -130,7 +130,9 @@
         try:
             async with asyncio.timeout(FETCH_TIMEOUT_MS / 1000.0):
                 asked = gossip.request_decoder.decode(await frames.read(reader, gossip.FRAME_LIMIT))
-                in_parts = self._takes_parts(writer.get_extra_info("peername")[0], asked)
+                in_parts = asked.takes_parts or self._guess(
+                    writer.get_extra_info("peername")[0], asked
+                )
                 writer.write(frames.pack(self._answer(asked, in_parts)))
                 await writer.drain()
         except (OSError, TimeoutError, EOFError, msgspec.DecodeError, errors.PeerProtocolError):
@@ -141,16 +143,18 @@
         finally:
             writer.close()
 
-    def _takes_parts(self, peer: str, asked: gossip.SnapshotRequest) -> bool:
-        """Return which shape of answer a peer takes.
+    def _guess(self, peer: str, asked: gossip.SnapshotRequest) -> bool:
+        """Return whether a peer that doesn't tell takes parts.
 
-        Two earlier builds take different ones, and ask alike. One that asks once more for what it
+        Two earlier builds take different shapes, and ask alike. One that asks once more for what it
         just got could not read it, and gets the other shape.
         """
-        if asked.takes_parts:
+        snapshot = self._snapshot(asked)
+        if not snapshot.configuration and not snapshot.with_endpoints:
+            # Whoever asks too early gets nothing new, in a shape that is as good as the other one.
             return True
         before = self.untold.pop(peer, None)
-        in_parts = not (before.asked == asked and before.in_parts) if before is not None else True
+        in_parts = before is None or before.asked != asked or not before.in_parts
         self.untold[peer] = Untold(asked, in_parts)
         while len(self.untold) > MOST_UNTOLD:
             del self.untold[next(iter(self.untold))]
