Which region a data centre is of is decided in one place

"One that is not named is a region of its own" stood in four: two of Distances, RegionView and the choice by locality.

--- a/plumarch/fleet/region_demand.py
+++ b/plumarch/fleet/region_demand.py
@@ -9,6 +9,8 @@
 import dataclasses
 from collections.abc import Mapping
 
+from plumarch.core import regions
+
 SHARE_PAST = 0.8
 """Weight of the past in a region's rate, at each sample of a second: callers that move are followed
 within 5 s, and a second of few requests does not move engines. A judgement."""
@@ -36,7 +38,7 @@
 
     def of(self, data_centre: str) -> str:
         """Return a data centre's region; one that is not named is a region of its own."""
-        return self.region_of.get(data_centre, data_centre) if self.region_of else ""
+        return regions.region_of(self.region_of, data_centre)
 
     def are_several(self, data_centres: Mapping[str, float]) -> bool:
         """Return whether data centres belong to more than one region."""
--- a/plumarch/routing/distance.py
+++ b/plumarch/routing/distance.py
@@ -10,7 +10,7 @@
 import enum
 from collections.abc import Mapping
 
-from plumarch.core import clock
+from plumarch.core import clock, regions
 
 
 class Locality(enum.IntEnum):
@@ -90,9 +90,7 @@
 
     def region_of(self, data_centre: str) -> str:
         """Return a data centre's region; one that is not named is a region of its own."""
-        if not self.regions:
-            return ""
-        return self.regions.get(data_centre, data_centre)
+        return regions.region_of(self.regions, data_centre)
 
     def own_region(self) -> str:
         """Return the region of this node."""
@@ -108,10 +106,7 @@
 
     def is_in_region(self, data_centre: str) -> bool:
         """Return whether a data centre is of this node's region."""
-        regions = self.regions
-        return not regions or regions.get(data_centre, data_centre) == regions.get(
-            self.own, self.own
-        )
+        return self.region_of(data_centre) == self.own_region()
 
     def is_first_unnamed(self, data_centre: str) -> bool:
         """Return whether a data centre without a region is met for the first time."""
--- a/plumarch/routing/locality_choice.py
+++ b/plumarch/routing/locality_choice.py
@@ -95,10 +95,8 @@
         return candidates, ()
     near: list[traffic.Endpoint] = []
     away: list[traffic.Endpoint] = []
-    regions, own = distances.regions, distances.own_region()
     for one in candidates:
-        region = regions.get(one.data_centre, one.data_centre)
-        (near if region == own else away).append(one)
+        (near if distances.is_in_region(one.data_centre) else away).append(one)
     return near, away
 
 
