A part of a message that can't be read costs itself alone; metrics name the build

Where the ordinary decoder refuses a datagram, parts of lists that can't be read are left out, and a field with a default is taken as not told; what a message can't do without still costs it. Before, one part with a field too few cost the whole heartbeat, and with it the node's sign of life.

--- a/plumarch/daemon/status_pages_test.py
+++ b/plumarch/daemon/status_pages_test.py
@@ -65,6 +65,8 @@
         peer = view.heard(f"m{number}", 1_764_730_000_000 + number, f"10.0.0.{number}:7", "a")
         assert peer is not None
         peer.build = name
+    metrics = page(b"/metrics", gateway_parts.new_state(steady))
+    assert f'plumarch_gateway_build{{build="{build.NAME}"}} 1.0' in metrics
     lines = page(b"/status", gateway_parts.new_state(steady), view)
     assert f"build {build.NAME}: 1 nodes, the first one started 2025-12-03T00:00:00Z" in lines
     assert "build later: 1 nodes, the first one started 2025-12-03T02:46:40Z" in lines
--- a/plumarch/gateway/gossiper.py
+++ b/plumarch/gateway/gossiper.py
@@ -298,7 +298,10 @@
             told = gossip.datagram_decoder.decode(data)
         except msgspec.DecodeError as error:
             self.unreadable.note(str(addr[0]), data, error)
-            return
+            readable = self.unreadable.rest_of(data)
+            if readable is None:
+                return
+            told = readable
         match told:
             case gossip.Heartbeat():
                 self.take_in(told)
--- a/plumarch/gateway/measures.py
+++ b/plumarch/gateway/measures.py
@@ -9,6 +9,8 @@
 from collections.abc import Iterator
 from typing import TYPE_CHECKING, cast
 
+from plumarch.core import build
+
 if TYPE_CHECKING:
     from prometheus_client import metrics_core
 
@@ -180,6 +182,12 @@
             "Messages of other nodes that this build can't read, by kind and the sender's build.",
             ("kind", "build"),
         )
+        self.build = Gauge(
+            "plumarch_gateway_build",
+            "1 for the build of the product that this node runs.",
+            ("build",),
+        )
+        self.build.set(1.0, build.NAME)
         self.suspended = Gauge(
             "plumarch_gateway_suspended_seconds",
             "For how long this process did not run: machine suspended, or process stopped.",
@@ -228,6 +236,7 @@
             self.endpoint_limits,
             self.unreadable,
             self.suspended,
+            self.build,
         ):
             yield gauge.family()
         yield metrics_core.GaugeMetricFamily(
--- a/plumarch/gateway/unreadable_messages.py
+++ b/plumarch/gateway/unreadable_messages.py
@@ -1,13 +1,16 @@
 """Messages of other nodes that this build can't read: counted, and told once.
 
 A newer build may tell what this one doesn't know, ten times a second for as long as both run. What
-can't be read costs that message alone.
+can't be read costs that part of a message alone, or that message.
 """
 
+from typing import cast
+
 import msgspec
 
 from plumarch.gateway import fleet_state
 from plumarch.membership import fleet_view
+from plumarch.peers import gossip, tolerant
 
 MOST_TOLD = 64
 """Senders and kinds that are logged; of more, the count says enough."""
@@ -48,6 +51,14 @@
             error=str(error)[:WHY_LIMIT],
         )
 
+    @staticmethod
+    def rest_of(data: bytes) -> gossip.Datagram | None:
+        """Return a message without the parts that can't be read, or None if too little is left."""
+        try:
+            return cast(gossip.Datagram, tolerant.read(data).datagram)
+        except msgspec.DecodeError:
+            return None
+
     def _build_of(self, sender: str) -> str:
         """Return the build that the node at an IP told last, or "" if none is known."""
         for peer in self.view.peers.values():
