--- a/plumarch/daemon/status_pages.py
+++ b/plumarch/daemon/status_pages.py
@@ -57,7 +57,7 @@
     def _left_out(self) -> list[str]:
         """Return a line for each endpoint that is left out for what it said in an answer."""
         state, found = self.state, []
-        for name in list(state.registry.words.known)[:LEFT_OUT_NAMED]:
+        for name in state.registry.words.in_force()[:LEFT_OUT_NAMED]:
             found.append(f"leaves by its own word: {name}")
         resting = [one for one in state.registry.endpoints.values() if state.rests.left_ms(one)]
         for one in resting[:LEFT_OUT_NAMED]:
@@ -71,7 +71,7 @@
         sizes["registry_revision"] = state.registry.revision
         sizes["registry_age_ms"] = state.registry.age_ms()
         sizes["endpoints"] = len(state.registry.endpoints)
-        sizes["endpoints_leaving_by_answer"] = len(state.registry.words.known)
+        sizes["endpoints_leaving_by_answer"] = len(state.registry.words.in_force())
         sizes["endpoints_resting"] = sum(
             1 for one in state.registry.endpoints.values() if state.rests.left_ms(one)
         )
--- a/plumarch/membership/leaving_words.py
+++ b/plumarch/membership/leaving_words.py
@@ -75,6 +75,7 @@
             del self.known[listed.called()]
             return listed
         if not listed.is_meant(word.id, word.alive_ms):
+            word.listed = None
             return listed
         word.listed, word.is_gone = listed, False
         if listed.state is traffic.EndpointState.DRAINING:
@@ -87,6 +88,10 @@
         if word is not None:
             word.listed, word.is_gone = None, True
 
+    def in_force(self) -> list[str]:
+        """Return the names of listed endpoints that are left out by their word."""
+        return [name for name, word in self.known.items() if word.listed is not None]
+
     def take_back_old(self) -> list[traffic.Endpoint]:
         """Forget what was said too long ago.
 
--- a/plumarch/membership/leaving_words_test.py
+++ b/plumarch/membership/leaving_words_test.py
@@ -77,8 +77,9 @@
     before, after = endpoint(births[0]), endpoint(births[1])
     known = new(before)
     known.says_it_leaves(before, SAID_MS)
+    assert known.words.in_force() == ["e"]
     known.apply([change(11, after)], 11, "store")
-    assert ready(known) == [after.id]
+    assert ready(known) == [after.id] and known.words.in_force() == []
 
 
 def test_a_process_that_had_started_again_unheard_is_meant():
