The next process under a name that says that it leaves is believed too

Found on a read of the change: a word of the same incarnation was taken as known already, also where the process that answered was born after the first word and is listed by now. Its word counted only with the next list. The test failed before.

--- a/plumarch/membership/leaving_words_test.py
+++ b/plumarch/membership/leaving_words_test.py
@@ -154,3 +154,14 @@
         else:
             known.replace([one], revision, what)
         assert not said & set(ready(known))
+
+
+def test_the_next_process_under_the_name_may_say_so_as_well_before_it_was_asked_by_its_own():
+    """A request that was chosen for the one before is answered by the next one."""
+    before, after = endpoint(BORN_MS), endpoint(SAID_MS + 3_000)
+    known = new(before)
+    known.says_it_leaves(before, SAID_MS)
+    known.apply([change(11, after)], 11, "store")
+    assert ready(known) == [after.id]
+    assert known.says_it_leaves(before, SAID_MS + 5_000)
+    assert ready(known) == []
--- a/plumarch/membership/registry.py
+++ b/plumarch/membership/registry.py
@@ -157,14 +157,17 @@
           endpoint: the incarnation that was asked.
           alive_ms: time of day at which the process that answered was alive for certain.
         Returns:
-          Whether that is news.
+          Whether that is news, or makes a listed endpoint a leaving one.
         """
-        if not self.words.note(endpoint, alive_ms):
-            return False
-        listed = self.endpoints.get(self.by_name.get(endpoint.called(), ""))
-        if listed is not None:
-            self.endpoints[listed.id] = self.words.applied(listed)
+        is_news = self.words.note(endpoint, alive_ms)
         self.lapsed.pop(endpoint.id, None)
+        listed = self.endpoints.get(self.by_name.get(endpoint.called(), ""))
+        if listed is None:
+            return is_news
+        as_said = self.words.applied(listed)
+        if as_said == listed:
+            return is_news
+        self.endpoints[listed.id] = as_said
         self.ready_by_service = {}
         return True
 
