Tests over loopback don't end connects by the time that service allows

Traced by a run that shows it: a stall of 300 ms in the loop while the connection comes up ends it by the 250 ms that are allowed in service; the other endpoint rests, so no endpoint is left, and [200, 503] follows as seen. No check is changed: the gateway of these tests allows as long for a connect as for a request.

--- a/plumarch/gateway/relay_test.py
+++ b/plumarch/gateway/relay_test.py
@@ -8,7 +8,7 @@
 
 from plumarch.config import routing_table
 from plumarch.core import clock, traffic
-from plumarch.gateway import relay
+from plumarch.gateway import attempts, relay
 from plumarch.routing import endpoint_choice
 from plumarch.standins import gateway_parts
 from plumarch.standins import scripted_endpoint as scripted
@@ -82,6 +82,9 @@
                     f"e{number}", "s", endpoint.address, "a", 8, traffic.EndpointState.READY
                 )
             )
+        # A machine that is busy holds a test up for longer than a connect may take in service.
+        self.connect_ms = attempts.CONNECT_TIMEOUT_MS
+        attempts.CONNECT_TIMEOUT_MS = LONG_MS
         self.state.registry.replace(found, 1, "store")
         self.state.adopt_table(TABLE, "store")
         # The first endpoint is the nearer one, so that tests know which is asked first.
@@ -94,6 +97,7 @@
         return self
 
     async def __aexit__(self, *_: object) -> None:
+        attempts.CONNECT_TIMEOUT_MS = self.connect_ms
         self.listener.close()
         self.callers.close_all()
         for endpoint in self.endpoints:
