--- a/plumarch/routing/locality_choice.py
+++ b/plumarch/routing/locality_choice.py
@@ -95,8 +95,9 @@
         return candidates, ()
     near: list[traffic.Endpoint] = []
     away: list[traffic.Endpoint] = []
+    own = distances.own_region()
     for one in candidates:
-        (near if distances.is_in_region(one.data_centre) else away).append(one)
+        (near if distances.region_of(one.data_centre) == own else away).append(one)
     return near, away
 
 
