--- a/plumarch/gateway/mixed_builds_test.py
+++ b/plumarch/gateway/mixed_builds_test.py
@@ -28,8 +28,8 @@
     return answer
 
 
-def new_exchange() -> snapshots.SnapshotExchange:
-    state = gateway_parts.new_state(clock.ManualClock(1_000))
+def new_exchange(steady: clock.ManualClock | None = None) -> snapshots.SnapshotExchange:
+    state = gateway_parts.new_state(steady or clock.ManualClock(1_000))
     state.adopt_table(TABLE, "store")
     state.registry.replace([ENDPOINT], 5, "store")
     return snapshots.SnapshotExchange(state)
@@ -66,6 +66,24 @@
     asyncio.run(test())
 
 
+def test_a_process_that_starts_again_gets_the_shape_that_the_one_before_could_read():
+    """A killed process and the next one at its IP ask for all there is: twice the same question.
+
+    The second one was given the shape of a still earlier build: "Expected `array` of at least length
+    5, got 4". One that could not read its answer asks again by the next heartbeat, within 750 ms.
+    """
+
+    async def test() -> None:
+        steady = clock.ManualClock(1_000)
+        exchange = new_exchange(steady)
+        asked = gossip.SnapshotRequest(-1, -1)
+        for _ in range(3):
+            gossip.snapshot_decoder.decode(await served(exchange, asked))
+            steady.advance(751)
+
+    asyncio.run(test())
+
+
 def test_a_load_told_by_an_endpoints_name_is_its_incarnations():
     told = [load_reports.told("e", endpoint_choice.Load(3, 100.0))]
     told.append(load_reports.told("f.0000b", endpoint_choice.Load(1, 0.0)))
