--- a/plumarch/gateway/mixed_builds_test.py
+++ b/plumarch/gateway/mixed_builds_test.py
@@ -79,7 +79,7 @@
         asked = gossip.SnapshotRequest(-1, -1)
         for _ in range(3):
             gossip.snapshot_decoder.decode(await served(exchange, asked))
-            steady.advance(751)
+            steady.advance_to(steady.now() + 751)
 
     asyncio.run(test())
 
