--- a/plumarch/gateway/mixed_builds_test.py
+++ b/plumarch/gateway/mixed_builds_test.py
@@ -69,8 +69,8 @@
 def test_a_process_that_starts_again_gets_the_shape_that_the_one_before_could_read():
     """A killed process and the next one at its IP ask for all there is: twice the same question.
 
-    The second one was given the shape of a still earlier build: "Expected `array` of at least length
-    5, got 4". One that could not read its answer asks again by the next heartbeat, within 750 ms.
+    The second one was given the shape of a still earlier build: "Expected `array` of at least
+    length 5, got 4". One that could not read its answer asks again within 750 ms.
     """
 
     async def test() -> None:
--- a/plumarch/gateway/snapshots.py
+++ b/plumarch/gateway/snapshots.py
@@ -22,6 +22,11 @@
 """Bytes from which on a snapshot is compressed: one of 1,400 routes shrinks to a twentieth, and
 some forty nodes fetch it from one coordinator over a link of 20 Mbit/s at the same moment."""
 
+ASKED_AGAIN_MS = 750
+"""How soon a peer that could not read an answer asks once more: by the next heartbeat, 500 ms at
+most over regions, and the pause and a round trip after it. A process that starts again at its IP
+asks the same as the one before, but later."""
+
 MOST_UNTOLD = 512
 """Peers of earlier builds whose last question is kept; more than the largest fleet has nodes."""
 
@@ -51,10 +56,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Untold:
-    """What a peer asked that doesn't tell which shape of answer it takes, and which one it got."""
+    """What a peer asked that doesn't tell which shape of answer it takes, and which one it got.
+
+    Attributes:
+      at_ms: when it asked.
+    """
 
     asked: gossip.SnapshotRequest
     in_parts: bool
+    at_ms: int
 
 
 class SnapshotExchange:
@@ -147,15 +157,19 @@
         """Return whether a peer that doesn't tell takes parts.
 
         Two earlier builds take different shapes, and ask alike. One that asks once more for what it
-        just got could not read it, and gets the other shape.
+        just got could not read it, and gets the other shape. Nodes are told apart by their IP.
         """
         snapshot = self._snapshot(asked)
         if not snapshot.configuration and not snapshot.with_endpoints:
             # Whoever asks too early gets nothing new, in a shape that is as good as the other one.
             return True
+        now = self.state.clock.now()
         before = self.untold.pop(peer, None)
-        in_parts = before is None or before.asked != asked or not before.in_parts
-        self.untold[peer] = Untold(asked, in_parts)
+        is_again = (
+            before is not None and before.asked == asked and now - before.at_ms <= ASKED_AGAIN_MS
+        )
+        in_parts = before is None or not is_again or not before.in_parts
+        self.untold[peer] = Untold(asked, in_parts, now)
         while len(self.untold) > MOST_UNTOLD:
             del self.untold[next(iter(self.untold))]
         return in_parts
