--- a/plumarch/limits/workspace_quota.py
+++ b/plumarch/limits/workspace_quota.py
@@ -277,6 +277,17 @@
             for name, bucket in self.buckets.items()
         }
 
+    def seen(self, name: str) -> dict[str, float] | None:
+        """Return what is left of a workspace's allotment as this node sees it, for its log."""
+        bucket = self.buckets.get(name)
+        if bucket is None:
+            return None
+        return {
+            "level": round(bucket.level),
+            "part": round(bucket.part),
+            "fraction": round(self.fraction, 3),
+        }
+
     def total_charged(self) -> float:
         """Return what all nodes admitted while they were heard.
 
