Nodes that start in a cut take over what the other side admitted, and both sides pay for its begin

Cause: the level of an allotment is what each node charged, and three ways were left in which nobody charged. A process that started amid a cut counted what the others had admitted before it first heard them as charged; in small fleets it took over the level of its own side and kept it. Until a silent node counted as gone, 1.2 s, both sides of a cut admitted as if each were the whole fleet. And what they had admitted then was taken from what was left for all, not from their own part.

Change: lower levels are taken over for a second after a peer is heard that ran unheard; allotments count on nodes whose last heartbeat is younger than 2.5 intervals; a part is reckoned from what was left when the lost nodes were heard last. What a peer admitted in a silence is charged less its share of the refill, as data centres do.

--- a/plumarch/gateway/coordination.py
+++ b/plumarch/gateway/coordination.py
@@ -326,7 +326,7 @@
     def news(self) -> gossip.FleetNews:
         """Return what to tell the members of the own data centre now."""
         state, quota, view = self.state, self.state.quota, self.view
-        fraction = view.heard_fraction()
+        fraction = view.fresh_fraction()
         whole = self.rounds % WHOLE_EVERY == 0 or self.tell_all or fraction != self.told_fraction
         self.tell_all = False
         self.told_fraction = fraction
--- a/plumarch/gateway/gossiper.py
+++ b/plumarch/gateway/gossiper.py
@@ -267,7 +267,7 @@
             self.beat_soon()
 
     def _hear_fraction(self) -> None:
-        self.state.quota.hear_fraction(self.view.heard_fraction())
+        self.state.quota.hear_fraction(self.view.fresh_fraction())
 
     def tell_prompt(self, sent: fleet_state.SentPrompt) -> None:
         """Tell the peers at once of a prompt that was sent to an engine, if it is a long one."""
@@ -411,7 +411,7 @@
             self._beat_for_role()
         if not near:
             self.introductions.take_elders(beat)
-        self._take_figures(beat)
+        self._take_figures(beat, heard_again=not was_heard and before == beat.incarnation)
         if version_reports.take_shares(self.state, beat.versions):
             self.beat_soon()
         if self._knows_more(beat):
@@ -450,8 +450,12 @@
         self.answered_ms[peer.name] = now
         self._send(self.composer.greeting(self.leaving, peer.data_centre), [peer.address])
 
-    def _take_figures(self, beat: gossip.Heartbeat) -> None:
-        """Take in a node's own figures, unless coordinators tell them."""
+    def _take_figures(self, beat: gossip.Heartbeat, heard_again: bool) -> None:
+        """Take in a node's own figures, unless coordinators tell them.
+
+        Args:
+          heard_again: whether it was silent before, and is the same process.
+        """
         role = self.view.role
         near = beat.data_centre == self.state.data_centre
         if role is tiers.Role.MEMBER:
@@ -474,6 +478,8 @@
                 )
                 for told in beat.spending
             },
+            heard_again,
+            1.0 / self.view.size(),
         )
         if near:
             self.coordination.take_told(beat.node, beat.sequence, charged)
--- a/plumarch/gateway/region_quota_test.py
+++ b/plumarch/gateway/region_quota_test.py
@@ -1,8 +1,7 @@
 """Allotments over regions: never over, with late news, while regions are cut off or killed.
 
 The rule and its sessions are those of large_fleet_quota_test; here up to 300 ms pass until news
-of another region are there, and whole regions fail. The random sessions here are a few: of 238
-others three were over, by up to 1.027 (KNOWN-RED.txt).
+of another region are there, and whole regions fail. The random sessions here are a few.
 
 Sessions were over by up to 1.3, nine of 48, while coordinators that follow on those that died began
 to count at nothing: what the others had admitted since the last sums that were told was charged by
@@ -188,7 +187,7 @@
     assert max(found) <= 1.0, found
 
 
-SESSIONS_STILL_OVER: tuple[tuple[int, int, Steps], ...] = (
+SESSIONS_OVER_BY_LITTLE: tuple[tuple[int, int, Steps], ...] = (
     (
         19,
         150,
@@ -228,8 +227,9 @@
         ],
     ),
 )
-"""Sessions that are over by a few parts in a hundred: what killed processes admitted last, and had
-not told, three times or more within a window, is charged by nobody."""
+"""Sessions that were over by up to 1.027 while what nodes had admitted since they heard others last
+was taken from the parts of all: until a side of a cut is silent for long enough, both sides admit
+from the whole."""
 
 
 def most_of_allowed(seed: int, late_ms: int, steps: Steps) -> float:
@@ -243,7 +243,7 @@
 
 
 def test_the_rule_holds_while_processes_are_killed_again_and_again():
-    found = [most_of_allowed(*session) for session in SESSIONS_STILL_OVER]
+    found = [most_of_allowed(*session) for session in SESSIONS_OVER_BY_LITTLE]
     assert max(found) <= 1.0, found
 
 
--- a/plumarch/limits/workspace_quota.py
+++ b/plumarch/limits/workspace_quota.py
@@ -44,6 +44,16 @@
 """What they leave is at most this part of the burst, so that it suffices where the tolerated
 excess is far larger than the allotment. A judgement."""
 
+ANEW_MS = 1_000
+"""How long lower levels are taken over after a peer is heard that ran unheard before: four
+heartbeats of each node, one of which is heard whatever is lost. A process that started amid a cut
+hears nothing else of what the other side admitted; without this fleets of eight nodes admitted 1.11
+of what is tolerated."""
+
+UNHEARD_MS = 900
+"""How long ago a node that is not heard any more was heard last at most: a time after which news
+are no longer fresh, and an interval between heartbeats."""
+
 FRESH_NEWS_MS = 250.0
 """Where heartbeats are rarer than this, less of the excess is used."""
 
@@ -176,6 +186,8 @@
       spared_before: what was spared when a group was heard last, by group and workspace.
       charged_by: units charged since this process started, over all workspaces, by who admitted
         them: "" for this node, a node's name, or a group of nodes.
+      anew_until_ms: until when lower levels are taken over from peers.
+      charged_before: what was charged by when, over the last moments, by workspace.
     """
 
     clock: clock.Clock
@@ -190,6 +202,10 @@
     charged_by: collections.defaultdict[str, float] = dataclasses.field(
         default_factory=lambda: collections.defaultdict(float)
     )
+    anew_until_ms: int = 0
+    charged_before: collections.deque[tuple[int, dict[str, float]]] = dataclasses.field(
+        default_factory=collections.deque
+    )
 
     def admit(self, workspace: traffic.Workspace, units: float, rank: int = 0) -> float:
         """Charge a request.
@@ -258,14 +274,37 @@
 
     def hear_fraction(self, fraction: float) -> None:
         """Take in which part of all nodes is heard from now on."""
+        now = self.clock.now()
         if fraction == self.fraction:
+            self._remember_charges(now)
             return
         self.refill_all()
-        for bucket in self.buckets.values():
+        for name, bucket in self.buckets.items():
             if self.fraction >= 1.0:
                 bucket.part = bucket.level
-            bucket.part += (fraction - self.fraction) * max(0.0, bucket.level)
+            left = max(0.0, bucket.level)
+            if fraction < self.fraction:
+                left = max(0.0, bucket.level + self._charged_unheard(name))
+            bucket.part += (fraction - self.fraction) * left
         self.fraction = fraction
+        self._remember_charges(now)
+
+    def _remember_charges(self, now: int) -> None:
+        """Note what was charged until now, and drop what was noted long ago."""
+        charged = {name: bucket.charged for name, bucket in self.buckets.items()}
+        self.charged_before.append((now, charged))
+        while now - self.charged_before[0][0] > UNHEARD_MS:
+            self.charged_before.popleft()
+
+    def _charged_unheard(self, name: str) -> float:
+        """Return what was charged since nodes that are not heard any more were heard last.
+
+        They have a part of that as well: until now both sides admitted as if each were the whole.
+        """
+        before = self.charged_before[0][1] if self.charged_before else {}
+        if name not in before:
+            return 0.0
+        return max(0.0, self.buckets[name].charged - before[name])
 
     def report(self) -> dict[str, PeerSpending]:
         """Return this node's spending, for its heartbeat, with levels as of now."""
@@ -296,24 +335,43 @@
         """
         return sum(bucket.charged for bucket in self.buckets.values())
 
-    def heard_from(self, node: str, spending: Mapping[str, PeerSpending]) -> dict[str, float]:
+    def heard_from(
+        self,
+        node: str,
+        spending: Mapping[str, PeerSpending],
+        again: bool = False,
+        share: float = 1.0,
+    ) -> dict[str, float]:
         """Charge what a peer admitted since it was heard last.
 
         Args:
           node: the peer's incarnation.
           spending: by workspace.
+          again: whether it is heard again after a silence.
+          share: the part of the fleet that one node is.
         Returns:
           What was charged, by workspace.
         """
+        if again or any(
+            told.settled and name in self.buckets and (node, name) not in self.heard
+            for name, told in spending.items()
+        ):
+            self.anew_until_ms = self.clock.now() + ANEW_MS
         charged: dict[str, float] = {}
         for name, told in spending.items():
             bucket = self.buckets.get(name)
             if bucket is None:
                 continue
-            if (node, name) in self.heard:
+            if (node, name) not in self.heard:
+                charged |= self._heard_first(node, name, told)
+            elif again:
+                charged |= self._heard_again((node, name), told.spent, share)
+            else:
                 charged |= self.noticed(node, name, told.spent)
-                continue
-            charged |= self._heard_first(node, name, told)
+            self.spared_before[(node, name)] = Spared(bucket.spared, self.clock.now())
+            if told.settled and (not bucket.settled or self.clock.now() < self.anew_until_ms):
+                self._refill(self.workspaces[name])
+                self._take_over(bucket, TakenOver(told.level, told.overdrawn))
         return charged
 
     def _heard_first(self, node: str, name: str, told: PeerSpending) -> dict[str, float]:
@@ -323,17 +381,23 @@
         that died, it would be missing from all buckets for good otherwise. A full bucket is the
         most that it can have had of them.
         """
-        bucket, workspace = self.buckets[name], self.workspaces[name]
+        workspace = self.workspaces[name]
         self.heard[(node, name)] = told.spent
         uncounted = told.spent - told.counted if told.counted is not None else 0.0
         uncounted = min(max(0.0, uncounted), self.tolerance.capacity(workspace, self.news_age_ms))
         if uncounted:
             self._charge_others(node, name, uncounted)
-        if told.settled:
-            self._refill(workspace)
-            self._take_over(bucket, TakenOver(told.level, told.overdrawn))
         return {name: uncounted} if uncounted else {}
 
+    def _heard_again(self, key: tuple[str, str], spent: float, share: float) -> dict[str, float]:
+        """Charge what a peer admitted in a silence, as far as that is still owed."""
+        node, name = key
+        self._refill(self.workspaces[name])
+        units = self._due(key, spent - self.heard[key], share)
+        self.heard[key] = spent
+        self._charge_others(node, name, units)
+        return {name: units}
+
     def noticed(self, node: str, workspace: str, spent: float) -> dict[str, float]:
         """Charge what a peer told between its heartbeats that it admitted.
 
@@ -443,6 +507,7 @@
         """Drop what is known of an incarnation that is gone."""
         for key in [key for key in self.heard if key[0] == node]:
             del self.heard[key]
+            self.spared_before.pop(key, None)
         self.charged_by.pop(node.partition("#")[0], None)
 
     def _refill(self, workspace: traffic.Workspace) -> Bucket:
--- a/plumarch/membership/fleet_view.py
+++ b/plumarch/membership/fleet_view.py
@@ -30,6 +30,11 @@
 this: three may be missed. Until it counts as silent, after 1,200 ms, regions that are cut off from
 each other would each spend a whole burst."""
 
+FRESH_BEATS = 2.5
+"""A node counts in that part while its last heartbeat is younger than this many intervals: one may
+be missed. Until it counts as silent, after 1,200 ms, both sides of a cut would admit as if each
+were the whole fleet: 1.06 of what is tolerated, where a workspace asked for ten times its rate."""
+
 SUMMARIES_MISSED = 2.5
 SUMMARY_MS_EACH = 25.0
 """With many data centres summaries are rarer, by this time for each (two coordinators, 80 summaries
@@ -223,20 +228,31 @@
 
         For a member and in other data centres these are the nodes that coordinators hear.
         """
+        return self._fraction_within(self.silence_ms())
+
+    def fresh_fraction(self) -> float:
+        """Return the part of all nodes whose news are so young that allotments count on them."""
+        return self._fraction_within(min(self.silence_ms(), FRESH_BEATS * self.interval_ms))
+
+    def _fraction_within(self, limit_ms: float) -> float:
+        """Return the part of all nodes that is heard, with peers heard within a time."""
         size = self.size()
         if self.role is tiers.Role.MEMBER:
             age = self.news_age_ms()
             fresh = age is not None and age <= TRUSTED_NEWS_MS
             return self.news.fraction if self.news and fresh else 1.0 / size
         told = self.live_centres() if self.role is tiers.Role.COORDINATOR else {}
+        now = self.clock.now()
         heard = 1 + len(
             [
                 one
                 for one in self.peers.values()
-                if one.data_centre not in told and self.is_heard(one)
+                if one.data_centre not in told
+                and one.heard_ms is not None
+                and now - one.heard_ms <= limit_ms
             ]
         )
-        oldest = self.clock.now() - self._fresh_summary_ms()
+        oldest = now - self._fresh_summary_ms()
         heard += sum(one.heard for one in told.values() if one.told_ms >= oldest)
         return min(1.0, heard / max(size, heard))
 
