--- a/plumarch/gateway/region_quota_test.py
+++ b/plumarch/gateway/region_quota_test.py
@@ -271,8 +271,8 @@
     ),
 )
 """Sessions of fleets that started less than 8 s before, as a whole: no node takes its level for
-settled, so none tells it, and coordinators that follow on killed ones keep a level 40,000 units above
-that of the others."""
+settled, so none tells it, and coordinators that follow on killed ones keep a level 40,000 units
+above that of the others."""
 
 
 def test_the_rule_holds_while_processes_of_a_young_fleet_are_killed():
