--- a/plumarch/cli/nodes.py
+++ b/plumarch/cli/nodes.py
@@ -138,7 +138,7 @@
 
 
 def node_row(status: dict[str, Any]) -> dict[str, Any]:
-    """Return a node's line of the status table."""
+    """Return a node's line of the status table; what an earlier build doesn't tell is empty."""
     names = (
         "node",
         "data_centre",
@@ -152,7 +152,7 @@
         "slots",
         "uncertain_slots",
     )
-    return {name: status[name] for name in names}
+    return {name: status.get(name, "") for name in names}
 
 
 def endpoint_rows(found: Found) -> list[dict[str, Any]]:
--- a/plumarch/cli/stories_test.py
+++ b/plumarch/cli/stories_test.py
@@ -1,5 +1,9 @@
 """A request's story out of logs."""
 
+import pathlib
+
+import pytest
+
 from plumarch.cli import stories
 
 LOGS = """
@@ -39,3 +43,35 @@
 def test_a_fingerprint_tells_the_story_of_all_tries_of_a_request():
     found = stories.story(stories.parse(TRIES.splitlines()), "00f1")
     assert [line.request for line in found] == ["r1", "r1", "r2", "r2"]
+
+
+SAMPLES = sorted((pathlib.Path(__file__).parent / "samples").glob("*.log"))
+"""One repeated request in the log of each build that nodes beside this one may run."""
+
+
+@pytest.mark.parametrize("path", SAMPLES, ids=lambda path: path.stem)
+def test_the_log_of_each_build_tells_a_repeated_request(path: pathlib.Path):
+    lines = stories.parse(path.read_text(encoding="utf-8").splitlines())
+    found = stories.story(lines, "q1")
+    own = [line for line in found if line.request]
+    assert [line.kind for line in own] == ["sent", "broken", "sent", "answered"]
+    assert {line.fields["endpoint"] for line in own[:2]} == {own[1].fields["endpoint"]}
+    assert own[3].fields["status"] == 200
+    assert "endpoint" in {line.kind for line in found if not line.request}
+
+
+def test_a_request_that_came_again_at_a_node_of_another_build_is_one_story():
+    lines = [line for path in SAMPLES for line in path.read_text(encoding="utf-8").splitlines()]
+    parsed = stories.parse(lines)
+    [fingerprint, *_] = [line.fields["fingerprint"] for line in parsed if line.kind == "answered"]
+    same = [
+        line if line.kind not in ("broken", "answered") else with_fingerprint(line, fingerprint)
+        for line in parsed
+    ]
+    found = stories.story(same, fingerprint)
+    assert {line.node for line in found} == {f"node-{path.stem}" for path in SAMPLES}
+
+
+def with_fingerprint(line: stories.Line, fingerprint: str) -> stories.Line:
+    fields = {**line.fields, "fingerprint": fingerprint}
+    return stories.Line(line.at_ms, line.node, line.kind, line.request, fields)
