--- a/plumarch/gateway/asked_rest_test.py
+++ b/plumarch/gateway/asked_rest_test.py
@@ -20,7 +20,8 @@
 from collections.abc import Awaitable, Callable
 from unittest import mock
 
-from plumarch.gateway import exchange, relay_test
+from plumarch.gateway import relay_test
+from plumarch.gateway.connections import exchange
 
 STAYS = relay_test.answers()
 
--- a/plumarch/gateway/attempts.py
+++ b/plumarch/gateway/attempts.py
@@ -6,14 +6,8 @@
 import h11
 
 from plumarch.core import traffic
-from plumarch.gateway import (
-    admission,
-    dialect,
-    endpoint_outcomes,
-    errors,
-    exchange,
-    fleet_state,
-)
+from plumarch.gateway import admission, dialect, endpoint_outcomes, errors, fleet_state
+from plumarch.gateway.connections import exchange
 from plumarch.routing import endpoint_choice, locality_choice, return_times
 
 CONNECT_TIMEOUT_MS = 250.0
--- /dev/null
+++ b/plumarch/gateway/connections/__init__.py
@@ -0,0 +1,1 @@
+"""Connections to callers and endpoints: writing, asking, probing, and the runs on them."""
--- a/plumarch/gateway/exchange.py
+++ b/plumarch/gateway/connections/exchange.py
@@ -11,7 +11,8 @@
 import h11
 
 from plumarch.core import addresses
-from plumarch.gateway import errors, keepalive, outgoing
+from plumarch.gateway import errors
+from plumarch.gateway.connections import keepalive, outgoing
 from plumarch.limits import memory_account
 
 Headers = Sequence[tuple[bytes, bytes]]
--- a/plumarch/gateway/keepalive_test.py
+++ b/plumarch/gateway/connections/keepalive_test.py
@@ -6,7 +6,8 @@
 import pytest
 
 from plumarch.core import clock
-from plumarch.gateway import caller_connection, exchange, keepalive
+from plumarch.gateway import caller_connection
+from plumarch.gateway.connections import exchange, keepalive
 
 
 class NoHandler:
--- a/plumarch/gateway/open_runs.py
+++ b/plumarch/gateway/connections/open_runs.py
@@ -7,7 +7,7 @@
 
 import dataclasses
 
-from plumarch.gateway import exchange
+from plumarch.gateway.connections import exchange
 
 
 @dataclasses.dataclass(slots=True)
--- a/plumarch/gateway/outgoing.py
+++ b/plumarch/gateway/connections/outgoing.py
@@ -11,7 +11,7 @@
 import termios
 from collections.abc import Callable
 
-from plumarch.gateway import keepalive
+from plumarch.gateway.connections import keepalive
 from plumarch.limits import memory_account, read_progress
 
 CHECK_MS = 1_000.0
--- a/plumarch/gateway/fleet_state.py
+++ b/plumarch/gateway/fleet_state.py
@@ -8,14 +8,8 @@
 from plumarch.core import rollouts, suspension
 from plumarch.core.clock import Clock
 from plumarch.fleet import engine_demand, usage, version_tally
-from plumarch.gateway import (
-    centre_contact,
-    decision_log,
-    dialect,
-    measures,
-    open_runs,
-    unreadable_entries,
-)
+from plumarch.gateway import centre_contact, decision_log, dialect, measures, unreadable_entries
+from plumarch.gateway.connections import open_runs
 from plumarch.limits import (
     attempt_budget,
     memory_account,
--- a/plumarch/gateway/leaving_answers_test.py
+++ b/plumarch/gateway/leaving_answers_test.py
@@ -16,7 +16,8 @@
 from collections.abc import Awaitable, Callable
 from unittest import mock
 
-from plumarch.gateway import exchange, relay_test
+from plumarch.gateway import relay_test
+from plumarch.gateway.connections import exchange
 from plumarch.standins import scripted_endpoint as scripted
 
 LEAVES = relay_test.answers(headers=("x-leaving: 1",))
--- a/plumarch/gateway/slow_callers_test.py
+++ b/plumarch/gateway/slow_callers_test.py
@@ -8,14 +8,8 @@
 
 import pytest
 
-from plumarch.gateway import (
-    attempts,
-    exchange,
-    keepalive,
-    outgoing,
-    relay_test,
-    whole_answers,
-)
+from plumarch.gateway import attempts, relay_test, whole_answers
+from plumarch.gateway.connections import exchange, keepalive, outgoing
 from plumarch.limits import memory_account
 from plumarch.standins import scripted_endpoint as scripted
 
--- a/plumarch/gateway/slow_streams_test.py
+++ b/plumarch/gateway/slow_streams_test.py
@@ -6,13 +6,8 @@
 
 import pytest
 
-from plumarch.gateway import (
-    exchange,
-    relay_test,
-    request_run,
-    slow_callers_test,
-    stream_relay,
-)
+from plumarch.gateway import relay_test, request_run, slow_callers_test, stream_relay
+from plumarch.gateway.connections import exchange
 from plumarch.standins import scripted_endpoint as scripted
 
 CHAT_ATTEMPTS = 3
--- a/plumarch/gateway/whole_answers.py
+++ b/plumarch/gateway/whole_answers.py
@@ -4,7 +4,8 @@
 
 import h11
 
-from plumarch.gateway import admission, attempts, dialect, errors, exchange
+from plumarch.gateway import admission, attempts, dialect, errors
+from plumarch.gateway.connections import exchange
 from plumarch.limits import memory_account
 
 ANSWER_BYTES_LIMIT = 16 * 1024 * 1024
