--- a/plumarch/daemon/gateway.py
+++ b/plumarch/daemon/gateway.py
@@ -13,7 +13,6 @@
 from plumarch.daemon import gateway_settings, listening, status_pages
 from plumarch.fleet import engine_demand, rollout, usage, version_tally
 from plumarch.gateway import (
-    caller_connection,
     decision_log,
     dialect,
     duties,
@@ -28,6 +27,7 @@
     relay,
     wakes,
 )
+from plumarch.gateway.callers import caller_connection
 from plumarch.limits import (
     attempt_budget,
     memory_account,
--- a/plumarch/daemon/status_pages.py
+++ b/plumarch/daemon/status_pages.py
@@ -2,7 +2,8 @@
 
 from collections.abc import Callable
 
-from plumarch.gateway import builds, caller_requests, fleet_state
+from plumarch.gateway import builds, fleet_state
+from plumarch.gateway.callers import caller_requests
 from plumarch.membership import fleet_view
 
 METRICS_PATH = b"/metrics"
--- a/plumarch/daemon/status_pages_test.py
+++ b/plumarch/daemon/status_pages_test.py
@@ -4,7 +4,7 @@
 
 from plumarch.core import build, clock, traffic
 from plumarch.daemon import status_pages
-from plumarch.gateway import caller_requests
+from plumarch.gateway.callers import caller_requests
 from plumarch.limits import memory_account
 from plumarch.membership import fleet_view
 from plumarch.standins import gateway_parts
--- a/plumarch/gateway/attempts.py
+++ b/plumarch/gateway/attempts.py
@@ -6,7 +6,8 @@
 import h11
 
 from plumarch.core import traffic
-from plumarch.gateway import admission, dialect, endpoint_outcomes, errors, fleet_state
+from plumarch.gateway import dialect, endpoint_outcomes, errors, fleet_state
+from plumarch.gateway.callers import admission
 from plumarch.gateway.connections import exchange
 from plumarch.routing import endpoint_choice, locality_choice, return_times
 
--- /dev/null
+++ b/plumarch/gateway/callers/__init__.py
@@ -0,0 +1,1 @@
+"""What callers ask: their connections, requests, identity and admission."""
--- a/plumarch/gateway/admission.py
+++ b/plumarch/gateway/callers/admission.py
@@ -6,7 +6,8 @@
 
 from plumarch.config import routing_table
 from plumarch.core import hashing, traffic
-from plumarch.gateway import caller_requests, dialect, fleet_state, request_identity
+from plumarch.gateway import dialect, fleet_state
+from plumarch.gateway.callers import caller_requests, request_identity
 from plumarch.limits import memory_admission
 from plumarch.routing import return_times
 
--- a/plumarch/gateway/admission_test.py
+++ b/plumarch/gateway/callers/admission_test.py
@@ -5,7 +5,7 @@
 import pytest
 
 from plumarch.core import traffic
-from plumarch.gateway import admission, caller_requests
+from plumarch.gateway.callers import admission, caller_requests
 
 ROUTE = traffic.Route(
     "r", "h", "/", traffic.RouteKind.STREAMING, 1_000, 100, (traffic.ServiceShare("s", 1.0),)
--- a/plumarch/gateway/caller_connection.py
+++ b/plumarch/gateway/callers/caller_connection.py
@@ -12,7 +12,8 @@
 import h11
 
 from plumarch.core import clock, traffic
-from plumarch.gateway import caller_requests, dialect, incoming_body
+from plumarch.gateway import dialect
+from plumarch.gateway.callers import caller_requests, incoming_body
 from plumarch.gateway.connections import keepalive, outgoing
 from plumarch.limits import memory_account
 
--- a/plumarch/gateway/request_identity.py
+++ b/plumarch/gateway/callers/request_identity.py
@@ -5,7 +5,7 @@
 """
 
 from plumarch.core import hashing
-from plumarch.gateway import caller_requests
+from plumarch.gateway.callers import caller_requests
 
 
 def fingerprint(workspace: str, request: caller_requests.CallerRequest) -> str:
--- a/plumarch/gateway/request_identity_test.py
+++ b/plumarch/gateway/callers/request_identity_test.py
@@ -1,6 +1,6 @@
 """What is the same in all tries of a request, and what isn't."""
 
-from plumarch.gateway import caller_requests, request_identity
+from plumarch.gateway.callers import caller_requests, request_identity
 
 
 def request(**changes) -> caller_requests.CallerRequest:
--- a/plumarch/gateway/slow_requests_test.py
+++ b/plumarch/gateway/callers/slow_requests_test.py
@@ -7,7 +7,8 @@
 import pytest
 
 from plumarch.core import traffic
-from plumarch.gateway import errors, incoming_body, relay_test
+from plumarch.gateway import errors, relay_test
+from plumarch.gateway.callers import incoming_body
 from plumarch.gateway.connections import exchange
 from plumarch.limits import memory_account
 from plumarch.standins import scripted_endpoint as scripted
--- a/plumarch/gateway/connections/keepalive_test.py
+++ b/plumarch/gateway/connections/keepalive_test.py
@@ -6,7 +6,7 @@
 import pytest
 
 from plumarch.core import clock
-from plumarch.gateway import caller_connection
+from plumarch.gateway.callers import caller_connection
 from plumarch.gateway.connections import exchange, keepalive
 
 
--- a/plumarch/gateway/lost_runs.py
+++ b/plumarch/gateway/lost_runs.py
@@ -10,7 +10,8 @@
 import dataclasses
 
 from plumarch.core import traffic
-from plumarch.gateway import admission, attempts, fleet_state, suspect_news
+from plumarch.gateway import attempts, fleet_state, suspect_news
+from plumarch.gateway.callers import admission
 from plumarch.gateway.connections import exchange
 from plumarch.limits import quarantine
 
--- a/plumarch/gateway/mixed_readers_test.py
+++ b/plumarch/gateway/mixed_readers_test.py
@@ -5,7 +5,8 @@
 
 import pytest
 
-from plumarch.gateway import relay_test, slow_callers_test
+from plumarch.gateway import relay_test
+from plumarch.gateway.callers import slow_callers_test
 from plumarch.standins import scripted_endpoint as scripted
 
 CALLERS = 40
--- a/plumarch/gateway/node_peak_test.py
+++ b/plumarch/gateway/node_peak_test.py
@@ -8,7 +8,8 @@
 import pytest
 
 from plumarch.core import clock, traffic
-from plumarch.gateway import attempts, relay, relay_test, slow_callers_test
+from plumarch.gateway import attempts, relay, relay_test
+from plumarch.gateway.callers import slow_callers_test
 from plumarch.standins import gateway_parts
 from plumarch.standins import scripted_endpoint as scripted
 
--- a/plumarch/gateway/pressure_test.py
+++ b/plumarch/gateway/pressure_test.py
@@ -6,15 +6,8 @@
 from collections.abc import Callable
 
 from plumarch.core import clock, traffic
-from plumarch.gateway import (
-    admission,
-    attempts,
-    caller_connection,
-    caller_requests,
-    endpoint_outcomes,
-    relay,
-    relay_test,
-)
+from plumarch.gateway import attempts, endpoint_outcomes, relay, relay_test
+from plumarch.gateway.callers import admission, caller_connection, caller_requests
 from plumarch.routing import endpoint_choice, endpoint_limits, fall_guard
 from plumarch.standins import gateway_parts
 from plumarch.standins import scripted_endpoint as scripted
--- a/plumarch/gateway/region_attempts_test.py
+++ b/plumarch/gateway/region_attempts_test.py
@@ -11,9 +11,7 @@
 from plumarch.core import clock, traffic
 from plumarch.daemon import status_pages
 from plumarch.gateway import (
-    admission,
     attempts,
-    caller_requests,
     endpoint_outcomes,
     fleet_state,
     lost_runs,
@@ -21,6 +19,7 @@
     stream_relay,
     version_outcomes,
 )
+from plumarch.gateway.callers import admission, caller_requests
 from plumarch.routing import distance, endpoint_choice, endpoint_pace
 from plumarch.standins import gateway_parts
 from plumarch.standins import scripted_endpoint as scripted
--- a/plumarch/gateway/relay.py
+++ b/plumarch/gateway/relay.py
@@ -2,14 +2,8 @@
 
 from typing import Any
 
-from plumarch.gateway import (
-    admission,
-    caller_connection,
-    caller_requests,
-    fleet_state,
-    lost_runs,
-    request_run,
-)
+from plumarch.gateway import fleet_state, lost_runs, request_run
+from plumarch.gateway.callers import admission, caller_connection, caller_requests
 from plumarch.routing import return_times
 
 
--- a/plumarch/gateway/request_run.py
+++ b/plumarch/gateway/request_run.py
@@ -12,9 +12,7 @@
 
 from plumarch.core import traffic
 from plumarch.gateway import (
-    admission,
     attempts,
-    caller_requests,
     dialect,
     endpoint_outcomes,
     errors,
@@ -25,6 +23,7 @@
     version_outcomes,
     whole_answers,
 )
+from plumarch.gateway.callers import admission, caller_requests
 from plumarch.limits import memory_account, quarantine
 from plumarch.routing import endpoint_choice, return_times
 
--- a/plumarch/gateway/slow_streams_test.py
+++ b/plumarch/gateway/slow_streams_test.py
@@ -6,7 +6,8 @@
 
 import pytest
 
-from plumarch.gateway import relay_test, request_run, slow_callers_test, stream_relay
+from plumarch.gateway import relay_test, request_run, stream_relay
+from plumarch.gateway.callers import slow_callers_test
 from plumarch.gateway.connections import exchange
 from plumarch.standins import scripted_endpoint as scripted
 
--- a/plumarch/gateway/stream_relay.py
+++ b/plumarch/gateway/stream_relay.py
@@ -11,15 +11,14 @@
 import h11
 
 from plumarch.gateway import (
-    admission,
     attempts,
-    caller_requests,
     endpoint_outcomes,
     errors,
     event_stream,
     fleet_state,
     version_outcomes,
 )
+from plumarch.gateway.callers import admission, caller_requests
 from plumarch.limits import memory_account
 
 PAUSE_LIMIT_MS = 5_000.0
--- a/plumarch/gateway/version_outcomes.py
+++ b/plumarch/gateway/version_outcomes.py
@@ -2,7 +2,8 @@
 
 from plumarch.core import rollouts, traffic
 from plumarch.fleet import version_tally
-from plumarch.gateway import admission, attempts, fleet_state
+from plumarch.gateway import attempts, fleet_state
+from plumarch.gateway.callers import admission
 from plumarch.routing import answer_times
 
 
--- a/plumarch/gateway/whole_answers.py
+++ b/plumarch/gateway/whole_answers.py
@@ -4,7 +4,8 @@
 
 import h11
 
-from plumarch.gateway import admission, attempts, dialect, errors
+from plumarch.gateway import attempts, dialect, errors
+from plumarch.gateway.callers import admission
 from plumarch.gateway.connections import exchange
 from plumarch.limits import memory_account
 
