--- a/plumarch/gateway/node_peak_test.py
+++ b/plumarch/gateway/node_peak_test.py
@@ -8,8 +8,9 @@
 import pytest
 
 from plumarch.core import clock, traffic
-from plumarch.gateway import attempts, relay, relay_test
+from plumarch.gateway import relay, relay_test
 from plumarch.gateway.callers import slow_callers_test
+from plumarch.gateway.sends import attempts
 from plumarch.standins import gateway_parts
 from plumarch.standins import scripted_endpoint as scripted
 
--- a/plumarch/gateway/pressure_test.py
+++ b/plumarch/gateway/pressure_test.py
@@ -6,8 +6,9 @@
 from collections.abc import Callable
 
 from plumarch.core import clock, traffic
-from plumarch.gateway import attempts, endpoint_outcomes, relay, relay_test
+from plumarch.gateway import relay, relay_test
 from plumarch.gateway.callers import admission, caller_connection, caller_requests
+from plumarch.gateway.sends import attempts, endpoint_outcomes
 from plumarch.routing import endpoint_choice, endpoint_limits, fall_guard
 from plumarch.standins import gateway_parts
 from plumarch.standins import scripted_endpoint as scripted
--- a/plumarch/gateway/relay_test.py
+++ b/plumarch/gateway/relay_test.py
@@ -8,7 +8,8 @@
 
 from plumarch.config import routing_table
 from plumarch.core import clock, traffic
-from plumarch.gateway import attempts, relay
+from plumarch.gateway import relay
+from plumarch.gateway.sends import attempts
 from plumarch.routing import endpoint_choice
 from plumarch.standins import gateway_parts
 from plumarch.standins import scripted_endpoint as scripted
--- a/plumarch/gateway/attempts.py
+++ b/plumarch/gateway/sends/attempts.py
@@ -6,9 +6,10 @@
 import h11
 
 from plumarch.core import traffic
-from plumarch.gateway import dialect, endpoint_outcomes, errors, fleet_state
+from plumarch.gateway import dialect, errors, fleet_state
 from plumarch.gateway.callers import admission
 from plumarch.gateway.connections import exchange
+from plumarch.gateway.sends import endpoint_outcomes
 from plumarch.routing import endpoint_choice, locality_choice, return_times
 
 CONNECT_TIMEOUT_MS = 250.0
--- a/plumarch/gateway/endpoint_outcomes.py
+++ b/plumarch/gateway/sends/endpoint_outcomes.py
@@ -10,8 +10,9 @@
 import h11
 
 from plumarch.core import traffic
-from plumarch.gateway import endpoint_words, fleet_state
+from plumarch.gateway import fleet_state
 from plumarch.gateway.callers import admission
+from plumarch.gateway.sends import endpoint_words
 from plumarch.routing import (
     answer_times,
     endpoint_choice,
--- a/plumarch/gateway/endpoint_words_test.py
+++ b/plumarch/gateway/sends/endpoint_words_test.py
@@ -4,7 +4,8 @@
 import pytest
 from hypothesis import given, strategies
 
-from plumarch.gateway import dialect, endpoint_words
+from plumarch.gateway import dialect
+from plumarch.gateway.sends import endpoint_words
 
 NAMES = dialect.Dialect()
 
--- a/plumarch/gateway/region_attempts_test.py
+++ b/plumarch/gateway/sends/region_attempts_test.py
@@ -10,16 +10,16 @@
 from plumarch.config import routing_table
 from plumarch.core import clock, traffic
 from plumarch.daemon import status_pages
-from plumarch.gateway import (
+from plumarch.gateway import fleet_state
+from plumarch.gateway.callers import admission, caller_requests
+from plumarch.gateway.sends import (
     attempts,
     endpoint_outcomes,
-    fleet_state,
     lost_runs,
     request_run,
     stream_relay,
     version_outcomes,
 )
-from plumarch.gateway.callers import admission, caller_requests
 from plumarch.routing import distance, endpoint_choice, endpoint_pace
 from plumarch.standins import gateway_parts
 from plumarch.standins import scripted_endpoint as scripted
--- a/plumarch/gateway/request_run.py
+++ b/plumarch/gateway/sends/request_run.py
@@ -11,19 +11,16 @@
 import h11
 
 from plumarch.core import traffic
-from plumarch.gateway import (
+from plumarch.gateway import dialect, errors, fleet_state, suspect_news
+from plumarch.gateway.callers import admission, caller_requests
+from plumarch.gateway.sends import (
     attempts,
-    dialect,
     endpoint_outcomes,
-    errors,
-    fleet_state,
     lost_runs,
     stream_relay,
-    suspect_news,
     version_outcomes,
     whole_answers,
 )
-from plumarch.gateway.callers import admission, caller_requests
 from plumarch.limits import memory_account, quarantine
 from plumarch.routing import endpoint_choice, return_times
 
--- a/plumarch/gateway/slow_streams_test.py
+++ b/plumarch/gateway/sends/slow_streams_test.py
@@ -6,9 +6,10 @@
 
 import pytest
 
-from plumarch.gateway import relay_test, request_run, stream_relay
+from plumarch.gateway import relay_test
 from plumarch.gateway.callers import slow_callers_test
 from plumarch.gateway.connections import exchange
+from plumarch.gateway.sends import request_run, stream_relay
 from plumarch.standins import scripted_endpoint as scripted
 
 CHAT_ATTEMPTS = 3
--- a/plumarch/gateway/version_outcomes.py
+++ b/plumarch/gateway/sends/version_outcomes.py
@@ -2,8 +2,9 @@
 
 from plumarch.core import rollouts, traffic
 from plumarch.fleet import version_tally
-from plumarch.gateway import attempts, fleet_state
+from plumarch.gateway import fleet_state
 from plumarch.gateway.callers import admission
+from plumarch.gateway.sends import attempts
 from plumarch.routing import answer_times
 
 
