--- a/plumarch/daemon/gateway.py
+++ b/plumarch/daemon/gateway.py
@@ -18,8 +18,6 @@
     duties,
     fleet_state,
     follower,
-    gossiper,
-    heartbeats,
     measures,
     ports,
     quarantine_record,
@@ -28,6 +26,7 @@
     wakes,
 )
 from plumarch.gateway.callers import caller_connection
+from plumarch.gateway.news import gossiper, heartbeats
 from plumarch.limits import (
     attempt_budget,
     memory_account,
--- a/plumarch/daemon/status_pages.py
+++ b/plumarch/daemon/status_pages.py
@@ -2,8 +2,9 @@
 
 from collections.abc import Callable
 
-from plumarch.gateway import builds, fleet_state
+from plumarch.gateway import fleet_state
 from plumarch.gateway.callers import caller_requests
+from plumarch.gateway.news import builds
 from plumarch.membership import fleet_view
 
 METRICS_PATH = b"/metrics"
--- a/plumarch/gateway/duties_test.py
+++ b/plumarch/gateway/duties_test.py
@@ -15,7 +15,8 @@
 
 from plumarch.config import routing_table
 from plumarch.core import clock, errors, records, traffic
-from plumarch.gateway import duties, gossiper, heartbeats
+from plumarch.gateway import duties
+from plumarch.gateway.news import gossiper, heartbeats
 from plumarch.limits import workspace_quota
 from plumarch.membership import fleet_view, tiers
 from plumarch.peers import gossip
--- a/plumarch/gateway/coordination.py
+++ b/plumarch/gateway/news/coordination.py
@@ -3,9 +3,9 @@
 import collections
 import dataclasses
 
-from plumarch.gateway import (
+from plumarch.gateway import fleet_state
+from plumarch.gateway.news import (
     elders,
-    fleet_state,
     heartbeats,
     load_reports,
     speed_reports,
--- a/plumarch/gateway/coordinators_test.py
+++ b/plumarch/gateway/news/coordinators_test.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from plumarch.gateway import followed_news, rounds
+from plumarch.gateway.news import followed_news, rounds
 from plumarch.membership import tiers
 from plumarch.peers import gossip
 from plumarch.routing import endpoint_choice
--- a/plumarch/gateway/flat_fleet_quota_test.py
+++ b/plumarch/gateway/news/flat_fleet_quota_test.py
@@ -13,7 +13,7 @@
 import pytest
 from hypothesis import strategies
 
-from plumarch.gateway import large_fleet_quota_test
+from plumarch.gateway.news import large_fleet_quota_test
 from plumarch.standins import gossip_fleet
 
 RATE = 77_000.0
--- a/plumarch/gateway/followed_news.py
+++ b/plumarch/gateway/news/followed_news.py
@@ -3,7 +3,8 @@
 import collections
 import dataclasses
 
-from plumarch.gateway import elders, fleet_state, load_reports, spending_ledger
+from plumarch.gateway import fleet_state
+from plumarch.gateway.news import elders, load_reports, spending_ledger
 from plumarch.limits import workspace_quota
 from plumarch.membership import fleet_view, tiers
 from plumarch.peers import gossip
--- a/plumarch/gateway/gossiper.py
+++ b/plumarch/gateway/news/gossiper.py
@@ -7,10 +7,10 @@
 import msgspec
 
 from plumarch.core import addresses
-from plumarch.gateway import (
+from plumarch.gateway import fleet_state
+from plumarch.gateway.news import (
     coordination,
     elders,
-    fleet_state,
     followed_news,
     heartbeats,
     introductions,
--- a/plumarch/gateway/gossiper_test.py
+++ b/plumarch/gateway/news/gossiper_test.py
@@ -7,7 +7,8 @@
 
 from plumarch.config import routing_table
 from plumarch.core import clock, errors, traffic
-from plumarch.gateway import fleet_state, gossiper, heartbeats
+from plumarch.gateway import fleet_state
+from plumarch.gateway.news import gossiper, heartbeats
 from plumarch.membership import fleet_view
 from plumarch.peers import frames, gossip, recent_changes
 from plumarch.routing import endpoint_choice
--- a/plumarch/gateway/heartbeats.py
+++ b/plumarch/gateway/news/heartbeats.py
@@ -8,7 +8,8 @@
 
 from plumarch.core import build
 from plumarch.fleet import usage
-from plumarch.gateway import elders, fleet_state, load_reports, speed_reports, version_reports
+from plumarch.gateway import fleet_state
+from plumarch.gateway.news import elders, load_reports, speed_reports, version_reports
 from plumarch.membership import fleet_view, tiers
 from plumarch.peers import gossip, recent_changes
 
--- a/plumarch/gateway/introductions.py
+++ b/plumarch/gateway/news/introductions.py
@@ -9,7 +9,8 @@
 import dataclasses
 from collections.abc import Callable, Iterable
 
-from plumarch.gateway import elders, fleet_state, heartbeats
+from plumarch.gateway import fleet_state
+from plumarch.gateway.news import elders, heartbeats
 from plumarch.membership import fleet_view, peer_node, tiers
 from plumarch.peers import gossip
 
--- a/plumarch/gateway/introductions_test.py
+++ b/plumarch/gateway/news/introductions_test.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from plumarch.gateway import introductions
+from plumarch.gateway.news import introductions
 from plumarch.membership import fleet_view, known_centres, tiers
 from plumarch.peers import gossip
 from plumarch.standins import gossip_fleet
--- a/plumarch/gateway/large_fleet_test.py
+++ b/plumarch/gateway/news/large_fleet_test.py
@@ -6,7 +6,8 @@
 import msgspec
 import pytest
 
-from plumarch.gateway import duties, fleet_state, gossiper, rounds
+from plumarch.gateway import duties, fleet_state
+from plumarch.gateway.news import gossiper, rounds
 from plumarch.membership import fleet_view, store_followers, tiers
 from plumarch.peers import gossip
 from plumarch.routing import endpoint_choice
--- a/plumarch/gateway/region_news_test.py
+++ b/plumarch/gateway/news/region_news_test.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from plumarch.gateway import rounds
+from plumarch.gateway.news import rounds
 from plumarch.membership import fleet_view, tiers
 from plumarch.standins import gossip_fleet
 
--- a/plumarch/gateway/region_sums.py
+++ b/plumarch/gateway/news/region_sums.py
@@ -4,7 +4,8 @@
 import dataclasses
 from collections.abc import Iterable
 
-from plumarch.gateway import coordination, fleet_state
+from plumarch.gateway import fleet_state
+from plumarch.gateway.news import coordination
 from plumarch.membership import fleet_view
 from plumarch.routing import distance
 
--- a/plumarch/gateway/region_sums_test.py
+++ b/plumarch/gateway/news/region_sums_test.py
@@ -4,7 +4,8 @@
 
 from plumarch.config import routing_table
 from plumarch.core import clock, traffic
-from plumarch.gateway import coordination, fleet_state, region_sums
+from plumarch.gateway import fleet_state
+from plumarch.gateway.news import coordination, region_sums
 from plumarch.limits import workspace_quota
 from plumarch.membership import fleet_view, tiers
 from plumarch.routing import distance
--- a/plumarch/gateway/rounds.py
+++ b/plumarch/gateway/news/rounds.py
@@ -5,7 +5,8 @@
 
 import msgspec
 
-from plumarch.gateway import coordination, fleet_state, told_figures
+from plumarch.gateway import fleet_state
+from plumarch.gateway.news import coordination, told_figures
 from plumarch.membership import fleet_view, peer_node, tiers
 from plumarch.peers import gossip
 
--- a/plumarch/gateway/snapshots_test.py
+++ b/plumarch/gateway/news/snapshots_test.py
@@ -8,7 +8,7 @@
 
 from plumarch.config import routing_table
 from plumarch.core import clock, errors, traffic
-from plumarch.gateway import snapshots
+from plumarch.gateway.news import snapshots
 from plumarch.peers import gossip
 from plumarch.standins import gateway_parts
 
--- a/plumarch/gateway/told_figures.py
+++ b/plumarch/gateway/news/told_figures.py
@@ -1,6 +1,7 @@
 """When figures that others told stop counting: with age, with a role, with a better teller."""
 
-from plumarch.gateway import coordination, fleet_state, followed_news
+from plumarch.gateway import fleet_state
+from plumarch.gateway.news import coordination, followed_news
 from plumarch.membership import fleet_view, tiers
 
 LOADS_KEPT_MS = 2_500
--- a/plumarch/gateway/quarantine_record.py
+++ b/plumarch/gateway/quarantine_record.py
@@ -13,7 +13,8 @@
 import msgspec
 
 from plumarch.core import errors, records
-from plumarch.gateway import fleet_state, follower, ports, suspect_news
+from plumarch.gateway import fleet_state, follower, ports
+from plumarch.gateway.news import suspect_news
 from plumarch.limits import quarantine
 from plumarch.peers import suspect_entries
 
--- a/plumarch/gateway/rollout_duty_test.py
+++ b/plumarch/gateway/rollout_duty_test.py
@@ -11,7 +11,8 @@
 from plumarch.config import routing_table
 from plumarch.core import clock, errors, records, rollouts, traffic
 from plumarch.fleet import rollout, version_tally
-from plumarch.gateway import duties, gossiper, heartbeats, ports
+from plumarch.gateway import duties, ports
+from plumarch.gateway.news import gossiper, heartbeats
 from plumarch.membership import fleet_view
 from plumarch.standins import gateway_parts
 
--- a/plumarch/gateway/sends/lost_runs.py
+++ b/plumarch/gateway/sends/lost_runs.py
@@ -10,9 +10,10 @@
 import dataclasses
 
 from plumarch.core import traffic
-from plumarch.gateway import fleet_state, suspect_news
+from plumarch.gateway import fleet_state
 from plumarch.gateway.callers import admission
 from plumarch.gateway.connections import exchange
+from plumarch.gateway.news import suspect_news
 from plumarch.gateway.sends import attempts
 from plumarch.limits import quarantine
 
--- a/plumarch/gateway/sends/platform_retries_test.py
+++ b/plumarch/gateway/sends/platform_retries_test.py
@@ -5,7 +5,8 @@
 
 from plumarch.core import clock, errors, records
 from plumarch.fleet import duty_lease
-from plumarch.gateway import duties, heartbeats
+from plumarch.gateway import duties
+from plumarch.gateway.news import heartbeats
 from plumarch.membership import fleet_view
 from plumarch.standins import gateway_parts
 
--- a/plumarch/gateway/sends/request_run.py
+++ b/plumarch/gateway/sends/request_run.py
@@ -11,8 +11,9 @@
 import h11
 
 from plumarch.core import traffic
-from plumarch.gateway import dialect, errors, fleet_state, suspect_news
+from plumarch.gateway import dialect, errors, fleet_state
 from plumarch.gateway.callers import admission, caller_requests
+from plumarch.gateway.news import suspect_news
 from plumarch.gateway.sends import (
     attempts,
     endpoint_outcomes,
