--- a/plumarch/daemon/gateway.py
+++ b/plumarch/daemon/gateway.py
@@ -17,16 +17,14 @@
     dialect,
     duties,
     fleet_state,
-    follower,
     measures,
     ports,
-    quarantine_record,
-    registration,
     relay,
     wakes,
 )
 from plumarch.gateway.callers import caller_connection
 from plumarch.gateway.news import gossiper, heartbeats
+from plumarch.gateway.store import follower, quarantine_record, registration
 from plumarch.limits import (
     attempt_budget,
     memory_account,
--- a/plumarch/gateway/rollout_duty.py
+++ b/plumarch/gateway/rollout_duty.py
@@ -11,7 +11,8 @@
 
 from plumarch.core import errors, rollouts, traffic
 from plumarch.fleet import duty_lease, rollout, version_verdict
-from plumarch.gateway import fleet_state, follower, ports
+from plumarch.gateway import fleet_state, ports
+from plumarch.gateway.store import follower
 
 WATCH_MS = 10_000
 """How long the store holds a watch of orders. They are rare, and calls are paid for; a connection
--- a/plumarch/gateway/follower_test.py
+++ b/plumarch/gateway/store/follower_test.py
@@ -8,7 +8,8 @@
 
 from plumarch.config import routing_table
 from plumarch.core import backoff, clock, errors, traffic
-from plumarch.gateway import follower, ports
+from plumarch.gateway import ports
+from plumarch.gateway.store import follower
 from plumarch.standins import gateway_parts
 
 
--- a/plumarch/gateway/quarantine_record.py
+++ b/plumarch/gateway/store/quarantine_record.py
@@ -13,8 +13,9 @@
 import msgspec
 
 from plumarch.core import errors, records
-from plumarch.gateway import fleet_state, follower, ports
+from plumarch.gateway import fleet_state, ports
 from plumarch.gateway.news import suspect_news
+from plumarch.gateway.store import follower
 from plumarch.limits import quarantine
 from plumarch.peers import suspect_entries
 
--- a/plumarch/gateway/quarantine_record_test.py
+++ b/plumarch/gateway/store/quarantine_record_test.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from plumarch.gateway import quarantine_record
+from plumarch.gateway.store import quarantine_record
 from plumarch.limits import quarantine
 from plumarch.standins import gossip_fleet, store_replay, virtual_time
 
--- a/plumarch/gateway/registration.py
+++ b/plumarch/gateway/store/registration.py
@@ -8,8 +8,9 @@
 import dataclasses
 
 from plumarch.core import errors, records
-from plumarch.gateway import fleet_state, follower, ports
+from plumarch.gateway import fleet_state, ports
 from plumarch.gateway.news import gossiper
+from plumarch.gateway.store import follower
 from plumarch.membership import fleet_view, node_record, tiers
 
 CHECK_MS = 1_000.0
--- a/plumarch/gateway/registration_test.py
+++ b/plumarch/gateway/store/registration_test.py
@@ -6,7 +6,8 @@
 import pytest
 
 from plumarch.core import errors, records
-from plumarch.gateway import ports, registration
+from plumarch.gateway import ports
+from plumarch.gateway.store import registration
 from plumarch.membership import node_record, tiers
 from plumarch.standins import gossip_fleet
 
--- a/plumarch/gateway/store_calls_test.py
+++ b/plumarch/gateway/store/store_calls_test.py
@@ -5,7 +5,7 @@
 import pytest
 
 from plumarch.core import traffic
-from plumarch.gateway import follower
+from plumarch.gateway.store import follower
 from plumarch.membership import store_followers
 from plumarch.standins import gossip_fleet, store_replay, virtual_time
 
