Random sessions of allotments are drawn by seed; one more that is over is listed

Which sessions hypothesis draws depends on the modules that are loaded, and a change of folders drew one that admits 1.002 of what is allowed: a third of the nodes killed three times within a second amid a cut that began on a full bucket at ten times the rate. It is kept with the other one.

--- a/plumarch/gateway/news/flat_fleet_quota_test.py
+++ b/plumarch/gateway/news/flat_fleet_quota_test.py
@@ -9,9 +9,9 @@
 charged. So they went on to admit as if the other side had admitted nothing.
 """
 
-import hypothesis
+import random
+
 import pytest
-from hypothesis import strategies
 
 from plumarch.gateway.news import large_fleet_quota_test
 from plumarch.standins import gossip_fleet
@@ -120,17 +120,17 @@
         assert max(found) <= MOST_REFUSED_AFTER_CUTS, found
 
 
-KINDS = ["cut centre", "cut node", "kill some", "kill one", "freeze", "lose", "heal", "calm"]
-STEPS = strategies.lists(
-    strategies.tuples(
-        strategies.sampled_from(KINDS),
-        strategies.integers(0, 1_000),
-        strategies.integers(2, 30),
-        strategies.sampled_from([0.5, 0.9, 3.0, 6.0, 10.0]),
-    ),
-    min_size=3,
-    max_size=8,
-)
+KINDS = [
+    "cut centre",
+    "cut node",
+    "kill some",
+    "kill one",
+    "freeze",
+    "lose",
+    "heal",
+    "heal",
+    "calm",
+]
 Steps = list[tuple[str, int, int, float]]
 
 
@@ -156,28 +156,55 @@
     return session.most / ALLOWED
 
 
-@hypothesis.settings(
-    max_examples=40,
-    derandomize=True,
-    deadline=None,
-    phases=(hypothesis.Phase.explicit, hypothesis.Phase.generate),
-)
-@hypothesis.given(STEPS, strategies.integers(0, 1_000))
-def test_the_rule_holds_in_random_sessions(steps: Steps, seed: int):
-    found = most_of_allowed(seed, steps)
-    assert found <= 1.0, found
-
-
-def test_the_rule_holds_while_news_are_lost_and_late_beside_kills():
-    """A tenth of the datagrams is lost, the others are up to 100 ms late."""
-    steps = [
-        ("cut centre", 321, 10, 0.5),
-        ("kill some", 427, 21, 10.0),
-        ("calm", 230, 2, 0.9),
-        ("lose", 292, 7, 6.0),
-        ("cut node", 38, 21, 10.0),
-        ("lose", 917, 24, 6.0),
-        ("kill one", 678, 7, 10.0),
+def random_steps(seed: int) -> Steps:
+    """Return the steps of a session; hypothesis would draw others with other modules loaded."""
+    rng = random.Random(seed)
+    return [
+        (
+            rng.choice(KINDS),
+            rng.randrange(1_000),
+            rng.randint(2, 30),
+            rng.choice([0.5, 0.9, 3.0, 6.0, 10.0]),
+        )
+        for _ in range(rng.randint(3, 8))
     ]
-    found = most_of_allowed(287, steps)
-    assert found <= 1.0, found
+
+
+def test_the_rule_holds_in_random_sessions():
+    found = [most_of_allowed(seed, random_steps(seed)) for seed in range(48)]
+    assert max(found) <= 1.0, found
+
+
+SESSIONS_OVER: tuple[tuple[int, Steps], ...] = (
+    (
+        287,
+        [
+            ("cut centre", 321, 10, 0.5),
+            ("kill some", 427, 21, 10.0),
+            ("calm", 230, 2, 0.9),
+            ("lose", 292, 7, 6.0),
+            ("cut node", 38, 21, 10.0),
+            ("lose", 917, 24, 6.0),
+            ("kill one", 678, 7, 10.0),
+        ],
+    ),
+    (
+        400,
+        [
+            ("cut centre", 150, 28, 10.0),
+            ("kill some", 121, 12, 10.0),
+            ("kill some", 253, 2, 6.0),
+            ("kill some", 253, 2, 6.0),
+            ("cut node", 311, 22, 6.0),
+            ("kill some", 706, 22, 6.0),
+            ("freeze", 602, 20, 0.9),
+        ],
+    ),
+)
+"""287: a tenth of the news is lost, the rest is up to 100 ms late. 400: a cut begins at ten times
+the rate on a full bucket, and a third of the nodes is killed three times in a second after it."""
+
+
+def test_the_rule_holds_while_nodes_are_killed_again_and_again_or_news_are_lost():
+    found = [most_of_allowed(*session) for session in SESSIONS_OVER]
+    assert max(found) <= 1.0, found
