--- a/plumarch/daemon/gateway.py
+++ b/plumarch/daemon/gateway.py
@@ -12,17 +12,9 @@
 from plumarch.core import build, clock, errors, suspension
 from plumarch.daemon import gateway_settings, listening, status_pages
 from plumarch.fleet import engine_demand, rollout, usage, version_tally
-from plumarch.gateway import (
-    decision_log,
-    dialect,
-    duties,
-    fleet_state,
-    measures,
-    ports,
-    relay,
-    wakes,
-)
+from plumarch.gateway import decision_log, dialect, fleet_state, measures, ports, relay, wakes
 from plumarch.gateway.callers import caller_connection
+from plumarch.gateway.duties import duty_holder
 from plumarch.gateway.news import gossiper, heartbeats
 from plumarch.gateway.store import follower, quarantine_record, registration
 from plumarch.limits import (
@@ -99,7 +91,7 @@
         self.quarantine = quarantine_record.QuarantineRecord(
             self.state, store, self.view.is_oldest_candidate
         )
-        self.duties = duties.Duties(
+        self.duties = duty_holder.Duties(
             self.state,
             self.view,
             status,
@@ -163,10 +155,10 @@
             suspensions=suspensions,
         )
 
-    def _duty_tasks(self) -> duties.DutyTasks:
+    def _duty_tasks(self) -> duty_holder.DutyTasks:
         cloud = self.settings.cloud
         known = cloud.duties if cloud.address else ()
-        return duties.DutyTasks(
+        return duty_holder.DutyTasks(
             usage=gateway_settings.USAGE in known, scaling=gateway_settings.SCALING in known
         )
 
@@ -175,10 +167,10 @@
         window_ms = round(bounds.quota_window_s * 1000)
         return workspace_quota.Tolerance(window_ms, bounds.quota_overshoot, bounds.quota_slack)
 
-    def _usage_schedule(self) -> duties.UsageSchedule:
+    def _usage_schedule(self) -> duty_holder.UsageSchedule:
         bounds = self.settings.bounds
         late = bounds.usage_delay_s * 1000 - USAGE_MARGIN_MS
-        return duties.UsageSchedule(
+        return duty_holder.UsageSchedule(
             round(bounds.usage_window_s * 1000), USAGE_EARLY_MS, round(max(USAGE_EARLY_MS, late))
         )
 
--- a/plumarch/gateway/duties/duty_holder_test.py
+++ b/plumarch/gateway/duties/duty_holder_test.py
@@ -15,7 +15,7 @@
 
 from plumarch.config import routing_table
 from plumarch.core import clock, errors, records, traffic
-from plumarch.gateway import duties
+from plumarch.gateway.duties import duty_holder
 from plumarch.gateway.news import gossiper, heartbeats
 from plumarch.limits import workspace_quota
 from plumarch.membership import fleet_view, tiers
@@ -24,7 +24,7 @@
 from plumarch.standins import gateway_parts
 
 WINDOW_MS = 5_000
-SCHEDULE = duties.UsageSchedule(WINDOW_MS, 1_500, 7_500)
+SCHEDULE = duty_holder.UsageSchedule(WINDOW_MS, 1_500, 7_500)
 START_MS = 1_000_000_000
 NODES = 3
 
@@ -149,7 +149,7 @@
         status = heartbeats.DutyStatus()
         self.gossiper = gossiper.Gossiper(self.state, self.view, status, ())
         holder = f"{name}#{time.now()}"
-        self.duties = duties.Duties(
+        self.duties = duty_holder.Duties(
             self.state,
             self.view,
             status,
@@ -159,7 +159,7 @@
         )
 
 
-def run_step(what: duties.Duties) -> None:
+def run_step(what: duty_holder.Duties) -> None:
     """Run one step with the handling of errors that the loop has; nothing in it waits."""
     step = what.step()
     with contextlib.suppress(StopIteration):
@@ -228,7 +228,7 @@
     world.lose = world.delay = 0
     for node in world.nodes:
         node.frozen = False
-    pass_time(world, 2 * duties.DISPLACED_PAUSE_MS)
+    pass_time(world, 2 * duty_holder.DISPLACED_PAUSE_MS)
     before = len(world.usage)
     pass_time(world, 3 * WINDOW_MS)
     holders = [node for node in world.nodes if node.duties.status.token]
@@ -291,7 +291,7 @@
     [holder] = [node for node in world.nodes if node.duties.status.token]
     world.refused[holder.number] = True
     holder.state.reaches_store = False
-    pass_time(world, duties.OUT_OF_REACH_MS + 1_000)
+    pass_time(world, duty_holder.OUT_OF_REACH_MS + 1_000)
     holders = [node for node in world.nodes if node.duties.status.token]
     assert len(holders) == 1
     assert holders[0] is not holder
@@ -304,7 +304,7 @@
     for node in world.nodes:
         world.refused[node.number] = True
         node.state.reaches_store = False
-    pass_time(world, duties.OUT_OF_REACH_MS + 500)
+    pass_time(world, duty_holder.OUT_OF_REACH_MS + 500)
     assert holder.duties.status.token
 
 
@@ -337,7 +337,7 @@
 def test_without_duties_nobody_takes_them():
     world = World(1)
     for node in world.nodes:
-        node.duties.tasks = duties.DutyTasks(usage=False, scaling=False)
+        node.duties.tasks = duty_holder.DutyTasks(usage=False, scaling=False)
     pass_time(world, 5_000)
     assert world.record is None
 
@@ -366,7 +366,7 @@
     others = [node for node in world.nodes if node is not holder]
     for node in others:
         world.nodes[node.number] = Node(world, node.number)
-    pass_time(world, 1_500 + duties.HEAR_HOLDER_MS + 2 * duties.TICK_MS)
+    pass_time(world, 1_500 + duty_holder.HEAR_HOLDER_MS + 2 * duty_holder.TICK_MS)
     assert any(node.duties.status.token for node in world.nodes if node is not holder)
 
 
@@ -389,7 +389,7 @@
 ENGINES_RUN = 45
 
 
-def ordering_node(time: clock.ManualClock) -> tuple[duties.Duties, OrderingCloud]:
+def ordering_node(time: clock.ManualClock) -> tuple[duty_holder.Duties, OrderingCloud]:
     """Return a node of a fleet of 70 whose service runs 45 engines in three data centres."""
     world = World(1)
     world.time = time
@@ -418,12 +418,12 @@
         speed.first_token(2_000.0, 400.0)
     node.view.role = tiers.Role.MEMBER
     for _ in range(100):
-        time.advance_to(time.now() + duties.TICK_MS)
+        time.advance_to(time.now() + duty_holder.TICK_MS)
         node.state.quota.admit(node.state.table.workspaces["w"], 300.0)
         run_step(node)
     node.view.role = tiers.Role.COORDINATOR
     for _ in range(20):
-        time.advance_to(time.now() + duties.TICK_MS)
+        time.advance_to(time.now() + duty_holder.TICK_MS)
         run_step(node)
     assert node.status.token
     assert all(order.count >= ENGINES_RUN // 3 for order in cloud.orders)
@@ -436,13 +436,13 @@
     for _ in range(2 * engine_speed.KNOWN_AFTER):
         speed.first_token(2_000.0, 400.0)
     for _ in range(8):
-        time.advance_to(time.now() + duties.TICK_MS)
+        time.advance_to(time.now() + duty_holder.TICK_MS)
         run_step(node)
     for number in range(20):
         told = {"w": workspace_quota.PeerSpending(500_000.0, 1e6)}
         node.state.quota.heard_from(f"late-{number}", told)
     for _ in range(8):
-        time.advance_to(time.now() + duties.TICK_MS)
+        time.advance_to(time.now() + duty_holder.TICK_MS)
         run_step(node)
     assert node.engines.plans["s"].demand < 1.0
     assert cloud.orders == []
--- a/plumarch/gateway/duties/engine_gauges_test.py
+++ b/plumarch/gateway/duties/engine_gauges_test.py
@@ -2,7 +2,7 @@
 
 from plumarch.core import clock, traffic
 from plumarch.fleet import engine_plan, region_demand
-from plumarch.gateway import engine_gauges
+from plumarch.gateway.duties import engine_gauges
 from plumarch.standins import gateway_parts
 
 PRICES = {"n1": 1.0, "n2": 1.0, "s1": 1.0}
--- a/plumarch/gateway/duties/region_duties_test.py
+++ b/plumarch/gateway/duties/region_duties_test.py
@@ -13,12 +13,12 @@
 
 from plumarch.config import routing_table
 from plumarch.core import errors, records, traffic
-from plumarch.gateway import duties
+from plumarch.gateway.duties import duty_holder
 from plumarch.membership import tiers
 from plumarch.routing import distance, engine_speed
 from plumarch.standins import gossip_fleet
 
-SCHEDULE = duties.UsageSchedule(5_000, 1_500, 7_500)
+SCHEDULE = duty_holder.UsageSchedule(5_000, 1_500, 7_500)
 REGIONS = {f"dc-{letter}": "nnssww"[number] for number, letter in enumerate("abcdef")}
 PRICES = dict.fromkeys(REGIONS, 1.0)
 SIZE = gossip_fleet.Size(6, 5)
@@ -110,7 +110,7 @@
         self.fleet = gossip_fleet.GossipFleet(size, seed)
         self.fleet.late_ms = 60
         self.platform = Platform()
-        self.duties: dict[gossip_fleet.Node, duties.Duties] = {}
+        self.duties: dict[gossip_fleet.Node, duty_holder.Duties] = {}
         for node in self.fleet.live():
             self.equip(node)
 
@@ -133,7 +133,7 @@
         for _ in range(2 * engine_speed.KNOWN_AFTER):
             state.chooser.speed("s").first_token(2_000.0, 400.0)
         reached = Reached(self.platform, node)
-        self.duties[node] = duties.Duties(
+        self.duties[node] = duty_holder.Duties(
             state,
             node.view,
             node.gossip.duty,
@@ -144,8 +144,8 @@
 
     def run(self, for_ms: int) -> None:
         """Let time pass while callers ask for a little at each node."""
-        for _ in range(for_ms // duties.TICK_MS):
-            self.fleet.run(duties.TICK_MS)
+        for _ in range(for_ms // duty_holder.TICK_MS):
+            self.fleet.run(duty_holder.TICK_MS)
             for node in self.fleet.live():
                 if node.frozen:
                     continue
@@ -211,7 +211,7 @@
     outside = [one for one in session.platform.orders if one[0] == after[0].name]
     assert region not in shrunk(outside)
     session.heal()
-    session.run(2 * duties.DISPLACED_PAUSE_MS)
+    session.run(2 * duty_holder.DISPLACED_PAUSE_MS)
     assert len(session.holders()) == 1
 
 
@@ -246,7 +246,7 @@
 ):
     session = Session(size=gossip_fleet.Size(6, 5, counts=counts))
     for node in session.duties.values():
-        node.tasks = duties.DutyTasks(usage=with_usage, scaling=True)
+        node.tasks = duty_holder.DutyTasks(usage=with_usage, scaling=True)
     session.run(KNOWN_MS)
     [holder] = session.holders()
     assert holder.data_centre != "dc-f"
@@ -265,14 +265,14 @@
     last = next(region for region in "nsw" if region != region_of(before))
     for node in session.fleet.live():
         node.alive = region_of(node) == last
-    session.run(duties.HOLDER_GONE_MS + TAKEN_OVER_MS)
+    session.run(duty_holder.HOLDER_GONE_MS + TAKEN_OVER_MS)
     assert len(session.holders()) == 1
 
 
 def test_renewals_that_the_store_does_not_answer_cost_no_holder_the_duties():
     session = Session()
     for node in session.duties.values():
-        node.tasks = duties.DutyTasks(usage=False, scaling=True)
+        node.tasks = duty_holder.DutyTasks(usage=False, scaling=True)
     session.run(KNOWN_MS)
     [holder] = session.holders()
     session.fleet.cut = lambda one, other: region_of(one) != region_of(other)
@@ -331,7 +331,7 @@
     for node in session.fleet.live():
         if node.frozen:
             session.fleet.thaw(node)
-    session.run(2 * duties.DISPLACED_PAUSE_MS)
+    session.run(2 * duty_holder.DISPLACED_PAUSE_MS)
     assert len(session.holders()) == 1
 
 
--- a/plumarch/gateway/duties/rollout_duty_test.py
+++ b/plumarch/gateway/duties/rollout_duty_test.py
@@ -11,13 +11,14 @@
 from plumarch.config import routing_table
 from plumarch.core import clock, errors, records, rollouts, traffic
 from plumarch.fleet import rollout, version_tally
-from plumarch.gateway import duties, ports
+from plumarch.gateway import ports
+from plumarch.gateway.duties import duty_holder
 from plumarch.gateway.news import gossiper, heartbeats
 from plumarch.membership import fleet_view
 from plumarch.standins import gateway_parts
 
 START_MS = 1_000_000_000
-SCHEDULE = duties.UsageSchedule(5_000, 1_500, 7_500)
+SCHEDULE = duty_holder.UsageSchedule(5_000, 1_500, 7_500)
 EXPOSURE = rollout.Exposure(0.1, 50.0)
 DURATION_MS = 20_000
 TICK_MS = 100
@@ -206,7 +207,7 @@
         self.view = fleet_view.FleetView(time, name, time.now() + number, f"10.0.0.{number}:7")
         status = heartbeats.DutyStatus()
         self.gossiper = gossiper.Gossiper(self.state, self.view, status, ())
-        self.duties = duties.Duties(
+        self.duties = duty_holder.Duties(
             self.state,
             self.view,
             status,
--- a/plumarch/gateway/duties/suspended_duties_test.py
+++ b/plumarch/gateway/duties/suspended_duties_test.py
@@ -12,7 +12,7 @@
 import pytest
 
 from plumarch.core import records
-from plumarch.gateway import duties_test
+from plumarch.gateway.duties import duty_holder_test as duties_test
 
 LENGTHS_MS = (500, 3_000, 20_000)
 TICK_MS = 100
--- a/plumarch/gateway/duties/usage_windows_test.py
+++ b/plumarch/gateway/duties/usage_windows_test.py
@@ -8,12 +8,12 @@
 import pytest
 
 from plumarch.core import errors, records
-from plumarch.gateway import duties
+from plumarch.gateway.duties import duty_holder
 from plumarch.membership import tiers
 from plumarch.standins import gateway_parts, gossip_fleet
 
 WINDOW_MS = gateway_parts.USAGE_WINDOW_MS
-SCHEDULE = duties.UsageSchedule(WINDOW_MS, 1_500, 7_500)
+SCHEDULE = duty_holder.UsageSchedule(WINDOW_MS, 1_500, 7_500)
 DUE_MS = 10_000
 """Within this time after its end a window is to be reported."""
 
@@ -25,7 +25,7 @@
 SETTLE_MS = 8_000
 SIZE = gossip_fleet.Size(6, 5, regions=3)
 SEEDS = tuple(gossip_fleet.address_of(0, centre) for centre in ("dc-a", "dc-b", "dc-c"))
-ONLY_USAGE = duties.DutyTasks(usage=True, scaling=False)
+ONLY_USAGE = duty_holder.DutyTasks(usage=True, scaling=False)
 
 
 class Platform:
@@ -63,7 +63,7 @@
         self.platform = Platform()
         self.rng = random.Random(seed)
         self.began: collections.Counter[int] = collections.Counter()
-        self.duties: dict[str, duties.Duties] = {}
+        self.duties: dict[str, duty_holder.Duties] = {}
         self.run(SETTLE_MS)
 
     def run(self, for_ms: int) -> None:
@@ -81,7 +81,7 @@
         """Let a node do its duties; nothing in it waits."""
         key = f"{node.name}#{node.view.incarnation}"
         if key not in self.duties:
-            self.duties[key] = duties.Duties(
+            self.duties[key] = duty_holder.Duties(
                 node.state,
                 node.view,
                 node.gossip.duty,
--- a/plumarch/gateway/news/large_fleet_test.py
+++ b/plumarch/gateway/news/large_fleet_test.py
@@ -6,7 +6,8 @@
 import msgspec
 import pytest
 
-from plumarch.gateway import duties, fleet_state
+from plumarch.gateway import fleet_state
+from plumarch.gateway.duties import duty_holder
 from plumarch.gateway.news import gossiper, rounds
 from plumarch.membership import fleet_view, store_followers, tiers
 from plumarch.peers import gossip
@@ -32,7 +33,7 @@
 def test_nodes_that_know_only_seeds_find_each_other_before_any_acts_alone(nodes_each: int):
     """Within the time that a process waits before it takes duties or writes itself down."""
     fleet = gossip_fleet.GossipFleet(gossip_fleet.Size(5, nodes_each), knows_all=False)
-    fleet.run(duties.SETTLE_MS)
+    fleet.run(duty_holder.SETTLE_MS)
     assert len(fleet.with_role(tiers.Role.COORDINATOR)) == 5 * tiers.COORDINATORS
     assert len(fleet.with_role(tiers.Role.MEMBER)) == 5 * (nodes_each - tiers.COORDINATORS)
     assert all(node.view.size() == 5 * nodes_each for node in fleet.live())
--- a/plumarch/gateway/sends/platform_retries_test.py
+++ b/plumarch/gateway/sends/platform_retries_test.py
@@ -5,14 +5,14 @@
 
 from plumarch.core import clock, errors, records
 from plumarch.fleet import duty_lease
-from plumarch.gateway import duties
+from plumarch.gateway.duties import duty_holder
 from plumarch.gateway.news import heartbeats
 from plumarch.membership import fleet_view
 from plumarch.standins import gateway_parts
 
 START_MS = 1_000_000_000
 WINDOW_MS = 5_000
-SCHEDULE = duties.UsageSchedule(WINDOW_MS, 1_500, 7_500)
+SCHEDULE = duty_holder.UsageSchedule(WINDOW_MS, 1_500, 7_500)
 
 
 class Store:
@@ -69,7 +69,7 @@
     def __init__(self) -> None:
         self.time = clock.ManualClock(START_MS)
         self.store, self.cloud = Store(), Cloud()
-        self.duties = duties.Duties(
+        self.duties = duty_holder.Duties(
             gateway_parts.new_state(self.time),
             fleet_view.FleetView(self.time, "n", START_MS, "10.0.0.1:7"),
             heartbeats.DutyStatus(),
@@ -81,8 +81,8 @@
         assert self.duties.status.token == 1
 
     def run(self, for_ms: int) -> None:
-        for _ in range(for_ms // duties.TICK_MS):
-            self.time.advance_to(self.time.now() + duties.TICK_MS)
+        for _ in range(for_ms // duty_holder.TICK_MS):
+            self.time.advance_to(self.time.now() + duty_holder.TICK_MS)
             step = self.duties.step()
             with contextlib.suppress(StopIteration):
                 step.send(None)
@@ -94,7 +94,7 @@
     before = holder.store.tries
     holder.store.down = True
     holder.run(20_000)
-    assert holder.store.tries - before <= 20_000 / (duties.RETRY.longest_ms / 2)
+    assert holder.store.tries - before <= 20_000 / (duty_holder.RETRY.longest_ms / 2)
     holder.store.down = False
     reported = len(holder.cloud.windows)
     holder.run(2_000)
@@ -107,7 +107,7 @@
     holder.cloud.down = True
     before = holder.cloud.tries
     holder.run(20_000)
-    assert holder.cloud.tries - before <= 20_000 / (duties.RETRY.longest_ms / 2)
+    assert holder.cloud.tries - before <= 20_000 / (duty_holder.RETRY.longest_ms / 2)
     assert holder.duties.status.token == 1
 
 
@@ -115,7 +115,7 @@
     holder = Holder()
     holder.store.late = True
     while not holder.store.left:
-        holder.run(duties.TICK_MS)
+        holder.run(duty_holder.TICK_MS)
     holder.run(2_000)
     left, holder.store.late = holder.store.left, False
     assert len(left) > 1
