Allotments count on a node before its interval is known, and expect nothing of one that ends as planned

A node that has just started took others for unheard until its first heartbeat; one that ended as planned kept its part for 0.6 s longer than needed. Tests of what the mend of the allotments decides, beside it.

--- a/plumarch/limits/workspace_quota_test.py
+++ b/plumarch/limits/workspace_quota_test.py
@@ -64,6 +64,41 @@
     assert quota.admit(SPACE, 500) == 1_000.0
 
 
+def test_what_was_admitted_before_a_cut_was_noticed_comes_from_the_own_part():
+    """Both sides admit from the whole for a while; each then has its half less what it admitted."""
+    time = clock.ManualClock()
+    quota = quota_of(time)
+    quota.hear_fraction(1.0)
+    quota.admit(SPACE, 800)
+    quota.hear_fraction(0.5)
+    assert quota.report()["w"].level == 1_200
+    assert quota.admit(SPACE, 200) == 0
+    assert quota.admit(SPACE, 200) > 0
+
+
+def test_a_process_that_started_in_a_cut_takes_over_the_lower_level_of_those_it_hears_later():
+    time = clock.ManualClock()
+    quota = quota_of(time, started_ms=0)
+    quota.heard_from("near#1", {"w": workspace_quota.PeerSpending(0, 1_800)})
+    time.advance_to(5_000)
+    quota.heard_from("far#1", {"w": workspace_quota.PeerSpending(40_000, 2_000)})
+    assert quota.report()["w"].level == 2_000
+    quota.heard_from("near#1", {"w": workspace_quota.PeerSpending(0, -9_000)})
+    assert quota.report()["w"].level == -9_000
+    time.advance_to(5_000 + workspace_quota.ANEW_MS)
+    quota.heard_from("near#1", {"w": workspace_quota.PeerSpending(0, -20_000)})
+    assert quota.report()["w"].level == -8_000
+
+
+def test_a_peers_share_of_the_refill_in_a_silence_is_no_debt():
+    time = clock.ManualClock()
+    quota = quota_of(time)
+    quota.heard_from("b#1", {"w": workspace_quota.PeerSpending(0, 2_000)})
+    time.advance_to(6_000)
+    told = {"w": workspace_quota.PeerSpending(3_000, 2_000)}
+    assert quota.heard_from("b#1", told, again=True, share=0.5) == {"w": 1_000.0}
+
+
 def test_when_all_are_heard_again_the_whole_level_is_there():
     quota = quota_of(clock.ManualClock())
     quota.hear_fraction(0.5)
--- a/plumarch/membership/fleet_view.py
+++ b/plumarch/membership/fleet_view.py
@@ -35,6 +35,9 @@
 be missed. Until it counts as silent, after 1,200 ms, both sides of a cut would admit as if each
 were the whole fleet: 1.06 of what is tolerated, where a workspace asked for ten times its rate."""
 
+LEAST_FRESH_MS = 625
+"""That many intervals of the most frequent heartbeats, before this node knows its own interval."""
+
 SUMMARIES_MISSED = 2.5
 SUMMARY_MS_EACH = 25.0
 """With many data centres summaries are rarer, by this time for each (two coordinators, 80 summaries
@@ -149,9 +152,10 @@
 
     def is_heard(self, peer: peer_node.Peer) -> bool:
         """Return whether a peer was heard lately."""
-        if peer.heard_ms is None:
-            return False
-        return self.clock.now() - peer.heard_ms <= self.silence_ms()
+        return self._is_heard_within(peer, self.silence_ms())
+
+    def _is_heard_within(self, peer: peer_node.Peer, limit_ms: float) -> bool:
+        return peer.heard_ms is not None and self.clock.now() - peer.heard_ms <= limit_ms
 
     def live(self) -> list[peer_node.Peer]:
         """Return the peers that are heard and not leaving, by name."""
@@ -232,7 +236,8 @@
 
     def fresh_fraction(self) -> float:
         """Return the part of all nodes whose news are so young that allotments count on them."""
-        return self._fraction_within(min(self.silence_ms(), FRESH_BEATS * self.interval_ms))
+        fresh_ms = max(LEAST_FRESH_MS, FRESH_BEATS * self.interval_ms)
+        return self._fraction_within(min(self.silence_ms(), fresh_ms))
 
     def _fraction_within(self, limit_ms: float) -> float:
         """Return the part of all nodes that is heard, with peers heard within a time."""
@@ -242,19 +247,14 @@
             fresh = age is not None and age <= TRUSTED_NEWS_MS
             return self.news.fraction if self.news and fresh else 1.0 / size
         told = self.live_centres() if self.role is tiers.Role.COORDINATOR else {}
-        now = self.clock.now()
-        heard = 1 + len(
-            [
-                one
-                for one in self.peers.values()
-                if one.data_centre not in told
-                and one.heard_ms is not None
-                and now - one.heard_ms <= limit_ms
-            ]
-        )
-        oldest = now - self._fresh_summary_ms()
+        direct = [one for one in self.peers.values() if one.data_centre not in told]
+        young = [one for one in direct if self._is_heard_within(one, limit_ms)]
+        # Of those that end as planned nothing is to be expected any more.
+        leave = [one for one in direct if one.leaving and self.is_heard(one) and one not in young]
+        oldest = self.clock.now() - self._fresh_summary_ms()
+        heard = 1 + len(young)
         heard += sum(one.heard for one in told.values() if one.told_ms >= oldest)
-        return min(1.0, heard / max(size, heard))
+        return min(1.0, heard / max(size - len(leave), heard))
 
     def _fresh_summary_ms(self) -> float:
         """Return how old a data centre's summary may be that counts as heard by allotments."""
--- a/plumarch/membership/fleet_view_test.py
+++ b/plumarch/membership/fleet_view_test.py
@@ -90,6 +90,26 @@
     assert view.heard_fraction() == 1.0
 
 
+def test_allotments_count_on_a_node_that_missed_one_heartbeat_and_on_none_that_missed_two():
+    time = clock.ManualClock()
+    view = view_at(time)
+    view.interval_ms = 250.0
+    view.heard("b", 60, "10.0.0.2:7", "z")
+    time.advance_to(600)
+    assert view.fresh_fraction() == 1.0
+    time.advance_to(800)
+    assert (view.fresh_fraction(), view.heard_fraction()) == (0.5, 1.0)
+
+
+def test_allotments_expect_nothing_of_a_node_that_ends_as_planned():
+    time = clock.ManualClock()
+    view = view_at(time)
+    peer = view.heard("b", 60, "10.0.0.2:7", "z")
+    peer.leaving = True
+    time.advance_to(800)
+    assert view.fresh_fraction() == 1.0
+
+
 def test_the_oldest_live_node_is_the_one_to_take_the_duties():
     time = clock.ManualClock()
     view = view_at(time)
