--- a/plumarch/gateway/news/flat_fleet_quota_test.py
+++ b/plumarch/gateway/news/flat_fleet_quota_test.py
@@ -208,3 +208,19 @@
 def test_the_rule_holds_while_nodes_are_killed_again_and_again_or_news_are_lost():
     found = [most_of_allowed(*session) for session in SESSIONS_OVER]
     assert max(found) <= 1.0, found
+
+
+def test_the_rule_holds_where_a_node_is_cut_off_alone_and_killed():
+    """Until it was noticed to be cut off it admitted a whole bucket, and nobody heard of it."""
+    steps = [
+        ("kill one", 547, 4, 6.0),
+        ("heal", 422, 7, 0.9),
+        ("heal", 895, 25, 0.9),
+        ("cut node", 853, 25, 10.0),
+        ("calm", 364, 10, 10.0),
+        ("kill some", 401, 17, 10.0),
+        ("lose", 531, 4, 0.5),
+        ("calm", 530, 19, 3.0),
+    ]
+    found = most_of_allowed(1010, steps)
+    assert found <= 1.0, found
