--- a/plumarch/limits/workspace_quota.py
+++ b/plumarch/limits/workspace_quota.py
@@ -38,15 +38,16 @@
 is tolerated."""
 
 AMPLE = 0.15
-"""Part of what a bucket holds at most from which on each node admits what the bucket holds; below it,
-from its share of the refill besides. Else all nodes give the same few units to a request each, before
-they hear of one another: a workspace that asked 72 nodes for ten times its rate got nothing for half
-a second and more, then twice the refill of a second at once, and 1.014 of what is tolerated; with it
-0.97 at most. From 0.25 on callers are refused after cuts who are owed (0.046 in place of 0.026)."""
+"""Part of what a bucket holds at most from which on each node admits what the bucket holds; below
+it, from its share of the refill besides. Else all nodes give the same few units to a request each,
+before they hear of one another: a workspace that asked 72 nodes for ten times its rate got nothing
+for half a second and more, then twice the refill of a second at once, and 1.014 of what is
+tolerated; with it 0.97 at most. From 0.25 on callers are refused after cuts who are owed (0.046 in
+place of 0.026)."""
 
 OWN_MS = 500
-"""For how long a node saves its share of the refill, and for how long it may be behind while there is
-ample: the time that news take over two tiers of a fleet, and some more for large requests."""
+"""For how long a node saves its share of the refill, and for how long it may be behind while there
+is ample: the time that news take over two tiers of a fleet, and some more for large requests."""
 
 LEAST_URGENT_RANK = 2
 """Ranks from this one on leave what a bucket holds beyond the burst to more urgent requests."""
