--- a/plumarch/limits/workspace_quota.py
+++ b/plumarch/limits/workspace_quota.py
@@ -306,6 +306,7 @@
         if bucket is not None and workspace.rate > 0:
             self._charge(bucket, -units)
             bucket.spent -= units
+            bucket.own += units
             self.charged_by[""] -= units
 
     def hear_fraction(self, fraction: float) -> None:
--- a/plumarch/limits/workspace_quota_test.py
+++ b/plumarch/limits/workspace_quota_test.py
@@ -99,6 +99,28 @@
     assert quota.heard_from("b#1", told, again=True, share=0.5) == {"w": 1_000.0}
 
 
+def test_where_little_is_left_a_node_of_a_large_fleet_goes_by_its_share_of_the_refill():
+    time = clock.ManualClock()
+    quota = quota_of(time)
+    quota.sharers = 10
+    assert quota.admit(SPACE, 1_600) == 0
+    assert quota.admit(SPACE, 150) == 0
+    assert quota.report()["w"].level == 250
+    assert quota.admit(SPACE, 50) == 500.0
+    time.advance_to(500)
+    assert quota.admit(SPACE, 50) == 0
+
+
+def test_a_refund_gives_a_nodes_share_back_as_well():
+    quota = quota_of(clock.ManualClock())
+    quota.sharers = 10
+    quota.admit(SPACE, 1_750)
+    quota.admit(SPACE, 50)
+    assert quota.admit(SPACE, 50) > 0
+    quota.refund(SPACE, 100)
+    assert quota.admit(SPACE, 50) == 0
+
+
 def test_when_all_are_heard_again_the_whole_level_is_there():
     quota = quota_of(clock.ManualClock())
     quota.hear_fraction(0.5)
