--- a/plumarch/daemon/gateway.py
+++ b/plumarch/daemon/gateway.py
@@ -9,7 +9,7 @@
 import socket
 from collections.abc import Awaitable, Callable
 
-from plumarch.core import build, clock, errors, suspension
+from plumarch.core import addresses, build, clock, errors, suspension
 from plumarch.daemon import gateway_settings, listening, status_pages
 from plumarch.fleet import engine_demand, rollout, usage, version_tally
 from plumarch.gateway import decision_log, dialect, fleet_state, measures, ports, relay, wakes
@@ -233,7 +233,7 @@
     ) -> None:
         loop = asyncio.get_running_loop()
         listener = await loop.create_server(
-            server.connection, sock=sock, backlog=listening.BACKLOG, start_serving=serving
+            server.connection, sock=sock, backlog=addresses.BACKLOG, start_serving=serving
         )
         self.listeners.append(listener)
 
--- a/plumarch/daemon/listening.py
+++ b/plumarch/daemon/listening.py
@@ -8,8 +8,6 @@
 
 from plumarch.core import addresses, errors
 
-BACKLOG = 1024
-
 
 def bind(address: str) -> socket.socket:
     """Open a listening socket.
@@ -29,7 +27,7 @@
             f"[listen] {address} can't be listened on: {error.strerror}."
             " Remedy: end the process that uses it, or choose another port."
         ) from error
-    sock.listen(BACKLOG)
+    sock.listen(addresses.BACKLOG)
     return sock
 
 
--- a/plumarch/gateway/news/gossiper.py
+++ b/plumarch/gateway/news/gossiper.py
@@ -89,7 +89,9 @@
         host, port = addresses.split(self.view.address)
         loop = asyncio.get_running_loop()
         await loop.create_datagram_endpoint(lambda: self, local_addr=(host, port))
-        self.server = await asyncio.start_server(self.snapshots.serve, host, port)
+        self.server = await asyncio.start_server(
+            self.snapshots.serve, host, port, backlog=addresses.BACKLOG
+        )
         self.learn_seeds(self.seeds)
 
     def learn_seeds(self, seeds: tuple[str, ...]) -> None:
