--- a/plumarch/gateway/news/snapshots.py
+++ b/plumarch/gateway/news/snapshots.py
@@ -159,16 +159,17 @@
         Two earlier builds take different shapes, and ask alike. One that asks once more for what it
         just got could not read it, and gets the other shape. Nodes are told apart by their IP.
         """
-        snapshot = self._snapshot(asked)
-        if not snapshot.configuration and not snapshot.with_endpoints:
+        if not self._is_configuration_newer(asked) and not self._are_endpoints_newer(asked):
             # Whoever asks too early gets nothing new, in a shape that is as good as the other one.
             return True
         now = self.state.clock.now()
         before = self.untold.pop(peer, None)
-        is_again = (
-            before is not None and before.asked == asked and now - before.at_ms <= ASKED_AGAIN_MS
+        in_parts = (
+            before is None
+            or before.asked != asked
+            or now - before.at_ms > ASKED_AGAIN_MS
+            or not before.in_parts
         )
-        in_parts = before is None or not is_again or not before.in_parts
         self.untold[peer] = Untold(asked, in_parts, now)
         while len(self.untold) > MOST_UNTOLD:
             del self.untold[next(iter(self.untold))]
@@ -176,39 +177,48 @@
 
     def _answer(self, asked: gossip.SnapshotRequest, in_parts: bool = True) -> bytes:
         """Return the answer to one peer; the same one is not put together twice."""
-        snapshot = self._snapshot(asked)
-        told = snapshot if in_parts else self._whole(snapshot)
         if not asked.takes_compressed:
-            return gossip.encoder.encode(told)
+            return gossip.encoder.encode(self._told(asked, in_parts))
         contents = Contents(
             self.state.configuration_version(),
             self.state.registry.revision,
-            bool(snapshot.configuration),
-            snapshot.with_endpoints,
+            self._is_configuration_newer(asked),
+            self._are_endpoints_newer(asked),
             in_parts,
         )
         if self.packed is None or self.packed.contents != contents:
-            encoded = gossip.encoder.encode(told)
+            encoded = gossip.encoder.encode(self._told(asked, in_parts))
             if len(encoded) >= LEAST_COMPRESSED:
                 encoded = zlib.compress(encoded, ZLIB_LEVEL)
             self.packed = PackedAnswer(contents, encoded)
         return self.packed.encoded
 
-    def _whole(self, snapshot: gossip.Snapshot) -> gossip.WholeSnapshot:
+    def _told(
+        self, asked: gossip.SnapshotRequest, in_parts: bool
+    ) -> gossip.Snapshot | gossip.WholeSnapshot:
+        return self._snapshot(asked) if in_parts else self._whole(asked)
+
+    def _is_configuration_newer(self, asked: gossip.SnapshotRequest) -> bool:
+        return self.state.configuration_version() > asked.configuration
+
+    def _are_endpoints_newer(self, asked: gossip.SnapshotRequest) -> bool:
+        return self.state.registry.changed_revision > asked.registry_revision
+
+    def _whole(self, asked: gossip.SnapshotRequest) -> gossip.WholeSnapshot:
         """Return a snapshot as earlier builds take it."""
-        table = self.state.table
+        table, registry = self.state.table, self.state.registry
+        newer = self._is_configuration_newer(asked)
         return gossip.WholeSnapshot(
-            snapshot.node,
-            table.configuration if table is not None and snapshot.configuration else None,
-            tuple(self.state.registry.endpoints.values()) if snapshot.with_endpoints else None,
-            snapshot.registry_revision,
+            self.state.node,
+            table.configuration if table is not None and newer else None,
+            tuple(registry.endpoints.values()) if self._are_endpoints_newer(asked) else None,
+            registry.revision,
         )
 
     def _snapshot(self, asked: gossip.SnapshotRequest) -> gossip.Snapshot:
-        table = self.state.table
-        registry = self.state.registry
-        newer = table is not None and table.version > asked.configuration
-        fresher = registry.changed_revision > asked.registry_revision
+        table, registry = self.state.table, self.state.registry
+        newer = self._is_configuration_newer(asked)
+        fresher = self._are_endpoints_newer(asked)
         return gossip.Snapshot(
             self.state.node,
             [gossip.raw(table.configuration)] if table is not None and newer else [],
--- a/plumarch/gateway/news/snapshots_test.py
+++ b/plumarch/gateway/news/snapshots_test.py
@@ -65,6 +65,19 @@
     assert one._answer(NOTHING_HELD) != first
 
 
+def test_an_answer_that_is_kept_is_not_encoded_again(monkeypatch: pytest.MonkeyPatch):
+    """Each of 100 askers cost the encoding of 3,000 endpoints: 224 ms of a coordinator's processor."""
+    one = exchange(ROUTES)
+    first = one._answer(NOTHING_HELD)
+
+    def fail(_: object) -> msgspec.Raw:
+        raise AssertionError("encoded again")
+
+    monkeypatch.setattr(gossip, "raw", fail)
+    assert one._answer(NOTHING_HELD) == first
+    assert one._guess("10.0.0.1", NOTHING_HELD)
+
+
 def test_what_inflates_beyond_a_frame_is_refused(monkeypatch: pytest.MonkeyPatch):
     monkeypatch.setattr(gossip, "FRAME_LIMIT", 10_000)
     with pytest.raises(errors.PeerProtocolError, match="larger"):
