Tests of allotments ask in one place

Three tests each had the same loop of callers that ask for a part of a rate. The sessions draw the same numbers as before, and all assertions stay.

--- a/plumarch/gateway/news/flat_fleet_quota_test.py
+++ b/plumarch/gateway/news/flat_fleet_quota_test.py
@@ -87,36 +87,17 @@
 """0.21 to 0.26 while all was charged that the other side had admitted in a cut."""
 
 
-def refused(session: Session, of_rate: float, for_ms: int) -> float:
-    """Let callers ask for a part of the rate, and return which part of it is refused."""
-    step_ms = large_fleet_quota_test.STEP_MS
-    owed, asked, turned_away = 0.0, 0, 0
-    for _ in range(for_ms // step_ms):
-        session.fleet.run(step_ms)
-        owed += of_rate * RATE * step_ms / 1000.0
-        while owed > 0:
-            units = session.rng.uniform(200, 9_000)
-            owed -= units
-            asked += 1
-            node = session.rng.choice(session.fleet.live())
-            if node.state.quota.admit(session.space, units) == 0:
-                session.send(node, units)
-            else:
-                turned_away += 1
-    return turned_away / asked
-
-
 @pytest.mark.parametrize("of_rate", [0.5, 0.8, 0.95])
 def test_hardly_anything_owed_is_refused_in_a_cut_after_it_and_after_kills(of_rate: float):
     for seed in range(3):
         session = Session(seed)
-        found = [refused(session, of_rate, 6_000)]
+        found = [session.ask_for(of_rate * RATE, 6_000).refused_part()]
         session.cut_off("dc-a")
-        found.append(refused(session, of_rate, 6_000))
+        found.append(session.ask_for(of_rate * RATE, 6_000).refused_part())
         session.heal()
-        found.append(refused(session, of_rate, 5_000))
+        found.append(session.ask_for(of_rate * RATE, 5_000).refused_part())
         session.kill_three()
-        found.append(refused(session, of_rate, 4_000))
+        found.append(session.ask_for(of_rate * RATE, 4_000).refused_part())
         assert max(found) <= MOST_REFUSED_AFTER_CUTS, found
 
 
--- a/plumarch/gateway/news/hot_workspace_quota_test.py
+++ b/plumarch/gateway/news/hot_workspace_quota_test.py
@@ -26,55 +26,22 @@
 REFUSED_OF_OWED = 0.01
 
 
-class Session(large_fleet_quota_test.Session):
-    """A fleet over three regions, and callers of one workspace.
-
-    Attributes:
-      steps: what was admitted in each step.
-    """
-
-    def __init__(self, seed: int, monkeypatch: pytest.MonkeyPatch) -> None:
-        monkeypatch.setattr(large_fleet_quota_test, "TOLERANCE", TOLERANCE)
-        super().__init__(SIZE, seed)
-        self.steps: list[float] = []
-        self.ask(0.5, 9_000)
-
-    def ask(self, of_rate: float, for_ms: int, nodes: int = 0) -> float:
-        """Let callers ask for a part or a multiple of the rate.
-
-        Args:
-          nodes: how many nodes they ask; all if 0.
-        Returns:
-          The part of what they asked for that was refused.
-        """
-        self.steps = []
-        asked = owed = 0.0
-        chosen = self.fleet.live()[: nodes or None]
-        for _ in range(for_ms // STEP_MS):
-            self.fleet.run(STEP_MS)
-            owed += of_rate * RATE * STEP_MS / 1_000.0
-            admitted = 0.0
-            while owed > 0:
-                units = self.rng.uniform(200, 9_000)
-                owed -= units
-                asked += units
-                node = self.rng.choice(chosen)
-                if node.state.quota.admit(self.space, units) == 0:
-                    self.note(units)
-                    self.send(node, units)
-                    admitted += units
-            self.steps.append(admitted)
-        return 1.0 - sum(self.steps) / asked
+def new_session(seed: int, monkeypatch: pytest.MonkeyPatch) -> large_fleet_quota_test.Session:
+    """Return a fleet over three regions that one workspace asked for half of its rate."""
+    monkeypatch.setattr(large_fleet_quota_test, "TOLERANCE", TOLERANCE)
+    session = large_fleet_quota_test.Session(SIZE, seed)
+    session.ask_for(0.5 * RATE, 9_000, step_ms=STEP_MS)
+    return session
 
 
 def test_a_workspace_gets_its_rate_evenly_however_much_it_asks_for(
     monkeypatch: pytest.MonkeyPatch,
 ):
     for seed in range(2):
-        session = Session(seed, monkeypatch)
-        session.ask(MANY_TIMES, 12_000)
+        session = new_session(seed, monkeypatch)
+        steps = session.ask_for(MANY_TIMES * RATE, 12_000, step_ms=STEP_MS).steps
         assert session.most <= ALLOWED, session.most / ALLOWED
-        seconds = [sum(session.steps[at : at + 100]) / RATE for at in range(300, 1_101, 10)]
+        seconds = [sum(steps[at : at + 100]) / RATE for at in range(300, 1_101, 10)]
         assert min(seconds) >= LEAST_IN_A_SECOND, seconds
 
 
@@ -82,5 +49,6 @@
 def test_callers_within_the_rate_are_served_at_few_nodes_and_at_many(
     nodes: int, monkeypatch: pytest.MonkeyPatch
 ):
-    session = Session(3, monkeypatch)
-    assert session.ask(0.95, 8_000, nodes) <= REFUSED_OF_OWED
+    session = new_session(3, monkeypatch)
+    asked = session.ask_for(0.95 * RATE, 8_000, nodes=nodes, step_ms=STEP_MS)
+    assert asked.refused_units_part() <= REFUSED_OF_OWED
--- a/plumarch/gateway/news/large_fleet_quota_test.py
+++ b/plumarch/gateway/news/large_fleet_quota_test.py
@@ -5,6 +5,7 @@
 """
 
 import collections
+import dataclasses
 import random
 
 import hypothesis
@@ -27,6 +28,28 @@
 """What callers ask for, in multiples of the rate."""
 
 
+@dataclasses.dataclass(slots=True)
+class Asked:
+    """What callers asked for and got.
+
+    Attributes:
+      steps: units that were admitted in each step.
+    """
+
+    requests: int = 0
+    refused: int = 0
+    units: float = 0.0
+    steps: list[float] = dataclasses.field(default_factory=list)
+
+    def refused_part(self) -> float:
+        """Return the part of the requests that was refused."""
+        return self.refused / max(1, self.requests)
+
+    def refused_units_part(self) -> float:
+        """Return the part of the units that was refused."""
+        return 1.0 - sum(self.steps) / self.units
+
+
 class Session:
     """A fleet that callers ask for more than it may give."""
 
@@ -62,6 +85,41 @@
                     self.note(units)
                     self.send(node, units)
 
+    def ask_for(
+        self,
+        units_per_s: float,
+        for_ms: int,
+        most: float = 9_000.0,
+        nodes: int = 0,
+        step_ms: int = STEP_MS,
+    ) -> Asked:
+        """Let callers ask for some units a second, beside no harm.
+
+        Args:
+          most: units of the largest request.
+          nodes: how many nodes they ask; all if 0.
+        """
+        asked, owed = Asked(), 0.0
+        chosen = self.fleet.live()[: nodes or None]
+        for _ in range(for_ms // step_ms):
+            self.fleet.run(step_ms)
+            owed += units_per_s * step_ms / 1000.0
+            admitted = 0.0
+            while owed > 0:
+                units = self.rng.uniform(200, most)
+                owed -= units
+                node = self.rng.choice(chosen)
+                asked.requests += 1
+                asked.units += units
+                if node.state.quota.admit(self.space, units) == 0:
+                    self.note(units)
+                    self.send(node, units)
+                    admitted += units
+                else:
+                    asked.refused += 1
+            asked.steps.append(admitted)
+        return asked
+
     def send(self, node: gossip_fleet.Node, units: float) -> None:
         """Send a prompt to an engine, where it is read at once."""
         node.state.chooser.own["e"] = endpoint_choice.Load(1, units)
--- a/plumarch/gateway/news/region_quota_test.py
+++ b/plumarch/gateway/news/region_quota_test.py
@@ -47,29 +47,12 @@
 def asked(
     session: large_fleet_quota_test.Session, for_ms: int, of_rate: float, most: float
 ) -> float:
-    """Let callers ask for a part of the rate.
+    """Let callers ask for a part of the rate, and return which part of the requests is refused.
 
     Args:
       most: units of the largest request.
-    Returns:
-      The part of the requests that was refused.
     """
-    step_ms = large_fleet_quota_test.STEP_MS
-    owed, count, refused = 0.0, 0, 0
-    for _ in range(for_ms // step_ms):
-        session.fleet.run(step_ms)
-        owed += of_rate * RATE * step_ms / 1000.0
-        while owed > 0:
-            units = session.rng.uniform(200, most)
-            owed -= units
-            node = session.rng.choice(session.fleet.live())
-            count += 1
-            if node.state.quota.admit(session.space, units) == 0:
-                session.note(units)
-                session.send(node, units)
-            else:
-                refused += 1
-    return refused / max(1, count)
+    return session.ask_for(of_rate * RATE, for_ms, most).refused_part()
 
 
 @pytest.mark.parametrize("late_ms", [60, 150, 300])
