Log the request rate that an endpoint announces

An endpoint can announce in its answers how many requests a second it takes from all nodes together. Lines of a node say which requests it sent where, but not whether an answer before them announced a rate: whether nobody reads it, or each node keeps it by itself and the sum exceeds it, could not be told apart. The line endpoint_said now holds the value as written. No decision depends on it yet.

--- a/plumarch/gateway/dialect.py
+++ b/plumarch/gateway/dialect.py
@@ -34,6 +34,8 @@
       instance: the incarnation that a request is meant for.
       not_run: set by an endpoint on an answer to a request that it did not run.
       leaving: set by an endpoint on all its answers once it is about to end; "0" doesn't count.
+      rate_limit: set by an endpoint on its answers while it takes only so many requests a second
+        from all nodes together.
       signature: proves that an answer is the endpoint's.
       token_counts: prompt tokens and most output tokens, by a comma.
       prompt_parts: the prompt's parts as ID:TOKENS, by commas.
@@ -46,6 +48,7 @@
     instance: bytes = b"x-instance"
     not_run: bytes = b"x-not-run"
     leaving: bytes = b"x-leaving"
+    rate_limit: bytes = b"x-requests-per-second"
     signature: bytes = b"x-signature"
     token_counts: bytes = b"x-token-counts"
     prompt_parts: bytes = b"x-prompt-parts"
--- a/plumarch/gateway/sends/endpoint_outcomes.py
+++ b/plumarch/gateway/sends/endpoint_outcomes.py
@@ -174,6 +174,7 @@
         leaving=words.leaving,
         retry_after=words.retry_after,
         rests_ms=rests_ms,
+        rate_limit=words.rate_limit,
         after_ms=now - sent_ms,
         listed_as=listed.state.value if listed else "gone",
         registry_revision=state.registry.revision,
--- a/plumarch/gateway/sends/endpoint_words.py
+++ b/plumarch/gateway/sends/endpoint_words.py
@@ -25,11 +25,13 @@
       leaving: whether it is about to end.
       rest_ms: how long it wants nothing more from this node; 0 if it doesn't say.
       retry_after: the same as it said it, "" if it said nothing.
+      rate_limit: the request rate that it announces, as written; "" if it announces none.
     """
 
     leaving: bool = False
     rest_ms: float = 0.0
     retry_after: str = ""
+    rate_limit: str = ""
 
 
 NONE = Words()
@@ -40,6 +42,12 @@
     """Return what an answer says of its endpoint."""
     leaving = dialect.header_value(head.headers, names.leaving) not in NOT_LEAVING
     asked = dialect.header_value(head.headers, retry_after.HEADER.encode())
-    if not leaving and not asked:
+    rate_limit = dialect.header_value(head.headers, names.rate_limit)
+    if not leaving and not asked and not rate_limit:
         return NONE
-    return Words(leaving, retry_after.milliseconds(asked), asked[:TOLD_CHARACTERS])
+    return Words(
+        leaving,
+        retry_after.milliseconds(asked),
+        asked[:TOLD_CHARACTERS],
+        rate_limit[:TOLD_CHARACTERS],
+    )
--- a/plumarch/gateway/sends/endpoint_words_test.py
+++ b/plumarch/gateway/sends/endpoint_words_test.py
@@ -43,6 +43,11 @@
     assert found.retry_after == value.decode()
 
 
+def test_an_announced_request_rate_is_logged_as_written():
+    assert said((NAMES.rate_limit, b"0.5")).rate_limit == "0.5"
+    assert said((NAMES.rate_limit, b"9" * 99)).rate_limit == "9" * endpoint_words.TOLD_CHARACTERS
+
+
 @given(strategies.binary(max_size=200).map(lambda raw: bytes(b for b in raw if 32 < b < 127)))
 def test_no_value_is_a_fault(value: bytes):
     found = said((b"retry-after", value), (NAMES.leaving, value))
