All nodes together keep to the request rate that an endpoint announces

Callers saw: nothing yet, others had room; the endpoint in need got 16 requests in 4 s where it takes four, and 11 are allowed.

Cause: the rate in the head of an answer was read by nobody, and what a node knows of an endpoint's load is what it sends there itself and what others told some 0.3 s ago. Each node sent four requests in 4 s at the most, so no limit of its own would have been reached. Class: a bound on a sum that each node can only see its own part of.

Change: a request to such an endpoint needs a permit. One node (the senior live one of the endpoint's data centre, in a large fleet its senior coordinator) allocates them from a token bucket at the announced rate to whichever nodes have demand; nodes hold them ahead, and choose another endpoint where they have none. Where no other one has room a request waits for the answer of the allocator, and its caller is told at once if there is none, with the time at which one may be expected. What was announced last counts, and ends with the first answer that announces nothing. Changes are told to all nodes once.

Why it holds: permits that are in use, held and saved up are 5.5 times the rate and 3.5 requests in 4 s at most, of the 6 times and five that are allowed. A side of a cut allocates by the part of the fleet it is in contact with, and nodes without an allocator use fixed shares of half the rate.

Ruled out: sends under way when the answer came (first attempts 1 to 4 s after it), nodes that started again (the first one stops 2 s after the excess).

--- /dev/null
+++ b/plumarch/core/request_rate.py
@@ -0,0 +1,14 @@
+"""A request rate as endpoints announce it: requests per second, a plain decimal number."""
+
+import re
+
+DECIMAL = re.compile(r"\d{1,12}(\.\d{0,12})?|\.\d{1,12}", re.ASCII)
+
+
+def per_second(text: str) -> float | None:
+    """Return the rate that a header's value names, or None where it names none.
+
+    Signs, exponents, separators, infinities and longer numbers are no rate.
+    """
+    text = text.strip()
+    return float(text) if DECIMAL.fullmatch(text) else None
--- a/plumarch/daemon/status_pages.py
+++ b/plumarch/daemon/status_pages.py
@@ -63,8 +63,13 @@
             found.append(f"leaves by its own word: {name}")
         for name, left_ms in list(self._resting().items())[:LEFT_OUT_NAMED]:
             found.append(f"asked for rest: {name}, {left_ms} ms more")
+        for name, per_s in list(self._limited().items())[:LEFT_OUT_NAMED]:
+            found.append(f"announces a limit: {name}, {per_s:g} requests a second of all nodes")
         return found
 
+    def _limited(self) -> dict[str, float]:
+        return self.state.permits.lasting(self.state.registry.endpoints.values())
+
     def _resting(self) -> dict[str, int]:
         return self.state.rests.lasting(self.state.registry.endpoints.values())
 
@@ -77,6 +82,7 @@
         sizes["endpoints"] = len(state.registry.endpoints)
         sizes["endpoints_leaving_by_answer"] = len(state.registry.words.in_force())
         sizes["endpoints_resting"] = len(self._resting())
+        sizes["endpoints_with_announced_rate"] = len(self._limited())
         sizes["heard_fraction"] = state.quota.fraction
         sizes["data_centres_known"] = state.contact.known
         sizes["data_centres_unheard"] = state.contact.unheard
--- a/plumarch/daemon/status_pages_test.py
+++ b/plumarch/daemon/status_pages_test.py
@@ -58,6 +58,16 @@
     assert 'plumarch_gateway_state{name="endpoints_resting"} 1.0' in found
 
 
+def test_endpoints_that_announce_a_request_rate_are_named():
+    state = gateway_parts.new_state(clock.ManualClock(1_000))
+    one = traffic.Endpoint("one", "s", "10.0.0.1:80", "a", 8, traffic.EndpointState.READY)
+    state.registry.replace([one], 1, "store")
+    state.permits.announced(one, 5, 0.5)
+    assert "announces a limit: one, 0.5 requests a second of all nodes" in page(b"/status", state)
+    found = page(b"/metrics", state)
+    assert 'plumarch_gateway_state{name="endpoints_with_announced_rate"} 1.0' in found
+
+
 def test_the_builds_of_a_mixed_fleet_are_told():
     steady = clock.ManualClock(1_000)
     view = fleet_view.FleetView(steady, "n", 1_764_720_000_000, "10.0.0.9:7", "a")
--- a/plumarch/gateway/fleet_state.py
+++ b/plumarch/gateway/fleet_state.py
@@ -7,14 +7,24 @@
 from plumarch.config import routing_table
 from plumarch.core import rollouts, suspension
 from plumarch.core.clock import Clock
+from plumarch.core.traffic import Endpoint
 from plumarch.fleet import engine_demand, usage, version_tally
-from plumarch.gateway import centre_contact, decision_log, dialect, measures, unreadable_entries
+from plumarch.gateway import (
+    centre_contact,
+    decision_log,
+    dialect,
+    measures,
+    permit_waiters,
+    unreadable_entries,
+)
 from plumarch.gateway.connections import open_runs
 from plumarch.limits import (
     attempt_budget,
     memory_account,
     memory_admission,
     quarantine,
+    rate_allocator,
+    rate_permits,
     workspace_quota,
 )
 from plumarch.membership.registry import EndpointChange, Registry
@@ -62,6 +72,9 @@
       pressure: who is turned away when much of it is held.
       limits: what endpoints bear.
       rests: endpoints that asked this node for rest.
+      permits: to send to endpoints that announce a rate for all nodes together.
+      allocator: divides such rates among the nodes that ask this one.
+      permit_answers: requests that wait for the allocator's answer.
       quarantine: requests under which endpoints ended.
       unreadable: entries in the store that can't be read.
       suspensions: when this process did not run.
@@ -70,6 +83,8 @@
       tell_prompt: tells the other nodes of a prompt sent to an engine.
       endpoint_restarted: told of an endpoint whose process has started again.
       tell_suspect: tells them what was learned of a request, by its fingerprint.
+      ask_permits: sends a request for permits to the endpoint's allocator; None where this node is
+        the only one.
       claim_trial: asks the store whether this node may try a request that is held back.
       reaches_store: whether the platform's store answered the last call.
       stops_at_ms: when the process will end, once it was told to and balancers know; or None.
@@ -108,15 +123,23 @@
     tell_prompt: Callable[[SentPrompt], None] | None = None
     tell_suspect: Callable[[str], None] | None = None
     endpoint_restarted: Callable[[str], None] = lambda _: None
+    ask_permits: Callable[[Endpoint, rate_allocator.PermitRequest], None] | None = None
     claim_trial: Callable[[str], Awaitable[bool]] | None = None
     reaches_store: bool = True
     stops_at_ms: int | None = None
     unreadable: unreadable_entries.UnreadableEntries = dataclasses.field(init=False)
     rests: endpoint_rests.EndpointRests = dataclasses.field(init=False)
+    permits: rate_permits.RatePermits = dataclasses.field(init=False)
+    allocator: rate_allocator.RateAllocator = dataclasses.field(init=False)
+    permit_answers: permit_waiters.PermitWaiters = dataclasses.field(
+        default_factory=permit_waiters.PermitWaiters
+    )
     runs: open_runs.OpenRuns = dataclasses.field(default_factory=open_runs.OpenRuns)
 
     def __post_init__(self) -> None:
         self.rests = endpoint_rests.EndpointRests(self.clock)
+        self.permits = rate_permits.RatePermits(self.clock, self.rng, self.node)
+        self.allocator = rate_allocator.RateAllocator(self.clock)
         self.unreadable = unreadable_entries.UnreadableEntries(self.log, self.measures)
 
     def configuration_version(self) -> int:
@@ -195,3 +218,4 @@
         self.chooser.keep_only(existing)
         self.health.keep_only(existing)
         self.limits.keep_only(existing)
+        self.permits.forget_old(existing)
--- a/plumarch/gateway/measures.py
+++ b/plumarch/gateway/measures.py
@@ -167,6 +167,16 @@
             "Refusals by which an endpoint asked this node for some time of rest.",
             ("service",),
         )
+        self.announced_rates = Counter(
+            "plumarch_gateway_endpoint_rate_changes",
+            "Times that an endpoint's announced request rate became known, changed or ended.",
+            ("service",),
+        )
+        self.permits = Counter(
+            "plumarch_gateway_endpoint_permits",
+            "Requests to endpoints with an announced request rate, sent or without a permit.",
+            ("service", "outcome"),
+        )
         self.quarantined = Counter(
             "plumarch_gateway_quarantine",
             "Requests held back because endpoints ended under them, and those cleared.",
@@ -223,6 +233,8 @@
             self.falls,
             self.leaving_said,
             self.rests,
+            self.announced_rates,
+            self.permits,
             self.unreadable_messages,
             self.quarantined,
             self.callers_cut,
--- a/plumarch/gateway/news/gossiper.py
+++ b/plumarch/gateway/news/gossiper.py
@@ -15,6 +15,7 @@
     heartbeats,
     introductions,
     load_reports,
+    permit_exchange,
     rounds,
     snapshots,
     speed_reports,
@@ -75,6 +76,9 @@
             self._news_addresses,
             lambda: view.role is tiers.Role.COORDINATOR,
         )
+        self.permits = permit_exchange.PermitExchange(
+            state, view, self._send, self._news_addresses, lambda: self.leaving
+        )
         self.snapshots = snapshots.SnapshotExchange(state)
         self.soon = asyncio.Event()
         self.server: asyncio.Server | None = None
@@ -83,6 +87,7 @@
         self.beat_for_role_ms = 0
         state.tell_prompt = self.tell_prompt
         state.tell_suspect = self.suspects.learned
+        state.ask_permits = self.permits.ask
 
     async def start(self) -> None:
         """Listen, and learn the seeds."""
@@ -151,6 +156,7 @@
         self._decide_role()
         self.view.interval_ms = self.interval_ms()
         self.state.quota.news_age_ms = self._news_age_ms()
+        self.state.permits.nodes = self.view.size()
         is_flat = self.view.role is tiers.Role.FLAT
         self.state.quota.sharers = 1 if is_flat else self.view.size()
         for peer in self.view.tick():
@@ -319,6 +325,12 @@
                 self._take_member_news(told, str(addr[0]))
             case gossip.SuspectNews():
                 self.suspects.take(told)
+            case gossip.PermitRequest():
+                self.permits.handle_request(told)
+            case gossip.PermitAnswer():
+                self.permits.handle_answer(told)
+            case gossip.RateNews():
+                self.permits.handle_news(told)
 
     def take_notice(self, notice: gossip.LoadNotice) -> None:
         """Take in a peer's load at one endpoint."""
--- /dev/null
+++ b/plumarch/gateway/sends/announced_rates.py
@@ -0,0 +1,109 @@
+"""Rates that endpoints announce for all nodes together, as requests meet them.
+
+Who may send, and how a rate is divided, is decided by `limits.rate_permits` and
+`limits.rate_allocator`; here they are asked, and what changes is logged.
+"""
+
+from plumarch.core import request_rate, traffic
+from plumarch.gateway import fleet_state
+from plumarch.gateway.sends import endpoint_words
+from plumarch.limits import rate_allocator
+
+ANSWER_MS = 150.0
+"""How long a request that no other endpoint has room for waits for permits: a round trip to a node
+of another region and back, with a stop at a coordinator."""
+
+MOST_WAITS = 3
+"""How often one request waits for them: others may use what came before it goes on."""
+
+
+def observe(
+    state: fleet_state.FleetState,
+    endpoint: traffic.Endpoint,
+    words: endpoint_words.Words,
+    sent_ms: int,
+    has_run: bool,
+) -> None:
+    """Apply what an answer says of the rate that its endpoint takes.
+
+    A value that can't be read neither sets a limit nor ends one; nor does a refusal without one.
+
+    Args:
+      sent_ms: when the request was sent.
+      has_run: whether the endpoint ran it.
+    """
+    if words.rate_limit:
+        per_s = request_rate.per_second(words.rate_limit)
+        if per_s is None:
+            return
+        alive_ms = state.wall.now() - state.clock.now() + sent_ms
+        changed = state.permits.announced(endpoint, alive_ms, per_s)
+    else:
+        changed = has_run and state.permits.not_announced(endpoint, sent_ms)
+    if not changed:
+        return
+    log_change(state, endpoint, state.node)
+    report = state.permits.report(endpoint)
+    if report is not None:
+        _ask(state, endpoint, report)
+
+
+def log_change(state: fleet_state.FleetState, endpoint: traffic.Endpoint, source: str) -> None:
+    """Log the rate that an endpoint announces from now on, or that it announces none any more.
+
+    Args:
+      source: the node whose answer said so, or that passed it on.
+    """
+    state.measures.announced_rates.add(endpoint.service)
+    state.log.write(
+        "endpoint_rate",
+        endpoint=endpoint.id,
+        service=endpoint.service,
+        per_s=state.permits.rate(endpoint),
+        nodes=state.permits.nodes,
+        source=source,
+    )
+
+
+def may_send(state: fleet_state.FleetState, endpoint: traffic.Endpoint) -> bool:
+    """Return whether a request may be sent, and ask for permits if it may not."""
+    if state.permits.may_send(endpoint):
+        return True
+    ask(state, endpoint)
+    return state.permits.may_send(endpoint)
+
+
+def ask(state: fleet_state.FleetState, endpoint: traffic.Endpoint, is_needed: bool = True) -> None:
+    """Ask for permits, unless that was done or is not due.
+
+    Args:
+      is_needed: as for `RatePermits.request`.
+    """
+    request = state.permits.request(endpoint, is_needed)
+    if request is not None:
+        _ask(state, endpoint, request)
+
+
+def _ask(
+    state: fleet_state.FleetState,
+    endpoint: traffic.Endpoint,
+    request: rate_allocator.PermitRequest,
+) -> None:
+    if state.ask_permits is not None:
+        state.ask_permits(endpoint, request)
+        return
+    answer = state.allocator.allocate(request, 1.0)
+    state.permits.answered(endpoint, answer)
+
+
+async def wait_for_answer(
+    state: fleet_state.FleetState, endpoint: traffic.Endpoint, time_left_ms: float
+) -> bool:
+    """Wait for the answer to a request for permits, if one was sent.
+
+    Returns:
+      Whether the endpoint may be sent to by now.
+    """
+    if state.permits.is_asked(endpoint):
+        await state.permit_answers.wait(endpoint.id, max(0.0, min(ANSWER_MS, time_left_ms)))
+    return state.permits.may_send(endpoint)
--- a/plumarch/gateway/sends/attempts.py
+++ b/plumarch/gateway/sends/attempts.py
@@ -9,7 +9,7 @@
 from plumarch.gateway import dialect, errors, fleet_state
 from plumarch.gateway.callers import admission
 from plumarch.gateway.connections import exchange
-from plumarch.gateway.sends import endpoint_outcomes
+from plumarch.gateway.sends import announced_rates, endpoint_outcomes
 from plumarch.routing import endpoint_choice, locality_choice, return_times
 
 CONNECT_TIMEOUT_MS = 250.0
@@ -35,6 +35,9 @@
       last_event_id: of the last event that the caller got, in this answer or by its own word.
       first_ms: when the first byte of the answer was ready, from the request's arrival; or None.
       events: passed on to the caller.
+      without_permit: the endpoint that was preferred last but has an announced rate, if no other
+        one had room.
+      permit_waits: how often permits were waited for.
     """
 
     tried: set[str] = dataclasses.field(default_factory=set)
@@ -44,6 +47,8 @@
     last_event_id: str = ""
     first_ms: int | None = None
     events: int = 0
+    without_permit: traffic.Endpoint | None = None
+    permit_waits: int = 0
 
 
 @dataclasses.dataclass(slots=True)
@@ -87,7 +92,18 @@
     candidates: list[traffic.Endpoint] = []
     for group in state.splits.groups(admitted.service, awake, admitted.id, repeated):
         candidates = candidates or _with_room(state, admitted, group)
-    choice = _choose_among(state, admitted, candidates, _terms(state, admitted, repeated))
+    terms = _terms(state, admitted, repeated)
+    choice = _choose_among(state, admitted, candidates, terms)
+    progress.without_permit = None
+    # An announced rate holds for all nodes together, so no node can tell by its own sends whether
+    # the endpoint takes one more.
+    if choice is not None and not announced_rates.may_send(state, choice.endpoint):
+        preferred = choice.endpoint
+        state.measures.permits.add(admitted.service, "missing")
+        permitted = [one for one in candidates if state.permits.may_send(one)]
+        choice = _choose_among(state, admitted, permitted, terms)
+        if choice is None:
+            progress.without_permit = preferred
     if choice is None:
         state.log.write(
             "no_endpoint",
@@ -96,6 +112,7 @@
             ready=len(ready),
             resting=len(ready) - len(awake),
             too_far=len(candidates),
+            rate_limited=len(state.permits.lasting(candidates)),
             split=state.splits.of(admitted.service),
             tried=len(progress.tried),
             after_fall_ms=round(endpoint_outcomes.wait_after_fall_ms(state, admitted, ready)),
@@ -165,7 +182,8 @@
     """Return when a request that no endpoint had room for had better come back, in ms.
 
     Where endpoints are ready, that is when one of their places is free, in the region if it has
-    any, or when the first of them has rested if all of them asked for that; where none is ready, or
+    any, or when the first of them has rested if all of them asked for that, or when a permit is due
+    if all of them announce a request rate; where none is ready, or
     all are too far, when those have booted that are ordered in their place.
     """
     time_left_ms = admitted.ends_ms - state.clock.now()
@@ -173,6 +191,9 @@
     if rest_ms:
         return float(rest_ms)
     all_ready = state.rests.without(state.registry.ready(admitted.service))
+    permit_ms = state.permits.wait_ms(all_ready)
+    if permit_ms:
+        return float(permit_ms)
     near = [one for one in all_ready if state.distances.is_in_region(one.data_centre)]
     ready = near or [
         one for one in all_ready if state.distances.way_ms(one.data_centre) < time_left_ms
@@ -226,6 +247,10 @@
 ) -> Attempt:
     endpoint = choice.endpoint
     progress.tried.add(endpoint.id)
+    has_permit = state.permits.use(endpoint)
+    if has_permit:
+        state.measures.permits.add(admitted.service, "used")
+        announced_rates.ask(state, endpoint, is_needed=False)
     state.reach.try_again(endpoint.data_centre)
     _log_choice(state, admitted, progress, choice)
     time_left = admitted.ends_ms - state.clock.now()
@@ -235,6 +260,8 @@
             endpoint.address, min(connect_timeout_ms(state, endpoint), time_left)
         )
     except errors.ConnectFailed:
+        if has_permit:
+            state.permits.give_back(endpoint)
         if not state.suspensions.since(began_ms):
             state.health.failure(endpoint.id)
             endpoint_outcomes.unreached(state, endpoint)
@@ -248,7 +275,7 @@
         state.health.paces.connected(endpoint.id, connect_ms)
     try:
         check_time(state, admitted)
-        _check_still_wanted(state, endpoint)
+        _check_still_wanted(state, endpoint, has_permit)
     except (TimeoutError, errors.ConnectFailed):
         opened.close()
         raise
@@ -300,17 +327,24 @@
         raise TimeoutError
 
 
-def _check_still_wanted(state: fleet_state.FleetState, endpoint: traffic.Endpoint) -> None:
+def _check_still_wanted(
+    state: fleet_state.FleetState, endpoint: traffic.Endpoint, has_permit: bool
+) -> None:
     """Send nothing to an endpoint that said so to another request while the connection came up.
 
+    Args:
+      has_permit: whether a permit was used for this send.
     Raises:
-      ConnectFailed: it leaves, or rests.
+      ConnectFailed: it leaves, rests, or announced a rate under which there is no permit.
     """
     told = state.registry.endpoints.get(endpoint.id)
     if told is not None and told.state is traffic.EndpointState.DRAINING:
         raise errors.ConnectFailed(f"{endpoint.id} leaves. Ask another one.")
     if state.rests.left_ms(endpoint):
         raise errors.ConnectFailed(f"{endpoint.id} asked for rest. Ask another one.")
+    limited = not has_permit and state.permits.rate(endpoint) is not None
+    if limited and not state.permits.use(endpoint):
+        raise errors.ConnectFailed(f"{endpoint.id} announced a rate limit. Ask another one.")
 
 
 def was_suspended(state: fleet_state.FleetState, attempt: Attempt) -> bool:
@@ -391,6 +425,7 @@
         locality=state.distances.locality(choice.endpoint.data_centre).label(),
         round_trip_ms=round(state.distances.round_trip_ms(choice.endpoint.data_centre), 1),
         leaves_region=_why_it_leaves(progress, choice),
+        endpoint_per_s=state.permits.rate(choice.endpoint),
     )
 
 
--- a/plumarch/gateway/sends/endpoint_outcomes.py
+++ b/plumarch/gateway/sends/endpoint_outcomes.py
@@ -12,7 +12,7 @@
 from plumarch.core import traffic
 from plumarch.gateway import fleet_state
 from plumarch.gateway.callers import admission
-from plumarch.gateway.sends import endpoint_words
+from plumarch.gateway.sends import announced_rates, endpoint_words
 from plumarch.routing import (
     answer_times,
     endpoint_choice,
@@ -156,6 +156,9 @@
       sent_ms: when the request was sent; the process that answers was there by then.
     """
     words = endpoint_words.of(head, state.names)
+    if head.status_code != MISDIRECTED:
+        has_run = head.status_code not in PROMISED_NOT_RUN
+        announced_rates.observe(state, one.endpoint, words, sent_ms, has_run)
     if words == endpoint_words.NONE and head.status_code not in PROMISED_NOT_RUN:
         return
     endpoint, now = one.endpoint, state.clock.now()
--- a/plumarch/gateway/sends/request_run.py
+++ b/plumarch/gateway/sends/request_run.py
@@ -15,6 +15,7 @@
 from plumarch.gateway.callers import admission, caller_requests
 from plumarch.gateway.news import suspect_news
 from plumarch.gateway.sends import (
+    announced_rates,
     attempts,
     endpoint_outcomes,
     lost_runs,
@@ -140,6 +141,8 @@
                 await asyncio.sleep(wait_ms / 1000.0)
                 wait_ms *= 2.0
                 continue
+            if choice is None and await self._has_permit_now():
+                continue
             if choice is None:
                 self.back_in_ms = attempts.when_room(self.state, self.admitted)
                 return self._give_up(self.progress.last_fault or "no_endpoint", 502)
@@ -169,6 +172,16 @@
         self.back_in_ms = max(TRIAL_AGAIN_MS, float(hold.back_in_ms if hold is not None else 0))
         return False
 
+    async def _has_permit_now(self) -> bool:
+        """Return whether a permit came that was asked for, where only it was missing."""
+        progress = self.progress
+        endpoint = progress.without_permit
+        if endpoint is None or progress.permit_waits >= announced_rates.MOST_WAITS:
+            return False
+        progress.permit_waits += 1
+        time_left_ms = self.admitted.ends_ms - self.state.clock.now()
+        return await announced_rates.wait_for_answer(self.state, endpoint, time_left_ms)
+
     async def _until_read(self) -> None:
         """Wait until the caller of a stream that was let go has read all."""
         await self.reply.drained()
--- /dev/null
+++ b/plumarch/limits/rate_permits.py
@@ -0,0 +1,323 @@
+"""The request rates that endpoints announced to this node, and its permits to send under them.
+
+An endpoint announces the requests a second that it takes from all nodes together. A node sends it
+nothing without a permit, which one node of the fleet allocates (`rate_allocator`). Permits are
+asked for ahead of their use, for as many requests as came lately, so that no request waits for one
+while another endpoint has room.
+
+Where the allocator does not answer, each node uses an equal share of half of the rate. With what
+others are allocated meanwhile that makes one and a half times the rate at most.
+"""
+
+import collections
+import dataclasses
+import random
+from collections.abc import Iterable
+
+from plumarch.core import clock, traffic
+from plumarch.limits import rate_allocator
+
+PERMIT_MS = 1_000
+PERMIT_GAPS = 1.5
+"""For how long a permit may be used: this time, and so many gaps between two requests at the rate.
+Permits that nodes save up may all be used at once; at low rates these are few, and a node that got
+one may have no request for it soon."""
+
+DEMAND_MS = 500
+"""Permits are held for the requests of so long."""
+
+MOST_DEMAND = 64
+
+ANSWER_MS = 500
+"""An answer that takes longer counts as lost: it may come from a process that was stopped."""
+
+SILENT_MS = 1_000
+"""After so long without an answer the node uses its fixed share."""
+
+FIXED_PART = 0.5
+"""The part of a rate that is divided into fixed shares."""
+
+FIXED_GRACE_MS = 2_000
+"""A fixed share's turn that was not used within this time is drawn again. Otherwise all nodes would
+have one saved up when demand begins."""
+
+FORGET_MS = 600_000
+
+LONGEST_PAUSE_MS = 5_000
+"""A node that was denied a permit asks again after this at the latest."""
+
+ASKS_PER_PERMIT = 4
+"""How often nodes that compete for a permit ask for it, all together."""
+
+
+@dataclasses.dataclass(slots=True)
+class LimitedEndpoint:
+    """An endpoint that announces a rate, or did.
+
+    Attributes:
+      id: the incarnation that was asked.
+      alive_ms: time of day at which the process that announced it was alive for certain.
+      per_s: the announced rate, or None if there is no limit any more.
+      observed_ms: when the last answer came that said so, to whichever node.
+      permits: when each permit expires.
+      demand: when requests came lately that would go there.
+      sequence: of the last request for permits.
+      asked_ms: when that one was sent, or None if it was answered.
+      silent_since_ms: when the first request was sent that has no answer since; or None.
+      pause_until_ms: no permits are asked for before.
+      wait_until_ms: when a caller may expect a permit, as last told.
+      turn_ms: when the fixed share allows a request, or None if it was not needed yet.
+    """
+
+    id: str
+    alive_ms: int
+    per_s: float | None
+    observed_ms: int
+    permits: collections.deque[int] = dataclasses.field(default_factory=collections.deque)
+    demand: collections.deque[int] = dataclasses.field(
+        default_factory=lambda: collections.deque(maxlen=MOST_DEMAND)
+    )
+    sequence: int = 0
+    asked_ms: int | None = None
+    silent_since_ms: int | None = None
+    pause_until_ms: int = 0
+    wait_until_ms: int = 0
+    turn_ms: float | None = None
+
+
+@dataclasses.dataclass(slots=True)
+class RatePermits:
+    """The endpoints with an announced rate, by what they call themselves.
+
+    Attributes:
+      nodes: how many nodes share a rate.
+    """
+
+    clock: clock.Clock
+    rng: random.Random
+    node: str
+    nodes: int = 1
+    known: dict[str, LimitedEndpoint] = dataclasses.field(default_factory=dict)
+
+    def announced(self, endpoint: traffic.Endpoint, alive_ms: int, per_s: float) -> bool:
+        """Note that an answer announced a rate.
+
+        Args:
+          alive_ms: time of day at which the connection to the process that answered came up.
+        Returns:
+          Whether the rate was not known.
+        """
+        now = self.clock.now()
+        one = self.known.get(endpoint.called())
+        if one is None or one.id != endpoint.id:
+            self.known[endpoint.called()] = LimitedEndpoint(endpoint.id, alive_ms, per_s, now)
+            return True
+        changed = self._set_rate(one, per_s, now)
+        one.alive_ms = max(one.alive_ms, alive_ms)
+        return changed
+
+    def not_announced(self, endpoint: traffic.Endpoint, sent_ms: int) -> bool:
+        """Note that an answer to a request that ran announced no rate.
+
+        One that was sent before the rate was announced last may have been answered before that.
+
+        Returns:
+          Whether this ends a limit.
+        """
+        one = self._limited(endpoint)
+        if one is None or one.id != endpoint.id or sent_ms < one.observed_ms:
+            return False
+        return self._set_rate(one, None, self.clock.now())
+
+    def learn(self, endpoint: traffic.Endpoint, announcement: rate_allocator.Announcement) -> bool:
+        """Note what an answer to another node announced.
+
+        Returns:
+          Whether the rate was not known.
+        """
+        observed_ms = self.clock.now() - announcement.age_ms
+        one = self.known.get(endpoint.called())
+        if one is None or one.id != endpoint.id:
+            if announcement.per_s is None:
+                return False
+            self.known[endpoint.called()] = LimitedEndpoint(
+                endpoint.id, 0, announcement.per_s, observed_ms
+            )
+            return True
+        if observed_ms <= one.observed_ms:
+            return False
+        return self._set_rate(one, announcement.per_s, observed_ms)
+
+    def _set_rate(self, one: LimitedEndpoint, per_s: float | None, observed_ms: int) -> bool:
+        """Set an announced rate, and return whether it is another one than before."""
+        changed = one.per_s != per_s
+        if changed:
+            # Permits under a higher rate are too many for a lower one.
+            one.permits.clear()
+        one.per_s, one.observed_ms = per_s, observed_ms
+        return changed
+
+    def _limited(self, endpoint: traffic.Endpoint) -> LimitedEndpoint | None:
+        if not self.known:
+            return None
+        one = self.known.get(endpoint.called())
+        if one is None or one.per_s is None or not endpoint.is_meant(one.id, one.alive_ms):
+            return None
+        return one
+
+    def rate(self, endpoint: traffic.Endpoint) -> float | None:
+        """Return the rate in requests a second that an endpoint announces, or None."""
+        one = self._limited(endpoint)
+        return one.per_s if one is not None else None
+
+    def may_send(self, endpoint: traffic.Endpoint) -> bool:
+        """Return whether a request may be sent: there is no limit, or a permit."""
+        one = self._limited(endpoint)
+        return one is None or self._has_permit(one) or self._has_turn(one)
+
+    def use(self, endpoint: traffic.Endpoint) -> bool:
+        """Use up a permit for a request.
+
+        Returns:
+          Whether there is a limit and there was a permit.
+        """
+        one = self._limited(endpoint)
+        if one is None:
+            return False
+        now = self.clock.now()
+        if self._has_permit(one):
+            one.permits.popleft()
+        elif self._has_turn(one):
+            one.turn_ms = now + self._fixed_interval_ms(one)
+        else:
+            return False
+        one.demand.append(now)
+        return True
+
+    def give_back(self, endpoint: traffic.Endpoint) -> None:
+        """Return a permit whose request did not reach the endpoint."""
+        one = self._limited(endpoint)
+        if one is not None:
+            one.permits.appendleft(self.clock.now() + PERMIT_MS)
+
+    def request(
+        self, endpoint: traffic.Endpoint, is_needed: bool = True
+    ) -> rate_allocator.PermitRequest | None:
+        """Return the request for permits that is to be sent now, or None.
+
+        Args:
+          is_needed: whether a request had no permit; otherwise permits are only held ahead.
+        """
+        one = self._limited(endpoint)
+        if one is None:
+            return None
+        now = self.clock.now()
+        if is_needed:
+            one.demand.append(now)
+        if self.is_asked(endpoint) or now < one.pause_until_ms:
+            return None
+        self._has_permit(one)
+        lately = sum(now - at < DEMAND_MS for at in one.demand)
+        count = lately - len(one.permits)
+        if count <= 0 or 2 * len(one.permits) > lately:
+            return None
+        one.asked_ms = now
+        if one.silent_since_ms is None:
+            one.silent_since_ms = now
+        return self._request(one, count)
+
+    def report(self, endpoint: traffic.Endpoint) -> rate_allocator.PermitRequest | None:
+        """Return what tells the allocator of an announcement, without asking for permits."""
+        one = self.known.get(endpoint.called())
+        return self._request(one, 0) if one is not None else None
+
+    def _request(self, one: LimitedEndpoint, count: int) -> rate_allocator.PermitRequest:
+        one.sequence += 1
+        age_ms = self.clock.now() - one.observed_ms
+        announcement = rate_allocator.Announcement(one.per_s, age_ms)
+        return rate_allocator.PermitRequest(self.node, one.id, one.sequence, count, announcement)
+
+    def is_asked(self, endpoint: traffic.Endpoint) -> bool:
+        """Return whether an answer to a request for permits is to be expected."""
+        one = self._limited(endpoint)
+        if one is None or one.asked_ms is None:
+            return False
+        return self.clock.now() - one.asked_ms < ANSWER_MS
+
+    def answered(self, endpoint: traffic.Endpoint, answer: rate_allocator.PermitAnswer) -> bool:
+        """Apply the allocator's answer.
+
+        Returns:
+          Whether the rate was not known.
+        """
+        changed = self.learn(endpoint, answer.announcement)
+        one = self._limited(endpoint)
+        if one is None or answer.sequence != one.sequence or not self.is_asked(endpoint):
+            return changed
+        now = self.clock.now()
+        one.asked_ms = one.silent_since_ms = one.turn_ms = None
+        one.permits.extend([now + round(PERMIT_MS + PERMIT_GAPS * _gap_ms(one))] * answer.permits)
+        one.wait_until_ms = now + answer.wait_ms
+        if not answer.permits:
+            one.pause_until_ms = now + round(self._pause_ms(one, answer))
+        return changed
+
+    def _pause_ms(self, one: LimitedEndpoint, answer: rate_allocator.PermitAnswer) -> float:
+        """Return when to ask again after a denial, the later the more nodes compete."""
+        others = max(0, answer.contenders - 1)
+        spread_ms = 2.0 * others * _gap_ms(one) / ASKS_PER_PERMIT
+        return min(LONGEST_PAUSE_MS, answer.next_ms + self.rng.uniform(0.0, spread_ms))
+
+    def _has_permit(self, one: LimitedEndpoint) -> bool:
+        now = self.clock.now()
+        while one.permits and one.permits[0] <= now:
+            one.permits.popleft()
+        return bool(one.permits)
+
+    def _has_turn(self, one: LimitedEndpoint) -> bool:
+        """Return whether the fixed share allows a request, if the allocator is silent."""
+        now = self.clock.now()
+        if one.silent_since_ms is None or now - one.silent_since_ms < SILENT_MS:
+            return False
+        if one.turn_ms is None or now - one.turn_ms > FIXED_GRACE_MS:
+            one.turn_ms = now + self.rng.uniform(0.0, self._fixed_interval_ms(one))
+        return now >= one.turn_ms
+
+    def _fixed_interval_ms(self, one: LimitedEndpoint) -> float:
+        return self.nodes * _gap_ms(one) / FIXED_PART
+
+    def wait_ms(self, endpoints: Iterable[traffic.Endpoint]) -> int:
+        """Return when a caller may expect a permit for one of endpoints; 0 if one needs none."""
+        now = self.clock.now()
+        waits = []
+        for endpoint in endpoints:
+            one = self._limited(endpoint)
+            if one is None:
+                return 0
+            waits.append(max(one.wait_until_ms - now, 0) or round(_gap_ms(one)))
+        return min(waits, default=0)
+
+    def lasting(self, endpoints: Iterable[traffic.Endpoint]) -> dict[str, float]:
+        """Return the announced rates of endpoints, by identifier."""
+        found = {one.id: self.rate(one) for one in endpoints}
+        return {name: rate for name, rate in found.items() if rate is not None}
+
+    def forget_old(self, listed: set[str]) -> None:
+        """Forget limits of endpoints that are not listed and announced nothing for long.
+
+        An entry may vanish while its endpoint lives, and come back.
+
+        Args:
+          listed: identifiers of the endpoints that there are.
+        """
+        oldest_ms = self.clock.now() - FORGET_MS
+        self.known = {
+            name: one
+            for name, one in self.known.items()
+            if one.id in listed or one.observed_ms >= oldest_ms
+        }
+
+
+def _gap_ms(one: LimitedEndpoint) -> float:
+    """Return the time between two requests of all nodes at the announced rate."""
+    return 1000.0 / max(rate_allocator.LEAST_PER_S, one.per_s or 0.0)
--- /dev/null
+++ b/plumarch/limits/rate_permits_test.py
@@ -0,0 +1,191 @@
+"""A node's permits: asked for ahead, used once, by what the newest answers announced."""
+
+import random
+
+from plumarch.core import clock, traffic
+from plumarch.limits import rate_allocator, rate_permits
+
+ENDPOINT = traffic.Endpoint("e", "s", "10.0.0.1:80", "a", 8, traffic.EndpointState.READY)
+START_MS = 1_000_000
+
+
+class Node:
+    def __init__(self, nodes: int = 1) -> None:
+        self.time = clock.ManualClock(START_MS)
+        self.permits = rate_permits.RatePermits(self.time, random.Random(1), "n", nodes)
+
+    def after(self, ms: int) -> None:
+        self.time.advance_to(self.time.now() + ms)
+
+    def announced(self, per_s: float) -> bool:
+        return self.permits.announced(ENDPOINT, self.time.now(), per_s)
+
+    def grant(self, count: int, wait_ms: int = 0, age_ms: int = 0) -> None:
+        request = self.permits.request(ENDPOINT)
+        assert request is not None
+        told = rate_allocator.Announcement(self.permits.rate(ENDPOINT), age_ms)
+        self.permits.answered(
+            ENDPOINT,
+            rate_allocator.PermitAnswer("e", request.sequence, count, told, 1_000, wait_ms, 1),
+        )
+
+
+def test_an_endpoint_that_announces_nothing_needs_no_permit():
+    node = Node()
+    assert node.permits.may_send(ENDPOINT)
+    assert not node.permits.use(ENDPOINT)
+    assert node.permits.request(ENDPOINT) is None
+
+
+def test_a_permit_is_used_once():
+    node = Node()
+    assert node.announced(1.0)
+    assert not node.permits.may_send(ENDPOINT)
+    node.grant(1)
+    assert node.permits.may_send(ENDPOINT)
+    assert node.permits.use(ENDPOINT)
+    assert not node.permits.may_send(ENDPOINT)
+
+
+def test_a_permit_expires_later_at_low_rates():
+    for per_s, expires_ms in ((1.0, 2_500), (10.0, 1_150)):
+        node = Node()
+        node.announced(per_s)
+        node.grant(1)
+        node.after(expires_ms - 1)
+        assert node.permits.may_send(ENDPOINT)
+        node.after(1)
+        assert not node.permits.may_send(ENDPOINT)
+
+
+def test_permits_under_a_rate_that_changed_are_gone():
+    node = Node()
+    node.announced(10.0)
+    node.grant(5)
+    assert node.announced(1.0)
+    assert not node.permits.may_send(ENDPOINT)
+
+
+def test_a_permit_whose_request_was_not_sent_comes_back():
+    node = Node()
+    node.announced(1.0)
+    node.grant(1)
+    node.permits.use(ENDPOINT)
+    node.permits.give_back(ENDPOINT)
+    assert node.permits.may_send(ENDPOINT)
+
+
+def test_permits_are_asked_for_the_requests_that_came_lately():
+    node = Node()
+    node.announced(10.0)
+    first = node.permits.request(ENDPOINT)
+    assert first is not None and first.count == 1
+    assert [node.permits.request(ENDPOINT) for _ in range(3)] == [None] * 3
+    node.after(rate_permits.ANSWER_MS)
+    again = node.permits.request(ENDPOINT)
+    assert again is not None and again.count == 1
+    for _ in range(3):
+        node.permits.request(ENDPOINT)
+    node.after(rate_permits.ANSWER_MS - 1)
+    node.permits.answered(
+        ENDPOINT,
+        rate_allocator.PermitAnswer("e", again.sequence, 1, rate_allocator.Announcement(10.0, 0)),
+    )
+    assert node.permits.use(ENDPOINT)
+    more = node.permits.request(ENDPOINT, is_needed=False)
+    assert more is not None and more.count == 5
+
+
+def test_an_answer_that_took_too_long_gives_nothing():
+    """The allocator may have been stopped meanwhile, and another one taken its place."""
+    node = Node()
+    node.announced(1.0)
+    request = node.permits.request(ENDPOINT)
+    node.after(rate_permits.ANSWER_MS)
+    told = rate_allocator.Announcement(1.0, 0)
+    answer = rate_allocator.PermitAnswer("e", request.sequence, 4, told)
+    node.permits.answered(ENDPOINT, answer)
+    assert not node.permits.may_send(ENDPOINT)
+
+
+def test_after_a_denial_it_asks_again_when_the_next_permit_is_there():
+    node = Node()
+    node.announced(1.0)
+    node.grant(0, wait_ms=3_000)
+    assert node.permits.wait_ms([ENDPOINT]) == 3_000
+    node.after(999)
+    assert node.permits.request(ENDPOINT) is None
+    node.after(1)
+    assert node.permits.request(ENDPOINT) is not None
+
+
+def test_only_an_answer_to_a_later_request_ends_a_limit():
+    node = Node()
+    sent_ms = node.time.now()
+    node.after(50)
+    node.announced(1.0)
+    assert not node.permits.not_announced(ENDPOINT, sent_ms)
+    assert node.permits.rate(ENDPOINT) == 1.0
+    assert node.permits.not_announced(ENDPOINT, node.time.now())
+    assert node.permits.may_send(ENDPOINT)
+
+
+def test_news_of_other_nodes_count_if_they_are_newer():
+    node = Node()
+    assert node.permits.learn(ENDPOINT, rate_allocator.Announcement(3.0, 0))
+    assert node.permits.rate(ENDPOINT) == 3.0
+    node.after(100)
+    assert not node.permits.learn(ENDPOINT, rate_allocator.Announcement(None, 100))
+    assert node.permits.learn(ENDPOINT, rate_allocator.Announcement(None, 50))
+    assert node.permits.may_send(ENDPOINT)
+
+
+def test_a_process_that_started_again_is_not_limited_by_what_the_one_before_announced():
+    node = Node()
+    node.announced(1.0)
+    born_ms = node.time.now() + 500
+    again = traffic.Endpoint(
+        "e.1", "s", "10.0.0.1:80", "a", 8, traffic.EndpointState.READY, born_ms=born_ms, name="e"
+    )
+    assert node.permits.may_send(again)
+
+
+def test_without_an_allocator_all_nodes_use_half_of_the_rate_together():
+    sent = 0
+    for number in range(40):
+        node = Node(nodes=40)
+        node.permits.rng.seed(number)
+        node.announced(4.0)
+        node.permits.request(ENDPOINT)
+        node.after(rate_permits.SILENT_MS)
+        for _ in range(2_000):
+            node.after(10)
+            sent += node.permits.use(ENDPOINT)
+            node.permits.request(ENDPOINT)
+    assert 0.8 * 40 <= sent <= 1.2 * 40
+
+
+def test_idle_nodes_save_nothing_up_for_when_the_allocator_is_silent():
+    sent = 0
+    for number in range(100):
+        node = Node(nodes=100)
+        node.permits.rng.seed(number)
+        node.announced(1.0)
+        node.permits.request(ENDPOINT)
+        node.after(rate_permits.SILENT_MS)
+        node.permits.may_send(ENDPOINT)
+        node.after(3_600_000)
+        sent += node.permits.use(ENDPOINT)
+    assert sent == 0
+
+
+def test_limits_of_endpoints_whose_entry_vanished_are_kept_for_a_while():
+    node = Node()
+    node.announced(1.0)
+    node.permits.forget_old(set())
+    assert node.permits.rate(ENDPOINT) == 1.0
+    node.after(rate_permits.FORGET_MS + 1)
+    node.permits.forget_old({"e"})
+    assert node.permits.rate(ENDPOINT) == 1.0
+    node.permits.forget_old(set())
+    assert node.permits.rate(ENDPOINT) is None
--- a/plumarch/peers/gossip.py
+++ b/plumarch/peers/gossip.py
@@ -335,6 +335,67 @@
     suspects: list[suspect_entries.ToldSuspect]
 
 
+class PermitRequest(msgspec.Struct, array_like=True, frozen=True, tag=7):
+    """Asks for permits to send to an endpoint that announces a request rate, or reports the rate.
+
+    Attributes:
+      address: where the answer is sent.
+      endpoint: the incarnation.
+      data_centre: the endpoint's, whose senior node allocates its permits.
+      sequence: of this message on its node and for this endpoint; the answer repeats it.
+      count: permits wanted; 0 for a report.
+      per_s: the rate that was announced last, as a list of one, or of none if there is none.
+      age_ms: how long ago that was.
+      hops: nodes that passed the message on.
+    """
+
+    node: str
+    address: str
+    endpoint: str
+    data_centre: str
+    sequence: int
+    count: int
+    per_s: list[float]
+    age_ms: int
+    hops: int = 0
+
+
+class PermitAnswer(msgspec.Struct, array_like=True, frozen=True, tag=8):
+    """Answers a PermitRequest.
+
+    Attributes:
+      permits: how many requests may be sent.
+      per_s: the newest rate that is known, as in PermitRequest.
+      next_ms: when the next permit will be there.
+      wait_ms: when a caller may expect one.
+      contenders: nodes that compete for the endpoint's permits.
+    """
+
+    endpoint: str
+    sequence: int
+    permits: int
+    per_s: list[float]
+    age_ms: int
+    next_ms: int = 0
+    wait_ms: int = 0
+    contenders: int = 0
+
+
+class RateNews(msgspec.Struct, array_like=True, frozen=True, tag=9):
+    """A request rate that an endpoint announces from now on, or no longer; told to all nodes once.
+
+    Attributes:
+      endpoint: the incarnation.
+      per_s: as in PermitRequest.
+      age_ms: how long ago it was announced.
+    """
+
+    node: str
+    endpoint: str
+    per_s: list[float]
+    age_ms: int
+
+
 class SnapshotRequest(msgspec.Struct, array_like=True, frozen=True):
     """Asks for what is newer than what the asking node holds.
 
@@ -389,7 +450,17 @@
         ...
 
 
-Datagram = Heartbeat | LoadNotice | CentreSummary | MemberNews | CentreDirectory | SuspectNews
+Datagram = (
+    Heartbeat
+    | LoadNotice
+    | CentreSummary
+    | MemberNews
+    | CentreDirectory
+    | SuspectNews
+    | PermitRequest
+    | PermitAnswer
+    | RateNews
+)
 
 encoder = msgspec.msgpack.Encoder()
 datagram_decoder = msgspec.msgpack.Decoder(Datagram)
--- a/plumarch/peers/tolerant.py
+++ b/plumarch/peers/tolerant.py
@@ -20,6 +20,9 @@
         gossip.MemberNews,
         gossip.CentreDirectory,
         gossip.SuspectNews,
+        gossip.PermitRequest,
+        gossip.PermitAnswer,
+        gossip.RateNews,
     )
     if isinstance(one.__struct_config__.tag, int)
 }
