The daemon's nodes together keep to the request rate that an engine announces

Cause: the same as in the gateway: the rate was read by nobody, and each node knows only what it hands over itself.

Change: the endpoint's client reports the rate in the head of an answer, also of a refusal. Only the owner of an endpoint that announces one hands work to it, from a token bucket at that rate; work waits in the queue. The first answer to a later request that announces none ends the limit. The token bucket is one class, which the gateway's allocator uses as well.

Why it holds: each endpoint has one owner among the live nodes; a new owner learns the rate with its first answer and begins with an empty bucket.

--- a/plumarch/core/events.py
+++ b/plumarch/core/events.py
@@ -106,6 +106,20 @@
     rest_ms: float = 0.0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class EndpointRate:
+    """The head of an endpoint's answer came.
+
+    Attributes:
+      per_s: the requests a second that the endpoint takes from all nodes together, or None if it
+        announces no such rate.
+    """
+
+    request_id: str
+    attempt: int
+    per_s: float | None
+
+
 class PlatformStatus(enum.StrEnum):
     """How a platform call ended."""
 
@@ -204,6 +218,7 @@
     | EndpointTokens
     | EndpointDone
     | EndpointFailed
+    | EndpointRate
     | PlatformAnswer
     | CloudAnswer
     | OffersSeen
--- a/plumarch/core/request_rate.py
+++ b/plumarch/core/request_rate.py
@@ -2,6 +2,9 @@
 
 import re
 
+HEADER = "x-requests-per-second"
+"""The product's own name of the header; a deployment may give it another one."""
+
 DECIMAL = re.compile(r"\d{1,12}(\.\d{0,12})?|\.\d{1,12}", re.ASCII)
 
 
--- a/plumarch/endpoints/client.py
+++ b/plumarch/endpoints/client.py
@@ -6,14 +6,14 @@
 though; a call that must not run twice goes by httpx, which never does.
 """
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Mapping
 
 import aiohttp
 import httpx
 import msgspec
 import yarl
 
-from plumarch.core import data, errors, events, retry_after
+from plumarch.core import data, errors, events, request_rate, retry_after
 from plumarch.endpoints import protocol
 
 CONNECT_S = 2.0
@@ -121,6 +121,7 @@
         timeout = httpx.Timeout(READ_S, connect=CONNECT_S)
         self.once = httpx.AsyncClient(timeout=timeout, limits=limits)
         self.session: aiohttp.ClientSession | None = None
+        self.limited: set[str] = set()
 
     def repeatable(self) -> aiohttp.ClientSession:
         """Return the session for engines and repeatable calls; it needs a running loop."""
@@ -162,6 +163,7 @@
         answer = await self.once.request(
             request.method, url, content=request.body, headers=_service_headers(order)
         )
+        self._tell_rate(order, sink, answer.status_code, answer.headers)
         content_type = answer.headers.get("content-type", OCTETS)
         _tell_reply(order, sink, answer.status_code, content_type, answer.content)
 
@@ -176,6 +178,7 @@
             allow_redirects=False,
         )
         async with asked as answer:
+            self._tell_rate(order, sink, answer.status, answer.headers)
             content = await answer.read()
             content_type = answer.headers.get("content-type", OCTETS)
             _tell_reply(order, sink, answer.status, content_type, content)
@@ -186,6 +189,7 @@
         url = order.endpoint.address + "/v1/chat/completions"
         body = self._engine_body(order, name)
         async with self.repeatable().post(url, data=body, headers=JSON) as answer:
+            self._tell_rate(order, sink, answer.status, answer.headers)
             if answer.status == httpx.codes.SERVICE_UNAVAILABLE:
                 rest_ms = retry_after.milliseconds(answer.headers.get(retry_after.HEADER, ""))
                 raise errors.NotDelivered("The engine refused the request.", rest_ms)
@@ -195,6 +199,25 @@
         reply = data.Reply(200, "text/event-stream")
         sink(events.EndpointDone(request.id, order.attempt, reply, recomputed))
 
+    def _tell_rate(
+        self, order: events.HandOver, sink: protocol.Sink, status: int, headers: Mapping[str, str]
+    ) -> None:
+        """Tell the rate that an answer announces, or that it announces none any more.
+
+        A refusal without a rate ends no limit.
+        """
+        name, value = order.endpoint.name, headers.get(request_rate.HEADER, "")
+        per_s = request_rate.per_second(value)
+        if value and per_s is None:
+            return
+        if per_s is not None:
+            self.limited.add(name)
+        elif name in self.limited and status != httpx.codes.SERVICE_UNAVAILABLE:
+            self.limited.discard(name)
+        else:
+            return
+        sink(events.EndpointRate(order.request.id, order.attempt, per_s))
+
     async def _read_stream(
         self,
         order: events.HandOver,
--- a/plumarch/gateway/dialect.py
+++ b/plumarch/gateway/dialect.py
@@ -7,6 +7,8 @@
 import functools
 from collections.abc import Iterable
 
+from plumarch.core import request_rate
+
 HOP_BY_HOP = frozenset(
     {
         b"connection",
@@ -48,7 +50,7 @@
     instance: bytes = b"x-instance"
     not_run: bytes = b"x-not-run"
     leaving: bytes = b"x-leaving"
-    rate_limit: bytes = b"x-requests-per-second"
+    rate_limit: bytes = request_rate.HEADER.encode()
     signature: bytes = b"x-signature"
     token_counts: bytes = b"x-token-counts"
     prompt_parts: bytes = b"x-prompt-parts"
--- a/plumarch/limits/rate_allocator.py
+++ b/plumarch/limits/rate_allocator.py
@@ -10,7 +10,7 @@
 
 import dataclasses
 
-from plumarch.core import clock
+from plumarch.core import clock, token_bucket
 
 BURST_PERMITS = 2.0
 BURST_S = 0.25
@@ -20,9 +20,9 @@
 """For how long after a denial a node counts as one that competes for permits."""
 
 IDLE_MS = 60_000
-"""A bucket that nobody asked for so long is dropped."""
+"""An endpoint that nobody asked for so long is forgotten."""
 
-MOST_BUCKETS = 8_192
+MOST_ENDPOINTS = 8_192
 """More than twice the endpoints of the largest fleet, some 500 bytes each."""
 
 LEAST_PER_S = 0.1
@@ -30,6 +30,17 @@
 its limit is over."""
 
 
+def new_bucket(per_s: float, now_ms: int, fraction: float = 1.0) -> token_bucket.TokenBucket:
+    """Return an empty bucket of the requests that an endpoint takes.
+
+    Args:
+      per_s: the rate that it announces.
+      fraction: the part of it that is allocated here.
+    """
+    most = BURST_PERMITS + BURST_S * per_s
+    return token_bucket.TokenBucket(max(LEAST_PER_S, per_s) * fraction, most, now_ms)
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Announcement:
     """What an answer of an endpoint said of the rate that it takes from all nodes together.
@@ -82,30 +93,30 @@
 
 
 @dataclasses.dataclass(slots=True)
-class Bucket:
+class EndpointPermits:
     """The permits of one endpoint.
 
     Attributes:
       per_s: the announced rate, or None if there is no limit.
       observed_ms: when the answer that announced it came.
-      level: permits that are there, as of filled_ms.
+      asked_ms: when a node asked last.
+      bucket: permits that are there; None if there is no limit.
       denied: when each node was denied a permit last.
     """
 
     per_s: float | None
     observed_ms: int
-    filled_ms: int
     asked_ms: int
-    level: float = 0.0
+    bucket: token_bucket.TokenBucket | None = None
     denied: dict[str, int] = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass(slots=True)
 class RateAllocator:
-    """The buckets of all endpoints for which this node allocates permits."""
+    """The endpoints for which this node allocates permits."""
 
     clock: clock.Clock
-    buckets: dict[str, Bucket] = dataclasses.field(default_factory=dict)
+    known: dict[str, EndpointPermits] = dataclasses.field(default_factory=dict)
 
     def allocate(self, request: PermitRequest, fraction: float) -> PermitAnswer:
         """Answer a node's request.
@@ -115,58 +126,63 @@
             has an allocator of its own, with the rest of the rate.
         """
         now = self.clock.now()
-        bucket = self._updated(request, now)
-        if bucket.per_s is None:
-            return PermitAnswer(
-                request.endpoint,
-                request.sequence,
-                0,
-                Announcement(None, now - bucket.observed_ms),
-            )
-        rate_per_ms = max(LEAST_PER_S, bucket.per_s) * fraction / 1000.0
-        most = BURST_PERMITS + BURST_S * bucket.per_s
-        bucket.level = min(most, bucket.level + (now - bucket.filled_ms) * rate_per_ms)
-        bucket.filled_ms = now
-        permits = min(request.count, int(bucket.level))
-        bucket.level -= permits
-        self._note_denial(bucket, request, permits, now)
-        contenders = len(bucket.denied)
-        next_ms = max(0.0, 1.0 - bucket.level) / rate_per_ms
+        one = self._updated(request, now)
+        announcement = Announcement(one.per_s, now - one.observed_ms)
+        if one.per_s is None:
+            one.bucket = None
+            return PermitAnswer(request.endpoint, request.sequence, 0, announcement)
+        bucket = _bucket_of(one, one.per_s, fraction, now)
+        permits = max(0, min(request.count, int(bucket.fill(now))))
+        bucket.take(permits)
+        _note_denial(one, request, permits, now)
+        contenders = len(one.denied)
+        gap_ms = 1000.0 / bucket.per_s
         return PermitAnswer(
             request.endpoint,
             request.sequence,
             permits,
-            Announcement(bucket.per_s, now - bucket.observed_ms),
-            round(next_ms),
-            round(next_ms + max(0, contenders - 1) / rate_per_ms),
+            announcement,
+            round(bucket.next_ms()),
+            round(bucket.next_ms() + max(0, contenders - 1) * gap_ms),
             contenders,
         )
 
-    def _updated(self, request: PermitRequest, now: int) -> Bucket:
-        """Return the bucket of an endpoint, with the newest announcement."""
-        told = request.announcement
-        observed_ms = now - told.age_ms
-        bucket = self.buckets.get(request.endpoint)
-        if bucket is None:
+    def _updated(self, request: PermitRequest, now: int) -> EndpointPermits:
+        """Return what is known of an endpoint, with the newest announcement."""
+        observed_ms = now - request.announcement.age_ms
+        one = self.known.get(request.endpoint)
+        if one is None:
             self._drop_idle(now)
-            bucket = Bucket(told.per_s, observed_ms, now, now)
-            self.buckets[request.endpoint] = bucket
-        elif observed_ms > bucket.observed_ms:
-            if bucket.per_s is None:
-                bucket.level, bucket.filled_ms = 0.0, now
-            bucket.per_s, bucket.observed_ms = told.per_s, observed_ms
-        bucket.asked_ms = now
-        return bucket
+            one = EndpointPermits(request.announcement.per_s, observed_ms, now)
+            self.known[request.endpoint] = one
+        elif observed_ms > one.observed_ms:
+            one.per_s, one.observed_ms = request.announcement.per_s, observed_ms
+        one.asked_ms = now
+        return one
 
     def _drop_idle(self, now: int) -> None:
-        recent = {name: one for name, one in self.buckets.items() if now - one.asked_ms <= IDLE_MS}
-        while len(recent) >= MOST_BUCKETS:
+        recent = {name: one for name, one in self.known.items() if now - one.asked_ms <= IDLE_MS}
+        while len(recent) >= MOST_ENDPOINTS:
             del recent[next(iter(recent))]
-        self.buckets = recent
-
-    def _note_denial(self, bucket: Bucket, request: PermitRequest, permits: int, now: int) -> None:
-        bucket.denied = {node: at for node, at in bucket.denied.items() if now - at < CONTENDER_MS}
-        if request.count and not permits:
-            bucket.denied[request.node] = now
-        elif permits:
-            bucket.denied.pop(request.node, None)
+        self.known = recent
+
+
+def _bucket_of(
+    one: EndpointPermits, per_s: float, fraction: float, now: int
+) -> token_bucket.TokenBucket:
+    """Return an endpoint's bucket, which from now on fills at the given rate."""
+    fresh = new_bucket(per_s, now, fraction)
+    if one.bucket is None:
+        one.bucket = fresh
+    else:
+        one.bucket.fill(now)
+        one.bucket.per_s, one.bucket.most = fresh.per_s, fresh.most
+    return one.bucket
+
+
+def _note_denial(one: EndpointPermits, request: PermitRequest, permits: int, now: int) -> None:
+    one.denied = {node: at for node, at in one.denied.items() if now - at < CONTENDER_MS}
+    if request.count and not permits:
+        one.denied[request.node] = now
+    elif permits:
+        one.denied.pop(request.node, None)
--- a/plumarch/limits/rate_allocator_test.py
+++ b/plumarch/limits/rate_allocator_test.py
@@ -78,10 +78,10 @@
     assert ask(allocator, per_s=1.0, node="d").permits == 1
 
 
-def test_buckets_that_nobody_asks_for_are_dropped():
+def test_endpoints_that_nobody_asks_for_are_forgotten():
     time, allocator = started()
     ask(allocator)
     time.advance_to(time.now() + rate_allocator.IDLE_MS + 1)
     told = rate_allocator.Announcement(1.0, 0)
     allocator.allocate(rate_allocator.PermitRequest("n", "other", 1, 0, told), 1.0)
-    assert list(allocator.buckets) == ["other"]
+    assert list(allocator.known) == ["other"]
--- a/plumarch/node/dispatch.py
+++ b/plumarch/node/dispatch.py
@@ -271,6 +271,15 @@
         if run is not None:
             self._failed(run, event)
 
+    def rate_announced(self, event: events.EndpointRate) -> None:
+        """Apply what the answer of the attempt in progress says of its endpoint's rate."""
+        run = self._current(event.request_id, event.attempt)
+        if run is None:
+            return
+        if self.places.rate_announced(run.endpoint, event.per_s, run.started_ms):
+            told = "none" if event.per_s is None else f"{event.per_s:g} requests a second"
+            self.ctx.note(run.request, "rate", run.endpoint, f"it announces {told}")
+
     def _free(self, run: runs.Run) -> None:
         """Count a run's place as free again."""
         self.places.ended(run.endpoint)
--- a/plumarch/node/node.py
+++ b/plumarch/node/node.py
@@ -136,6 +136,8 @@
                 self.dispatch.done(event)
             case events.EndpointFailed():
                 self.dispatch.failed(event)
+            case events.EndpointRate():
+                self.dispatch.rate_announced(event)
             case events.Arrived():
                 self.home.start(event)
             case events.Attach():
--- a/plumarch/routing/placement.py
+++ b/plumarch/routing/placement.py
@@ -7,7 +7,8 @@
 
 import dataclasses
 
-from plumarch.core import context, data
+from plumarch.core import context, data, token_bucket
+from plumarch.limits import rate_allocator
 from plumarch.routing import endpoint_rests, ownership
 
 PREFILL_MS_PER_TOKEN = 0.25
@@ -61,7 +62,13 @@
 
 @dataclasses.dataclass(slots=True)
 class Seen:
-    """What this node knows of an endpoint besides its description."""
+    """What this node knows of an endpoint besides its description.
+
+    Attributes:
+      announced: the requests a second that it takes from all nodes together, or None.
+      announced_ms: when an answer said so last.
+      permits: what its owner may still send under that rate.
+    """
 
     in_flight: int = 0
     reported: int = 0
@@ -72,6 +79,9 @@
     out_until_ms: int = 0
     unreachable_until_ms: int = 0
     rests_until_ms: int = 0
+    announced: float | None = None
+    announced_ms: int = 0
+    permits: token_bucket.TokenBucket | None = None
     cached: dict[int, int] = dataclasses.field(default_factory=dict)
 
     def is_in(self, now: int) -> bool:
@@ -157,6 +167,8 @@
         """Count a request handed to an endpoint."""
         seen = self.seen.setdefault(name, Seen())
         seen.in_flight += 1
+        if seen.permits is not None:
+            seen.permits.take(1)
         if prefix:
             seen.cached.pop(prefix, None)
             seen.cached[prefix] = self.ctx.now()
@@ -189,6 +201,28 @@
             until_ms = self.ctx.now() + endpoint_rests.kept_ms(rest_ms)
             seen.rests_until_ms = max(seen.rests_until_ms, until_ms)
 
+    def rate_announced(self, name: str, per_s: float | None, sent_ms: int) -> bool:
+        """Apply what an answer says of the rate that an endpoint takes from all nodes.
+
+        Args:
+          sent_ms: when its request was sent. Before the last announcement, it ends no limit.
+        Returns:
+          Whether that is another rate than before.
+        """
+        seen = self.seen.get(name)
+        if seen is None or (per_s is None and sent_ms < seen.announced_ms):
+            return False
+        now = self.ctx.now()
+        changed = per_s != seen.announced
+        if per_s is None:
+            seen.permits = None
+        else:
+            seen.announced_ms = now
+            if changed:
+                seen.permits = rate_allocator.new_bucket(per_s, now)
+        seen.announced = per_s
+        return changed
+
     def measured(self, name: str, delay_ms: int) -> None:
         """Take in how long an endpoint took to its first answer."""
         seen = self.seen.get(name)
@@ -299,6 +333,12 @@
             return "ejected as slow"
         if seen.rests_until_ms > self.ctx.now():
             return "asked for rest"
+        if seen.permits is not None:
+            # The rate is the sum over all nodes; each endpoint has one owner, who can count it.
+            if endpoint.name not in self.owned:
+                return "another node's, announces a rate"
+            if seen.permits.fill(self.ctx.now()) < 1.0:
+                return "its announced rate is used"
         if endpoint.name in self.owned:
             if seen.in_flight >= self._room(endpoint, request):
                 return "full"
--- a/plumarch/standins/virtual.py
+++ b/plumarch/standins/virtual.py
@@ -498,6 +498,8 @@
             endpoint.break_at = ""
             self._fail(call, True, "connection reset while sending")
             return
+        rate = events.EndpointRate(request.id, call.action.attempt, endpoint.announces)
+        self._to_node(call, rate)
         self.journal.executions.append(
             invariants.Execution(
                 request.workspace,
--- a/tests/announced_rate_work_test.py
+++ b/tests/announced_rate_work_test.py
@@ -47,3 +47,31 @@
         world.run(PAUSE_MS)
     for engine in limited:
         assert most_in_a_window(starts(world, engine, known_ms)) <= 11
+
+
+def test_a_limit_that_is_over_ends():
+    world = virtual.build({"a1": "a"}, engines_each=1)
+    [engine] = engines(world)
+    engine.announces = 1.0
+    world.call("a1", virtual.request(world, "a1", data.RequestClass.CHAT, "first"))
+    world.run(500)
+    for number in range(8):
+        world.call("a1", virtual.request(world, "a1", data.RequestClass.CHAT, f"chat-{number}"))
+    world.run(2_500)
+    assert 2 <= len(starts(world, engine, 0)) <= 5
+    engine.announces = None
+    world.run(2_000)
+    assert len(starts(world, engine, 0)) == 9
+
+
+def test_work_waits_for_the_rate_and_is_done():
+    world = virtual.build({"a1": "a"}, engines_each=1)
+    [engine] = engines(world)
+    engine.announces = 4.0
+    callers = [
+        world.call("a1", virtual.request(world, "a1", data.RequestClass.CHAT, f"chat-{number}"))
+        for number in range(12)
+    ]
+    world.run(8_000)
+    assert all(one.ends == [data.Outcome.DONE] for one in callers)
+    assert most_in_a_window(starts(world, engine, 0)) <= 1.5 * 4.0 * 4 + 5
