A new version without a permit leaves the request to the old one

Callers would have seen 503 in a roll-out: the versions that a request may go to were looked at in turn until one had room, and an endpoint with an announced rate has room. With a new version that announces 0.5 a second five of six requests were refused while the old version was idle; none now. A version is passed over as well where none of its endpoints can answer in time.

--- a/plumarch/gateway/sends/announced_rate_test.py
+++ b/plumarch/gateway/sends/announced_rate_test.py
@@ -23,7 +23,7 @@
 from unittest import mock
 
 from plumarch.config import routing_table
-from plumarch.core import traffic
+from plumarch.core import rollouts, traffic
 from plumarch.gateway import relay, relay_test
 from plumarch.gateway.connections import exchange
 from plumarch.gateway.sends import announced_rates, attempts
@@ -271,3 +271,21 @@
             assert [len(one.received) for one in gateway.endpoints] == [1, 5]
 
     play(test)
+
+
+def test_a_new_version_that_announces_a_rate_leaves_the_rest_to_the_old_one():
+    async def test() -> None:
+        headers = ("x-requests-per-second: 0.5",)
+        limited, stays = relay_test.answers(headers=headers), relay_test.answers()
+        async with relay_test.Gateway(limited, stays) as gateway:
+            endpoints = gateway.state.registry.endpoints
+            for name, version in (("e0", "v2"), ("e1", "v1")):
+                endpoints[name] = dataclasses.replace(endpoints[name], version=version)
+            running = rollouts.RolloutState.RUNNING
+            whole = rollouts.VersionSplit("s", "v2", running, 1.0, 1, 1, False)
+            assert gateway.state.adopt_split(whole)
+            answers = [await gateway.ask("/safe/x") for _ in range(6)]
+            assert [one.status for one in answers] == [200] * 6
+            assert [len(one.received) for one in gateway.endpoints] == [1, 5]
+
+    play(test)
--- a/plumarch/gateway/sends/attempts.py
+++ b/plumarch/gateway/sends/attempts.py
@@ -89,21 +89,15 @@
     ready = [one for one in state.registry.ready(admitted.service) if one.id not in progress.tried]
     awake = state.rests.without(ready)
     repeated = bool(progress.tried)
-    candidates: list[traffic.Endpoint] = []
-    for group in state.splits.groups(admitted.service, awake, admitted.id, repeated):
-        candidates = candidates or _with_room(state, admitted, group)
     terms = _terms(state, admitted, repeated)
-    choice = _choose_among(state, admitted, candidates, terms)
     progress.without_permit = None
-    # An announced rate holds for all nodes together, so no node can tell by its own sends whether
-    # the endpoint takes one more.
-    if choice is not None and not announced_rates.may_send(state, choice.endpoint):
-        preferred = choice.endpoint
-        state.measures.permits.add(admitted.service, "missing")
-        permitted = [one for one in candidates if state.permits.may_send(one)]
-        choice = _choose_among(state, admitted, permitted, terms)
-        if choice is None:
-            progress.without_permit = preferred
+    choice = None
+    candidates: list[traffic.Endpoint] = []
+    for group in state.splits.groups(admitted.service, awake, admitted.id, repeated):
+        with_room = _with_room(state, admitted, group) if choice is None else []
+        if with_room:
+            candidates = with_room
+            choice = _choose_permitted(state, admitted, progress, candidates, terms)
     if choice is None:
         state.log.write(
             "no_endpoint",
@@ -123,6 +117,26 @@
     return choice
 
 
+def _choose_permitted(
+    state: fleet_state.FleetState,
+    admitted: admission.Admitted,
+    progress: Progress,
+    candidates: list[traffic.Endpoint],
+    terms: locality_choice.Terms,
+) -> endpoint_choice.Choice | None:
+    """Choose among endpoints with room, leaving out those that a permit is missing for."""
+    choice = _choose_among(state, admitted, candidates, terms)
+    # An announced rate holds for all nodes together, so no node can tell by its own sends whether
+    # the endpoint takes one more.
+    if choice is None or announced_rates.may_send(state, choice.endpoint):
+        return choice
+    state.measures.permits.add(admitted.service, "missing")
+    permitted = [one for one in candidates if state.permits.may_send(one)]
+    if not permitted and progress.without_permit is None:
+        progress.without_permit = choice.endpoint
+    return _choose_among(state, admitted, permitted, terms)
+
+
 def _terms(
     state: fleet_state.FleetState, admitted: admission.Admitted, repeated: bool
 ) -> locality_choice.Terms:
