Rates that change with each answer are no news, and what nodes send of rates is bounded and checked

An endpoint may work its rate out anew for each answer, or take its limit back and forth. Each such answer was reported, logged and told to all nodes. Now a rate counts as changed from a tenth on, smaller changes reach the allocator with the next request for permits, and each node tells all others of the same endpoint once a second at most. A number that can't be a rate (negative, infinite, none) in a message of another node makes that message count for nothing. The line of an answer (endpoint_said) is written for rates that can't be read only; changes have their own line.

--- a/plumarch/core/request_rate.py
+++ b/plumarch/core/request_rate.py
@@ -8,6 +8,14 @@
 DECIMAL = re.compile(r"\d{1,12}(\.\d{0,12})?|\.\d{1,12}", re.ASCII)
 
 
+MOST_PER_S = 1e12
+
+
+def is_rate(per_s: float) -> bool:
+    """Return whether a number that another node sent can be a rate."""
+    return 0.0 <= per_s <= MOST_PER_S
+
+
 def per_second(text: str) -> float | None:
     """Return the rate that a header's value names, or None where it names none.
 
--- a/plumarch/gateway/news/permit_exchange.py
+++ b/plumarch/gateway/news/permit_exchange.py
@@ -14,7 +14,7 @@
 
 import msgspec
 
-from plumarch.core import traffic
+from plumarch.core import request_rate, traffic
 from plumarch.gateway import fleet_state
 from plumarch.gateway.sends import announced_rates
 from plumarch.limits import rate_allocator
@@ -28,6 +28,9 @@
 MOST_PERMITS = 64
 """Permits in one answer, whatever is asked for."""
 
+NEWS_GAP_MS = 1_000
+"""How often a node tells all others of the same endpoint at most."""
+
 Send = Callable[[gossip.Datagram, Iterable[str]], None]
 
 
@@ -39,6 +42,7 @@
       send: sends a message to addresses.
       recipients: whom this node tells what all nodes are to know.
       is_leaving: whether this process is about to end, and allocates nothing any more.
+      news_ms: when all nodes were told of an endpoint last, by its identifier.
     """
 
     state: fleet_state.FleetState
@@ -46,6 +50,7 @@
     send: Send
     recipients: Callable[[], Iterable[str]]
     is_leaving: Callable[[], bool]
+    news_ms: dict[str, int] = dataclasses.field(default_factory=dict)
 
     def ask(self, endpoint: traffic.Endpoint, request: rate_allocator.PermitRequest) -> None:
         """Send a request for permits, or answer it if this node allocates them itself."""
@@ -61,11 +66,13 @@
         )
         self._route(message)
         if not request.count:
-            self._announce(endpoint.id, request.announcement)
+            told = request.announcement
+            news = gossip.RateNews(self.view.node, endpoint.id, rate_list(told), told.age_ms)
+            self._tell_all(news)
 
     def handle_request(self, message: gossip.PermitRequest) -> None:
         """Answer a request, or pass it on to who may."""
-        if message.hops < MOST_HOPS:
+        if message.hops < MOST_HOPS and self._is_sound(message):
             self._route(message)
 
     def _route(self, message: gossip.PermitRequest) -> None:
@@ -102,7 +109,7 @@
     def handle_answer(self, message: gossip.PermitAnswer) -> None:
         """Apply the allocator's answer."""
         endpoint = self.state.registry.endpoints.get(message.endpoint)
-        if endpoint is not None:
+        if endpoint is not None and self._is_sound(message):
             answer = rate_allocator.PermitAnswer(
                 message.endpoint,
                 message.sequence,
@@ -116,19 +123,36 @@
                 announced_rates.log_change(self.state, endpoint, "allocator")
         self.state.permit_answers.answered(message.endpoint)
 
-    def _announce(self, endpoint: str, told: rate_allocator.Announcement) -> None:
-        news = gossip.RateNews(self.view.node, endpoint, rate_list(told), told.age_ms)
+    def _tell_all(self, news: gossip.RateNews) -> None:
+        now = self.state.clock.now()
+        if now - self.news_ms.get(news.endpoint, -NEWS_GAP_MS) < NEWS_GAP_MS:
+            return
+        recent = {name: at for name, at in self.news_ms.items() if now - at < NEWS_GAP_MS}
+        self.news_ms = {**recent, news.endpoint: now}
         self.send(news, self.recipients())
 
     def handle_news(self, message: gossip.RateNews) -> None:
         """Apply what another node's answer announced; a coordinator passes on what was new."""
         endpoint = self.state.registry.endpoints.get(message.endpoint)
+        if endpoint is None or not self._is_sound(message):
+            return
         told = announcement(message.per_s, message.age_ms)
-        if endpoint is None or not self.state.permits.learn(endpoint, told):
+        if not self.state.permits.learn(endpoint, told):
             return
         announced_rates.log_change(self.state, endpoint, message.node)
         if self.view.role is tiers.Role.COORDINATOR:
-            self.send(message, self.recipients())
+            self._tell_all(message)
+
+    def _is_sound(
+        self, message: gossip.PermitRequest | gossip.PermitAnswer | gossip.RateNews
+    ) -> bool:
+        """Return whether a message's rate can be one."""
+        if all(request_rate.is_rate(per_s) for per_s in message.per_s):
+            return True
+        self.state.log.write(
+            "bad_permit_message", endpoint=message.endpoint, per_s=str(message.per_s[0])
+        )
+        return False
 
     def allocator_address(self, data_centre: str) -> str | None:
         """Return where the permits of a data centre's endpoints are allocated, as far as known.
--- a/plumarch/gateway/sends/endpoint_outcomes.py
+++ b/plumarch/gateway/sends/endpoint_outcomes.py
@@ -159,7 +159,7 @@
     if head.status_code != MISDIRECTED:
         has_run = head.status_code not in PROMISED_NOT_RUN
         announced_rates.observe(state, one.endpoint, words, sent_ms, has_run)
-    if words == endpoint_words.NONE and head.status_code not in PROMISED_NOT_RUN:
+    if not words.concerns_requests() and head.status_code not in PROMISED_NOT_RUN:
         return
     endpoint, now = one.endpoint, state.clock.now()
     alive_ms = state.wall.now() - now + sent_ms
--- a/plumarch/gateway/sends/endpoint_words.py
+++ b/plumarch/gateway/sends/endpoint_words.py
@@ -7,7 +7,7 @@
 
 import h11
 
-from plumarch.core import retry_after
+from plumarch.core import request_rate, retry_after
 from plumarch.gateway import dialect
 
 NOT_LEAVING = frozenset({"", "0"})
@@ -33,6 +33,12 @@
     retry_after: str = ""
     rate_limit: str = ""
 
+    def concerns_requests(self) -> bool:
+        """Return whether it says more than a rate, or one that can't be read."""
+        if self.leaving or self.retry_after:
+            return True
+        return bool(self.rate_limit) and request_rate.per_second(self.rate_limit) is None
+
 
 NONE = Words()
 """What most answers say."""
--- a/plumarch/limits/rate_permits.py
+++ b/plumarch/limits/rate_permits.py
@@ -41,6 +41,10 @@
 """A fixed share's turn that was not used within this time is drawn again. Otherwise all nodes would
 have one saved up when demand begins."""
 
+NOTICEABLE = 0.1
+"""The part by which a rate has to change so that it is reported. An endpoint may work out its rate
+anew for each answer."""
+
 FORGET_MS = 600_000
 
 LONGEST_PAUSE_MS = 5_000
@@ -59,6 +63,7 @@
       alive_ms: time of day at which the process that announced it was alive for certain.
       per_s: the announced rate, or None if there is no limit any more.
       observed_ms: when the last answer came that said so, to whichever node.
+      noted_per_s: the rate when it changed noticeably last.
       permits: when each permit expires.
       demand: when requests came lately that would go there.
       sequence: of the last request for permits.
@@ -73,6 +78,7 @@
     alive_ms: int
     per_s: float | None
     observed_ms: int
+    noted_per_s: float | None = None
     permits: collections.deque[int] = dataclasses.field(default_factory=collections.deque)
     demand: collections.deque[int] = dataclasses.field(
         default_factory=lambda: collections.deque(maxlen=MOST_DEMAND)
@@ -105,12 +111,14 @@
         Args:
           alive_ms: time of day at which the connection to the process that answered came up.
         Returns:
-          Whether the rate was not known.
+          Whether the limit is new, or its rate changed noticeably.
         """
         now = self.clock.now()
         one = self.known.get(endpoint.called())
         if one is None or one.id != endpoint.id:
-            self.known[endpoint.called()] = LimitedEndpoint(endpoint.id, alive_ms, per_s, now)
+            self.known[endpoint.called()] = LimitedEndpoint(
+                endpoint.id, alive_ms, per_s, now, per_s
+            )
             return True
         changed = self._set_rate(one, per_s, now)
         one.alive_ms = max(one.alive_ms, alive_ms)
@@ -133,7 +141,7 @@
         """Note what an answer to another node announced.
 
         Returns:
-          Whether the rate was not known.
+          Whether a limit began or ended by that, or its rate changed noticeably.
         """
         observed_ms = self.clock.now() - announcement.age_ms
         one = self.known.get(endpoint.called())
@@ -141,7 +149,7 @@
             if announcement.per_s is None:
                 return False
             self.known[endpoint.called()] = LimitedEndpoint(
-                endpoint.id, 0, announcement.per_s, observed_ms
+                endpoint.id, 0, announcement.per_s, observed_ms, announcement.per_s
             )
             return True
         if observed_ms <= one.observed_ms:
@@ -149,13 +157,14 @@
         return self._set_rate(one, announcement.per_s, observed_ms)
 
     def _set_rate(self, one: LimitedEndpoint, per_s: float | None, observed_ms: int) -> bool:
-        """Set an announced rate, and return whether it is another one than before."""
-        changed = one.per_s != per_s
-        if changed:
-            # Permits under a higher rate are too many for a lower one.
-            one.permits.clear()
+        """Set an announced rate, and return whether it changed noticeably."""
         one.per_s, one.observed_ms = per_s, observed_ms
-        return changed
+        if not _differs(per_s, one.noted_per_s):
+            return False
+        one.noted_per_s = per_s
+        # Permits under a higher rate are too many for a lower one.
+        one.permits.clear()
+        return True
 
     def _limited(self, endpoint: traffic.Endpoint) -> LimitedEndpoint | None:
         if not self.known:
@@ -248,7 +257,7 @@
         """Apply the allocator's answer.
 
         Returns:
-          Whether the rate was not known.
+          As `learn`.
         """
         changed = self.learn(endpoint, answer.announcement)
         one = self._limited(endpoint)
@@ -318,6 +327,13 @@
         }
 
 
+def _differs(per_s: float | None, noted: float | None) -> bool:
+    """Return whether a limit began or ended, or its rate changed noticeably."""
+    if per_s is None or noted is None:
+        return per_s is not noted
+    return abs(per_s - noted) > NOTICEABLE * noted
+
+
 def _gap_ms(one: LimitedEndpoint) -> float:
     """Return the time between two requests of all nodes at the announced rate."""
     return 1000.0 / max(rate_allocator.LEAST_PER_S, one.per_s or 0.0)
--- a/plumarch/limits/rate_permits_test.py
+++ b/plumarch/limits/rate_permits_test.py
@@ -66,6 +66,17 @@
     assert not node.permits.may_send(ENDPOINT)
 
 
+def test_a_rate_that_hardly_changes_is_no_news():
+    node = Node()
+    assert node.announced(10.0)
+    node.grant(1)
+    assert not node.announced(10.5)
+    assert node.permits.rate(ENDPOINT) == 10.5
+    assert node.permits.may_send(ENDPOINT)
+    assert node.announced(11.5)
+    assert node.announced(0.0)
+
+
 def test_a_permit_whose_request_was_not_sent_comes_back():
     node = Node()
     node.announced(1.0)
