--- a/plumarch/gateway/fleet_state.py
+++ b/plumarch/gateway/fleet_state.py
@@ -206,6 +206,22 @@
             )
         self._forget_gone()
 
+    def rate_changed(self, endpoint: Endpoint, source: str) -> None:
+        """Log the rate that an endpoint announces from now on, or that it announces none any more.
+
+        Args:
+          source: the node whose answer said so, or that passed it on.
+        """
+        self.measures.announced_rates.add(endpoint.service)
+        self.log.write(
+            "endpoint_rate",
+            endpoint=endpoint.id,
+            service=endpoint.service,
+            per_s=self.permits.rate(endpoint),
+            nodes=self.permits.nodes,
+            source=source,
+        )
+
     def _tell_unnamed_regions(self) -> None:
         """Log once each data centre that has no region; all ways to it count as far."""
         met = {self.data_centre, *(one.data_centre for one in self.registry.endpoints.values())}
--- a/plumarch/gateway/news/permit_exchange.py
+++ b/plumarch/gateway/news/permit_exchange.py
@@ -16,7 +16,6 @@
 
 from plumarch.core import request_rate, traffic
 from plumarch.gateway import fleet_state
-from plumarch.gateway.sends import announced_rates
 from plumarch.limits import rate_allocator
 from plumarch.membership import fleet_view, tiers
 from plumarch.peers import gossip
@@ -120,7 +119,7 @@
                 message.contenders,
             )
             if self.state.permits.answered(endpoint, answer):
-                announced_rates.log_change(self.state, endpoint, "allocator")
+                self.state.rate_changed(endpoint, "allocator")
         self.state.permit_answers.answered(message.endpoint)
 
     def _tell_all(self, news: gossip.RateNews) -> None:
@@ -139,7 +138,7 @@
         told = announcement(message.per_s, message.age_ms)
         if not self.state.permits.learn(endpoint, told):
             return
-        announced_rates.log_change(self.state, endpoint, message.node)
+        self.state.rate_changed(endpoint, message.node)
         if self.view.role is tiers.Role.COORDINATOR:
             self._tell_all(message)
 
--- a/plumarch/gateway/news/permit_exchange_test.py
+++ b/plumarch/gateway/news/permit_exchange_test.py
@@ -90,7 +90,7 @@
         if permits.may_send(ENDPOINT):
             self.send(node)
         elif permits.is_asked(ENDPOINT):
-            self.fleet._schedule(1, lambda: self.wait(node, until_ms))
+            self.fleet.schedule(1, lambda: self.wait(node, until_ms))
 
     def send(self, node: gossip_fleet.Node) -> None:
         state = node.state
@@ -102,7 +102,7 @@
         held = now - known >= KNOWN_AFTER_MS and now - harmed >= EXCUSED_MS
         self.arrivals.append(Arrival(now, held))
         announced = self.announced
-        self.fleet._schedule(ANSWER_MS, lambda: self.answer(node, announced, now))
+        self.fleet.schedule(ANSWER_MS, lambda: self.answer(node, announced, now))
 
     def answer(self, node: gossip_fleet.Node, announced: str, sent_ms: int) -> None:
         if not node.alive:
--- a/plumarch/gateway/sends/announced_rates.py
+++ b/plumarch/gateway/sends/announced_rates.py
@@ -1,7 +1,7 @@
 """Rates that endpoints announce for all nodes together, as requests meet them.
 
 Who may send, and how a rate is divided, is decided by `limits.rate_permits` and
-`limits.rate_allocator`; here they are asked, and what changes is logged.
+`limits.rate_allocator`; here they are asked.
 """
 
 from plumarch.core import request_rate, traffic
@@ -42,29 +42,12 @@
         changed = has_run and state.permits.not_announced(endpoint, sent_ms)
     if not changed:
         return
-    log_change(state, endpoint, state.node)
+    state.rate_changed(endpoint, state.node)
     report = state.permits.report(endpoint)
     if report is not None:
         _ask(state, endpoint, report)
 
 
-def log_change(state: fleet_state.FleetState, endpoint: traffic.Endpoint, source: str) -> None:
-    """Log the rate that an endpoint announces from now on, or that it announces none any more.
-
-    Args:
-      source: the node whose answer said so, or that passed it on.
-    """
-    state.measures.announced_rates.add(endpoint.service)
-    state.log.write(
-        "endpoint_rate",
-        endpoint=endpoint.id,
-        service=endpoint.service,
-        per_s=state.permits.rate(endpoint),
-        nodes=state.permits.nodes,
-        source=source,
-    )
-
-
 def may_send(state: fleet_state.FleetState, endpoint: traffic.Endpoint) -> bool:
     """Return whether a request may be sent, and ask for permits if it may not."""
     if state.permits.may_send(endpoint):
--- a/plumarch/standins/gossip_fleet.py
+++ b/plumarch/standins/gossip_fleet.py
@@ -180,7 +180,7 @@
                 self.start(number, data_centre, knows_all)
 
     def _start_later(self, number: int, data_centre: str, after_ms: int, knows_all: bool) -> None:
-        self._schedule(after_ms, lambda: self.start(number, data_centre, knows_all))
+        self.schedule(after_ms, lambda: self.start(number, data_centre, knows_all))
 
     def start(self, number: int, data_centre: str, knows_all: bool = True) -> Node:
         """Start a process, in place of one that bore the name before.
@@ -197,11 +197,12 @@
                 node.view.learn(other.name, other.address, other.data_centre)
         self.nodes[node.name] = node
         self.by_address[node.address] = node
-        self._schedule(self.rng.uniform(0, 50), lambda: self._beat(node))
-        self._schedule(self.rng.uniform(0, 50), lambda: self._round(node))
+        self.schedule(self.rng.uniform(0, 50), lambda: self._beat(node))
+        self.schedule(self.rng.uniform(0, 50), lambda: self._round(node))
         return node
 
-    def _schedule(self, after_ms: float, act: Callable[[], object]) -> None:
+    def schedule(self, after_ms: float, act: Callable[[], object]) -> None:
+        """Do something when some time has passed."""
         self.count += 1
         heapq.heappush(self.queue, (self.time.now() + after_ms, self.count, act))
 
@@ -210,14 +211,14 @@
             return
         if not node.frozen:
             node.gossip.tick()
-        self._schedule(node.gossip.interval_ms(), lambda: self._beat(node))
+        self.schedule(node.gossip.interval_ms(), lambda: self._beat(node))
 
     def beat_soon(self, node: Node) -> None:
         """Let a node send its next heartbeat at once."""
         if node.asked_to_beat:
             return
         node.asked_to_beat = True
-        self._schedule(0, lambda: self._beat_now(node))
+        self.schedule(0, lambda: self._beat_now(node))
 
     def _beat_now(self, node: Node) -> None:
         node.asked_to_beat = False
@@ -229,7 +230,7 @@
             return
         if not node.frozen:
             node.tell_round()
-        self._schedule(rounds.NEWS_MS, lambda: self._round(node))
+        self.schedule(rounds.NEWS_MS, lambda: self._round(node))
 
     def carry(self, sender: Node, datagram: bytes, address: str) -> None:
         """Carry a datagram to where it is sent, unless something is in its way."""
@@ -245,7 +246,7 @@
             return
         way_ms = REGION_MS if between else FAR_MS if far else NEAR_MS
         for _ in range(1 + (self.rng.random() < self.double)):
-            self._schedule(
+            self.schedule(
                 way_ms + self.rng.uniform(0, self.late_ms),
                 lambda: self._arrive(found, datagram, sender.address),
             )
