--- a/plumarch/limits/rate_permits.py
+++ b/plumarch/limits/rate_permits.py
@@ -47,6 +47,10 @@
 
 FORGET_MS = 600_000
 
+LEAST_PAUSE_MS = 250
+"""A node that got fewer permits than it has use for asks again after this at the earliest. At high
+rates it gets several at a time then, which the allocator saves up meanwhile."""
+
 LONGEST_PAUSE_MS = 5_000
 """A node that was denied a permit asks again after this at the latest."""
 
@@ -67,6 +71,7 @@
       permits: when each permit expires.
       demand: when requests came lately that would go there.
       sequence: of the last request for permits.
+      count: permits that it asked for.
       asked_ms: when that one was sent, or None if it was answered.
       silent_since_ms: when the first request was sent that has no answer since; or None.
       pause_until_ms: no permits are asked for before.
@@ -84,6 +89,7 @@
         default_factory=lambda: collections.deque(maxlen=MOST_DEMAND)
     )
     sequence: int = 0
+    count: int = 0
     asked_ms: int | None = None
     silent_since_ms: int | None = None
     pause_until_ms: int = 0
@@ -230,7 +236,7 @@
         count = lately - len(one.permits)
         if count <= 0 or 2 * len(one.permits) > lately:
             return None
-        one.asked_ms = now
+        one.asked_ms, one.count = now, count
         if one.silent_since_ms is None:
             one.silent_since_ms = now
         return self._request(one, count)
@@ -267,15 +273,16 @@
         one.asked_ms = one.silent_since_ms = one.turn_ms = None
         one.permits.extend([now + round(PERMIT_MS + PERMIT_GAPS * _gap_ms(one))] * answer.permits)
         one.wait_until_ms = now + answer.wait_ms
-        if not answer.permits:
+        if answer.permits < one.count:
             one.pause_until_ms = now + round(self._pause_ms(one, answer))
         return changed
 
     def _pause_ms(self, one: LimitedEndpoint, answer: rate_allocator.PermitAnswer) -> float:
-        """Return when to ask again after a denial, the later the more nodes compete."""
+        """Return when to ask for what is missing, the later the more nodes compete."""
         others = max(0, answer.contenders - 1)
         spread_ms = 2.0 * others * _gap_ms(one) / ASKS_PER_PERMIT
-        return min(LONGEST_PAUSE_MS, answer.next_ms + self.rng.uniform(0.0, spread_ms))
+        pause_ms = answer.next_ms + self.rng.uniform(0.0, spread_ms)
+        return max(LEAST_PAUSE_MS, min(LONGEST_PAUSE_MS, pause_ms))
 
     def _has_permit(self, one: LimitedEndpoint) -> bool:
         now = self.clock.now()
