What nodes had used that were cut off and killed is not admitted a second time

Cause: a node that is cut off alone admits from the whole until it is noticed to be silent. The others left it an eighth of what there was when they heard it last, while callers asked it for as much as each of them: it had used 60,000 units where 15,000 were left to it. Killed in the cut, it told nobody; when the next process under its name was heard, an eighth of what was left by then counted as used, the rest of what had been kept for it was admitted at once: 100,000 units in 0.2 s (levels and parts of all nodes, step by step).

Change: nodes that fall silent are left their share, or as much as callers asked this node for since they were heard last, for each of them, if that is more. When one of them is followed by a new process its share of all that was left to them counts as used.

Why it holds: what one side of a cut admitted before it was noticed is bounded by what was left and by what it was asked for, and callers ask all nodes alike. A workspace that asks for no more than its rate is left what it was before, so that nobody is refused who is owed: the tests of what is refused after cuts and kills pass as they are.

Ruled out: charging a full bucket for each process that ended (refuses what is owed after three kills).

--- a/plumarch/limits/workspace_quota.py
+++ b/plumarch/limits/workspace_quota.py
@@ -122,6 +122,7 @@
       part: units left for the nodes that are heard; equals the level while all are.
       spent: units that this process admitted since its start.
       charged: units that were taken off the level, by whomever they were admitted.
+      asked: units that callers asked this node for.
       settled: whether the level rests on more than this process's own short life.
       spared: units by which it would have been refilled had it not been full.
       own: units of its share of the refill that this node has not used; negative after more.
@@ -135,6 +136,15 @@
     charged: float = 0.0
     spared: float = 0.0
     own: float = 0.0
+    asked: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Counted:
+    """Units of a workspace since its bucket was made, as of a time: charged, and asked for."""
+
+    charged: float
+    asked: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -203,7 +213,8 @@
       charged_by: units charged since this process started, over all workspaces, by who admitted
         them: "" for this node, a node's name, or a group of nodes.
       anew_until_ms: until when lower levels are taken over from peers.
-      charged_before: what was charged by when, over the last moments, by workspace.
+      nodes: how many nodes there may be.
+      counted_before: what was counted by when, over the last moments, by workspace.
     """
 
     clock: clock.Clock
@@ -220,7 +231,8 @@
         default_factory=lambda: collections.defaultdict(float)
     )
     anew_until_ms: int = 0
-    charged_before: collections.deque[tuple[int, dict[str, float]]] = dataclasses.field(
+    nodes: int = 1
+    counted_before: collections.deque[tuple[int, dict[str, Counted]]] = dataclasses.field(
         default_factory=collections.deque
     )
 
@@ -236,6 +248,7 @@
         if workspace.rate <= 0:
             return 0.0
         bucket = self._refill(workspace)
+        bucket.asked += units
         available = bucket.level if self.fraction >= 1.0 else bucket.part
         if bucket.settled:
             available -= self._left_to_others(workspace, rank)
@@ -313,48 +326,60 @@
         """Take in which part of all nodes is heard from now on."""
         now = self.clock.now()
         if fraction == self.fraction:
-            self._remember_charges(now)
+            self._remember_counts(now)
             return
         self.refill_all()
         for name, bucket in self.buckets.items():
             if self.fraction >= 1.0:
                 bucket.part = bucket.level
-            left = max(0.0, bucket.level)
             if fraction < self.fraction:
-                left = max(0.0, bucket.level + self._charged_unheard(name))
-            bucket.part += (fraction - self.fraction) * left
+                bucket.part -= self._left_to_lost(name, self.fraction - fraction)
+            else:
+                bucket.part += (fraction - self.fraction) * max(0.0, bucket.level)
         self.fraction = fraction
-        self._remember_charges(now)
+        self._remember_counts(now)
 
     def lose_part(self, share: float) -> None:
         """Count the part of a node as used up whose process ended while it was not heard.
 
-        What it had admitted is told by nobody any more. Without this eight nodes admitted 1.04 of
-        what is tolerated, where one was cut off and killed at ten times the rate.
+        What it had admitted is told by nobody any more: all that was left to it may be gone. While
+        only its share of what is left now counted, the rest was admitted a second time.
 
         Args:
           share: the part of the fleet that it was.
         """
         self.refill_all()
+        unheard = 1.0 - self.fraction
         for bucket in self.buckets.values():
-            bucket.level -= share * max(0.0, bucket.level)
+            used = share * max(0.0, bucket.level)
+            if unheard > 0:
+                used = max(used, (bucket.level - bucket.part) * min(1.0, share / unheard))
+            bucket.level -= used
+
+    def _remember_counts(self, now: int) -> None:
+        """Note what was counted until now, and drop what was noted long ago."""
+        counted = {name: Counted(one.charged, one.asked) for name, one in self.buckets.items()}
+        self.counted_before.append((now, counted))
+        while now - self.counted_before[0][0] > UNHEARD_MS:
+            self.counted_before.popleft()
 
-    def _remember_charges(self, now: int) -> None:
-        """Note what was charged until now, and drop what was noted long ago."""
-        charged = {name: bucket.charged for name, bucket in self.buckets.items()}
-        self.charged_before.append((now, charged))
-        while now - self.charged_before[0][0] > UNHEARD_MS:
-            self.charged_before.popleft()
+    def _left_to_lost(self, name: str, share: float) -> float:
+        """Return the units that nodes have, or had, that are not heard any more.
 
-    def _charged_unheard(self, name: str) -> float:
-        """Return what was charged since nodes that are not heard any more were heard last.
+        Until they were noticed to be silent both sides admitted as if each were the whole. So they
+        have a part of what was left when they were heard last; and they have used more than that
+        if callers asked them for as much as they asked this node.
 
-        They have a part of that as well: until now both sides admitted as if each were the whole.
+        Args:
+          share: the part of the fleet that they are.
         """
-        before = self.charged_before[0][1] if self.charged_before else {}
+        bucket = self.buckets[name]
+        before = self.counted_before[0][1] if self.counted_before else {}
         if name not in before:
-            return 0.0
-        return max(0.0, self.buckets[name].charged - before[name])
+            return share * max(0.0, bucket.level)
+        left = max(0.0, bucket.level + max(0.0, bucket.charged - before[name].charged))
+        asked = share * self.nodes * (bucket.asked - before[name].asked)
+        return max(share * left, min(left, asked))
 
     def report(self) -> dict[str, PeerSpending]:
         """Return this node's spending, for its heartbeat, with levels as of now."""
