--- a/plumarch/gateway/news/permit_exchange_test.py
+++ b/plumarch/gateway/news/permit_exchange_test.py
@@ -13,7 +13,7 @@
 
 from plumarch.core import traffic
 from plumarch.gateway.news import permit_exchange
-from plumarch.gateway.sends import announced_rates, endpoint_words
+from plumarch.gateway.sends import announced_rates, endpoint_signals
 from plumarch.membership import tiers
 from plumarch.peers import gossip
 from plumarch.standins import gossip_fleet
@@ -107,8 +107,8 @@
     def answer(self, node: gossip_fleet.Node, announced: str, sent_ms: int) -> None:
         if not node.alive:
             return
-        words = endpoint_words.Words(rate_limit=announced)
-        announced_rates.observe(node.state, ENDPOINT, words, sent_ms, has_run=True)
+        signals = endpoint_signals.Signals(rate_limit=announced)
+        announced_rates.observe(node.state, ENDPOINT, signals, sent_ms, has_run=True)
         if announced:
             now = self.fleet.time.now()
             self.received_ms.setdefault((node.name, node.view.incarnation), now)
--- a/plumarch/gateway/sends/announced_rates.py
+++ b/plumarch/gateway/sends/announced_rates.py
@@ -6,7 +6,7 @@
 
 from plumarch.core import request_rate, traffic
 from plumarch.gateway import fleet_state
-from plumarch.gateway.sends import endpoint_words
+from plumarch.gateway.sends import endpoint_signals
 from plumarch.limits import rate_allocator
 
 ANSWER_MS = 150.0
@@ -20,7 +20,7 @@
 def observe(
     state: fleet_state.FleetState,
     endpoint: traffic.Endpoint,
-    words: endpoint_words.Words,
+    signals: endpoint_signals.Signals,
     sent_ms: int,
     has_run: bool,
 ) -> None:
@@ -32,8 +32,8 @@
       sent_ms: when the request was sent.
       has_run: whether the endpoint ran it.
     """
-    if words.rate_limit:
-        per_s = request_rate.per_second(words.rate_limit)
+    if signals.rate_limit:
+        per_s = request_rate.per_second(signals.rate_limit)
         if per_s is None:
             return
         alive_ms = state.wall.now() - state.clock.now() + sent_ms
--- a/plumarch/gateway/sends/endpoint_outcomes.py
+++ b/plumarch/gateway/sends/endpoint_outcomes.py
@@ -12,7 +12,7 @@
 from plumarch.core import traffic
 from plumarch.gateway import fleet_state
 from plumarch.gateway.callers import admission
-from plumarch.gateway.sends import announced_rates, endpoint_words
+from plumarch.gateway.sends import announced_rates, endpoint_signals
 from plumarch.routing import (
     answer_times,
     endpoint_choice,
@@ -155,18 +155,18 @@
     Args:
       sent_ms: when the request was sent; the process that answers was there by then.
     """
-    words = endpoint_words.of(head, state.names)
+    signals = endpoint_signals.of(head, state.names)
     if head.status_code != MISDIRECTED:
         has_run = head.status_code not in PROMISED_NOT_RUN
-        announced_rates.observe(state, one.endpoint, words, sent_ms, has_run)
-    if not words.concerns_requests() and head.status_code not in PROMISED_NOT_RUN:
+        announced_rates.observe(state, one.endpoint, signals, sent_ms, has_run)
+    if not signals.concerns_requests() and head.status_code not in PROMISED_NOT_RUN:
         return
     endpoint, now = one.endpoint, state.clock.now()
     alive_ms = state.wall.now() - now + sent_ms
     rests_ms = 0
-    if words.rest_ms and head.status_code in TOO_MUCH:
+    if signals.rest_ms and head.status_code in TOO_MUCH:
         # It runs little by refusing, so that it would be the next request's first choice again.
-        rests_ms = state.rests.ask(endpoint, alive_ms, words.rest_ms)
+        rests_ms = state.rests.ask(endpoint, alive_ms, signals.rest_ms)
         state.measures.rests.add(endpoint.service)
     listed = state.registry.endpoints.get(endpoint.id)
     state.log.write(
@@ -174,10 +174,10 @@
         request=admitted.id,
         endpoint=endpoint.id,
         status=head.status_code,
-        leaving=words.leaving,
-        retry_after=words.retry_after,
+        leaving=signals.leaving,
+        retry_after=signals.retry_after,
         rests_ms=rests_ms,
-        rate_limit=words.rate_limit,
+        rate_limit=signals.rate_limit,
         after_ms=now - sent_ms,
         listed_as=listed.state.value if listed else "gone",
         registry_revision=state.registry.revision,
@@ -187,7 +187,7 @@
         # Another process has the address: what it says is not about the endpoint.
         return
     # The store may be silent for long while an endpoint that leaves says so in all its answers.
-    if words.leaving and state.registry.says_it_leaves(endpoint, alive_ms):
+    if signals.leaving and state.registry.says_it_leaves(endpoint, alive_ms):
         state.measures.leaving_said.add(endpoint.service)
 
 
--- a/plumarch/gateway/sends/endpoint_words.py
+++ b/plumarch/gateway/sends/endpoint_signals.py
@@ -13,12 +13,12 @@
 NOT_LEAVING = frozenset({"", "0"})
 """Values of the header of leaving endpoints that say nothing."""
 
-TOLD_CHARACTERS = 40
+LOGGED_CHARACTERS = 40
 """Characters of a header's value that are logged; a sound one is shorter."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Words:
+class Signals:
     """What an answer says of its endpoint.
 
     Attributes:
@@ -40,20 +40,20 @@
         return bool(self.rate_limit) and request_rate.per_second(self.rate_limit) is None
 
 
-NONE = Words()
+NONE = Signals()
 """What most answers say."""
 
 
-def of(head: h11.Response, names: dialect.Dialect) -> Words:
+def of(head: h11.Response, names: dialect.Dialect) -> Signals:
     """Return what an answer says of its endpoint."""
     leaving = dialect.header_value(head.headers, names.leaving) not in NOT_LEAVING
     asked = dialect.header_value(head.headers, retry_after.HEADER.encode())
     rate_limit = dialect.header_value(head.headers, names.rate_limit)
     if not leaving and not asked and not rate_limit:
         return NONE
-    return Words(
+    return Signals(
         leaving,
         retry_after.milliseconds(asked),
-        asked[:TOLD_CHARACTERS],
-        rate_limit[:TOLD_CHARACTERS],
+        asked[:LOGGED_CHARACTERS],
+        rate_limit[:LOGGED_CHARACTERS],
     )
--- a/plumarch/gateway/sends/endpoint_words_test.py
+++ b/plumarch/gateway/sends/endpoint_signals_test.py
@@ -5,17 +5,17 @@
 from hypothesis import given, strategies
 
 from plumarch.gateway import dialect
-from plumarch.gateway.sends import endpoint_words
+from plumarch.gateway.sends import endpoint_signals
 
 NAMES = dialect.Dialect()
 
 
-def said(*headers: tuple[bytes, bytes]) -> endpoint_words.Words:
-    return endpoint_words.of(h11.Response(status_code=503, headers=list(headers)), NAMES)
+def said(*headers: tuple[bytes, bytes]) -> endpoint_signals.Signals:
+    return endpoint_signals.of(h11.Response(status_code=503, headers=list(headers)), NAMES)
 
 
 def test_most_answers_say_nothing():
-    assert said((b"x-other", b"1")) == endpoint_words.NONE
+    assert said((b"x-other", b"1")) == endpoint_signals.NONE
 
 
 @pytest.mark.parametrize(("value", "leaving"), [(b"1", True), (b"0", False), (b"", False)])
@@ -45,11 +45,13 @@
 
 def test_an_announced_request_rate_is_logged_as_written():
     assert said((NAMES.rate_limit, b"0.5")).rate_limit == "0.5"
-    assert said((NAMES.rate_limit, b"9" * 99)).rate_limit == "9" * endpoint_words.TOLD_CHARACTERS
+    assert (
+        said((NAMES.rate_limit, b"9" * 99)).rate_limit == "9" * endpoint_signals.LOGGED_CHARACTERS
+    )
 
 
 @given(strategies.binary(max_size=200).map(lambda raw: bytes(b for b in raw if 32 < b < 127)))
 def test_no_value_is_a_fault(value: bytes):
     found = said((b"retry-after", value), (NAMES.leaving, value))
     assert 0.0 <= found.rest_ms < float("inf")
-    assert len(found.retry_after) <= endpoint_words.TOLD_CHARACTERS
+    assert len(found.retry_after) <= endpoint_signals.LOGGED_CHARACTERS
