--- a/plumarch/daemon/status_pages.py
+++ b/plumarch/daemon/status_pages.py
@@ -71,7 +71,7 @@
         return self.state.permits.lasting(self.state.registry.endpoints.values())
 
     def _resting(self) -> dict[str, int]:
-        return self.state.rests.lasting(self.state.registry.endpoints.values())
+        return self.state.backoff.lasting(self.state.registry.endpoints.values())
 
     def _set_gauges(self) -> None:
         state = self.state
--- a/plumarch/daemon/status_pages_test.py
+++ b/plumarch/daemon/status_pages_test.py
@@ -49,7 +49,7 @@
     )
     state.registry.replace([one, other], 1, "store")
     state.registry.says_it_leaves(one, 5)
-    state.rests.ask(other, 5, 3_000.0)
+    state.backoff.note_retry_after(other, 5, 3_000.0)
     lines = page(b"/status", state)
     assert "leaves by its own word: one" in lines
     assert "asked for rest: other, 3000 ms more" in lines
--- a/plumarch/gateway/fleet_state.py
+++ b/plumarch/gateway/fleet_state.py
@@ -32,10 +32,10 @@
     answer_times,
     data_centre_reach,
     distance,
+    endpoint_backoff,
     endpoint_choice,
     endpoint_health,
     endpoint_limits,
-    endpoint_rests,
     version_split,
 )
 
@@ -71,7 +71,7 @@
       memory: what is held on behalf of callers and endpoints.
       pressure: who is turned away when much of it is held.
       limits: what endpoints bear.
-      rests: endpoints that asked this node for rest.
+      backoff: endpoints that asked this node for rest.
       permits: to send to endpoints that announce a rate for all nodes together.
       allocator: divides such rates among the nodes that ask this one.
       permit_answers: requests that wait for the allocator's answer.
@@ -128,7 +128,7 @@
     reaches_store: bool = True
     stops_at_ms: int | None = None
     unreadable: unreadable_entries.UnreadableEntries = dataclasses.field(init=False)
-    rests: endpoint_rests.EndpointRests = dataclasses.field(init=False)
+    backoff: endpoint_backoff.EndpointBackoff = dataclasses.field(init=False)
     permits: rate_permits.RatePermits = dataclasses.field(init=False)
     allocator: rate_allocator.RateAllocator = dataclasses.field(init=False)
     permit_answers: permit_waiters.PermitWaiters = dataclasses.field(
@@ -137,7 +137,7 @@
     runs: open_runs.OpenRuns = dataclasses.field(default_factory=open_runs.OpenRuns)
 
     def __post_init__(self) -> None:
-        self.rests = endpoint_rests.EndpointRests(self.clock)
+        self.backoff = endpoint_backoff.EndpointBackoff(self.clock)
         self.permits = rate_permits.RatePermits(self.clock, self.rng, self.node)
         self.allocator = rate_allocator.RateAllocator(self.clock)
         self.unreadable = unreadable_entries.UnreadableEntries(self.log, self.measures)
--- a/plumarch/gateway/sends/asked_rest_test.py
+++ b/plumarch/gateway/sends/asked_rest_test.py
@@ -49,8 +49,8 @@
     async def test() -> None:
         async with relay_test.Gateway(resting("0.2"), STAYS) as gateway:
             await gateway.ask("/safe/x")
-            [rest] = gateway.state.rests.known.values()
-            gateway.state.rests.known["e0"] = dataclasses.replace(
+            [rest] = gateway.state.backoff.known.values()
+            gateway.state.backoff.known["e0"] = dataclasses.replace(
                 rest, until_ms=gateway.state.clock.now()
             )
             await gateway.ask("/safe/x")
@@ -64,7 +64,7 @@
         for value in ("-3", "nan", "inf", "Wed, 21 Oct 2015 07:28:00 GMT", "soon", "0"):
             async with relay_test.Gateway(resting(value), STAYS) as gateway:
                 assert (await gateway.ask("/safe/x")).status == 200
-                assert gateway.state.rests.known == {}, value
+                assert gateway.state.backoff.known == {}, value
 
     play(test)
 
@@ -74,7 +74,7 @@
         answering = relay_test.answers(headers=("retry-after: 300",))
         async with relay_test.Gateway(answering, STAYS) as gateway:
             await gateway.ask("/safe/x")
-            assert gateway.state.rests.known == {}
+            assert gateway.state.backoff.known == {}
 
     play(test)
 
@@ -84,7 +84,7 @@
         answering = relay_test.answers("503 Full", headers=("retry-after: 300",))
         async with relay_test.Gateway(answering, STAYS) as gateway:
             await gateway.ask("/safe/x")
-            assert list(gateway.state.rests.known) == ["e0"]
+            assert list(gateway.state.backoff.known) == ["e0"]
 
     play(test)
 
--- a/plumarch/gateway/sends/attempts.py
+++ b/plumarch/gateway/sends/attempts.py
@@ -87,7 +87,7 @@
 ) -> endpoint_choice.Choice | None:
     """Choose an endpoint that was not tried yet, or None if there is none with room."""
     ready = [one for one in state.registry.ready(admitted.service) if one.id not in progress.tried]
-    awake = state.rests.without(ready)
+    awake = state.backoff.without(ready)
     repeated = bool(progress.tried)
     terms = _terms(state, admitted, repeated)
     progress.without_permit = None
@@ -201,10 +201,10 @@
     all are too far, when those have booted that are ordered in their place.
     """
     time_left_ms = admitted.ends_ms - state.clock.now()
-    rest_ms = all_rest_ms(state, admitted)
-    if rest_ms:
-        return float(rest_ms)
-    all_ready = state.rests.without(state.registry.ready(admitted.service))
+    backoff_ms = backoff_left_ms(state, admitted)
+    if backoff_ms:
+        return float(backoff_ms)
+    all_ready = state.backoff.without(state.registry.ready(admitted.service))
     permit_ms = state.permits.wait_ms(all_ready)
     if permit_ms:
         return float(permit_ms)
@@ -224,9 +224,9 @@
     return return_times.LEAST_MS
 
 
-def all_rest_ms(state: fleet_state.FleetState, admitted: admission.Admitted) -> int:
-    """Return when the first endpoint of a service has rested; 0 if one doesn't rest."""
-    return state.rests.all_rest_ms(state.registry.ready(admitted.service))
+def backoff_left_ms(state: fleet_state.FleetState, admitted: admission.Admitted) -> int:
+    """Return when the first endpoint of a service takes requests again; 0 if one does now."""
+    return state.backoff.first_left_ms(state.registry.ready(admitted.service))
 
 
 async def send(
@@ -354,7 +354,7 @@
     told = state.registry.endpoints.get(endpoint.id)
     if told is not None and told.state is traffic.EndpointState.DRAINING:
         raise errors.ConnectFailed(f"{endpoint.id} leaves. Ask another one.")
-    if state.rests.left_ms(endpoint):
+    if state.backoff.left_ms(endpoint):
         raise errors.ConnectFailed(f"{endpoint.id} asked for rest. Ask another one.")
     limited = not has_permit and state.permits.rate(endpoint) is not None
     if limited and not state.permits.use(endpoint):
--- a/plumarch/gateway/sends/endpoint_outcomes.py
+++ b/plumarch/gateway/sends/endpoint_outcomes.py
@@ -166,7 +166,7 @@
     rests_ms = 0
     if signals.rest_ms and head.status_code in TOO_MUCH:
         # It runs little by refusing, so that it would be the next request's first choice again.
-        rests_ms = state.rests.ask(endpoint, alive_ms, signals.rest_ms)
+        rests_ms = state.backoff.note_retry_after(endpoint, alive_ms, signals.rest_ms)
         state.measures.rests.add(endpoint.service)
     listed = state.registry.endpoints.get(endpoint.id)
     state.log.write(
--- a/plumarch/gateway/sends/request_run.py
+++ b/plumarch/gateway/sends/request_run.py
@@ -157,8 +157,8 @@
                 wait_ms = RESUME_CHECK_MS
                 continue
             if not await self._may_try_again(choice.endpoint.id):
-                rest_ms = attempts.all_rest_ms(self.state, self.admitted)
-                self.back_in_ms = max(self.back_in_ms, float(rest_ms))
+                backoff_ms = attempts.backoff_left_ms(self.state, self.admitted)
+                self.back_in_ms = max(self.back_in_ms, float(backoff_ms))
                 return self._give_up(self.progress.last_fault, 502)
 
     async def _may_begin(self) -> bool:
--- a/plumarch/routing/placement.py
+++ b/plumarch/routing/placement.py
@@ -9,7 +9,7 @@
 
 from plumarch.core import context, data, token_bucket
 from plumarch.limits import rate_allocator
-from plumarch.routing import endpoint_rests, ownership
+from plumarch.routing import endpoint_backoff, ownership
 
 PREFILL_MS_PER_TOKEN = 0.25
 """Assumed time to compute one prompt token, until an engine's own rate is known."""
@@ -198,7 +198,7 @@
         """
         seen = self.seen.get(name)
         if seen is not None:
-            until_ms = self.ctx.now() + endpoint_rests.kept_ms(rest_ms)
+            until_ms = self.ctx.now() + endpoint_backoff.bounded_ms(rest_ms)
             seen.rests_until_ms = max(seen.rests_until_ms, until_ms)
 
     def rate_announced(self, name: str, per_s: float | None, sent_ms: int) -> bool:
