--- a/plumarch/daemon/status_pages.py
+++ b/plumarch/daemon/status_pages.py
@@ -59,7 +59,7 @@
     def _left_out(self) -> list[str]:
         """Return a line for each endpoint that is left out for what it said in an answer."""
         state, found = self.state, []
-        for name in state.registry.words.in_force()[:LEFT_OUT_NAMED]:
+        for name in state.registry.drains.in_force()[:LEFT_OUT_NAMED]:
             found.append(f"leaves by its own word: {name}")
         for name, left_ms in list(self._resting().items())[:LEFT_OUT_NAMED]:
             found.append(f"asked for rest: {name}, {left_ms} ms more")
@@ -80,7 +80,7 @@
         sizes["registry_revision"] = state.registry.revision
         sizes["registry_age_ms"] = state.registry.age_ms()
         sizes["endpoints"] = len(state.registry.endpoints)
-        sizes["endpoints_leaving_by_answer"] = len(state.registry.words.in_force())
+        sizes["endpoints_leaving_by_answer"] = len(state.registry.drains.in_force())
         sizes["endpoints_resting"] = len(self._resting())
         sizes["endpoints_with_announced_rate"] = len(self._limited())
         sizes["heard_fraction"] = state.quota.fraction
--- a/plumarch/daemon/status_pages_test.py
+++ b/plumarch/daemon/status_pages_test.py
@@ -48,7 +48,7 @@
         traffic.Endpoint(name, "s", "10.0.0.1:80", "a", 8, ready) for name in ("one", "other")
     )
     state.registry.replace([one, other], 1, "store")
-    state.registry.says_it_leaves(one, 5)
+    state.registry.note_draining(one, 5)
     state.backoff.note_retry_after(other, 5, 3_000.0)
     lines = page(b"/status", state)
     assert "leaves by its own word: one" in lines
--- a/plumarch/gateway/sends/endpoint_outcomes.py
+++ b/plumarch/gateway/sends/endpoint_outcomes.py
@@ -187,7 +187,7 @@
         # Another process has the address: what it says is not about the endpoint.
         return
     # The store may be silent for long while an endpoint that leaves says so in all its answers.
-    if signals.leaving and state.registry.says_it_leaves(endpoint, alive_ms):
+    if signals.leaving and state.registry.note_draining(endpoint, alive_ms):
         state.measures.leaving_said.add(endpoint.service)
 
 
--- a/plumarch/gateway/sends/leaving_answers_test.py
+++ b/plumarch/gateway/sends/leaving_answers_test.py
@@ -100,7 +100,7 @@
 
             async def slowly(address: str, timeout_ms: float) -> exchange.Exchange:
                 found = await connect(address, timeout_ms)
-                gateway.state.registry.says_it_leaves(first, 1)
+                gateway.state.registry.note_draining(first, 1)
                 return found
 
             with mock.patch.object(exchange, "connect", slowly):
--- a/plumarch/membership/leaving_words_test.py
+++ b/plumarch/membership/drain_notices_test.py
@@ -6,7 +6,7 @@
 from hypothesis import given, strategies
 
 from plumarch.core import clock, traffic
-from plumarch.membership import leaving_words, registry
+from plumarch.membership import drain_notices, registry
 
 READY, DRAINING = traffic.EndpointState.READY, traffic.EndpointState.DRAINING
 BORN_MS = 1_700_000_000_000
@@ -42,8 +42,8 @@
 def test_no_list_makes_it_ready_again():
     one = endpoint()
     known = new(one)
-    assert known.says_it_leaves(one, SAID_MS) and ready(known) == []
-    assert not known.says_it_leaves(one, SAID_MS + 1)
+    assert known.note_draining(one, SAID_MS) and ready(known) == []
+    assert not known.note_draining(one, SAID_MS + 1)
     known.replace([one], 10, "the same again")
     known.replace([dataclasses.replace(one, slots=9)], 11, "a peer")
     known.apply([change(12, dataclasses.replace(one, slots=10))], 12, "store")
@@ -55,7 +55,7 @@
 def test_it_is_not_used_on_when_its_entry_lapses_nor_when_it_comes_back():
     one, other = endpoint(), endpoint(name="f")
     known = new(one, other)
-    known.says_it_leaves(one, SAID_MS)
+    known.note_draining(one, SAID_MS)
     known.replace([], 11, "store")
     assert ready(known) == []
     known.replace([one], 12, "store")
@@ -67,8 +67,8 @@
     known = new(one, other)
     known.replace([], 11, "store")
     assert ready(known) == [one.id, other.id]
-    known.says_it_leaves(one, SAID_MS)
-    known.says_it_leaves(other, SAID_MS)
+    known.note_draining(one, SAID_MS)
+    known.note_draining(other, SAID_MS)
     assert ready(known) == []
 
 
@@ -76,17 +76,17 @@
 def test_a_process_born_after_the_word_is_not_meant(births: tuple[int, int]):
     before, after = endpoint(births[0]), endpoint(births[1])
     known = new(before)
-    known.says_it_leaves(before, SAID_MS)
-    assert known.words.in_force() == ["e"]
+    known.note_draining(before, SAID_MS)
+    assert known.drains.in_force() == ["e"]
     known.apply([change(11, after)], 11, "store")
-    assert ready(known) == [after.id] and known.words.in_force() == []
+    assert ready(known) == [after.id] and known.drains.in_force() == []
 
 
 def test_a_process_that_had_started_again_unheard_is_meant():
     """The node had asked the one before, by its name; the one that was alive then answered."""
     before, after = endpoint(BORN_MS), endpoint(SAID_MS - 3_000)
     known = new(before)
-    known.says_it_leaves(before, SAID_MS)
+    known.note_draining(before, SAID_MS)
     known.apply([change(11, after)], 11, "store")
     assert ready(known) == []
 
@@ -95,14 +95,14 @@
     before, after = endpoint(BORN_MS), endpoint(SAID_MS + 3_000)
     known = new(before)
     known.apply([change(11, after)], 11, "store")
-    known.says_it_leaves(before, SAID_MS)
+    known.note_draining(before, SAID_MS)
     assert ready(known) == [after.id]
 
 
 def test_one_that_tells_no_birth_is_back_once_its_entry_had_gone():
     one = endpoint(0)
     known = new(one)
-    known.says_it_leaves(one, SAID_MS)
+    known.note_draining(one, SAID_MS)
     known.apply([change(11, dataclasses.replace(one, slots=9))], 11, "store")
     assert ready(known) == []
     known.apply([change(12, None)], 12, "store")
@@ -113,8 +113,8 @@
 def test_one_that_is_listed_as_ready_long_after_it_spoke_is_used_again():
     one = endpoint()
     known = new(one)
-    known.says_it_leaves(one, SAID_MS)
-    advance(known, leaving_words.KEPT_MS - 1)
+    known.note_draining(one, SAID_MS)
+    advance(known, drain_notices.KEPT_MS - 1)
     known.replace([one], 11, "store")
     assert ready(known) == []
     advance(known, 1)
@@ -123,10 +123,10 @@
 
 
 def test_so_many_are_kept_and_the_oldest_go_first():
-    words = leaving_words.LeavingWords(clock.ManualClock())
-    for number in range(leaving_words.MOST_KEPT + 1):
+    words = drain_notices.DrainNotices(clock.ManualClock())
+    for number in range(drain_notices.MOST_KEPT + 1):
         words.note(endpoint(name=f"e{number}"), SAID_MS)
-    assert len(words.known) == leaving_words.MOST_KEPT and "e0" not in words.known
+    assert len(words.known) == drain_notices.MOST_KEPT and "e0" not in words.known
 
 
 @given(
@@ -145,7 +145,7 @@
     for revision, (what, number) in enumerate(events, start=11):
         one = starts[number]
         if what == "word":
-            known.says_it_leaves(one, one.born_ms + 30_000)
+            known.note_draining(one, one.born_ms + 30_000)
             said = {one.id}
         elif what == "gone":
             known.apply([change(revision, None)], revision, "store")
@@ -160,8 +160,8 @@
     """A request that was chosen for the one before is answered by the next one."""
     before, after = endpoint(BORN_MS), endpoint(SAID_MS + 3_000)
     known = new(before)
-    known.says_it_leaves(before, SAID_MS)
+    known.note_draining(before, SAID_MS)
     known.apply([change(11, after)], 11, "store")
     assert ready(known) == [after.id]
-    assert known.says_it_leaves(before, SAID_MS + 5_000)
+    assert known.note_draining(before, SAID_MS + 5_000)
     assert ready(known) == []
--- a/plumarch/membership/registry.py
+++ b/plumarch/membership/registry.py
@@ -8,7 +8,7 @@
 from collections.abc import Iterable
 
 from plumarch.core import clock, traffic
-from plumarch.membership import leaving_words
+from plumarch.membership import drain_notices
 
 LAPSE_MS = 1_400
 """How long endpoints that vanished without notice, most of a service at once, are still used."""
@@ -75,10 +75,10 @@
     source: str = ""
     lapsed: dict[str, Lapsed] = dataclasses.field(default_factory=dict)
     ready_by_service: dict[str, list[traffic.Endpoint]] = dataclasses.field(default_factory=dict)
-    words: leaving_words.LeavingWords = dataclasses.field(init=False)
+    drains: drain_notices.DrainNotices = dataclasses.field(init=False)
 
     def __post_init__(self) -> None:
-        self.words = leaving_words.LeavingWords(self.clock)
+        self.drains = drain_notices.DrainNotices(self.clock)
 
     def replace(
         self,
@@ -96,7 +96,7 @@
         """
         if revision < self.revision:
             return []
-        fresh = {endpoint.id: self.words.applied(endpoint) for endpoint in endpoints}
+        fresh = {endpoint.id: self.drains.applied(endpoint) for endpoint in endpoints}
         by_name = {endpoint.called(): endpoint.id for endpoint in fresh.values()}
         changes = []
         for endpoint in self.endpoints.values():
@@ -135,7 +135,7 @@
         """Take one change; return what it changes of incarnations."""
         news = []
         before = self.by_name.get(told.id)
-        endpoint = self.words.applied(told.endpoint) if told.endpoint is not None else None
+        endpoint = self.drains.applied(told.endpoint) if told.endpoint is not None else None
         now = endpoint.id if endpoint is not None else None
         if before is not None and before != now:
             change = EndpointChange(
@@ -150,7 +150,7 @@
             self.by_name[told.id] = endpoint.id
         return news
 
-    def says_it_leaves(self, endpoint: traffic.Endpoint, alive_ms: int) -> bool:
+    def note_draining(self, endpoint: traffic.Endpoint, alive_ms: int) -> bool:
         """Take in that an endpoint says itself that it leaves.
 
         Args:
@@ -159,12 +159,12 @@
         Returns:
           Whether that is news, or makes a listed endpoint a leaving one.
         """
-        is_news = self.words.note(endpoint, alive_ms)
+        is_news = self.drains.note(endpoint, alive_ms)
         self.lapsed.pop(endpoint.id, None)
         listed = self.endpoints.get(self.by_name.get(endpoint.called(), ""))
         if listed is None:
             return is_news
-        as_said = self.words.applied(listed)
+        as_said = self.drains.applied(listed)
         if as_said == listed:
             return is_news
         self.endpoints[listed.id] = as_said
@@ -172,7 +172,7 @@
         return True
 
     def _confirm(self, revision: int, source: str, changed: bool) -> None:
-        for listed in self.words.take_back_old():
+        for listed in self.drains.drop_old():
             if listed.id in self.endpoints:
                 self.endpoints[listed.id] = listed
                 self.ready_by_service = {}
@@ -187,7 +187,7 @@
         """Note an endpoint to be used on for a while, if its entry vanished without notice."""
         if change.is_unreadable or change.is_restarted:
             return
-        self.words.vanished(vanished)
+        self.drains.vanished(vanished)
         now = self.clock.now()
         for name in [name for name, one in self.lapsed.items() if self._is_over(one, now)]:
             del self.lapsed[name]
