--- a/plumarch/daemon/gateway.py
+++ b/plumarch/daemon/gateway.py
@@ -22,6 +22,7 @@
     memory_account,
     memory_admission,
     quarantine,
+    quota_tolerance,
     workspace_quota,
 )
 from plumarch.membership import fleet_view, registry
@@ -162,10 +163,10 @@
             usage=gateway_settings.USAGE in known, scaling=gateway_settings.SCALING in known
         )
 
-    def _tolerance(self) -> workspace_quota.Tolerance:
+    def _tolerance(self) -> quota_tolerance.Tolerance:
         bounds = self.settings.bounds
         window_ms = round(bounds.quota_window_s * 1000)
-        return workspace_quota.Tolerance(window_ms, bounds.quota_overshoot, bounds.quota_slack)
+        return quota_tolerance.Tolerance(window_ms, bounds.quota_overshoot, bounds.quota_slack)
 
     def _usage_schedule(self) -> duty_holder.UsageSchedule:
         bounds = self.settings.bounds
--- a/plumarch/gateway/duties/duty_holder_test.py
+++ b/plumarch/gateway/duties/duty_holder_test.py
@@ -17,7 +17,7 @@
 from plumarch.core import clock, errors, records, traffic
 from plumarch.gateway.duties import duty_holder
 from plumarch.gateway.news import gossiper, heartbeats
-from plumarch.limits import workspace_quota
+from plumarch.limits import quota_records
 from plumarch.membership import fleet_view, tiers
 from plumarch.peers import gossip
 from plumarch.routing import endpoint_choice, engine_speed
@@ -439,7 +439,7 @@
         time.advance_to(time.now() + duty_holder.TICK_MS)
         run_step(node)
     for number in range(20):
-        told = {"w": workspace_quota.PeerSpending(500_000.0, 1e6)}
+        told = {"w": quota_records.PeerSpending(500_000.0, 1e6)}
         node.state.quota.heard_from(f"late-{number}", told)
     for _ in range(8):
         time.advance_to(time.now() + duty_holder.TICK_MS)
--- a/plumarch/gateway/news/coordination.py
+++ b/plumarch/gateway/news/coordination.py
@@ -12,7 +12,7 @@
     spending_ledger,
     version_reports,
 )
-from plumarch.limits import centre_spending, workspace_quota
+from plumarch.limits import centre_spending, quota_records
 from plumarch.membership import fleet_view, peer_node, tiers
 from plumarch.peers import gossip, recent_changes
 from plumarch.routing import endpoint_choice
@@ -159,7 +159,7 @@
             self._ledger_of(told),
         )
         levels = {
-            one.workspace: workspace_quota.TakenOver(one.level, one.overdrawn)
+            one.workspace: quota_records.TakenOver(one.level, one.overdrawn)
             for one in told.spending
             if one.settled
         }
--- a/plumarch/gateway/news/followed_news.py
+++ b/plumarch/gateway/news/followed_news.py
@@ -5,7 +5,7 @@
 
 from plumarch.gateway import fleet_state
 from plumarch.gateway.news import elders, load_reports, spending_ledger
-from plumarch.limits import workspace_quota
+from plumarch.limits import quota_records
 from plumarch.membership import fleet_view, tiers
 from plumarch.peers import gossip
 from plumarch.routing import endpoint_choice
@@ -114,7 +114,7 @@
             untold = 0.0
             if bucket is not None and known is not None:
                 untold = bucket.spent - known.spent.get(one.workspace, 0.0)
-            buckets[one.workspace] = workspace_quota.ToldBucket(
+            buckets[one.workspace] = quota_records.ToldBucket(
                 one.level - untold, one.part - untold, one.settled
             )
         quota.adopt(buckets, news.fraction)
--- a/plumarch/gateway/news/gossiper.py
+++ b/plumarch/gateway/news/gossiper.py
@@ -25,7 +25,7 @@
     unreadable_messages,
     version_reports,
 )
-from plumarch.limits import centre_spending, workspace_quota
+from plumarch.limits import centre_spending, quota_records
 from plumarch.membership import fleet_view, peer_node, tiers
 from plumarch.peers import gossip
 
@@ -498,7 +498,7 @@
         charged = state.quota.heard_from(
             incarnation,
             {
-                told.workspace: workspace_quota.PeerSpending(
+                told.workspace: quota_records.PeerSpending(
                     told.spent,
                     told.level,
                     told.settled,
--- a/plumarch/gateway/news/hot_workspace_quota_test.py
+++ b/plumarch/gateway/news/hot_workspace_quota_test.py
@@ -10,12 +10,12 @@
 import pytest
 
 from plumarch.gateway.news import large_fleet_quota_test
-from plumarch.limits import workspace_quota
+from plumarch.limits import quota_tolerance
 from plumarch.standins import gossip_fleet
 
 RATE = 430_000.0
 BURST = 300_000.0
-TOLERANCE = workspace_quota.Tolerance(8_000, 0.1, 72_000.0)
+TOLERANCE = quota_tolerance.Tolerance(8_000, 0.1, 72_000.0)
 ALLOWED = (RATE * 8.0 + BURST) * 1.1 + 72_000.0
 SIZE = gossip_fleet.Size(6, 12, workspaces=1, rate=RATE, burst=BURST, regions=3)
 STEP_MS = 10
--- a/plumarch/gateway/news/large_fleet_quota_test.py
+++ b/plumarch/gateway/news/large_fleet_quota_test.py
@@ -14,13 +14,13 @@
 
 from plumarch.core import traffic
 from plumarch.gateway import fleet_state
-from plumarch.limits import workspace_quota
+from plumarch.limits import quota_tolerance, workspace_quota
 from plumarch.membership import tiers
 from plumarch.routing import endpoint_choice
 from plumarch.standins import gossip_fleet
 
 WINDOW_MS = 8_000
-TOLERANCE = workspace_quota.Tolerance(WINDOW_MS, 0.1, 72_000.0)
+TOLERANCE = quota_tolerance.Tolerance(WINDOW_MS, 0.1, 72_000.0)
 RATE = 20_000.0
 BURST = 30_000.0
 STEP_MS = 50
--- a/plumarch/gateway/news/region_sums_test.py
+++ b/plumarch/gateway/news/region_sums_test.py
@@ -6,7 +6,7 @@
 from plumarch.core import clock, traffic
 from plumarch.gateway import fleet_state
 from plumarch.gateway.news import coordination, region_sums
-from plumarch.limits import workspace_quota
+from plumarch.limits import quota_records
 from plumarch.membership import fleet_view, tiers
 from plumarch.routing import distance
 from plumarch.standins import gateway_parts
@@ -36,10 +36,10 @@
     sums, state = new_sums(time)
     quota = state.quota
     sums.view.heard("m", 5, "10.0.0.2:7", "b")
-    quota.heard_from("m#5", {"w": workspace_quota.PeerSpending(9_000.0, 1e6)})
+    quota.heard_from("m#5", {"w": quota_records.PeerSpending(9_000.0, 1e6)})
     sums.begin()
     quota.admit(SPACE, 100.0)
-    quota.heard_from("m#5", {"w": workspace_quota.PeerSpending(9_050.0, 1e6)})
+    quota.heard_from("m#5", {"w": quota_records.PeerSpending(9_050.0, 1e6)})
     quota.heard_sums(coordination.CENTRE + "c", {"w": 30.0}, {})
     quota.heard_sums(coordination.CENTRE + "d", {"w": 4.0}, {})
     assert sums.admitted() == {"north": 150.0, "south": 34.0}
@@ -52,8 +52,8 @@
     time = clock.ManualClock(START_MS)
     sums, state = new_sums(time)
     sums.begin()
-    state.quota.heard_from("x#1", {"w": workspace_quota.PeerSpending(0.0, 1e6)})
-    state.quota.heard_from("x#1", {"w": workspace_quota.PeerSpending(70.0, 1e6)})
+    state.quota.heard_from("x#1", {"w": quota_records.PeerSpending(0.0, 1e6)})
+    state.quota.heard_from("x#1", {"w": quota_records.PeerSpending(70.0, 1e6)})
     assert sums.admitted() == {}
     state.quota.forget("x#1")
     assert "x" not in state.quota.charged_by
--- a/plumarch/limits/workspace_quota.py
+++ b/plumarch/limits/workspace_quota.py
@@ -19,24 +19,11 @@
 from collections.abc import Mapping
 
 from plumarch.core import clock, traffic
+from plumarch.limits import quota_records, quota_tolerance
 
 SETTLED_MS = 8_000
 """From this age of the process on, a workspace that is new starts with a full bucket."""
 
-EXCESS_REFILLED = 0.35
-"""The part of the tolerated excess by which buckets refill faster, where news is as young as
-FRESH_NEWS_MS."""
-
-EXCESS_HELD = 0.3
-"""The part of it by which buckets hold more than the burst: a large prompt that follows others
-finds room for it. What is left covers nodes that admit at the same moment."""
-
-EXCESS_OVERDRAWN = 0.2
-"""The part of it by which all groups of nodes that don't hear each other may overdraw their parts
-together with one large request each. Without this limit 24 nodes that were each cut off alone
-admitted twice their parts, a request of 9,000 units where 435 were left, and the fleet 1.02 of what
-is tolerated."""
-
 AMPLE = 0.15
 """Part of what a bucket holds at most from which on each node admits what the bucket holds; below
 it, from its share of the refill besides. Else all nodes give the same few units to a request each,
@@ -66,138 +53,6 @@
 """How long ago a node that is not heard any more was heard last at most: a time after which news
 are no longer fresh, and an interval between heartbeats."""
 
-FRESH_NEWS_MS = 250.0
-"""Where heartbeats are rarer than this, less of the excess is used."""
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Tolerance:
-    """What a deployment tolerates beyond an allotment.
-
-    Attributes:
-      window_ms: the window in which it is counted.
-      ratio: tolerated excess, as a part of what the allotment gives in a window.
-      units: tolerated excess besides.
-    """
-
-    window_ms: int = 8_000
-    ratio: float = 0.0
-    units: float = 0.0
-
-    def excess(self, workspace: traffic.Workspace) -> float:
-        """Return the tolerated excess of a workspace in a window."""
-        allotted = workspace.rate * self.window_ms / 1000.0 + workspace.burst
-        return self.ratio * allotted + self.units
-
-    def refill(self, workspace: traffic.Workspace, news_age_ms: float) -> float:
-        """Return the units a second by which a workspace's bucket refills over all nodes.
-
-        Args:
-          news_age_ms: time between heartbeats.
-        """
-        used = EXCESS_REFILLED * self._freshness(news_age_ms)
-        return workspace.rate + used * self.excess(workspace) * 1000.0 / self.window_ms
-
-    def overdraft(self, workspace: traffic.Workspace) -> float:
-        """Return the units by which one request on each side of a cut may overdraw, together."""
-        return EXCESS_OVERDRAWN * self.excess(workspace)
-
-    def capacity(self, workspace: traffic.Workspace, news_age_ms: float) -> float:
-        """Return the most units that a workspace's bucket holds over all nodes."""
-        used = EXCESS_HELD * self._freshness(news_age_ms)
-        return workspace.burst + used * self.excess(workspace)
-
-    @staticmethod
-    def _freshness(news_age_ms: float) -> float:
-        """Return the part of the excess that may be used by the age of news."""
-        return min(1.0, FRESH_NEWS_MS / max(1.0, news_age_ms))
-
-
-@dataclasses.dataclass(slots=True)
-class Bucket:
-    """One workspace's bucket as this node sees it.
-
-    Attributes:
-      level: units left of the whole fleet's allotment; negative after a large request.
-      part: units left for the nodes that are heard; equals the level while all are.
-      spent: units that this process admitted since its start.
-      charged: units that were taken off the level, by whomever they were admitted.
-      asked: units that callers asked this node for.
-      settled: whether the level rests on more than this process's own short life.
-      spared: units by which it would have been refilled had it not been full.
-      own: units of its share of the refill that this node has not used; negative after more.
-    """
-
-    level: float
-    part: float
-    updated_ms: int
-    settled: bool
-    spent: float = 0.0
-    charged: float = 0.0
-    spared: float = 0.0
-    own: float = 0.0
-    asked: float = 0.0
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Counted:
-    """Units of a workspace since its bucket was made, as of a time: charged, and asked for."""
-
-    charged: float
-    asked: float
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Spared:
-    """What a bucket had spared at a time."""
-
-    units: float
-    at_ms: int
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class ToldBucket:
-    """A bucket as a coordinator told it, which sees all nodes' spending sooner.
-
-    Attributes:
-      level: units left, without what this node spent since the coordinator heard of it last.
-      part: the same for the nodes that the coordinator hears.
-    """
-
-    level: float
-    part: float
-    settled: bool
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class TakenOver:
-    """What another node believes to be left of a workspace's allotment.
-
-    Attributes:
-      level: over all nodes.
-      overdrawn: units by which the nodes that it hears have less left than their share of that.
-    """
-
-    level: float
-    overdrawn: float = 0.0
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class PeerSpending:
-    """What a peer says of one workspace: its own spending since its start, and its level.
-
-    Attributes:
-      counted: the part of its spending that counts as charged when it is heard for the first time;
-        all of it if None.
-      overdrawn: units by which the nodes that it hears have less left than their share.
-    """
-
-    spent: float
-    level: float
-    settled: bool = True
-    counted: float | None = None
-    overdrawn: float = 0.0
-
 
 @dataclasses.dataclass(slots=True)
 class WorkspaceQuota:
@@ -219,21 +74,25 @@
 
     clock: clock.Clock
     started_ms: int
-    tolerance: Tolerance = dataclasses.field(default_factory=Tolerance)
+    tolerance: quota_tolerance.Tolerance = dataclasses.field(
+        default_factory=quota_tolerance.Tolerance
+    )
     fraction: float = 1.0
     sharers: int = 1
-    news_age_ms: float = FRESH_NEWS_MS
+    news_age_ms: float = quota_tolerance.FRESH_NEWS_MS
     workspaces: Mapping[str, traffic.Workspace] = dataclasses.field(default_factory=dict)
-    buckets: dict[str, Bucket] = dataclasses.field(default_factory=dict)
+    buckets: dict[str, quota_records.Bucket] = dataclasses.field(default_factory=dict)
     heard: dict[tuple[str, str], float] = dataclasses.field(default_factory=dict)
-    spared_before: dict[tuple[str, str], Spared] = dataclasses.field(default_factory=dict)
+    spared_before: dict[tuple[str, str], quota_records.Spared] = dataclasses.field(
+        default_factory=dict
+    )
     charged_by: collections.defaultdict[str, float] = dataclasses.field(
         default_factory=lambda: collections.defaultdict(float)
     )
     anew_until_ms: int = 0
     nodes: int = 1
-    counted_before: collections.deque[tuple[int, dict[str, Counted]]] = dataclasses.field(
-        default_factory=collections.deque
+    counted_before: collections.deque[tuple[int, dict[str, quota_records.Counted]]] = (
+        dataclasses.field(default_factory=collections.deque)
     )
 
     def admit(self, workspace: traffic.Workspace, units: float, rank: int = 0) -> float:
@@ -298,7 +157,7 @@
         return min(held, HELD_OF_BURST * workspace.burst) * self.fraction
 
     @staticmethod
-    def _charge(bucket: Bucket, units: float) -> None:
+    def _charge(bucket: quota_records.Bucket, units: float) -> None:
         bucket.level -= units
         bucket.part -= units
         bucket.charged += units
@@ -358,7 +217,10 @@
 
     def _remember_counts(self, now: int) -> None:
         """Note what was counted until now, and drop what was noted long ago."""
-        counted = {name: Counted(one.charged, one.asked) for name, one in self.buckets.items()}
+        counted = {
+            name: quota_records.Counted(one.charged, one.asked)
+            for name, one in self.buckets.items()
+        }
         self.counted_before.append((now, counted))
         while now - self.counted_before[0][0] > UNHEARD_MS:
             self.counted_before.popleft()
@@ -381,11 +243,11 @@
         asked = share * self.nodes * (bucket.asked - before[name].asked)
         return max(share * left, min(left, asked))
 
-    def report(self) -> dict[str, PeerSpending]:
+    def report(self) -> dict[str, quota_records.PeerSpending]:
         """Return this node's spending, for its heartbeat, with levels as of now."""
         self.refill_all()
         return {
-            name: PeerSpending(
+            name: quota_records.PeerSpending(
                 bucket.spent, bucket.level, bucket.settled, overdrawn=self._overdrawn(bucket)
             )
             for name, bucket in self.buckets.items()
@@ -413,7 +275,7 @@
     def heard_from(
         self,
         node: str,
-        spending: Mapping[str, PeerSpending],
+        spending: Mapping[str, quota_records.PeerSpending],
         again: bool = False,
         share: float = 1.0,
     ) -> dict[str, float]:
@@ -443,13 +305,15 @@
                 charged |= self._heard_again((node, name), told.spent, share)
             else:
                 charged |= self.noticed(node, name, told.spent)
-            self.spared_before[(node, name)] = Spared(bucket.spared, self.clock.now())
+            self.spared_before[(node, name)] = quota_records.Spared(bucket.spared, self.clock.now())
             if told.settled and (not bucket.settled or self.clock.now() < self.anew_until_ms):
                 self._refill(self.workspaces[name])
-                self._take_over(bucket, TakenOver(told.level, told.overdrawn))
+                self._take_over(bucket, quota_records.TakenOver(told.level, told.overdrawn))
         return charged
 
-    def _heard_first(self, node: str, name: str, told: PeerSpending) -> dict[str, float]:
+    def _heard_first(
+        self, node: str, name: str, told: quota_records.PeerSpending
+    ) -> dict[str, float]:
         """Take in a peer that is heard for the first time.
 
         What nobody counted of its spending is charged: where a new one counts in place of those
@@ -492,7 +356,7 @@
         self,
         group: str,
         charged: Mapping[str, float],
-        levels: Mapping[str, TakenOver],
+        levels: Mapping[str, quota_records.TakenOver],
         anew: bool = False,
         share: float = 1.0,
     ) -> None:
@@ -513,7 +377,7 @@
                 self.heard[key] = self.heard.get(key, 0.0) + units
                 self._charge_others(group, name, self._due(key, units, share) if anew else units)
         for name, known in self.buckets.items():
-            self.spared_before[(group, name)] = Spared(known.spared, self.clock.now())
+            self.spared_before[(group, name)] = quota_records.Spared(known.spared, self.clock.now())
         for name, level in levels.items():
             bucket = self.buckets.get(name)
             if bucket is not None and (anew or not bucket.settled):
@@ -544,7 +408,7 @@
         bucket.spared -= used
         return units - used
 
-    def adopt(self, told: Mapping[str, ToldBucket], fraction: float) -> None:
+    def adopt(self, told: Mapping[str, quota_records.ToldBucket], fraction: float) -> None:
         """Take over the buckets of a coordinator; those that it does not tell go on as they are.
 
         Args:
@@ -563,7 +427,7 @@
             bucket.part = one.part
             bucket.settled = one.settled
 
-    def _take_over(self, bucket: Bucket, told: TakenOver) -> None:
+    def _take_over(self, bucket: quota_records.Bucket, told: quota_records.TakenOver) -> None:
         """Take over what is left by a peer that knows more, or that is heard since just now."""
         if bucket.settled:
             bucket.level = min(told.level, bucket.level)
@@ -574,7 +438,7 @@
         bucket.part = told.level * self.fraction - told.overdrawn
         bucket.settled = True
 
-    def _overdrawn(self, bucket: Bucket) -> float:
+    def _overdrawn(self, bucket: quota_records.Bucket) -> float:
         """Return the units by which the nodes that are heard have less left than their share."""
         return max(0.0, max(0.0, bucket.level) * self.fraction - bucket.part)
 
@@ -585,13 +449,13 @@
                 del known[key]
         self.charged_by.pop(node.partition("#")[0], None)
 
-    def _refill(self, workspace: traffic.Workspace) -> Bucket:
+    def _refill(self, workspace: traffic.Workspace) -> quota_records.Bucket:
         now = self.clock.now()
         settled = now - self.started_ms >= SETTLED_MS
         bucket = self.buckets.get(workspace.name)
         if bucket is None:
             level = workspace.burst if settled else 0.0
-            bucket = Bucket(level, level * self.fraction, now, settled)
+            bucket = quota_records.Bucket(level, level * self.fraction, now, settled)
             self.buckets[workspace.name] = bucket
         bucket.settled = bucket.settled or settled
         refill = self.tolerance.refill(workspace, self.news_age_ms)
--- a/plumarch/limits/workspace_quota_test.py
+++ b/plumarch/limits/workspace_quota_test.py
@@ -6,7 +6,7 @@
 from hypothesis import strategies
 
 from plumarch.core import clock, traffic
-from plumarch.limits import workspace_quota
+from plumarch.limits import quota_records, quota_tolerance, workspace_quota
 
 SPACE = traffic.Workspace("w", ("k",), counts_tokens=True, rate=1_000.0, burst=2_000.0)
 TABLE = {"w": SPACE}
@@ -45,15 +45,15 @@
 def test_what_a_peer_admits_is_charged_once():
     time = clock.ManualClock()
     quota = quota_of(time)
-    quota.heard_from("b#1", {"w": workspace_quota.PeerSpending(500, 2_000)})
+    quota.heard_from("b#1", {"w": quota_records.PeerSpending(500, 2_000)})
     for _ in range(3):
-        quota.heard_from("b#1", {"w": workspace_quota.PeerSpending(1_500, 1_000)})
+        quota.heard_from("b#1", {"w": quota_records.PeerSpending(1_500, 1_000)})
     assert quota.report()["w"].level == 1_000
 
 
 def test_a_new_node_takes_over_the_lower_level_of_a_peer():
     quota = quota_of(clock.ManualClock())
-    quota.heard_from("b#1", {"w": workspace_quota.PeerSpending(90_000, 300)})
+    quota.heard_from("b#1", {"w": quota_records.PeerSpending(90_000, 300)})
     assert quota.report()["w"].level == 300
 
 
@@ -79,23 +79,23 @@
 def test_a_process_that_started_in_a_cut_takes_over_the_lower_level_of_those_it_hears_later():
     time = clock.ManualClock()
     quota = quota_of(time, started_ms=0)
-    quota.heard_from("near#1", {"w": workspace_quota.PeerSpending(0, 1_800)})
+    quota.heard_from("near#1", {"w": quota_records.PeerSpending(0, 1_800)})
     time.advance_to(5_000)
-    quota.heard_from("far#1", {"w": workspace_quota.PeerSpending(40_000, 2_000)})
+    quota.heard_from("far#1", {"w": quota_records.PeerSpending(40_000, 2_000)})
     assert quota.report()["w"].level == 2_000
-    quota.heard_from("near#1", {"w": workspace_quota.PeerSpending(0, -9_000)})
+    quota.heard_from("near#1", {"w": quota_records.PeerSpending(0, -9_000)})
     assert quota.report()["w"].level == -9_000
     time.advance_to(5_000 + workspace_quota.ANEW_MS)
-    quota.heard_from("near#1", {"w": workspace_quota.PeerSpending(0, -20_000)})
+    quota.heard_from("near#1", {"w": quota_records.PeerSpending(0, -20_000)})
     assert quota.report()["w"].level == -8_000
 
 
 def test_a_peers_share_of_the_refill_in_a_silence_is_no_debt():
     time = clock.ManualClock()
     quota = quota_of(time)
-    quota.heard_from("b#1", {"w": workspace_quota.PeerSpending(0, 2_000)})
+    quota.heard_from("b#1", {"w": quota_records.PeerSpending(0, 2_000)})
     time.advance_to(6_000)
-    told = {"w": workspace_quota.PeerSpending(3_000, 2_000)}
+    told = {"w": quota_records.PeerSpending(3_000, 2_000)}
     assert quota.heard_from("b#1", told, again=True, share=0.5) == {"w": 1_000.0}
 
 
@@ -125,8 +125,8 @@
     quota = quota_of(clock.ManualClock())
     quota.hear_fraction(0.5)
     quota.admit(SPACE, 600)
-    quota.heard_from("b#1", {"w": workspace_quota.PeerSpending(0, 2_000)})
-    quota.heard_from("b#1", {"w": workspace_quota.PeerSpending(300, 1_100)})
+    quota.heard_from("b#1", {"w": quota_records.PeerSpending(0, 2_000)})
+    quota.heard_from("b#1", {"w": quota_records.PeerSpending(300, 1_100)})
     quota.hear_fraction(1.0)
     assert quota.admit(SPACE, 1_100) == 0
     assert quota.admit(SPACE, 1) > 0
@@ -134,19 +134,19 @@
 
 def test_a_node_that_starts_takes_over_the_level_of_one_that_runs_for_longer():
     quota = quota_of(clock.ManualClock(), started_ms=0)
-    quota.heard_from("new#1", {"w": workspace_quota.PeerSpending(0, 50, settled=False)})
+    quota.heard_from("new#1", {"w": quota_records.PeerSpending(0, 50, settled=False)})
     assert quota.report()["w"].level == 0
-    quota.heard_from("old#1", {"w": workspace_quota.PeerSpending(9_000, 1_700)})
+    quota.heard_from("old#1", {"w": quota_records.PeerSpending(9_000, 1_700)})
     assert quota.report()["w"].level == 1_700
 
 
 def test_a_level_is_told_as_of_now_though_no_request_came_for_long():
     time = clock.ManualClock()
     quota = quota_of(time)
-    quota.heard_from("b#1", {"w": workspace_quota.PeerSpending(0, 2_000)})
+    quota.heard_from("b#1", {"w": quota_records.PeerSpending(0, 2_000)})
     for second in range(1, 11):
         time.advance_to(second * 1_000)
-        quota.heard_from("b#1", {"w": workspace_quota.PeerSpending(900.0 * second, 2_000)})
+        quota.heard_from("b#1", {"w": quota_records.PeerSpending(900.0 * second, 2_000)})
     assert quota.report()["w"].level >= 1_000
 
 
@@ -172,8 +172,8 @@
 def test_when_others_fall_silent_the_part_that_is_left_is_of_the_level_as_of_now():
     time = clock.ManualClock()
     quota = quota_of(time)
-    quota.heard_from("b#1", {"w": workspace_quota.PeerSpending(0, 2_000)})
-    quota.heard_from("b#1", {"w": workspace_quota.PeerSpending(4_000, 2_000)})
+    quota.heard_from("b#1", {"w": quota_records.PeerSpending(0, 2_000)})
+    quota.heard_from("b#1", {"w": quota_records.PeerSpending(4_000, 2_000)})
     time.advance_to(4_000)
     quota.hear_fraction(0.5)
     assert quota.admit(SPACE, 1_000) == 0
@@ -183,21 +183,21 @@
     time = clock.ManualClock()
     quota = quota_of(time, started_ms=0)
     time.advance_to(2_000)
-    quota.heard_from("old#1", {"w": workspace_quota.PeerSpending(9_000, 500)})
+    quota.heard_from("old#1", {"w": quota_records.PeerSpending(9_000, 500)})
     assert quota.report()["w"].level == 500
 
 
 def tolerant(time: clock.ManualClock, started_ms: int = -100_000) -> workspace_quota.WorkspaceQuota:
     quota = workspace_quota.WorkspaceQuota(time, started_ms)
-    quota.tolerance = workspace_quota.Tolerance(8_000, 0.1, 1_000.0)
+    quota.tolerance = quota_tolerance.Tolerance(8_000, 0.1, 1_000.0)
     quota.keep_only(TABLE)
     return quota
 
 
-EXCESS = workspace_quota.EXCESS_REFILLED * 2_000.0
+EXCESS = quota_tolerance.EXCESS_REFILLED * 2_000.0
 """Of what SPACE may spend beyond its allotment in a window of 8 s, what buckets refill by."""
 
-HELD = workspace_quota.EXCESS_HELD * 2_000.0
+HELD = quota_tolerance.EXCESS_HELD * 2_000.0
 """Of the same, what a bucket holds beyond the burst."""
 
 
@@ -272,14 +272,14 @@
 
 def test_all_that_a_window_can_get_stays_within_what_is_tolerated():
     quota = tolerant(clock.ManualClock())
-    used = workspace_quota.EXCESS_HELD + workspace_quota.EXCESS_REFILLED
+    used = quota_tolerance.EXCESS_HELD + quota_tolerance.EXCESS_REFILLED
     assert used <= 0.7
     most = quota.tolerance.capacity(SPACE, 250.0) + 8 * quota.tolerance.refill(SPACE, 250.0)
     assert most <= (SPACE.rate * 8 + SPACE.burst) * 1.1 + 1_000.0
 
 
 def test_less_of_the_excess_is_used_where_heartbeats_are_rarer():
-    tolerance = workspace_quota.Tolerance(8_000, 0.1, 1_000.0)
+    tolerance = quota_tolerance.Tolerance(8_000, 0.1, 1_000.0)
     often = tolerance.refill(SPACE, 250.0) - SPACE.rate
     assert abs(often - EXCESS / 8) < 1e-6
     assert abs(tolerance.refill(SPACE, 1_000.0) - SPACE.rate - often / 4) < 1e-6
@@ -306,7 +306,7 @@
     """Random asks, cuts, and restarts; every 8 s window stays within rate, burst and slack."""
     rng = random.Random(seed)
     time = clock.ManualClock()
-    tolerance = workspace_quota.Tolerance(8_000, 0.1, 2_000.0)
+    tolerance = quota_tolerance.Tolerance(8_000, 0.1, 2_000.0)
 
     def new_node(started_ms: int) -> workspace_quota.WorkspaceQuota:
         found = workspace_quota.WorkspaceQuota(time, started_ms, tolerance)
