--- a/plumarch/gateway/fleet_state.py
+++ b/plumarch/gateway/fleet_state.py
@@ -210,7 +210,7 @@
         """Log the rate that an endpoint announces from now on, or that it announces none any more.
 
         Args:
-          source: the node whose answer said so, or that passed it on.
+          source: the node that got the answer, or reported it.
         """
         self.measures.announced_rates.add(endpoint.service)
         self.log.write(
--- a/plumarch/gateway/news/permit_exchange.py
+++ b/plumarch/gateway/news/permit_exchange.py
@@ -28,7 +28,7 @@
 """Permits in one answer, whatever is asked for."""
 
 NEWS_GAP_MS = 1_000
-"""How often a node tells all others of the same endpoint at most."""
+"""How often a node broadcasts news of the same endpoint at most."""
 
 Send = Callable[[gossip.Datagram, Iterable[str]], None]
 
@@ -39,9 +39,9 @@
 
     Attributes:
       send: sends a message to addresses.
-      recipients: whom this node tells what all nodes are to know.
+      recipients: addresses to which this node sends what all nodes are to know.
       is_leaving: whether this process is about to end, and allocates nothing any more.
-      news_ms: when all nodes were told of an endpoint last, by its identifier.
+      news_ms: when news of an endpoint were broadcast last, by its identifier.
     """
 
     state: fleet_state.FleetState
@@ -65,9 +65,9 @@
         )
         self._route(message)
         if not request.count:
-            told = request.announcement
-            news = gossip.RateNews(self.view.node, endpoint.id, rate_list(told), told.age_ms)
-            self._tell_all(news)
+            observed = request.announcement
+            per_s = rate_list(observed)
+            self._broadcast(gossip.RateNews(self.view.node, endpoint.id, per_s, observed.age_ms))
 
     def handle_request(self, message: gossip.PermitRequest) -> None:
         """Answer a request, or pass it on to who may."""
@@ -122,7 +122,7 @@
                 self.state.rate_changed(endpoint, "allocator")
         self.state.permit_answers.answered(message.endpoint)
 
-    def _tell_all(self, news: gossip.RateNews) -> None:
+    def _broadcast(self, news: gossip.RateNews) -> None:
         now = self.state.clock.now()
         if now - self.news_ms.get(news.endpoint, -NEWS_GAP_MS) < NEWS_GAP_MS:
             return
@@ -135,12 +135,12 @@
         endpoint = self.state.registry.endpoints.get(message.endpoint)
         if endpoint is None or not self._is_sound(message):
             return
-        told = announcement(message.per_s, message.age_ms)
-        if not self.state.permits.learn(endpoint, told):
+        observed = announcement(message.per_s, message.age_ms)
+        if not self.state.permits.learn(endpoint, observed):
             return
         self.state.rate_changed(endpoint, message.node)
         if self.view.role is tiers.Role.COORDINATOR:
-            self._tell_all(message)
+            self._broadcast(message)
 
     def _is_sound(
         self, message: gossip.PermitRequest | gossip.PermitAnswer | gossip.RateNews
@@ -197,11 +197,11 @@
     return msgspec.structs.replace(message, hops=message.hops + 1)
 
 
-def rate_list(told: rate_allocator.Announcement) -> list[float]:
+def rate_list(observed: rate_allocator.Announcement) -> list[float]:
     """Return a rate as messages hold it."""
-    return [] if told.per_s is None else [told.per_s]
+    return [] if observed.per_s is None else [observed.per_s]
 
 
 def announcement(per_s: list[float], age_ms: int) -> rate_allocator.Announcement:
-    """Return what a message says of a rate."""
+    """Return the announcement that a message holds."""
     return rate_allocator.Announcement(per_s[0] if per_s else None, max(0, age_ms))
--- a/plumarch/gateway/sends/announced_rates.py
+++ b/plumarch/gateway/sends/announced_rates.py
@@ -24,7 +24,7 @@
     sent_ms: int,
     has_run: bool,
 ) -> None:
-    """Apply what an answer says of the rate that its endpoint takes.
+    """Apply the rate that an answer announces, or that it announces none.
 
     A value that can't be read neither sets a limit nor ends one; nor does a refusal without one.
 
--- a/plumarch/gateway/sends/endpoint_signals.py
+++ b/plumarch/gateway/sends/endpoint_signals.py
@@ -34,7 +34,7 @@
     rate_limit: str = ""
 
     def concerns_requests(self) -> bool:
-        """Return whether it says more than a rate, or one that can't be read."""
+        """Return whether there is more than a rate, or a rate that can't be read."""
         if self.leaving or self.retry_after:
             return True
         return bool(self.rate_limit) and request_rate.per_second(self.rate_limit) is None
--- a/plumarch/gateway/sends/endpoint_signals_test.py
+++ b/plumarch/gateway/sends/endpoint_signals_test.py
@@ -10,17 +10,17 @@
 NAMES = dialect.Dialect()
 
 
-def said(*headers: tuple[bytes, bytes]) -> endpoint_signals.Signals:
+def signals(*headers: tuple[bytes, bytes]) -> endpoint_signals.Signals:
     return endpoint_signals.of(h11.Response(status_code=503, headers=list(headers)), NAMES)
 
 
 def test_most_answers_say_nothing():
-    assert said((b"x-other", b"1")) == endpoint_signals.NONE
+    assert signals((b"x-other", b"1")) == endpoint_signals.NONE
 
 
 @pytest.mark.parametrize(("value", "leaving"), [(b"1", True), (b"0", False), (b"", False)])
 def test_an_endpoint_that_is_about_to_end(value: bytes, leaving: bool):
-    assert said((NAMES.leaving, value)).leaving is leaving
+    assert signals((NAMES.leaving, value)).leaving is leaving
 
 
 @pytest.mark.parametrize(
@@ -38,20 +38,21 @@
     ],
 )
 def test_a_rest_is_a_number_of_seconds(value: bytes, rest_ms: float):
-    found = said((b"retry-after", value))
+    found = signals((b"retry-after", value))
     assert found.rest_ms == rest_ms
     assert found.retry_after == value.decode()
 
 
 def test_an_announced_request_rate_is_logged_as_written():
-    assert said((NAMES.rate_limit, b"0.5")).rate_limit == "0.5"
+    assert signals((NAMES.rate_limit, b"0.5")).rate_limit == "0.5"
     assert (
-        said((NAMES.rate_limit, b"9" * 99)).rate_limit == "9" * endpoint_signals.LOGGED_CHARACTERS
+        signals((NAMES.rate_limit, b"9" * 99)).rate_limit
+        == "9" * endpoint_signals.LOGGED_CHARACTERS
     )
 
 
 @given(strategies.binary(max_size=200).map(lambda raw: bytes(b for b in raw if 32 < b < 127)))
 def test_no_value_is_a_fault(value: bytes):
-    found = said((b"retry-after", value), (NAMES.leaving, value))
+    found = signals((b"retry-after", value), (NAMES.leaving, value))
     assert 0.0 <= found.rest_ms < float("inf")
     assert len(found.retry_after) <= endpoint_signals.LOGGED_CHARACTERS
--- a/plumarch/limits/rate_allocator.py
+++ b/plumarch/limits/rate_allocator.py
@@ -43,7 +43,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Announcement:
-    """What an answer of an endpoint said of the rate that it takes from all nodes together.
+    """The rate that an endpoint takes from all nodes together, by one of its answers.
 
     Attributes:
       per_s: requests a second, or None if it takes any.
@@ -60,7 +60,7 @@
 
     Attributes:
       endpoint: the incarnation that they are for.
-      sequence: tells the node's requests apart.
+      sequence: distinguishes the requests of a node for an endpoint.
       count: how many it has use for; 0 if it only reports an announcement.
     """
 
--- a/plumarch/limits/rate_allocator_test.py
+++ b/plumarch/limits/rate_allocator_test.py
@@ -12,8 +12,8 @@
     node: str = "n",
     fraction: float = 1.0,
 ) -> rate_allocator.PermitAnswer:
-    told = rate_allocator.Announcement(per_s, age_ms)
-    return allocator.allocate(rate_allocator.PermitRequest(node, "e", 1, count, told), fraction)
+    observed = rate_allocator.Announcement(per_s, age_ms)
+    return allocator.allocate(rate_allocator.PermitRequest(node, "e", 1, count, observed), fraction)
 
 
 def started(now_ms: int = 1_000_000) -> tuple[clock.ManualClock, rate_allocator.RateAllocator]:
@@ -82,6 +82,6 @@
     time, allocator = started()
     ask(allocator)
     time.advance_to(time.now() + rate_allocator.IDLE_MS + 1)
-    told = rate_allocator.Announcement(1.0, 0)
-    allocator.allocate(rate_allocator.PermitRequest("n", "other", 1, 0, told), 1.0)
+    observed = rate_allocator.Announcement(1.0, 0)
+    allocator.allocate(rate_allocator.PermitRequest("n", "other", 1, 0, observed), 1.0)
     assert list(allocator.known) == ["other"]
--- a/plumarch/limits/rate_permits.py
+++ b/plumarch/limits/rate_permits.py
@@ -66,7 +66,7 @@
       id: the incarnation that was asked.
       alive_ms: time of day at which the process that announced it was alive for certain.
       per_s: the announced rate, or None if there is no limit any more.
-      observed_ms: when the last answer came that said so, to whichever node.
+      observed_ms: when the answer came that this rests on, to whichever node.
       noted_per_s: the rate when it changed noticeably last.
       permits: when each permit expires.
       demand: when requests came lately that would go there.
@@ -75,7 +75,7 @@
       asked_ms: when that one was sent, or None if it was answered.
       silent_since_ms: when the first request was sent that has no answer since; or None.
       pause_until_ms: no permits are asked for before.
-      wait_until_ms: when a caller may expect a permit, as last told.
+      wait_until_ms: when a caller may expect a permit, by the last answer of the allocator.
       turn_ms: when the fixed share allows a request, or None if it was not needed yet.
     """
 
@@ -242,7 +242,7 @@
         return self._request(one, count)
 
     def report(self, endpoint: traffic.Endpoint) -> rate_allocator.PermitRequest | None:
-        """Return what tells the allocator of an announcement, without asking for permits."""
+        """Return a request that reports an announcement, without asking for permits."""
         one = self.known.get(endpoint.called())
         return self._request(one, 0) if one is not None else None
 
--- a/plumarch/limits/rate_permits_test.py
+++ b/plumarch/limits/rate_permits_test.py
@@ -23,10 +23,10 @@
     def grant(self, count: int, wait_ms: int = 0, age_ms: int = 0) -> None:
         request = self.permits.request(ENDPOINT)
         assert request is not None
-        told = rate_allocator.Announcement(self.permits.rate(ENDPOINT), age_ms)
+        observed = rate_allocator.Announcement(self.permits.rate(ENDPOINT), age_ms)
         self.permits.answered(
             ENDPOINT,
-            rate_allocator.PermitAnswer("e", request.sequence, count, told, 1_000, wait_ms, 1),
+            rate_allocator.PermitAnswer("e", request.sequence, count, observed, 1_000, wait_ms, 1),
         )
 
 
@@ -113,8 +113,8 @@
     node.announced(1.0)
     request = node.permits.request(ENDPOINT)
     node.after(rate_permits.ANSWER_MS)
-    told = rate_allocator.Announcement(1.0, 0)
-    answer = rate_allocator.PermitAnswer("e", request.sequence, 4, told)
+    observed = rate_allocator.Announcement(1.0, 0)
+    answer = rate_allocator.PermitAnswer("e", request.sequence, 4, observed)
     node.permits.answered(ENDPOINT, answer)
     assert not node.permits.may_send(ENDPOINT)
 
--- a/plumarch/limits/workspace_quota.py
+++ b/plumarch/limits/workspace_quota.py
@@ -201,7 +201,7 @@
     def lose_part(self, share: float) -> None:
         """Count the part of a node as used up whose process ended while it was not heard.
 
-        What it had admitted is told by nobody any more: all that was left to it may be gone. While
+        Nobody reports what it had admitted: all that was left to it may be gone. While
         only its share of what is left now counted, the rest was admitted a second time.
 
         Args:
@@ -226,11 +226,11 @@
             self.counted_before.popleft()
 
     def _left_to_lost(self, name: str, share: float) -> float:
-        """Return the units that nodes have, or had, that are not heard any more.
+        """Return the units that are left to nodes that fell silent.
 
         Until they were noticed to be silent both sides admitted as if each were the whole. So they
-        have a part of what was left when they were heard last; and they have used more than that
-        if callers asked them for as much as they asked this node.
+        have their share of what was left when they were heard last; and they have used more than
+        that if callers asked them for as much as they asked this node.
 
         Args:
           share: the part of the fleet that they are.
--- a/plumarch/membership/drain_notices_test.py
+++ b/plumarch/membership/drain_notices_test.py
@@ -123,10 +123,10 @@
 
 
 def test_so_many_are_kept_and_the_oldest_go_first():
-    words = drain_notices.DrainNotices(clock.ManualClock())
+    notices = drain_notices.DrainNotices(clock.ManualClock())
     for number in range(drain_notices.MOST_KEPT + 1):
-        words.note(endpoint(name=f"e{number}"), SAID_MS)
-    assert len(words.known) == drain_notices.MOST_KEPT and "e0" not in words.known
+        notices.note(endpoint(name=f"e{number}"), SAID_MS)
+    assert len(notices.known) == drain_notices.MOST_KEPT and "e0" not in notices.known
 
 
 @given(
--- a/plumarch/node/dispatch.py
+++ b/plumarch/node/dispatch.py
@@ -272,13 +272,13 @@
             self._failed(run, event)
 
     def rate_announced(self, event: events.EndpointRate) -> None:
-        """Apply what the answer of the attempt in progress says of its endpoint's rate."""
+        """Apply the rate that the attempt's answer announces, or that it announces none."""
         run = self._current(event.request_id, event.attempt)
         if run is None:
             return
         if self.places.rate_announced(run.endpoint, event.per_s, run.started_ms):
-            told = "none" if event.per_s is None else f"{event.per_s:g} requests a second"
-            self.ctx.note(run.request, "rate", run.endpoint, f"it announces {told}")
+            rate = "no limit" if event.per_s is None else f"{event.per_s:g} requests a second"
+            self.ctx.note(run.request, "rate", run.endpoint, f"it announces {rate}")
 
     def _free(self, run: runs.Run) -> None:
         """Count a run's place as free again."""
--- a/plumarch/peers/gossip.py
+++ b/plumarch/peers/gossip.py
@@ -382,7 +382,7 @@
 
 
 class RateNews(msgspec.Struct, array_like=True, frozen=True, tag=9):
-    """A request rate that an endpoint announces from now on, or no longer; told to all nodes once.
+    """A request rate that an endpoint announces from now on, or no longer; broadcast once.
 
     Attributes:
       endpoint: the incarnation.
--- a/plumarch/routing/placement.py
+++ b/plumarch/routing/placement.py
@@ -66,7 +66,7 @@
 
     Attributes:
       announced: the requests a second that it takes from all nodes together, or None.
-      announced_ms: when an answer said so last.
+      announced_ms: when an answer announced it last.
       permits: what its owner may still send under that rate.
     """
 
@@ -202,10 +202,10 @@
             seen.rests_until_ms = max(seen.rests_until_ms, until_ms)
 
     def rate_announced(self, name: str, per_s: float | None, sent_ms: int) -> bool:
-        """Apply what an answer says of the rate that an endpoint takes from all nodes.
+        """Apply the rate that an answer announces, or that it announces none.
 
         Args:
-          sent_ms: when its request was sent. Before the last announcement, it ends no limit.
+          sent_ms: when its request was sent; before the last announcement, it ends no limit.
         Returns:
           Whether that is another rate than before.
         """
