--- a/plumarch/gateway/news/region_quota_test.py
+++ b/plumarch/gateway/news/region_quota_test.py
@@ -263,6 +263,21 @@
     assert max(found) <= 1.0, found
 
 
+def test_the_rule_holds_where_a_region_is_killed_twice_and_news_are_late():
+    """After a cut of all regions their levels lie between -13,000 and 22,000 units, some 300 ms old,
+    and nodes of five data centres admit 60,000 in half a second.
+    """
+    steps = [
+        ("kill region", 425, 20),
+        ("kill region", 552, 14),
+        ("heal", 901, 3),
+        ("heal", 771, 16),
+        ("cut all", 79, 5),
+    ]
+    found = most_of_allowed(6033, 300, steps)
+    assert found <= 1.0, found
+
+
 MOST_REFUSED_AFTER_CUTS = 0.04
 """0.189 while what others had admitted in a cut was charged as if at one moment; 0.020 since."""
 
