--- a/plumarch/gateway/news/region_quota_test.py
+++ b/plumarch/gateway/news/region_quota_test.py
@@ -264,8 +264,8 @@
 
 
 def test_the_rule_holds_where_a_region_is_killed_twice_and_news_are_late():
-    """After a cut of all regions their levels lie between -13,000 and 22,000 units, some 300 ms old,
-    and nodes of five data centres admit 60,000 in half a second.
+    """After a cut of all regions levels lie between -13,000 and 22,000 units, some 300 ms old, and
+    nodes of five data centres admit 70,000 in 0.6 s.
     """
     steps = [
         ("kill region", 425, 20),
