A report of a rate does not cost the permits that were asked for just before

A report took the sequence of the request under way, so that the answer to that was dropped and its permits were lost, and the answer to the report counted as a denial. Found by reading; the test fails on the code before.

--- a/plumarch/limits/rate_permits.py
+++ b/plumarch/limits/rate_permits.py
@@ -28,6 +28,10 @@
 
 MOST_DEMAND = 64
 
+REPORT = 0
+"""Sequence of a message that only reports an announcement, so that its answer is not taken for that
+to a request under way."""
+
 ANSWER_MS = 500
 """An answer that takes longer counts as lost: it may come from a process that was stopped."""
 
@@ -239,18 +243,20 @@
         one.asked_ms, one.count = now, count
         if one.silent_since_ms is None:
             one.silent_since_ms = now
-        return self._request(one, count)
+        one.sequence += 1
+        return self._message(one, one.sequence, count)
 
     def report(self, endpoint: traffic.Endpoint) -> rate_allocator.PermitRequest | None:
         """Return a request that reports an announcement, without asking for permits."""
         one = self.known.get(endpoint.called())
-        return self._request(one, 0) if one is not None else None
+        return self._message(one, REPORT, 0) if one is not None else None
 
-    def _request(self, one: LimitedEndpoint, count: int) -> rate_allocator.PermitRequest:
-        one.sequence += 1
+    def _message(
+        self, one: LimitedEndpoint, sequence: int, count: int
+    ) -> rate_allocator.PermitRequest:
         age_ms = self.clock.now() - one.observed_ms
         announcement = rate_allocator.Announcement(one.per_s, age_ms)
-        return rate_allocator.PermitRequest(self.node, one.id, one.sequence, count, announcement)
+        return rate_allocator.PermitRequest(self.node, one.id, sequence, count, announcement)
 
     def is_asked(self, endpoint: traffic.Endpoint) -> bool:
         """Return whether an answer to a request for permits is to be expected."""
--- a/plumarch/limits/rate_permits_test.py
+++ b/plumarch/limits/rate_permits_test.py
@@ -119,6 +119,20 @@
     assert not node.permits.may_send(ENDPOINT)
 
 
+def test_a_report_meanwhile_does_not_cost_the_permits_that_were_asked_for():
+    node = Node()
+    node.announced(1.0)
+    request = node.permits.request(ENDPOINT)
+    assert request is not None
+    report = node.permits.report(ENDPOINT)
+    assert report is not None and report.count == 0
+    observed = rate_allocator.Announcement(1.0, 0)
+    for one, permits in ((report, 0), (request, 1)):
+        answer = rate_allocator.PermitAnswer("e", one.sequence, permits, observed)
+        node.permits.answered(ENDPOINT, answer)
+    assert node.permits.may_send(ENDPOINT)
+
+
 def test_after_a_denial_it_asks_again_when_the_next_permit_is_there():
     node = Node()
     node.announced(1.0)
