Nodes that fall silent are left their share again; killed ones of them count as having used it

Cause: leaving silent nodes as much as callers asked this node for, which came with the mend of what cut off and killed nodes had used, refuses requests that are owed: a hot workspace asks for many times its rate, and then all that is left is kept for the silent ones.

Change: that part is taken back. Kept: when the process of a silent node is followed by another one, its share of all that was left to silent nodes counts as used.

--- a/plumarch/gateway/news/gossiper.py
+++ b/plumarch/gateway/news/gossiper.py
@@ -158,7 +158,6 @@
         self.state.quota.news_age_ms = self._news_age_ms()
         self.state.permits.nodes = self.view.size()
         is_flat = self.view.role is tiers.Role.FLAT
-        self.state.quota.nodes = self.view.size()
         self.state.quota.sharers = 1 if is_flat else self.view.size()
         for peer in self.view.tick():
             self._forget(peer)
--- a/plumarch/limits/quota_records.py
+++ b/plumarch/limits/quota_records.py
@@ -12,7 +12,6 @@
       part: units left for the nodes that are heard; equals the level while all are.
       spent: units that this process admitted since its start.
       charged: units that were taken off the level, by whomever they were admitted.
-      asked: units that callers asked this node for.
       settled: whether the level rests on more than this process's own short life.
       spared: units by which it would have been refilled had it not been full.
       own: units of its share of the refill that this node has not used; negative after more.
@@ -26,15 +25,6 @@
     charged: float = 0.0
     spared: float = 0.0
     own: float = 0.0
-    asked: float = 0.0
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Counted:
-    """Units of a workspace since its bucket was made, as of a time: charged, and asked for."""
-
-    charged: float
-    asked: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/plumarch/limits/workspace_quota.py
+++ b/plumarch/limits/workspace_quota.py
@@ -68,8 +68,7 @@
       charged_by: units charged since this process started, over all workspaces, by who admitted
         them: "" for this node, a node's name, or a group of nodes.
       anew_until_ms: until when lower levels are taken over from peers.
-      nodes: how many nodes there may be.
-      counted_before: what was counted by when, over the last moments, by workspace.
+      charged_before: what was charged by when, over the last moments, by workspace.
     """
 
     clock: clock.Clock
@@ -90,9 +89,8 @@
         default_factory=lambda: collections.defaultdict(float)
     )
     anew_until_ms: int = 0
-    nodes: int = 1
-    counted_before: collections.deque[tuple[int, dict[str, quota_records.Counted]]] = (
-        dataclasses.field(default_factory=collections.deque)
+    charged_before: collections.deque[tuple[int, dict[str, float]]] = dataclasses.field(
+        default_factory=collections.deque
     )
 
     def admit(self, workspace: traffic.Workspace, units: float, rank: int = 0) -> float:
@@ -107,7 +105,6 @@
         if workspace.rate <= 0:
             return 0.0
         bucket = self._refill(workspace)
-        bucket.asked += units
         available = bucket.level if self.fraction >= 1.0 else bucket.part
         if bucket.settled:
             available -= self._left_to_others(workspace, rank)
@@ -185,18 +182,18 @@
         """Take in which part of all nodes is heard from now on."""
         now = self.clock.now()
         if fraction == self.fraction:
-            self._remember_counts(now)
+            self._remember_charges(now)
             return
         self.refill_all()
         for name, bucket in self.buckets.items():
             if self.fraction >= 1.0:
                 bucket.part = bucket.level
+            left = max(0.0, bucket.level)
             if fraction < self.fraction:
-                bucket.part -= self._left_to_lost(name, self.fraction - fraction)
-            else:
-                bucket.part += (fraction - self.fraction) * max(0.0, bucket.level)
+                left = max(0.0, bucket.level + self._charged_unheard(name))
+            bucket.part += (fraction - self.fraction) * left
         self.fraction = fraction
-        self._remember_counts(now)
+        self._remember_charges(now)
 
     def lose_part(self, share: float) -> None:
         """Count the part of a node as used up whose process ended while it was not heard.
@@ -215,33 +212,22 @@
                 used = max(used, (bucket.level - bucket.part) * min(1.0, share / unheard))
             bucket.level -= used
 
-    def _remember_counts(self, now: int) -> None:
-        """Note what was counted until now, and drop what was noted long ago."""
-        counted = {
-            name: quota_records.Counted(one.charged, one.asked)
-            for name, one in self.buckets.items()
-        }
-        self.counted_before.append((now, counted))
-        while now - self.counted_before[0][0] > UNHEARD_MS:
-            self.counted_before.popleft()
-
-    def _left_to_lost(self, name: str, share: float) -> float:
-        """Return the units that are left to nodes that fell silent.
+    def _remember_charges(self, now: int) -> None:
+        """Note what was charged until now, and drop what was noted long ago."""
+        charged = {name: bucket.charged for name, bucket in self.buckets.items()}
+        self.charged_before.append((now, charged))
+        while now - self.charged_before[0][0] > UNHEARD_MS:
+            self.charged_before.popleft()
 
-        Until they were noticed to be silent both sides admitted as if each were the whole. So they
-        have their share of what was left when they were heard last; and they have used more than
-        that if callers asked them for as much as they asked this node.
+    def _charged_unheard(self, name: str) -> float:
+        """Return what was charged since nodes that are not heard any more were heard last.
 
-        Args:
-          share: the part of the fleet that they are.
+        They have a part of that as well: until now both sides admitted as if each were the whole.
         """
-        bucket = self.buckets[name]
-        before = self.counted_before[0][1] if self.counted_before else {}
+        before = self.charged_before[0][1] if self.charged_before else {}
         if name not in before:
-            return share * max(0.0, bucket.level)
-        left = max(0.0, bucket.level + max(0.0, bucket.charged - before[name].charged))
-        asked = share * self.nodes * (bucket.asked - before[name].asked)
-        return max(share * left, min(left, asked))
+            return 0.0
+        return max(0.0, self.buckets[name].charged - before[name])
 
     def report(self) -> dict[str, quota_records.PeerSpending]:
         """Return this node's spending, for its heartbeat, with levels as of now."""
