Tests hold up connects in one place

The same patch of connections that come up before an answer stood in the tests of backoff and of announced rates. Assertions are as they were; lint, types and the three test files pass.

--- a/plumarch/gateway/relay_test.py
+++ b/plumarch/gateway/relay_test.py
@@ -1,14 +1,17 @@
 """Requests relayed over loopback to endpoints that answer in every way, sound or not."""
 
 import asyncio
+import contextlib
 import dataclasses
 import socket
 import struct
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
+from unittest import mock
 
 from plumarch.config import routing_table
 from plumarch.core import clock, traffic
 from plumarch.gateway import relay
+from plumarch.gateway.connections import exchange
 from plumarch.gateway.sends import attempts
 from plumarch.routing import endpoint_choice
 from plumarch.standins import gateway_parts
@@ -115,6 +118,22 @@
         writer.close()
         return found
 
+    @contextlib.contextmanager
+    def holding_connects(self, until: asyncio.Event) -> Iterator[None]:
+        """Hold up all connections to the first endpoint but its first one, until an event."""
+        connect, came_up = exchange.connect, []
+
+        async def held_up(address: str, timeout_ms: float) -> exchange.Exchange:
+            found = await connect(address, timeout_ms)
+            if address == self.endpoints[0].address:
+                came_up.append(found)
+                if len(came_up) > 1:
+                    await until.wait()
+            return found
+
+        with mock.patch.object(exchange, "connect", held_up):
+            yield
+
     def began(self) -> int:
         """Return how many requests were counted as begun."""
         return sum(counts.total() for counts in self.state.usage.own.values())
--- a/plumarch/gateway/sends/announced_rate_test.py
+++ b/plumarch/gateway/sends/announced_rate_test.py
@@ -20,12 +20,10 @@
 import asyncio
 import dataclasses
 from collections.abc import Awaitable, Callable
-from unittest import mock
 
 from plumarch.config import routing_table
 from plumarch.core import rollouts, traffic
 from plumarch.gateway import relay, relay_test
-from plumarch.gateway.connections import exchange
 from plumarch.gateway.sends import announced_rates, attempts
 from plumarch.standins import gossip_fleet
 from plumarch.standins import scripted_endpoint as scripted
@@ -252,18 +250,8 @@
         headers = ("x-requests-per-second: 0.5",)
         stays = relay_test.answers()
         async with relay_test.Gateway(relay_test.answers(headers=headers), stays) as gateway:
-            connect, answered = exchange.connect, asyncio.Event()
-            held = []
-
-            async def held_up(address: str, timeout_ms: float) -> exchange.Exchange:
-                found = await connect(address, timeout_ms)
-                if address == gateway.endpoints[0].address:
-                    held.append(found)
-                    if len(held) > 1:
-                        await answered.wait()
-                return found
-
-            with mock.patch.object(exchange, "connect", held_up):
+            answered = asyncio.Event()
+            with gateway.holding_connects(answered):
                 asked = [asyncio.create_task(gateway.ask("/safe/x")) for _ in range(6)]
                 await asyncio.wait(asked, return_when=asyncio.FIRST_COMPLETED)
                 answered.set()
--- a/plumarch/gateway/sends/asked_rest_test.py
+++ b/plumarch/gateway/sends/asked_rest_test.py
@@ -18,10 +18,8 @@
 import asyncio
 import dataclasses
 from collections.abc import Awaitable, Callable
-from unittest import mock
 
 from plumarch.gateway import relay_test
-from plumarch.gateway.connections import exchange
 
 STAYS = relay_test.answers()
 
@@ -105,18 +103,8 @@
 
     async def test() -> None:
         async with relay_test.Gateway(resting("300"), STAYS) as gateway:
-            connect, refused = exchange.connect, asyncio.Event()
-            held = []
-
-            async def held_up(address: str, timeout_ms: float) -> exchange.Exchange:
-                found = await connect(address, timeout_ms)
-                if address == gateway.endpoints[0].address:
-                    held.append(found)
-                    if len(held) > 1:
-                        await refused.wait()
-                return found
-
-            with mock.patch.object(exchange, "connect", held_up):
+            refused = asyncio.Event()
+            with gateway.holding_connects(refused):
                 asked = [asyncio.create_task(gateway.ask("/safe/x")) for _ in range(6)]
                 first = await asyncio.wait(asked, return_when=asyncio.FIRST_COMPLETED)
                 assert first[0]
