Logs tell a node that is cut off from an endpoint that is down

A failed connect left only the fault of the next attempt (no_connection). The new line connect_failed says whether it was refused, after how long, how long ago this node last connected to any endpoint, and how many endpoints it failed to connect to since.

--- a/plumarch/gateway/connections/exchange.py
+++ b/plumarch/gateway/connections/exchange.py
@@ -279,7 +279,8 @@
         async with asyncio.timeout(timeout_ms / 1000.0):
             _, exchange = await loop.create_connection(Exchange, *addresses.split(address))
     except (OSError, ValueError, TimeoutError) as error:
-        raise errors.ConnectFailed(f"No connection to {address}: {error!r}.") from error
+        is_refused = isinstance(error, ConnectionRefusedError)
+        raise errors.ConnectFailed(f"No connection to {address}: {error!r}.", is_refused) from error
     return exchange
 
 
--- a/plumarch/gateway/dispatch/attempts.py
+++ b/plumarch/gateway/dispatch/attempts.py
@@ -265,9 +265,11 @@
         opened = await exchange.connect(
             endpoint.address, min(connect_timeout_ms(state, endpoint), time_left)
         )
-    except errors.ConnectFailed:
+    except errors.ConnectFailed as error:
         if has_permit:
             state.permits.return_permit(endpoint)
+        state.paths.record_failure(endpoint.id)
+        _log_connect_failure(state, admitted, endpoint, error, state.clock.now() - began_ms)
         if not state.suspensions.since(began_ms):
             state.health.failure(endpoint.id)
             endpoint_outcomes.connect_failed(state, endpoint)
@@ -275,6 +277,7 @@
         state.measures.attempts.add(admitted.service, "no_connection")
         raise
     state.reach.connected(endpoint.data_centre)
+    state.paths.record_connect(endpoint.id)
     if not state.suspensions.since(began_ms):
         connect_ms = state.clock.now() - began_ms
         state.distances.connected(endpoint.data_centre, connect_ms)
@@ -380,6 +383,25 @@
         )
 
 
+def _log_connect_failure(
+    state: fleet_state.FleetState,
+    admitted: admission.Admitted,
+    endpoint: traffic.Endpoint,
+    error: errors.ConnectFailed,
+    after_ms: int,
+) -> None:
+    """Log a failed connect with what tells a node that is cut off from an endpoint that is down."""
+    state.log.write(
+        "connect_failed",
+        request=admitted.id,
+        endpoint=endpoint.id,
+        refused=error.is_refused,
+        after_ms=after_ms,
+        last_connect_age_ms=state.paths.connect_age_ms(),
+        failed_since=len(state.paths.failed),
+    )
+
+
 def _headers(
     state: fleet_state.FleetState,
     admitted: admission.Admitted,
--- a/plumarch/gateway/errors.py
+++ b/plumarch/gateway/errors.py
@@ -8,7 +8,15 @@
 
 
 class ConnectFailed(errors.NotDelivered, ExchangeError):
-    """No connection was established, so the request did not run."""
+    """No connection was established, so the request did not run.
+
+    Attributes:
+      is_refused: whether the peer's machine answered that nothing listens there.
+    """
+
+    def __init__(self, why: str, is_refused: bool = False) -> None:
+        super().__init__(why)
+        self.is_refused = is_refused
 
 
 class SendBufferFull(ConnectFailed):
--- a/plumarch/gateway/fleet_state.py
+++ b/plumarch/gateway/fleet_state.py
@@ -31,6 +31,7 @@
 from plumarch.routing import (
     answer_times,
     data_centre_reach,
+    direct_paths,
     distance,
     endpoint_backoff,
     endpoint_choice,
@@ -69,6 +70,7 @@
       distances: regions and network latencies of data centres.
       pressure: refusals while memory is short.
       backoff: endpoints that asked this node to back off.
+      paths: endpoints that this node can't connect to.
       allocator: divides announced rates among nodes.
       permit_answers: requests that wait for an allocator.
       quarantine: suspects, that is requests under which endpoints crashed.
@@ -121,6 +123,7 @@
     stops_at_ms: int | None = None
     unreadable: unreadable_entries.UnreadableEntries = dataclasses.field(init=False)
     backoff: endpoint_backoff.EndpointBackoff = dataclasses.field(init=False)
+    paths: direct_paths.DirectPaths = dataclasses.field(init=False)
     permits: rate_permits.RatePermits = dataclasses.field(init=False)
     allocator: rate_allocator.RateAllocator = dataclasses.field(init=False)
     permit_answers: permit_waiters.PermitWaiters = dataclasses.field(
@@ -130,6 +133,7 @@
 
     def __post_init__(self) -> None:
         self.backoff = endpoint_backoff.EndpointBackoff(self.clock)
+        self.paths = direct_paths.DirectPaths(self.clock)
         self.permits = rate_permits.RatePermits(self.clock, self.rng, self.node)
         self.allocator = rate_allocator.RateAllocator(self.clock)
         self.unreadable = unreadable_entries.UnreadableEntries(self.log, self.measures)
