A node that can't connect to endpoints reaches them through other nodes

Cause: a node gave a request to endpoints only, and judged them by its own path alone: a failed connect meant that the endpoint is down, and after all had failed the request was given up. Class: a conclusion about the whole drawn from one node's own path.

The node keeps the request: choice, attempts, deadline, budget, quota and resumption are as before; only the connection differs, so no byte of a request leaves before a connection is chosen. - A tunnel is opened after a direct connect failed or took 100 ms; the first connection wins (routing/direct_paths, dispatch/endpoint_connects). An endpoint that only a tunnel reaches gets a direct connect again every 500 ms, beside the tunnel. - Nodes report whether they open tunnels; one that is cut off declines, so a tunnel never leads through a third node. Coordinators report some nodes of each data centre to members. - The endpoint's bytes come in frames, since an answer without a length must not look complete when the other node ends. - A refused probe is confirmed by another node before requests are suspected of a crash, and a tunnel that ends counts against no endpoint.

Not ready towards the balancer was weighed and left: callers of a whole data centre have no other node, and a refusal isn't service.

--- a/plumarch/daemon/gateway.py
+++ b/plumarch/daemon/gateway.py
@@ -268,6 +268,10 @@
                 self.callers.limits = state.table.configuration.limits
             state.measures.lines_dropped = state.log.dropped_total
 
+    def _is_busy(self) -> bool:
+        """Return whether requests are in progress, here or through tunnels of other nodes."""
+        return bool(self.callers.busy() or self.gossiper.tunnels.busy())
+
     async def _watch_settings(self) -> None:
         """Reload the settings file when its modification time changes."""
         path = pathlib.Path(self.settings_path)
@@ -308,7 +312,7 @@
         self.state.stops_at_ms = round(ends)
         self.listeners[0].close()
         self.callers.close_idle()
-        while self.callers.busy() and self.clock.now() < ends:
+        while self._is_busy() and self.clock.now() < ends:
             await asyncio.sleep(0.05)
         self.state.log.write("stopped", urgent=True, cut=self.callers.busy())
         self.state.log.flush()
--- a/plumarch/daemon/status_pages.py
+++ b/plumarch/daemon/status_pages.py
@@ -71,6 +71,8 @@
             found.append(f"asked for rest: {name}, {left_ms} ms more")
         for name, per_s in list(self._rate_limited().items())[:MAX_EXCLUDED_LISTED]:
             found.append(f"announces a limit: {name}, {per_s:g} requests a second of all nodes")
+        for name in list(state.paths.retry_ms)[:MAX_EXCLUDED_LISTED]:
+            found.append(f"reached through other nodes only: {name}")
         return found
 
     def _rate_limited(self) -> dict[str, float]:
@@ -89,6 +91,8 @@
         sizes["endpoints_leaving_by_answer"] = len(state.registry.drains.in_force())
         sizes["endpoints_resting"] = len(self._backing_off())
         sizes["endpoints_with_announced_rate"] = len(self._rate_limited())
+        sizes["endpoints_unreachable"] = len(state.paths.retry_ms)
+        sizes["cut_off_from_endpoints"] = state.paths.is_cut_off()
         sizes["heard_fraction"] = state.quota.fraction
         sizes["data_centres_known"] = state.contact.known
         sizes["data_centres_unheard"] = state.contact.unreachable
--- a/plumarch/gateway/connections/exchange.py
+++ b/plumarch/gateway/connections/exchange.py
@@ -34,11 +34,14 @@
     """A client connection that yields answers as events.
 
     Attributes:
+      is_tunneled: whether it goes through another node.
       unparsed: upper bound of received, unparsed bytes.
       nothing_accepted: whether it was closed before the endpoint accepted a byte of the request.
       peer_restarted: whether it was closed because the endpoint has restarted.
     """
 
+    is_tunneled = False
+
     def __init__(self) -> None:
         self.http = h11.Connection(h11.CLIENT, max_incomplete_event_size=65_536)
         self.transport: asyncio.Transport | None = None
@@ -62,12 +65,16 @@
         return READ_BUFFER
 
     def buffer_updated(self, nbytes: int) -> None:
-        """Pass received bytes to the parser."""
+        """Handle received bytes."""
+        self.receive(bytes(memoryview(READ_BUFFER)[:nbytes]))
+
+    def receive(self, data: bytes) -> None:
+        """Pass bytes to the parser."""
         try:
-            self.http.receive_data(bytes(memoryview(READ_BUFFER)[:nbytes]))
+            self.http.receive_data(data)
         except (h11.RemoteProtocolError, RuntimeError) as error:
             self.fault = str(error)
-        self.unparsed += nbytes
+        self.unparsed += len(data)
         if self.unparsed > READ_AHEAD_BYTES and self.transport is not None:
             self.transport.pause_reading()
         self.arrived.set()
@@ -94,6 +101,11 @@
 
     def eof_received(self) -> bool:
         """Record an orderly end of the peer's data."""
+        self.end_answer()
+        return False
+
+    def end_answer(self) -> None:
+        """Record that the endpoint closed its connection in order."""
         if not self.at_eof:
             self.at_eof = True
             try:
@@ -101,7 +113,6 @@
             except (h11.RemoteProtocolError, RuntimeError) as error:
                 self.fault = str(error)
         self.arrived.set()
-        return False
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Record the connection's end; without a preceding EOF it is a fault."""
@@ -259,6 +270,10 @@
         self.close()
         self.arrived.set()
 
+    def ended_by_endpoint(self) -> bool:
+        """Return whether the endpoint's connection ended, as opposed to an invalid answer."""
+        return self.transport is None or self.transport.is_closing()
+
     def close(self) -> None:
         """Abort the connection, which cancels a request in progress."""
         if self.transport is not None:
--- a/plumarch/gateway/dispatch/attempts.py
+++ b/plumarch/gateway/dispatch/attempts.py
@@ -9,7 +9,11 @@
 from plumarch.gateway import dialect, errors, fleet_state
 from plumarch.gateway.callers import admission
 from plumarch.gateway.connections import exchange
-from plumarch.gateway.dispatch import announced_rates, endpoint_outcomes
+from plumarch.gateway.dispatch import (
+    announced_rates,
+    endpoint_connects,
+    endpoint_outcomes,
+)
 from plumarch.routing import endpoint_choice, locality_choice, return_times
 
 CONNECT_TIMEOUT_MS = 250.0
@@ -262,13 +266,12 @@
     time_left = admitted.ends_ms - state.clock.now()
     began_ms = state.clock.now()
     try:
-        opened = await exchange.connect(
-            endpoint.address, min(connect_timeout_ms(state, endpoint), time_left)
+        opened = await endpoint_connects.connect(
+            state, endpoint, admitted.id, min(connect_timeout_ms(state, endpoint), time_left)
         )
     except errors.ConnectFailed as error:
         if has_permit:
             state.permits.return_permit(endpoint)
-        state.paths.record_failure(endpoint.id)
         _log_connect_failure(state, admitted, endpoint, error, state.clock.now() - began_ms)
         if not state.suspensions.since(began_ms):
             state.health.failure(endpoint.id)
@@ -277,8 +280,7 @@
         state.measures.attempts.add(admitted.service, "no_connection")
         raise
     state.reach.connected(endpoint.data_centre)
-    state.paths.record_connect(endpoint.id)
-    if not state.suspensions.since(began_ms):
+    if not opened.is_tunneled and not state.suspensions.since(began_ms):
         connect_ms = state.clock.now() - began_ms
         state.distances.connected(endpoint.data_centre, connect_ms)
         state.health.latencies.connected(endpoint.id, connect_ms)
@@ -398,7 +400,7 @@
         refused=error.is_refused,
         after_ms=after_ms,
         last_connect_age_ms=state.paths.connect_age_ms(),
-        failed_since=len(state.paths.failed),
+        failed_since=len(state.paths.failed_in_row),
     )
 
 
@@ -517,9 +519,20 @@
 
 
 def was_disconnected(attempt: Attempt) -> bool:
-    """Return whether the connection was closed, as opposed to an invalid answer."""
-    transport = attempt.exchange.transport
-    return transport is None or transport.is_closing()
+    """Return whether the endpoint's connection ended, as opposed to an invalid answer."""
+    return attempt.exchange.ended_by_endpoint()
+
+
+def is_own_fault(state: fleet_state.FleetState, attempt: Attempt) -> bool:
+    """Return whether an attempt's failure says nothing about its endpoint.
+
+    This process was suspended, the tunnel ended, or this node can't reach the endpoint.
+    """
+    if was_suspended(state, attempt):
+        return True
+    if attempt.exchange.is_tunneled:
+        return not was_disconnected(attempt)
+    return state.paths.is_unreachable(attempt.choice.endpoint.id)
 
 
 def end(state: fleet_state.FleetState, attempt: Attempt) -> None:
--- a/plumarch/gateway/dispatch/interrupted_runs.py
+++ b/plumarch/gateway/dispatch/interrupted_runs.py
@@ -10,8 +10,7 @@
 from plumarch.core import traffic
 from plumarch.gateway import fleet_state
 from plumarch.gateway.callers import admission
-from plumarch.gateway.connections import exchange
-from plumarch.gateway.dispatch import attempts
+from plumarch.gateway.dispatch import attempts, endpoint_connects
 from plumarch.gateway.gossip import suspect_updates
 from plumarch.limits import quarantine
 
@@ -101,7 +100,7 @@
     async def _probe(self, endpoint: traffic.Endpoint) -> None:
         timeout_ms = attempts.connect_timeout_ms(self.state, endpoint)
         try:
-            is_listening = await exchange.is_listening(endpoint.address, timeout_ms)
+            is_listening = await endpoint_connects.is_listening(self.state, endpoint, timeout_ms)
         finally:
             runs = self.probes.pop(endpoint.id).runs
         if is_listening is False:
--- a/plumarch/gateway/dispatch/request_run.py
+++ b/plumarch/gateway/dispatch/request_run.py
@@ -258,7 +258,7 @@
             self._record_failure(attempt)
         except errors.ConnectionBroken as error:
             progress.last_fault = label = "broken"
-            if attempts.was_disconnected(attempt) and not attempts.was_suspended(state, attempt):
+            if attempts.was_disconnected(attempt) and not attempts.is_own_fault(state, attempt):
                 endpoint_outcomes.lost(state, attempt.sent_request)
                 self.interrupted_runs.record(self.admitted, attempt)
             self._record_failure(attempt)
@@ -269,9 +269,9 @@
         return None
 
     def _record_failure(self, attempt: attempts.Attempt) -> None:
-        """Record the endpoint's failure, unless this process was suspended meanwhile."""
+        """Record the endpoint's failure, unless the cause is on this side."""
         state = self.state
-        if attempts.was_suspended(state, attempt):
+        if attempts.is_own_fault(state, attempt):
             return
         state.health.failure(attempt.choice.endpoint.id)
         version_outcomes.note(state, self.admitted, attempt, failed=True)
@@ -297,6 +297,7 @@
             closed=attempts.was_disconnected(attempt),
             after_ms=state.clock.now() - attempt.sent_ms,
             first_ms=attempt.first_ms,
+            tunneled=attempt.exchange.is_tunneled,
             others_there=max(0, state.chooser.running(endpoint.id) - 1),
         )
 
--- a/plumarch/gateway/endpoint_cut_test.py
+++ b/plumarch/gateway/endpoint_cut_test.py
@@ -1,8 +1,8 @@
 """Nodes that are cut off from all endpoints, over loopback."""
 
 import asyncio
+import contextlib
 from collections.abc import AsyncIterator, Callable, Coroutine
-from contextlib import asynccontextmanager
 
 from plumarch.core import traffic
 from plumarch.gateway import relay_test
@@ -55,7 +55,7 @@
         return [answer.status for answer in await asyncio.gather(*asked)]
 
 
-@asynccontextmanager
+@contextlib.asynccontextmanager
 async def served(*answer: scripted.Answering, nodes: int = NODES) -> AsyncIterator[Served]:
     endpoints = [await scripted.ScriptedEndpoint(one).start() for one in answer]
     listed = [
@@ -88,3 +88,150 @@
                 assert set(await fleet.statuses(fleet.others, 4)) == {200}
 
     play(test)
+
+
+def tunnels_used(node: cut_fleet.Node) -> float:
+    return node.state.measures.tunnels.counts.get(("used", "connected"), 0.0)
+
+
+def test_a_node_connects_directly_again_once_its_links_are_back():
+    async def test() -> None:
+        async with served(answering, answering) as fleet:
+            fleet.cut(cut_fleet.Cut.REFUSED)
+            assert set(await fleet.statuses(fleet.cut_nodes, 8)) == {200}
+            assert all(node.state.paths.is_cut_off() for node in fleet.cut_nodes)
+            fleet.fleet.loop().cuts.clear()
+            while any(node.state.paths.retry_ms for node in fleet.cut_nodes):
+                assert set(await fleet.statuses(fleet.cut_nodes, 4)) == {200}
+            before = [tunnels_used(node) for node in fleet.cut_nodes]
+            assert set(await fleet.statuses(fleet.cut_nodes, 8)) == {200}
+            assert [tunnels_used(node) for node in fleet.cut_nodes] == before
+
+    play(test)
+
+
+def test_a_node_that_is_cut_off_opens_no_tunnel():
+    """A chain of tunnels could be a loop."""
+
+    async def test() -> None:
+        async with served(answering, answering, nodes=3) as fleet:
+            fleet.cut(cut_fleet.Cut.REFUSED)
+            assert set(await fleet.statuses(fleet.cut_nodes, 8)) == {200}
+            for node in fleet.cut_nodes:
+                assert not node.state.measures.tunnels.counts.get(("served", "connected"))
+            await fleet.fleet.until(
+                lambda: (
+                    not any(
+                        peer.opens_tunnels
+                        for peer in fleet.others[0].view.live()
+                        if peer.name in ("n1", "n2")
+                    )
+                )
+            )
+
+    play(test)
+
+
+def test_if_all_nodes_are_cut_off_requests_are_refused_as_not_run():
+    async def test() -> None:
+        async with served(answering, answering, nodes=2) as fleet:
+            fleet.cut(cut_fleet.Cut.REFUSED)
+            answers = [await fleet.ask(fleet.cut_nodes[0], path) for path in PATHS]
+            assert [one.status for one in answers] == [503] * 4
+            assert all("retry-after" in one.headers for one in answers)
+            assert not any(one.received for one in fleet.endpoints)
+
+    play(test)
+
+
+def test_the_run_of_a_caller_that_leaves_ends_behind_a_tunnel():
+    async def test() -> None:
+        ended = asyncio.Event()
+
+        async def hangs(request: scripted.ReceivedRequest, writer: asyncio.StreamWriter) -> None:
+            with contextlib.suppress(OSError):
+                while True:
+                    writer.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+                    await writer.drain()
+                    await asyncio.sleep(0.005)
+            ended.set()
+
+        async with served(hangs) as fleet:
+            fleet.cut(cut_fleet.Cut.REFUSED)
+            asking = asyncio.create_task(fleet.ask(fleet.cut_nodes[0], "/unsafe/x"))
+            await fleet.fleet.until(lambda: bool(fleet.endpoints[0].received))
+            asking.cancel()
+            fleet.cut_nodes[0].callers.close_all()
+            await ended.wait()
+
+    play(test)
+
+
+def test_an_answer_cut_short_by_the_end_of_the_other_node_does_not_look_complete():
+    """An answer without a length ends with its connection."""
+
+    async def test() -> None:
+        async def half(request: scripted.ReceivedRequest, writer: asyncio.StreamWriter) -> None:
+            lines = ["HTTP/1.1 200 OK", "x-request-id: r1", "x-signature: signed"]
+            writer.write("\r\n".join(lines).encode() + scripted.HEAD_END + b"half")
+            await writer.drain()
+            await asyncio.Event().wait()
+
+        async with served(half) as fleet:
+            fleet.cut(cut_fleet.Cut.REFUSED)
+            asking = asyncio.create_task(fleet.ask(fleet.cut_nodes[0], "/unsafe/x"))
+            await fleet.fleet.until(
+                lambda: any(node.gossip.tunnels.busy() for node in fleet.others)
+            )
+            await fleet.fleet.until(lambda: bool(fleet.endpoints[0].received))
+            for node in fleet.others:
+                node.stop()
+            found = await asking
+            assert found.status == 502
+            assert not fleet.cut_nodes[0].state.health.known
+
+    play(test)
+
+
+def test_an_answer_without_a_length_is_complete_if_the_endpoint_closes():
+    async def test() -> None:
+        async def whole(request: scripted.ReceivedRequest, writer: asyncio.StreamWriter) -> None:
+            lines = ["HTTP/1.1 200 OK", "x-request-id: r1", "x-signature: signed"]
+            writer.write("\r\n".join(lines).encode() + scripted.HEAD_END + b"all of it")
+
+        async with served(whole) as fleet:
+            fleet.cut(cut_fleet.Cut.REFUSED)
+            found = await fleet.ask(fleet.cut_nodes[0], "/unsafe/x")
+            assert (found.status, found.body) == (200, b"all of it")
+
+    play(test)
+
+
+def test_requests_interrupted_by_a_cut_are_not_suspected_of_crashing_endpoints():
+    """The cut node's own probe is refused, as that of a crashed endpoint would be."""
+
+    async def test() -> None:
+        async def hangs(request: scripted.ReceivedRequest, writer: asyncio.StreamWriter) -> None:
+            await asyncio.Event().wait()
+
+        async with served(hangs, hangs) as fleet:
+            node = fleet.cut_nodes[0]
+            asking = [asyncio.create_task(fleet.ask(node, "/unsafe/x")) for _ in range(4)]
+            await fleet.fleet.until(lambda: sum(len(one.received) for one in fleet.endpoints) == 4)
+            fleet.cut(cut_fleet.Cut.RESET)
+            assert {one.status for one in await asyncio.gather(*asking)} == {502}
+            await fleet.fleet.until(lambda: bool(node.state.paths.retry_ms))
+            assert not node.state.quarantine.suspects
+
+    play(test)
+
+
+def test_nodes_that_decline_tunnels_are_passed_over():
+    async def test() -> None:
+        async with served(answering) as fleet:
+            for node in fleet.others[1:]:
+                node.gossip.peer_server.tunnels.is_leaving = lambda: True
+            fleet.cut(cut_fleet.Cut.REFUSED)
+            assert set(await fleet.statuses(fleet.cut_nodes, 8)) == {200}
+
+    play(test)
--- a/plumarch/gateway/errors.py
+++ b/plumarch/gateway/errors.py
@@ -19,6 +19,10 @@
         self.is_refused = is_refused
 
 
+class TunnelUnavailable(ConnectFailed):
+    """Another node opened no tunnel; this says nothing about the endpoint."""
+
+
 class SendBufferFull(ConnectFailed):
     """This node has no memory to buffer the request; no byte was sent."""
 
--- a/plumarch/gateway/fleet_state.py
+++ b/plumarch/gateway/fleet_state.py
@@ -1,5 +1,6 @@
 """State of one gateway process."""
 
+import asyncio
 import dataclasses
 import random
 from collections.abc import Awaitable, Callable
@@ -17,7 +18,7 @@
     permit_waiters,
     unreadable_entries,
 )
-from plumarch.gateway.connections import open_runs
+from plumarch.gateway.connections import exchange, open_runs
 from plumarch.limits import (
     attempt_budget,
     memory_account,
@@ -27,6 +28,7 @@
     rate_permits,
     workspace_quota,
 )
+from plumarch.membership import tunnel_nodes
 from plumarch.membership.registry import EndpointChange, Registry
 from plumarch.routing import (
     answer_times,
@@ -71,6 +73,8 @@
       pressure: refusals while memory is short.
       backoff: endpoints that asked this node to back off.
       paths: endpoints that this node can't connect to.
+      tunnel_peers: nodes that open tunnels for this one; None on a single node.
+      late_connects: direct connects that go on beside a chosen tunnel.
       allocator: divides announced rates among nodes.
       permit_answers: requests that wait for an allocator.
       quarantine: suspects, that is requests under which endpoints crashed.
@@ -124,6 +128,8 @@
     unreadable: unreadable_entries.UnreadableEntries = dataclasses.field(init=False)
     backoff: endpoint_backoff.EndpointBackoff = dataclasses.field(init=False)
     paths: direct_paths.DirectPaths = dataclasses.field(init=False)
+    tunnel_peers: tunnel_nodes.TunnelNodes | None = None
+    late_connects: set[asyncio.Task[exchange.Exchange]] = dataclasses.field(default_factory=set)
     permits: rate_permits.RatePermits = dataclasses.field(init=False)
     allocator: rate_allocator.RateAllocator = dataclasses.field(init=False)
     permit_answers: permit_waiters.PermitWaiters = dataclasses.field(
@@ -223,3 +229,4 @@
         self.health.retain(existing)
         self.limits.retain(existing)
         self.permits.prune(existing)
+        self.paths.retain(existing)
--- a/plumarch/gateway/gossip/coordination.py
+++ b/plumarch/gateway/gossip/coordination.py
@@ -13,7 +13,7 @@
     version_reports,
 )
 from plumarch.limits import centre_spending, quota_records
-from plumarch.membership import fleet_view, peer_node, tiers
+from plumarch.membership import fleet_view, peer_node, tiers, tunnel_nodes
 from plumarch.peers import gossip, recent_changes
 from plumarch.routing import endpoint_choice
 
@@ -33,6 +33,9 @@
 USAGE_INTERVAL = 4
 """Interval of usage in summaries, in rounds."""
 
+TUNNEL_NODES_INTERVAL = 8
+"""Interval of nodes that open tunnels, in summaries and in rounds."""
+
 MAX_LOADS = 60
 """Endpoint loads in one datagram, heaviest first."""
 
@@ -121,6 +124,9 @@
         loads = load_reports.from_messages(summary.loads, self.state.registry.by_name)
         self.state.chooser.report_loads(CENTRE + summary.data_centre, loads)
         speed_reports.apply(self.state, CENTRE + summary.data_centre, summary.speeds)
+        if self.state.tunnel_peers is not None:
+            nodes = tunnel_nodes_from(summary.tunnel_nodes)
+            self.state.tunnel_peers.apply_report(summary.data_centre, nodes)
         version_reports.apply_shares(self.state, summary.versions)
         version_reports.apply_answers(self.state, CENTRE + summary.data_centre, summary.answers)
         if summary.usage:
@@ -245,8 +251,21 @@
             centres_digest=view.digest(),
             sequence=self.summaries,
             ledger=[self._ledger_message()],
+            tunnel_nodes=self._tunnel_nodes_in_summary(),
         )
 
+    def _tunnel_nodes_in_summary(self) -> list[gossip.KnownPeer]:
+        known = self.state.tunnel_peers
+        if known is None or self.summaries % TUNNEL_NODES_INTERVAL:
+            return []
+        return _known_peers(known.in_own_centre(not self.state.paths.is_cut_off()))
+
+    def _tunnel_nodes_in_update(self) -> list[gossip.KnownPeer]:
+        known = self.state.tunnel_peers
+        if known is None or self.rounds % TUNNEL_NODES_INTERVAL:
+            return []
+        return _known_peers(known.for_members(not self.state.paths.is_cut_off()))
+
     def _ledger_message(self) -> gossip.NodeIdentity:
         return gossip.NodeIdentity(self.ledger.name, self.ledger.incarnation, "")
 
@@ -370,6 +389,7 @@
             full=full,
             versions=version_reports.shares_to_messages(state),
             ledger=[self._ledger_message()],
+            tunnel_nodes=self._tunnel_nodes_in_update(),
         )
 
     def _fleet_loads(self, full: bool) -> list[gossip.EndpointLoad]:
@@ -392,3 +412,12 @@
 def _is_from_senior(summary: gossip.CentreSummary) -> bool:
     """Return whether the author regards itself as its data centre's senior."""
     return bool(summary.seniors) and summary.seniors[0].name == summary.node
+
+
+def _known_peers(nodes: list[tunnel_nodes.TunnelNode]) -> list[gossip.KnownPeer]:
+    return [gossip.KnownPeer(one.name, one.address) for one in nodes]
+
+
+def tunnel_nodes_from(reports: list[gossip.KnownPeer]) -> list[tunnel_nodes.TunnelNode]:
+    """Return the nodes that open tunnels in a message."""
+    return [tunnel_nodes.TunnelNode(one.name, one.address) for one in reports]
--- a/plumarch/gateway/gossip/gossiper.py
+++ b/plumarch/gateway/gossip/gossiper.py
@@ -1,6 +1,7 @@
 """Sends and receives a node's gossip."""
 
 import asyncio
+import random
 from collections.abc import Iterable, Mapping
 from typing import Any, cast
 
@@ -14,6 +15,7 @@
     heartbeats,
     load_reports,
     member_updates,
+    peer_server,
     permit_exchange,
     rounds,
     seniors,
@@ -22,11 +24,12 @@
     spending_ledger,
     stale_figures,
     suspect_updates,
+    tunnel_server,
     unreadable_messages,
     version_reports,
 )
 from plumarch.limits import centre_spending, quota_records
-from plumarch.membership import fleet_view, peer_node, tiers
+from plumarch.membership import fleet_view, peer_node, tiers, tunnel_nodes
 from plumarch.peers import gossip
 
 HEARTBEAT_INTERVAL_MS = 250
@@ -77,6 +80,14 @@
             state, view, self._send, self._update_addresses, lambda: self.leaving
         )
         self.snapshots = snapshots.SnapshotExchange(state)
+        self.tunnels = tunnel_server.TunnelServer(state, lambda: self.leaving)
+        self.peer_server = peer_server.PeerServer(self.snapshots, self.tunnels)
+        state.tunnel_peers = tunnel_nodes.TunnelNodes(
+            state.clock,
+            view,
+            random.Random(f"{view.node} {view.incarnation} tunnels"),
+            state.distances.is_in_region,
+        )
         self.soon = asyncio.Event()
         self.server: asyncio.Server | None = None
         self.recipients: set[str] = set()
@@ -92,7 +103,7 @@
         loop = asyncio.get_running_loop()
         await loop.create_datagram_endpoint(lambda: self, local_addr=(host, port))
         self.server = await asyncio.start_server(
-            self.snapshots.serve, host, port, backlog=addresses.BACKLOG
+            self.peer_server.serve, host, port, backlog=addresses.BACKLOG
         )
         self.learn_seeds(self.seeds)
 
@@ -420,6 +431,7 @@
         if heartbeat.build or before != heartbeat.incarnation:
             peer.build = heartbeat.build
         peer.reaches_store = heartbeat.reaches_store
+        peer.opens_tunnels = heartbeat.opens_tunnels
         peer.token = heartbeat.token
         peer.candidate = heartbeat.candidate
         peer.nodes = heartbeat.nodes
@@ -543,3 +555,4 @@
             self.transport.close()
         if self.server is not None:
             self.server.close()
+        self.tunnels.close()
--- a/plumarch/gateway/gossip/heartbeats.py
+++ b/plumarch/gateway/gossip/heartbeats.py
@@ -173,6 +173,7 @@
             reaches_store=state.reaches_store,
             seniors=self._seniors() if with_seniors else [],
             nodes=self.view.counted_size(),
+            opens_tunnels=not leaving and not state.paths.is_cut_off(),
         )
 
     def _seniors(self) -> list[gossip.NodeIdentity]:
--- a/plumarch/gateway/gossip/member_updates.py
+++ b/plumarch/gateway/gossip/member_updates.py
@@ -4,9 +4,9 @@
 import dataclasses
 
 from plumarch.gateway import fleet_state
-from plumarch.gateway.gossip import load_reports, seniors, spending_ledger
+from plumarch.gateway.gossip import coordination, load_reports, seniors, spending_ledger
 from plumarch.limits import quota_records
-from plumarch.membership import fleet_view, tiers
+from plumarch.membership import fleet_view, tiers, tunnel_nodes
 from plumarch.peers import gossip
 from plumarch.routing import endpoint_choice
 
@@ -103,6 +103,10 @@
         known = next((one for one in self.sent_figures if one.sequence == acknowledged), None)
         quota = self.state.quota
         self.ledger.apply_update(update)
+        if self.state.tunnel_peers is not None:
+            self.state.tunnel_peers.apply_report(
+                tunnel_nodes.MEMBERS_LIST, coordination.tunnel_nodes_from(update.tunnel_nodes)
+            )
         if known is not None:
             self.ledger.counted |= known.spent
         buckets = {}
--- a/plumarch/gateway/gossip/mixed_builds_test.py
+++ b/plumarch/gateway/gossip/mixed_builds_test.py
@@ -9,6 +9,7 @@
     gossiper,
     heartbeats,
     load_reports,
+    peer_server,
     snapshots,
     unreadable_messages,
 )
@@ -24,7 +25,7 @@
 
 
 async def served(exchange: snapshots.SnapshotExchange, request: gossip.SnapshotRequest) -> bytes:
-    server = await asyncio.start_server(exchange.serve, "127.0.0.1", 0)
+    server = await asyncio.start_server(peer_server.new_server(exchange).serve, "127.0.0.1", 0)
     port = server.sockets[0].getsockname()[1]
     reader, writer = await asyncio.open_connection("127.0.0.1", port)
     writer.write(frames.pack(gossip.encoder.encode(request)))
--- a/plumarch/gateway/gossip/snapshots.py
+++ b/plumarch/gateway/gossip/snapshots.py
@@ -132,25 +132,19 @@
                 self.state.log.write("bad_snapshot", peer=peer, what="endpoint", error=str(error))
         return found
 
-    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        """Answer a snapshot request."""
-        try:
-            async with asyncio.timeout(FETCH_TIMEOUT_MS / 1000.0):
-                request = gossip.request_decoder.decode(
-                    await frames.read(reader, gossip.FRAME_LIMIT)
-                )
-                in_parts = request.accepts_parts or self._guess_in_parts(
-                    writer.get_extra_info("peername")[0], request
-                )
-                writer.write(frames.pack(self._answer(request, in_parts)))
-                await writer.drain()
-        except (OSError, TimeoutError, EOFError, msgspec.DecodeError, errors.PeerProtocolError):
-            pass
-        except asyncio.CancelledError:
-            # Cancelled at shutdown only; asyncio would log the cancelled task as an error.
-            pass
-        finally:
-            writer.close()
+    async def answer(self, request: gossip.SnapshotRequest, writer: asyncio.StreamWriter) -> None:
+        """Answer a snapshot request.
+
+        Raises:
+          TimeoutError: the peer reads too slowly.
+          OSError: the connection ended.
+        """
+        async with asyncio.timeout(FETCH_TIMEOUT_MS / 1000.0):
+            in_parts = request.accepts_parts or self._guess_in_parts(
+                writer.get_extra_info("peername")[0], request
+            )
+            writer.write(frames.pack(self._answer(request, in_parts)))
+            await writer.drain()
 
     def _guess_in_parts(self, peer: str, request: gossip.SnapshotRequest) -> bool:
         """Return whether a peer that declares no snapshot format takes parts.
--- a/plumarch/gateway/measures.py
+++ b/plumarch/gateway/measures.py
@@ -175,6 +175,11 @@
             "Requests to endpoints with an announced request rate, sent or without a permit.",
             ("service", "outcome"),
         )
+        self.tunnels = Counter(
+            "plumarch_gateway_tunnels",
+            "Tunnels to endpoints: those that this node used and those that it served.",
+            ("role", "outcome"),
+        )
         self.quarantined = Counter(
             "plumarch_gateway_quarantine",
             "Requests quarantined because endpoints crashed while running them, and those cleared.",
@@ -235,6 +240,7 @@
             self.backoffs,
             self.announced_rates,
             self.permits,
+            self.tunnels,
             self.unreadable_messages,
             self.quarantined,
             self.callers_disconnected,
--- a/plumarch/limits/memory_account.py
+++ b/plumarch/limits/memory_account.py
@@ -45,6 +45,7 @@
     KEPT_BODIES = "kept_bodies"
     UNREAD_ANSWERS = "unread_answers"
     UNSENT_REQUESTS = "unsent_requests"
+    TUNNELS = "tunnels"
 
 
 @dataclasses.dataclass(slots=True)
--- a/plumarch/membership/peer_node.py
+++ b/plumarch/membership/peer_node.py
@@ -17,6 +17,7 @@
       candidate: whether it can take over the duties.
       nodes: size of the fleet by its own count.
       build: as reported, or "".
+      opens_tunnels: whether it reaches endpoints and opens tunnels to them.
     """
 
     name: str
@@ -31,6 +32,7 @@
     reaches_store: bool = True
     nodes: int = 0
     build: str = ""
+    opens_tunnels: bool = False
 
     def seniority(self) -> tiers.Seniority:
         """Return its seniority key."""
--- a/plumarch/peers/gossip.py
+++ b/plumarch/peers/gossip.py
@@ -134,6 +134,7 @@
       versions: during a roll-out and some time after.
       answers: during a roll-out.
       build: in some heartbeats, never from builds that don't send it.
+      opens_tunnels: whether it reaches endpoints and opens tunnels to them for others.
     """
 
     node: str
@@ -158,6 +159,7 @@
     versions: list[VersionShare] = []
     answers: list[VersionAnswers] = []
     build: str = ""
+    opens_tunnels: bool = False
 
 
 class CentreSpending(msgspec.Struct, array_like=True, frozen=True):
@@ -197,6 +199,7 @@
       centres_digest: of data centres reachable from the sender, with its own, or 0.
       sequence: since the sender's start; 0 where it is not sent.
       ledger: the coordinator that began it; a list of one or none.
+      tunnel_nodes: in some summaries, nodes of the data centre that open tunnels.
     """
 
     node: str
@@ -221,6 +224,7 @@
     centres_digest: int = 0
     sequence: int = 0
     ledger: list[NodeIdentity] = []
+    tunnel_nodes: list[KnownPeer] = []
 
 
 class KnownCentre(msgspec.Struct, array_like=True, frozen=True):
@@ -273,6 +277,7 @@
       full: whether endpoints not named have no load.
       versions: as in heartbeats.
       ledger: as in summaries.
+      tunnel_nodes: in some updates, nodes that open tunnels.
     """
 
     node: str
@@ -291,6 +296,7 @@
     full: bool
     versions: list[VersionShare] = []
     ledger: list[NodeIdentity] = []
+    tunnel_nodes: list[KnownPeer] = []
 
 
 class MemberUpdate(msgspec.Struct, array_like=True, frozen=True, tag=4):
