--- a/plumarch/gateway/gossip/snapshots_test.py
+++ b/plumarch/gateway/gossip/snapshots_test.py
@@ -93,7 +93,9 @@
         loop = asyncio.get_running_loop()
         loop.set_exception_handler(lambda _, context: found.append(context["message"]))
         before = asyncio.all_tasks()
-        server = await asyncio.start_server(peer_server.new_server(exchange(1)).serve, "127.0.0.1", 0)
+        server = await asyncio.start_server(
+            peer_server.new_server(exchange(1)).serve, "127.0.0.1", 0
+        )
         _, writer = await asyncio.open_connection(*server.sockets[0].getsockname())
         while not (serving := asyncio.all_tasks() - before):
             await asyncio.sleep(0.001)
