Slots of endpoints that bear few rejections are leased by one node

Endpoints of a service can announce that they crash if they have to reject more than N requests in a second. Nobody read it, and all nodes together made an endpoint reject 88 where 3 are borne.

Cause: each node sees its own requests and, 250 ms late, those that others report; no node sees how many are rejected by all. Class: a bound on a sum of which each node sees its own part, as with announced rates.

Change: while a service announces it (limits/fragile_services, gossiped with heartbeats, summaries and fleet updates), each request needs a leased slot. The node that allocates an endpoint's permits leases its slots (limits/slot_allocator); a node reports what it runs and wants (limits/slot_leases), so a lost message or another allocator is made up for by the next one. Rejections are reported too: half of N in a second stop further leases, and the number of slots is taken to be lower for a while. Without an answer of the allocator a node sends only while half of the slots are free, and after a rejection not for its part of a second. A request that is denied at all endpoints is refused at once.

Weighed: one mechanism for rates and slots. A rate is spent by sending, a slot comes back when its request ends, so the messages differ; who allocates and how messages find it is one.

--- a/plumarch/gateway/dialect.py
+++ b/plumarch/gateway/dialect.py
@@ -34,6 +34,8 @@
       not_run: set by an endpoint that did not run the request.
       leaving: set by an endpoint before it shuts down, unless "0".
       rate_limit: set by an endpoint while it limits all nodes' request rate.
+      rejection_limit: set by an endpoint while it crashes if it has to reject more requests in a
+        second.
       signature: proves that an answer is the endpoint's.
       token_counts: prompt tokens and maximum of output tokens, separated by a comma.
       prompt_parts: the prompt's segments as ID:TOKENS, separated by commas.
@@ -47,6 +49,7 @@
     not_run: bytes = b"x-not-run"
     leaving: bytes = b"x-leaving"
     rate_limit: bytes = request_rate.HEADER.encode()
+    rejection_limit: bytes = b"x-rejections-per-second"
     signature: bytes = b"x-signature"
     token_counts: bytes = b"x-token-counts"
     prompt_parts: bytes = b"x-prompt-parts"
--- a/plumarch/gateway/dispatch/attempts.py
+++ b/plumarch/gateway/dispatch/attempts.py
@@ -13,6 +13,7 @@
     announced_rates,
     endpoint_connects,
     endpoint_outcomes,
+    fragile_endpoints,
 )
 from plumarch.routing import endpoint_choice, locality_choice, return_times
 
@@ -126,15 +127,29 @@
     """Choose an endpoint, skipping those that a permit is missing for."""
     choice = _choose_preferred(state, admitted, candidates, terms)
     # All nodes share an announced rate, so this node's own sends don't show what is left.
-    if choice is None or announced_rates.may_send(state, choice.endpoint):
+    if choice is None or _may_send(state, choice.endpoint):
         return choice
     state.measures.permits.add(admitted.service, "missing")
-    permitted = [one for one in candidates if state.permits.may_send(one)]
+    permitted = [
+        one
+        for one in candidates
+        if state.permits.may_send(one) and fragile_endpoints.may_send(state, one)
+    ]
     if not permitted and progress.without_permit is None:
         progress.without_permit = choice.endpoint
     return _choose_preferred(state, admitted, permitted, terms)
 
 
+def _may_send(state: fleet_state.FleetState, endpoint: traffic.Endpoint) -> bool:
+    """Return whether a request may be sent; request a permit or a slot if not."""
+    if not announced_rates.may_send(state, endpoint):
+        return False
+    if fragile_endpoints.may_send(state, endpoint):
+        return True
+    fragile_endpoints.request_slot(state, endpoint)
+    return fragile_endpoints.may_send(state, endpoint)
+
+
 def _terms(
     state: fleet_state.FleetState, admitted: admission.Admitted, repeated: bool
 ) -> locality_choice.Terms:
@@ -184,6 +199,7 @@
     """Return the reachable, healthy endpoints with free capacity."""
     reachable = [one for one in ready if not state.reach.is_excluded(one.data_centre)]
     usable = state.health.usable(reachable or ready)
+    usable = fragile_endpoints.without_denied(state, usable)
     if endpoint_outcomes.wait_after_crash_ms(state, admitted, usable):
         return []
     demand = endpoint_outcomes.demand_of(admitted)
@@ -246,6 +262,7 @@
         return await _send(state, admitted, progress, choice)
     except BaseException:
         state.chooser.end(choice, saw_first_token=False)
+        fragile_endpoints.return_surplus(state, choice.endpoint)
         raise
 
 
@@ -543,4 +560,5 @@
         run_ms = state.clock.now() - attempt.sent_ms - attempt.round_trip_ms
         state.chooser.speed(attempt.choice.endpoint.service).ended(max(0.0, run_ms))
     state.chooser.end(attempt.choice, attempt.saw_first_token)
+    fragile_endpoints.return_surplus(state, attempt.choice.endpoint)
     endpoint_outcomes.ended(state, attempt.sent_request)
--- a/plumarch/gateway/dispatch/endpoint_outcomes.py
+++ b/plumarch/gateway/dispatch/endpoint_outcomes.py
@@ -8,7 +8,7 @@
 from plumarch.core import traffic
 from plumarch.gateway import fleet_state
 from plumarch.gateway.callers import admission
-from plumarch.gateway.dispatch import announced_rates, endpoint_signals
+from plumarch.gateway.dispatch import announced_rates, endpoint_signals, fragile_endpoints
 from plumarch.routing import (
     answer_times,
     crash_guard,
@@ -148,6 +148,7 @@
     if head.status_code != MISDIRECTED:
         has_run = head.status_code not in PROMISED_NOT_RUN
         announced_rates.observe(state, one.endpoint, signals, sent_ms, has_run)
+        fragile_endpoints.observe(state, one.endpoint, signals)
     if not signals.concerns_requests() and head.status_code not in PROMISED_NOT_RUN:
         return
     endpoint, now = one.endpoint, state.clock.now()
@@ -167,6 +168,7 @@
         retry_after=signals.retry_after,
         rests_ms=backoff_ms,
         rate_limit=signals.rate_limit,
+        rejection_limit=signals.rejection_limit,
         after_ms=now - sent_ms,
         listed_as=listed.state.value if listed else "gone",
         registry_revision=state.registry.revision,
@@ -200,6 +202,8 @@
         state.log.write("endpoint_absent", endpoint=one.endpoint.id, address=one.endpoint.address)
     if status not in OVERLOADED:
         return
+    if fragile_endpoints.is_fragile(state, one.endpoint):
+        state.slots.rejected(one.endpoint.id)
     running = max(0, state.chooser.running(one.endpoint.id) - 1)
     if running < one.endpoint.slots:
         # It rejects below its capacity, looks idle and would be preferred.
--- a/plumarch/gateway/dispatch/endpoint_signals.py
+++ b/plumarch/gateway/dispatch/endpoint_signals.py
@@ -22,12 +22,14 @@
       backoff_ms: the backoff requested from this node; 0 if none.
       retry_after: its Retry-After header, "" if absent.
       rate_limit: its request rate header, "" if absent.
+      rejection_limit: its rejection limit header, "" if absent.
     """
 
     draining: bool = False
     backoff_ms: float = 0.0
     retry_after: str = ""
     rate_limit: str = ""
+    rejection_limit: str = ""
 
     def concerns_requests(self) -> bool:
         """Return whether there is more than a valid rate."""
@@ -45,11 +47,13 @@
     draining = dialect.header_value(head.headers, names.leaving) not in NOT_DRAINING
     seconds = dialect.header_value(head.headers, retry_after.HEADER.encode())
     rate_limit = dialect.header_value(head.headers, names.rate_limit)
-    if not draining and not seconds and not rate_limit:
+    rejection_limit = dialect.header_value(head.headers, names.rejection_limit)
+    if not draining and not seconds and not rate_limit and not rejection_limit:
         return NONE
     return Signals(
         draining,
         retry_after.milliseconds(seconds),
         seconds[:MAX_LOGGED_CHARACTERS],
         rate_limit[:MAX_LOGGED_CHARACTERS],
+        rejection_limit[:MAX_LOGGED_CHARACTERS],
     )
--- a/plumarch/gateway/dispatch/request_run.py
+++ b/plumarch/gateway/dispatch/request_run.py
@@ -16,6 +16,7 @@
     attempts,
     buffered_answers,
     endpoint_outcomes,
+    fragile_endpoints,
     interrupted_runs,
     stream_relay,
     version_outcomes,
@@ -171,13 +172,15 @@
         return False
 
     async def _received_permit(self) -> bool:
-        """Wait for a permit if only that is missing; return whether it arrived."""
+        """Wait for a permit or slot if only that is missing; return whether to choose again."""
         progress = self.progress
         endpoint = progress.without_permit
         if endpoint is None or progress.permit_waits >= announced_rates.MAX_WAITS:
             return False
         progress.permit_waits += 1
         time_left_ms = self.admitted.ends_ms - self.state.clock.now()
+        if not fragile_endpoints.may_send(self.state, endpoint):
+            return await fragile_endpoints.wait_for_answer(self.state, endpoint, time_left_ms)
         return await announced_rates.wait_for_answer(self.state, endpoint, time_left_ms)
 
     async def _wait_until_read(self) -> None:
--- a/plumarch/gateway/fleet_state.py
+++ b/plumarch/gateway/fleet_state.py
@@ -21,13 +21,16 @@
 from plumarch.gateway.connections import exchange, open_runs
 from plumarch.limits import (
     attempt_budget,
+    fragile_services,
     memory_account,
     memory_admission,
     quarantine,
     rate_allocator,
     rate_permits,
+    slot_leases,
     workspace_quota,
 )
+from plumarch.limits import slot_allocator as allocation
 from plumarch.membership import tunnel_nodes
 from plumarch.membership.registry import EndpointChange, Registry
 from plumarch.routing import (
@@ -77,12 +80,18 @@
       late_connects: direct connects that go on beside a chosen tunnel.
       allocator: divides announced rates among nodes.
       permit_answers: requests that wait for an allocator.
+      fragile: services whose endpoints crash if they reject too many requests.
+      slots: leased slots at their endpoints.
+      slot_allocator: leases slots to nodes.
+      slot_answers: requests that wait for that allocator.
       quarantine: suspects, that is requests under which endpoints crashed.
       runs: connections with running requests, by endpoint.
       announce_prompt: announces a sent prompt to the other nodes.
       endpoint_restarted: called with the id of a restarted endpoint.
+      publish_fragile: called when a service becomes fragile.
       publish_suspect: publishes a suspect, by its fingerprint.
       request_permits: sends a request to the endpoint's allocator; None on a single node.
+      request_slots: sends a request to the allocator of slots; None on a single node.
       request_trial: requests a quarantined request's trial from the store.
       reaches_store: whether the store answered the last call.
       stops_at_ms: when the process will exit; None before a shutdown.
@@ -120,8 +129,10 @@
     table_source: str = ""
     announce_prompt: Callable[[SentPrompt], None] | None = None
     publish_suspect: Callable[[str], None] | None = None
+    publish_fragile: Callable[[], None] = lambda: None
     endpoint_restarted: Callable[[str], None] = lambda _: None
     request_permits: Callable[[Endpoint, rate_allocator.PermitRequest], None] | None = None
+    request_slots: Callable[[Endpoint, allocation.SlotRequest], None] | None = None
     request_trial: Callable[[str], Awaitable[bool]] | None = None
     reaches_store: bool = True
     stops_at_ms: int | None = None
@@ -132,6 +143,12 @@
     late_connects: set[asyncio.Task[exchange.Exchange]] = dataclasses.field(default_factory=set)
     permits: rate_permits.RatePermits = dataclasses.field(init=False)
     allocator: rate_allocator.RateAllocator = dataclasses.field(init=False)
+    fragile: fragile_services.FragileServices = dataclasses.field(init=False)
+    slots: slot_leases.SlotLeases = dataclasses.field(init=False)
+    slot_allocator: allocation.SlotAllocator = dataclasses.field(init=False)
+    slot_answers: permit_waiters.PermitWaiters = dataclasses.field(
+        default_factory=permit_waiters.PermitWaiters
+    )
     permit_answers: permit_waiters.PermitWaiters = dataclasses.field(
         default_factory=permit_waiters.PermitWaiters
     )
@@ -142,6 +159,9 @@
         self.paths = direct_paths.DirectPaths(self.clock)
         self.permits = rate_permits.RatePermits(self.clock, self.rng, self.node)
         self.allocator = rate_allocator.RateAllocator(self.clock)
+        self.fragile = fragile_services.FragileServices(self.clock)
+        self.slots = slot_leases.SlotLeases(self.clock, self.node)
+        self.slot_allocator = allocation.SlotAllocator(self.clock)
         self.unreadable = unreadable_entries.UnreadableEntries(self.log, self.measures)
 
     def configuration_version(self) -> int:
@@ -216,6 +236,30 @@
             source=source,
         )
 
+    def fragility_changed(self, service: str, source: str) -> None:
+        """Log that a service's endpoints announce that they bear few rejections.
+
+        Args:
+          source: the node that received or reported the answer.
+        """
+        self.log.write(
+            "service_fragile",
+            service=service,
+            rejections_per_s=self.fragile.rejections_per_s(service),
+            source=source,
+        )
+        self.publish_fragile()
+
+    def slot_use(self, endpoint: Endpoint) -> slot_leases.SlotUse:
+        """Return an endpoint's slots and their use."""
+        return slot_leases.SlotUse(
+            endpoint.id,
+            max(1, endpoint.slots),
+            self.chooser.own_running(endpoint.id),
+            self.chooser.running(endpoint.id),
+            self.fragile.rejections_per_s(endpoint.service) or 0.0,
+        )
+
     def _log_unnamed_regions(self) -> None:
         """Log each data centre without a region once; it counts as remote."""
         met = {self.data_centre, *(one.data_centre for one in self.registry.endpoints.values())}
--- a/plumarch/gateway/gossip/coordination.py
+++ b/plumarch/gateway/gossip/coordination.py
@@ -5,6 +5,7 @@
 
 from plumarch.gateway import fleet_state
 from plumarch.gateway.gossip import (
+    fragility_reports,
     heartbeats,
     load_reports,
     seniors,
@@ -127,6 +128,7 @@
         if self.state.tunnel_peers is not None:
             nodes = tunnel_nodes_from(summary.tunnel_nodes)
             self.state.tunnel_peers.apply_report(summary.data_centre, nodes)
+        fragility_reports.apply(self.state, summary.fragile, summary.node)
         version_reports.apply_shares(self.state, summary.versions)
         version_reports.apply_answers(self.state, CENTRE + summary.data_centre, summary.answers)
         if summary.usage:
@@ -252,6 +254,7 @@
             sequence=self.summaries,
             ledger=[self._ledger_message()],
             tunnel_nodes=self._tunnel_nodes_in_summary(),
+            fragile=fragility_reports.to_messages(state),
         )
 
     def _tunnel_nodes_in_summary(self) -> list[gossip.KnownPeer]:
@@ -390,6 +393,7 @@
             versions=version_reports.shares_to_messages(state),
             ledger=[self._ledger_message()],
             tunnel_nodes=self._tunnel_nodes_in_update(),
+            fragile=fragility_reports.to_messages(state),
         )
 
     def _fleet_loads(self, full: bool) -> list[gossip.EndpointLoad]:
--- a/plumarch/gateway/gossip/gossiper.py
+++ b/plumarch/gateway/gossip/gossiper.py
@@ -12,6 +12,7 @@
 from plumarch.gateway.gossip import (
     bootstrap,
     coordination,
+    fragility_reports,
     heartbeats,
     load_reports,
     member_updates,
@@ -19,6 +20,7 @@
     permit_exchange,
     rounds,
     seniors,
+    slot_exchange,
     snapshots,
     speed_reports,
     spending_ledger,
@@ -79,6 +81,7 @@
         self.permits = permit_exchange.PermitExchange(
             state, view, self._send, self._update_addresses, lambda: self.leaving
         )
+        self.slots = slot_exchange.SlotExchange(state, view, self._send, self.permits)
         self.snapshots = snapshots.SnapshotExchange(state)
         self.tunnels = tunnel_server.TunnelServer(state, lambda: self.leaving)
         self.peer_server = peer_server.PeerServer(self.snapshots, self.tunnels)
@@ -96,6 +99,8 @@
         state.announce_prompt = self.announce_prompt
         state.publish_suspect = self.suspects.publish
         state.request_permits = self.permits.request_permits
+        state.request_slots = self.slots.request_slots
+        state.publish_fragile = lambda: self.send_heartbeat_soon()
 
     async def start(self) -> None:
         """Listen and learn the seeds."""
@@ -162,7 +167,8 @@
         self._decide_role()
         self.view.interval_ms = self.interval_ms()
         self.state.quota.update_age_ms = self._update_age_ms()
-        self.state.permits.nodes = self.view.size()
+        self.state.permits.nodes = self.state.slots.nodes = self.view.size()
+        self.slots.renew()
         is_flat = self.view.role is tiers.Role.FLAT
         self.state.quota.admitting_nodes = 1 if is_flat else self.view.size()
         for peer in self.view.tick():
@@ -335,6 +341,10 @@
                 self.permits.handle_answer(message)
             case gossip.RateUpdate():
                 self.permits.handle_rate_update(message)
+            case gossip.SlotRequest():
+                self.slots.handle_request(message)
+            case gossip.SlotAnswer():
+                self.slots.handle_answer(message)
 
     def handle_notice(self, notice: gossip.LoadNotice) -> None:
         """Apply a peer's load and charge at one endpoint."""
@@ -391,6 +401,7 @@
         if peer is None:
             return
         version_reports.apply_shares(self.state, update.versions)
+        fragility_reports.apply(self.state, update.fragile, update.node)
         if self._is_newer(update):
             self.snapshots.fetch_from(update.address)
         if not self.member.apply_update(update):
@@ -432,6 +443,8 @@
             peer.build = heartbeat.build
         peer.reaches_store = heartbeat.reaches_store
         peer.opens_tunnels = heartbeat.opens_tunnels
+        peer.newest_tag = heartbeat.newest_tag
+        fragility_reports.apply(self.state, heartbeat.fragile, heartbeat.node)
         peer.token = heartbeat.token
         peer.candidate = heartbeat.candidate
         peer.nodes = heartbeat.nodes
--- a/plumarch/gateway/gossip/heartbeats.py
+++ b/plumarch/gateway/gossip/heartbeats.py
@@ -9,7 +9,13 @@
 from plumarch.core import build
 from plumarch.fleet import usage
 from plumarch.gateway import fleet_state
-from plumarch.gateway.gossip import load_reports, seniors, speed_reports, version_reports
+from plumarch.gateway.gossip import (
+    fragility_reports,
+    load_reports,
+    seniors,
+    speed_reports,
+    version_reports,
+)
 from plumarch.membership import fleet_view, tiers
 from plumarch.peers import gossip, recent_changes
 
@@ -174,6 +180,8 @@
             seniors=self._seniors() if with_seniors else [],
             nodes=self.view.counted_size(),
             opens_tunnels=not leaving and not state.paths.is_cut_off(),
+            fragile=fragility_reports.to_messages(state),
+            newest_tag=gossip.NEWEST_TAG,
         )
 
     def _seniors(self) -> list[gossip.NodeIdentity]:
--- a/plumarch/gateway/gossip/permit_exchange.py
+++ b/plumarch/gateway/gossip/permit_exchange.py
@@ -156,11 +156,14 @@
         )
         return False
 
-    def allocator_address(self, data_centre: str) -> str | None:
+    def allocator_address(self, data_centre: str, newest_tag: int = 0) -> str | None:
         """Return the known address of the node that allocates a data centre's permits.
 
         Another data centre's node allocates for one without live nodes. None while looking for
         coordinators.
+
+        Args:
+          newest_tag: the allocator reads datagrams up to this tag, in a small fleet.
         """
         view = self.view
         if view.role is tiers.Role.MEMBER:
@@ -169,11 +172,15 @@
             return self._coordinator_address(data_centre)
         if view.size() > tiers.FLAT_FLEET:
             return None
-        return self._senior_address(data_centre)
+        return self._senior_address(data_centre, newest_tag)
 
-    def _senior_address(self, data_centre: str) -> str | None:
+    def _senior_address(self, data_centre: str, newest_tag: int) -> str | None:
         """Return the senior node's address in a small fleet."""
-        nodes = [(one.seniority(), one.address, one.data_centre) for one in self.view.live()]
+        nodes = [
+            (one.seniority(), one.address, one.data_centre)
+            for one in self.view.live()
+            if one.newest_tag >= newest_tag
+        ]
         if not self.is_leaving():
             nodes.append((self.view.seniority(), self.view.address, self.view.data_centre))
         local = [one for one in nodes if one[2] == data_centre]
--- a/plumarch/gateway/measures.py
+++ b/plumarch/gateway/measures.py
@@ -175,6 +175,11 @@
             "Requests to endpoints with an announced request rate, sent or without a permit.",
             ("service", "outcome"),
         )
+        self.slot_leases = Counter(
+            "plumarch_gateway_slot_leases",
+            "Answers to requests for slots of endpoints that bear few rejections.",
+            ("outcome",),
+        )
         self.tunnels = Counter(
             "plumarch_gateway_tunnels",
             "Tunnels to endpoints: those that this node used and those that it served.",
@@ -240,6 +245,7 @@
             self.backoffs,
             self.announced_rates,
             self.permits,
+            self.slot_leases,
             self.tunnels,
             self.unreadable_messages,
             self.quarantined,
--- a/plumarch/peers/gossip.py
+++ b/plumarch/peers/gossip.py
@@ -115,6 +115,19 @@
     bad: int
 
 
+class FragileService(msgspec.Struct, array_like=True, frozen=True):
+    """A service whose endpoints crash if they reject too many requests.
+
+    Attributes:
+      rejections_per_s: that an endpoint bears.
+      age_ms: time since the last answer that announced it.
+    """
+
+    service: str
+    rejections_per_s: float
+    age_ms: int
+
+
 class Heartbeat(msgspec.Struct, array_like=True, frozen=True, tag=1):
     """A live node's periodic report.
 
@@ -135,6 +148,8 @@
       answers: during a roll-out.
       build: in some heartbeats, never from builds that don't send it.
       opens_tunnels: whether it reaches endpoints and opens tunnels to them for others.
+      fragile: services whose endpoints bear few rejections.
+      newest_tag: highest tag of the datagrams that it reads; 0 from builds that don't send it.
     """
 
     node: str
@@ -160,6 +175,8 @@
     answers: list[VersionAnswers] = []
     build: str = ""
     opens_tunnels: bool = False
+    fragile: list[FragileService] = []
+    newest_tag: int = 0
 
 
 class CentreSpending(msgspec.Struct, array_like=True, frozen=True):
@@ -200,6 +217,7 @@
       sequence: since the sender's start; 0 where it is not sent.
       ledger: the coordinator that began it; a list of one or none.
       tunnel_nodes: in some summaries, nodes of the data centre that open tunnels.
+      fragile: as in heartbeats.
     """
 
     node: str
@@ -225,6 +243,7 @@
     sequence: int = 0
     ledger: list[NodeIdentity] = []
     tunnel_nodes: list[KnownPeer] = []
+    fragile: list[FragileService] = []
 
 
 class KnownCentre(msgspec.Struct, array_like=True, frozen=True):
@@ -278,6 +297,7 @@
       versions: as in heartbeats.
       ledger: as in summaries.
       tunnel_nodes: in some updates, nodes that open tunnels.
+      fragile: as in heartbeats.
     """
 
     node: str
@@ -297,6 +317,7 @@
     versions: list[VersionShare] = []
     ledger: list[NodeIdentity] = []
     tunnel_nodes: list[KnownPeer] = []
+    fragile: list[FragileService] = []
 
 
 class MemberUpdate(msgspec.Struct, array_like=True, frozen=True, tag=4):
@@ -398,6 +419,53 @@
     age_ms: int
 
 
+class SlotRequest(msgspec.Struct, array_like=True, frozen=True, tag=10):
+    """Requests slots of an endpoint that bears few rejections, or returns them.
+
+    Attributes:
+      address: for the answer.
+      endpoint: the incarnation.
+      data_centre: the endpoint's; its senior node leases the slots.
+      sequence: by node and endpoint; the answer repeats it.
+      running: the node's requests there.
+      wanted: slots wanted beyond them.
+      rejected: requests rejected since the node's last message.
+      slots: of the endpoint, as listed.
+      rejections_per_s: that the endpoint bears.
+      hops: nodes that forwarded the message.
+    """
+
+    node: str
+    address: str
+    endpoint: str
+    data_centre: str
+    sequence: int
+    running: int
+    wanted: int
+    rejected: int
+    slots: int
+    rejections_per_s: float
+    hops: int = 0
+
+
+class SlotAnswer(msgspec.Struct, array_like=True, frozen=True, tag=11):
+    """Answers a SlotRequest.
+
+    Attributes:
+      granted: slots leased to the node, those in use included.
+    """
+
+    endpoint: str
+    sequence: int
+    granted: int
+
+
+SLOT_REQUEST_TAG = 10
+
+NEWEST_TAG = 11
+"""Highest tag of the datagrams that this build reads."""
+
+
 class SnapshotRequest(msgspec.Struct, array_like=True, frozen=True):
     """Requests what is newer than the sender's versions.
 
@@ -461,6 +529,8 @@
     | PermitRequest
     | PermitAnswer
     | RateUpdate
+    | SlotRequest
+    | SlotAnswer
 )
 
 encoder = msgspec.msgpack.Encoder()
--- a/plumarch/routing/endpoint_choice.py
+++ b/plumarch/routing/endpoint_choice.py
@@ -147,6 +147,10 @@
         """Return the known requests of all nodes at an endpoint."""
         return self.own.get(endpoint, NO_LOAD).running + self.others.get(endpoint, NO_LOAD).running
 
+    def own_running(self, endpoint: str) -> int:
+        """Return this node's requests at an endpoint."""
+        return self.own.get(endpoint, NO_LOAD).running
+
     def load(self, endpoint: str) -> Load:
         """Return the known load of an endpoint from all nodes."""
         own = self.own.get(endpoint, NO_LOAD)
--- a/tests/gateway_layout_test.py
+++ b/tests/gateway_layout_test.py
@@ -10,7 +10,7 @@
 ALLOWED_IMPORTS = {
     "connections": set(),
     "callers": {"connections"},
-    "gossip": set(),
+    "gossip": {"connections"},
     "store": {"gossip"},
     "dispatch": {"callers", "connections", "gossip"},
     "duties": {"gossip", "store"},
