An endpoint's silence counts once, and ends with its next answer

An endpoint that answered nothing for a second was counted by every request that moved on from it: eight bad answers of its version in one silence, so that a good version could be rolled back, and it stayed ejected for seconds after it went on, with the others bearing its load.

Cause: the timeout of each request was taken for a failure of its own. Class: many observations of one event counted as many events.

Change: timeouts and connects that hang count as one silence until the endpoint answers, or for 2 s; requests in flight that are answered end the silence and the ejection.

--- a/plumarch/gateway/dispatch/attempts.py
+++ b/plumarch/gateway/dispatch/attempts.py
@@ -291,7 +291,7 @@
             state.permits.return_permit(endpoint)
         _log_connect_failure(state, admitted, endpoint, error, state.clock.now() - began_ms)
         if not state.suspensions.since(began_ms):
-            state.health.failure(endpoint.id)
+            state.health.failure(endpoint.id, is_silent=not error.is_refused)
             endpoint_outcomes.connect_failed(state, endpoint)
             _record_connect_failure(state, endpoint)
         state.measures.attempts.add(admitted.service, "no_connection")
--- a/plumarch/gateway/dispatch/request_run.py
+++ b/plumarch/gateway/dispatch/request_run.py
@@ -258,7 +258,7 @@
             version_outcomes.note(state, self.admitted, attempt, failed=True)
         except errors.AnswerTimeout:
             progress.last_fault = label = "silent"
-            self._record_failure(attempt)
+            self._record_failure(attempt, is_silent=True)
         except errors.ConnectionBroken as error:
             progress.last_fault = label = "broken"
             if attempts.was_disconnected(attempt) and not attempts.is_own_fault(state, attempt):
@@ -271,13 +271,20 @@
             state.measures.attempts.add(self.admitted.service, label)
         return None
 
-    def _record_failure(self, attempt: attempts.Attempt) -> None:
-        """Record the endpoint's failure, unless the cause is on this side."""
+    def _record_failure(self, attempt: attempts.Attempt, is_silent: bool = False) -> None:
+        """Record the endpoint's failure, unless the cause is on this side.
+
+        Args:
+          is_silent: whether it did not respond; a version is not judged by each such request.
+        """
         state = self.state
         if attempts.is_own_fault(state, attempt):
             return
-        state.health.failure(attempt.choice.endpoint.id)
-        version_outcomes.note(state, self.admitted, attempt, failed=True)
+        endpoint = attempt.choice.endpoint.id
+        counts = not is_silent or state.health.begins_silence(endpoint)
+        state.health.failure(endpoint, is_silent=is_silent)
+        if counts:
+            version_outcomes.note(state, self.admitted, attempt, failed=True)
 
     def _record_answer(self) -> None:
         """Record an answer without a crash."""
--- a/plumarch/routing/endpoint_health.py
+++ b/plumarch/routing/endpoint_health.py
@@ -34,6 +34,9 @@
 ABSENT_MS = 10_000
 """How long an endpoint that is not at its address is left out: the lease of its entry."""
 
+SILENCE_MS = 2_000
+"""Timeouts of an endpoint that answers nothing in between count as one silence for this long."""
+
 EQUAL_MARGIN = 0.02
 """Records that differ by less count as equal."""
 
@@ -46,6 +49,7 @@
       rate: decayed fraction of its answers that failed.
       record: the same over more answers; all failures weigh alike.
       recorded_ms: when it last answered.
+      silent_ms: when its silence began: it answered nothing since; None if it answers.
     """
 
     in_row: int = 0
@@ -54,6 +58,7 @@
     ejections: int = 0
     record: float = 0.0
     recorded_ms: int = 0
+    silent_ms: int | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -84,21 +89,39 @@
             return
         health.in_row = 0
         health.rate *= DECAY
+        if health.silent_ms is not None:
+            # Its silence is over, so there is no reason left to eject it.
+            health.silent_ms = None
+            health.ejected_until_ms = self.clock.now()
         self._record(health, failed=False)
         if health.rate < 0.05 and health.record < NEGLIGIBLE:
             del self.known[endpoint]
 
-    def failure(self, endpoint: str, weight: float = 1.0) -> bool:
+    def begins_silence(self, endpoint: str) -> bool:
+        """Return whether a timeout of an endpoint would begin another silence."""
+        health = self.known.get(endpoint)
+        if health is None or health.silent_ms is None:
+            return True
+        return self.clock.now() - health.silent_ms >= SILENCE_MS
+
+    def failure(self, endpoint: str, weight: float = 1.0, is_silent: bool = False) -> bool:
         """Count a failure.
 
         Args:
           weight: below 1 for a failure that may not be the endpoint's fault.
+          is_silent: whether the endpoint did not respond at all.
         Returns:
           Whether the endpoint is ejected now.
         """
+        counts = not is_silent or self.begins_silence(endpoint)
         health = self.known.setdefault(endpoint, Health())
+        if not is_silent:
+            health.silent_ms = None
+        elif counts:
+            health.silent_ms = self.clock.now()
         health.rate = health.rate * DECAY + weight * (1.0 - DECAY)
-        self._record(health, failed=True)
+        if counts:
+            self._record(health, failed=True)
         if weight >= 1.0:
             health.in_row += 1
         if health.in_row < FAILURES_IN_ROW and health.rate < MAX_FAILURE_RATE:
