--- a/plumarch/peers/message_compat_test.py
+++ b/plumarch/peers/message_compat_test.py
@@ -10,12 +10,14 @@
 
 from plumarch.fleet import duty_lease
 from plumarch.membership import node_record
-from plumarch.peers import gossip, message_samples, suspect_entries
+from plumarch.peers import gossip, message_samples, suspect_entries, tunnels
 
 READERS = {
     "FleetUpdate": gossip.fleet_update_decoder.decode,
     "SnapshotRequest": gossip.request_decoder.decode,
     "Snapshot": gossip.decode_snapshot,
+    "TunnelRequest": tunnels.request_decoder.decode,
+    "TunnelAnswer": tunnels.answer_decoder.decode,
     "Configuration": gossip.configuration_decoder.decode,
     "Endpoint": gossip.endpoint_decoder.decode,
     "DutyRecord": msgspec.json.Decoder(duty_lease.DutyRecord).decode,
--- a/plumarch/peers/message_samples.py
+++ b/plumarch/peers/message_samples.py
@@ -83,6 +83,12 @@
     fleet_update = vars(gossip).get("FleetUpdate") or vars(gossip)["FleetNews"]
     sent = [*typing.get_args(gossip.Datagram), fleet_update]
     sent += [gossip.SnapshotRequest, gossip.Snapshot]
+    try:
+        from plumarch.peers import tunnels
+
+        sent += [tunnels.TunnelRequest, tunnels.TunnelAnswer]
+    except ImportError:
+        pass  # Builds without tunnels.
     known = {one.__name__: one for one in sent}
     known |= {"Configuration": routing_table.Configuration, "Endpoint": traffic.Endpoint}
     sampler = Sampler(known)
