Tunnels: nodes in doubt decline, two in parallel at most, members ask reported nodes

A node that fails to connect to two endpoints in a row may be cut off itself, so it declines instead of calling the endpoint down. An overloaded endpoint that accepts late got up to four connects for one request; it gets three. A node that finds itself cut off says so at once.

--- a/plumarch/gateway/dispatch/endpoint_connects.py
+++ b/plumarch/gateway/dispatch/endpoint_connects.py
@@ -14,7 +14,10 @@
 TUNNEL_INTERVAL_MS = 60.0
 """Time after which the next node is asked beside one that has not answered."""
 
-MAX_FAILED_TUNNELS = 4
+MAX_PENDING_TUNNELS = 2
+"""Tunnels that are opened in parallel: an overloaded endpoint gets few connects too many."""
+
+MAX_FAILED_TUNNELS = 3
 """Nodes that could not connect either after which no further one is asked."""
 
 EXTRA_TIMEOUT_MS = 50.0
@@ -105,12 +108,14 @@
         self.direct = _task(exchange.connect(self.endpoint.address, self.timeout_ms))
 
     def _begin_tunnel(self) -> bool:
-        """Ask the next node for a tunnel; return False if there is none left."""
+        """Ask the next node for a tunnel, or wait for those asked; False if none is left."""
         if self.peers is None:
             known = self.state.tunnel_peers
             self.peers = known.choose() if known is not None else []
         if not self.peers or self.failed_tunnels >= MAX_FAILED_TUNNELS:
             return False
+        if len(self.tunnels) >= MAX_PENDING_TUNNELS:
+            return True
         peer = self.peers.pop(0)
         ends_ms = self.timeout_ms + EXTRA_TIMEOUT_MS
         if self.direct is None or self.direct_failed is None:
@@ -205,7 +210,9 @@
 
 
 def log_unreachable(state: fleet_state.FleetState, endpoint: traffic.Endpoint) -> None:
-    """Log an endpoint that only other nodes reach."""
+    """Log an endpoint that only other nodes reach, and report a cut to them."""
+    if state.paths.is_cut_off():
+        state.send_update_soon()
     state.log.write(
         "endpoint_unreachable",
         endpoint=endpoint.id,
--- a/plumarch/gateway/fleet_state.py
+++ b/plumarch/gateway/fleet_state.py
@@ -88,7 +88,7 @@
       runs: connections with running requests, by endpoint.
       announce_prompt: announces a sent prompt to the other nodes.
       endpoint_restarted: called with the id of a restarted endpoint.
-      publish_fragile: called when a service becomes fragile.
+      send_update_soon: sends the next heartbeat at once.
       publish_suspect: publishes a suspect, by its fingerprint.
       request_permits: sends a request to the endpoint's allocator; None on a single node.
       request_slots: sends a request to the allocator of slots; None on a single node.
@@ -129,7 +129,7 @@
     table_source: str = ""
     announce_prompt: Callable[[SentPrompt], None] | None = None
     publish_suspect: Callable[[str], None] | None = None
-    publish_fragile: Callable[[], None] = lambda: None
+    send_update_soon: Callable[[], None] = lambda: None
     endpoint_restarted: Callable[[str], None] = lambda _: None
     request_permits: Callable[[Endpoint, rate_allocator.PermitRequest], None] | None = None
     request_slots: Callable[[Endpoint, allocation.SlotRequest], None] | None = None
@@ -248,7 +248,7 @@
             rejections_per_s=self.fragile.rejections_per_s(service),
             source=source,
         )
-        self.publish_fragile()
+        self.send_update_soon()
 
     def slot_use(self, endpoint: Endpoint) -> slot_leases.SlotUse:
         """Return an endpoint's slots and their use."""
--- a/plumarch/gateway/gossip/gossiper.py
+++ b/plumarch/gateway/gossip/gossiper.py
@@ -100,7 +100,7 @@
         state.publish_suspect = self.suspects.publish
         state.request_permits = self.permits.request_permits
         state.request_slots = self.slots.request_slots
-        state.publish_fragile = lambda: self.send_heartbeat_soon()
+        state.send_update_soon = lambda: self.send_heartbeat_soon()
 
     async def start(self) -> None:
         """Listen and learn the seeds."""
--- a/plumarch/gateway/gossip/tunnel_server.py
+++ b/plumarch/gateway/gossip/tunnel_server.py
@@ -109,11 +109,8 @@
                 endpoint_reader, endpoint_writer = await asyncio.open_connection(
                     *addresses.split(request.address), limit=READ_BYTES
                 )
-        except ConnectionRefusedError:
-            self._answer(writer, request, tunnels.Outcome.REFUSED)
-            return
-        except (OSError, TimeoutError):
-            self._answer(writer, request, tunnels.Outcome.NO_ANSWER)
+        except (OSError, TimeoutError) as error:
+            self._answer(writer, request, self._failed(request, error))
             return
         self.state.paths.record_connect(request.endpoint)
         self._answer(writer, request, tunnels.Outcome.CONNECTED)
@@ -130,6 +127,16 @@
             to_client.cancel()
             await asyncio.gather(to_endpoint, to_client, return_exceptions=True)
 
+    def _failed(self, request: tunnels.TunnelRequest, error: Exception) -> tunnels.Outcome:
+        """Return the outcome of a failed connect; declined if the cause may be this node's."""
+        paths = self.state.paths
+        paths.record_failure(request.endpoint)
+        if paths.may_be_cut_off():
+            return tunnels.Outcome.DECLINED
+        if isinstance(error, ConnectionRefusedError):
+            return tunnels.Outcome.REFUSED
+        return tunnels.Outcome.NO_ANSWER
+
 
 def _prepare(transport: asyncio.WriteTransport, extra_timeout_ms: int) -> None:
     """Bound the unsent bytes of a connection, and have it probed."""
--- a/plumarch/membership/tunnel_nodes.py
+++ b/plumarch/membership/tunnel_nodes.py
@@ -62,9 +62,11 @@
         """Return addresses of nodes to ask, in this order: near ones, spread over all."""
         near: list[str] = []
         far: list[str] = []
-        for peer in self._live():
+        reported = self._addresses_reported()
+        # Coordinators report to members only by lists, so their own state there is old.
+        for peer in [] if MEMBERS_LIST in reported else self._live():
             (near if self.is_in_region(peer.data_centre) else far).append(peer.address)
-        for name, addresses in self._addresses_reported().items():
+        for name, addresses in reported.items():
             # A list for members holds distant nodes only if there are no others.
             is_near = name == MEMBERS_LIST or self.is_in_region(name)
             (near if is_near else far).extend(addresses)
--- a/plumarch/routing/direct_paths.py
+++ b/plumarch/routing/direct_paths.py
@@ -95,6 +95,10 @@
         """Return whether this node seems to be cut off from all endpoints."""
         return len(self.unreachable_in_row) >= MIN_UNREACHABLE
 
+    def may_be_cut_off(self) -> bool:
+        """Return whether direct connects fail so that a cut can't be ruled out."""
+        return len(self.failed_in_row) >= MIN_UNREACHABLE
+
     def plan(self, endpoint: str) -> ConnectPlan:
         """Return how to connect to an endpoint; a due retry counts as begun."""
         retry_ms = self.retry_ms.get(endpoint)
