--- a/plumarch/limits/slot_allocator.py
+++ b/plumarch/limits/slot_allocator.py
@@ -21,8 +21,9 @@
 TOLERATED_FRACTION = 0.5
 """Fraction of the tolerated rejections at which no more slots are leased for a while."""
 
-RECOVERY_MS = 4_000.0
-"""Time in which all slots are leased again after a rejection."""
+RECOVERY_FRACTION = 1 / 16
+"""Fraction of the slots that is leased again each second after a rejection, one slot at least: more
+at once would be rejected together."""
 
 IDLE_MS = 60_000
 """Time without requests after which an endpoint is dropped."""
@@ -159,8 +160,8 @@
         """Return the slots that may be leased."""
         if one.limited_ms is None or one.limit >= slots:
             return float(slots)
-        recovered = min(1.0, (now - one.limited_ms) / RECOVERY_MS)
-        return one.limit + (slots - one.limit) * recovered
+        per_s = max(1.0, RECOVERY_FRACTION * slots)
+        return min(float(slots), one.limit + per_s * (now - one.limited_ms) / 1000.0)
 
     def _is_over_tolerance(self, one: EndpointSlots, request: SlotRequest, now: int) -> bool:
         while one.rejected_ms and now - one.rejected_ms[0] >= REJECTION_WINDOW_MS:
--- a/plumarch/limits/slot_allocator_test.py
+++ b/plumarch/limits/slot_allocator_test.py
@@ -64,5 +64,5 @@
     now.advance_to(now.now() + slot_allocator.REJECTION_WINDOW_MS)
     allocator.allocate(request("a", 0, 0, sequence=3), 1.0, 0)
     assert 1 <= allocator.allocate(request("b", 0, 6, sequence=2), 1.0, 0).granted < 6
-    now.advance_to(now.now() + round(slot_allocator.RECOVERY_MS))
+    now.advance_to(now.now() + 4_000)
     assert allocator.allocate(request("b", 0, 6, sequence=3), 1.0, 0).granted == 6
