--- a/plumarch/gateway/connections/keepalive.py
+++ b/plumarch/gateway/connections/keepalive.py
@@ -12,7 +12,8 @@
 IDLE_S = 1
 INTERVAL_S = 1
 PROBES = 2
-"""An idle connection is probed each second and closed after two unanswered probes."""
+"""An idle connection is probed each second. USER_TIMEOUT_MS decides when unanswered probes close
+it, whatever PROBES says; without it, two of them would."""
 
 
 def enable_probes(transport: asyncio.BaseTransport) -> None:
