Comments that gave the reason behind a constant are back

The change of the wording had left out why these values are as they are: what the rest of a process's memory is for, why one connection, workspace or stream may hold just so much, why a data centre has several ledgers, when a request counts as the cause of a crash, what the accept queue guards against. Only facts of the earlier comments that still hold; no code changed.

--- a/plumarch/core/addresses.py
+++ b/plumarch/core/addresses.py
@@ -7,7 +7,8 @@
 BACKLOG = 1024
 """Limit of a listening socket's accept queue.
 
-A full queue drops SYN packets, which are resent only after a second or more.
+A full queue drops SYN packets, which are resent only after a second or more: with a queue of 100,
+two thirds of 300 nodes that connect to one at once wait that long.
 """
 
 
--- a/plumarch/core/backoff.py
+++ b/plumarch/core/backoff.py
@@ -9,7 +9,7 @@
 """Limit of the doublings of a pause."""
 
 MIN_JITTER = 0.5
-"""Lower bound of the jitter, which spreads the retries of nodes."""
+"""Lower bound of the jitter: nodes that failed together must not call again together."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/plumarch/core/suspension.py
+++ b/plumarch/core/suspension.py
@@ -8,7 +8,8 @@
 """Interval between checks."""
 
 MIN_MS = 400
-"""Shortest gap that counts as a suspension; load alone causes shorter ones."""
+"""Shortest gap that counts as a suspension; load alone causes shorter ones. Longer than the connect
+timeout within a region, which a suspension must not turn into a failure of the endpoint."""
 
 
 @dataclasses.dataclass(slots=True)
--- a/plumarch/fleet/engine_plan.py
+++ b/plumarch/fleet/engine_plan.py
@@ -12,7 +12,8 @@
 from plumarch.fleet import engine_firm, engine_pools, engine_regions, region_demand
 
 MIN_READY_FRACTION = 0.85
-"""Fraction of the needed endpoints below which firm ones are ordered."""
+"""Fraction of the needed endpoints below which firm ones are ordered: the others still serve most
+requests in time, and a firm one costs several times as much as a spot one."""
 
 LOST_AT_ONCE = 1.5
 """Number of data centres whose loss leaves enough spot endpoints; more than one, since further ones
@@ -26,7 +27,8 @@
 
 BOOT_MARGIN_MS = 1_500.0
 DEMAND_DECAY = 0.85
-"""Weight of the past in falling demand, per sample of a second."""
+"""Weight of the past in falling demand, per sample of a second; it lags a wave of 40 s by some
+6 s."""
 
 DEMAND_RISE = 0.75
 """Weight of the past in rising demand; lower, since a shortage costs more than a surplus."""
--- a/plumarch/fleet/rollout.py
+++ b/plumarch/fleet/rollout.py
@@ -20,7 +20,8 @@
 MAX_CANARY = 0.3
 
 ENOUGH_ANSWERS = 250.0
-"""Answers of the new version that suffice for a verdict."""
+"""Answers of the new version that suffice for a verdict: they show an excess of 5 in 100 in 99 of
+100 cases. The rest of the exposure is left for the later steps."""
 
 STEPS = ((0.5, 0.2), (0.55, 0.4), (0.6, 0.7), (0.66, 1.0))
 """Pairs of elapsed fraction and share; gradual, since some faults show only under load."""
--- a/plumarch/gateway/callers/caller_connection.py
+++ b/plumarch/gateway/callers/caller_connection.py
@@ -26,7 +26,8 @@
 """Default time limit for receiving a body."""
 
 CALLER_STALL_MS = 10_000.0
-"""A caller that reads nothing for this long is disconnected."""
+"""A caller that reads nothing for this long is disconnected; longer than a lost network or a busy
+caller lasts."""
 
 RETRY_AFTER_MS = 1_000.0
 """Default Retry-After of a request whose body exceeds the memory budget."""
--- a/plumarch/gateway/dispatch/announced_rates.py
+++ b/plumarch/gateway/dispatch/announced_rates.py
@@ -6,7 +6,8 @@
 from plumarch.limits import rate_allocator
 
 PERMIT_WAIT_MS = 150.0
-"""Time that a request waits for permits."""
+"""Time that a request waits for permits: a round trip to another region, with a stop at a
+coordinator."""
 
 MAX_WAITS = 3
 """Permit waits per request: others may use the permits that arrive."""
--- a/plumarch/gateway/dispatch/attempts.py
+++ b/plumarch/gateway/dispatch/attempts.py
@@ -21,10 +21,12 @@
 """Connect timeout within a region."""
 
 CONNECT_ROUND_TRIPS = 2.0
-"""Round trips added to the timeout in another region."""
+"""Round trips added to the timeout in another region: one for the distance, one for its
+variation."""
 
 LOCAL_TARGET_FRACTION = 0.5
-"""Fraction of the target within which a request stays in its region."""
+"""Fraction of the target within which a request stays in its region: twice the expected time is
+still in target."""
 
 
 @dataclasses.dataclass(slots=True)
--- a/plumarch/limits/centre_spending.py
+++ b/plumarch/limits/centre_spending.py
@@ -14,7 +14,8 @@
 """How long the coordinators of an unresponsive data centre are kept, as long as its nodes."""
 
 MAX_LEDGERS = 4
-"""Ledgers remembered for a data centre; it has several after all its coordinators crashed."""
+"""Ledgers remembered for a data centre. It has one; for some rounds after all its coordinators
+crashed at once, two or three, until these have reached each other."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/plumarch/limits/memory_account.py
+++ b/plumarch/limits/memory_account.py
@@ -9,16 +9,19 @@
 from typing import TypeVar
 
 BUDGET_FRACTION = 0.6
-"""Fraction of the process's memory limit that buffers may use."""
+"""Fraction of the process's memory limit that buffers may use; the rest is for the interpreter with
+its code (some 20 MB), tables, logs and uncollected garbage."""
 
 CONNECTION_FRACTION = 1 / 6
-"""Maximum fraction of the budget for one connection."""
+"""Maximum fraction of the budget for one connection: a few large answers fit, and one caller alone
+never brings the node near the load at which others are rejected."""
 
 WORKSPACE_FRACTION = 1 / 2
-"""Maximum fraction of the budget for one workspace."""
+"""Maximum fraction of the budget for one workspace; not less, since a node may serve only one."""
 
 ANSWERS_FRACTION = 1 / 5
-"""Fraction of the budget for answers, which callers may leave unread for long."""
+"""Fraction of the budget for answers, which callers may leave unread for long. Request bodies,
+which arrive before anything ran, get the rest."""
 
 ANSWERS_WORKSPACE_FRACTION = 3 / 4
 """Maximum fraction of the answers' memory for one workspace."""
@@ -28,7 +31,8 @@
 ones don't block them."""
 
 STREAM_FRACTION = 1 / 8
-"""Fraction of the free answers' memory that one stream may use."""
+"""Fraction of the free answers' memory that one stream may use, so that all streams together never
+fill it: 3 MB on an idle node with a budget of 120 MB, 48 KB each with 500 slow readers."""
 
 BYTES_PER_MB = 2**20
 
--- a/plumarch/limits/quarantine.py
+++ b/plumarch/limits/quarantine.py
@@ -21,7 +21,9 @@
 """Time from a request's first event within which it is still beginning."""
 
 QUARANTINE_POINTS = 3 * EARLY_POINTS
-"""Points from which a request is quarantined."""
+"""Points from which a request is quarantined. One that only ran beside another one's crash is lost
+once, with its repeat perhaps twice; a third endpoint that crashes as it begins is no
+coincidence."""
 
 SAME_CRASH_MS = 1_000
 """Crashes of one endpoint reported within this time are the same one, seen by several nodes."""
@@ -33,7 +35,8 @@
 """Time in quarantine before the first trial."""
 
 TRIAL_FACTOR = 4
-"""Factor by which each further pause is longer."""
+"""Factor by which each further pause is longer; a request that crashes its endpoints for a year
+costs ten of them."""
 
 TRIALS_COUNTED = 8
 """Trials after which the pause no longer grows."""
@@ -47,7 +50,8 @@
 """Retention of quarantined requests, from the last crash or trial."""
 
 MAX_SUSPECTS = 2_000
-"""Maximum requests remembered; those with the fewest points are dropped first."""
+"""Maximum requests remembered, some 400 bytes each; those with the fewest points are dropped first.
+100 engines of a data centre that crash at once leave some 3,000 requests to all nodes."""
 
 
 def pause_ms(trials: int) -> int:
--- a/plumarch/limits/quota_tolerance.py
+++ b/plumarch/limits/quota_tolerance.py
@@ -13,7 +13,9 @@
 others."""
 
 OVERDRAFT_FRACTION = 0.2
-"""Fraction of it by which all groups of a partition may overdraw their shares together."""
+"""Fraction of it by which all groups of a partition may overdraw their shares together: without a
+limit, each of many nodes that are cut off alone could admit one request far larger than its
+share."""
 
 FRESH_INTERVAL_MS = 250.0
 """Heartbeat interval beyond which less of the excess is used."""
--- a/plumarch/limits/rate_permits.py
+++ b/plumarch/limits/rate_permits.py
@@ -15,7 +15,9 @@
 
 PERMIT_MS = 1_000
 PERMIT_GAPS = 1.5
-"""Lifetime of a permit: PERMIT_MS plus PERMIT_GAPS times the gap between requests at the rate."""
+"""Lifetime of a permit: PERMIT_MS plus PERMIT_GAPS times the gap between requests at the rate.
+Accumulated permits may all be used at once; at low rates these are few, and their node may have no
+request for a while."""
 
 DEMAND_MS = 500
 """Time over which recent requests count as demand."""
@@ -27,7 +29,8 @@
 answer to a pending request."""
 
 ANSWER_MS = 500
-"""Time after which an answer counts as lost."""
+"""Time after which an answer counts as lost; a later one may come from a process that was
+stopped."""
 
 UNRESPONSIVE_MS = 1_000
 """Time without an answer after which the node uses its fixed share."""
--- a/plumarch/limits/workspace_quota.py
+++ b/plumarch/limits/workspace_quota.py
@@ -19,7 +19,8 @@
 
 AMPLE_FRACTION = 0.15
 """Fraction of the capacity below which a node also needs its own share of the refill; otherwise all
-nodes would admit from the same few units."""
+nodes would admit from the same few units before they hear of one another. A higher one refuses
+callers within their quota after a partition."""
 
 OWN_SHARE_MS = 500
 """Time for which a node accumulates its share of the refill, or may be overdrawn while there is
--- a/plumarch/routing/concurrency_limit.py
+++ b/plumarch/routing/concurrency_limit.py
@@ -8,13 +8,15 @@
 from typing import Protocol
 
 DECREASE = 0.8
-"""Factor on the load at a rejection or crash; other nodes may have sent some of it."""
+"""Factor on the load at a rejection or crash, so that the next request doesn't repeat it; nodes
+differ by about a fifth in what they know of each other's requests."""
 
 LATE_DECREASE = 0.95
-"""Factor on the limit after a late answer."""
+"""Factor on the limit after a late answer, which costs its caller less than a crash does."""
 
 LATE_FACTOR = 3.0
-"""Answers are late above this multiple of the usual time."""
+"""Answers are late above this multiple of the usual time: a queue of twice the slots, which is
+allowed in calm times, makes them take up to three times as long."""
 
 LATE_INTERVAL_MS = 200
 """Late answers lower the limit once per this time: requests sent together are late together."""
--- a/plumarch/routing/data_centre_reach.py
+++ b/plumarch/routing/data_centre_reach.py
@@ -12,12 +12,13 @@
 """Failures without a success in between; one may be a single endpoint's."""
 
 FIRST_PAUSE_MS = 700
+"""About three times the connect timeout."""
 
 PAUSE_CONNECTS = 3
 """Connect timeouts that a pause covers, so that it grows with the distance."""
 
 MAX_PAUSE_MS = 2_800
-"""The pause doubles up to this."""
+"""The pause doubles up to this; a data centre whose links are back is used again within as long."""
 
 
 @dataclasses.dataclass(slots=True)
--- a/plumarch/routing/distance.py
+++ b/plumarch/routing/distance.py
@@ -38,7 +38,7 @@
 """Recent connects that an estimate is made from."""
 
 MIN_CONNECTS = 3
-"""Connects before the prior is replaced."""
+"""Connects before the prior is replaced: a first one may have waited for a busy process."""
 
 ESTIMATE_RANK = 1
 """Rank of the connect used as the estimate, the shortest being 0: waiting only adds to a round
--- a/plumarch/routing/endpoint_health.py
+++ b/plumarch/routing/endpoint_health.py
@@ -20,7 +20,8 @@
 MAX_EJECTION_MS = 15_000
 
 RECORD_DECAY = 0.95
-"""Weight of the past in the record, at each answer."""
+"""Weight of the past in the record, at each answer; some twenty answers distinguish an endpoint
+that fails one in seven from a sound one."""
 
 RECORD_HALF_LIFE_MS = 20_000.0
 """Half-life of a record, so that a repaired endpoint is tried again."""
@@ -29,7 +30,8 @@
 """A record with a smaller fraction of failures is dropped."""
 
 WORSE_MARGIN = 0.06
-"""First attempts avoid an endpoint whose record is worse than the best by this fraction."""
+"""First attempts avoid an endpoint whose record is worse than the best by this fraction: one or two
+failures in twenty answers."""
 
 ABSENT_MS = 10_000
 """How long an endpoint that is not at its address is left out: the lease of its entry."""
