--- a/plumarch/gateway/endpoint_cut_test.py
+++ b/plumarch/gateway/endpoint_cut_test.py
@@ -2,9 +2,11 @@
 
 import asyncio
 import contextlib
+import dataclasses
 from collections.abc import AsyncIterator, Callable, Coroutine
 
-from plumarch.core import traffic
+from plumarch.core import rollouts, traffic
+from plumarch.fleet import version_tally
 from plumarch.gateway import relay_test
 from plumarch.gateway.dispatch import attempts
 from plumarch.standins import cut_fleet
@@ -238,3 +240,29 @@
             assert set(await fleet.statuses(fleet.cut_nodes, 8)) == {200}
 
     play(test)
+
+
+def test_runs_reset_by_a_cut_do_not_count_against_a_version_on_trial():
+    """A node that was cut off reported bad answers, and a good version was rolled back."""
+
+    async def test() -> None:
+        async def hangs(request: scripted.ReceivedRequest, writer: asyncio.StreamWriter) -> None:
+            await asyncio.Event().wait()
+
+        async with served(hangs, hangs) as fleet:
+            node = fleet.cut_nodes[0]
+            endpoints = node.state.registry.endpoints
+            for name, version in (("e0", "v2"), ("e1", "v1")):
+                endpoints[name] = dataclasses.replace(endpoints[name], version=version)
+            running = rollouts.RolloutState.RUNNING
+            whole = rollouts.VersionSplit("s", "v2", running, 1.0, 1, 1, False)
+            assert node.state.adopt_split(whole)
+            asking = [asyncio.create_task(fleet.ask(node, "/unsafe/x")) for _ in range(4)]
+            await fleet.fleet.until(lambda: len(fleet.endpoints[0].received) == 4)
+            fleet.cut(cut_fleet.Cut.RESET)
+            assert {one.status for one in await asyncio.gather(*asking)} == {502}
+            await fleet.fleet.until(lambda: bool(node.state.paths.retry_ms))
+            total = node.state.answers.total(lambda source: True)
+            assert total.get(version_tally.TallyKey("s", "v2", "unsafe")) is None
+
+    play(test)
