Runs that a cut resets count against a version only if its endpoint is reachable

A node whose open connections were reset reported each run as a bad answer of its version (4 of 4), and the holder of the duties could roll a good version back.

--- a/plumarch/gateway/dispatch/interrupted_runs.py
+++ b/plumarch/gateway/dispatch/interrupted_runs.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import dataclasses
+from collections.abc import Callable
 
 from plumarch.core import traffic
 from plumarch.gateway import fleet_state
@@ -31,12 +32,14 @@
     Attributes:
       points: quarantine points for the request if its endpoint crashed.
       after_ms: time from the send to the end of the connection.
+      count_failure: called unless the endpoint lives and only this node can't reach it.
     """
 
     request: str
     fingerprint: str
     points: int
     after_ms: int
+    count_failure: Callable[[], None]
 
 
 @dataclasses.dataclass(slots=True)
@@ -72,17 +75,31 @@
         self.unconfirmed: dict[str, UnconfirmedRuns] = {}
         state.endpoint_restarted = self.apply_restart
 
-    def record(self, admitted: admission.Admitted, attempt: attempts.Attempt) -> None:
-        """Record an interrupted run and probe its endpoint."""
+    def record(
+        self,
+        admitted: admission.Admitted,
+        attempt: attempts.Attempt,
+        count_failure: Callable[[], None],
+    ) -> None:
+        """Record an interrupted run and probe its endpoint.
+
+        Args:
+          count_failure: counts it as a failure of the endpoint's version.
+        """
         endpoint = attempt.choice.endpoint
         now = self.state.clock.now()
         run = InterruptedRun(
-            admitted.id, admitted.fingerprint, _points(attempt, now), now - attempt.sent_ms
+            admitted.id,
+            admitted.fingerprint,
+            _points(attempt, now),
+            now - attempt.sent_ms,
+            count_failure,
         )
         probe = self.probes.get(endpoint.id)
         if probe is not None:
             probe.runs.append(run)
         elif attempt.exchange.peer_restarted or self._crashed_recently(endpoint.id, now):
+            run.count_failure()
             self._record_crashes(endpoint, [run])
         else:
             task = asyncio.get_running_loop().create_task(self._probe(endpoint))
@@ -103,6 +120,9 @@
             is_listening = await endpoint_connects.is_listening(self.state, endpoint, timeout_ms)
         finally:
             runs = self.probes.pop(endpoint.id).runs
+        if not self.state.paths.is_unreachable(endpoint.id):
+            for run in runs:
+                run.count_failure()
         if is_listening is False:
             self._prune_crashed()
             self.crashed_ms[endpoint.id] = self.state.clock.now()
--- a/plumarch/gateway/dispatch/request_run.py
+++ b/plumarch/gateway/dispatch/request_run.py
@@ -263,8 +263,14 @@
             progress.last_fault = label = "broken"
             if attempts.was_disconnected(attempt) and not attempts.is_own_fault(state, attempt):
                 endpoint_outcomes.lost(state, attempt.sent_request)
-                self.interrupted_runs.record(self.admitted, attempt)
-            self._record_failure(attempt)
+                state.health.failure(endpoint)
+                self.interrupted_runs.record(
+                    self.admitted,
+                    attempt,
+                    lambda: version_outcomes.note(state, self.admitted, attempt, failed=True),
+                )
+            else:
+                self._record_failure(attempt)
             self._log_broken(attempt, str(error))
         finally:
             attempts.end(state, attempt)
