--- a/plumarch/gateway/dispatch/endpoint_connects.py
+++ b/plumarch/gateway/dispatch/endpoint_connects.py
@@ -16,7 +16,7 @@
 """Time after which the next node is asked beside one that has not answered."""
 
 MAX_PENDING_TUNNELS = 2
-"""Tunnels that are opened in parallel: an overloaded endpoint gets few connects too many."""
+"""Tunnels opened in parallel, so that an endpoint that is down or overloaded gets few connects."""
 
 MAX_FAILED_TUNNELS = 3
 """Nodes that could not connect either after which no further one is asked."""
@@ -25,7 +25,7 @@
 """Timeout of a tunnel, as a fraction of a direct connect's: the request may need the rest of its
 time for another endpoint."""
 
-TUNNELS_TIMEOUTS = 2.0
+ASKING_TIMEOUTS = 2.0
 """Time in which nodes are asked, in timeouts of a tunnel."""
 
 
@@ -143,7 +143,7 @@
         now = self.state.clock.now()
         if self.asked_ms is None:
             self.asked_ms = now
-        is_over = now - self.asked_ms >= TUNNELS_TIMEOUTS * self.tunnel_timeout_ms
+        is_over = now - self.asked_ms >= ASKING_TIMEOUTS * self.tunnel_timeout_ms
         if not self.peers or is_over or self.failed_tunnels >= MAX_FAILED_TUNNELS:
             return False
         if len(self.tunnels) >= MAX_PENDING_TUNNELS:
--- a/plumarch/limits/rate_allocator.py
+++ b/plumarch/limits/rate_allocator.py
@@ -7,6 +7,7 @@
 import dataclasses
 
 from plumarch.core import clock, token_bucket
+from plumarch.limits import idle_entries
 
 BURST_PERMITS = 2.0
 BURST_S = 0.25
@@ -15,11 +16,6 @@
 CONTENDER_MS = 1_000
 """Time after a denial for which a node counts as competing for permits."""
 
-IDLE_MS = 60_000
-"""Time without requests after which an endpoint is dropped."""
-
-MAX_ENDPOINTS = 8_192
-
 MIN_PER_S = 0.1
 """Minimum rate, so that a probe finds out that a limit is over."""
 
@@ -142,7 +138,7 @@
         observed_ms = now - request.announcement.age_ms
         one = self.known.get(request.endpoint)
         if one is None:
-            self._drop_idle(now)
+            self.known = idle_entries.without_idle(self.known, now)
             one = EndpointPermits(request.announcement.per_s, observed_ms, now)
             self.known[request.endpoint] = one
         elif observed_ms > one.observed_ms:
@@ -150,14 +146,6 @@
         one.last_request_ms = now
         return one
 
-    def _drop_idle(self, now: int) -> None:
-        recent = {
-            name: one for name, one in self.known.items() if now - one.last_request_ms <= IDLE_MS
-        }
-        while len(recent) >= MAX_ENDPOINTS:
-            del recent[next(iter(recent))]
-        self.known = recent
-
 
 def _bucket_of(
     one: EndpointPermits, per_s: float, fraction: float, now: int
--- a/plumarch/limits/rate_allocator_test.py
+++ b/plumarch/limits/rate_allocator_test.py
@@ -1,7 +1,7 @@
 """Permits are allocated at the newest announced rate, to nodes with demand."""
 
 from plumarch.core import clock
-from plumarch.limits import rate_allocator
+from plumarch.limits import idle_entries, rate_allocator
 
 
 def request_permits(
@@ -81,7 +81,7 @@
 def test_idle_endpoints_are_dropped():
     time, allocator = started()
     request_permits(allocator)
-    time.advance_to(time.now() + rate_allocator.IDLE_MS + 1)
+    time.advance_to(time.now() + idle_entries.IDLE_MS + 1)
     observed = rate_allocator.Announcement(1.0, 0)
     allocator.allocate(rate_allocator.PermitRequest("n", "other", 1, 0, observed), 1.0)
     assert list(allocator.known) == ["other"]
--- a/plumarch/limits/slot_allocator.py
+++ b/plumarch/limits/slot_allocator.py
@@ -8,6 +8,7 @@
 import dataclasses
 
 from plumarch.core import clock
+from plumarch.limits import idle_entries
 
 LEASE_MS = 2_000
 """Time without a request of a node after which its leases end; its process is gone."""
@@ -25,11 +26,6 @@
 """Fraction of the slots that is leased again each second after a rejection, one slot at least: more
 at once would be rejected together."""
 
-IDLE_MS = 60_000
-"""Time without requests after which an endpoint is dropped."""
-
-MAX_ENDPOINTS = 8_192
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class SlotRequest:
@@ -131,7 +127,7 @@
     def _record(self, request: SlotRequest, now: int) -> EndpointSlots:
         one = self.known.get(request.endpoint)
         if one is None:
-            self._drop_idle(now)
+            self.known = idle_entries.without_idle(self.known, now)
             one = self.known[request.endpoint] = EndpointSlots(now, now)
         one.last_request_ms = now
         one.leases = {
@@ -139,14 +135,6 @@
         }
         return one
 
-    def _drop_idle(self, now: int) -> None:
-        recent = {
-            name: one for name, one in self.known.items() if now - one.last_request_ms <= IDLE_MS
-        }
-        while len(recent) >= MAX_ENDPOINTS:
-            del recent[next(iter(recent))]
-        self.known = recent
-
     def _note_rejections(self, one: EndpointSlots, request: SlotRequest, now: int) -> None:
         if request.rejected <= 0:
             return
