Nodes are sent only the kinds of messages that they read

Cause: a new kind of message went to all nodes, in the hope that an earlier build loses only that message. Slots of fragile endpoints were leased by nodes that read the messages in fleets of up to 24 nodes only; in larger ones the coordinator was asked whatever its build.

Change: what another process reads is kept by its address: the newest tag that it reports in heartbeats, and now in summaries and fleet updates too, or the kinds that it sends itself. The one place that sends datagrams leaves out the others, and an allocator is the first candidate that reads the request. tolerant.KINDS is derived from the datagrams, so that a message about slots with an unreadable part is read as the others are.

--- a/plumarch/gateway/gossip/coordination.py
+++ b/plumarch/gateway/gossip/coordination.py
@@ -255,6 +255,7 @@
             ledger=[self._ledger_message()],
             tunnel_nodes=self._tunnel_nodes_in_summary(),
             fragile=fragility_reports.to_messages(state),
+            newest_tag=gossip.NEWEST_TAG,
         )
 
     def _tunnel_nodes_in_summary(self) -> list[gossip.KnownPeer]:
@@ -394,6 +395,7 @@
             ledger=[self._ledger_message()],
             tunnel_nodes=self._tunnel_nodes_in_update(),
             fragile=fragility_reports.to_messages(state),
+            newest_tag=gossip.NEWEST_TAG,
         )
 
     def _fleet_loads(self, full: bool) -> list[gossip.EndpointLoad]:
--- a/plumarch/gateway/gossip/gossiper.py
+++ b/plumarch/gateway/gossip/gossiper.py
@@ -18,6 +18,7 @@
     member_updates,
     peer_server,
     permit_exchange,
+    readable_tags,
     rounds,
     seniors,
     slot_exchange,
@@ -63,6 +64,7 @@
         self.duty = duty
         self.seeds = seeds
         self.leaving = False
+        self.readable = readable_tags.ReadableTags()
         self.unreadable = unreadable_messages.UnreadableMessages(state, view)
         self.transport: asyncio.DatagramTransport | None = None
         self.composer = heartbeats.HeartbeatComposer(state, view, duty)
@@ -79,7 +81,7 @@
             lambda: view.role is tiers.Role.COORDINATOR,
         )
         self.permits = permit_exchange.PermitExchange(
-            state, view, self._send, self._update_addresses, lambda: self.leaving
+            state, view, self._send, self._update_addresses, lambda: self.leaving, self.readable
         )
         self.slots = slot_exchange.SlotExchange(state, view, self._send, self.permits)
         self.snapshots = snapshots.SnapshotExchange(state)
@@ -245,7 +247,7 @@
         if self.transport is None:
             return
         datagram = gossip.encoder.encode(message)
-        for address in sorted(to):
+        for address in sorted(self.readable.readers(to, gossip.tag_of(message))):
             self.transport.sendto(datagram, addresses.split(address))
 
     def _forget(self, peer: peer_node.Peer) -> None:
@@ -322,13 +324,15 @@
             if readable is None:
                 return
             message = readable
+        sender = f"{addr[0]}:{addr[1]}"
+        self.readable.note_sent_by(sender, gossip.tag_of(message))
         match message:
             case gossip.Heartbeat():
                 self.apply_heartbeat(message)
             case gossip.LoadNotice():
                 self.handle_notice(message)
             case gossip.CentreSummary():
-                self.handle_summary(message, f"{addr[0]}:{addr[1]}")
+                self.handle_summary(message, sender)
             case gossip.CentreDirectory():
                 self.bootstrap.handle_directory(message, self.leaving)
             case gossip.MemberUpdate():
@@ -336,12 +340,14 @@
             case gossip.SuspectUpdate():
                 self.suspects.apply(message)
             case gossip.PermitRequest():
+                self.readable.note_sent_by(message.address, gossip.tag_of(message))
                 self.permits.handle_request(message)
             case gossip.PermitAnswer():
                 self.permits.handle_answer(message)
             case gossip.RateUpdate():
                 self.permits.handle_rate_update(message)
             case gossip.SlotRequest():
+                self.readable.note_sent_by(message.address, gossip.tag_of(message))
                 self.slots.handle_request(message)
             case gossip.SlotAnswer():
                 self.slots.handle_answer(message)
@@ -366,6 +372,7 @@
         """Apply another data centre's summary; a member forwards it to its coordinators."""
         if summary.data_centre == self.state.data_centre:
             return
+        self.readable.apply_report(summary.address, summary.incarnation, summary.newest_tag)
         if self.view.role is tiers.Role.COORDINATOR:
             if summary.data_centre not in self.view.centres:
                 stale_figures.drop_nodes_of(self.state, self.view, summary.data_centre)
@@ -400,6 +407,7 @@
         )
         if peer is None:
             return
+        self.readable.apply_report(update.address, update.incarnation, update.newest_tag)
         version_reports.apply_shares(self.state, update.versions)
         fragility_reports.apply(self.state, update.fragile, update.node)
         if self._is_newer(update):
@@ -443,7 +451,7 @@
             peer.build = heartbeat.build
         peer.reaches_store = heartbeat.reaches_store
         peer.opens_tunnels = heartbeat.opens_tunnels
-        peer.newest_tag = heartbeat.newest_tag
+        self.readable.apply_report(heartbeat.address, heartbeat.incarnation, heartbeat.newest_tag)
         fragility_reports.apply(self.state, heartbeat.fragile, heartbeat.node)
         peer.token = heartbeat.token
         peer.candidate = heartbeat.candidate
--- a/plumarch/gateway/gossip/permit_exchange.py
+++ b/plumarch/gateway/gossip/permit_exchange.py
@@ -12,6 +12,7 @@
 
 from plumarch.core import request_rate, traffic
 from plumarch.gateway import fleet_state
+from plumarch.gateway.gossip import readable_tags
 from plumarch.limits import rate_allocator
 from plumarch.membership import fleet_view, tiers
 from plumarch.peers import gossip
@@ -43,6 +44,7 @@
     send: Send
     recipients: Callable[[], Iterable[str]]
     is_leaving: Callable[[], bool]
+    readable: readable_tags.ReadableTags
     broadcast_ms: dict[str, int] = dataclasses.field(default_factory=dict)
 
     def request_permits(
@@ -156,48 +158,53 @@
         )
         return False
 
-    def allocator_address(self, data_centre: str, newest_tag: int = 0) -> str | None:
+    def allocator_address(self, data_centre: str, tag: int = 0) -> str | None:
         """Return the known address of the node that allocates a data centre's permits.
 
         Another data centre's node allocates for one without live nodes. None while looking for
-        coordinators.
+        coordinators, or if no candidate is known to read requests.
 
         Args:
-          newest_tag: the allocator reads datagrams up to this tag, in a small fleet.
+          tag: of the requests.
         """
         view = self.view
         if view.role is tiers.Role.MEMBER:
-            return view.seniors()[0].address
+            return self._first_reader(view.seniors()[: tiers.COORDINATORS], tag)
         if view.role is tiers.Role.COORDINATOR:
-            return self._coordinator_address(data_centre)
+            return self._coordinator_address(data_centre, tag)
         if view.size() > tiers.FLAT_FLEET:
             return None
-        return self._senior_address(data_centre, newest_tag)
+        return self._senior_address(data_centre, tag)
 
-    def _senior_address(self, data_centre: str, newest_tag: int) -> str | None:
+    def _first_reader(self, seniors: Iterable[tiers.Senior], tag: int) -> str | None:
+        """Return the address of the first node that reads a kind of datagram."""
+        own = self.view.address
+        addresses = (one.address for one in seniors)
+        return next((one for one in addresses if one == own or self.readable.reads(one, tag)), None)
+
+    def _senior_address(self, data_centre: str, tag: int) -> str | None:
         """Return the senior node's address in a small fleet."""
         nodes = [
             (one.seniority(), one.address, one.data_centre)
             for one in self.view.live()
-            if one.newest_tag >= newest_tag
+            if self.readable.reads(one.address, tag)
         ]
         if not self.is_leaving():
             nodes.append((self.view.seniority(), self.view.address, self.view.data_centre))
         local = [one for one in nodes if one[2] == data_centre]
         return min(local or nodes)[1] if nodes else None
 
-    def _coordinator_address(self, data_centre: str) -> str | None:
+    def _coordinator_address(self, data_centre: str, tag: int) -> str | None:
         """Return a data centre's senior coordinator's address in a large fleet."""
         centres = self.view.live_centres()
         known = sorted({self.view.data_centre, *centres})
         home = data_centre if data_centre in known else known[0]
         if home != self.view.data_centre:
-            seniors = centres[home].seniors
-            return seniors[0].address if seniors else None
+            return self._first_reader(centres[home].seniors[: tiers.COORDINATORS], tag)
         own_seniors = self.view.seniors()
         if self.is_leaving():
             own_seniors = [one for one in own_seniors if one.seniority.name != self.view.node]
-        return own_seniors[0].address if own_seniors else None
+        return self._first_reader(own_seniors[: tiers.COORDINATORS], tag)
 
 
 def _forwarded(message: gossip.PermitRequest, node: str) -> gossip.PermitRequest:
--- a/plumarch/gateway/gossip/slot_exchange_test.py
+++ b/plumarch/gateway/gossip/slot_exchange_test.py
@@ -223,7 +223,7 @@
     session = Session(SMALL, 1)
     for node in session.fleet.live():
         for peer in node.view.peers.values():
-            peer.newest_tag = gossip.SLOT_REQUEST_TAG - 1
+            node.gossip.readable.apply_report(peer.address, 0, gossip.SLOT_REQUEST_TAG - 1)
         address = node.gossip.permits.allocator_address("dc-a", gossip.SLOT_REQUEST_TAG)
         assert address == node.address
 
--- a/plumarch/membership/peer_node.py
+++ b/plumarch/membership/peer_node.py
@@ -17,7 +17,6 @@
       candidate: whether it can take over the duties.
       nodes: size of the fleet by its own count.
       build: as reported, or "".
-      newest_tag: highest tag of the datagrams that it reads; 0 if not reported.
       opens_tunnels: whether it reaches endpoints and opens tunnels to them.
     """
 
@@ -33,7 +32,6 @@
     reaches_store: bool = True
     nodes: int = 0
     build: str = ""
-    newest_tag: int = 0
     opens_tunnels: bool = False
 
     def seniority(self) -> tiers.Seniority:
--- a/plumarch/peers/gossip.py
+++ b/plumarch/peers/gossip.py
@@ -7,7 +7,7 @@
 none is removed or changes its type or meaning (docs/design/mixed-builds.md).
 """
 
-from typing import Protocol
+from typing import Protocol, cast
 
 import msgspec
 
@@ -218,6 +218,7 @@
       ledger: the coordinator that began it; a list of one or none.
       tunnel_nodes: in some summaries, nodes of the data centre that open tunnels.
       fragile: as in heartbeats.
+      newest_tag: as in heartbeats.
     """
 
     node: str
@@ -244,6 +245,7 @@
     ledger: list[NodeIdentity] = []
     tunnel_nodes: list[KnownPeer] = []
     fragile: list[FragileService] = []
+    newest_tag: int = 0
 
 
 class KnownCentre(msgspec.Struct, array_like=True, frozen=True):
@@ -298,6 +300,7 @@
       ledger: as in summaries.
       tunnel_nodes: in some updates, nodes that open tunnels.
       fragile: as in heartbeats.
+      newest_tag: as in heartbeats.
     """
 
     node: str
@@ -318,6 +321,7 @@
     ledger: list[NodeIdentity] = []
     tunnel_nodes: list[KnownPeer] = []
     fragile: list[FragileService] = []
+    newest_tag: int = 0
 
 
 class MemberUpdate(msgspec.Struct, array_like=True, frozen=True, tag=4):
@@ -533,6 +537,12 @@
     | SlotAnswer
 )
 
+
+def tag_of(datagram: Datagram) -> int:
+    """Return the tag of a datagram's kind."""
+    return cast(int, datagram.__struct_config__.tag)
+
+
 encoder = msgspec.msgpack.Encoder()
 datagram_decoder = msgspec.msgpack.Decoder(Datagram)
 fleet_update_decoder = msgspec.msgpack.Decoder(FleetUpdate)
--- a/plumarch/peers/tolerant.py
+++ b/plumarch/peers/tolerant.py
@@ -12,19 +12,7 @@
 from plumarch.peers import gossip
 
 KINDS: dict[int, type[msgspec.Struct]] = {
-    one.__struct_config__.tag: one
-    for one in (
-        gossip.Heartbeat,
-        gossip.LoadNotice,
-        gossip.CentreSummary,
-        gossip.MemberUpdate,
-        gossip.CentreDirectory,
-        gossip.SuspectUpdate,
-        gossip.PermitRequest,
-        gossip.PermitAnswer,
-        gossip.RateUpdate,
-    )
-    if isinstance(one.__struct_config__.tag, int)
+    one.__struct_config__.tag: one for one in typing.get_args(gossip.Datagram)
 }
 """Datagram types by tag."""
 
