--- a/plumarch/gateway/dispatch/silent_endpoint_test.py
+++ b/plumarch/gateway/dispatch/silent_endpoint_test.py
@@ -7,7 +7,7 @@
 from plumarch.config import routing_table
 from plumarch.core import rollouts
 from plumarch.fleet import version_tally
-from plumarch.gateway import relay_test
+from plumarch.gateway import fleet_state, relay_test
 from plumarch.standins import scripted_endpoint as scripted
 
 SILENT_S = 0.6
@@ -33,7 +33,7 @@
         writer.write(scripted.answer(request))
 
 
-def set_target(gateway: relay_test.Gateway, target_ms: float) -> None:
+def set_target(state: fleet_state.FleetState, target_ms: float) -> None:
     """Give all routes a target, from which timeouts at one endpoint follow."""
     before = relay_test.TABLE.configuration
     configuration = routing_table.Configuration(
@@ -43,7 +43,7 @@
         workspaces=before.workspaces,
         limits=before.limits,
     )
-    assert gateway.state.adopt_table(routing_table.build(configuration), "store")
+    assert state.adopt_table(routing_table.build(configuration), "store")
 
 
 def test_a_request_that_may_run_once_waits_for_a_silent_endpoint():
@@ -66,7 +66,7 @@
     async def test() -> None:
         silence = Silence()
         async with relay_test.Gateway(silence.answer, relay_test.answers()) as gateway:
-            set_target(gateway, TARGET_MS)
+            set_target(gateway.state, TARGET_MS)
             endpoints = gateway.state.registry.endpoints
             for name, version in (("e0", "v2"), ("e1", "v1")):
                 endpoints[name] = dataclasses.replace(endpoints[name], version=version)
@@ -90,7 +90,7 @@
     async def test() -> None:
         silence = Silence()
         async with relay_test.Gateway(silence.answer, relay_test.answers()) as gateway:
-            set_target(gateway, TARGET_MS)
+            set_target(gateway.state, TARGET_MS)
             waiting = asyncio.create_task(gateway.ask("/unsafe/x"))
             while not silence.waiting:
                 await asyncio.sleep(0.005)
--- a/plumarch/gateway/endpoint_cut_test.py
+++ b/plumarch/gateway/endpoint_cut_test.py
@@ -8,7 +8,7 @@
 from plumarch.core import rollouts, traffic
 from plumarch.fleet import version_tally
 from plumarch.gateway import relay_test
-from plumarch.gateway.dispatch import attempts
+from plumarch.gateway.dispatch import attempts, silent_endpoint_test
 from plumarch.standins import cut_fleet
 from plumarch.standins import scripted_endpoint as scripted
 
@@ -242,6 +242,25 @@
     play(test)
 
 
+def test_an_endpoint_that_hangs_is_avoided_by_a_node_that_is_cut_off():
+    """Timeouts through tunnels counted against no endpoint, so half of all requests were late."""
+
+    async def test() -> None:
+        silence = silent_endpoint_test.Silence()
+        async with served(silence.answer, answering, answering) as fleet:
+            [node, *_] = fleet.cut_nodes
+            silent_endpoint_test.set_target(node.state, silent_endpoint_test.TARGET_MS)
+            fleet.cut(cut_fleet.Cut.REFUSED)
+            for _ in range(4):
+                answers = [fleet.ask(node, "/safe/x") for _ in range(6)]
+                assert {one.status for one in await asyncio.gather(*answers)} == {200}
+            usable = node.state.health.usable(fleet.fleet.endpoints)
+            assert [one.id for one in usable] == ["e1", "e2"]
+            silence.ended.set()
+
+    play(test)
+
+
 def test_runs_reset_by_a_cut_do_not_count_against_a_version_on_trial():
     """A node that was cut off reported bad answers, and a good version was rolled back."""
 
