A timeout through a tunnel counts against the endpoint while the other node responds

What callers saw: at a node cut off from all endpoints, requests kept going to an endpoint that hangs, each until its attempt timed out.

Cause: a tunnel that fails counts against nobody, because the other node may be the one that hangs. That holds for a tunnel that ended, but a timeout says something if the other node has opened another tunnel within the last 500 ms: then it is the endpoint that hangs.

Ruled out: messages over the tunnel that show that the other node lives; they would need a change on both sides, and earlier builds of the other side would look dead.

--- a/plumarch/gateway/connections/tunneled.py
+++ b/plumarch/gateway/connections/tunneled.py
@@ -15,14 +15,16 @@
     """A client connection to an endpoint through another node.
 
     Attributes:
+      peer: address of the other node.
       outcome: of the other node's connect, or None before its answer.
       endpoint_reset: whether the endpoint's connection was reset.
     """
 
     is_tunneled = True
 
-    def __init__(self) -> None:
+    def __init__(self, peer: str) -> None:
         super().__init__()
+        self.peer = peer
         self.frames = tunnels.FrameReader()
         self.outcome: tunnels.Outcome | None = None
         self.endpoint_reset = False
@@ -86,7 +88,7 @@
     try:
         async with asyncio.timeout(timeout_ms / 1000.0):
             transport, opened = await loop.create_connection(
-                TunneledExchange, *addresses.split(peer)
+                lambda: TunneledExchange(peer), *addresses.split(peer)
             )
             transport.write(tunnels.pack(request))
             outcome = await opened.wait_for_answer()
--- a/plumarch/gateway/dispatch/attempts.py
+++ b/plumarch/gateway/dispatch/attempts.py
@@ -8,7 +8,7 @@
 from plumarch.core import traffic
 from plumarch.gateway import dialect, errors, fleet_state
 from plumarch.gateway.callers import admission
-from plumarch.gateway.connections import exchange
+from plumarch.gateway.connections import exchange, tunneled
 from plumarch.gateway.dispatch import (
     announced_rates,
     endpoint_connects,
@@ -549,11 +549,17 @@
     """
     if was_suspended(state, attempt):
         return True
-    if attempt.exchange.is_tunneled:
-        return not was_disconnected(attempt)
+    if isinstance(attempt.exchange, tunneled.TunneledExchange):
+        return not was_disconnected(attempt) and not _is_silence_behind(state, attempt.exchange)
     return state.paths.is_unreachable(attempt.choice.endpoint.id)
 
 
+def _is_silence_behind(state: fleet_state.FleetState, opened: tunneled.TunneledExchange) -> bool:
+    """Return whether a tunnel is open and its other node responds, so that the endpoint hangs."""
+    known = state.tunnel_peers
+    return known is not None and not opened.fault and known.is_responsive(opened.peer)
+
+
 def end(state: fleet_state.FleetState, attempt: Attempt) -> None:
     """Close the connection, which cancels a request that still runs."""
     attempt.exchange.close()
--- a/plumarch/gateway/dispatch/endpoint_connects.py
+++ b/plumarch/gateway/dispatch/endpoint_connects.py
@@ -188,6 +188,8 @@
     def _note_tunnel(self, peer: str) -> None:
         state = self.state
         state.measures.tunnels.add("used", "connected")
+        if state.tunnel_peers is not None:
+            state.tunnel_peers.note_opened(peer)
         state.log.write(
             "tunneled",
             request=self.request,
--- a/plumarch/membership/tunnel_nodes.py
+++ b/plumarch/membership/tunnel_nodes.py
@@ -22,6 +22,9 @@
 UNAVAILABLE_MS = 1_000
 """Time for which a node that opened no tunnel is asked last."""
 
+RESPONSIVE_MS = 500
+"""Time for which a node that opened a tunnel counts as responding."""
+
 MEMBERS_LIST = ""
 """Key of the list for members; the others are by data centre."""
 
@@ -49,6 +52,7 @@
     Attributes:
       reported: coordinators' lists, by data centre or MEMBERS_LIST.
       unavailable_ms: when a node opened no tunnel, by address.
+      opened_ms: when a node last opened a tunnel, by address.
     """
 
     clock: clock.Clock
@@ -57,6 +61,7 @@
     is_in_region: Callable[[str], bool]
     reported: dict[str, ReportedNodes] = dataclasses.field(default_factory=dict)
     unavailable_ms: dict[str, int] = dataclasses.field(default_factory=dict)
+    opened_ms: dict[str, int] = dataclasses.field(default_factory=dict)
 
     def choose(self) -> list[str]:
         """Return addresses of nodes to ask, in this order: near ones, spread over all."""
@@ -91,11 +96,22 @@
 
     def note_unavailable(self, address: str) -> None:
         """Record that a node opened no tunnel."""
+        self.unavailable_ms = self._with_recent(self.unavailable_ms, address, UNAVAILABLE_MS)
+        self.opened_ms.pop(address, None)
+
+    def note_opened(self, address: str) -> None:
+        """Record that a node opened a tunnel."""
+        self.opened_ms = self._with_recent(self.opened_ms, address, RESPONSIVE_MS)
+
+    def _with_recent(self, known: dict[str, int], address: str, for_ms: int) -> dict[str, int]:
+        """Return the recent times with that of an address set to now."""
         now = self.clock.now()
-        self.unavailable_ms = {
-            one: at for one, at in self.unavailable_ms.items() if now - at < UNAVAILABLE_MS
-        }
-        self.unavailable_ms[address] = now
+        return {one: at for one, at in known.items() if now - at < for_ms} | {address: now}
+
+    def is_responsive(self, address: str) -> bool:
+        """Return whether a node recently opened a tunnel."""
+        opened_ms = self.opened_ms.get(address)
+        return opened_ms is not None and self.clock.now() - opened_ms < RESPONSIVE_MS
 
     def apply_report(self, source: str, nodes: Iterable[TunnelNode]) -> None:
         """Apply a coordinator's list, unless it is empty: most messages hold none.
--- a/plumarch/membership/tunnel_nodes_test.py
+++ b/plumarch/membership/tunnel_nodes_test.py
@@ -80,3 +80,17 @@
     assert {one.name for one in known.for_members(opens_tunnels=False)} == {"7", "8"}
     assert known.in_own_centre(opens_tunnels=False) == []
     assert {one.name for one in known.for_members(opens_tunnels=True)} == {"7", "8", "me"}
+
+
+def test_a_node_that_opens_no_more_tunnels_does_not_count_as_responding():
+    """Its silence would count against the endpoint."""
+    known, now = new_nodes()
+    address = see(known, "2", "near-a")
+    assert not known.is_responsive(address)
+    known.note_opened(address)
+    assert known.is_responsive(address)
+    now.advance_to(now.now() + tunnel_nodes.RESPONSIVE_MS)
+    assert not known.is_responsive(address)
+    known.note_opened(address)
+    known.note_unavailable(address)
+    assert not known.is_responsive(address)
