--- a/plumarch/gateway/dispatch/endpoint_connects.py
+++ b/plumarch/gateway/dispatch/endpoint_connects.py
@@ -41,12 +41,14 @@
       ConnectFailed: neither this node nor those asked could connect.
     """
     plan = state.paths.plan(endpoint.id)
-    race = ConnectRace(state, endpoint, request, timeout_ms, plan)
+    began_ms = state.clock.now()
+    direct_failed: errors.ConnectFailed | None = None
     if plan is direct_paths.ConnectPlan.DIRECT_FIRST or state.tunnel_peers is None:
         try:
             return await _connect_directly(state, endpoint, timeout_ms)
         except errors.ConnectFailed as error:
-            race.direct_failed = error
+            direct_failed = error
+    race = ConnectRace(state, endpoint, request, timeout_ms, plan, began_ms, direct_failed)
     try:
         return await race.run()
     finally:
@@ -82,6 +84,8 @@
         request: str,
         timeout_ms: float,
         plan: direct_paths.ConnectPlan,
+        began_ms: int,
+        direct_failed: errors.ConnectFailed | None,
     ) -> None:
         self.plan = plan
         self.state = state
@@ -89,12 +93,12 @@
         self.request = request
         self.timeout_ms = timeout_ms
         self.tunnel_timeout_ms = max(1.0, TUNNEL_TIMEOUT_FRACTION * timeout_ms)
-        self.began_ms = state.clock.now()
+        self.began_ms = began_ms
         self.asked_ms: int | None = None
         self.peers: list[str] | None = None
         self.direct: asyncio.Task[exchange.Exchange] | None = None
         self.tunnels: dict[asyncio.Task[exchange.Exchange], str] = {}
-        self.direct_failed: errors.ConnectFailed | None = None
+        self.direct_failed = direct_failed
         self.error: errors.ConnectFailed | None = None
         self.failed_tunnels = 0
         self.winner: asyncio.Task[exchange.Exchange] | None = None
