--- a/plumarch/gateway/gossip/tunnel_server.py
+++ b/plumarch/gateway/gossip/tunnel_server.py
@@ -52,7 +52,7 @@
     ) -> None:
         """Serve one tunnel until either side ends."""
         reservation = memory_account.Reservation(writer, "", memory_account.Purpose.TUNNELS)
-        if not self._accepts(request) or not self.state.memory.resize(reservation, MEMORY_BYTES):
+        if not self.accepts(request) or not self.state.memory.resize(reservation, MEMORY_BYTES):
             self._answer(writer, request, tunnels.Outcome.DECLINED)
             return
         self.clients.add(writer)
@@ -71,7 +71,8 @@
         for writer in list(self.clients):
             writer.transport.abort()
 
-    def _accepts(self, request: tunnels.TunnelRequest) -> bool:
+    def accepts(self, request: tunnels.TunnelRequest) -> bool:
+        """Return whether this node may try to connect for another."""
         endpoint = self.state.registry.endpoints.get(request.endpoint)
         if endpoint is None or endpoint.address != request.address:
             return False
@@ -110,7 +111,7 @@
                     *addresses.split(request.address), limit=READ_BYTES
                 )
         except (OSError, TimeoutError) as error:
-            self._answer(writer, request, self._failed(request, error))
+            self._answer(writer, request, self.failed(request, error))
             return
         self.state.paths.record_connect(request.endpoint)
         self._answer(writer, request, tunnels.Outcome.CONNECTED)
@@ -127,7 +128,7 @@
             to_client.cancel()
             await asyncio.gather(to_endpoint, to_client, return_exceptions=True)
 
-    def _failed(self, request: tunnels.TunnelRequest, error: Exception) -> tunnels.Outcome:
+    def failed(self, request: tunnels.TunnelRequest, error: Exception) -> tunnels.Outcome:
         """Return the outcome of a failed connect; declined if the cause may be this node's."""
         paths = self.state.paths
         paths.record_failure(request.endpoint)
