The stand-in of cut fleets forgets the cuts of the fleet before

A test that plays the three forms one after the other had the cut of the form before from the start, so no connection was open when the next one began.

--- a/plumarch/standins/cut_fleet.py
+++ b/plumarch/standins/cut_fleet.py
@@ -61,6 +61,12 @@
         self.open.setdefault(node, []).append(transport)
         return transport, protocol
 
+    def reset(self) -> None:
+        """Forget all cuts, connections and endpoints."""
+        self.cuts.clear()
+        self.open.clear()
+        self.endpoints.clear()
+
     def cut(self, node: str, kind: Cut) -> None:
         """Cut a node off from all endpoints."""
         self.cuts[node] = kind
@@ -159,6 +165,7 @@
         await asyncio.get_running_loop().create_task(work, context=context)
 
     async def __aexit__(self, *_: object) -> None:
+        self.loop().reset()
         self._stop()
         await asyncio.sleep(0)
 
