--- a/plumarch/gateway/endpoint_cut_test.py
+++ b/plumarch/gateway/endpoint_cut_test.py
@@ -363,6 +363,27 @@
     play(test)
 
 
+def test_runs_reset_by_a_cut_are_no_crash_under_too_much_load():
+    """A node that was cut off under a burst refused most of its callers for a minute."""
+
+    async def test() -> None:
+        silence = silent_endpoint_test.Silence()
+        async with served(silence.answer, silence.answer) as fleet:
+            [node, *_] = fleet.cut_nodes
+            few = [dataclasses.replace(one, slots=4) for one in fleet.fleet.endpoints]
+            node.state.registry.replace(few, 2, "store")
+            burst = [asyncio.create_task(fleet.ask(node, "/unsafe/x")) for _ in range(20)]
+            await fleet.fleet.until(lambda: silence.waiting == 20)
+            fleet.cut(cut_fleet.Cut.RESET)
+            assert {one.status for one in await asyncio.gather(*burst)} == {502}
+            await fleet.fleet.until(lambda: b"endpoint_lives" in bytes(node.state.log.pending))
+            silence.ended.set()
+            assert set(await fleet.statuses([node], 20)) == {200}
+            assert node.state.limits.crashes.per_slot("s") is None
+
+    play(test)
+
+
 def test_runs_reset_by_a_cut_do_not_count_against_a_version_on_trial():
     """A node that was cut off reported bad answers, and a good version was rolled back."""
 
