Runs that a cut resets are no crash of their endpoints

What callers saw: at a node that was cut off by resets during a burst, most requests got 503 for a minute, at endpoints that had accepted as many before.

Cause: connections lost together look like a crash under too much load. Its lesson lowers what a node gives all endpoints of the service for 60 s, though nothing but the node's own links failed.

Change: when the probe after a lost connection finds that the endpoint lives and only this node can't reach it, the lesson and the endpoint's lowered limit are taken back. Lessons are kept one by one for that, the newest of each kind applies, as before.

Ruled out: waiting for the probe before anything is learned, since the load of a crashed endpoint is repeated at once and may crash the next one.

--- a/plumarch/gateway/dispatch/endpoint_outcomes.py
+++ b/plumarch/gateway/dispatch/endpoint_outcomes.py
@@ -227,6 +227,15 @@
     _note_crash(state, endpoint, state.limits.connect_failed(endpoint, elsewhere))
 
 
+def lives(state: fleet_state.FleetState, endpoint: traffic.Endpoint, lost_ms: int) -> bool:
+    """Take back that an endpoint crashed; return whether it counted as crashed.
+
+    Args:
+      lost_ms: when its connections were lost.
+    """
+    return state.limits.retract_crash(endpoint, lost_ms - crash_guard.LOSS_WINDOW_MS)
+
+
 def ended(state: fleet_state.FleetState, one: SentRequest) -> None:
     """Record the end of a request at an endpoint."""
     state.limits.ended(one.endpoint, one.demand)
--- a/plumarch/gateway/dispatch/interrupted_runs.py
+++ b/plumarch/gateway/dispatch/interrupted_runs.py
@@ -11,7 +11,7 @@
 from plumarch.core import traffic
 from plumarch.gateway import fleet_state
 from plumarch.gateway.callers import admission
-from plumarch.gateway.dispatch import attempts, endpoint_connects
+from plumarch.gateway.dispatch import attempts, endpoint_connects, endpoint_outcomes
 from plumarch.gateway.gossip import suspect_updates
 from plumarch.limits import quarantine
 
@@ -44,10 +44,15 @@
 
 @dataclasses.dataclass(slots=True)
 class Probe:
-    """A pending probe of an endpoint, and its interrupted runs."""
+    """A pending probe of an endpoint, and its interrupted runs.
+
+    Attributes:
+      lost_ms: when the first of them ended.
+    """
 
     task: asyncio.Task[None]
     runs: list[InterruptedRun]
+    lost_ms: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -63,9 +68,9 @@
     """Records crashes against the requests that ran during them.
 
     Attributes:
-      doubts: runs at endpoints that answered the probe, by endpoint identifier.
-      questions: pending probes, by endpoint identifier.
+      probes: pending ones, by endpoint identifier.
       crashed_ms: when crashes were found, by endpoint identifier.
+      unconfirmed: runs at endpoints that answered the probe, by endpoint identifier.
     """
 
     def __init__(self, state: fleet_state.FleetState) -> None:
@@ -103,7 +108,7 @@
             self._record_crashes(endpoint, [run])
         else:
             task = asyncio.get_running_loop().create_task(self._probe(endpoint))
-            self.probes[endpoint.id] = Probe(task, [run])
+            self.probes[endpoint.id] = Probe(task, [run], now)
 
     def _crashed_recently(self, endpoint: str, now: int) -> bool:
         return now - self.crashed_ms.get(endpoint, -CRASH_RETENTION_MS) < CRASH_RETENTION_MS
@@ -119,10 +124,15 @@
         try:
             is_listening = await endpoint_connects.is_listening(self.state, endpoint, timeout_ms)
         finally:
-            runs = self.probes.pop(endpoint.id).runs
-        if not self.state.paths.is_unreachable(endpoint.id):
+            probe = self.probes.pop(endpoint.id)
+        runs = probe.runs
+        is_unreachable = self.state.paths.is_unreachable(endpoint.id)
+        if not is_unreachable:
             for run in runs:
                 run.count_failure()
+        was_crash = False
+        if is_unreachable and is_listening is not False:
+            was_crash = endpoint_outcomes.lives(self.state, endpoint, probe.lost_ms)
         if is_listening is False:
             self._prune_crashed()
             self.crashed_ms[endpoint.id] = self.state.clock.now()
@@ -134,6 +144,7 @@
                 endpoint=endpoint.id,
                 lost_runs=len(runs),
                 answered=is_listening is not None,
+                was_crash=was_crash,
             )
 
     def _keep_unconfirmed(self, endpoint: traffic.Endpoint, runs: list[InterruptedRun]) -> None:
--- a/plumarch/routing/crash_guard.py
+++ b/plumarch/routing/crash_guard.py
@@ -30,6 +30,9 @@
 CRASH_LOSSES = 2
 """Connections lost together that count as a crash; one alone may be caused by its request."""
 
+MAX_LESSONS = 32
+"""Crashes of a service of which the lessons are kept."""
+
 
 @dataclasses.dataclass(slots=True)
 class Losses:
@@ -67,21 +70,30 @@
         return self.running > self.slots
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Lesson:
+    """Limits learned from one crash under more load than endpoints regularly sustain.
+
+    Attributes:
+      per_slot: maximum requests for each slot of an endpoint, or None.
+      weight: maximum weight of an endpoint's requests, in tokens, or None.
+    """
+
+    crash: Crash
+    per_slot: float | None
+    weight: float | None
+
+
 @dataclasses.dataclass(slots=True)
 class ServiceCrashes:
     """Limits learned from crashes of one service.
 
     Attributes:
-      last: the latest crash under more load than endpoints regularly sustain.
-      per_slot: maximum requests for each slot of an endpoint, or None.
-      weight: maximum weight of an endpoint's requests, in tokens, or None.
+      lessons: the newest last; the last limit of each kind applies.
       max_sustained_weight: greatest weight under which an endpoint answered.
     """
 
-    last: Crash | None = None
-    per_slot: float | None = None
-    weight: float | None = None
-    learned_ms: int = 0
+    lessons: list[Lesson] = dataclasses.field(default_factory=list)
     max_sustained_weight: float = 0.0
 
 
@@ -140,44 +152,64 @@
         by_weight = crash.weight > crashes.max_sustained_weight > 0
         if not crash.by_count() and not by_weight:
             return
-        crashes.learned_ms = crash.at_ms
+        per_slot = weight = None
         if crash.by_count():
-            crashes.per_slot = concurrency_limit.DECREASE * crash.running / max(1, crash.slots)
+            per_slot = concurrency_limit.DECREASE * crash.running / max(1, crash.slots)
         if by_weight:
-            crashes.weight = max(
-                crashes.max_sustained_weight, concurrency_limit.DECREASE * crash.weight
-            )
-        crashes.last = crash
+            weight = max(crashes.max_sustained_weight, concurrency_limit.DECREASE * crash.weight)
+        lessons = [*crashes.lessons, Lesson(crash, per_slot, weight)]
+        crashes.lessons = lessons[-MAX_LESSONS:]
+
+    def retract(self, service: str, endpoint: str, since_ms: int) -> bool:
+        """Drop what was learned from an endpoint's crashes, as it lives.
+
+        Args:
+          since_ms: earlier crashes remain.
+        Returns:
+          Whether there was one.
+        """
+        crashes = self.services.get(service)
+        if crashes is None:
+            return False
+        before = len(crashes.lessons)
+        crashes.lessons = [
+            one
+            for one in crashes.lessons
+            if one.crash.endpoint != endpoint or one.crash.at_ms < since_ms
+        ]
+        return len(crashes.lessons) < before
 
     def per_slot(self, service: str) -> float | None:
         """Return the maximum of requests per slot, at least 1, or None."""
-        crashes = self._learned(service)
-        if crashes is None or crashes.per_slot is None:
-            return None
-        return max(1.0, crashes.per_slot)
+        found = (one.per_slot for one in reversed(self._lessons(service)))
+        per_slot = next((one for one in found if one is not None), None)
+        return max(1.0, per_slot) if per_slot is not None else None
 
     def weight(self, service: str) -> float | None:
         """Return the maximum weight of an endpoint's requests, or None."""
-        crashes = self._learned(service)
-        if crashes is None or crashes.weight is None:
+        found = (one.weight for one in reversed(self._lessons(service)))
+        weight = next((one for one in found if one is not None), None)
+        if weight is None:
             return None
-        return max(crashes.weight, crashes.max_sustained_weight)
+        return max(weight, self.services[service].max_sustained_weight)
 
-    def _learned(self, service: str) -> ServiceCrashes | None:
+    def _lessons(self, service: str) -> list[Lesson]:
+        """Return a service's lessons; all lapse some time after the last one."""
         crashes = self.services.get(service)
-        if crashes is None:
-            return None
-        if self.clock.now() - crashes.learned_ms < concurrency_limit.CRASH_RETENTION_MS:
-            return crashes
-        crashes.per_slot = crashes.weight = None
-        return None
+        if crashes is None or not crashes.lessons:
+            return []
+        age_ms = self.clock.now() - crashes.lessons[-1].crash.at_ms
+        if age_ms >= concurrency_limit.CRASH_RETENTION_MS:
+            crashes.lessons = []
+        return crashes.lessons
 
     def recent(self, service: str) -> Crash | None:
         """Return the last crash of a service while its load is being admitted."""
         crashes = self.services.get(service)
-        if crashes is None or crashes.last is None:
+        if crashes is None or not crashes.lessons:
             return None
-        return crashes.last if self.clock.now() - crashes.last.at_ms < RAMP_MS else None
+        last = crashes.lessons[-1].crash
+        return last if self.clock.now() - last.at_ms < RAMP_MS else None
 
     def wait_ms(self, service: str, running: int, slots: int, rank: int) -> float:
         """Return in how many ms a service takes on a request of a rank; 0 is now.
--- a/plumarch/routing/crash_guard_test.py
+++ b/plumarch/routing/crash_guard_test.py
@@ -1,5 +1,6 @@
 """Detection of endpoint crashes, and the admission of their load."""
 
+import dataclasses
 import random
 
 from plumarch.core import clock
@@ -115,3 +116,24 @@
         wait_ms = found.wait_ms("s", running, 16, rank)
         time.advance_to(time.now() + round(wait_ms) + 1)
         assert found.wait_ms("s", running, 16, rank) == 0.0
+
+
+def test_an_endpoint_that_lives_takes_back_its_crash_only():
+    found, time = guard()
+    found.crashed("s", crash(20))
+    time.advance_to(5_000)
+    found.crashed("s", dataclasses.replace(crash(9, at_ms=5_000), endpoint="e1"))
+    assert found.per_slot("s") == 1.0
+    assert not found.retract("s", "e0", 5_000)
+    assert found.retract("s", "e1", 5_000)
+    assert found.per_slot("s") == concurrency_limit.DECREASE * 20 / SLOTS
+    assert found.recent("s") is None
+    assert found.retract("s", "e0", 0)
+    assert found.per_slot("s") is None
+
+
+def test_the_number_of_crashes_that_are_kept_is_bounded():
+    found, _ = guard()
+    for running in range(9, 9 + 2 * crash_guard.MAX_LESSONS):
+        found.crashed("s", crash(running))
+    assert len(found.services["s"].lessons) == crash_guard.MAX_LESSONS
--- a/plumarch/routing/endpoint_limits.py
+++ b/plumarch/routing/endpoint_limits.py
@@ -281,6 +281,13 @@
         """Handle a failed connect to an endpoint; like `lost`."""
         return self._crashed(endpoint, self.crashes.connect_failed(endpoint.id), elsewhere)
 
+    def retract_crash(self, endpoint: traffic.Endpoint, since_ms: int) -> bool:
+        """Forget an endpoint's recent crash, as it lives; return whether there was one."""
+        if not self.crashes.retract(endpoint.service, endpoint.id, since_ms):
+            return False
+        self.learned.pop(endpoint.id, None)
+        return True
+
     def _crashed(
         self, endpoint: traffic.Endpoint, losses: crash_guard.Losses | None, elsewhere: int
     ) -> crash_guard.Crash | None:
