--- a/plumarch/gateway/gossip/earlier_builds_test.py
+++ b/plumarch/gateway/gossip/earlier_builds_test.py
@@ -74,21 +74,15 @@
     earlier = [node for index, node in enumerate(nodes) if index % 3 < 2]
     unreadable = []
     for node in earlier:
-        unreadable.append(downgrade(session.fleet, start_again(session, node), build))
+        unreadable.append(downgrade(session.fleet, session.restart(node), build))
     session.fleet.run(500)
     for node in nodes:
         if node not in earlier:
-            start_again(session, node)
+            session.restart(node)
     session.fleet.run(6_000)
     return unreadable
 
 
-def start_again(session: Session, node: gossip_fleet.Node) -> gossip_fleet.Node:
-    started = session.fleet.start(node.number, node.data_centre)
-    session.list_endpoint(started)
-    return started
-
-
 def unreadable_tags(session: Session, build: str) -> set[int]:
     """Return the unreadable tags that nodes of an earlier build are sent under load."""
     unreadable = replace_nodes(session, build)
--- a/plumarch/gateway/gossip/permit_exchange_test.py
+++ b/plumarch/gateway/gossip/permit_exchange_test.py
@@ -14,9 +14,8 @@
 from plumarch.core import traffic
 from plumarch.gateway.dispatch import announced_rates, endpoint_signals
 from plumarch.gateway.gossip import permit_exchange
-from plumarch.membership import tiers
 from plumarch.peers import gossip
-from plumarch.standins import gossip_fleet
+from plumarch.standins import fault_session, gossip_fleet
 
 WINDOW_MS = 4_000
 KNOWN_AFTER_MS = 500
@@ -38,7 +37,7 @@
     counts: bool
 
 
-class Session:
+class Session(fault_session.FaultSession):
     """A fleet that sends to one endpoint, which announces a rate.
 
     Attributes:
@@ -47,19 +46,11 @@
     """
 
     def __init__(self, size: gossip_fleet.Size, seed: int, announced: str = "1") -> None:
-        self.fleet = gossip_fleet.GossipFleet(size, seed)
-        self.rng = random.Random(seed)
+        super().__init__(size, seed, [ENDPOINT])
         self.announced = announced
         self.nodes = 0
         self.arrivals: list[Arrival] = []
         self.received_ms: dict[tuple[str, int], int] = {}
-        self.fault_ms: dict[str, int] = {}
-        self.fleet.run(3_000)
-        for node in self.fleet.live():
-            self.list_endpoint(node)
-
-    def list_endpoint(self, node: gossip_fleet.Node) -> None:
-        node.state.registry.replace([ENDPOINT], 1, "store")
 
     def serve(self, per_s: float, for_ms: int) -> int:
         """Send callers' requests to random nodes for a while, and return how many were served."""
@@ -113,28 +104,6 @@
             now = self.fleet.time.now()
             self.received_ms.setdefault((node.name, node.view.incarnation), now)
 
-    def mark_faulty(self, nodes: list[gossip_fleet.Node]) -> None:
-        now = self.fleet.time.now()
-        self.fault_ms |= {node.name: now for node in nodes}
-
-    def restart(self, node: gossip_fleet.Node) -> None:
-        self.mark_faulty([node])
-        self.list_endpoint(self.fleet.start(node.number, node.data_centre))
-
-    def cut(self, data_centre: str) -> None:
-        """Partition a data centre from the others."""
-        self.fleet.cut = lambda one, other: (
-            (one.data_centre == data_centre) != (other.data_centre == data_centre)
-        )
-
-    def heal(self) -> None:
-        self.fleet.cut = lambda one, other: False
-        self.fleet.loss_fraction, self.fleet.late_ms = 0.0, 0
-        for node in self.fleet.live():
-            if node.frozen:
-                self.mark_faulty([node])
-                self.fleet.thaw(node)
-
     def max_in_window(self) -> int:
         """Return the maximum number of requests in a window from nodes that are not exempt."""
         at = [one.at_ms for one in self.arrivals if one.counts]
@@ -255,26 +224,9 @@
 
 def inject(session: Session, kind: str, pick: int) -> None:
     """Inject one fault, heal, or change the announced rate."""
-    fleet, nodes = session.fleet, session.fleet.live()
-    node = nodes[pick % len(nodes)]
-    if kind == "cut":
-        session.cut(node.data_centre)
-    elif kind == "cut node":
-        fleet.cut = lambda one, other: node in (one, other)
-    elif kind == "kill one":
-        found = fleet.with_role(tiers.Role.COORDINATOR) or nodes
-        session.restart(found[pick % len(found)])
-    elif kind == "kill some":
-        for other in nodes[pick % 3 :: 3]:
-            session.restart(other)
-    elif kind == "freeze":
-        node.frozen = True
-    elif kind == "lose":
-        fleet.loss_fraction, fleet.late_ms = 0.1, 100
-    elif kind == "announce":
+    if kind == "announce":
         session.announced = ["", "0", "1", "3", "20"][pick % 5]
-    elif kind == "heal":
-        session.heal()
+    session.inject(kind, pick)
 
 
 def peak_load(size: gossip_fleet.Size, seed: int) -> float:
@@ -287,7 +239,7 @@
     for _ in range(rng.randint(3, 8)):
         kind = rng.choice(KINDS[:-1])
         inject(session, kind, rng.randrange(1_000))
-        cut = [one for one in session.fleet.live() if _is_cut(session, one)]
+        cut = [one for one in session.fleet.live() if session.is_cut(one)]
         for _ in range(rng.randint(2, 30)):
             session.serve(rng.choice([2.0, 30.0, 100.0]), 100)
             session.mark_faulty(cut)
@@ -296,10 +248,6 @@
     return session.max_in_window() / allowed(rate)
 
 
-def _is_cut(session: Session, node: gossip_fleet.Node) -> bool:
-    return any(session.fleet.cut(node, other) for other in session.fleet.live())
-
-
 def test_rule_holds_in_random_sessions():
     found = [peak_load(SMALL, seed) for seed in range(50)]
     assert max(found) <= 1.0, found
--- a/plumarch/gateway/gossip/slot_exchange_test.py
+++ b/plumarch/gateway/gossip/slot_exchange_test.py
@@ -7,10 +7,9 @@
 
 from plumarch.core import traffic
 from plumarch.gateway.dispatch import announced_rates, endpoint_signals, fragile_endpoints
-from plumarch.membership import tiers
 from plumarch.peers import gossip
 from plumarch.routing import endpoint_choice
-from plumarch.standins import gossip_fleet
+from plumarch.standins import fault_session, gossip_fleet
 
 KNOWN_AFTER_MS = 1_000
 """Time from the first announcement after which rejections count."""
@@ -37,7 +36,7 @@
     counts: bool
 
 
-class Session:
+class Session(fault_session.FaultSession):
     """A fleet that sends to one endpoint without a queue.
 
     Attributes:
@@ -46,8 +45,7 @@
     """
 
     def __init__(self, size: gossip_fleet.Size, seed: int, run_ms: int = 60) -> None:
-        self.fleet = gossip_fleet.GossipFleet(size, seed)
-        self.rng = random.Random(seed)
+        super().__init__(size, seed, [ENDPOINT])
         self.run_ms = run_ms
         self.slots = SLOTS
         self.nodes = 0
@@ -56,13 +54,6 @@
         self.refused = 0
         self.refused_while_free = 0
         self.rejections: list[Rejection] = []
-        self.fault_ms: dict[str, int] = {}
-        self.fleet.run(3_000)
-        for node in self.fleet.live():
-            self.list_endpoint(node)
-
-    def list_endpoint(self, node: gossip_fleet.Node) -> None:
-        node.state.registry.replace([ENDPOINT], 1, "store")
 
     def serve(self, per_s: float, for_ms: int) -> None:
         """Send callers' requests to random nodes for a while."""
@@ -136,22 +127,6 @@
             state.slots.rejected(ENDPOINT.id)
         fragile_endpoints.return_surplus(state, ENDPOINT)
 
-    def mark_faulty(self, nodes: list[gossip_fleet.Node]) -> None:
-        now = self.fleet.time.now()
-        self.fault_ms |= {node.name: now for node in nodes}
-
-    def restart(self, node: gossip_fleet.Node) -> None:
-        self.mark_faulty([node])
-        self.list_endpoint(self.fleet.start(node.number, node.data_centre))
-
-    def heal(self) -> None:
-        self.fleet.cut = lambda one, other: False
-        self.fleet.loss_fraction, self.fleet.late_ms = 0.0, 0
-        for node in self.fleet.live():
-            if node.frozen:
-                self.mark_faulty([node])
-                self.fleet.thaw(node)
-
     def worst_second(self, since_ms: int) -> int:
         """Return the most counted rejections in a second."""
         at = [one.at_ms for one in self.rejections if one.counts and one.at_ms >= since_ms]
@@ -231,28 +206,6 @@
 KINDS = ["cut", "kill one", "kill some", "freeze", "lose", "heal", "calm"]
 
 
-def inject(session: Session, kind: str, pick: int) -> None:
-    """Inject one fault, or heal."""
-    fleet, nodes = session.fleet, session.fleet.live()
-    node = nodes[pick % len(nodes)]
-    if kind == "cut":
-        fleet.cut = lambda one, other: (
-            (one.data_centre == node.data_centre) != (other.data_centre == node.data_centre)
-        )
-    elif kind == "kill one":
-        found = fleet.with_role(tiers.Role.COORDINATOR) or nodes
-        session.restart(found[pick % len(found)])
-    elif kind == "kill some":
-        for other in nodes[pick % 3 :: 3]:
-            session.restart(other)
-    elif kind == "freeze":
-        node.frozen = True
-    elif kind == "lose":
-        fleet.loss_fraction, fleet.late_ms = 0.1, 100
-    elif kind == "heal":
-        session.heal()
-
-
 def worst_in_session(size: gossip_fleet.Size, seed: int) -> int:
     """Return the most rejections in a second of a random session."""
     rng = random.Random(seed)
@@ -260,8 +213,8 @@
     session.nodes = rng.choice([0, 0, 1, 3])
     since_ms = learn(session)
     for _ in range(rng.randint(3, 6)):
-        inject(session, rng.choice(KINDS), rng.randrange(1_000))
-        cut = [one for one in session.fleet.live() if _is_cut(session, one)]
+        session.inject(rng.choice(KINDS), rng.randrange(1_000))
+        cut = [one for one in session.fleet.live() if session.is_cut(one)]
         for _ in range(rng.randint(2, 15)):
             session.serve(rng.choice([20.0, 200.0, 600.0]), 100)
             session.mark_faulty(cut)
@@ -270,10 +223,6 @@
     return session.worst_second(since_ms)
 
 
-def _is_cut(session: Session, node: gossip_fleet.Node) -> bool:
-    return any(session.fleet.cut(node, other) for other in session.fleet.live())
-
-
 def test_few_requests_are_rejected_in_random_sessions():
     found = {seed: worst_in_session(SMALL, seed) for seed in range(16)}
     assert max(found.values()) <= REJECTIONS_PER_S, found
