A restarted node is leased free slots at once

What callers would see: at endpoints that bear few rejections, a node that was killed and started again is denied free slots for up to 2 s.

Cause: the numbers of its requests began at 1 again, so the allocator took them for late ones of the process before and repeated what it had granted that one. Found by reading.

Change: the first number for an endpoint is the time, which goes on rising over a restart. The test failed before: the restarted node may not send though all slots are free.

--- a/plumarch/gateway/gossip/permit_exchange.py
+++ b/plumarch/gateway/gossip/permit_exchange.py
@@ -165,7 +165,8 @@
         coordinators, or if no candidate is known to read requests.
 
         Args:
-          tag: of the requests.
+          tag: of the requests; 0 includes nodes of earlier builds, which share a rate among
+            themselves by the most senior node of all.
         """
         view = self.view
         if view.role is tiers.Role.MEMBER:
--- a/plumarch/limits/slot_leases.py
+++ b/plumarch/limits/slot_leases.py
@@ -134,7 +134,7 @@
           wanted: slots wanted beyond those in use.
         """
         self._drop_idle()
-        lease = self.known.setdefault(use.endpoint, Lease())
+        lease = self._lease(use.endpoint)
         now = self.clock.now()
         lease.sequence += 1
         lease.wanted = wanted
@@ -191,10 +191,14 @@
 
     def rejected(self, endpoint: str) -> None:
         """Record that an endpoint rejected a request."""
-        lease = self.known.setdefault(endpoint, Lease())
+        lease = self._lease(endpoint)
         lease.rejected += 1
         lease.rejected_ms = self.clock.now()
 
+    def _lease(self, endpoint: str) -> Lease:
+        # Sequences go on rising in the process that follows on this one.
+        return self.known.setdefault(endpoint, Lease(sequence=self.clock.now()))
+
     def _drop_idle(self) -> None:
         oldest = self.clock.now() - IDLE_MS
         if any(one.used_ms < oldest for one in self.known.values()):
--- a/plumarch/limits/slot_leases_test.py
+++ b/plumarch/limits/slot_leases_test.py
@@ -106,3 +106,17 @@
     assert leases.is_renewal_due(used)
     assert not leases.is_renewal_due(USE)
     assert leases.has_surplus(USE)
+
+
+def test_a_restarted_node_is_leased_free_slots_at_once():
+    """The allocator took its first requests for old ones of the process before."""
+    leases, now = new_leases()
+    allocator = slot_allocator.SlotAllocator(now)
+    for _ in range(3):
+        allocator.allocate(leases.report(USE), 1.0, 0)
+    now.advance_to(now.now() + slot_leases.ANSWER_MS)
+    restarted = slot_leases.SlotLeases(now, "a")
+    request = restarted.request(USE, 1)
+    assert request is not None
+    restarted.answered(allocator.allocate(request, 1.0, 0), 0)
+    assert restarted.may_send(USE)
