--- a/plumarch/gateway/gossip/endpoint_cut_sessions_test.py
+++ b/plumarch/gateway/gossip/endpoint_cut_sessions_test.py
@@ -7,7 +7,6 @@
 import contextlib
 import contextvars
 import dataclasses
-import random
 import selectors
 import statistics
 from collections.abc import Iterator
@@ -20,7 +19,7 @@
 from plumarch.gateway.connections import exchange, tunneled
 from plumarch.gateway.dispatch import attempts, endpoint_connects
 from plumarch.peers import tunnels
-from plumarch.standins import cut_fleet, gossip_fleet
+from plumarch.standins import cut_fleet, fault_session, gossip_fleet
 
 STEP_MS = 10
 NOTICED_AFTER_MS = 500
@@ -81,26 +80,20 @@
     took_ms: float
 
 
-class Session:
+class Session(fault_session.FaultSession):
     """A fleet that connects to endpoints for its callers.
 
     Attributes:
       cuts: by name of the node.
       changed_ms: when the last cut of a node began or ended.
-      fault_ms: when a node last started or was resumed.
     """
 
     def __init__(self, size: gossip_fleet.Size, seed: int) -> None:
-        self.fleet = gossip_fleet.GossipFleet(size, seed)
-        self.rng = random.Random(seed)
+        super().__init__(size, seed, ENDPOINTS)
         self.cuts: dict[str, cut_fleet.Cut] = {}
         self.changed_ms: dict[str, int] = {}
-        self.fault_ms: dict[str, int] = {}
         self.requests: list[Served] = []
         self.pending: set[asyncio.Task[None]] = set()
-        self.fleet.run(4_000)
-        for node in self.fleet.live():
-            node.state.registry.replace(ENDPOINTS, 1, "store")
 
     async def connect_directly(self, address: str, timeout_ms: float) -> exchange.Exchange:
         node = CURRENT_NODE.get()
@@ -202,40 +195,27 @@
         self.pending.add(task)
         task.add_done_callback(self.pending.discard)
 
-    def cut(self, nodes: list[gossip_fleet.Node], kind: cut_fleet.Cut) -> None:
+    def cut_off(self, nodes: list[gossip_fleet.Node], kind: cut_fleet.Cut) -> None:
         for node in nodes:
             self.cuts[node.name] = kind
             self.changed_ms[node.name] = self.fleet.time.now()
 
     def heal(self) -> None:
-        now = self.fleet.time.now()
-        self.changed_ms |= dict.fromkeys(self.cuts, now)
+        self.changed_ms |= dict.fromkeys(self.cuts, self.fleet.time.now())
         self.cuts.clear()
-        for node in self.fleet.live():
-            if node.frozen:
-                self.fault_ms[node.name] = now
-                self.fleet.thaw(node)
+        super().heal()
 
-    def restart(self, node: gossip_fleet.Node) -> None:
-        self.fault_ms[node.name] = self.fleet.time.now()
-        started = self.fleet.start(node.number, node.data_centre)
-        started.state.registry.replace(ENDPOINTS, 1, "store")
-
-    def inject(self, kind: str) -> None:
+    def inject(self, kind: str, pick: int) -> None:
         """Inject one fault, or heal; a half of the fleet at least stays connected."""
         nodes = self.fleet.live()
-        node = self.rng.choice(nodes)
+        node = nodes[pick % len(nodes)]
         form = self.rng.choice(list(cut_fleet.Cut))
         if kind == "cut one":
-            self.cut([node], form)
+            self.cut_off([node], form)
         elif kind == "cut centre":
-            self.cut([one for one in nodes if one.data_centre == node.data_centre], form)
-        elif kind == "kill":
-            self.restart(node)
-        elif kind == "freeze":
-            node.frozen = True
-        elif kind == "heal":
-            self.heal()
+            self.cut_off([one for one in nodes if one.data_centre == node.data_centre], form)
+        else:
+            super().inject(kind, pick)
         if 2 * len(self.cuts) > len(nodes):
             self.heal()
 
@@ -243,7 +223,7 @@
         await self.serve(self.per_s(), 1_000)
         for _ in range(self.rng.randint(3, 7)):
             for _ in range(self.rng.randint(1, 2)):
-                self.inject(self.rng.choice(KINDS))
+                self.inject(self.rng.choice(KINDS), self.rng.randrange(1_000))
             await self.serve(self.per_s(), self.rng.randint(300, 2_500))
         self.heal()
         await self.serve(self.per_s(), DIRECT_AFTER_MS + 1_000)
@@ -261,7 +241,7 @@
         return statistics.median(found) if found else 0.0
 
 
-KINDS = ["cut one", "cut one", "cut centre", "kill", "freeze", "heal"]
+KINDS = ["cut one", "cut one", "cut centre", "kill one", "freeze", "heal"]
 
 
 @contextlib.contextmanager
