Data that looks like the end of a tunnel is data

What callers would see: behind a tunnel, an endpoint's bytes that arrive as exactly four zero bytes (or four of 255) count as the end (or a reset) of its connection: the rest of the answer is lost, and one without a length looks complete.

Cause: the reader of frames gave endings as the bytes that stand for them, which a frame's data may equal. Found by reading the change once more. Endings are a type of their own now; the bytes on the wire are as before. The test failed before in both cases.

--- a/plumarch/gateway/connections/tunneled.py
+++ b/plumarch/gateway/connections/tunneled.py
@@ -40,13 +40,15 @@
             self.close()
         self.arrived.set()
 
-    def _handle(self, frame: bytes) -> None:
+    def _handle(self, frame: bytes | tunnels.Ending) -> None:
         if self.outcome is None:
+            if isinstance(frame, tunnels.Ending):
+                raise core_errors.PeerProtocolError("The tunnel ended before its answer.")
             answer = tunnels.answer_decoder.decode(frame)
             self.outcome = tunnels.OUTCOMES.get(answer.outcome, tunnels.Outcome.DECLINED)
-        elif frame == tunnels.END:
+        elif frame is tunnels.Ending.CLOSED:
             self.end_answer()
-        elif frame == tunnels.RESET:
+        elif frame is tunnels.Ending.RESET:
             self.endpoint_reset = True
             self.fault = self.fault or "the endpoint reset its connection"
         else:
--- a/plumarch/peers/tunnels.py
+++ b/plumarch/peers/tunnels.py
@@ -26,6 +26,16 @@
 """The endpoint's connection was reset."""
 
 
+class Ending(enum.Enum):
+    """How the endpoint's connection ended; a frame with such bytes as data is none."""
+
+    CLOSED = "closed"
+    RESET = "reset"
+
+
+ENDINGS = {END: Ending.CLOSED, RESET: Ending.RESET}
+
+
 class Outcome(enum.Enum):
     """Outcome of a connect through another node.
 
@@ -91,15 +101,16 @@
         """Add received bytes."""
         self.received += data
 
-    def frames(self, limit: int) -> Iterator[bytes]:
-        """Yield the complete frames: END, RESET, or a frame's body.
+    def frames(self, limit: int) -> Iterator[bytes | Ending]:
+        """Yield the complete frames: a frame's body, or how the connection ended.
 
         Raises:
           PeerProtocolError: a body exceeds the limit.
         """
         while len(self.received) >= frames.HEAD.size:
             head = bytes(self.received[: frames.HEAD.size])
-            length = 0 if head == RESET else frames.HEAD.unpack(head)[0]
+            ending = ENDINGS.get(head)
+            length = 0 if ending is not None else frames.HEAD.unpack(head)[0]
             if length > limit:
                 raise errors.PeerProtocolError(f"A frame of {length} bytes is over the limit.")
             end = frames.HEAD.size + length
@@ -107,4 +118,4 @@
                 return
             body = bytes(self.received[frames.HEAD.size : end])
             del self.received[:end]
-            yield body or head
+            yield body if ending is None else ending
--- a/plumarch/peers/tunnels_test.py
+++ b/plumarch/peers/tunnels_test.py
@@ -17,10 +17,18 @@
     for start in range(0, len(STREAM), size):
         reader.feed(STREAM[start : start + size])
         found += reader.frames(10)
-    assert found == [b"one", b"two", tunnels.RESET, b"x", tunnels.END]
+    assert found == [b"one", b"two", tunnels.Ending.RESET, b"x", tunnels.Ending.CLOSED]
     assert not reader.received
 
 
+@pytest.mark.parametrize("ending", [tunnels.END, tunnels.RESET])
+def test_data_that_looks_like_an_ending_is_data(ending: bytes):
+    reader = tunnels.FrameReader()
+    reader.feed(frames.pack(ending) + ending)
+    [data, last] = reader.frames(10)
+    assert data == ending and last != ending
+
+
 def test_a_frame_over_the_limit_is_an_error():
     reader = tunnels.FrameReader()
     reader.feed(frames.pack(b"12345"))
