Logs tell after which event, at which version and for which first attempt a stream goes on

The logs of the incident can't tell a resumption from a new stream. `sent` names the endpoint's version and the event that it goes on after, `answered` the last event and the attempt that the caller names; `plumarch story` of a first attempt prints its resumptions too.

--- a/plumarch/cli/stories.py
+++ b/plumarch/cli/stories.py
@@ -13,8 +13,8 @@
 STATE_BEFORE_MS = 3_000
 """How long before the request's first line the node's own lines are included."""
 
-REQUEST_FIELDS = ("key", "fingerprint")
-"""Fields other than the id that identify a line's request."""
+REQUEST_FIELDS = ("key", "fingerprint", "resumes")
+"""Fields other than the id that identify a line's request; resumptions name their first attempt."""
 
 COMMON_FIELDS = frozenset({"at", "node", "kind", "request"})
 STATE_KINDS = frozenset(
--- a/plumarch/cli/stories_test.py
+++ b/plumarch/cli/stories_test.py
@@ -45,6 +45,18 @@
     assert [line.request for line in found] == ["r1", "r1", "r2", "r2"]
 
 
+RESUMED = """
+{"at":1000,"node":"n1","kind":"sent","request":"r1","endpoint":"e1","version":"v1","after_event":""}
+{"at":1300,"node":"n2","kind":"answered","request":"r2","status":200,"resumes":"r1"}
+{"at":1600,"node":"n2","kind":"answered","request":"r3","status":200,"resumes":""}
+"""
+
+
+def test_a_first_attempt_selects_the_lines_of_its_resumptions():
+    found = stories.story(stories.parse(RESUMED.splitlines()), "r1")
+    assert [line.request for line in found] == ["r1", "r2"]
+
+
 SAMPLES = sorted((pathlib.Path(__file__).parent / "samples").glob("*.log"))
 """A repeated request in the log of each build that a mixed fleet may run."""
 
--- a/plumarch/gateway/dialect.py
+++ b/plumarch/gateway/dialect.py
@@ -39,6 +39,7 @@
       signature: proves that an answer is the endpoint's.
       token_counts: prompt tokens and maximum of output tokens, separated by a comma.
       prompt_parts: the prompt's segments as ID:TOKENS, separated by commas.
+      resumes: of a resumption, the request id of the attempt that brought its first event.
       reserved: further headers that a caller may not set.
     """
 
@@ -54,6 +55,7 @@
     token_counts: bytes = b"x-token-counts"
     prompt_parts: bytes = b"x-prompt-parts"
     last_event_id: bytes = b"last-event-id"
+    resumes: bytes = b"x-resumes"
     urgency: bytes = b"x-urgency"
     key_scheme: str = "Bearer"
     reserved: frozenset[bytes] = frozenset()
--- a/plumarch/gateway/dispatch/attempts.py
+++ b/plumarch/gateway/dispatch/attempts.py
@@ -462,6 +462,8 @@
         expected_ms=round(choice.expected_ms),
         unread_tokens=round(choice.unread_tokens),
         candidates=choice.considered,
+        version=choice.endpoint.version,
+        after_event=progress.last_event_id,
         attempt=progress.sends + 1,
         after=progress.last_fault,
         registry_revision=state.registry.revision,
--- a/plumarch/gateway/relay.py
+++ b/plumarch/gateway/relay.py
@@ -107,6 +107,8 @@
             first_ms=run.progress.first_ms,
             total_ms=total_ms,
             events=run.progress.events,
+            resumes=admitted.request.header(state.names.resumes),
+            last_event=run.progress.last_event_id,
             fault=run.progress.last_fault,
         )
         workspace = admitted.workspace_name()
