--- /dev/null
+++ b/plumarch/gateway/dispatch/software_version_test.py
@@ -0,0 +1,60 @@
+"""A stream goes on only at the software version that began it."""
+
+import asyncio
+
+from plumarch.gateway import relay_test
+from plumarch.standins import scripted_endpoint as scripted
+
+EVENTS = 6
+"""Number of events in a complete stream."""
+
+
+def writes(version: str, breaks_after: int = EVENTS) -> scripted.Answering:
+    """Return an endpoint whose events name its software version.
+
+    Args:
+      breaks_after: number of events after which it resets the connection.
+    """
+
+    async def answering(request: scripted.ReceivedRequest, writer: asyncio.StreamWriter) -> None:
+        begin = int(request.headers.get("last-event-id", "0")) + 1
+        writer.write(scripted.stream_head(request))
+        for number in range(begin, min(EVENTS, begin + breaks_after - 1) + 1):
+            writer.write(scripted.chunk(f"id: {number}\ndata: {version}\n\n".encode()))
+        await writer.drain()
+        if breaks_after < EVENTS:
+            relay_test.reset(writer)
+        else:
+            writer.write(scripted.chunk(b""))
+
+    return answering
+
+
+class MixedGateway(relay_test.Gateway):
+    """A relay whose endpoints have served side by side for long in several software versions."""
+
+    async def __aenter__(self) -> "MixedGateway":
+        await super().__aenter__()
+        long_ago = self.state.clock.now() - relay_test.LONG_MS
+        self.state.splits.first_seen["s"] = dict.fromkeys(self.versions, long_ago)
+        return self
+
+
+def versions_in(body: bytes) -> set[str]:
+    """Return the versions that wrote a body's events."""
+    lines = body.decode().splitlines()
+    return {line.removeprefix("data: ") for line in lines if line.startswith("data: ")}
+
+
+def test_an_answer_whose_endpoint_breaks_goes_on_at_the_same_software_version():
+    """The stream's first endpoint resets the connection, and the nearest other one differs."""
+
+    async def test() -> None:
+        endpoints = (writes("v1", breaks_after=2), writes("v2"), writes("v1"))
+        async with MixedGateway(*endpoints, versions=("v1", "v2", "v1")) as gateway:
+            for _ in range(20):
+                found = await gateway.ask("/chat/")
+                assert versions_in(found.body) <= {"v1"}
+                assert found.whole
+
+    relay_test.play(test)
--- a/plumarch/gateway/relay_test.py
+++ b/plumarch/gateway/relay_test.py
@@ -68,9 +68,15 @@
 class Gateway:
     """A relay on a loopback port, with scripted endpoints."""
 
-    def __init__(self, *answering: scripted.Answering) -> None:
+    def __init__(self, *answering: scripted.Answering, versions: tuple[str, ...] = ()) -> None:
+        """Describe the gateway.
+
+        Args:
+          versions: software versions of the endpoints; by default they announce none.
+        """
         now = clock.MonotonicClock()
         self.answering = answering
+        self.versions = versions or ("",) * len(answering)
         self.endpoints: list[scripted.ScriptedEndpoint] = []
         self.state = gateway_parts.new_state(now)
         self.callers = relay.new_server(self.state)
@@ -83,7 +89,13 @@
             self.endpoints.append(endpoint)
             found.append(
                 traffic.Endpoint(
-                    f"e{number}", "s", endpoint.address, "a", 8, traffic.EndpointState.READY
+                    f"e{number}",
+                    "s",
+                    endpoint.address,
+                    "a",
+                    8,
+                    traffic.EndpointState.READY,
+                    version=self.versions[number],
                 )
             )
         # A busy machine may need longer than the production timeout to connect.
