An answer goes on at the software version that began it

What callers saw: after a reset or a crash in the middle of an answer, the rest came from an endpoint of another software version. Cause: what is kept of a request over its attempts held the last event's id and no version, and every endpoint of the service was a candidate; with a roll-out the repeated send went to the old version whatever had begun the stream. Why this works: the origin is taken from the endpoint that sent the first event, and choosing filters by it before split, health, load and distance, so that no later step can bring another version back.

--- a/plumarch/gateway/dispatch/attempts.py
+++ b/plumarch/gateway/dispatch/attempts.py
@@ -15,7 +15,7 @@
     endpoint_outcomes,
     fragile_endpoints,
 )
-from plumarch.routing import endpoint_choice, locality_choice, return_times
+from plumarch.routing import endpoint_choice, locality_choice, return_times, stream_origins
 
 CONNECT_TIMEOUT_MS = 250.0
 """Connect timeout within a region."""
@@ -38,6 +38,7 @@
       sends: number of endpoints that bytes were sent to.
       unresolved: sends after which it may have run.
       last_event_id: of the caller's last event, here or by its own header.
+      origin: where the stream began; None before its first event.
       first_ms: time from arrival to the answer's first byte, or None.
       events: number of events relayed.
       without_permit: the preferred endpoint, if only a permit for it is missing.
@@ -48,6 +49,7 @@
     unresolved: int = 0
     last_fault: str = ""
     last_event_id: str = ""
+    origin: stream_origins.Origin | None = None
     first_ms: int | None = None
     events: int = 0
     without_permit: traffic.Endpoint | None = None
@@ -87,15 +89,23 @@
 def choose(
     state: fleet_state.FleetState, admitted: admission.Admitted, progress: Progress
 ) -> endpoint_choice.Choice | None:
-    """Choose an untried endpoint with free capacity, or None."""
+    """Choose an untried endpoint with free capacity, or None.
+
+    A stream that has begun goes on at its own software version, whatever a roll-out's split says.
+    """
     ready = [one for one in state.registry.ready(admitted.service) if one.id not in progress.tried]
+    if progress.origin is not None:
+        ready = progress.origin.matching(ready)
     accepting = state.backoff.without(ready)
     repeated = bool(progress.tried)
     terms = _terms(state, admitted, repeated)
     progress.without_permit = None
     choice = None
     candidates: list[traffic.Endpoint] = []
-    for group in state.splits.groups(admitted.service, accepting, admitted.id, repeated):
+    groups = [accepting]
+    if progress.origin is None:
+        groups = state.splits.groups(admitted.service, accepting, admitted.id, repeated)
+    for group in groups:
         available = _with_capacity(state, admitted, group) if choice is None else []
         if available:
             candidates = available
@@ -106,6 +116,7 @@
             request=admitted.id,
             service=admitted.service,
             ready=len(ready),
+            began_at=progress.origin.version if progress.origin is not None else None,
             resting=len(ready) - len(accepting),
             too_far=len(candidates),
             rate_limited=len(state.permits.lasting(candidates)),
--- a/plumarch/gateway/dispatch/stream_relay.py
+++ b/plumarch/gateway/dispatch/stream_relay.py
@@ -9,6 +9,7 @@
 from plumarch.gateway.callers import admission, caller_requests
 from plumarch.gateway.dispatch import attempts, endpoint_outcomes, event_stream, version_outcomes
 from plumarch.limits import memory_account
+from plumarch.routing import stream_origins
 
 PAUSE_LIMIT_MS = 5_000.0
 """Longest pause; an endpoint aborts an unread answer after some seconds."""
@@ -137,6 +138,8 @@
         self._start(head)
         self.reply.send_chunk(event.raw)
         self.progress.events += 1
+        if self.progress.origin is None:
+            self.progress.origin = stream_origins.of_endpoint(attempt.choice.endpoint)
         if event.id:
             self.progress.last_event_id = event.id
 
