--- a/plumarch/gateway/dispatch/software_version_test.py
+++ b/plumarch/gateway/dispatch/software_version_test.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from plumarch.gateway import relay_test
+from plumarch.limits import attempt_budget
 from plumarch.standins import scripted_endpoint as scripted
 
 EVENTS = 6
@@ -39,6 +40,28 @@
         self.state.splits.first_seen["s"] = dict.fromkeys(self.versions, long_ago)
         return self
 
+    def forbid_retries(self) -> None:
+        """Leave each retry to the callers."""
+        self.state.budget = attempt_budget.AttemptBudget(self.state.clock, 60_000, 0.0, 0.0)
+
+    async def call(self, request: str, path: str = "/chat/", extra: str = "") -> relay_test.Answer:
+        """Send a request with an id of its own."""
+        reader, writer = await self.connect()
+        sent = relay_test.request_bytes(path, extra=extra)
+        writer.write(sent.replace(b"X-Request-Id: r1", f"X-Request-Id: {request}".encode()))
+        found = await relay_test.read_answer(reader)
+        writer.close()
+        return found
+
+    async def resume(self, request: str, first: str, began: relay_test.Answer) -> relay_test.Answer:
+        """Resume a stream after the last event of a broken answer.
+
+        Args:
+          first: id of the request whose answer brought the stream's first event.
+        """
+        last = began.body.count(b"\n\n")
+        return await self.call(request, extra=f"X-Resumes: {first}\r\nLast-Event-Id: {last}\r\n")
+
 
 def versions_in(body: bytes) -> set[str]:
     """Return the versions that wrote a body's events."""
@@ -58,3 +81,25 @@
                 assert found.whole
 
     relay_test.play(test)
+
+
+def test_a_caller_that_resumes_at_the_same_node_gets_the_same_software_version():
+    """Each call breaks after two events, and the caller names the attempt that began its stream."""
+
+    async def test() -> None:
+        endpoints = (writes("v1", 2), writes("v2", 2), writes("v1", 2), writes("v2", 2))
+        async with MixedGateway(*endpoints, versions=("v1", "v2", "v1", "v2")) as gateway:
+            gateway.forbid_retries()
+            for number in range(20):
+                body = (began := await gateway.call(f"first-{number}")).body
+                for attempt in ("second", "third"):
+                    began = await gateway.resume(
+                        f"{attempt}-{number}",
+                        f"first-{number}",
+                        relay_test.Answer(200, {}, body, whole=False),
+                    )
+                    assert began.status == 200
+                    body += began.body
+                assert len(versions_in(body)) == 1
+
+    relay_test.play(test)
