A caller's stream goes on at the software version that began it, at the node that knows it

What callers saw: a stream that broke was resumed at the same node with events of another software version. Cause: nothing of a stream outlived its call, and the header that names the first attempt was read nowhere. Why this works: a node remembers, bounded in number and time, at which service and version each stream's first event came from, by the hash of workspace and first attempt. A resumption whose origin isn't known is refused as not run, unless the service had one version, and the route one service, for as long as a stream can be resumed, and the node would know of another one.

Also of this cause: the service of a weighted route was chosen by the id of the resumption and not of the first attempt; an endpoint that restarted in another version under its name leaves the streams of its entry without origin. Callers that name no attempt are recognised by their request's hash.

--- a/plumarch/gateway/callers/admission.py
+++ b/plumarch/gateway/callers/admission.py
@@ -132,7 +132,7 @@
         request=request,
         id=request_id,
         route=route,
-        service=_service_of(route, request_id),
+        service=_service_of(route, request.header(names.resumes) or request_id),
         workspace=workspace,
         units=units,
         ends_ms=request.began_ms + _timeout_ms(request, names, route),
@@ -198,7 +198,11 @@
 
 
 def _service_of(route: traffic.Route, request_id: str) -> str:
-    """Choose a service by weight; all nodes choose the same one for a request id."""
+    """Choose a service by weight; all nodes choose the same one for a request id.
+
+    Args:
+      request_id: of a resumption, that of the stream's first attempt.
+    """
     if len(route.shares) == 1:
         return route.shares[0].service
     total = sum(share.weight for share in route.shares)
--- a/plumarch/gateway/dispatch/attempts.py
+++ b/plumarch/gateway/dispatch/attempts.py
@@ -38,6 +38,7 @@
       sends: number of endpoints that bytes were sent to.
       unresolved: sends after which it may have run.
       last_event_id: of the caller's last event, here or by its own header.
+      stream: the event stream, if it is one.
       origin: where the stream began; None before its first event.
       first_ms: time from arrival to the answer's first byte, or None.
       events: number of events relayed.
@@ -49,6 +50,7 @@
     unresolved: int = 0
     last_fault: str = ""
     last_event_id: str = ""
+    stream: stream_origins.Stream = stream_origins.NO_STREAM
     origin: stream_origins.Origin | None = None
     first_ms: int | None = None
     events: int = 0
--- a/plumarch/gateway/dispatch/request_run.py
+++ b/plumarch/gateway/dispatch/request_run.py
@@ -18,6 +18,7 @@
     endpoint_outcomes,
     fragile_endpoints,
     interrupted_runs,
+    resumptions,
     stream_relay,
     version_outcomes,
 )
@@ -103,7 +104,8 @@
         self.admitted = admitted
         self.reply = reply
         self.progress = attempts.Progress(
-            last_event_id=admitted.request.header(state.names.last_event_id)
+            stream=resumptions.stream_of(state, admitted),
+            last_event_id=admitted.request.header(state.names.last_event_id),
         )
         self.failed_answer: BufferedAnswer | None = None
         self.failed_reservation: memory_account.Reservation | None = None
@@ -121,6 +123,8 @@
             return self._give_up("timeout", 504)
         finally:
             self._retain_failed(None)
+            if self.progress.events:
+                self.state.streams.end(self.progress.stream)
 
     def _retain_failed(self, reservation: memory_account.Reservation | None) -> None:
         """Keep a failed answer's reservation, and release the previous one."""
@@ -131,6 +135,10 @@
     async def _attempt_all(self) -> Outcome:
         if not await self._may_begin():
             return self._give_up("quarantined", 502)
+        if resumptions.is_resumption(self.admitted, self.progress.last_event_id):
+            refused = await self._find_origin()
+            if refused:
+                return self._give_up(refused, 502)
         wait_ms = RESUME_CHECK_MS
         while True:
             choice = attempts.choose(self.state, self.admitted, self.progress)
@@ -171,6 +179,20 @@
         )
         return False
 
+    async def _find_origin(self) -> str:
+        """Find where a resumed stream began; return why it can't go on, or ""."""
+        found = await resumptions.find_origin(self.state, self.admitted, self.progress.stream)
+        if found.origin is None:
+            return "unknown_stream"
+        admitted = resumptions.with_service_of(self.admitted, found.origin)
+        if admitted is None:
+            return "service_left"
+        self.admitted = admitted
+        self.progress.origin = found.origin
+        if not found.origin.matching(self.state.registry.ready(admitted.service)):
+            return "version_gone"
+        return ""
+
     async def _received_permit(self) -> bool:
         """Wait for a permit or slot if only that is missing; return whether to choose again."""
         progress = self.progress
@@ -341,10 +363,20 @@
             return False
         if self.progress.sends >= route.max_attempts:
             return False
+        if self.progress.events and not self._may_go_on():
+            return False
         if await self._is_quarantined(last):
             return False
         return self.state.budget.take(self.admitted.service)
 
+    def _may_go_on(self) -> bool:
+        """Return whether the rest of an answer that has begun would fit what was sent."""
+        known = self.state.streams.find(self.progress.stream)
+        if known is not None and known.origin is None:
+            self.progress.last_fault = "contradicted_version"
+            return False
+        return True
+
     async def _is_quarantined(self, last: str) -> bool:
         """Return whether too many endpoints crashed under this request.
 
--- /dev/null
+++ b/plumarch/gateway/dispatch/resumptions.py
@@ -0,0 +1,136 @@
+"""Finds the software version at which a resumed stream began.
+
+The caller holds the stream's first events, so it may go on only where these came from. If that is
+not known, the resumption is refused.
+"""
+
+import dataclasses
+import enum
+
+from plumarch.core import traffic
+from plumarch.gateway import fleet_state
+from plumarch.gateway.callers import admission
+from plumarch.routing import stream_origins
+
+ANSWER_WAIT_MS = 150.0
+"""Wait for other nodes' answers: a round trip to another region, with a stop at a coordinator."""
+
+NO_EVENTS = ("", "0")
+"""Last event ids of a caller that holds no event."""
+
+
+class Found(enum.Enum):
+    """How an origin was found, or why not."""
+
+    HERE = "here"
+    SOLE_VERSION = "sole_version"
+    ASKED = "asked"
+    CONTRADICTED = "contradicted"
+    UNKNOWN = "unknown"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Resumption:
+    """Where a resumed stream may go on.
+
+    Attributes:
+      origin: None if it may go on nowhere.
+      asked: number of nodes that were asked.
+    """
+
+    found: Found
+    origin: stream_origins.Origin | None
+    asked: int = 0
+
+
+def is_resumption(admitted: admission.Admitted, last_event_id: str) -> bool:
+    """Return whether the caller holds events of the stream that it requests."""
+    return admitted.route.kind is traffic.RouteKind.STREAMING and last_event_id not in NO_EVENTS
+
+
+def stream_of(state: fleet_state.FleetState, admitted: admission.Admitted) -> stream_origins.Stream:
+    """Return the stream that a request resumes, or else begins."""
+    names, request = state.names, admitted.request
+    resumes = request.header(names.resumes)
+    if not resumes and is_resumption(admitted, request.header(names.last_event_id)):
+        first_attempt = 0
+    else:
+        first_attempt = stream_origins.attempt_key(
+            admitted.workspace_name(), resumes or admitted.id
+        )
+    return stream_origins.Stream(first_attempt, int(admitted.fingerprint or "0", 16))
+
+
+async def find_origin(
+    state: fleet_state.FleetState, admitted: admission.Admitted, stream: stream_origins.Stream
+) -> Resumption:
+    """Find where a resumed stream began: here, by a service's sole version, or at other nodes."""
+    began_ms = state.clock.now()
+    found = _look_up(state, stream, Found.HERE)
+    if found is None:
+        found = _by_sole_version(state, admitted)
+    if found is None:
+        found = await _ask(state, admitted, stream)
+    state.measures.resumptions.add(admitted.service, found.found.value)
+    state.log.write(
+        "resumption",
+        request=admitted.id,
+        resumes=admitted.request.header(state.names.resumes),
+        fingerprint=admitted.fingerprint,
+        last_event=admitted.request.header(state.names.last_event_id),
+        found=found.found.value,
+        version=found.origin.version if found.origin is not None else None,
+        asked=found.asked,
+        waited_ms=state.clock.now() - began_ms,
+        registry_revision=state.registry.revision,
+        registry_age_ms=state.registry.age_ms(),
+    )
+    return found
+
+
+def _look_up(
+    state: fleet_state.FleetState, stream: stream_origins.Stream, how: Found, asked: int = 0
+) -> Resumption | None:
+    known = state.streams.find(stream)
+    if known is None:
+        return None
+    if known.origin is None:
+        return Resumption(Found.CONTRADICTED, None, asked)
+    return Resumption(how, known.origin, asked)
+
+
+def _by_sole_version(
+    state: fleet_state.FleetState, admitted: admission.Admitted
+) -> Resumption | None:
+    version = state.sole_version(admitted.service)
+    if version is None or not state.is_sole_service(admitted.route):
+        return None
+    return Resumption(Found.SOLE_VERSION, stream_origins.Origin(admitted.service, version))
+
+
+async def _ask(
+    state: fleet_state.FleetState, admitted: admission.Admitted, stream: stream_origins.Stream
+) -> Resumption:
+    asked = state.ask_origin(stream, admitted.service) if state.ask_origin is not None else 0
+    if asked:
+        left_ms = admitted.ends_ms - state.clock.now()
+        wait_ms = max(0.0, min(ANSWER_WAIT_MS, left_ms))
+        await state.origin_answers.wait(waiter_key(stream), wait_ms)
+    found = _look_up(state, stream, Found.ASKED, asked)
+    return found or Resumption(Found.UNKNOWN, None, asked)
+
+
+def waiter_key(stream: stream_origins.Stream) -> str:
+    """Return the name under which resumptions of a stream wait for answers."""
+    return f"{stream.first_attempt:x} {stream.fingerprint:x}"
+
+
+def with_service_of(
+    admitted: admission.Admitted, origin: stream_origins.Origin
+) -> admission.Admitted | None:
+    """Return a resumption with the service that began its stream; None if its route left that."""
+    if admitted.service == origin.service:
+        return admitted
+    if any(one.service == origin.service and one.weight > 0 for one in admitted.route.shares):
+        return dataclasses.replace(admitted, service=origin.service)
+    return None
--- a/plumarch/gateway/dispatch/software_version_test.py
+++ b/plumarch/gateway/dispatch/software_version_test.py
@@ -1,6 +1,7 @@
 """A stream goes on only at the software version that began it."""
 
 import asyncio
+import dataclasses
 
 from plumarch.gateway import relay_test
 from plumarch.limits import attempt_budget
@@ -103,3 +104,71 @@
                 assert len(versions_in(body)) == 1
 
     relay_test.play(test)
+
+
+def test_a_resumption_that_names_no_known_attempt_is_refused_at_once_and_truly_not_run():
+    """Nobody knows the attempt, another workspace began it, or its version has no endpoint left."""
+
+    async def test() -> None:
+        endpoints = (writes("v1", 2), writes("v2"))
+        async with MixedGateway(*endpoints, versions=("v1", "v2")) as gateway:
+            gateway.forbid_retries()
+            began = await gateway.call("first")
+            sends = gateway.sends()
+            unknown = await gateway.resume("second", "never-sent", began)
+            reader, writer = await gateway.connect()
+            other = relay_test.request_bytes(
+                "/chat/", key="little", extra="X-Resumes: first\r\nLast-Event-Id: 2\r\n"
+            )
+            writer.write(other)
+            foreign = await relay_test.read_answer(reader)
+            writer.close()
+            version = versions_in(began.body).pop()
+            gone = {
+                name: one
+                for name, one in gateway.state.registry.endpoints.items()
+                if one.version != version
+            }
+            gateway.state.registry.replace(gone.values(), 2, "store")
+            ended = await gateway.resume("third", "first", began)
+            for found in (unknown, foreign, ended):
+                assert found.status == 503
+                assert float(found.headers["retry-after"]) > 0
+            assert gateway.sends() == sends
+            again = await gateway.call("fourth")
+            assert again.status == 200
+
+    relay_test.play(test)
+
+
+def test_a_caller_without_events_may_begin_at_any_software_version():
+    """It names its first attempt, which brought nothing, or says that it holds no event."""
+
+    async def test() -> None:
+        async with MixedGateway(writes("v1"), writes("v2"), versions=("v1", "v2")) as gateway:
+            for extra in ("X-Resumes: never-sent\r\n", "Last-Event-Id: 0\r\n"):
+                found = await gateway.call("first", extra=extra)
+                assert found.status == 200 and found.whole
+
+    relay_test.play(test)
+
+
+def test_an_endpoint_that_restarts_in_another_software_version_leaves_its_streams_unresumable():
+    """A send may have reached the new process before the node knew of it."""
+
+    async def test() -> None:
+        endpoints = (writes("v2", 2), writes("v1"))
+        async with MixedGateway(*endpoints, versions=("v1", "v1")) as gateway:
+            gateway.forbid_retries()
+            began = await gateway.call("first")
+            assert versions_in(began.body) == {"v2"}
+            listed = dict(gateway.state.registry.endpoints)
+            restarted = dataclasses.replace(
+                listed.pop("e0"), id="e0.1", name="e0", version="v2", born_ms=1
+            )
+            changes = gateway.state.registry.replace([*listed.values(), restarted], 2, "store")
+            gateway.state.registry_changed(changes, "store")
+            found = await gateway.resume("second", "first", began)
+            assert found.status == 503
+
+    relay_test.play(test)
--- a/plumarch/gateway/dispatch/stream_relay.py
+++ b/plumarch/gateway/dispatch/stream_relay.py
@@ -5,6 +5,7 @@
 
 import h11
 
+from plumarch.core import traffic
 from plumarch.gateway import errors, fleet_state
 from plumarch.gateway.callers import admission, caller_requests
 from plumarch.gateway.dispatch import attempts, endpoint_outcomes, event_stream, version_outcomes
@@ -137,12 +138,19 @@
         note_first_token(self.state, self.admitted, attempt, self.reply.started)
         self._start(head)
         self.reply.send_chunk(event.raw)
+        if not self.progress.events:
+            self._record_begin(attempt.choice.endpoint)
         self.progress.events += 1
-        if self.progress.origin is None:
-            self.progress.origin = stream_origins.of_endpoint(attempt.choice.endpoint)
         if event.id:
             self.progress.last_event_id = event.id
 
+    def _record_begin(self, endpoint: traffic.Endpoint) -> None:
+        """Record where the stream began, or goes on after its caller resumed it."""
+        if self.progress.origin is None:
+            self.progress.origin = stream_origins.of_endpoint(endpoint)
+        if self.admitted.route.repeatable():
+            self.state.streams.begin(self.progress.stream, endpoint)
+
     def _start(self, head: h11.Response) -> None:
         if self.reply.started:
             return
--- a/plumarch/gateway/fleet_state.py
+++ b/plumarch/gateway/fleet_state.py
@@ -8,7 +8,7 @@
 from plumarch.config import routing_table
 from plumarch.core import rollouts, suspension
 from plumarch.core.clock import Clock
-from plumarch.core.traffic import Endpoint
+from plumarch.core.traffic import Endpoint, Route, ServiceShare
 from plumarch.fleet import engine_demand, usage, version_tally
 from plumarch.gateway import (
     centre_contact,
@@ -42,9 +42,22 @@
     endpoint_choice,
     endpoint_health,
     endpoint_limits,
+    stream_origins,
     version_split,
 )
 
+RESUMED_TIMEOUTS = 2.0
+"""Longest timeouts of a route from a stream's last event to its resumption: its answer's, and its
+caller's wait."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RouteServices:
+    """A route's services and when this node first saw them."""
+
+    shares: tuple[ServiceShare, ...]
+    since_ms: int
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class SentPrompt:
@@ -70,6 +83,7 @@
       table_source: "store" or a peer's name.
       work: prompts recently sent to engines.
       splits: shares of service versions during roll-outs.
+      route_services: by route, for how long it has led to its services.
       answers: counts of answers by version, during roll-outs.
       answer_times: mean time of plain requests, by route.
       distances: regions and network latencies of data centres.
@@ -93,6 +107,11 @@
       request_permits: sends a request to the endpoint's allocator; None on a single node.
       request_slots: sends a request to the allocator of slots; None on a single node.
       request_trial: requests a quarantined request's trial from the store.
+      streams: the software versions at which streams began that can be resumed.
+      ask_origin: asks other nodes where a stream began, and returns how many; None on a single
+        node.
+      origin_answers: resumptions that wait for them, by the stream's hash.
+      knows_endpoints: whether this node would know of an endpoint that others use.
       reaches_store: whether the store answered the last call.
       stops_at_ms: when the process will exit; None before a shutdown.
     """
@@ -127,6 +146,7 @@
     )
     table: routing_table.RoutingTable | None = None
     table_source: str = ""
+    route_services: dict[str, RouteServices] = dataclasses.field(default_factory=dict)
     announce_prompt: Callable[[SentPrompt], None] | None = None
     publish_suspect: Callable[[str], None] | None = None
     send_update_soon: Callable[[], None] = lambda: None
@@ -134,6 +154,8 @@
     request_permits: Callable[[Endpoint, rate_allocator.PermitRequest], None] | None = None
     request_slots: Callable[[Endpoint, allocation.SlotRequest], None] | None = None
     request_trial: Callable[[str], Awaitable[bool]] | None = None
+    ask_origin: Callable[[stream_origins.Stream, str], int] | None = None
+    knows_endpoints: Callable[[], bool] = lambda: True
     reaches_store: bool = True
     stops_at_ms: int | None = None
     unreadable: unreadable_entries.UnreadableEntries = dataclasses.field(init=False)
@@ -153,6 +175,10 @@
         default_factory=permit_waiters.PermitWaiters
     )
     runs: open_runs.OpenRuns = dataclasses.field(default_factory=open_runs.OpenRuns)
+    streams: stream_origins.StreamOrigins = dataclasses.field(init=False)
+    origin_answers: permit_waiters.PermitWaiters = dataclasses.field(
+        default_factory=permit_waiters.PermitWaiters
+    )
 
     def __post_init__(self) -> None:
         self.backoff = endpoint_backoff.EndpointBackoff(self.clock)
@@ -162,6 +188,7 @@
         self.fragile = fragile_services.FragileServices(self.clock)
         self.slots = slot_leases.SlotLeases(self.clock, self.node)
         self.slot_allocator = allocation.SlotAllocator(self.clock)
+        self.streams = stream_origins.StreamOrigins(self.clock)
         self.unreadable = unreadable_entries.UnreadableEntries(self.log, self.measures)
 
     def configuration_version(self) -> int:
@@ -177,11 +204,36 @@
         self.table_source = source
         self.quota.retain(table.workspaces)
         self.limits.services = table.services
+        self.streams.retention_ms = _resumable_ms(table)
+        self._note_routes(table)
         self.log.write(
             "configuration", urgent=True, version=table.version, before=before, source=source
         )
         return True
 
+    def sole_version(self, service: str) -> str | None:
+        """Return a service's software version if no resumable stream began at another one."""
+        if not self.knows_endpoints():
+            return None
+        return self.registry.versions.sole(service, self.streams.retention_ms)
+
+    def _note_routes(self, table: routing_table.RoutingTable) -> None:
+        now = self.clock.now()
+        before = self.route_services
+        self.route_services = {
+            one.name: before[one.name]
+            if one.name in before and before[one.name].shares == one.shares
+            else RouteServices(one.shares, now)
+            for one in table.configuration.routes
+        }
+
+    def is_sole_service(self, route: Route) -> bool:
+        """Return whether no resumable stream of a route began at another service."""
+        known = self.route_services.get(route.name)
+        if known is None or len(known.shares) != 1:
+            return False
+        return self.clock.now() - known.since_ms >= self.streams.retention_ms
+
     def adopt_split(self, split: rollouts.VersionSplit) -> bool:
         """Adopt a version's share if it is newer, and return whether it was."""
         before = self.splits.of(split.service)
@@ -198,6 +250,9 @@
         if not changes:
             return
         self._log_unnamed_regions()
+        if any(change.is_restarted for change in changes):
+            now = [change.endpoint for change in changes if change.endpoint is not None]
+            self.streams.doubt_restarted({one.stable_name(): one.version for one in now})
         for change in changes:
             endpoint = change.endpoint
             lost_runs = 0
@@ -274,3 +329,10 @@
         self.limits.retain(existing)
         self.permits.prune(existing)
         self.paths.retain(existing)
+
+
+def _resumable_ms(table: routing_table.RoutingTable) -> int:
+    """Return how long after its last event a stream can be resumed, by the routes' timeouts."""
+    timeouts = [one.timeout_ms for one in table.configuration.routes if one.resumable]
+    longest_ms = max(timeouts, default=0.0)
+    return max(stream_origins.MIN_RETENTION_MS, round(RESUMED_TIMEOUTS * longest_ms))
--- a/plumarch/gateway/measures.py
+++ b/plumarch/gateway/measures.py
@@ -221,6 +221,11 @@
             "Streams abandoned because their callers did not read, and those resumed.",
             ("what",),
         )
+        self.resumptions = Counter(
+            "plumarch_gateway_resumptions",
+            "Streams that callers resumed, by how their software version was found.",
+            ("service", "found"),
+        )
         self.state: dict[str, float] = {}
         self.endpoint_limits = Gauge(
             "plumarch_gateway_endpoint_limit",
@@ -251,6 +256,7 @@
             self.quarantined,
             self.callers_disconnected,
             self.streams,
+            self.resumptions,
         ):
             yield counter.family()
         for gauge in (
--- a/plumarch/membership/registry.py
+++ b/plumarch/membership/registry.py
@@ -7,7 +7,7 @@
 from collections.abc import Iterable
 
 from plumarch.core import clock, traffic
-from plumarch.membership import drain_notices
+from plumarch.membership import drain_notices, version_history
 
 LAPSE_MS = 1_400
 """How long endpoints stay in use after most of a service's entries vanished."""
@@ -71,9 +71,11 @@
     lapsed: dict[str, Lapsed] = dataclasses.field(default_factory=dict)
     ready_by_service: dict[str, list[traffic.Endpoint]] = dataclasses.field(default_factory=dict)
     drains: drain_notices.DrainNotices = dataclasses.field(init=False)
+    versions: version_history.VersionHistory = dataclasses.field(init=False)
 
     def __post_init__(self) -> None:
         self.drains = drain_notices.DrainNotices(self.clock)
+        self.versions = version_history.VersionHistory(self.clock)
 
     def replace(
         self,
@@ -166,6 +168,7 @@
                 self.endpoints[listed.id] = listed
                 self.ready_by_service = {}
         if changed:
+            self.versions.update(self.endpoints.values())
             self.changed_revision = revision
             self.ready_by_service = {}
         self.revision = revision
