Other nodes know at which software version a stream began

Cause: only the node that began a stream knew its version. Why this works: each node sends the origins of its streams in rounds of 100 ms to four others, of which one survives a killed node or data centre; who doesn't know a stream asks, and refuses after 150 ms or the last answer. A service with one version costs no message. Contradicting reports leave no origin.

Ruled out: choosing the version by a hash of the first attempt (the versions change while streams run, and nodes see them at different times); the store (a write a stream); reports to all nodes (18 bytes a stream to each of 450).

--- a/plumarch/gateway/dispatch/resumptions.py
+++ b/plumarch/gateway/dispatch/resumptions.py
@@ -12,9 +12,6 @@
 from plumarch.gateway.callers import admission
 from plumarch.routing import stream_origins
 
-ANSWER_WAIT_MS = 150.0
-"""Wait for other nodes' answers: a round trip to another region, with a stop at a coordinator."""
-
 NO_EVENTS = ("", "0")
 """Last event ids of a caller that holds no event."""
 
@@ -102,29 +99,24 @@
 def _by_sole_version(
     state: fleet_state.FleetState, admitted: admission.Admitted
 ) -> Resumption | None:
-    version = state.sole_version(admitted.service)
-    if version is None or not state.is_sole_service(admitted.route):
-        return None
-    return Resumption(Found.SOLE_VERSION, stream_origins.Origin(admitted.service, version))
+    origin = state.sole_origin(admitted.service, admitted.route.name)
+    return Resumption(Found.SOLE_VERSION, origin) if origin is not None else None
 
 
 async def _ask(
     state: fleet_state.FleetState, admitted: admission.Admitted, stream: stream_origins.Stream
 ) -> Resumption:
-    asked = state.ask_origin(stream, admitted.service) if state.ask_origin is not None else 0
+    asked = 0
+    if state.ask_origin is not None:
+        asked = state.ask_origin(stream, admitted.service, admitted.route.name)
     if asked:
         left_ms = admitted.ends_ms - state.clock.now()
-        wait_ms = max(0.0, min(ANSWER_WAIT_MS, left_ms))
-        await state.origin_answers.wait(waiter_key(stream), wait_ms)
+        wait_ms = max(0.0, min(stream_origins.ANSWER_WAIT_MS, left_ms))
+        await state.origin_answers.wait(stream.name(), wait_ms)
     found = _look_up(state, stream, Found.ASKED, asked)
     return found or Resumption(Found.UNKNOWN, None, asked)
 
 
-def waiter_key(stream: stream_origins.Stream) -> str:
-    """Return the name under which resumptions of a stream wait for answers."""
-    return f"{stream.first_attempt:x} {stream.fingerprint:x}"
-
-
 def with_service_of(
     admitted: admission.Admitted, origin: stream_origins.Origin
 ) -> admission.Admitted | None:
--- a/plumarch/gateway/fleet_state.py
+++ b/plumarch/gateway/fleet_state.py
@@ -8,14 +8,14 @@
 from plumarch.config import routing_table
 from plumarch.core import rollouts, suspension
 from plumarch.core.clock import Clock
-from plumarch.core.traffic import Endpoint, Route, ServiceShare
+from plumarch.core.traffic import Endpoint, ServiceShare
 from plumarch.fleet import engine_demand, usage, version_tally
 from plumarch.gateway import (
+    answer_waiters,
     centre_contact,
     decision_log,
     dialect,
     measures,
-    permit_waiters,
     unreadable_entries,
 )
 from plumarch.gateway.connections import exchange, open_runs
@@ -108,8 +108,8 @@
       request_slots: sends a request to the allocator of slots; None on a single node.
       request_trial: requests a quarantined request's trial from the store.
       streams: the software versions at which streams began that can be resumed.
-      ask_origin: asks other nodes where a stream began, and returns how many; None on a single
-        node.
+      ask_origin: asks other nodes where a stream of a service and a route began, and returns how
+        many; None on a single node.
       origin_answers: resumptions that wait for them, by the stream's hash.
       knows_endpoints: whether this node would know of an endpoint that others use.
       reaches_store: whether the store answered the last call.
@@ -154,7 +154,7 @@
     request_permits: Callable[[Endpoint, rate_allocator.PermitRequest], None] | None = None
     request_slots: Callable[[Endpoint, allocation.SlotRequest], None] | None = None
     request_trial: Callable[[str], Awaitable[bool]] | None = None
-    ask_origin: Callable[[stream_origins.Stream, str], int] | None = None
+    ask_origin: Callable[[stream_origins.Stream, str, str], int] | None = None
     knows_endpoints: Callable[[], bool] = lambda: True
     reaches_store: bool = True
     stops_at_ms: int | None = None
@@ -168,16 +168,16 @@
     fragile: fragile_services.FragileServices = dataclasses.field(init=False)
     slots: slot_leases.SlotLeases = dataclasses.field(init=False)
     slot_allocator: allocation.SlotAllocator = dataclasses.field(init=False)
-    slot_answers: permit_waiters.PermitWaiters = dataclasses.field(
-        default_factory=permit_waiters.PermitWaiters
+    slot_answers: answer_waiters.AnswerWaiters = dataclasses.field(
+        default_factory=answer_waiters.AnswerWaiters
     )
-    permit_answers: permit_waiters.PermitWaiters = dataclasses.field(
-        default_factory=permit_waiters.PermitWaiters
+    permit_answers: answer_waiters.AnswerWaiters = dataclasses.field(
+        default_factory=answer_waiters.AnswerWaiters
     )
     runs: open_runs.OpenRuns = dataclasses.field(default_factory=open_runs.OpenRuns)
     streams: stream_origins.StreamOrigins = dataclasses.field(init=False)
-    origin_answers: permit_waiters.PermitWaiters = dataclasses.field(
-        default_factory=permit_waiters.PermitWaiters
+    origin_answers: answer_waiters.AnswerWaiters = dataclasses.field(
+        default_factory=answer_waiters.AnswerWaiters
     )
 
     def __post_init__(self) -> None:
@@ -227,12 +227,16 @@
             for one in table.configuration.routes
         }
 
-    def is_sole_service(self, route: Route) -> bool:
-        """Return whether no resumable stream of a route began at another service."""
-        known = self.route_services.get(route.name)
-        if known is None or len(known.shares) != 1:
-            return False
-        return self.clock.now() - known.since_ms >= self.streams.retention_ms
+    def sole_origin(self, service: str, route: str) -> stream_origins.Origin | None:
+        """Return where all resumable streams of a route began, if that is one place."""
+        version = self.sole_version(service)
+        known = self.route_services.get(route)
+        if version is None or known is None:
+            return None
+        if [one.service for one in known.shares] != [service]:
+            return None
+        is_old = self.clock.now() - known.since_ms >= self.streams.retention_ms
+        return stream_origins.Origin(service, version) if is_old else None
 
     def adopt_split(self, split: rollouts.VersionSplit) -> bool:
         """Adopt a version's share if it is newer, and return whether it was."""
--- a/plumarch/gateway/gossip/gossiper.py
+++ b/plumarch/gateway/gossip/gossiper.py
@@ -26,6 +26,7 @@
     speed_reports,
     spending_ledger,
     stale_figures,
+    stream_exchange,
     suspect_updates,
     tunnel_server,
     unreadable_messages,
@@ -84,6 +85,7 @@
             state, view, self._send, self._update_addresses, lambda: self.leaving, self.readable
         )
         self.slots = slot_exchange.SlotExchange(state, view, self._send, self.permits)
+        self.streams = stream_exchange.StreamExchange(state, view, self._send, self.readable)
         self.snapshots = snapshots.SnapshotExchange(state)
         self.tunnels = tunnel_server.TunnelServer(state, lambda: self.leaving)
         self.peer_server = peer_server.PeerServer(self.snapshots, self.tunnels)
@@ -102,6 +104,8 @@
         state.publish_suspect = self.suspects.publish
         state.request_permits = self.permits.request_permits
         state.request_slots = self.slots.request_slots
+        state.ask_origin = self.streams.ask
+        state.knows_endpoints = self.streams.knows_endpoints
         state.send_update_soon = lambda: self.send_heartbeat_soon()
 
     async def start(self) -> None:
@@ -159,11 +163,16 @@
             self.soon.clear()
 
     async def run_rounds(self) -> None:
-        """Send summaries and fleet updates until cancelled."""
+        """Send reports, summaries and fleet updates until cancelled."""
         while True:
-            self.rounds.step()
+            self.step_round()
             await asyncio.sleep(rounds.ROUND_INTERVAL_MS / 1000.0)
 
+    def step_round(self) -> None:
+        """Send what is due in a round."""
+        self.streams.step()
+        self.rounds.step()
+
     def tick(self) -> None:
         """Update role and peers, then send heartbeats."""
         self._decide_role()
@@ -351,6 +360,13 @@
                 self.slots.handle_request(message)
             case gossip.SlotAnswer():
                 self.slots.handle_answer(message)
+            case gossip.StreamReport():
+                self.streams.handle_report(message)
+            case gossip.OriginRequest():
+                self.readable.note_sent_by(message.address, gossip.tag_of(message))
+                self.streams.handle_request(message)
+            case gossip.OriginAnswer():
+                self.streams.handle_answer(message)
 
     def handle_notice(self, notice: gossip.LoadNotice) -> None:
         """Apply a peer's load and charge at one endpoint."""
--- /dev/null
+++ b/plumarch/gateway/gossip/stream_exchange.py
@@ -0,0 +1,266 @@
+"""Exchanges where event streams began, so that they can be resumed after their node is gone.
+
+While a service runs several software versions, each node reports its streams in rounds to a few
+others: two of its data centre and two elsewhere. In a large fleet these are its coordinators, and
+the senior one forwards to another data centre's. To resume a stream that it doesn't know, a node
+asks all others, in a large fleet through its coordinators.
+"""
+
+import dataclasses
+from collections.abc import Iterable
+
+import msgspec
+
+from plumarch.core import hashing
+from plumarch.gateway import fleet_state
+from plumarch.gateway.gossip import permit_exchange, readable_tags
+from plumarch.membership import fleet_view, tiers
+from plumarch.peers import gossip
+from plumarch.routing import stream_origins
+
+KEEPERS = 2
+"""Nodes of the own data centre, and nodes elsewhere, that a stream is reported to."""
+
+MAX_STREAMS_PER_MESSAGE = 50
+"""A report of so many streams fits a datagram."""
+
+MAX_QUESTIONS = 1_024
+"""Questions that wait for answers."""
+
+REGISTRY_AGE_MS = 4_000
+"""Age of the registry up to which a node that follows the store knows all endpoints in use."""
+
+
+@dataclasses.dataclass(slots=True)
+class Question:
+    """A question sent to other nodes.
+
+    Attributes:
+      open: answers still expected.
+    """
+
+    until_ms: int
+    open: int
+
+
+@dataclasses.dataclass(slots=True)
+class StreamExchange:
+    """Exchanges one node's messages about streams.
+
+    Attributes:
+      to_forward: reports of own members for another data centre, on a senior coordinator.
+      questions: by stream, oldest first.
+    """
+
+    state: fleet_state.FleetState
+    view: fleet_view.FleetView
+    send: permit_exchange.Send
+    readable: readable_tags.ReadableTags
+    to_forward: list[gossip.ReportedStreams] = dataclasses.field(default_factory=list)
+    questions: dict[stream_origins.Stream, Question] = dataclasses.field(default_factory=dict)
+
+    # Reports.
+
+    def step(self) -> None:
+        """Report own streams of services in several versions, and forward members' reports."""
+        streams = self.state.streams
+        streams.step()
+        reports: list[stream_origins.Report] = []
+        for service in list(streams.unreported):
+            if self.state.sole_version(service) is None:
+                reports += streams.take_reports(service)
+        own = _grouped(reports)
+        self._send_report(own, self._keepers(), hops=0)
+        if self.view.role is tiers.Role.COORDINATOR:
+            self._send_report(own + self.to_forward, self._remote_keepers(), hops=1)
+        self.to_forward = []
+
+    def _send_report(
+        self, groups: list[gossip.ReportedStreams], to: Iterable[str], hops: int
+    ) -> None:
+        recipients = list(to)
+        if not recipients:
+            return
+        for batch in _batches(groups):
+            message = gossip.StreamReport(self.view.node, self.view.data_centre, batch, hops)
+            self.send(message, recipients)
+
+    def _keepers(self) -> list[str]:
+        """Return the addresses that this node reports its streams to."""
+        if self.view.role is not tiers.Role.FLAT:
+            return [one.address for one in self.view.coordinators()]
+        near = [one for one in self.view.live() if one.data_centre == self.view.data_centre]
+        far = [one for one in self.view.live() if one.data_centre != self.view.data_centre]
+        found: list[str] = []
+        for group in (near, far):
+            readers = self._readers(one.address for one in group)
+            found += hashing.rendezvous(self.view.node, readers)[:KEEPERS]
+        return found
+
+    def _remote_keepers(self) -> list[str]:
+        """Return the address of another data centre's coordinator, on a senior coordinator."""
+        if not self._is_senior():
+            return []
+        centres = self.view.live_centres()
+        is_near = self.state.distances.is_in_region
+        near = [name for name in centres if is_near(name)]
+        for name in hashing.rendezvous(self.view.data_centre, near or list(centres)):
+            readers = self._readers(one.address for one in centres[name].seniors)
+            if readers:
+                return readers[:1]
+        return []
+
+    def _is_senior(self) -> bool:
+        return self.view.seniors()[0].seniority.name == self.view.node
+
+    def _readers(self, addresses: Iterable[str]) -> list[str]:
+        return [one for one in addresses if self.readable.reads(one, gossip.ORIGIN_REQUEST_TAG)]
+
+    def handle_report(self, message: gossip.StreamReport) -> None:
+        """Remember where other nodes' streams began."""
+        for group in message.streams:
+            self._remember(group)
+        is_members = message.hops == 0 and message.data_centre == self.view.data_centre
+        if is_members and self.view.role is tiers.Role.COORDINATOR and self._is_senior():
+            self.to_forward += message.streams
+
+    def _remember(self, group: gossip.ReportedStreams) -> None:
+        origin = stream_origins.Origin(group.service, group.version[0]) if group.version else None
+        for attempt, fingerprint in zip(group.attempts, group.fingerprints, strict=False):
+            self.state.streams.add(stream_origins.Stream(attempt, fingerprint), origin)
+
+    # Questions.
+
+    def knows_endpoints(self) -> bool:
+        """Return whether this node would know of an endpoint that others have used for long.
+
+        A node that is cut off may resume no stream by what it believes to be the sole version.
+        """
+        if not self.view.shares_following():
+            return self.state.reaches_store and self.state.registry.age_ms() <= REGISTRY_AGE_MS
+        if self.view.role is tiers.Role.MEMBER:
+            return self.view.has_fresh_update()
+        return self.state.reaches_store or any(one.reaches_store for one in self.view.live())
+
+    def ask(self, stream: stream_origins.Stream, service: str, route: str) -> int:
+        """Ask other nodes where a stream began; return how many were asked."""
+        now = self.state.clock.now()
+        self._prune_questions(now)
+        if stream in self.questions:
+            return self.questions[stream].open
+        if len(self.questions) >= MAX_QUESTIONS:
+            return 0
+        to = self._readers(self._advisers())
+        if to:
+            until_ms = now + round(stream_origins.ANSWER_WAIT_MS)
+            self.questions[stream] = Question(until_ms, len(to))
+            is_member = self.view.role is tiers.Role.MEMBER
+            request = gossip.OriginRequest(
+                self.view.address,
+                service,
+                route,
+                stream.first_attempt,
+                stream.fingerprint,
+                hops=0 if is_member else 1,
+            )
+            self.send(request, to)
+        return len(to)
+
+    def _prune_questions(self, now: int) -> None:
+        while self.questions:
+            first, question = next(iter(self.questions.items()))
+            if question.until_ms > now:
+                return
+            del self.questions[first]
+
+    def _advisers(self) -> list[str]:
+        """Return the addresses of the nodes to ask."""
+        if self.view.role is tiers.Role.FLAT:
+            return [one.address for one in self.view.live()][: tiers.FLAT_FLEET]
+        own = [one.address for one in self.view.coordinators()]
+        if self.view.role is tiers.Role.COORDINATOR:
+            return own + self._remote_seniors()
+        return own
+
+    def _remote_seniors(self) -> list[str]:
+        centres = self.view.live_centres().values()
+        return [one.seniors[0].address for one in centres if one.seniors]
+
+    def handle_request(self, message: gossip.OriginRequest) -> None:
+        """Answer a question; a senior coordinator forwards a member's to other data centres."""
+        stream = stream_origins.Stream(message.attempt, message.fingerprint)
+        report = self._known(stream, message)
+        forwarded = 0
+        is_members = message.hops == 0 and self.view.role is tiers.Role.COORDINATOR
+        if report is None and is_members and self._is_senior():
+            to = [one for one in self._readers(self._remote_seniors()) if one != message.address]
+            self.send(msgspec.structs.replace(message, hops=1), to)
+            forwarded = len(to)
+        answer = gossip.OriginAnswer(
+            message.attempt,
+            message.fingerprint,
+            _grouped([report] if report is not None else []),
+            forwarded,
+        )
+        self.send(answer, [message.address])
+
+    def _known(
+        self, stream: stream_origins.Stream, message: gossip.OriginRequest
+    ) -> stream_origins.Report | None:
+        """Return what this node knows of a stream, itself or by its service's sole version."""
+        known = self.state.streams.find(stream)
+        if known is not None:
+            return stream_origins.Report(stream, known.origin)
+        origin = self.state.sole_origin(message.service, message.route)
+        return stream_origins.Report(stream, origin) if origin is not None else None
+
+    def handle_answer(self, message: gossip.OriginAnswer) -> None:
+        """Apply an answer; wake what waits if it is the origin, or the last answer."""
+        stream = stream_origins.Stream(message.attempt, message.fingerprint)
+        for group in message.found:
+            self._remember(group)
+        question = self.questions.get(stream)
+        if question is None:
+            return
+        question.open += message.forwarded - 1
+        if message.found or question.open <= 0:
+            del self.questions[stream]
+            self.state.origin_answers.answered(stream.name())
+
+
+def _grouped(reports: Iterable[stream_origins.Report]) -> list[gossip.ReportedStreams]:
+    """Return reports as messages hold them, by origin."""
+    groups: dict[stream_origins.Origin | None, list[stream_origins.Stream]] = {}
+    for report in reports:
+        groups.setdefault(report.origin, []).append(report.stream)
+    return [
+        gossip.ReportedStreams(
+            origin.service if origin is not None else "",
+            [origin.version] if origin is not None else [],
+            [one.first_attempt for one in streams],
+            [one.fingerprint for one in streams],
+        )
+        for origin, streams in groups.items()
+    ]
+
+
+def _batches(groups: list[gossip.ReportedStreams]) -> Iterable[list[gossip.ReportedStreams]]:
+    """Divide groups into parts that fit a datagram each."""
+    batch: list[gossip.ReportedStreams] = []
+    room = MAX_STREAMS_PER_MESSAGE
+    for group in groups:
+        attempts, fingerprints = group.attempts, group.fingerprints
+        while attempts:
+            taken = min(room, len(attempts))
+            batch.append(
+                gossip.ReportedStreams(
+                    group.service, group.version, attempts[:taken], fingerprints[:taken]
+                )
+            )
+            attempts, fingerprints = attempts[taken:], fingerprints[taken:]
+            room -= taken
+            if not room:
+                yield batch
+                batch, room = [], MAX_STREAMS_PER_MESSAGE
+    if batch:
+        yield batch
--- a/plumarch/gateway/gossip/stream_exchange_test.py
+++ b/plumarch/gateway/gossip/stream_exchange_test.py
@@ -1,6 +1,15 @@
 """Fleets on virtual time: nodes know at which software version a stream began elsewhere."""
 
+import collections
+import random
+from typing import Any, cast
+
+import msgspec
+import pytest
+
 from plumarch.core import traffic
+from plumarch.gateway.gossip import stream_exchange
+from plumarch.peers import gossip
 from plumarch.routing import stream_origins
 from plumarch.standins import gossip_fleet
 
@@ -49,7 +58,7 @@
     ) -> stream_origins.Origin | None:
         """Return where a stream began, as a node finds out within the time of a resumption."""
         if node.state.streams.find(stream) is None and node.state.ask_origin is not None:
-            node.state.ask_origin(stream, "s")
+            node.state.ask_origin(stream, "s", "chat")
             self.run(ANSWER_MS)
         known = node.state.streams.find(stream)
         return known.origin if known is not None else None
@@ -71,3 +80,136 @@
             assert fleet.origin(node, stream) == expected(number)
         fleet.list_endpoints(fleet.start(began.number, began.data_centre))
         fleet.run(SETTLE_MS)
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_streams_of_a_killed_data_centre_are_known_in_the_others(seed: int):
+    fleet = Fleet(LARGE, seed)
+    killed = [node for node in fleet.live() if node.data_centre == "dc-c"]
+    streams = {number: fleet.begin(node, number) for number, node in enumerate(killed)}
+    fleet.run(400)
+    for node in killed:
+        node.alive = False
+    for node in fleet.rng.sample(fleet.live(), 12):
+        for stream in streams.values():
+            assert node.state.ask_origin is not None
+            node.state.ask_origin(stream, "s", "chat")
+        fleet.run(ANSWER_MS)
+        found = {number: fleet.origin(node, stream) for number, stream in streams.items()}
+        assert found == {number: expected(number) for number in streams}
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_no_stream_has_two_versions_while_nodes_are_killed_cut_and_lose_datagrams(seed: int):
+    """Streams begin all the time and are resumed at a random live node right after a kill."""
+    fleet = Fleet(SMALL, seed)
+    rng = random.Random(seed)
+    fleet.loss_fraction = rng.choice((0.0, 0.05))
+    fleet.late_ms = rng.choice((0, 40))
+    resumed, found = 0, 0
+    for number in range(60):
+        began = rng.choice(fleet.live())
+        stream = fleet.begin(began, number)
+        fleet.run(rng.uniform(150, 400))
+        if rng.random() < 0.3:
+            began.alive = False
+        if rng.random() < 0.2 and len(fleet.live()) > 4:
+            rng.choice(fleet.live()).alive = False
+        taker = rng.choice([node for node in fleet.live() if node is not began])
+        origin = fleet.origin(taker, stream)
+        assert origin in (None, expected(number))
+        resumed += 1
+        found += origin is not None
+        for node in list(fleet.nodes.values()):
+            if not node.alive and rng.random() < 0.5:
+                fleet.list_endpoints(fleet.start(node.number, node.data_centre))
+    assert found >= 0.9 * resumed
+
+
+def test_a_node_that_is_cut_off_does_not_conclude_that_there_is_one_version():
+    """Other nodes may use endpoints of a version that it has never been sent."""
+    fleet = Fleet(SMALL, seed=1)
+    node = fleet.live()[0]
+    node.state.registry.replace([endpoint("v1")], 2, "store")
+    fleet.run(2 * node.state.streams.retention_ms)
+    node.state.registry.replace([endpoint("v1")], 3, "store")
+    assert node.state.sole_version("s") == "v1"
+    node.state.reaches_store = False
+    assert node.state.sole_version("s") is None
+    node.state.reaches_store = True
+    fleet.run(stream_exchange.REGISTRY_AGE_MS + 1)
+    assert node.state.sole_version("s") is None
+
+
+class RecordingTransport(gossip_fleet.Transport):
+    """Counts the kinds of datagrams that a node sends, and can stand for an earlier build's."""
+
+    def __init__(self, fleet: gossip_fleet.GossipFleet, node: gossip_fleet.Node, newest_tag: int):
+        super().__init__(fleet, node)
+        self.newest_tag = newest_tag
+        self.tags: collections.Counter[int] = collections.Counter()
+
+    def sendto(self, datagram: bytes, to: tuple[str, int]) -> None:
+        tag, *fields = msgspec.msgpack.decode(datagram)
+        if tag > self.newest_tag:
+            return
+        if tag == gossip.Heartbeat.__struct_config__.tag:
+            fields[-1] = self.newest_tag
+        self.tags[tag] += 1
+        super().sendto(msgspec.msgpack.encode([tag, *fields]), to)
+
+
+def record(node: gossip_fleet.Node, fleet: Fleet, newest_tag: int) -> RecordingTransport:
+    transport = RecordingTransport(fleet, node, newest_tag)
+    node.gossip.transport = cast(Any, transport)
+    return transport
+
+
+def test_nodes_of_the_build_before_are_sent_nothing_that_they_cannot_read():
+    """What such a node began is not known, and what it is asked is not answered."""
+    newest = 11
+    fleet = Fleet(SMALL, seed=1)
+    earlier = fleet.live()[::2]
+    unreadable: list[int] = []
+    for node in earlier:
+        fleet.list_endpoints(fleet.start(node.number, node.data_centre))
+    earlier = [fleet.nodes[node.name] for node in earlier]
+    for node in earlier:
+        record(node, fleet, newest)
+        receive = node.gossip.datagram_received
+
+        def received(data: bytes, addr: Any, receive: Any = receive) -> None:
+            tag = msgspec.msgpack.decode(data)[0]
+            if tag > newest:
+                unreadable.append(tag)
+            else:
+                receive(data, addr)
+
+        cast(Any, node.gossip).datagram_received = received
+    fleet.run(SETTLE_MS)
+    recent = [node for node in fleet.live() if node not in earlier]
+    for number, node in enumerate(recent):
+        stream = fleet.begin(node, number)
+        fleet.run(150)
+        for other in recent:
+            assert fleet.origin(other, stream) == expected(number)
+        unknown = fleet.begin(earlier[0], 1_000 + number)
+        fleet.run(150)
+        assert fleet.origin(node, unknown) is None
+    assert not unreadable
+
+
+def test_services_of_one_version_cost_no_reports():
+    fleet = Fleet(SMALL, seed=1)
+    for node in fleet.live():
+        node.state.registry.replace([endpoint("v1")], 2, "store")
+    fleet.run(2 * stream_origins.MIN_RETENTION_MS)
+    transports = [record(node, fleet, gossip.NEWEST_TAG) for node in fleet.live()]
+    for number in range(100):
+        for node in fleet.live():
+            # A node confirms its registry with each answer of the store.
+            node.state.registry.replace([endpoint("v1")], 3 + number, "store")
+        fleet.begin(fleet.rng.choice(fleet.live()), 2 * number)
+        fleet.run(100)
+    tag = gossip.StreamReport.__struct_config__.tag
+    assert sum(transport.tags[tag] for transport in transports) == 0
--- a/plumarch/peers/gossip.py
+++ b/plumarch/peers/gossip.py
@@ -464,9 +464,74 @@
     granted: int
 
 
+class ReportedStreams(msgspec.Struct, array_like=True, frozen=True):
+    """Streams that began at one software version of a service.
+
+    Attributes:
+      version: a list of one; of none if the origin is in doubt.
+      attempts: hash of each stream's first attempt, or 0.
+      fingerprints: hash of each stream's request, in the same order.
+    """
+
+    service: str
+    version: list[str]
+    attempts: list[int]
+    fingerprints: list[int]
+
+
+class StreamReport(msgspec.Struct, array_like=True, frozen=True, tag=12):
+    """Where streams began that a node relays, or relayed lately.
+
+    Attributes:
+      data_centre: the node's.
+      hops: nodes that forwarded the message.
+    """
+
+    node: str
+    data_centre: str
+    streams: list[ReportedStreams]
+    hops: int = 0
+
+
+class OriginRequest(msgspec.Struct, array_like=True, frozen=True, tag=13):
+    """Asks where a stream began.
+
+    Attributes:
+      address: for the answer.
+      route: of the resumption.
+      attempt: hash of the stream's first attempt, or 0.
+      fingerprint: hash of its request.
+      hops: nodes that forwarded the message.
+    """
+
+    address: str
+    service: str
+    route: str
+    attempt: int
+    fingerprint: int
+    hops: int = 0
+
+
+class OriginAnswer(msgspec.Struct, array_like=True, frozen=True, tag=14):
+    """Answers an OriginRequest.
+
+    Attributes:
+      attempt: as in the request.
+      fingerprint: as in the request.
+      found: one entry if the sender knows where the stream began, or of contradicting reports.
+      forwarded: nodes that the request was forwarded to and that answer themselves.
+    """
+
+    attempt: int
+    fingerprint: int
+    found: list[ReportedStreams]
+    forwarded: int = 0
+
+
 SLOT_REQUEST_TAG = 10
+ORIGIN_REQUEST_TAG = 13
 
-NEWEST_TAG = 11
+NEWEST_TAG = 14
 """Highest tag of the datagrams that this build reads."""
 
 
@@ -535,6 +600,9 @@
     | RateUpdate
     | SlotRequest
     | SlotAnswer
+    | StreamReport
+    | OriginRequest
+    | OriginAnswer
 )
 
 
--- a/plumarch/routing/stream_origins.py
+++ b/plumarch/routing/stream_origins.py
@@ -13,6 +13,9 @@
 MAX_STREAMS = 16_384
 """Streams remembered, a few hundred bytes each."""
 
+ANSWER_WAIT_MS = 150.0
+"""Wait for other nodes' answers: a round trip to another region, with a stop at a coordinator."""
+
 MIN_RETENTION_MS = 30_000
 """Minimum time after its last event in which a stream can be resumed."""
 
@@ -47,6 +50,10 @@
     first_attempt: int
     fingerprint: int
 
+    def name(self) -> str:
+        """Return a name for logs and for what waits for answers."""
+        return f"{self.first_attempt:016x}-{self.fingerprint:016x}"
+
 
 NO_STREAM = Stream(0, 0)
 
--- a/plumarch/standins/gossip_fleet.py
+++ b/plumarch/standins/gossip_fleet.py
@@ -127,7 +127,7 @@
         cast(Any, self.gossip.snapshots).fetch_from = self.fetched.append
         cast(Any, self.gossip).send_heartbeat_soon = lambda: fleet.send_heartbeat_soon(self)
         self.heartbeat_scheduled = False
-        self.gossip_round: Callable[[], None] = self.gossip.rounds.step
+        self.gossip_round: Callable[[], None] = self.gossip.step_round
         state.adopt_table(fleet.table, "store")
 
 
