--- a/plumarch/gateway/dispatch/software_version_test.py
+++ b/plumarch/gateway/dispatch/software_version_test.py
@@ -3,7 +3,10 @@
 import asyncio
 import dataclasses
 
+import pytest
+
 from plumarch.gateway import relay_test
+from plumarch.gateway.dispatch import request_run
 from plumarch.limits import attempt_budget
 from plumarch.standins import scripted_endpoint as scripted
 
@@ -172,3 +175,24 @@
             assert found.status == 503
 
     relay_test.play(test)
+
+
+def test_a_resumption_is_not_lost_because_its_first_event_would_be_late(
+    monkeypatch: pytest.MonkeyPatch,
+):
+    """A new stream is better refused than late; one that has begun is lost if it is refused."""
+    monkeypatch.setattr(request_run, "MIN_QUEUED_FRACTION", -1.0)
+    prompt = "X-Token-Counts: 100,10\r\n"
+
+    async def test() -> None:
+        async with MixedGateway(writes("v1", 2), versions=("v1",)) as gateway:
+            gateway.forbid_retries()
+            began = await gateway.call("first", extra=prompt)
+            speed = gateway.state.chooser.speed("s")
+            monkeypatch.setattr(type(speed), "expect_ms", lambda *_: 1e9)
+            assert (await gateway.call("new", extra=prompt)).status == 503
+            last = began.body.count(b"\n\n")
+            resumption = f"X-Resumes: first\r\nLast-Event-Id: {last}\r\n"
+            assert (await gateway.call("second", extra=prompt + resumption)).status == 200
+
+    relay_test.play(test)
