A resumption is not refused for being late

What callers saw: where load makes a first event late, resumptions were refused as new streams are, and their callers lost the events that they held. Cause: the check looked at sends of this call only. Evidence: the test failed before and passes now. Why this works: a late new stream is worth little, but the rest of one that has begun is worth all of it; quota and the endpoints' limits still hold.

--- a/plumarch/gateway/dispatch/request_run.py
+++ b/plumarch/gateway/dispatch/request_run.py
@@ -224,10 +224,13 @@
     def _is_expected_late(self, choice: endpoint_choice.Choice) -> bool:
         """Return whether load makes a first send miss its target by far.
 
-        A prompt that is late by its own length is sent.
+        A prompt that is late by its own length is sent, and so is a resumption: its caller would
+        lose the events that it holds.
         """
         if self.progress.sends or not self.admitted.prompt_tokens:
             return False
+        if self.progress.origin is not None:
+            return False
         others = choice.waiting_tokens / max(1.0, choice.tokens_to_read())
         if others < MIN_QUEUED_FRACTION and not choice.capacity_wait_ms:
             return False
