--- a/plumarch/gateway/dispatch/software_version_test.py
+++ b/plumarch/gateway/dispatch/software_version_test.py
@@ -2,12 +2,15 @@
 
 import asyncio
 import dataclasses
+import itertools
+from typing import Any
 
 import pytest
 
 from plumarch.gateway import relay_test
 from plumarch.gateway.dispatch import request_run
 from plumarch.limits import attempt_budget
+from plumarch.routing import endpoint_limits
 from plumarch.standins import scripted_endpoint as scripted
 
 EVENTS = 6
@@ -196,3 +199,35 @@
             assert (await gateway.call("second", extra=prompt + resumption)).status == 200
 
     relay_test.play(test)
+
+
+def test_a_resumption_is_not_lost_while_its_software_version_is_full_for_a_moment(
+    monkeypatch: pytest.MonkeyPatch,
+):
+    """New streams begin at the other version meanwhile; the caller of this one can't."""
+    monkeypatch.setattr(request_run, "RESUMPTION_WAIT_MS", 20_000.0, raising=False)
+    monkeypatch.setattr(request_run, "RESUME_CHECK_MS", 1.0)
+
+    async def test() -> None:
+        endpoints = (writes("v1", 2), writes("v2"))
+        async with MixedGateway(*endpoints, versions=("v1", "v2")) as gateway:
+            gateway.forbid_retries()
+            names = (f"first-{number}" for number in itertools.count())
+            began = await gateway.call(first := next(names))
+            while versions_in(began.body) != {"v1"}:
+                began = await gateway.call(first := next(names))
+            full = {"e0"}
+
+            def with_capacity(_limits: Any, _service: str, ready: Any, *_: Any) -> Any:
+                return [one for one in ready if one.id not in full]
+
+            monkeypatch.setattr(endpoint_limits.EndpointLimits, "with_capacity", with_capacity)
+            resumed = asyncio.create_task(gateway.resume("second", first, began))
+            while not resumed.done() and not gateway.state.log.pending.count(b'"no_endpoint"'):
+                await asyncio.sleep(0)
+            assert (await gateway.call("new")).whole
+            full.clear()
+            found = await resumed
+            assert found.status == 200 and versions_in(found.body) == {"v1"}
+
+    relay_test.play(test)
