A resumption waits up to a second for free capacity of its software version

What callers saw: while all endpoints of a stream's version were full, its resumption was refused at once, although new streams began at another version. Cause: since a stream goes on at one version only, the endpoints of that version are all it has, and a full moment ended it. Why this works: a slot frees within a second where streams end all the time, and callers give up after a gap of two; where no endpoint of the version is left, or all were tried, nothing is waited for.

--- a/plumarch/gateway/dispatch/attempts.py
+++ b/plumarch/gateway/dispatch/attempts.py
@@ -95,9 +95,7 @@
 
     A stream that has begun goes on at its own software version, whatever a roll-out's split says.
     """
-    ready = [one for one in state.registry.ready(admitted.service) if one.id not in progress.tried]
-    if progress.origin is not None:
-        ready = progress.origin.matching(ready)
+    ready = _untried(state, admitted, progress)
     accepting = state.backoff.without(ready)
     repeated = bool(progress.tried)
     terms = _terms(state, admitted, repeated)
@@ -132,6 +130,21 @@
     return choice
 
 
+def _untried(
+    state: fleet_state.FleetState, admitted: admission.Admitted, progress: Progress
+) -> list[traffic.Endpoint]:
+    """Return the ready endpoints that a request may still go to."""
+    ready = [one for one in state.registry.ready(admitted.service) if one.id not in progress.tried]
+    return progress.origin.matching(ready) if progress.origin is not None else ready
+
+
+def has_untried(
+    state: fleet_state.FleetState, admitted: admission.Admitted, progress: Progress
+) -> bool:
+    """Return whether a request could go to another endpoint once that has free capacity."""
+    return bool(_untried(state, admitted, progress))
+
+
 def _choose_permitted(
     state: fleet_state.FleetState,
     admitted: admission.Admitted,
--- a/plumarch/gateway/dispatch/request_run.py
+++ b/plumarch/gateway/dispatch/request_run.py
@@ -45,6 +45,10 @@
 RESUME_WAIT_MS = 5_000.0
 """Time that an abandoned stream waits for free capacity."""
 
+RESUMPTION_WAIT_MS = 1_000.0
+"""Time that a stream with events at its caller waits for free capacity of its version; callers give
+up after a gap of two seconds."""
+
 RESUME_CHECK_MS = 100.0
 """First interval between its tries; doubles to limit log lines."""
 
@@ -142,12 +146,12 @@
         wait_ms = RESUME_CHECK_MS
         while True:
             choice = attempts.choose(self.state, self.admitted, self.progress)
+            if choice is None and await self._received_permit():
+                continue
             if choice is None and self._awaits_resumption():
                 await asyncio.sleep(wait_ms / 1000.0)
                 wait_ms *= 2.0
                 continue
-            if choice is None and await self._received_permit():
-                continue
             if choice is None:
                 self.back_in_ms = attempts.retry_delay_ms(self.state, self.admitted)
                 return self._give_up(self.progress.last_fault or "no_endpoint", 502)
@@ -165,6 +169,8 @@
                 backoff_ms = attempts.backoff_left_ms(self.state, self.admitted)
                 self.back_in_ms = max(self.back_in_ms, float(backoff_ms))
                 return self._give_up(self.progress.last_fault, 502)
+            if self.progress.origin is not None:
+                self._wait_for_capacity()
 
     async def _may_begin(self) -> bool:
         """Return whether the request isn't quarantined, or is granted a trial."""
@@ -191,6 +197,7 @@
         self.progress.origin = found.origin
         if not found.origin.matching(self.state.registry.ready(admitted.service)):
             return "version_gone"
+        self._wait_for_capacity()
         return ""
 
     async def _received_permit(self) -> bool:
@@ -217,8 +224,14 @@
             "stream_resumed", request=self.admitted.id, after=self.progress.last_event_id
         )
 
+    def _wait_for_capacity(self) -> None:
+        """Wait for free capacity from now on, if any endpoint of the stream's version is left."""
+        is_left = attempts.has_untried(self.state, self.admitted, self.progress)
+        wait_ms = RESUMPTION_WAIT_MS if is_left else 0.0
+        self.resumes_until_ms = self.state.clock.now() + wait_ms
+
     def _awaits_resumption(self) -> bool:
-        """Return whether an abandoned stream may still wait for free capacity."""
+        """Return whether a stream that has begun may still wait for free capacity."""
         return self.state.clock.now() < self.resumes_until_ms
 
     def _is_expected_late(self, choice: endpoint_choice.Choice) -> bool:
