--- a/plumarch/gateway/dispatch/resumption_test.py
+++ b/plumarch/gateway/dispatch/resumption_test.py
@@ -88,3 +88,30 @@
         assert route == "chat" or len(runs) <= 1
 
     relay_test.play(test)
+
+
+def test_a_stream_without_event_ids_is_not_begun_again_within_its_answer():
+    """It would repeat the events that the caller holds."""
+
+    async def test() -> None:
+        async with relay_test.Gateway(without_ids(breaks=True), without_ids()) as gateway:
+            found = await gateway.ask("/chat/")
+            assert found.body.count(b"data: word\n\n") <= EVENTS
+
+    relay_test.play(test)
+
+
+def without_ids(breaks: bool = False) -> scripted.Answering:
+    """Return an endpoint whose events have no ids, and that may reset after half of them."""
+
+    async def answering(request: scripted.ReceivedRequest, writer: asyncio.StreamWriter) -> None:
+        writer.write(scripted.stream_head(request))
+        for _ in range(EVENTS // 2 if breaks else EVENTS):
+            writer.write(scripted.chunk(b"data: word\n\n"))
+        await writer.drain()
+        if breaks:
+            relay_test.reset(writer)
+        else:
+            writer.write(scripted.chunk(b""))
+
+    return answering
