A stream without event ids is not begun again within its answer

What callers saw: on a resumable route whose endpoint sends events without ids, the events before a reset came twice. Cause: no last event id was taken for no event relayed; the same class as the version that was not kept: what went to the caller is not all known when the rest is asked for. Evidence: the test failed before (9 events of 6) and passes now. Why this works: such an answer is aborted, and the caller decides.

--- a/plumarch/gateway/dispatch/request_run.py
+++ b/plumarch/gateway/dispatch/request_run.py
@@ -387,6 +387,9 @@
 
     def _may_go_on(self) -> bool:
         """Return whether the rest of an answer that has begun would fit what was sent."""
+        if not self.progress.last_event_id:
+            self.progress.last_fault = "no_event_ids"
+            return False
         known = self.state.streams.find(self.progress.stream)
         if known is not None and known.origin is None:
             self.progress.last_fault = "contradicted_version"
