An attempt that begins anew is recorded under its own id

What callers saw: a caller that named its first attempt but held no event got a new stream, recorded as that attempt; where the two versions differed, both could no longer be resumed. Cause: the header was read without regard to the last event id. Why this works: an attempt without events is the first one of its stream.

--- a/plumarch/gateway/dispatch/resumptions.py
+++ b/plumarch/gateway/dispatch/resumptions.py
@@ -48,13 +48,10 @@
 def stream_of(state: fleet_state.FleetState, admitted: admission.Admitted) -> stream_origins.Stream:
     """Return the stream that a request resumes, or else begins."""
     names, request = state.names, admitted.request
-    resumes = request.header(names.resumes)
-    if not resumes and is_resumption(admitted, request.header(names.last_event_id)):
-        first_attempt = 0
-    else:
-        first_attempt = stream_origins.attempt_key(
-            admitted.workspace_name(), resumes or admitted.id
-        )
+    first_id = admitted.id
+    if is_resumption(admitted, request.header(names.last_event_id)):
+        first_id = request.header(names.resumes)
+    first_attempt = stream_origins.attempt_key(admitted.workspace_name(), first_id)
     return stream_origins.Stream(first_attempt, int(admitted.fingerprint or "0", 16))
 
 
--- a/plumarch/gateway/dispatch/software_version_test.py
+++ b/plumarch/gateway/dispatch/software_version_test.py
@@ -159,6 +159,25 @@
     relay_test.play(test)
 
 
+def test_an_attempt_that_begins_anew_is_not_taken_for_the_one_that_it_names():
+    """The caller got nothing of its first answer, and names it without a last event."""
+
+    async def test() -> None:
+        endpoints = (writes("v1", 2), writes("v2", 2))
+        async with MixedGateway(*endpoints, versions=("v1", "v2")) as gateway:
+            gateway.forbid_retries()
+            for number in range(20):
+                first, second = f"first-{number}", f"second-{number}"
+                lost = await gateway.call(first)
+                anew = await gateway.call(second, extra=f"X-Resumes: {first}\r\n")
+                for name, began in ((first, lost), (second, anew)):
+                    found = await gateway.resume(f"{name}-resumed", name, began)
+                    assert found.status == 200
+                    assert len(versions_in(began.body + found.body)) == 1
+
+    relay_test.play(test)
+
+
 def test_an_endpoint_that_restarts_in_another_software_version_leaves_its_streams_unresumable():
     """A send may have reached the new process before the node knew of it."""
 
