A stream of an endpoint that announces no version goes on nowhere else, if others announce theirs

What callers saw: two endpoints whose entries lack the version were taken for the same version. Cause: the empty version was compared like any other. Why this works: where some endpoints of a service announce a version, the empty one is unknown; where none does, the service has one, as before.

--- a/plumarch/gateway/dispatch/software_version_test.py
+++ b/plumarch/gateway/dispatch/software_version_test.py
@@ -250,3 +250,19 @@
             assert found.status == 200 and versions_in(found.body) == {"v1"}
 
     relay_test.play(test)
+
+
+def test_a_stream_of_an_endpoint_that_announces_no_version_beside_others_that_do_ends_with_it():
+    """Two endpoints whose entries lack the version need not run the same one."""
+
+    async def test() -> None:
+        endpoints = (writes("v1", 2), writes("v2"), writes("v3"))
+        async with MixedGateway(*endpoints, versions=("", "v2", "")) as gateway:
+            for number in range(10):
+                began = await gateway.call(f"first-{number}")
+                assert len(versions_in(began.body)) == 1
+                if not began.whole:
+                    found = await gateway.resume(f"second-{number}", f"first-{number}", began)
+                    assert found.status == 503
+
+    relay_test.play(test)
--- a/plumarch/gateway/dispatch/stream_relay.py
+++ b/plumarch/gateway/dispatch/stream_relay.py
@@ -150,6 +150,8 @@
             self.progress.origin = stream_origins.of_endpoint(endpoint)
         if self.admitted.route.repeatable():
             self.state.streams.begin(self.progress.stream, endpoint)
+            if not endpoint.version and self.state.registry.versions.announces(endpoint.service):
+                self.state.streams.add(self.progress.stream, None)
 
     def _start(self, head: h11.Response) -> None:
         if self.reply.started:
--- a/plumarch/membership/version_history.py
+++ b/plumarch/membership/version_history.py
@@ -45,6 +45,10 @@
             if not kept:
                 del self.ended_ms[service]
 
+    def announces(self, service: str) -> bool:
+        """Return whether any endpoint of a service announces its version."""
+        return any(self.listed.get(service, ()))
+
     def sole(self, service: str, within_ms: float) -> str | None:
         """Return a service's version if no other one was listed within a time.
 
