--- a/plumarch/gateway/dispatch/software_version_test.py
+++ b/plumarch/gateway/dispatch/software_version_test.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from plumarch.core import rollouts
 from plumarch.gateway import relay_test
 from plumarch.gateway.dispatch import request_run
 from plumarch.limits import attempt_budget
@@ -266,3 +267,26 @@
                     assert found.status == 503
 
     relay_test.play(test)
+
+
+@pytest.mark.parametrize("vetoed", [False, True])
+def test_a_resumption_keeps_to_its_software_version_whatever_a_rollout_says(vetoed: bool):
+    """A tenth of new streams, or none after a veto, may begin at the version on trial."""
+
+    async def test() -> None:
+        endpoints = (writes("v1", 2), writes("v2", 2))
+        async with MixedGateway(*endpoints, versions=("v1", "v2")) as gateway:
+            gateway.forbid_retries()
+            answers = {
+                f"first-{number}": await gateway.call(f"first-{number}") for number in range(20)
+            }
+            split = rollouts.VersionSplit(
+                "s", "v2", rollouts.RolloutState.RUNNING, 0.1, token=1, step=1, vetoed=vetoed
+            )
+            assert gateway.state.adopt_split(split)
+            for first, began in answers.items():
+                found = await gateway.resume(f"{first}-resumed", first, began)
+                assert found.status == 200
+                assert len(versions_in(began.body + found.body)) == 1
+
+    relay_test.play(test)
--- a/plumarch/routing/stream_origins.py
+++ b/plumarch/routing/stream_origins.py
@@ -68,7 +68,7 @@
     return hashing.digest(workspace, request) if request else 0
 
 
-@dataclasses.dataclass(slots=True)
+@dataclasses.dataclass(frozen=True, slots=True)
 class KnownOrigin:
     """What is known of a stream's origin.
 
@@ -167,18 +167,20 @@
 
     def add(self, stream: Stream, origin: Origin | None) -> None:
         """Record an origin, as seen here or reported; contradictions leave none."""
+        # One entry for both indexes halves what a stream takes.
+        entry = KnownOrigin(origin, self.clock.now() + self.retention_ms)
         if stream.first_attempt:
-            self._add(self.by_attempt, stream.first_attempt, origin)
-        self._add(self.by_fingerprint, stream.fingerprint, origin)
+            self._add(self.by_attempt, stream.first_attempt, entry)
+        self._add(self.by_fingerprint, stream.fingerprint, entry)
 
-    def _add(self, index: dict[int, KnownOrigin], key: int, origin: Origin | None) -> None:
-        now = self.clock.now()
+    def _add(self, index: dict[int, KnownOrigin], key: int, entry: KnownOrigin) -> None:
         known = index.pop(key, None)
-        if known is not None and known.until_ms > now and known.origin != origin:
-            origin = None
+        is_valid = known is not None and known.until_ms > self.clock.now()
+        if known is not None and is_valid and known.origin != entry.origin:
+            entry = KnownOrigin(None, entry.until_ms)
         while len(index) >= MAX_STREAMS:
             del index[next(iter(index))]
-        index[key] = KnownOrigin(origin, now + self.retention_ms)
+        index[key] = entry
 
     def find(self, stream: Stream) -> KnownOrigin | None:
         """Return what is known of a stream, by its first attempt if that is given."""
