A node that follows the store trusts a sole version by its registry's age in fleets of all sizes

What callers saw in a test: a node cut off from store and peers in a fleet of 18 resumed by the one version that it had been sent. Cause: such a node still counted as reaching the store, since it had not called it for itself before. Why this works: alone it follows the store, whose answer dates its registry; beside live followers it is sent what changes. Reports choose their recipients only when there is something to report.

--- a/plumarch/gateway/gossip/stream_exchange.py
+++ b/plumarch/gateway/gossip/stream_exchange.py
@@ -28,7 +28,9 @@
 """Questions that wait for answers."""
 
 REGISTRY_AGE_MS = 4_000
-"""Age of the registry up to which a node that follows the store knows all endpoints in use."""
+SHARED_REGISTRY_AGE_MS = 7_000
+"""Ages of the registry up to which a node that follows the store, for itself or for others as well,
+knows all endpoints in use: a watch and the pause after it."""
 
 
 @dataclasses.dataclass(slots=True)
@@ -70,20 +72,18 @@
             if self.state.sole_version(service) is None:
                 reports += streams.take_reports(service)
         own = _grouped(reports)
-        self._send_report(own, self._keepers(), hops=0)
-        if self.view.role is tiers.Role.COORDINATOR:
-            self._send_report(own + self.to_forward, self._remote_keepers(), hops=1)
-        self.to_forward = []
-
-    def _send_report(
-        self, groups: list[gossip.ReportedStreams], to: Iterable[str], hops: int
-    ) -> None:
-        recipients = list(to)
-        if not recipients:
+        to_forward, self.to_forward = own + self.to_forward, []
+        if own:
+            self._send_report(own, self._keepers(), hops=0)
+        if to_forward and self.view.role is tiers.Role.COORDINATOR:
+            self._send_report(to_forward, self._remote_keepers(), hops=1)
+
+    def _send_report(self, groups: list[gossip.ReportedStreams], to: list[str], hops: int) -> None:
+        if not to:
             return
         for batch in _batches(groups):
             message = gossip.StreamReport(self.view.node, self.view.data_centre, batch, hops)
-            self.send(message, recipients)
+            self.send(message, to)
 
     def _keepers(self) -> list[str]:
         """Return the addresses that this node reports its streams to."""
@@ -136,11 +136,14 @@
 
         A node that is cut off may resume no stream by what it believes to be the sole version.
         """
-        if not self.view.shares_following():
-            return self.state.reaches_store and self.state.registry.age_ms() <= REGISTRY_AGE_MS
         if self.view.role is tiers.Role.MEMBER:
             return self.view.has_fresh_update()
-        return self.state.reaches_store or any(one.reaches_store for one in self.view.live())
+        is_shared = self.view.shares_following()
+        if is_shared and not self.view.watches_store(self.view.data_centre):
+            # Enough live nodes follow the store and send what changes.
+            return True
+        limit_ms = SHARED_REGISTRY_AGE_MS if is_shared else REGISTRY_AGE_MS
+        return self.state.reaches_store and self.state.registry.age_ms() <= limit_ms
 
     def ask(self, stream: stream_origins.Stream, service: str, route: str) -> int:
         """Ask other nodes where a stream began; return how many were asked."""
--- a/plumarch/gateway/gossip/stream_exchange_test.py
+++ b/plumarch/gateway/gossip/stream_exchange_test.py
@@ -14,6 +14,7 @@
 from plumarch.standins import gossip_fleet
 
 SMALL = gossip_fleet.Size(3, 3, counts=(3, 3, 2))
+MEDIUM = gossip_fleet.Size(3, 6, counts=(6, 6, 6))
 LARGE = gossip_fleet.Size(6, 33, counts=(33, 33, 33, 32, 32, 32), regions=3)
 
 SETTLE_MS = 4_000
@@ -126,10 +127,14 @@
     assert found >= 0.9 * resumed
 
 
-def test_a_node_that_is_cut_off_does_not_conclude_that_there_is_one_version():
+@pytest.mark.parametrize("size", [SMALL, MEDIUM])
+def test_a_node_that_is_cut_off_does_not_conclude_that_there_is_one_version(
+    size: gossip_fleet.Size,
+):
     """Other nodes may use endpoints of a version that it has never been sent."""
-    fleet = Fleet(SMALL, seed=1)
-    node = fleet.live()[0]
+    fleet = Fleet(size, seed=1)
+    node = fleet.live()[-1]
+    fleet.cut = lambda one, other: node in (one, other)
     node.state.registry.replace([endpoint("v1")], 2, "store")
     fleet.run(2 * node.state.streams.retention_ms)
     node.state.registry.replace([endpoint("v1")], 3, "store")
@@ -137,7 +142,7 @@
     node.state.reaches_store = False
     assert node.state.sole_version("s") is None
     node.state.reaches_store = True
-    fleet.run(stream_exchange.REGISTRY_AGE_MS + 1)
+    fleet.run(stream_exchange.SHARED_REGISTRY_AGE_MS + 1)
     assert node.state.sole_version("s") is None
 
 
