--- a/plumarch/gateway/gossip/stream_exchange_test.py
+++ b/plumarch/gateway/gossip/stream_exchange_test.py
@@ -1,6 +1,7 @@
 """Fleets on virtual time: nodes know at which software version a stream began elsewhere."""
 
 import collections
+import dataclasses
 import random
 from typing import Any, cast
 
@@ -100,31 +101,71 @@
         assert found == {number: expected(number) for number in streams}
 
 
-@pytest.mark.parametrize("seed", range(20))
-def test_no_stream_has_two_versions_while_nodes_are_killed_cut_and_lose_datagrams(seed: int):
-    """Streams begin all the time and are resumed at a random live node right after a kill."""
-    fleet = Fleet(SMALL, seed)
+@dataclasses.dataclass(frozen=True)
+class Trouble:
+    """What happens beside the kills of nodes that relay streams.
+
+    Attributes:
+      kills: probability for each stream that another node is killed with its own.
+      losses: fractions of datagrams lost, one is drawn.
+      late_ms: additional delays of datagrams, one is drawn.
+      cuts: probability for each stream that the own node is cut off instead of killed.
+    """
+
+    kills: float = 0.0
+    losses: tuple[float, ...] = (0.0,)
+    late_ms: tuple[int, ...] = (0,)
+    cuts: float = 0.0
+
+
+CALM = Trouble()
+TROUBLED = Trouble(kills=0.2, losses=(0.0, 0.05), late_ms=(0, 40), cuts=0.2)
+
+
+def found_fraction(size: gossip_fleet.Size, seed: int, trouble: Trouble, streams: int) -> float:
+    """Return the fraction of streams whose origin is found at a random other node.
+
+    Streams begin at random nodes, three in ten of which are killed or cut off, and are resumed
+    right after that.
+    """
+    fleet = Fleet(size, seed)
     rng = random.Random(seed)
-    fleet.loss_fraction = rng.choice((0.0, 0.05))
-    fleet.late_ms = rng.choice((0, 40))
-    resumed, found = 0, 0
-    for number in range(60):
+    fleet.loss_fraction = rng.choice(trouble.losses)
+    fleet.late_ms = rng.choice(trouble.late_ms)
+    found = 0
+    for number in range(streams):
         began = rng.choice(fleet.live())
         stream = fleet.begin(began, number)
         fleet.run(rng.uniform(150, 400))
-        if rng.random() < 0.3:
+        if rng.random() < trouble.cuts:
+            fleet.cut = lambda one, other, apart=began: apart in (one, other)
+        elif rng.random() < 0.3:
             began.alive = False
-        if rng.random() < 0.2 and len(fleet.live()) > 4:
+        if rng.random() < trouble.kills and len(fleet.live()) > len(fleet.nodes) / 2:
             rng.choice(fleet.live()).alive = False
         taker = rng.choice([node for node in fleet.live() if node is not began])
         origin = fleet.origin(taker, stream)
         assert origin in (None, expected(number))
-        resumed += 1
         found += origin is not None
+        fleet.cut = lambda one, other: False
         for node in list(fleet.nodes.values()):
             if not node.alive and rng.random() < 0.5:
                 fleet.list_endpoints(fleet.start(node.number, node.data_centre))
-    assert found >= 0.9 * resumed
+    return found / streams
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_no_stream_has_two_versions_while_nodes_are_killed_cut_and_lose_datagrams(seed: int):
+    assert found_fraction(SMALL, seed, TROUBLED, streams=60) >= 0.9
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_nearly_all_streams_go_on_where_only_their_own_nodes_are_killed(seed: int):
+    assert found_fraction(SMALL, seed, CALM, streams=60) >= 0.98
+
+
+def test_streams_of_a_large_fleet_go_on_while_nodes_are_killed_and_cut():
+    assert found_fraction(LARGE, 1, TROUBLED, streams=20) >= 0.9
 
 
 @pytest.mark.parametrize("size", [SMALL, MEDIUM])
