A node that knows no other node yet keeps its stream reports until it does

Cause: reports were taken for sent although there was nobody to send them to. Why this works: what has no recipient waits.

--- a/plumarch/gateway/gossip/stream_exchange.py
+++ b/plumarch/gateway/gossip/stream_exchange.py
@@ -67,23 +67,19 @@
         """Report own streams of services in several versions, and forward members' reports."""
         streams = self.state.streams
         streams.step()
-        reports: list[stream_origins.Report] = []
-        for service in list(streams.unreported):
-            if self.state.sole_version(service) is None:
-                reports += streams.take_reports(service)
+        mixed = [one for one in streams.unreported if self.state.sole_version(one) is None]
+        keepers = self._keepers() if mixed else []
+        # A node that has just started knows no keepers yet; its reports wait for them.
+        reports = [one for service in mixed if keepers for one in streams.take_reports(service)]
         own = _grouped(reports)
         to_forward, self.to_forward = own + self.to_forward, []
-        if own:
-            self._send_report(own, self._keepers(), hops=0)
+        self._send_report(own, keepers, hops=0)
         if to_forward and self.view.role is tiers.Role.COORDINATOR:
             self._send_report(to_forward, self._remote_keepers(), hops=1)
 
     def _send_report(self, groups: list[gossip.ReportedStreams], to: list[str], hops: int) -> None:
-        if not to:
-            return
         for batch in _batches(groups):
-            message = gossip.StreamReport(self.view.node, self.view.data_centre, batch, hops)
-            self.send(message, to)
+            self.send(gossip.StreamReport(self.view.node, self.view.data_centre, batch, hops), to)
 
     def _keepers(self) -> list[str]:
         """Return the addresses that this node reports its streams to."""
--- a/plumarch/gateway/gossip/stream_exchange_test.py
+++ b/plumarch/gateway/gossip/stream_exchange_test.py
@@ -154,12 +154,12 @@
     return found / streams
 
 
-@pytest.mark.parametrize("seed", range(20))
+@pytest.mark.parametrize("seed", [174, *range(20)])
 def test_no_stream_has_two_versions_while_nodes_are_killed_cut_and_lose_datagrams(seed: int):
     assert found_fraction(SMALL, seed, TROUBLED, streams=60) >= 0.9
 
 
-@pytest.mark.parametrize("seed", range(5))
+@pytest.mark.parametrize("seed", [101, *range(5)])
 def test_nearly_all_streams_go_on_where_only_their_own_nodes_are_killed(seed: int):
     assert found_fraction(SMALL, seed, CALM, streams=60) >= 0.98
 
