--- a/plumarch/membership/version_history.py
+++ b/plumarch/membership/version_history.py
@@ -56,7 +56,7 @@
           The version, or None if there were several or none, or the history is shorter.
         """
         now = self.clock.now()
-        if self.since_ms is None or now - self.since_ms < within_ms:
+        if self.since_ms is None or now - self.since_ms < within_ms or within_ms > RETENTION_MS:
             return None
         ended = self.ended_ms.get(service, {})
         versions = {version for version, at in ended.items() if now - at <= within_ms}
--- a/plumarch/membership/version_history_test.py
+++ b/plumarch/membership/version_history_test.py
@@ -37,5 +37,7 @@
     history.update([])
     assert history.sole("s", WITHIN_MS) == "v2"
     now.advance_to(now.now() + 2 * version_history.RETENTION_MS)
+    assert history.sole("s", version_history.RETENTION_MS + 1) is None
+    now.advance_to(now.now() + 2 * version_history.RETENTION_MS)
     history.update([])
     assert not history.ended_ms
