The test of the kernel's timeout holds the answer until it has seen the timeout without one

Trace: a pause of 0.2 s between the connection and the assertion gives the same failure each time, since the answer has arrived by then, is unread, and the timeout is rightly extended. The answer now waits for the assertion; with the same pause the test passes. All it asserted before it still asserts.

--- a/plumarch/gateway/callers/slow_callers_test.py
+++ b/plumarch/gateway/callers/slow_callers_test.py
@@ -304,7 +304,15 @@
 
     async def test() -> None:
         flood = Flood(whole_bytes=60_000)
-        async with relay_test.Gateway(flood.answer) as gateway:
+        is_checked = asyncio.Event()
+
+        async def answer_once_checked(
+            request: scripted.ReceivedRequest, writer: asyncio.StreamWriter
+        ) -> None:
+            await is_checked.wait()
+            await flood.answer(request, writer)
+
+        async with relay_test.Gateway(answer_once_checked) as gateway:
             # The complete answer fits the kernel's default socket buffer.
             caller = SlowCaller(await non_reading_caller(gateway, "/safe/"))
             await until(lambda: bool(gateway.callers.connections))
@@ -318,6 +326,7 @@
                 return found
 
             assert limit_ms() == keepalive.USER_TIMEOUT_MS
+            is_checked.set()
             extended_ms = keepalive.USER_TIMEOUT_MS + round(gateway.callers.stall_ms)
             await until(lambda: limit_ms() == extended_ms)
             reader, writer = await asyncio.open_connection(sock=caller.sock, limit=2**20)
