--- a/plumarch/gateway/gossip/stream_exchange.py
+++ b/plumarch/gateway/gossip/stream_exchange.py
@@ -110,7 +110,7 @@
         return self.view.seniors()[0].seniority.name == self.view.node
 
     def _readers(self, addresses: Iterable[str]) -> list[str]:
-        return [one for one in addresses if self.readable.reads(one, gossip.ORIGIN_REQUEST_TAG)]
+        return list(self.readable.readers(addresses, gossip.ORIGIN_REQUEST_TAG))
 
     def handle_report(self, message: gossip.StreamReport) -> None:
         """Remember where other nodes' streams began."""
