Logs name the prompt segments of runs that an endpoint's crash ended

Callers saw chat requests fail for seconds while endpoints crashed one after the other. The logs showed crashes (no lack of endpoint_ended lines) and fingerprints that each came back once or twice, but not what the requests had in common: broken and endpoint_ended now name the segments of their prompts, bounded to 8 names a line. No decision changes.

--- a/plumarch/gateway/callers/admission.py
+++ b/plumarch/gateway/callers/admission.py
@@ -48,6 +48,7 @@
     Attributes:
       units: charged to its workspace's quota.
       ends_ms: deadline, by the steady clock.
+      segments: names of the prompt segments that other requests may share.
     """
 
     request: caller_requests.CallerRequest
@@ -62,6 +63,7 @@
     version: int
     max_output_tokens: int = 0
     fingerprint: str = ""
+    segments: tuple[str, ...] = ()
 
     def workspace_name(self) -> str:
         """Return the workspace's name; "" for a public route."""
@@ -128,6 +130,7 @@
         if wait_ms > 0:
             return Refusal(429, "quota", wait_ms, workspace.name, units)
     request_id = request.header(names.request_id)
+    parts = parse_parts(request.header(names.prompt_parts))
     return Admitted(
         request=request,
         id=request_id,
@@ -136,11 +139,12 @@
         workspace=workspace,
         units=units,
         ends_ms=request.began_ms + _timeout_ms(request, names, route),
-        parts=parse_parts(request.header(names.prompt_parts)),
+        parts=parts,
         prompt_tokens=prompt_tokens,
         version=table.version,
         max_output_tokens=max_output_tokens,
         fingerprint=fingerprint,
+        segments=request_identity.shared_segments(parts),
     )
 
 
--- a/plumarch/gateway/callers/request_identity.py
+++ b/plumarch/gateway/callers/request_identity.py
@@ -1,8 +1,13 @@
-"""Fingerprints of requests, independent of node and request id."""
+"""What identifies a request on all nodes, whatever its request id."""
 
-from plumarch.core import hashing
+from collections.abc import Sequence
+
+from plumarch.core import hashing, traffic
 from plumarch.gateway.callers import caller_requests
 
+MAX_SEGMENTS = 64
+"""Shared segments of a prompt that are told apart; callers choose their number."""
+
 
 def fingerprint(workspace: str, request: caller_requests.CallerRequest) -> str:
     """Return a 64-bit hash in hex that is the same for all tries of a request on all nodes.
@@ -14,3 +19,16 @@
     """
     hashed = hashing.digest(workspace, request.method, request.target, request.body)
     return f"{hashed:016x}"
+
+
+def shared_segments(parts: Sequence[traffic.PromptPart]) -> tuple[str, ...]:
+    """Return the names of the prompt segments that other requests may share, each once.
+
+    The last segment is the request's or its session's own. Names are hexadecimal numbers, which
+    callers may write in several ways.
+
+    Args:
+      parts: all segments of the prompt, in order.
+    """
+    names = (part.id.lower().lstrip("0") or "0" for part in parts[:-1])
+    return tuple(dict.fromkeys(names))[:MAX_SEGMENTS]
--- a/plumarch/gateway/callers/request_identity_test.py
+++ b/plumarch/gateway/callers/request_identity_test.py
@@ -1,5 +1,6 @@
 """Fingerprints of requests."""
 
+from plumarch.core import traffic
 from plumarch.gateway.callers import caller_requests, request_identity
 
 
@@ -29,3 +30,22 @@
         request_identity.fingerprint("w", request(body=b"other words")),
     }
     assert first not in others and len(others) == 4
+
+
+def segments(*names: str) -> tuple[str, ...]:
+    parts = [traffic.PromptPart(name, 10) for name in names]
+    return request_identity.shared_segments(parts)
+
+
+def test_the_last_segment_is_not_shared():
+    assert segments("a1", "b2", "c3") == ("a1", "b2")
+    assert segments("a1") == segments() == ()
+
+
+def test_a_segment_has_one_name_however_it_is_written():
+    assert segments("00AB", "ab", "0", "000", "c3") == ("ab", "0")
+
+
+def test_the_number_of_segments_is_bounded():
+    names = [f"{number + 1:x}" for number in range(500)]
+    assert len(segments(*names)) == request_identity.MAX_SEGMENTS
--- a/plumarch/gateway/dispatch/interrupted_runs.py
+++ b/plumarch/gateway/dispatch/interrupted_runs.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import collections
 import dataclasses
 from collections.abc import Callable
 
@@ -21,6 +22,8 @@
 RESTART_RETENTION_MS = 10_000
 """Time in which a restart explains an interrupted run; the store lists it late."""
 
+MAX_SEGMENTS_LOGGED = 8
+
 MAX_UNCONFIRMED = 64
 """Limit of the interrupted runs kept per endpoint; the latest stay."""
 
@@ -37,6 +40,7 @@
 
     request: str
     fingerprint: str
+    segments: tuple[str, ...]
     points: int
     after_ms: int
     count_failure: Callable[[], None]
@@ -96,6 +100,7 @@
         run = InterruptedRun(
             admitted.id,
             admitted.fingerprint,
+            admitted.segments,
             _points(attempt, now),
             now - attempt.sent_ms,
             count_failure,
@@ -178,6 +183,7 @@
             endpoint=endpoint.id,
             service=endpoint.service,
             runs=[[run.request, run.fingerprint, run.after_ms, run.points] for run in runs],
+            segments=_most_common_segments(runs),
         )
         for run in runs:
             was_quarantined = state.quarantine.find_quarantined(run.fingerprint) is not None
@@ -187,6 +193,13 @@
                 state.publish_suspect(run.fingerprint)
 
 
+def _most_common_segments(runs: list[InterruptedRun]) -> dict[str, int]:
+    """Return how many runs that were beginning shared each segment, of the most common ones."""
+    beginning = [run for run in runs if run.points >= quarantine.EARLY_POINTS]
+    counts = collections.Counter(name for run in beginning for name in run.segments)
+    return dict(counts.most_common(MAX_SEGMENTS_LOGGED))
+
+
 def _points(attempt: attempts.Attempt, now: int) -> int:
     """Return the quarantine points if the run's endpoint crashed."""
     if attempt.first_ms is None:
--- a/plumarch/gateway/dispatch/request_run.py
+++ b/plumarch/gateway/dispatch/request_run.py
@@ -26,6 +26,8 @@
 from plumarch.limits import memory_account, quarantine
 from plumarch.routing import endpoint_choice, return_times
 
+MAX_SEGMENTS_LOGGED = 8
+
 CALLER_DISCONNECTED = 499
 """Logged as the status if the caller disconnected early."""
 
@@ -348,6 +350,7 @@
             "broken",
             request=self.admitted.id,
             fingerprint=self.admitted.fingerprint,
+            segments=self.admitted.segments[:MAX_SEGMENTS_LOGGED],
             endpoint=endpoint.id,
             why=why,
             closed=attempts.was_disconnected(attempt),
