Crashes count against the prompt segments that requests share

Cause: crashes count per whole request (workspace, method, path, body). Requests that share a segment have a fingerprint each, so none reached the three crashes of a quarantine. Ruled out: crashes that nobody recognised (an endpoint_ended line for each), and nodes that do not learn of each other (single nodes saw more than three).

Each run that had not got beyond its answer's beginning now lends its crash to its shared segments as well, under a fingerprint of workspace and segment. What else the request holds doesn't matter, and no workspace can have another one's requests refused. Less evidence: the same request crashed another endpoint (it may crash them by itself); the segment was answered within a minute. None: within a second. A success, or a stream 250 ms beyond its first event, clears a segment.

--- a/plumarch/gateway/callers/admission.py
+++ b/plumarch/gateway/callers/admission.py
@@ -8,7 +8,7 @@
 from plumarch.core import hashing, traffic
 from plumarch.gateway import dialect, fleet_state
 from plumarch.gateway.callers import caller_requests, request_identity
-from plumarch.limits import memory_admission
+from plumarch.limits import memory_admission, quarantine
 from plumarch.routing import return_times
 
 RETRY_WITHOUT_CONFIGURATION_MS = 500.0
@@ -32,6 +32,8 @@
       reason: one word for logs and metrics.
       retry_after_ms: None if the request may have run.
       units: the request's cost in its workspace's quota.
+      fingerprint: of what is quarantined.
+      segment: name of the quarantined prompt segment; "" if the request itself is quarantined.
     """
 
     status: int
@@ -39,6 +41,16 @@
     retry_after_ms: float | None = None
     workspace: str = ""
     units: float = 0.0
+    fingerprint: str = ""
+    segment: str = ""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Segment:
+    """A shared prompt segment, by its name and its fingerprint."""
+
+    name: str
+    fingerprint: str
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -48,7 +60,7 @@
     Attributes:
       units: charged to its workspace's quota.
       ends_ms: deadline, by the steady clock.
-      segments: names of the prompt segments that other requests may share.
+      segments: prompt segments that other requests may share.
     """
 
     request: caller_requests.CallerRequest
@@ -63,12 +75,16 @@
     version: int
     max_output_tokens: int = 0
     fingerprint: str = ""
-    segments: tuple[str, ...] = ()
+    segments: tuple[Segment, ...] = ()
 
     def workspace_name(self) -> str:
         """Return the workspace's name; "" for a public route."""
         return self.workspace.name if self.workspace else ""
 
+    def fingerprints(self) -> tuple[str, ...]:
+        """Return what crashes may count against: the request, then its shared segments."""
+        return (self.fingerprint, *(one.fingerprint for one in self.segments))
+
 
 def urgency(admitted: Admitted) -> int:
     """Return a request's priority at an engine: 0 first, workspace rank before route rank."""
@@ -113,10 +129,12 @@
         return Refusal(503, "stopping", RETRY_ELSEWHERE_MS)
     workspace_name = workspace.name if workspace else ""
     fingerprint = request_identity.fingerprint(workspace_name, request)
-    quarantined = state.quarantine.find_quarantined(fingerprint)
+    parts = parse_parts(request.header(names.prompt_parts))
+    segments = _segments(workspace_name, parts)
+    quarantined = state.quarantine.find_first((fingerprint, *(one.fingerprint for one in segments)))
     if quarantined is not None and quarantined.back_in_ms > 0:
         # Another run would crash another endpoint, with its other requests.
-        return Refusal(503, "quarantined", float(quarantined.back_in_ms), workspace_name)
+        return _refuse_quarantined(quarantined, segments, workspace_name)
     rank = _rank(workspace, route)
     usage = memory_admission.MemoryUsage(state.memory.total(), state.memory.budget)
     back_in_ms = state.pressure.refuse(usage, len(request.body), rank, state.memory.released)
@@ -130,7 +148,6 @@
         if wait_ms > 0:
             return Refusal(429, "quota", wait_ms, workspace.name, units)
     request_id = request.header(names.request_id)
-    parts = parse_parts(request.header(names.prompt_parts))
     return Admitted(
         request=request,
         id=request_id,
@@ -144,7 +161,31 @@
         version=table.version,
         max_output_tokens=max_output_tokens,
         fingerprint=fingerprint,
-        segments=request_identity.shared_segments(parts),
+        segments=segments,
+    )
+
+
+def _segments(workspace_name: str, parts: tuple[traffic.PromptPart, ...]) -> tuple[Segment, ...]:
+    return tuple(
+        Segment(name, request_identity.segment_fingerprint(workspace_name, name))
+        for name in request_identity.shared_segments(parts)
+    )
+
+
+def _refuse_quarantined(
+    quarantined: quarantine.QuarantinedRequest,
+    segments: tuple[Segment, ...],
+    workspace_name: str,
+) -> Refusal:
+    fingerprint = quarantined.suspect.fingerprint
+    segment = next((one.name for one in segments if one.fingerprint == fingerprint), "")
+    return Refusal(
+        503,
+        "quarantined",
+        float(quarantined.back_in_ms),
+        workspace_name,
+        fingerprint=fingerprint,
+        segment=segment,
     )
 
 
--- a/plumarch/gateway/callers/request_identity.py
+++ b/plumarch/gateway/callers/request_identity.py
@@ -21,6 +21,19 @@
     return f"{hashed:016x}"
 
 
+def segment_fingerprint(workspace: str, segment: str) -> str:
+    """Return what identifies a workspace's prompt segment on all nodes.
+
+    It is the workspace's own, so that no caller gets the requests of another workspace refused by
+    naming their segments. Requests have fingerprints of another form.
+
+    Args:
+      workspace: its name, or "" for a public route.
+      segment: a name from shared_segments.
+    """
+    return f"s{hashing.digest(workspace, segment):016x}"
+
+
 def shared_segments(parts: Sequence[traffic.PromptPart]) -> tuple[str, ...]:
     """Return the names of the prompt segments that other requests may share, each once.
 
--- a/plumarch/gateway/dispatch/attempts.py
+++ b/plumarch/gateway/dispatch/attempts.py
@@ -65,6 +65,7 @@
     Attributes:
       first_ms: time from the send to the first event, or None before that.
       round_trip_ms: round trip added by another region.
+      outlived_beginning: whether its answer shows that it does not crash its endpoint.
     """
 
     choice: endpoint_choice.Choice
@@ -74,6 +75,7 @@
     saw_first_token: bool = False
     first_ms: int | None = None
     round_trip_ms: float = 0.0
+    outlived_beginning: bool = False
 
 
 class NotRun(errors.ExchangeError):
--- a/plumarch/gateway/dispatch/interrupted_runs.py
+++ b/plumarch/gateway/dispatch/interrupted_runs.py
@@ -33,6 +33,7 @@
     """A run whose connection ended early.
 
     Attributes:
+      segments: prompt segments that its answer did not exonerate.
       points: quarantine points for the request if its endpoint crashed.
       after_ms: time from the send to the end of the connection.
       count_failure: called unless the endpoint lives and only this node can't reach it.
@@ -40,7 +41,7 @@
 
     request: str
     fingerprint: str
-    segments: tuple[str, ...]
+    segments: tuple[admission.Segment, ...]
     points: int
     after_ms: int
     count_failure: Callable[[], None]
@@ -100,7 +101,7 @@
         run = InterruptedRun(
             admitted.id,
             admitted.fingerprint,
-            admitted.segments,
+            () if attempt.outlived_beginning else admitted.segments,
             _points(attempt, now),
             now - attempt.sent_ms,
             count_failure,
@@ -186,17 +187,25 @@
             segments=_most_common_segments(runs),
         )
         for run in runs:
-            was_quarantined = state.quarantine.find_quarantined(run.fingerprint) is not None
-            state.quarantine.record_crash(run.fingerprint, endpoint.id, run.points)
-            suspect_updates.log_change(state, run.fingerprint, was_quarantined, state.node)
-            if state.publish_suspect is not None:
-                state.publish_suspect(run.fingerprint)
+            is_repeat = state.quarantine.points(run.fingerprint) > 0
+            self._record_crash(run.fingerprint, endpoint, run.points)
+            if state.publish_suspects is not None:
+                state.publish_suspects([run.fingerprint])
+            for segment in run.segments:
+                points = state.segments.points(segment.fingerprint, is_repeat)
+                if points:
+                    self._record_crash(segment.fingerprint, endpoint, points)
+
+    def _record_crash(self, fingerprint: str, endpoint: traffic.Endpoint, points: int) -> None:
+        state = self.state
+        was_quarantined = state.quarantine.find_quarantined(fingerprint) is not None
+        state.quarantine.record_crash(fingerprint, endpoint.id, points)
+        suspect_updates.log_change(state, fingerprint, was_quarantined, state.node)
 
 
 def _most_common_segments(runs: list[InterruptedRun]) -> dict[str, int]:
     """Return how many runs that were beginning shared each segment, of the most common ones."""
-    beginning = [run for run in runs if run.points >= quarantine.EARLY_POINTS]
-    counts = collections.Counter(name for run in beginning for name in run.segments)
+    counts = collections.Counter(one.name for run in runs for one in run.segments)
     return dict(counts.most_common(MAX_SEGMENTS_LOGGED))
 
 
--- a/plumarch/gateway/dispatch/request_run.py
+++ b/plumarch/gateway/dispatch/request_run.py
@@ -16,13 +16,13 @@
     attempts,
     buffered_answers,
     endpoint_outcomes,
+    exonerations,
     fragile_endpoints,
     interrupted_runs,
     resumptions,
     stream_relay,
     version_outcomes,
 )
-from plumarch.gateway.gossip import suspect_updates
 from plumarch.limits import memory_account, quarantine
 from plumarch.routing import endpoint_choice, return_times
 
@@ -117,6 +117,7 @@
         self.failed_reservation: memory_account.Reservation | None = None
         self.back_in_ms = return_times.MIN_MS
         self.is_abandoned = False
+        self.is_trial = False
         self.resumes_until_ms = 0.0
 
     async def serve(self) -> Outcome:
@@ -147,6 +148,8 @@
                 return self._give_up(refused, 502)
         wait_ms = RESUME_CHECK_MS
         while True:
+            if self._became_quarantined():
+                return self._give_up("quarantined", 502)
             choice = attempts.choose(self.state, self.admitted, self.progress)
             if choice is None and await self._received_permit():
                 continue
@@ -176,17 +179,32 @@
 
     async def _may_begin(self) -> bool:
         """Return whether the request isn't quarantined, or is granted a trial."""
-        state, fingerprint = self.state, self.admitted.fingerprint
-        if state.quarantine.find_quarantined(fingerprint) is None:
+        state = self.state
+        quarantined = state.quarantine.find_first(self.admitted.fingerprints())
+        if quarantined is None:
             return True
+        fingerprint = quarantined.suspect.fingerprint
         if state.request_trial is not None and await state.request_trial(fingerprint):
+            self.is_trial = True
             return True
-        quarantined = state.quarantine.find_quarantined(fingerprint)
-        self.back_in_ms = max(
-            TRIAL_RETRY_MS, float(quarantined.back_in_ms if quarantined is not None else 0)
-        )
+        self._wait_for_trial()
         return False
 
+    def _wait_for_trial(self) -> None:
+        """Have the caller wait until what is quarantined may run again."""
+        quarantined = self.state.quarantine.find_first(self.admitted.fingerprints())
+        back_in_ms = quarantined.back_in_ms if quarantined is not None else 0
+        self.back_in_ms = max(TRIAL_RETRY_MS, float(back_in_ms))
+
+    def _became_quarantined(self) -> bool:
+        """Return whether the request was quarantined after it was admitted."""
+        if self.is_trial:
+            return False
+        if self.state.quarantine.find_first(self.admitted.fingerprints()) is None:
+            return False
+        self._wait_for_trial()
+        return True
+
     async def _find_origin(self) -> str:
         """Find where a resumed stream began; return why it can't go on, or ""."""
         found = await resumptions.find_origin(self.state, self.admitted, self.progress.stream)
@@ -274,7 +292,7 @@
         try:
             outcome = await self._relay(attempt)
             label = "answered"
-            self._record_answer()
+            exonerations.record_answer(state, self.admitted, outcome.status)
             failed = outcome.status >= SERVER_ERRORS
             if failed:
                 state.health.failure(endpoint, SERVER_ERROR_WEIGHT)
@@ -334,15 +352,6 @@
         if counts:
             version_outcomes.note(state, self.admitted, attempt, failed=True)
 
-    def _record_answer(self) -> None:
-        """Record an answer without a crash."""
-        state, fingerprint = self.state, self.admitted.fingerprint
-        was_quarantined = state.quarantine.find_quarantined(fingerprint) is not None
-        if state.quarantine.record_answer(fingerprint):
-            suspect_updates.log_change(state, fingerprint, was_quarantined, state.node)
-            if state.publish_suspect is not None:
-                state.publish_suspect(fingerprint)
-
     def _log_broken(self, attempt: attempts.Attempt, why: str) -> None:
         """Log a broken run with facts that distinguish a crash from an invalid answer."""
         state, endpoint = self.state, attempt.choice.endpoint
@@ -350,7 +359,7 @@
             "broken",
             request=self.admitted.id,
             fingerprint=self.admitted.fingerprint,
-            segments=self.admitted.segments[:MAX_SEGMENTS_LOGGED],
+            segments=[one.name for one in self.admitted.segments[:MAX_SEGMENTS_LOGGED]],
             endpoint=endpoint.id,
             why=why,
             closed=attempts.was_disconnected(attempt),
@@ -400,14 +409,15 @@
         return True
 
     async def _is_quarantined(self, last: str) -> bool:
-        """Return whether too many endpoints crashed under this request.
+        """Return whether too many endpoints crashed under this request or its segments.
 
         The last endpoint's probe is awaited only if it decides.
         """
-        known, fingerprint = self.state.quarantine, self.admitted.fingerprint
-        if known.points(fingerprint) + quarantine.EARLY_POINTS >= quarantine.QUARANTINE_POINTS:
+        known, fingerprints = self.state.quarantine, self.admitted.fingerprints()
+        most_points = max(known.points(one) for one in fingerprints)
+        if most_points + quarantine.EARLY_POINTS >= quarantine.QUARANTINE_POINTS:
             await self.interrupted_runs.wait_for_probe(last)
-        if known.find_quarantined(fingerprint) is None:
+        if known.find_first(fingerprints) is None:
             return False
         self.progress.last_fault = "quarantined"
         return True
--- a/plumarch/gateway/dispatch/stream_relay.py
+++ b/plumarch/gateway/dispatch/stream_relay.py
@@ -8,7 +8,13 @@
 from plumarch.core import traffic
 from plumarch.gateway import errors, fleet_state
 from plumarch.gateway.callers import admission, caller_requests
-from plumarch.gateway.dispatch import attempts, endpoint_outcomes, event_stream, version_outcomes
+from plumarch.gateway.dispatch import (
+    attempts,
+    endpoint_outcomes,
+    event_stream,
+    exonerations,
+    version_outcomes,
+)
 from plumarch.limits import memory_account
 from plumarch.routing import stream_origins
 
@@ -136,6 +142,7 @@
         self, attempt: attempts.Attempt, head: h11.Response, event: event_stream.Event
     ) -> None:
         note_first_token(self.state, self.admitted, attempt, self.reply.started)
+        exonerations.record_event(self.state, self.admitted, attempt)
         self._start(head)
         self.reply.send_chunk(event.raw)
         if not self.progress.events:
--- a/plumarch/gateway/fleet_state.py
+++ b/plumarch/gateway/fleet_state.py
@@ -3,7 +3,7 @@
 import asyncio
 import dataclasses
 import random
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 
 from plumarch.config import routing_table
 from plumarch.core import rollouts, suspension
@@ -27,6 +27,7 @@
     quarantine,
     rate_allocator,
     rate_permits,
+    segment_crashes,
     slot_leases,
     workspace_quota,
 )
@@ -98,12 +99,13 @@
       slots: leased slots at their endpoints.
       slot_allocator: leases slots to nodes.
       slot_answers: requests that wait for that allocator.
-      quarantine: suspects, that is requests under which endpoints crashed.
+      quarantine: suspects: requests and prompt segments under which endpoints crashed.
+      segments: weighs crashes against prompt segments.
       runs: connections with running requests, by endpoint.
       announce_prompt: announces a sent prompt to the other nodes.
       endpoint_restarted: called with the id of a restarted endpoint.
       send_update_soon: sends the next heartbeat at once.
-      publish_suspect: publishes a suspect, by its fingerprint.
+      publish_suspects: publishes suspects, by their fingerprints.
       request_permits: sends a request to the endpoint's allocator; None on a single node.
       request_slots: sends a request to the allocator of slots; None on a single node.
       request_trial: requests a quarantined request's trial from the store.
@@ -148,7 +150,7 @@
     table_source: str = ""
     route_services: dict[str, RouteServices] = dataclasses.field(default_factory=dict)
     announce_prompt: Callable[[SentPrompt], None] | None = None
-    publish_suspect: Callable[[str], None] | None = None
+    publish_suspects: Callable[[Sequence[str]], None] | None = None
     send_update_soon: Callable[[], None] = lambda: None
     endpoint_restarted: Callable[[str], None] = lambda _: None
     request_permits: Callable[[Endpoint, rate_allocator.PermitRequest], None] | None = None
@@ -174,6 +176,7 @@
     permit_answers: answer_waiters.AnswerWaiters = dataclasses.field(
         default_factory=answer_waiters.AnswerWaiters
     )
+    segments: segment_crashes.SegmentCrashes = dataclasses.field(init=False)
     runs: open_runs.OpenRuns = dataclasses.field(default_factory=open_runs.OpenRuns)
     streams: stream_origins.StreamOrigins = dataclasses.field(init=False)
     origin_answers: answer_waiters.AnswerWaiters = dataclasses.field(
@@ -188,6 +191,7 @@
         self.fragile = fragile_services.FragileServices(self.clock)
         self.slots = slot_leases.SlotLeases(self.clock, self.node)
         self.slot_allocator = allocation.SlotAllocator(self.clock)
+        self.segments = segment_crashes.SegmentCrashes(self.wall)
         self.streams = stream_origins.StreamOrigins(self.clock)
         self.unreadable = unreadable_entries.UnreadableEntries(self.log, self.measures)
 
--- a/plumarch/gateway/gossip/gossiper.py
+++ b/plumarch/gateway/gossip/gossiper.py
@@ -101,7 +101,7 @@
         self.last_answer_ms: dict[str, int] = {}
         self.role_announced_ms = 0
         state.announce_prompt = self.announce_prompt
-        state.publish_suspect = self.suspects.publish
+        state.publish_suspects = self.suspects.publish
         state.request_permits = self.permits.request_permits
         state.request_slots = self.slots.request_slots
         state.ask_origin = self.streams.ask
--- a/plumarch/gateway/gossip/suspect_updates.py
+++ b/plumarch/gateway/gossip/suspect_updates.py
@@ -5,7 +5,7 @@
 """
 
 import dataclasses
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 
 from plumarch.gateway import fleet_state
 from plumarch.limits import quarantine
@@ -49,10 +49,11 @@
     due: dict[str, int] = dataclasses.field(default_factory=dict)
     heartbeat_count: int = 0
 
-    def publish(self, fingerprint: str) -> None:
-        """Send what is known of a request now, and again with the next heartbeats."""
-        self.due[fingerprint] = OWN_SENDS
-        self._send_due([fingerprint])
+    def publish(self, fingerprints: Sequence[str]) -> None:
+        """Send what is known of suspects now, and again with the next heartbeats."""
+        for fingerprint in fingerprints:
+            self.due[fingerprint] = OWN_SENDS
+        self._send_due(self._most_suspect(fingerprints))
 
     def step(self) -> None:
         """Send what is due with a heartbeat."""
@@ -61,8 +62,13 @@
         if self.heartbeat_count % QUARANTINED_INTERVAL == 0:
             for suspect in known.held()[:MAX_SUSPECTS]:
                 self.due.setdefault(suspect.fingerprint, 1)
-        chosen = sorted(self.due, key=lambda name: (-known.points(name), name))
-        self._send_due(chosen[: MAX_SUSPECTS * MAX_DATAGRAMS])
+        self._send_due(self._most_suspect(self.due))
+
+    def _most_suspect(self, fingerprints: Iterable[str]) -> list[str]:
+        """Return as many as may be sent at once, those with the most points first."""
+        points = self.state.quarantine.points
+        ordered = sorted(fingerprints, key=lambda name: (-points(name), name))
+        return ordered[: MAX_SUSPECTS * MAX_DATAGRAMS]
 
     def _send_due(self, fingerprints: list[str]) -> None:
         found = []
--- a/plumarch/gateway/gossip/suspect_updates_test.py
+++ b/plumarch/gateway/gossip/suspect_updates_test.py
@@ -29,8 +29,8 @@
     """Let a node observe that endpoints crashed under a request."""
     for number in range(first, first + count):
         node.state.quarantine.record_crash(fingerprint, f"e{number}", quarantine.EARLY_POINTS)
-        assert node.state.publish_suspect is not None
-        node.state.publish_suspect(fingerprint)
+        assert node.state.publish_suspects is not None
+        node.state.publish_suspects([fingerprint])
 
 
 def without_quarantine(fleet: gossip_fleet.GossipFleet, fingerprint: str = "f") -> list[str]:
@@ -113,8 +113,8 @@
     observe_crashes(some_node(fleet, tiers.Role.MEMBER))
     fleet.run(1_000)
     other = some_node(fleet, tiers.Role.COORDINATOR)
-    assert other.state.quarantine.record_answer("f") and other.state.publish_suspect is not None
-    other.state.publish_suspect("f")
+    assert other.state.quarantine.record_answer("f") and other.state.publish_suspects is not None
+    other.state.publish_suspects(["f"])
     fleet.run(AT_ONCE_MS)
     assert len(without_quarantine(fleet)) == len(fleet.live())
 
--- a/plumarch/gateway/relay.py
+++ b/plumarch/gateway/relay.py
@@ -77,6 +77,7 @@
             units=refusal.units,
             level=self._level(refusal.workspace),
             fraction=round(state.quota.fraction, 3),
+            **_quarantine_fields(refusal),
         )
         state.measures.answers.add(refusal.workspace, str(refusal.status), refusal.reason)
         request_run.send_refusal(reply, request, refusal, state.names.request_id)
@@ -119,6 +120,13 @@
             state.measures.first_byte.observe(run.progress.first_ms / 1000.0, workspace, kind)
 
 
+def _quarantine_fields(refusal: admission.Refusal) -> dict[str, Any]:
+    """Return what is quarantined as log fields, or none for another refusal."""
+    if not refusal.fingerprint:
+        return {}
+    return {"fingerprint": refusal.fingerprint, "segment": refusal.segment}
+
+
 def _speed_fields(state: fleet_state.FleetState, admitted: admission.Admitted) -> dict[str, Any]:
     """Return the known engine speed as log fields, or none for a plain request."""
     if not admitted.prompt_tokens:
--- a/plumarch/gateway/store/quarantine_record.py
+++ b/plumarch/gateway/store/quarantine_record.py
@@ -135,8 +135,8 @@
             self._publish(name)
 
     def _publish(self, fingerprint: str) -> None:
-        if self.state.publish_suspect is not None:
-            self.state.publish_suspect(fingerprint)
+        if self.state.publish_suspects is not None:
+            self.state.publish_suspects([fingerprint])
 
     async def write_forever(self) -> None:
         """Write missing requests while this node follows the record, forever."""
--- a/plumarch/gateway/store/quarantine_record_test.py
+++ b/plumarch/gateway/store/quarantine_record_test.py
@@ -35,8 +35,8 @@
 ) -> None:
     for number in range(first, first + count):
         node.state.quarantine.record_crash(fingerprint, f"e{number}", quarantine.EARLY_POINTS)
-        assert node.state.publish_suspect is not None
-        node.state.publish_suspect(fingerprint)
+        assert node.state.publish_suspects is not None
+        node.state.publish_suspects([fingerprint])
 
 
 def not_quarantined(replay: store_replay.StoreReplay) -> list[str]:
--- a/plumarch/limits/quarantine.py
+++ b/plumarch/limits/quarantine.py
@@ -153,6 +153,12 @@
             return None
         return QuarantinedRequest(suspect, max(0, suspect.next_trial_ms() - self.clock.now()))
 
+    def find_first(self, fingerprints: Iterable[str]) -> QuarantinedRequest | None:
+        """Return the quarantine that lasts longest of a request's fingerprints, or None."""
+        found = [self.find_quarantined(one) for one in fingerprints]
+        held = [one for one in found if one is not None]
+        return max(held, key=lambda one: one.back_in_ms, default=None)
+
     def points(self, fingerprint: str) -> int:
         """Return the points of a request; 0 for an unknown one."""
         suspect = self.suspects.get(fingerprint)
--- a/plumarch/limits/recent_answers.py
+++ b/plumarch/limits/recent_answers.py
@@ -1,7 +1,6 @@
-"""Requests that endpoints answered recently, on this node.
+"""Requests and prompt segments that endpoints answered recently, on this node.
 
-Common requests run at almost any endpoint that crashes; an answer shows that they are not the
-cause.
+Common ones run at almost any endpoint that crashes; an answer shows that they are not the cause.
 """
 
 import dataclasses
@@ -30,5 +29,12 @@
 
     def has(self, fingerprint: str) -> bool:
         """Return whether a request was answered recently."""
+        return self.age_ms(fingerprint) is not None
+
+    def age_ms(self, fingerprint: str) -> int | None:
+        """Return the age of the last answer in ms, or None without a recent one."""
         at_ms = self.times.get(fingerprint)
-        return at_ms is not None and self.clock.now() - at_ms < RETENTION_MS
+        if at_ms is None:
+            return None
+        age_ms = self.clock.now() - at_ms
+        return age_ms if age_ms < RETENTION_MS else None
