All nodes know which prompt segments crashes count against

Callers saw each node crash up to three more endpoints with the same segment: 12 requests over four nodes crashed 15 endpoints. The crash was published for the request only.

Ruled out: a message of its own.

--- a/plumarch/gateway/dispatch/interrupted_runs.py
+++ b/plumarch/gateway/dispatch/interrupted_runs.py
@@ -186,15 +186,18 @@
             runs=[[run.request, run.fingerprint, run.after_ms, run.points] for run in runs],
             segments=_most_common_segments(runs),
         )
+        suspects: dict[str, None] = {}
         for run in runs:
             is_repeat = state.quarantine.points(run.fingerprint) > 0
             self._record_crash(run.fingerprint, endpoint, run.points)
-            if state.publish_suspects is not None:
-                state.publish_suspects([run.fingerprint])
+            suspects[run.fingerprint] = None
             for segment in run.segments:
                 points = state.segments.points(segment.fingerprint, is_repeat)
                 if points:
                     self._record_crash(segment.fingerprint, endpoint, points)
+                    suspects[segment.fingerprint] = None
+        if state.publish_suspects is not None:
+            state.publish_suspects(list(suspects))
 
     def _record_crash(self, fingerprint: str, endpoint: traffic.Endpoint, points: int) -> None:
         state = self.state
