--- a/plumarch/gateway/dispatch/poison_segment_test.py
+++ b/plumarch/gateway/dispatch/poison_segment_test.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 
+from plumarch.core import clock
 from plumarch.gateway import relay_test
 from plumarch.gateway.dispatch import interrupted_runs_test
 from plumarch.limits import quarantine
@@ -10,6 +11,7 @@
 
 POISON_SEGMENT = "bad0"
 MAX_CRASHES = 5
+START_MS = 1_700_000_000_000
 
 
 def parts(*names: str) -> str:
@@ -23,6 +25,19 @@
     def __init__(self, count: int) -> None:
         super().__init__(*[self.answer] * count)
         self.crashes = 0
+        self.wall = clock.ManualClock(START_MS)
+        self.state.quarantine.clock = self.wall
+        self.state.segments.clock = self.state.segments.answers.clock = self.wall
+        self.state.request_trial = self.grant_trial
+
+    async def grant_trial(self, *fingerprints: str) -> bool:
+        """Grant a trial of what is quarantined if it is due."""
+        known = self.state.quarantine
+        for held in filter(None, map(known.find_quarantined, fingerprints)):
+            if known.find_first(fingerprints).back_in_ms:
+                return False
+            known.record_trial(held.suspect.fingerprint, held.suspect.trials + 1)
+        return True
 
     async def answer(self, request: scripted.ReceivedRequest, writer: asyncio.StreamWriter) -> None:
         shared = request.headers.get("x-prompt-parts", "").split(",")[:-1]
@@ -59,3 +74,16 @@
         assert float(answer.headers["retry-after"]) > quarantine.FIRST_TRIAL_MS / 2_000
 
     play(test)
+
+
+def test_sound_requests_are_refused_for_a_segment_that_they_share_with_poison_ones():
+    async def test(gateway: FrailGateway) -> None:
+        for number in range(4):
+            await gateway.ask_once(number, "a1", POISON_SEGMENT)
+        gateway.wall.time_ms += 2_000
+        answers = [await gateway.ask_once(10 + number, "a1", "b2") for number in range(10)]
+        assert [one.status for one in answers] == [200] * 10
+        assert (await gateway.ask_once(20, "a1", POISON_SEGMENT)).status == 503
+        assert gateway.crashes <= MAX_CRASHES
+
+    play(test)
