Sound requests get an early trial of the segments that they share with poison ones

The first trials of a segment now come after 1 s and 5 s, for a request with only some of the segments that were seen in the same crashes: its answer exonerates them on all nodes, its crash leaves the poison one. A trial without a result is repeated after 5 s. The store's conditional write still grants each to one node, now for all quarantined segments of a request at once; a node makes one claim at a time. A poison segment costs at most two crashes more by this, five in all, then a minute and longer.

Weighed: letting requests run freely while another suspect explains the crashes. Beside a poison segment a common one is in every crash as well, so each would excuse the other for as long as both crash endpoints.

--- a/plumarch/gateway/callers/admission.py
+++ b/plumarch/gateway/callers/admission.py
@@ -131,7 +131,9 @@
     fingerprint = request_identity.fingerprint(workspace_name, request)
     parts = parse_parts(request.header(names.prompt_parts))
     segments = _segments(workspace_name, parts)
-    quarantined = state.quarantine.find_first((fingerprint, *(one.fingerprint for one in segments)))
+    quarantined = state.quarantine.find_quarantined(
+        fingerprint, *(one.fingerprint for one in segments)
+    )
     if quarantined is not None and quarantined.back_in_ms > 0:
         # Another run would crash another endpoint, with its other requests.
         return _refuse_quarantined(quarantined, segments, workspace_name)
--- a/plumarch/gateway/callers/request_identity.py
+++ b/plumarch/gateway/callers/request_identity.py
@@ -4,6 +4,7 @@
 
 from plumarch.core import hashing, traffic
 from plumarch.gateway.callers import caller_requests
+from plumarch.limits import quarantine
 
 MAX_SEGMENTS = 64
 """Shared segments of a prompt that are told apart; callers choose their number."""
@@ -25,13 +26,13 @@
     """Return what identifies a workspace's prompt segment on all nodes.
 
     It is the workspace's own, so that no caller gets the requests of another workspace refused by
-    naming their segments. Requests have fingerprints of another form.
+    naming their segments.
 
     Args:
       workspace: its name, or "" for a public route.
       segment: a name from shared_segments.
     """
-    return f"s{hashing.digest(workspace, segment):016x}"
+    return f"{quarantine.SEGMENT_PREFIX}{hashing.digest(workspace, segment):016x}"
 
 
 def shared_segments(parts: Sequence[traffic.PromptPart]) -> tuple[str, ...]:
--- a/plumarch/gateway/dispatch/request_run.py
+++ b/plumarch/gateway/dispatch/request_run.py
@@ -54,7 +54,7 @@
 RESUME_CHECK_MS = 100.0
 """First interval between its tries; doubles to limit log lines."""
 
-TRIAL_RETRY_MS = 5_000.0
+TRIAL_RETRY_MS = 1_000.0
 """Retry delay of a quarantined request without a trial."""
 
 SERVER_ERRORS = 500
@@ -180,11 +180,10 @@
     async def _may_begin(self) -> bool:
         """Return whether the request isn't quarantined, or is granted a trial."""
         state = self.state
-        quarantined = state.quarantine.find_first(self.admitted.fingerprints())
-        if quarantined is None:
+        fingerprints = self.admitted.fingerprints()
+        if state.quarantine.find_quarantined(*fingerprints) is None:
             return True
-        fingerprint = quarantined.suspect.fingerprint
-        if state.request_trial is not None and await state.request_trial(fingerprint):
+        if state.request_trial is not None and await state.request_trial(*fingerprints):
             self.is_trial = True
             return True
         self._wait_for_trial()
@@ -192,7 +191,7 @@
 
     def _wait_for_trial(self) -> None:
         """Have the caller wait until what is quarantined may run again."""
-        quarantined = self.state.quarantine.find_first(self.admitted.fingerprints())
+        quarantined = self.state.quarantine.find_quarantined(*self.admitted.fingerprints())
         back_in_ms = quarantined.back_in_ms if quarantined is not None else 0
         self.back_in_ms = max(TRIAL_RETRY_MS, float(back_in_ms))
 
@@ -200,7 +199,7 @@
         """Return whether the request was quarantined after it was admitted."""
         if self.is_trial:
             return False
-        if self.state.quarantine.find_first(self.admitted.fingerprints()) is None:
+        if self.state.quarantine.find_quarantined(*self.admitted.fingerprints()) is None:
             return False
         self._wait_for_trial()
         return True
@@ -417,7 +416,7 @@
         most_points = max(known.points(one) for one in fingerprints)
         if most_points + quarantine.EARLY_POINTS >= quarantine.QUARANTINE_POINTS:
             await self.interrupted_runs.wait_for_probe(last)
-        if known.find_first(fingerprints) is None:
+        if known.find_quarantined(*fingerprints) is None:
             return False
         self.progress.last_fault = "quarantined"
         return True
--- a/plumarch/gateway/fleet_state.py
+++ b/plumarch/gateway/fleet_state.py
@@ -108,7 +108,8 @@
       publish_suspects: publishes suspects, by their fingerprints.
       request_permits: sends a request to the endpoint's allocator; None on a single node.
       request_slots: sends a request to the allocator of slots; None on a single node.
-      request_trial: requests a quarantined request's trial from the store.
+      request_trial: requests the trial of a quarantined request from the store, by the fingerprints
+        of the request and its prompt segments.
       streams: the software versions at which streams began that can be resumed.
       ask_origin: asks other nodes where a stream of a service and a route began, and returns how
         many; None on a single node.
@@ -155,7 +156,7 @@
     endpoint_restarted: Callable[[str], None] = lambda _: None
     request_permits: Callable[[Endpoint, rate_allocator.PermitRequest], None] | None = None
     request_slots: Callable[[Endpoint, allocation.SlotRequest], None] | None = None
-    request_trial: Callable[[str], Awaitable[bool]] | None = None
+    request_trial: Callable[..., Awaitable[bool]] | None = None
     ask_origin: Callable[[stream_origins.Stream, str, str], int] | None = None
     knows_endpoints: Callable[[], bool] = lambda: True
     reaches_store: bool = True
--- a/plumarch/gateway/store/quarantine_record.py
+++ b/plumarch/gateway/store/quarantine_record.py
@@ -5,7 +5,7 @@
 """
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 import msgspec
 
@@ -34,6 +34,9 @@
 WRITE_CHECK_MS = 100.0
 """Interval of the checks for due writes."""
 
+CLAIM_RETRY_MS = 1_000
+"""Pause after a claim that the store did not grant; each claim takes two of its calls."""
+
 SUSPECT_DELAY_MS = 500
 """Delay of writing a request not yet quarantined, which batches writes."""
 
@@ -45,6 +48,8 @@
       recorded: suspects when last read or written, by fingerprint.
       revision: when last read or written; 0 if there was no record.
       due_ms: when missing requests are written; None if there are none.
+      claiming: fingerprints whose trials this node is claiming.
+      claim_after_ms: when this node may claim trials again after the store failed.
     """
 
     def __init__(
@@ -65,6 +70,8 @@
         self.recorded: dict[str, quarantine.Suspect] = {}
         self.revision = 0
         self.due_ms: int | None = None
+        self.claiming: set[str] = set()
+        self.claim_after_ms = 0
         state.request_trial = self.claim
 
     async def follow_forever(self) -> None:
@@ -215,30 +222,49 @@
         else:
             self.revision, self.recorded = 0, {}
 
-    async def claim(self, fingerprint: str) -> bool:
-        """Claim the trial run of a quarantined request; only one node is granted it."""
+    async def claim(self, *fingerprints: str) -> bool:
+        """Claim the trial run of a quarantined request; only one node is granted it.
+
+        Args:
+          fingerprints: of the request and its prompt segments.
+        """
+        names = {one.fingerprint for one in self.state.quarantine.held_among(fingerprints)}
+        if names & self.claiming or self.state.clock.now() < self.claim_after_ms:
+            return False
+        self.claiming |= names
+        try:
+            return await self._claim(fingerprints)
+        finally:
+            self.claiming -= names
+
+    async def _claim(self, fingerprints: Sequence[str]) -> bool:
+        known = self.state.quarantine
         await self._reload()
-        hold = self.state.quarantine.find_quarantined(fingerprint)
-        if hold is None:
+        quarantined = known.find_quarantined(*fingerprints)
+        if quarantined is None:
             return True
-        if hold.back_in_ms > 0:
+        if quarantined.back_in_ms > 0:
             return False
-        trials = hold.suspect.trials + 1
-        trial = quarantine.Suspect(fingerprint, trials=trials, tried_ms=self._now())
+        held = known.held_among(fingerprints)
+        trials = {one.fingerprint: one.trials + 1 for one in held}
+        tried = [quarantine.merge(one, self._next_trial(one)) for one in held]
         try:
-            await self._write([quarantine.merge(hold.suspect, trial)])
+            await self._write(tried)
         except errors.PlatformError as error:
-            self.state.log.write(
-                "trial_not_granted", fingerprint=fingerprint, trials=trials, error=str(error)
-            )
+            self.claim_after_ms = self.state.clock.now() + CLAIM_RETRY_MS
+            self.state.log.write("trial_not_granted", trials=trials, error=str(error))
             return False
-        self.state.quarantine.record_trial(fingerprint, trials)
-        self._publish(fingerprint)
-        self.state.log.write(
-            "quarantine_trial", urgent=True, fingerprint=fingerprint, trials=trials
-        )
+        known.merge(tried)
+        for name, number in trials.items():
+            self._publish(name)
+            self.state.log.write("quarantine_trial", urgent=True, fingerprint=name, trials=number)
         return True
 
+    def _next_trial(self, suspect: quarantine.Suspect) -> quarantine.Suspect:
+        return quarantine.Suspect(
+            suspect.fingerprint, trials=suspect.trials + 1, tried_ms=self._now()
+        )
+
 
 def most_suspect(suspects: dict[str, quarantine.Suspect], now: int) -> list[quarantine.Suspect]:
     """Return the unexpired suspects with the most points, at most MAX_SUSPECTS."""
--- a/plumarch/limits/quarantine.py
+++ b/plumarch/limits/quarantine.py
@@ -1,7 +1,8 @@
-"""Quarantines requests that are suspected of crashing endpoints.
+"""Quarantines requests and prompt segments that are suspected of crashing endpoints.
 
-A request may crash every endpoint that runs it, and its caller repeats it at any node. Records of
-nodes merge to the same result in any order, duplicates included.
+A request may crash every endpoint that runs it, and its caller repeats it at any node; or each
+request with a certain prompt segment does. Records of nodes merge to the same result in any order,
+duplicates included.
 """
 
 import dataclasses
@@ -43,6 +44,13 @@
 
 MAX_PAUSE_MS = 4 * 3_600_000
 
+SEGMENT_PREFIX = "s"
+"""First letter of a prompt segment's fingerprint, which those of requests lack."""
+
+EARLY_TRIAL_MS = (1_000, 5_000)
+"""Pauses before the first trials of a prompt segment: sound requests share those that it was only
+seen with, and are refused until one of them is answered."""
+
 SUSPECT_RETENTION_MS = 600_000
 """Retention of requests with too few points for quarantine."""
 
@@ -78,10 +86,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Suspect:
-    """A request that was running when endpoints crashed.
+    """A request, or a prompt segment of requests, that was running when endpoints crashed.
 
     Attributes:
-      fingerprint: common to all tries of the request.
+      fingerprint: common to all tries of the request, or to all requests with the segment.
       crashes: the newest ones, in order of time.
       tried_ms: when the last trial began; 0 for none.
       cleared_ms: when it was answered or cleared; 0 for never. Earlier crashes don't count.
@@ -106,10 +114,25 @@
         newest = self.crashes[-1].at_ms if self.crashes else 0
         return max(newest, self.tried_ms, self.cleared_ms)
 
-    def next_trial_ms(self) -> int:
-        """Return the earliest time of the next trial."""
+    def is_segment(self) -> bool:
+        """Return whether this is a prompt segment."""
+        return self.fingerprint.startswith(SEGMENT_PREFIX)
+
+    def next_trial_ms(self, is_early: bool = False) -> int:
+        """Return the earliest time of the next trial.
+
+        Args:
+          is_early: whether a segment's trial may be an early one.
+        """
         newest = self.crashes[-1].at_ms if self.crashes else 0
-        return max(newest, self.tried_ms) + pause_ms(self.trials)
+        if not self.is_segment():
+            return max(newest, self.tried_ms) + pause_ms(self.trials)
+        if not is_early or (self.trials >= len(EARLY_TRIAL_MS) and newest > self.tried_ms):
+            return max(newest, self.tried_ms) + pause_ms(self.trials - len(EARLY_TRIAL_MS))
+        if self.trials and newest <= self.tried_ms:
+            # The last trial neither crashed its endpoint nor was answered.
+            return self.tried_ms + EARLY_TRIAL_MS[-1]
+        return newest + EARLY_TRIAL_MS[self.trials]
 
     def is_over(self, now: int) -> bool:
         """Return whether its retention has expired."""
@@ -123,6 +146,7 @@
     """A quarantined request.
 
     Attributes:
+      suspect: the request itself or a segment of its prompt.
       back_in_ms: time until one node may try it again; 0 if it may now.
     """
 
@@ -137,27 +161,53 @@
     Attributes:
       clock: the time of day, since records are shared with other nodes and the store.
       suspects: by fingerprint.
+      quarantined: those of them that are quarantined.
     """
 
     clock: clock.Clock
     suspects: dict[str, Suspect] = dataclasses.field(default_factory=dict)
+    quarantined: dict[str, Suspect] = dataclasses.field(default_factory=dict)
     answers: recent_answers.RecentAnswers = dataclasses.field(init=False)
 
     def __post_init__(self) -> None:
         self.answers = recent_answers.RecentAnswers(self.clock)
 
-    def find_quarantined(self, fingerprint: str) -> QuarantinedRequest | None:
-        """Return a request's quarantine, or None if it may run."""
-        suspect = self.suspects.get(fingerprint)
-        if suspect is None or not suspect.is_quarantined():
-            return None
-        return QuarantinedRequest(suspect, max(0, suspect.next_trial_ms() - self.clock.now()))
+    def find_quarantined(self, *fingerprints: str) -> QuarantinedRequest | None:
+        """Return a request's quarantine, or None if it may run.
 
-    def find_first(self, fingerprints: Iterable[str]) -> QuarantinedRequest | None:
-        """Return the quarantine that lasts longest of a request's fingerprints, or None."""
-        found = [self.find_quarantined(one) for one in fingerprints]
-        held = [one for one in found if one is not None]
-        return max(held, key=lambda one: one.back_in_ms, default=None)
+        Args:
+          fingerprints: of the request and its prompt segments.
+        """
+        held = self.held_among(fingerprints)
+        if not held:
+            return None
+        is_early = self._may_exonerate(held)
+        suspect = max(held, key=lambda one: one.next_trial_ms(is_early))
+        back_in_ms = suspect.next_trial_ms(is_early) - self.clock.now()
+        return QuarantinedRequest(suspect, max(0, back_in_ms))
+
+    def held_among(self, fingerprints: Iterable[str]) -> list[Suspect]:
+        """Return what is quarantined of a request and its prompt segments."""
+        if not self.quarantined:
+            return []
+        found = [self.quarantined.get(one) for one in fingerprints]
+        return [one for one in found if one is not None]
+
+    def _may_exonerate(self, held: list[Suspect]) -> bool:
+        """Return whether a trial may show which of the quarantined segments is the cause.
+
+        That takes a request with some of the segments that were seen in the same crashes.
+        """
+        if len(held) == 1:
+            return True
+        names = {one.fingerprint for one in held}
+        endpoints = {crash.endpoint for one in held for crash in one.crashes}
+        return any(
+            other.is_segment()
+            and other.fingerprint not in names
+            and any(crash.endpoint in endpoints for crash in other.crashes)
+            for other in self.quarantined.values()
+        )
 
     def points(self, fingerprint: str) -> int:
         """Return the points of a request; 0 for an unknown one."""
@@ -222,6 +272,9 @@
                 changed.append(one.fingerprint)
         if changed:
             self._prune(now)
+            self.quarantined = {
+                name: one for name, one in self.suspects.items() if one.is_quarantined()
+            }
         return [name for name in changed if name in self.suspects]
 
     def _prune(self, now: int) -> None:
@@ -239,13 +292,14 @@
         Returns:
           How many requests were quarantined.
         """
-        count = len(self.held())
+        count = len(self.quarantined)
         self.suspects.clear()
+        self.quarantined.clear()
         return count
 
     def held(self) -> list[Suspect]:
         """Return the quarantined requests, the latest first."""
-        found = [one for one in self.suspects.values() if one.is_quarantined()]
+        found = self.quarantined.values()
         return sorted(found, key=lambda one: (-one.last_ms(), one.fingerprint))
 
 
--- a/plumarch/limits/quarantine_test.py
+++ b/plumarch/limits/quarantine_test.py
@@ -182,3 +182,60 @@
     for one, other in itertools.permutations(range(3), 2):
         nodes[one].merge(nodes[other].suspects.values())
     assert nodes[0].suspects == nodes[1].suspects == nodes[2].suspects
+
+
+def hold_segment(known: quarantine.Quarantine, name: str, *endpoints: str) -> str:
+    fingerprint = quarantine.SEGMENT_PREFIX + name
+    for endpoint in endpoints or ("e0", "e1", "e2"):
+        known.record_crash(fingerprint, endpoint, EARLY)
+    return fingerprint
+
+
+def back_in_ms(known: quarantine.Quarantine, *fingerprints: str) -> int:
+    held = known.find_quarantined(*fingerprints)
+    assert held is not None
+    return held.back_in_ms
+
+
+def test_a_segment_has_two_early_trials_if_they_crash_endpoints():
+    known, wall = new()
+    segment = hold_segment(known, "p")
+    pauses = []
+    for number in range(4):
+        pauses.append(back_in_ms(known, segment))
+        wall.time_ms += pauses[-1]
+        assert back_in_ms(known, segment) == 0
+        known.record_trial(segment, number + 1)
+        wall.time_ms += 300
+        known.record_crash(segment, f"t{number}", EARLY)
+    first, second = quarantine.EARLY_TRIAL_MS
+    minute = quarantine.FIRST_TRIAL_MS
+    assert pauses == [first, second, minute, quarantine.TRIAL_FACTOR * minute]
+
+
+def test_a_trial_without_a_result_is_repeated_soon():
+    known, wall = new()
+    segment = hold_segment(known, "p")
+    for number in range(6):
+        wall.time_ms += back_in_ms(known, segment)
+        known.record_trial(segment, number + 1)
+        assert back_in_ms(known, segment) == quarantine.EARLY_TRIAL_MS[-1]
+
+
+def test_a_request_with_all_segments_of_the_crashes_gets_no_early_trial():
+    known, _ = new()
+    poison, shared = hold_segment(known, "p"), hold_segment(known, "a")
+    assert back_in_ms(known, poison, shared) == quarantine.FIRST_TRIAL_MS
+    assert back_in_ms(known, shared, "other") == quarantine.EARLY_TRIAL_MS[0]
+    unrelated = hold_segment(known, "u", "e7", "e8", "e9")
+    assert back_in_ms(known, poison, shared) == quarantine.FIRST_TRIAL_MS
+    assert back_in_ms(known, shared, unrelated) == quarantine.EARLY_TRIAL_MS[0]
+
+
+def test_a_request_has_no_early_trial_for_its_segments():
+    known, wall = new()
+    quarantine_request(known)
+    segment = hold_segment(known, "p")
+    wall.time_ms += quarantine.EARLY_TRIAL_MS[-1]
+    assert known.find_quarantined(segment).back_in_ms == 0
+    assert back_in_ms(known, "f", segment) > 0
