--- a/plumarch/gateway/endpoint_cut_test.py
+++ b/plumarch/gateway/endpoint_cut_test.py
@@ -316,6 +316,27 @@
     play(test)
 
 
+def test_a_stream_without_a_length_that_ends_inside_an_event_is_broken_off_in_a_tunnel():
+    partial = scripted.event(1) + b"id: 2\ndata: ha"
+    whole = scripted.event(1) + scripted.event(2)
+
+    async def test() -> None:
+        for data, is_whole in ((whole, True), (partial, False)):
+
+            async def answering(
+                request: scripted.ReceivedRequest, writer: asyncio.StreamWriter, data: bytes = data
+            ) -> None:
+                writer.write(scripted.unframed_stream_head(request) + data)
+
+            async with served(answering) as fleet:
+                fleet.cut(cut_fleet.Cut.REFUSED)
+                found = await fleet.ask(fleet.cut_nodes[0], "/diff/x")
+                assert found.whole is is_whole
+                assert not is_whole or found.body == data
+
+    play(test)
+
+
 def test_requests_interrupted_by_a_cut_are_not_suspected_of_crashing_endpoints():
     """The cut node's own probe is refused, as that of a crashed endpoint would be."""
 
--- a/plumarch/gateway/relay_test.py
+++ b/plumarch/gateway/relay_test.py
@@ -511,6 +511,59 @@
     play(test)
 
 
+def streams_unframed(
+    last: int, partial: bytes = b"", ends: Callable[[asyncio.StreamWriter], None] | None = None
+) -> scripted.Answering:
+    """Return an endpoint whose streams have neither a length nor chunks.
+
+    Args:
+      partial: the first bytes of an event that the endpoint does not complete.
+      ends: ends the connection; by default it is closed in order.
+    """
+
+    async def answering(request: scripted.ReceivedRequest, writer: asyncio.StreamWriter) -> None:
+        writer.write(scripted.unframed_stream_head(request) + events(1, last) + partial)
+        await writer.drain()
+        if ends is not None:
+            # The relay must have read the events before the reset discards them.
+            await asyncio.sleep(0.1)
+            ends(writer)
+
+    return answering
+
+
+def test_a_stream_without_a_length_is_complete_once_its_connection_closes():
+    async def test() -> None:
+        async with Gateway(streams_unframed(4)) as gateway:
+            for path in ("/chat/", "/diff/"):
+                found = await gateway.ask(path)
+                assert (found.body, found.whole) == (events(1, 4), True)
+            assert gateway.sends() == 2
+
+    play(test)
+
+
+def test_a_stream_without_a_length_that_ends_inside_an_event_is_broken_off():
+    async def test() -> None:
+        breaks = streams_unframed(3, partial=b"id: 4\ndata: ha")
+        async with Gateway(breaks, streams(1, 6)) as gateway:
+            assert not (await gateway.ask("/diff/")).whole
+            found = await gateway.ask("/chat/")
+            assert (found.body, found.whole) == (events(1, 6), True)
+
+    play(test)
+
+
+def test_a_stream_without_a_length_that_is_reset_between_events_is_broken_off():
+    async def test() -> None:
+        async with Gateway(streams_unframed(3, ends=reset), streams(1, 6)) as gateway:
+            assert not (await gateway.ask("/diff/")).whole
+            found = await gateway.ask("/chat/")
+            assert (found.body, found.whole) == (events(1, 6), True)
+
+    play(test)
+
+
 def test_a_resumable_stream_resumes_at_another_endpoint_within_one_answer():
     async def test() -> None:
         breaks = streams(1, 3, ending=scripted.chunk(b"id: 4\ndata: ha")[:12])
--- a/plumarch/standins/scripted_endpoint.py
+++ b/plumarch/standins/scripted_endpoint.py
@@ -110,6 +110,12 @@
     return "\r\n".join(lines).encode() + HEAD_END
 
 
+def unframed_stream_head(request: ReceivedRequest) -> bytes:
+    """Return the head of an event stream that ends with its connection."""
+    framing = b"\r\ntransfer-encoding: chunked"
+    return stream_head(request).replace(framing, b"")
+
+
 def chunk(data: bytes) -> bytes:
     """Encode an HTTP chunk; an empty one ends the response."""
     return f"{len(data):x}\r\n".encode() + data + b"\r\n"
