--- a/plumarch/gateway/dispatch/interrupted_runs.py
+++ b/plumarch/gateway/dispatch/interrupted_runs.py
@@ -111,7 +111,7 @@
             probe.runs.append(run)
         elif attempt.exchange.peer_restarted or self._crashed_recently(endpoint.id, now):
             run.count_failure()
-            self._record_crashes(endpoint, [run])
+            self.record_crashes(endpoint, [run])
         else:
             task = asyncio.get_running_loop().create_task(self._probe(endpoint))
             self.probes[endpoint.id] = Probe(task, [run], now)
@@ -142,7 +142,7 @@
         if is_listening is False:
             self._prune_crashed()
             self.crashed_ms[endpoint.id] = self.state.clock.now()
-            self._record_crashes(endpoint, runs)
+            self.record_crashes(endpoint, runs)
         else:
             self._keep_unconfirmed(endpoint, runs)
             self.state.log.write(
@@ -170,13 +170,13 @@
         """Count an endpoint's interrupted runs as crashed, since its process restarted."""
         found = self.unconfirmed.pop(endpoint, None)
         if found is not None and self.state.clock.now() - found.at_ms < RESTART_RETENTION_MS:
-            self._record_crashes(found.endpoint, found.runs)
+            self.record_crashes(found.endpoint, found.runs)
 
     def _prune_crashed(self) -> None:
         oldest = self.state.clock.now() - CRASH_RETENTION_MS
         self.crashed_ms = {name: at for name, at in self.crashed_ms.items() if at >= oldest}
 
-    def _record_crashes(self, endpoint: traffic.Endpoint, runs: list[InterruptedRun]) -> None:
+    def record_crashes(self, endpoint: traffic.Endpoint, runs: list[InterruptedRun]) -> None:
         """Record a crash against the requests that ran."""
         state = self.state
         state.log.write(
