A request that other callers were answered lately gets an early trial

An early trial, as for segments, is granted at a node that saw it answered within the last minute; its answer clears it on all nodes.

Nothing changes for a poison request, which no node ever saw answered: three crashes, then a minute. Ruled out: fewer points for what any node saw answered, since reports merge by maximum and a node that started a second ago saw nothing. The test failed before (60,000 ms in place of 1,000).

--- a/plumarch/limits/quarantine.py
+++ b/plumarch/limits/quarantine.py
@@ -48,8 +48,9 @@
 """First letter of a prompt segment's fingerprint, which those of requests lack."""
 
 EARLY_TRIAL_MS = (1_000, 5_000)
-"""Pauses before the first trials of a prompt segment: sound requests share those that it was only
-seen with, and are refused until one of them is answered."""
+"""Pauses before early trials, by their number. Sound requests share the segments that a poison one
+was only seen with, and many callers may send the same sound request; they are refused until one of
+them is answered."""
 
 SUSPECT_RETENTION_MS = 600_000
 """Retention of requests with too few points for quarantine."""
@@ -122,13 +123,12 @@
         """Return the earliest time of the next trial.
 
         Args:
-          is_early: whether a segment's trial may be an early one.
+          is_early: whether the trial may be an early one.
         """
         newest = self.crashes[-1].at_ms if self.crashes else 0
-        if not self.is_segment():
-            return max(newest, self.tried_ms) + pause_ms(self.trials)
         if not is_early or (self.trials >= len(EARLY_TRIAL_MS) and newest > self.tried_ms):
-            return max(newest, self.tried_ms) + pause_ms(self.trials - len(EARLY_TRIAL_MS))
+            early_trials = len(EARLY_TRIAL_MS) if self.is_segment() else 0
+            return max(newest, self.tried_ms) + pause_ms(self.trials - early_trials)
         if self.trials and newest <= self.tried_ms:
             # The last trial neither crashed its endpoint nor was answered.
             return self.tried_ms + EARLY_TRIAL_MS[-1]
@@ -181,10 +181,15 @@
         held = self.held_among(fingerprints)
         if not held:
             return None
-        is_early = self._may_exonerate(held)
-        suspect = max(held, key=lambda one: one.next_trial_ms(is_early))
-        back_in_ms = suspect.next_trial_ms(is_early) - self.clock.now()
-        return QuarantinedRequest(suspect, max(0, back_in_ms))
+        segments = [one for one in held if one.is_segment()]
+        may_exonerate = self._may_exonerate(segments)
+
+        def next_trial_ms(one: Suspect) -> int:
+            is_early = may_exonerate if one.is_segment() else self.answers.has(one.fingerprint)
+            return one.next_trial_ms(is_early)
+
+        suspect = max(held, key=next_trial_ms)
+        return QuarantinedRequest(suspect, max(0, next_trial_ms(suspect) - self.clock.now()))
 
     def held_among(self, fingerprints: Iterable[str]) -> list[Suspect]:
         """Return what is quarantined of a request and its prompt segments."""
@@ -198,7 +203,7 @@
 
         That takes a request with some of the segments that were seen in the same crashes.
         """
-        if len(held) == 1:
+        if len(held) <= 1:
             return True
         names = {one.fingerprint for one in held}
         endpoints = {crash.endpoint for one in held for crash in one.crashes}
--- a/plumarch/limits/quarantine_test.py
+++ b/plumarch/limits/quarantine_test.py
@@ -239,3 +239,16 @@
     wall.time_ms += quarantine.EARLY_TRIAL_MS[-1]
     assert known.find_quarantined(segment).back_in_ms == 0
     assert back_in_ms(known, "f", segment) > 0
+
+
+def test_a_request_that_other_callers_were_just_answered_is_refused_for_a_minute():
+    """Another node, which saw no answer, reports three crashes at once."""
+    known, wall = new()
+    known.record_answer("f")
+    wall.time_ms += 2_000
+    crashes = tuple(quarantine.Crash(f"e{number}", wall.time_ms, EARLY) for number in range(3))
+    known.merge([quarantine.Suspect("f", crashes)])
+    assert back_in_ms(known, "f") == quarantine.EARLY_TRIAL_MS[0]
+    other, _ = new(wall.time_ms)
+    other.merge([quarantine.Suspect("f", crashes)])
+    assert back_in_ms(other, "f") == quarantine.FIRST_TRIAL_MS
