--- a/plumarch/cli/stories.py
+++ b/plumarch/cli/stories.py
@@ -17,6 +17,7 @@
 """Fields other than the id that identify a line's request; resumptions name their first attempt."""
 
 COMMON_FIELDS = frozenset({"at", "node", "kind", "request"})
+QUARANTINE_KINDS = frozenset({"quarantined", "quarantine_cleared", "quarantine_trial"})
 STATE_KINDS = frozenset(
     {
         "configuration",
@@ -104,7 +105,19 @@
         if line.kind in STATE_KINDS and line.node in nodes and begin <= line.at_ms <= end
         if line.kind != "endpoint" or line.fields.get("endpoint") in endpoints
     ]
-    return sorted(own + state_lines, key=lambda line: (line.at_ms, line.node))
+    found = own + state_lines + _quarantine_lines(lines, own)
+    return sorted(found, key=lambda line: (line.at_ms, line.node))
+
+
+def _quarantine_lines(lines: list[Line], own: list[Line]) -> list[Line]:
+    """Return the lines on what a request was refused for, such as a segment of its prompt."""
+    refused_for = {line.fields.get("fingerprint") for line in own if line.kind == "refused"}
+    return [
+        line
+        for line in lines
+        if line.kind in QUARANTINE_KINDS and line.fields.get("fingerprint") in refused_for
+        if line not in own
+    ]
 
 
 def _is_known_as(line: Line, name: str) -> bool:
--- a/plumarch/cli/stories_test.py
+++ b/plumarch/cli/stories_test.py
@@ -57,6 +57,20 @@
     assert [line.request for line in found] == ["r1", "r2"]
 
 
+REFUSED = """
+{"at":1000,"node":"n1","kind":"quarantined","fingerprint":"s01","endpoints":["e1","e2","e3"]}
+{"at":1100,"node":"n2","kind":"quarantined","fingerprint":"s02","endpoints":["e1","e2","e3"]}
+{"at":9000,"node":"n2","kind":"refused","request":"r1","status":503,"fingerprint":"s01","segment":"a1"}
+"""
+
+
+def test_a_refused_request_selects_the_quarantine_of_its_prompt_segment():
+    found = stories.story(stories.parse(REFUSED.splitlines()), "r1")
+    assert [line.kind for line in found] == ["quarantined", "refused"]
+    text = stories.render(found)
+    assert "endpoints=['e1', 'e2', 'e3']" in text and "segment=a1" in text
+
+
 SAMPLES = sorted((pathlib.Path(__file__).parent / "samples").glob("*.log"))
 """A repeated request in the log of each build that a mixed fleet may run."""
 
