Early trials of a suspect end after three, also if their crashes stay unknown

An endpoint that holds its port while it is down looks alive, so a trial that crashed it has no result and was repeated each 5 s for as long as requests came. At most one is repeated now. The server error threshold and the exoneration of requests and segments stand once each.

--- a/plumarch/gateway/dispatch/endpoint_outcomes.py
+++ b/plumarch/gateway/dispatch/endpoint_outcomes.py
@@ -23,6 +23,9 @@
 OVERLOADED = frozenset({429, 503})
 """Statuses of a rejection for load."""
 
+SERVER_ERRORS = 500
+"""First status of an endpoint's own failure."""
+
 MISDIRECTED = 421
 """Status of a process that is not the endpoint named, and did not run the request."""
 
--- a/plumarch/gateway/dispatch/exonerations.py
+++ b/plumarch/gateway/dispatch/exonerations.py
@@ -1,17 +1,15 @@
 """Exonerates requests and prompt segments that endpoints answered without a crash."""
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from plumarch.gateway import fleet_state
 from plumarch.gateway.callers import admission
-from plumarch.gateway.dispatch import attempts
+from plumarch.gateway.dispatch import attempts, endpoint_outcomes
 from plumarch.gateway.gossip import suspect_updates
 
 BEGINNING_MS = 250
 """Time from an answer's first event in which its endpoint may still crash of a prompt segment."""
 
-SERVER_ERRORS = 500
-
 
 def record_answer(state: fleet_state.FleetState, admitted: admission.Admitted, status: int) -> None:
     """Record a complete answer.
@@ -21,10 +19,8 @@
     Args:
       status: of the answer.
     """
-    if state.quarantine.points(admitted.fingerprint):
-        _clear(state, [admitted.fingerprint])
-    state.quarantine.answers.note(admitted.fingerprint)
-    if status < SERVER_ERRORS:
+    _exonerate(state, [admitted.fingerprint], state.quarantine.record_answer)
+    if status < endpoint_outcomes.SERVER_ERRORS:
         _record_segments(state, admitted)
 
 
@@ -44,15 +40,22 @@
     segments = [one.fingerprint for one in admitted.segments]
     for one in segments:
         state.segments.answers.note(one)
-    _clear(state, [one for one in segments if state.quarantine.points(one)])
+    _exonerate(state, segments, state.quarantine.clear_suspect)
+
 
+def _exonerate(
+    state: fleet_state.FleetState, fingerprints: Iterable[str], void: Callable[[str], bool]
+) -> None:
+    """Void the crashes that count against requests or segments, on all nodes.
 
-def _clear(state: fleet_state.FleetState, fingerprints: Iterable[str]) -> None:
-    """Void the crashes that count against requests or segments, on all nodes."""
-    cleared = list(fingerprints)
-    for fingerprint in cleared:
+    Args:
+      void: voids them on this node, and returns whether there were any.
+    """
+    cleared = []
+    for fingerprint in fingerprints:
         was_quarantined = state.quarantine.find_quarantined(fingerprint) is not None
-        state.quarantine.clear_suspect(fingerprint)
-        suspect_updates.log_change(state, fingerprint, was_quarantined, state.node)
+        if void(fingerprint):
+            suspect_updates.log_change(state, fingerprint, was_quarantined, state.node)
+            cleared.append(fingerprint)
     if cleared and state.publish_suspects is not None:
         state.publish_suspects(cleared)
--- a/plumarch/gateway/dispatch/interrupted_runs.py
+++ b/plumarch/gateway/dispatch/interrupted_runs.py
@@ -23,6 +23,7 @@
 """Time in which a restart explains an interrupted run; the store lists it late."""
 
 MAX_SEGMENTS_LOGGED = 8
+"""Prompt segments named in one log line."""
 
 MAX_UNCONFIRMED = 64
 """Limit of the interrupted runs kept per endpoint; the latest stay."""
--- a/plumarch/gateway/dispatch/request_run.py
+++ b/plumarch/gateway/dispatch/request_run.py
@@ -26,8 +26,6 @@
 from plumarch.limits import memory_account, quarantine
 from plumarch.routing import endpoint_choice, return_times
 
-MAX_SEGMENTS_LOGGED = 8
-
 CALLER_DISCONNECTED = 499
 """Logged as the status if the caller disconnected early."""
 
@@ -57,7 +55,6 @@
 TRIAL_RETRY_MS = 1_000.0
 """Retry delay of a quarantined request without a trial."""
 
-SERVER_ERRORS = 500
 SERVER_ERROR_WEIGHT = 0.3
 """Weight of an endpoint's 5xx as its failure."""
 
@@ -292,7 +289,7 @@
             outcome = await self._relay(attempt)
             label = "answered"
             exonerations.record_answer(state, self.admitted, outcome.status)
-            failed = outcome.status >= SERVER_ERRORS
+            failed = outcome.status >= endpoint_outcomes.SERVER_ERRORS
             if failed:
                 state.health.failure(endpoint, SERVER_ERROR_WEIGHT)
             else:
@@ -358,7 +355,9 @@
             "broken",
             request=self.admitted.id,
             fingerprint=self.admitted.fingerprint,
-            segments=[one.name for one in self.admitted.segments[:MAX_SEGMENTS_LOGGED]],
+            segments=[
+                one.name for one in self.admitted.segments[: interrupted_runs.MAX_SEGMENTS_LOGGED]
+            ],
             endpoint=endpoint.id,
             why=why,
             closed=attempts.was_disconnected(attempt),
@@ -457,7 +456,7 @@
                 self.state.memory, attempt.exchange, head, reservation, method
             )
             stream_relay.note_first_token(self.state, self.admitted, attempt, self.reply.started)
-            if head.status_code >= SERVER_ERRORS and self._may_retry():
+            if head.status_code >= endpoint_outcomes.SERVER_ERRORS and self._may_retry():
                 self.failed_answer = BufferedAnswer(head, body)
                 self._retain_failed(reservation)
                 raise RetryElsewhere("endpoint failed; another one may answer")
--- a/plumarch/limits/quarantine.py
+++ b/plumarch/limits/quarantine.py
@@ -126,13 +126,13 @@
           is_early: whether the trial may be an early one.
         """
         newest = self.crashes[-1].at_ms if self.crashes else 0
-        if not is_early or (self.trials >= len(EARLY_TRIAL_MS) and newest > self.tried_ms):
-            early_trials = len(EARLY_TRIAL_MS) if self.is_segment() else 0
-            return max(newest, self.tried_ms) + pause_ms(self.trials - early_trials)
-        if self.trials and newest <= self.tried_ms:
-            # The last trial neither crashed its endpoint nor was answered.
-            return self.tried_ms + EARLY_TRIAL_MS[-1]
-        return newest + EARLY_TRIAL_MS[self.trials]
+        # One more early trial if the last one neither crashed its endpoint nor was answered.
+        early_trials = len(EARLY_TRIAL_MS) + (newest <= self.tried_ms)
+        if is_early and self.trials < early_trials:
+            pause = EARLY_TRIAL_MS[min(self.trials, len(EARLY_TRIAL_MS) - 1)]
+            return max(newest, self.tried_ms) + pause
+        counted = self.trials - len(EARLY_TRIAL_MS) if self.is_segment() else self.trials
+        return max(newest, self.tried_ms) + pause_ms(counted)
 
     def is_over(self, now: int) -> bool:
         """Return whether its retention has expired."""
