Trials before a clearance don't count against later quarantines

A segment that was exonerated by its trials kept their number. The last trial's time and number now merge as a pair, and both are void once the suspect is cleared, like crashes; the merge stays independent of the order.

--- a/plumarch/limits/quarantine.py
+++ b/plumarch/limits/quarantine.py
@@ -95,8 +95,10 @@
     Attributes:
       fingerprint: common to all tries of the request, or to all requests with the segment.
       crashes: the newest ones, in order of time.
+      trials: how many were made up to the last one.
       tried_ms: when the last trial began; 0 for none.
-      cleared_ms: when it was answered or cleared; 0 for never. Earlier crashes don't count.
+      cleared_ms: when it was answered or cleared; 0 for never. Earlier crashes and trials don't
+        count.
     """
 
     fingerprint: str
@@ -326,11 +328,14 @@
     """Merge what two nodes know of the same request."""
     cleared_ms = max(one.cleared_ms, other.cleared_ms)
     crashes = [crash for crash in {*one.crashes, *other.crashes} if crash.at_ms > cleared_ms]
+    tried_ms, trials = max((one.tried_ms, one.trials), (other.tried_ms, other.trials))
+    if tried_ms <= cleared_ms:
+        tried_ms = trials = 0
     return Suspect(
         one.fingerprint,
         tuple(_deduplicate(crashes)[-MAX_CRASHES:]),
-        max(one.trials, other.trials),
-        max(one.tried_ms, other.tried_ms),
+        trials,
+        tried_ms,
         cleared_ms,
     )
 
--- a/plumarch/limits/quarantine_test.py
+++ b/plumarch/limits/quarantine_test.py
@@ -257,3 +257,15 @@
     other, _ = new(wall.time_ms)
     other.merge([quarantine.Suspect("f", crashes)])
     assert back_in_ms(other, "f") == quarantine.FIRST_TRIAL_MS
+
+
+def test_a_segment_that_was_exonerated_twice_is_refused_for_a_minute_the_third_time():
+    known, wall = new()
+    for _ in range(3):
+        segment = hold_segment(known, "a")
+        assert back_in_ms(known, segment) == quarantine.EARLY_TRIAL_MS[0]
+        wall.time_ms += back_in_ms(known, segment)
+        known.record_trial(segment, known.suspects[segment].trials + 1)
+        wall.time_ms += 300
+        assert known.clear_suspect(segment)
+        wall.time_ms += 5_000
