--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import pathlib
+import signal
 import sys
 import time
 import urllib.error
@@ -153,6 +154,8 @@
         finally:
             deployment.end()
 
+    # A script that is stopped early ends its processes too.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))
     try:
         code = HELD if asyncio.run(play()) else BROKEN
     except (NotStarted, TimeoutError, OSError, RuntimeError) as error:
