Review, case 3: streams hold events of two software versions

Cause: the origin of a stream is the version in the entry that the node knows. A process that started again in another version, and crashes before its entry is written, has its streams go on at the former version.

Change: a script shows it with workers that change their version under their identifier and crash once more.

--- a/review/standins/engine.py
+++ b/review/standins/engine.py
@@ -15,6 +15,7 @@
     """One model worker; `born` and `runs` are of its current process.
 
     Attributes:
+      version: of its software; each event names it.
       runs: requests that the process works on.
       left: requests that were broken off by their sender while the process worked on them.
       cut: requests that a process worked on when it ended.
@@ -29,6 +30,7 @@
         self.store = store
         self.log = log
         self.born = 0
+        self.version = "v1"
         self.runs: set[str] = set()
         self.left: set[str] = set()
         self.cut: set[str] = set()
@@ -46,7 +48,7 @@
             "service": self.service,
             "address": self.server.address,
             "zone": self.zone,
-            "version": "v1",
+            "version": self.version,
             "slots": 32,
             "state": "ready",
             "cold_remaining_ms": 0,
@@ -63,6 +65,13 @@
         Args:
           first_heartbeat_s: when the new process first writes its entry.
         """
+        await self.start_again()
+        await asyncio.sleep(first_heartbeat_s)
+        await self.write_entry()
+        self.log.write("entry", worker=self.name, born=self.born, version=self.version)
+
+    async def start_again(self) -> None:
+        """End the process and start the next one, which has not written its entry yet."""
         self.cut |= self.runs
         self.runs = set()
         host, _, port = self.server.address.rpartition(":")
@@ -71,10 +80,7 @@
         self.server = http.Server(self._serve)
         await self.server.start(host, int(port))
         self.born = round(time.time() * 1000.0)
-        self.log.write("started_again", worker=self.name, born=self.born)
-        await asyncio.sleep(first_heartbeat_s)
-        await self.write_entry()
-        self.log.write("entry", worker=self.name, born=self.born)
+        self.log.write("started_again", worker=self.name, born=self.born, version=self.version)
 
     def stop(self) -> None:
         """End the process."""
@@ -85,9 +91,9 @@
         if request.headers.get("expected-instance", self.name) != self.name:
             writer.write(http.message(421, {"Instance": self.name, "Request-Id": name}))
             return False
-        born, runs = self.born, self.runs
+        born, runs, version = self.born, self.runs, self.version
         runs.add(name)
-        self.log.write("run", worker=self.name, born=born, request=name)
+        self.log.write("run", worker=self.name, born=born, version=version, request=name)
         lines = [
             "HTTP/1.1 200 OK",
             "Content-Type: text/event-stream",
@@ -96,8 +102,9 @@
             "Transfer-Encoding: chunked",
         ]
         writer.write("\r\n".join(lines).encode() + http.HEAD_END)
-        for number in range(1, EVENTS + 1):
-            event = f"id: {number}\ndata: {name} {number}\n\n".encode()
+        first = int(request.headers.get("last-event-id", "0")) + 1
+        for number in range(first, EVENTS + 1):
+            event = f"id: {number}\ndata: {version}\n\n".encode()
             writer.write(b"%x\r\n%s\r\n" % (len(event), event))
             await asyncio.sleep(EVENT_GAP_S)
             if writer.transport.is_closing():
