Answers about endpoints that are ignored as stale are logged and counted

What the logs of the incident didn't tell: whether lists after the store's return changed nothing, or were ignored since their revision is below the known one. A line endpoints_stale (source, revision, what is known and its age), plumarch_gateway_stale_answers_total, and plumarch story prints the line beside a request.

--- a/plumarch/cli/stories.py
+++ b/plumarch/cli/stories.py
@@ -22,6 +22,7 @@
     {
         "configuration",
         "endpoint",
+        "endpoints_stale",
         "lost",
         "regained",
         "history_gone",
--- a/plumarch/gateway/fleet_state.py
+++ b/plumarch/gateway/fleet_state.py
@@ -284,6 +284,26 @@
             )
         self._prune_removed()
 
+    def note_stale_endpoints(self, revision: int, source: str) -> None:
+        """Log an answer about endpoints that is ignored if newer ones are known.
+
+        Args:
+          revision: the answer's.
+          source: "store" or a peer's name.
+        """
+        if revision >= self.registry.revision:
+            return
+        self.measures.stale_answers.add("endpoints")
+        self.log.write(
+            "endpoints_stale",
+            urgent=True,
+            source=source,
+            revision=revision,
+            known=self.registry.revision,
+            known_source=self.registry.source,
+            known_age_ms=self.registry.age_ms(),
+        )
+
     def rate_changed(self, endpoint: Endpoint, source: str) -> None:
         """Log a change of an endpoint's announced rate.
 
--- a/plumarch/gateway/gossip/snapshots.py
+++ b/plumarch/gateway/gossip/snapshots.py
@@ -107,6 +107,7 @@
             self._adopt_configuration(snapshot.node, encoded)
         if snapshot.with_endpoints:
             registry = self.state.registry
+            self.state.note_stale_endpoints(snapshot.registry_revision, snapshot.node)
             changes = registry.replace(
                 self._readable(snapshot.node, snapshot.endpoints),
                 snapshot.registry_revision,
--- a/plumarch/gateway/measures.py
+++ b/plumarch/gateway/measures.py
@@ -200,6 +200,11 @@
             "Messages of other nodes that this build can't read, by kind and the sender's build.",
             ("kind", "build"),
         )
+        self.stale_answers = Counter(
+            "plumarch_gateway_stale_answers",
+            "Answers of the store and of other nodes that were ignored as stale.",
+            ("what",),
+        )
         self.build = Gauge(
             "plumarch_gateway_build",
             "1 for the build of the product that this node runs.",
@@ -253,6 +258,7 @@
             self.slot_leases,
             self.tunnels,
             self.unreadable_messages,
+            self.stale_answers,
             self.quarantined,
             self.callers_disconnected,
             self.streams,
--- a/plumarch/gateway/store/follower.py
+++ b/plumarch/gateway/store/follower.py
@@ -183,6 +183,7 @@
         if revision is None:
             found = await self.store.list_endpoints()
             names = frozenset(one.name for one in found.unreadable)
+            self.state.note_stale_endpoints(found.revision, STORE)
             changes = known.replace(found.endpoints, found.revision, STORE, names)
             self.state.unreadable.listed(ENDPOINTS, found.unreadable)
             reached = found.revision
@@ -191,6 +192,7 @@
                 self.store.watch_endpoints(revision, self._watch_ms()),
                 lambda: known.changed_revision > revision,
             )
+            self.state.note_stale_endpoints(update.revision, STORE)
             changes = known.apply(update.changes, update.revision, STORE)
             read_or_removed = [one.id for one in update.changes if not one.is_unreadable]
             self.state.unreadable.changed(ENDPOINTS, read_or_removed, update.unreadable)
