Changes are applied after the store came back from an older copy

Callers saw requests at endpoints that had announced a drain more than 2 s before, and none at new endpoints. The store had come back from a copy some seconds old; its revisions went back, and the registry ignored every answer at a revision up to the known one.

The store's era (Store-Era) and its number make one revision that rises across eras, composed once in the adapter, so that every comparison holds. Lists of several eras, watches from an earlier era, late answers of an earlier era, and conditional writes whose revision was read in another era are rejected. Between nodes the era is a field of its own, two bytes while it is small; the number that earlier builds compare rises over a rollback. Reports of builds without an era count as the earliest, so a node follows the store itself if only such nodes do for it.

A list of the copy doesn't undo what is known: drains stay, endpoints that ended are not used until their entries are written again or outlast the store's removal (5 s), those that the copy lacks stay for 1.5 s, and a restarted endpoint is not replaced by its former process.

--- a/plumarch/cli/stories.py
+++ b/plumarch/cli/stories.py
@@ -23,6 +23,7 @@
         "configuration",
         "endpoint",
         "endpoints_stale",
+        "store_rolled_back",
         "lost",
         "regained",
         "history_gone",
--- a/plumarch/core/errors.py
+++ b/plumarch/core/errors.py
@@ -25,6 +25,10 @@
     """The object changed since it was read. Read it again."""
 
 
+class PlatformRolledBack(PlatformConflict):
+    """The store came back from an older copy since the object was read. Read it again."""
+
+
 class PlatformAbsent(PlatformError):
     """No object has this name."""
 
--- a/plumarch/daemon/status_pages.py
+++ b/plumarch/daemon/status_pages.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 
+from plumarch.core import revisions
 from plumarch.gateway import fleet_state
 from plumarch.gateway.callers import caller_requests
 from plumarch.gateway.gossip import builds
@@ -85,7 +86,8 @@
         state = self.state
         sizes = state.measures.state
         sizes["configuration_version"] = state.configuration_version()
-        sizes["registry_revision"] = state.registry.revision
+        sizes["registry_revision"] = revisions.number(state.registry.revision)
+        sizes["store_era"] = state.store_era
         sizes["registry_age_ms"] = state.registry.age_ms()
         sizes["endpoints"] = len(state.registry.endpoints)
         sizes["endpoints_leaving_by_answer"] = len(state.registry.drains.in_force())
--- a/plumarch/gateway/dispatch/attempts.py
+++ b/plumarch/gateway/dispatch/attempts.py
@@ -5,7 +5,7 @@
 
 import h11
 
-from plumarch.core import traffic
+from plumarch.core import revisions, traffic
 from plumarch.gateway import dialect, errors, fleet_state
 from plumarch.gateway.callers import admission
 from plumarch.gateway.connections import exchange, tunneled
@@ -125,7 +125,7 @@
             split=state.splits.of(admitted.service),
             tried=len(progress.tried),
             after_fall_ms=round(endpoint_outcomes.wait_after_crash_ms(state, admitted, ready)),
-            registry_revision=state.registry.revision,
+            registry_revision=revisions.shown(state.registry.revision),
             registry_age_ms=state.registry.age_ms(),
             registry_source=state.registry.source,
         )
@@ -494,7 +494,7 @@
         after_event=progress.last_event_id,
         attempt=progress.sends + 1,
         after=progress.last_fault,
-        registry_revision=state.registry.revision,
+        registry_revision=revisions.shown(state.registry.revision),
         registry_age_ms=state.registry.age_ms(),
         configuration=admitted.version,
         workspace=admitted.workspace_name(),
--- a/plumarch/gateway/dispatch/endpoint_outcomes.py
+++ b/plumarch/gateway/dispatch/endpoint_outcomes.py
@@ -5,7 +5,7 @@
 
 import h11
 
-from plumarch.core import traffic
+from plumarch.core import revisions, traffic
 from plumarch.gateway import fleet_state
 from plumarch.gateway.callers import admission
 from plumarch.gateway.dispatch import announced_rates, endpoint_signals, fragile_endpoints
@@ -174,7 +174,7 @@
         rejection_limit=signals.rejection_limit,
         after_ms=now - sent_ms,
         listed_as=listed.state.value if listed else "gone",
-        registry_revision=state.registry.revision,
+        registry_revision=revisions.shown(state.registry.revision),
         registry_age_ms=state.registry.age_ms(),
     )
     if head.status_code == MISDIRECTED:
--- a/plumarch/gateway/dispatch/resumptions.py
+++ b/plumarch/gateway/dispatch/resumptions.py
@@ -7,7 +7,7 @@
 import dataclasses
 import enum
 
-from plumarch.core import traffic
+from plumarch.core import revisions, traffic
 from plumarch.gateway import fleet_state
 from plumarch.gateway.callers import admission
 from plumarch.routing import stream_origins
@@ -76,7 +76,7 @@
         version=found.origin.version if found.origin is not None else None,
         asked=found.asked,
         waited_ms=state.clock.now() - began_ms,
-        registry_revision=state.registry.revision,
+        registry_revision=revisions.shown(state.registry.revision),
         registry_age_ms=state.registry.age_ms(),
     )
     return found
--- a/plumarch/gateway/duties/engine_orders.py
+++ b/plumarch/gateway/duties/engine_orders.py
@@ -3,7 +3,7 @@
 import dataclasses
 from collections.abc import Callable, Mapping
 
-from plumarch.core import errors, records, traffic
+from plumarch.core import errors, records, revisions, traffic
 from plumarch.fleet import engine_demand, engine_plan, region_demand
 from plumarch.gateway import fleet_state, ports
 from plumarch.gateway.duties import engine_gauges, rollout_duty
@@ -236,5 +236,5 @@
             learned=self._speed_report(order.service),
             needed=plan.needed(scaling),
             token=lease.token,
-            registry_revision=self.state.registry.revision,
+            registry_revision=revisions.shown(self.state.registry.revision),
         )
--- a/plumarch/gateway/fleet_state.py
+++ b/plumarch/gateway/fleet_state.py
@@ -6,7 +6,7 @@
 from collections.abc import Awaitable, Callable, Sequence
 
 from plumarch.config import routing_table
-from plumarch.core import rollouts, suspension
+from plumarch.core import revisions, rollouts, suspension
 from plumarch.core.clock import Clock
 from plumarch.core.traffic import Endpoint, ServiceShare
 from plumarch.fleet import engine_demand, usage, version_tally
@@ -116,6 +116,8 @@
       origin_answers: resumptions that wait for them, by the stream's hash.
       knows_endpoints: whether this node would know of an endpoint that others use.
       reaches_store: whether the store answered the last call.
+      store_era: the latest era of the store, from its answers or from peers; -1 before the first.
+      rollbacks: times that the store came back from an older copy since the start.
       stops_at_ms: when the process will exit; None before a shutdown.
     """
 
@@ -160,6 +162,8 @@
     ask_origin: Callable[[stream_origins.Stream, str, str], int] | None = None
     knows_endpoints: Callable[[], bool] = lambda: True
     reaches_store: bool = True
+    store_era: int = -1
+    rollbacks: int = 0
     stops_at_ms: int | None = None
     unreadable: unreadable_entries.UnreadableEntries = dataclasses.field(init=False)
     backoff: endpoint_backoff.EndpointBackoff = dataclasses.field(init=False)
@@ -279,11 +283,34 @@
                 leaves_in_ms=endpoint.leaves_in_ms if endpoint else None,
                 is_restarted=change.is_restarted,
                 lost_runs=lost_runs,
-                revision=change.revision,
+                revision=revisions.shown(change.revision),
                 source=source,
             )
         self._prune_removed()
 
+    def note_store_era(self, revision: int, source: str) -> None:
+        """Log that the store came back from an older copy if a revision is of a later era.
+
+        Args:
+          source: "store" or a peer's name.
+        """
+        before, self.store_era = self.store_era, max(self.store_era, revisions.era(revision))
+        if not 0 <= before < self.store_era:
+            return
+        self.rollbacks += 1
+        self.measures.store_rollbacks.add()
+        self.log.write(
+            "store_rolled_back",
+            urgent=True,
+            source=source,
+            era=self.store_era,
+            before=before,
+            revision=revisions.shown(revision),
+            registry_revision=revisions.shown(self.registry.revision),
+            registry_age_ms=self.registry.age_ms(),
+            configuration=self.configuration_version(),
+        )
+
     def note_stale_endpoints(self, revision: int, source: str) -> None:
         """Log an answer about endpoints that is ignored if newer ones are known.
 
@@ -298,8 +325,8 @@
             "endpoints_stale",
             urgent=True,
             source=source,
-            revision=revision,
-            known=self.registry.revision,
+            revision=revisions.shown(revision),
+            known=revisions.shown(self.registry.revision),
             known_source=self.registry.source,
             known_age_ms=self.registry.age_ms(),
         )
--- a/plumarch/gateway/gossip/coordination.py
+++ b/plumarch/gateway/gossip/coordination.py
@@ -236,7 +236,7 @@
             address=view.address,
             data_centre=state.data_centre,
             configuration=state.configuration_version(),
-            registry_revision=state.registry.changed_revision,
+            registry_revision=state.registry.sent_number(state.registry.changed_revision),
             nodes=view.centre_size(),
             reachable_nodes=1 + len(neighbours),
             seniors=seniors.announced(view),
@@ -256,6 +256,8 @@
             tunnel_nodes=self._tunnel_nodes_in_summary(),
             fragile=fragility_reports.to_messages(state),
             newest_tag=gossip.NEWEST_TAG,
+            store_era=state.registry.sent_era(),
+            renumbered=state.registry.renumbered,
         )
 
     def _tunnel_nodes_in_summary(self) -> list[gossip.KnownPeer]:
@@ -382,7 +384,7 @@
             address=view.address,
             data_centre=state.data_centre,
             configuration=state.configuration_version(),
-            registry_revision=state.registry.changed_revision,
+            registry_revision=state.registry.sent_number(state.registry.changed_revision),
             nodes=view.size(),
             centre_nodes=view.centre_size(),
             fraction=fraction,
@@ -396,6 +398,8 @@
             tunnel_nodes=self._tunnel_nodes_in_update(),
             fragile=fragility_reports.to_messages(state),
             newest_tag=gossip.NEWEST_TAG,
+            store_era=state.registry.sent_era(),
+            renumbered=state.registry.renumbered,
         )
 
     def _fleet_loads(self, full: bool) -> list[gossip.EndpointLoad]:
--- a/plumarch/gateway/gossip/gossiper.py
+++ b/plumarch/gateway/gossip/gossiper.py
@@ -177,6 +177,7 @@
         """Update role and peers, then send heartbeats."""
         self._decide_role()
         self.view.interval_ms = self.interval_ms()
+        self.view.store_era = self.state.registry.sent_era()
         self.state.quota.update_age_ms = self._update_age_ms()
         self.state.permits.nodes = self.state.slots.nodes = self.view.size()
         self.slots.renew()
@@ -467,6 +468,7 @@
             peer.build = heartbeat.build
         peer.reaches_store = heartbeat.reaches_store
         peer.opens_tunnels = heartbeat.opens_tunnels
+        peer.store_era = heartbeat.store_era
         self.readable.apply_report(heartbeat.address, heartbeat.incarnation, heartbeat.newest_tag)
         fragility_reports.apply(self.state, heartbeat.fragile, heartbeat.node)
         peer.token = heartbeat.token
@@ -583,7 +585,7 @@
         state = self.state
         return (
             versions.configuration > state.configuration_version()
-            or versions.registry_revision > state.registry.revision
+            or gossip.revision_of(versions) > state.registry.revision
         )
 
     def close(self) -> None:
--- a/plumarch/gateway/gossip/heartbeats.py
+++ b/plumarch/gateway/gossip/heartbeats.py
@@ -172,7 +172,7 @@
             data_centre=state.data_centre,
             leaving=leaving,
             configuration=state.configuration_version(),
-            registry_revision=state.registry.changed_revision,
+            registry_revision=state.registry.sent_number(state.registry.changed_revision),
             token=self.duty.token,
             candidate=self.duty.candidate,
             reported=self.duty.reported,
@@ -182,6 +182,8 @@
             opens_tunnels=not leaving and not state.paths.is_cut_off(),
             fragile=fragility_reports.to_messages(state),
             newest_tag=gossip.NEWEST_TAG,
+            store_era=state.registry.sent_era(),
+            renumbered=state.registry.renumbered,
         )
 
     def _seniors(self) -> list[gossip.NodeIdentity]:
--- a/plumarch/gateway/gossip/member_updates.py
+++ b/plumarch/gateway/gossip/member_updates.py
@@ -83,6 +83,7 @@
             seniors=seniors.from_messages(update.seniors),
             followers=tuple(update.followers),
             received_ms=now,
+            store_era=update.store_era,
         )
         return True
 
--- a/plumarch/gateway/gossip/snapshots.py
+++ b/plumarch/gateway/gossip/snapshots.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from plumarch.config import routing_table
-from plumarch.core import addresses, errors, traffic
+from plumarch.core import addresses, errors, revisions, traffic
 from plumarch.gateway import fleet_state
 from plumarch.peers import frames, gossip
 
@@ -43,6 +43,7 @@
 
     configuration: int
     registry_revision: int
+    store_era: int
     with_configuration: bool
     with_endpoints: bool
     in_parts: bool
@@ -88,11 +89,14 @@
     async def _fetch(self, address: str) -> None:
         if self.state.table is not None:
             await asyncio.sleep(FETCH_PAUSE_MS / 1000.0)
+        known = self.state.registry
         request = gossip.SnapshotRequest(
             self.state.configuration_version(),
-            self.state.registry.revision,
+            known.sent_number(known.revision),
             accepts_compressed=True,
             accepts_parts=True,
+            store_era=max(0, revisions.era(known.revision)),
+            renumbered=known.renumbered,
         )
         try:
             async with asyncio.timeout(FETCH_TIMEOUT_MS / 1000.0):
@@ -107,11 +111,13 @@
             self._adopt_configuration(snapshot.node, encoded)
         if snapshot.with_endpoints:
             registry = self.state.registry
-            self.state.note_stale_endpoints(snapshot.registry_revision, snapshot.node)
+            revision = revisions.of(
+                snapshot.store_era, snapshot.registry_revision - snapshot.renumbered
+            )
+            self.state.note_store_era(revision, snapshot.node)
+            self.state.note_stale_endpoints(revision, snapshot.node)
             changes = registry.replace(
-                self._readable(snapshot.node, snapshot.endpoints),
-                snapshot.registry_revision,
-                snapshot.node,
+                self._readable(snapshot.node, snapshot.endpoints), revision, snapshot.node
             )
             self.state.registry_changed(changes, snapshot.node)
 
@@ -172,9 +178,11 @@
         """Return the encoded answer, reusing the last one if nothing changed."""
         if not request.accepts_compressed:
             return gossip.encoder.encode(self._compose(request, in_parts))
+        registry = self.state.registry
         contents = Contents(
             self.state.configuration_version(),
-            self.state.registry.revision,
+            registry.sent_number(registry.revision),
+            revisions.era(registry.revision),
             self._is_configuration_newer(request),
             self._are_endpoints_newer(request),
             in_parts,
@@ -195,7 +203,12 @@
         return self.state.configuration_version() > request.configuration
 
     def _are_endpoints_newer(self, request: gossip.SnapshotRequest) -> bool:
-        return self.state.registry.changed_revision > request.registry_revision
+        known = self.state.registry
+        if not request.store_era:
+            # Builds that don't know eras compare the numbers sent.
+            return known.sent_number(known.changed_revision) > request.registry_revision
+        requested = revisions.of(request.store_era, request.registry_revision - request.renumbered)
+        return known.changed_revision > requested
 
     def _full(self, request: gossip.SnapshotRequest) -> gossip.FullSnapshot:
         """Return a snapshot for earlier builds."""
@@ -204,8 +217,8 @@
         return gossip.FullSnapshot(
             self.state.node,
             table.configuration if table is not None and with_configuration else None,
-            tuple(registry.endpoints.values()) if self._are_endpoints_newer(request) else None,
-            registry.revision,
+            tuple(registry.as_listed()) if self._are_endpoints_newer(request) else None,
+            registry.sent_number(registry.revision),
         )
 
     def _snapshot(self, request: gossip.SnapshotRequest) -> gossip.Snapshot:
@@ -215,9 +228,11 @@
         return gossip.Snapshot(
             self.state.node,
             [gossip.raw(table.configuration)] if table is not None and with_configuration else [],
-            [gossip.raw(one) for one in registry.endpoints.values()] if with_endpoints else [],
+            [gossip.raw(one) for one in registry.as_listed()] if with_endpoints else [],
             with_endpoints,
-            registry.revision,
+            registry.sent_number(registry.revision),
+            max(0, revisions.era(registry.revision)),
+            registry.renumbered,
         )
 
 
--- a/plumarch/gateway/gossip/stream_exchange_test.py
+++ b/plumarch/gateway/gossip/stream_exchange_test.py
@@ -200,7 +200,7 @@
         if tag > self.newest_tag:
             return
         if tag == gossip.Heartbeat.__struct_config__.tag:
-            fields[-1] = self.newest_tag
+            fields[gossip.Heartbeat.__struct_fields__.index("newest_tag")] = self.newest_tag
         self.tags[tag] += 1
         super().sendto(msgspec.msgpack.encode([tag, *fields]), to)
 
--- a/plumarch/gateway/measures.py
+++ b/plumarch/gateway/measures.py
@@ -205,6 +205,11 @@
             "Answers of the store and of other nodes that were ignored as stale.",
             ("what",),
         )
+        self.store_rollbacks = Counter(
+            "plumarch_gateway_store_rollbacks",
+            "Times that the store came back from an older copy.",
+            (),
+        )
         self.build = Gauge(
             "plumarch_gateway_build",
             "1 for the build of the product that this node runs.",
@@ -259,6 +264,7 @@
             self.tunnels,
             self.unreadable_messages,
             self.stale_answers,
+            self.store_rollbacks,
             self.quarantined,
             self.callers_disconnected,
             self.streams,
--- a/plumarch/gateway/ports.py
+++ b/plumarch/gateway/ports.py
@@ -1,8 +1,11 @@
 """Interface to the platform, implemented by an adapter.
 
 All calls raise the errors of plumarch.core.errors: PlatformUnavailable (nothing was done),
-PlatformAnswerLost (may have been done), PlatformConflict, PlatformAbsent, PlatformRevisionExpired,
-PlatformNonsense.
+PlatformAnswerLost (may have been done), PlatformConflict, PlatformRolledBack, PlatformAbsent,
+PlatformRevisionExpired, PlatformNonsense.
+
+Revisions are those of plumarch.core.revisions: they rise also when the store comes back from an
+older copy.
 """
 
 import dataclasses
@@ -122,7 +125,11 @@
         ...
 
     async def write_record(self, kind: str, record: records.Record) -> records.Record:
-        """Write an object if its revision is unchanged; return it with the new one."""
+        """Write an object if its revision is unchanged; return it with the new one.
+
+        Raises:
+          PlatformRolledBack: the store came back from an older copy since it was read.
+        """
         ...
 
 
--- a/plumarch/gateway/store/follower.py
+++ b/plumarch/gateway/store/follower.py
@@ -172,6 +172,7 @@
                 self.store.watch_configuration(revision, self._watch_ms()),
                 lambda: self.state.configuration_version() > version,
             )
+        self.state.note_store_era(update.revision, STORE)
         if update.configuration is not None:
             table = routing_table.build(update.configuration)
             if self.state.adopt_table(table, STORE):
@@ -183,6 +184,7 @@
         if revision is None:
             found = await self.store.list_endpoints()
             names = frozenset(one.name for one in found.unreadable)
+            self.state.note_store_era(found.revision, STORE)
             self.state.note_stale_endpoints(found.revision, STORE)
             changes = known.replace(found.endpoints, found.revision, STORE, names)
             self.state.unreadable.listed(ENDPOINTS, found.unreadable)
--- a/plumarch/membership/fleet_view.py
+++ b/plumarch/membership/fleet_view.py
@@ -57,6 +57,7 @@
       names: the key in `peers` of each address.
       reported_seniors: of the own data centre, by a peer's report, and when.
       all_centres: all data centres ever reported, and the seeds.
+      store_era: of the endpoints that this node knows.
     """
 
     clock: clock.Clock
@@ -74,6 +75,7 @@
     all_centres: known_centres.KnownCentres = dataclasses.field(
         default_factory=known_centres.KnownCentres
     )
+    store_era: int = 0
 
     def learn(self, name: str, address: str, data_centre: str = "") -> None:
         """Add an unknown node from a seed list, the store or a peer.
@@ -416,7 +418,9 @@
           reaches_store: whether this node does.
         """
         live = [
-            (one.seniority(), one.reaches_store) for one in self.neighbours() if self.is_alive(one)
+            (one.seniority(), self._follows_store(one))
+            for one in self.neighbours()
+            if self.is_alive(one)
         ]
         by_seniority = sorted([*live, (self.seniority(), reaches_store)])
         wanted = store_followers.per_centre(len(self.reachable_centres() | {self.data_centre}))
@@ -439,19 +443,27 @@
             self.role is tiers.Role.MEMBER
             and self.fleet_update is not None
             and self.has_fresh_update()
+            and self.fleet_update.store_era >= self.store_era
         ):
             return self.node in self.fleet_update.followers
         more_senior = [
             peer
             for peer in self.live()
             if peer.data_centre == data_centre
-            and peer.reaches_store
+            and self._follows_store(peer)
             and peer.seniority() < self.seniority()
         ]
         return len(more_senior) < store_followers.per_centre(
             len(self.reachable_centres() | {data_centre})
         )
 
+    def _follows_store(self, peer: peer_node.Peer) -> bool:
+        """Return whether this node learns of the store's changes from a peer.
+
+        It doesn't from builds that report no era: their revisions can't be compared.
+        """
+        return peer.reaches_store and peer.store_era >= self.store_era
+
     def addresses(self) -> Iterable[str]:
         """Return the recipients of heartbeats."""
         return [peer.address for peer in self.peers.values()]
--- a/plumarch/membership/peer_node.py
+++ b/plumarch/membership/peer_node.py
@@ -18,6 +18,7 @@
       nodes: size of the fleet by its own count.
       build: as reported, or "".
       opens_tunnels: whether it reaches endpoints and opens tunnels to them.
+      store_era: of the endpoints that it knows; 0 from builds that don't send it.
     """
 
     name: str
@@ -33,6 +34,7 @@
     nodes: int = 0
     build: str = ""
     opens_tunnels: bool = False
+    store_era: int = 0
 
     def seniority(self) -> tiers.Seniority:
         """Return its seniority key."""
--- a/plumarch/membership/registry.py
+++ b/plumarch/membership/registry.py
@@ -1,13 +1,14 @@
 """Registry of endpoints, from a list-and-watch source or from a peer.
 
-Stale snapshots and changes are ignored, so the source and peers may overtake one another.
+Stale snapshots and changes are ignored, so the source and peers may overtake one another. A list of
+a later era of the source may be older than what is known: see membership.rollback.
 """
 
 import dataclasses
 from collections.abc import Iterable
 
-from plumarch.core import clock, traffic
-from plumarch.membership import drain_notices, version_history
+from plumarch.core import clock, revisions, traffic
+from plumarch.membership import drain_notices, rollback, version_history
 
 LAPSE_MS = 1_400
 """How long endpoints stay in use after most of a service's entries vanished."""
@@ -54,9 +55,11 @@
       endpoints: by identifier; one that announced a drain is draining, whatever its entry says.
       by_name: current incarnations, by the endpoint's own name.
       revision: up to which all changes are known.
-      changed_revision: of the last change; other nodes need not fetch later ones.
+      changed_revision: of the last change or rollback; other nodes need not fetch later ones.
       confirmed_ms: when `revision` was last confirmed.
       source: the last one: "store" or a peer's name.
+      renumbered: what is added to the store's numbers for builds that don't know its eras, so that
+        they also rise for these after a rollback.
       lapsed: vanished endpoints, by identifier.
       ready_by_service: cache, cleared when an endpoint changes.
     """
@@ -68,12 +71,15 @@
     changed_revision: int = -1
     confirmed_ms: int = 0
     source: str = ""
+    renumbered: int = 0
     lapsed: dict[str, Lapsed] = dataclasses.field(default_factory=dict)
     ready_by_service: dict[str, list[traffic.Endpoint]] = dataclasses.field(default_factory=dict)
     drains: drain_notices.DrainNotices = dataclasses.field(init=False)
     versions: version_history.VersionHistory = dataclasses.field(init=False)
+    rolled_back: rollback.RollbackFilter = dataclasses.field(init=False)
 
     def __post_init__(self) -> None:
+        self.rolled_back = rollback.RollbackFilter(self.clock)
         self.drains = drain_notices.DrainNotices(self.clock)
         self.versions = version_history.VersionHistory(self.clock)
 
@@ -91,7 +97,11 @@
         """
         if revision < self.revision:
             return []
-        fresh = {endpoint.id: self.drains.applied(endpoint) for endpoint in endpoints}
+        is_rollback = self.is_rollback(revision)
+        if is_rollback:
+            self._prepare_rollback(revision)
+        used = self.rolled_back.applied(endpoints)
+        fresh = {endpoint.id: self.drains.applied(endpoint) for endpoint in used}
         by_name = {endpoint.stable_name(): endpoint.id for endpoint in fresh.values()}
         changes = []
         for endpoint in self.endpoints.values():
@@ -106,9 +116,24 @@
             if self.endpoints.get(endpoint.id) != endpoint:
                 changes.append(EndpointChange(endpoint.id, revision, endpoint))
         self.endpoints, self.by_name = fresh, by_name
-        self._confirm(revision, source, bool(changes))
+        changes += self._end_substitutes(revision)
+        self._confirm(revision, source, bool(changes) or is_rollback)
         return changes
 
+    def is_rollback(self, revision: int) -> bool:
+        """Return whether a revision is of a later era than what is known."""
+        return revisions.era(revision) > revisions.era(self.revision) >= 0
+
+    def _prepare_rollback(self, revision: int) -> None:
+        """Keep what is known better than by an older copy of the source's entries."""
+        lost = revisions.number(self.revision) - revisions.number(revision)
+        self.renumbered += max(0, lost + 1)
+        known = [*self.endpoints.values(), *self.rolled_back.drained()]
+        for endpoint in known:
+            if endpoint.state is traffic.EndpointState.DRAINING:
+                self.drains.note(endpoint, alive_ms=0)
+        self.rolled_back.begin(self.endpoints.values())
+
     def apply(
         self, changes: Iterable[EndpointChange], revision: int, source: str
     ) -> list[EndpointChange]:
@@ -119,12 +144,14 @@
         for change in changes:
             if change.revision > self.revision:
                 applied += self._apply(change)
+        applied += self._end_substitutes(revision)
         self._confirm(revision, source, bool(applied))
         return applied
 
     def _apply(self, received: EndpointChange) -> list[EndpointChange]:
         """Apply one change; return the incarnations' changes."""
         changes = []
+        self.rolled_back.written(received.id)
         before = self.by_name.get(received.id)
         endpoint = self.drains.applied(received.endpoint) if received.endpoint is not None else None
         now = endpoint.id if endpoint is not None else None
@@ -175,11 +202,43 @@
         self.confirmed_ms = self.clock.now()
         self.source = source
 
+    def _end_substitutes(self, revision: int) -> list[EndpointChange]:
+        """Use entries as the source lists them, whose endpoints didn't write them in time."""
+        changes = []
+        for substitute in self.rolled_back.prune():
+            used, listed = substitute.used, substitute.listed
+            self.endpoints.pop(used.id, None)
+            self.by_name.pop(used.stable_name(), None)
+            if listed is None:
+                change = EndpointChange(used.id, revision, None)
+                self._note_end(used, change)
+            else:
+                listed = self.drains.applied(listed)
+                change = EndpointChange(listed.id, revision, listed)
+                self.endpoints[listed.id] = listed
+                self.by_name[listed.stable_name()] = listed.id
+            changes.append(change)
+        return changes
+
+    def sent_number(self, revision: int) -> int:
+        """Return the number to send to other nodes for a revision."""
+        return revisions.number(revision) + self.renumbered
+
+    def sent_era(self) -> int:
+        """Return the era to send to other nodes."""
+        return max(0, revisions.era(self.changed_revision))
+
+    def as_listed(self) -> list[traffic.Endpoint]:
+        """Return the endpoints for other nodes, which know for themselves what a copy lacks."""
+        found = [self.rolled_back.as_listed(endpoint) for endpoint in self.endpoints.values()]
+        return [endpoint for endpoint in found if endpoint is not None]
+
     def _note_end(self, vanished: traffic.Endpoint, change: EndpointChange) -> None:
         """Record an endpoint's end, as lapsed if it vanished unannounced."""
         if change.is_unreadable or change.is_restarted:
             return
         self.drains.vanished(vanished)
+        self.rolled_back.note_end(vanished)
         now = self.clock.now()
         for name in [name for name, one in self.lapsed.items() if self._is_expired(one, now)]:
             del self.lapsed[name]
@@ -195,6 +254,8 @@
         found = self.ready_by_service.get(service)
         if found is None:
             found = self.ready_by_service[service] = self._listed_as_ready(service)
+        if self.rolled_back.substitutes:
+            found = self._without_overdue(service, found)
         if not self.lapsed:
             return found
         vanished = self._vanished(service)
@@ -210,6 +271,26 @@
         ]
         return sorted(found, key=lambda endpoint: endpoint.id)
 
+    def _without_overdue(
+        self, service: str, found: list[traffic.Endpoint]
+    ) -> list[traffic.Endpoint]:
+        """Return those that an older copy of the source has, or may have soon.
+
+        If most of a service's endpoints seem to have ended before, their entries had lapsed.
+        """
+        lives = [one for one in found if not self.rolled_back.is_overdue(one)]
+        doubtful = [
+            one.listed
+            for one in self.rolled_back.substitutes.values()
+            if one.listed is not None
+            and one.listed.service == service
+            and one.used.id == one.listed.id
+            and self.drains.applied(one.listed).state is traffic.EndpointState.READY
+        ]
+        if len(doubtful) < MIN_LAPSED or len(doubtful) <= len(lives):
+            return lives
+        return sorted(lives + doubtful, key=lambda endpoint: endpoint.id)
+
     def _vanished(self, service: str) -> list[traffic.Endpoint]:
         """Return a service's lapsed endpoints that are not listed again."""
         now = self.clock.now()
--- a/plumarch/membership/tiers.py
+++ b/plumarch/membership/tiers.py
@@ -84,6 +84,7 @@
       seniors: of the own data centre, most senior first.
       followers: nodes of the own data centre that follow the store.
       received_ms: by this node's clock.
+      store_era: of the endpoints that the coordinator knows.
     """
 
     author: Seniority
@@ -93,6 +94,7 @@
     seniors: tuple[Senior, ...]
     followers: tuple[str, ...]
     received_ms: int
+    store_era: int = 0
 
 
 def role_of(
--- a/plumarch/peers/gossip.py
+++ b/plumarch/peers/gossip.py
@@ -12,7 +12,7 @@
 import msgspec
 
 from plumarch.config import routing_table
-from plumarch.core import traffic
+from plumarch.core import revisions, traffic
 from plumarch.peers import suspect_entries
 
 DATAGRAM_LIMIT = 1_400
@@ -133,7 +133,7 @@
 
     Attributes:
       incarnation: start of the process (time of day in ms).
-      registry_revision: of the last known change of endpoints.
+      registry_revision: of the last known change of endpoints; see revision_of.
       token: its fencing token, or 0.
       candidate: whether it could take the duties over.
       reported: the newest usage window that the holder reported, or 0.
@@ -150,6 +150,8 @@
       opens_tunnels: whether it reaches endpoints and opens tunnels to them for others.
       fragile: services whose endpoints bear few rejections.
       newest_tag: highest tag of the datagrams that it reads; 0 from builds that don't send it.
+      store_era: of registry_revision; 0 from builds that don't send it.
+      renumbered: what is added to the store's own number in registry_revision.
     """
 
     node: str
@@ -177,6 +179,8 @@
     opens_tunnels: bool = False
     fragile: list[FragileService] = []
     newest_tag: int = 0
+    store_era: int = 0
+    renumbered: int = 0
 
 
 class CentreSpending(msgspec.Struct, array_like=True, frozen=True):
@@ -200,7 +204,7 @@
     """A coordinator's summary of its data centre, for coordinators elsewhere.
 
     Attributes:
-      registry_revision: of the last known change of endpoints.
+      registry_revision: of the last known change of endpoints; see revision_of.
       nodes: size of the data centre.
       reachable_nodes: those reachable from the sender, with itself.
       token: the highest fencing token of a live node, or 0.
@@ -219,6 +223,7 @@
       tunnel_nodes: in some summaries, nodes of the data centre that open tunnels.
       fragile: as in heartbeats.
       newest_tag: as in heartbeats.
+      store_era, renumbered: as in heartbeats.
     """
 
     node: str
@@ -246,6 +251,8 @@
     tunnel_nodes: list[KnownPeer] = []
     fragile: list[FragileService] = []
     newest_tag: int = 0
+    store_era: int = 0
+    renumbered: int = 0
 
 
 class KnownCentre(msgspec.Struct, array_like=True, frozen=True):
@@ -301,6 +308,7 @@
       tunnel_nodes: in some updates, nodes that open tunnels.
       fragile: as in heartbeats.
       newest_tag: as in heartbeats.
+      store_era, renumbered: as in heartbeats.
     """
 
     node: str
@@ -322,6 +330,8 @@
     tunnel_nodes: list[KnownPeer] = []
     fragile: list[FragileService] = []
     newest_tag: int = 0
+    store_era: int = 0
+    renumbered: int = 0
 
 
 class MemberUpdate(msgspec.Struct, array_like=True, frozen=True, tag=4):
@@ -541,12 +551,15 @@
     Attributes:
       accepts_parts: whether the answer may be a Snapshot; builds that omit it accept one format or
         the other.
+      store_era, renumbered: as in heartbeats.
     """
 
     configuration: int
     registry_revision: int
     accepts_compressed: bool = False
     accepts_parts: bool = False
+    store_era: int = 0
+    renumbered: int = 0
 
 
 class Snapshot(msgspec.Struct, array_like=True, frozen=True):
@@ -556,6 +569,7 @@
       configuration: an encoded routing_table.Configuration; a list of one or none.
       endpoints: all, an encoded traffic.Endpoint each.
       with_endpoints: whether they are newer; else none are sent.
+      store_era, renumbered: as in heartbeats.
     """
 
     node: str
@@ -563,6 +577,8 @@
     endpoints: list[msgspec.Raw]
     with_endpoints: bool
     registry_revision: int
+    store_era: int = 0
+    renumbered: int = 0
 
 
 class FullSnapshot(msgspec.Struct, array_like=True, frozen=True):
@@ -584,9 +600,28 @@
 
     @property
     def registry_revision(self) -> int:
-        """Return the revision of the endpoints' last change."""
+        """Return the renumbered revision of the endpoints' last change."""
         ...
 
+    @property
+    def store_era(self) -> int:
+        """Return the store's era of that revision, or 0 if unknown."""
+        ...
+
+    @property
+    def renumbered(self) -> int:
+        """Return what is added to the store's own number in it."""
+        ...
+
+
+def revision_of(versions: Versions) -> int:
+    """Return the revision that a sender reports.
+
+    The number that is sent rises also when the store begins a new era and counts from a lower one,
+    for builds that compare just this number.
+    """
+    return revisions.of(versions.store_era, versions.registry_revision - versions.renumbered)
+
 
 Datagram = (
     Heartbeat
