No two holders act under one fencing token after the store lost the duty record

Another node could act under a token that was used already, and report a usage window a second time with other counts. A token was the stored one plus one: after a return from an older copy, the copy's token plus one had been used. A token is now the revision on which its lease is based, plus one: only one conditional write succeeds on a revision, and those of a later era are higher, whatever the copy lacks. Where there is no record, one without a holder is written first. A holder whose lease was written in an earlier era makes no call; it writes the record again with all windows, sizes and roll-outs that it knew, or resigns if another node took over. A successor that finds a record of an earlier era doesn't report windows whose counts may have been recorded and lost: usage that is missing costs less than a window told in two ways. Where the system starts for the first time, or the store has had no earlier era, nothing is skipped.

--- a/plumarch/fleet/duty_lease.py
+++ b/plumarch/fleet/duty_lease.py
@@ -1,13 +1,15 @@
 """Record of the duty lease: holder, fencing token and usage windows.
 
-Conditional writes ensure that no two nodes act under one token, whatever the clocks say.
+Conditional writes ensure that no two nodes act under one token, whatever the clocks say. A token is
+the revision on which its lease was written, plus one: only one write succeeds on a revision, and
+all revisions are higher after the store came back from an older copy, whatever that lacks.
 """
 
 import dataclasses
 
 import msgspec
 
-from plumarch.core import records
+from plumarch.core import records, revisions
 
 KIND = "plumarch-duties"
 NAME = "holder"
@@ -37,6 +39,8 @@
       sizes: endpoints that each service needs, for the next holder.
       rollouts: the last one of each service.
       renewals: writes that only renewed the lease.
+      first_window: earlier windows are not reported unless they are recorded: they may have been,
+        with other counts, in a record that the store lost.
     """
 
     holder: str
@@ -46,6 +50,11 @@
     sizes: dict[str, int] = {}
     rollouts: dict[str, RolloutRecord] = {}
     renewals: int = 0
+    first_window: int = 0
+
+
+UNHELD = DutyRecord("", 0, 0)
+"""Written first, for a revision to base the first lease on."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -73,27 +82,52 @@
     return records.Record(NAME, value, stored.revision)
 
 
-def taken_over(found: StoredRecord | None, node: str, incarnation: int) -> StoredRecord:
-    """Return the record that makes a node the holder under the next token."""
-    if found is None:
-        return StoredRecord(DutyRecord(node, incarnation, 1), 0)
+def taken_over(
+    found: StoredRecord, node: str, incarnation: int, first_window: int = 0
+) -> StoredRecord:
+    """Return the record that makes a node the holder under the next token.
+
+    Args:
+      first_window: the first one to report, if records of earlier ones may have been lost.
+    """
     successor = msgspec.structs.replace(
-        found.record, holder=node, incarnation=incarnation, token=found.record.token + 1
+        found.record,
+        holder=node,
+        incarnation=incarnation,
+        token=max(found.record.token, found.revision) + 1,
+        first_window=max(found.record.first_window, first_window),
     )
     return StoredRecord(successor, found.revision)
 
 
+def regained(found: StoredRecord, lost: DutyRecord) -> StoredRecord:
+    """Return the record that makes the holder of a lost one the holder again.
+
+    Args:
+      lost: what the holder had written; it prevails over an older copy.
+    """
+    windows = {**found.record.windows, **lost.windows}
+    record = msgspec.structs.replace(
+        lost,
+        windows=_newest(windows),
+        sizes={**found.record.sizes, **lost.sizes},
+        rollouts={**found.record.rollouts, **lost.rollouts},
+    )
+    return taken_over(StoredRecord(record, found.revision), lost.holder, lost.incarnation)
+
+
+def _newest(windows: dict[str, dict[str, int]]) -> dict[str, dict[str, int]]:
+    return {number: windows[number] for number in sorted(windows, key=int)[-RETAINED_WINDOWS:]}
+
+
 def with_window(
     stored: StoredRecord, window: int, counts: dict[str, int], sizes: dict[str, int]
 ) -> StoredRecord:
     """Return the record with a window's counts; existing ones stay."""
     windows = dict(stored.record.windows)
     windows.setdefault(str(window), counts)
-    newest = sorted(windows, key=int)[-RETAINED_WINDOWS:]
     record = msgspec.structs.replace(
-        stored.record,
-        windows={number: windows[number] for number in newest},
-        sizes={**stored.record.sizes, **sizes},
+        stored.record, windows=_newest(windows), sizes={**stored.record.sizes, **sizes}
     )
     return StoredRecord(record, stored.revision)
 
@@ -139,7 +173,15 @@
 
 
 def is_mine(stored: StoredRecord | None, node: str, incarnation: int) -> bool:
-    """Return whether a record names this process."""
-    if stored is None:
+    """Return whether a record names this process, under a token of the store's present era."""
+    if stored is None or not is_current(stored):
         return False
     return stored.record.holder == node and stored.record.incarnation == incarnation
+
+
+def is_current(stored: StoredRecord) -> bool:
+    """Return whether a lease was written in the store's era in which it was read.
+
+    Otherwise the store came back from an older copy since, or an earlier build wrote it.
+    """
+    return revisions.era(stored.record.token) == revisions.era(stored.revision)
