Quarantines outlast a store that comes back without their record

After a return from a copy that lacks the record, the node that follows it took that for an operator's removal and lifted all quarantines, at all nodes: callers' poison requests would have crashed endpoints again. In a later era the record counts as lost and is written again. Failed before: quarantine_record_test with 9 and 36 nodes on virtual time (none of 36 nodes held the request). The simulated store goes back to copies and assigns revisions again.

A record that operators removed, and that the copy still has, is in force again: it can't be told from one that they put back.

--- a/plumarch/gateway/store/quarantine_record.py
+++ b/plumarch/gateway/store/quarantine_record.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from plumarch.core import errors, records
+from plumarch.core import errors, records, revisions
 from plumarch.gateway import fleet_state, ports
 from plumarch.gateway.gossip import suspect_updates
 from plumarch.gateway.store import follower
@@ -104,7 +104,9 @@
             # The first list may be stale: it costs a tenth, and the watch continues from it.
             found = await self.store.list_records(KIND, stale=self.revision == 0)
             self.state.unreadable.listed(KIND, found.unreadable)
-            if not found.found and self.revision:
+            if revisions.era(found.revision) > revisions.era(self.revision):
+                self._forget_record(found.revision)
+            elif not found.found and self.revision:
                 self._clear_all()
             for record in found.found:
                 self._apply_record(record)
@@ -132,6 +134,12 @@
         for name in suspect_updates.adopt(self.state, suspects, follower.STORE):
             self._publish(name)
 
+    def _forget_record(self, revision: int) -> None:
+        """Have the record written again, since the store came back from an older copy."""
+        if self.revision:
+            self.state.log.write("quarantine_record_lost", revision=revisions.shown(revision))
+        self.revision, self.recorded = 0, {}
+
     def _clear_all(self) -> None:
         """Lift all quarantines, since operators removed the record."""
         self.revision, self.recorded = 0, {}
--- a/plumarch/gateway/store/quarantine_record_test.py
+++ b/plumarch/gateway/store/quarantine_record_test.py
@@ -183,3 +183,20 @@
     assert len(most_suspect) == quarantine_record.MAX_SUSPECTS
     assert all(one.is_quarantined() for one in most_suspect)
     assert quarantine_record.decode(quarantine_record.encode(most_suspect)) == most_suspect
+
+
+@pytest.mark.parametrize("size", [SMALL, LARGE])
+def test_a_quarantine_outlasts_a_store_that_comes_back_without_its_record(size: gossip_fleet.Size):
+    async def test(replay: store_replay.StoreReplay) -> None:
+        backup = replay.store.back_up()
+        observe_crashes(replay.fleet.live()[4], 0, 3)
+        await replay.run(CONTACT_MS)
+        replay.store.restore(backup)
+        await replay.run(CONTACT_MS)
+        assert not_quarantined(replay) == []
+        assert (quarantine_record.KIND, quarantine_record.NAME) in replay.store.kept
+        replay.restart_all()
+        await replay.run(CONTACT_MS)
+        assert not_quarantined(replay) == []
+
+    play(size, test)
--- a/plumarch/standins/store_replay.py
+++ b/plumarch/standins/store_replay.py
@@ -10,7 +10,7 @@
 from typing import Any, cast
 
 from plumarch.config import routing_table
-from plumarch.core import errors, records, traffic
+from plumarch.core import errors, records, revisions, traffic
 from plumarch.gateway import ports
 from plumarch.gateway.gossip import snapshots
 from plumarch.gateway.store import follower, quarantine_record, registration
@@ -23,11 +23,23 @@
 WATCH_MARGIN_MS = 1_000
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Backup:
+    """A copy of the store's contents."""
+
+    version: int
+    configured_at: int
+    revision: int
+    endpoints: dict[str, tuple[int, traffic.Endpoint]]
+    kept: dict[tuple[str, str], records.Record]
+
+
 @dataclasses.dataclass(slots=True)
 class CountedStore:
     """Store contents, injected faults and call counters.
 
     Attributes:
+      era: number of times that the store came back from a backup.
       refused: nodes whose calls fail at once.
       unresponsive: nodes whose calls, watches included, time out.
       kept: records, by kind and name.
@@ -35,6 +47,7 @@
       writes: write calls per second, failed ones included.
     """
 
+    era: int = 0
     version: int = 1
     configured_at: int = 1
     revision: int = 1
@@ -69,6 +82,21 @@
         self.removed[(kind, name)] = self.revision
         self.notify_watchers()
 
+    def back_up(self) -> Backup:
+        """Return a copy of the contents."""
+        return Backup(
+            self.version, self.configured_at, self.revision, dict(self.endpoints), dict(self.kept)
+        )
+
+    def restore(self, backup: Backup) -> None:
+        """Return to a copy; later writes are lost, and their revisions are assigned again."""
+        self.era += 1
+        self.version, self.configured_at = backup.version, backup.configured_at
+        self.revision = backup.revision
+        self.endpoints, self.kept = dict(backup.endpoints), dict(backup.kept)
+        self.removed.clear()
+        self.notify_watchers()
+
     def notify_watchers(self) -> None:
         """Wake all watches."""
         self.changed.set()
@@ -80,11 +108,16 @@
 
 
 class NodeStore:
-    """Store client of one node, subject to the injected faults."""
+    """Store client of one node, subject to the injected faults.
+
+    Attributes:
+      era: of the store, in the last answer.
+    """
 
     def __init__(self, store: CountedStore, node: gossip_fleet.Node) -> None:
         self.store = store
         self.node = node
+        self.era = 0
 
     async def _call(self, name: str, limit_ms: float, writes: bool = False) -> None:
         store, second = self.store, int(asyncio.get_running_loop().time())
@@ -98,12 +131,24 @@
             raise errors.PlatformUnavailable("store refused the call")
         while self.node.frozen:
             await asyncio.sleep(STEP_MS / 1000.0)
+        self.era = store.era
+
+    def _revision(self, number: int) -> int:
+        return revisions.of(self.era, number)
 
     async def _wait(self, reached: Callable[[], int], revision: int, wait_ms: int) -> None:
-        """Wait for a newer revision or the timeout, then apply injected faults."""
+        """Wait for a newer revision or the timeout, then apply injected faults.
+
+        Raises:
+          PlatformRevisionExpired: the store does not have the revision.
+        """
+        era = self.era
+        if revisions.era(revision) != era or revisions.number(revision) > self.store.revision:
+            raise errors.PlatformRevisionExpired("of another era")
         loop = asyncio.get_running_loop()
         end_s = loop.time() + wait_ms / 1000.0
-        while reached() <= revision and loop.time() < end_s:
+        number = revisions.number(revision)
+        while reached() <= number and loop.time() < end_s and self.store.era == era:
             try:
                 await asyncio.wait_for(self.store.changed.wait(), end_s - loop.time())
             except TimeoutError:
@@ -111,7 +156,7 @@
         if self.node.name in self.store.unresponsive:
             await asyncio.sleep(end_s - loop.time() + WATCH_MARGIN_MS / 1000.0)
             raise errors.PlatformAnswerLost("silence")
-        if self.store.down or self.node.name in self.store.refused:
+        if self.store.down or self.node.name in self.store.refused or self.store.era != era:
             raise errors.PlatformUnavailable("cut")
         while self.node.frozen:
             await asyncio.sleep(STEP_MS / 1000.0)
@@ -121,7 +166,7 @@
         if self.store.configured_at > after:
             limits = traffic.CallerLimits()
             found = routing_table.Configuration(self.store.version, (), (), (), limits)
-        return ports.ConfigurationUpdate(found, self.store.revision)
+        return ports.ConfigurationUpdate(found, self._revision(self.store.revision))
 
     async def list_configuration(self) -> ports.ConfigurationUpdate:
         """Read the configuration."""
@@ -132,13 +177,13 @@
         """Watch for a newer configuration."""
         await self._call("watch configuration", wait_ms + WATCH_MARGIN_MS)
         await self._wait(lambda: self.store.configured_at, revision, wait_ms)
-        return self._configuration(revision)
+        return self._configuration(revisions.number(revision))
 
     async def list_endpoints(self) -> ports.EndpointList:
         """Read all endpoints."""
         await self._call("list endpoints", LIST_LIMIT_MS)
         found = tuple(endpoint for _, endpoint in self.store.endpoints.values())
-        return ports.EndpointList(found, self.store.revision)
+        return ports.EndpointList(found, self._revision(self.store.revision))
 
     async def watch_endpoints(self, revision: int, wait_ms: int) -> ports.EndpointUpdate:
         """Watch for changes of endpoints."""
@@ -147,50 +192,63 @@
         newest = lambda: max((at for at, _ in entries.values()), default=0)  # noqa: E731
         await self._wait(newest, revision, wait_ms)
         changes = [
-            registry.EndpointChange(one.id, at, one)
+            registry.EndpointChange(one.stable_name(), self._revision(at), one)
             for at, one in entries.values()
-            if at > revision
+            if at > revisions.number(revision)
         ]
-        return ports.EndpointUpdate(tuple(changes), self.store.revision)
+        return ports.EndpointUpdate(tuple(changes), self._revision(self.store.revision))
 
     async def list_records(self, kind: str, stale: bool = False) -> ports.RecordList:
         """Read all records of a kind."""
         await self._call("list records" + " (stale)" * stale, LIST_LIMIT_MS)
-        return ports.RecordList(self._records(kind, 0), self.store.revision)
+        return ports.RecordList(self._records(kind, 0), self._revision(self.store.revision))
 
     async def watch_records(self, kind: str, revision: int, wait_ms: int) -> ports.RecordUpdate:
         """Watch for changes of records of a kind."""
         await self._call("watch records", wait_ms + WATCH_MARGIN_MS)
         await self._wait(lambda: self._records_changed(kind), revision, wait_ms)
         removed = self.store.removed.items()
-        gone = [name for (of, name), at in removed if of == kind and at > revision]
-        return ports.RecordUpdate(self._records(kind, revision), tuple(gone), self.store.revision)
+        number = revisions.number(revision)
+        gone = [name for (of, name), at in removed if of == kind and at > number]
+        return ports.RecordUpdate(
+            self._records(kind, number), tuple(gone), self._revision(self.store.revision)
+        )
 
     def _records_changed(self, kind: str) -> int:
-        written = [one.revision for one in self._records(kind, 0)]
+        written = [one.revision for (of, _), one in self.store.kept.items() if of == kind]
         removed = [at for (of, _), at in self.store.removed.items() if of == kind]
         return max([0, *written, *removed])
 
     def _records(self, kind: str, after: int) -> tuple[records.Record, ...]:
         found = [one for (of, _), one in self.store.kept.items() if of == kind]
-        return tuple(one for one in found if one.revision > after)
+        return tuple(self._read(one) for one in found if one.revision > after)
+
+    def _read(self, kept: records.Record) -> records.Record:
+        return dataclasses.replace(kept, revision=self._revision(kept.revision))
+
+    def _check_era(self, record: records.Record) -> None:
+        if record.revision and revisions.era(record.revision) != self.era:
+            raise errors.PlatformRolledBack("read in another era")
 
     async def read_record(self, kind: str, name: str) -> records.Record | None:
         """Read one record."""
         await self._call("read record", LIST_LIMIT_MS)
-        return self.store.kept.get((kind, name))
+        found = self.store.kept.get((kind, name))
+        return self._read(found) if found is not None else None
 
     async def write_record(self, kind: str, record: records.Record) -> records.Record:
         """Write a record if its revision is current."""
+        self._check_era(record)
         await self._call("write record", LIST_LIMIT_MS, writes=True)
         known = self.store.kept.get((kind, record.name))
-        if record.revision != (known.revision if known else 0):
+        if revisions.number(record.revision) != (known.revision if known else 0):
             raise errors.PlatformConflict("changed")
         self.store.revision += 1
         written = dataclasses.replace(record, revision=self.store.revision)
         self.store.kept[(kind, record.name)] = written
         self.store.notify_watchers()
-        return written
+        self._check_era(record)
+        return self._read(written)
 
 
 class StoreReplay:
@@ -246,7 +304,8 @@
         if other.state.table is not None:
             node.state.adopt_table(other.state.table, other.name)
         known = other.state.registry
-        node.state.registry.replace(known.endpoints.values(), known.revision, other.name)
+        node.state.note_store_era(known.revision, other.name)
+        node.state.registry.replace(known.as_listed(), known.revision, other.name)
 
     async def run(self, for_ms: int) -> None:
         """Advance virtual time in steps."""
