Node records that the store lost are written again

A node that started after the store's return from an older copy found no record of nodes whose registrations the copy lacks, and its seeds may be gone: nothing noticed, as each node compared with what it had written. After a return each node reads the records again, not from a stale list. Failed before: registration_test with 9 nodes on virtual time.

--- a/plumarch/gateway/store/registration.py
+++ b/plumarch/gateway/store/registration.py
@@ -39,7 +39,9 @@
     Attributes:
       read_ms: time of the last read; None to read now.
       known: records by name, when last read or written.
-      write_uncertain: whether a write since then conflicted or got no answer.
+      write_uncertain: whether a write since then conflicted or got no answer, or the store came
+        back from an older copy.
+      rollbacks: of the store, at the last step.
     """
 
     def __init__(
@@ -58,6 +60,7 @@
         self.read_ms: int | None = None
         self.known: dict[str, records.Record] = {}
         self.write_uncertain = False
+        self.rollbacks = state.rollbacks
 
     async def run(self) -> None:
         """Read and write records, forever."""
@@ -76,6 +79,10 @@
           PlatformError: the call failed; to be retried.
         """
         now = self.state.clock.now()
+        if self.rollbacks != self.state.rollbacks:
+            self.rollbacks = self.state.rollbacks
+            self.read_ms = None
+            self.write_uncertain = True
         alone = not self.view.live()
         if self.read_ms is None or (alone and now - self.read_ms >= ISOLATED_READ_INTERVAL_MS):
             await self._reload()
--- a/plumarch/gateway/store/registration_test.py
+++ b/plumarch/gateway/store/registration_test.py
@@ -9,7 +9,7 @@
 from plumarch.gateway import ports
 from plumarch.gateway.store import registration
 from plumarch.membership import node_record, tiers
-from plumarch.standins import gossip_fleet
+from plumarch.standins import gossip_fleet, store_replay, virtual_time
 
 
 @dataclasses.dataclass
@@ -196,3 +196,21 @@
     store.down = False
     step(entries)
     assert store.lists == 1
+
+
+def test_a_record_that_the_store_lost_is_written_again():
+    async def run() -> None:
+        store = store_replay.CountedStore()
+        replay = store_replay.StoreReplay(gossip_fleet.Size(3, 3), store)
+        try:
+            backup = store.back_up()
+            await replay.run(4_000)
+            written = set(store.kept)
+            assert len([name for kind, name in written if kind == node_record.KIND]) == 9
+            store.restore(backup)
+            await replay.run(2_000)
+            assert written <= set(store.kept)
+        finally:
+            replay.stop()
+
+    virtual_time.run(run())
