--- a/plumarch/membership/registry.py
+++ b/plumarch/membership/registry.py
@@ -162,6 +162,8 @@
             changes.append(change)
             del self.by_name[received.id]
             self._note_end(self.endpoints.pop(before), change)
+        if endpoint is not None:
+            self.rolled_back.note_listed([endpoint.id])
         if endpoint is not None and self.endpoints.get(endpoint.id) != endpoint:
             changes.append(EndpointChange(endpoint.id, received.revision, endpoint))
             self.endpoints[endpoint.id] = endpoint
@@ -212,6 +214,8 @@
             if listed is None:
                 change = EndpointChange(used.id, revision, None)
                 self._note_end(used, change)
+                # The source lost its entry and did not remove it.
+                self.rolled_back.note_listed([used.id])
             else:
                 listed = self.drains.applied(listed)
                 change = EndpointChange(listed.id, revision, listed)
--- a/plumarch/membership/rollback.py
+++ b/plumarch/membership/rollback.py
@@ -66,6 +66,12 @@
         for name in [id for id, one in self.ended.items() if now - one.at_ms > RETENTION_MS]:
             del self.ended[name]
 
+    def note_listed(self, identifiers: Iterable[str]) -> None:
+        """Record that entries of endpoints exist, though they were removed before."""
+        if self.ended:
+            for identifier in identifiers:
+                self.ended.pop(identifier, None)
+
     def drained(self) -> list[traffic.Endpoint]:
         """Return removed endpoints that were draining."""
         ended = [one.endpoint for one in self.ended.values()]
@@ -93,6 +99,7 @@
         """Return the endpoints to use for a list of the source."""
         listed = list(listed)
         if self.clock.now() - self.since_ms >= REMOVAL_MS:
+            self.note_listed(one.id for one in listed)
             return listed
         self.substitutes = {}
         for one in listed:
--- a/plumarch/membership/rollback_test.py
+++ b/plumarch/membership/rollback_test.py
@@ -154,3 +154,20 @@
     assert found.sent_number(found.changed_revision) > before
     found.replace([endpoint("i-1")], revisions.of(2, 3), "store")
     assert found.sent_number(found.changed_revision) > before + 1
+
+
+def test_an_endpoint_that_the_copy_lacked_for_long_is_used_at_once_when_it_is_listed_again():
+    found, steady = known(endpoint("i-1"), endpoint("i-2"))
+    found.replace([endpoint("i-2")], COPY, "store")
+    steady.advance_to(steady.now() + rollback.REWRITE_MS)
+    found.apply([], revisions.of(1, 30), "store")
+    found.replace([endpoint("i-1"), endpoint("i-2")], revisions.of(1, 31), "store")
+    assert names(found) == ["i-1", "i-2"]
+
+
+def test_an_endpoint_that_was_removed_and_listed_again_is_used_after_a_later_rollback():
+    found, _ = known(endpoint("i-1"), endpoint("i-2"))
+    for revision, one in ((48, None), (49, endpoint("i-1"))):
+        found.apply([registry.EndpointChange("i-1", revision, one)], revision, "store")
+    found.replace([endpoint("i-1"), endpoint("i-2")], COPY, "store")
+    assert names(found) == ["i-1", "i-2"]
--- a/plumarch/standins/store_replay.py
+++ b/plumarch/standins/store_replay.py
@@ -266,9 +266,10 @@
         self.tasks: dict[str, list[asyncio.Task[None]]] = {}
         self.quarantines: dict[str, quarantine_record.QuarantineRecord] = {}
         for node in self.fleet.live():
-            self._begin(node)
+            self.begin(node)
 
-    def _begin(self, node: gossip_fleet.Node) -> None:
+    def begin(self, node: gossip_fleet.Node) -> None:
+        """Start the tasks of a node."""
         node.state.table = None
         node.state.rng.seed(node.name)
         reached = cast(Any, NodeStore(self.store, node))
@@ -324,7 +325,7 @@
         for node in self.fleet.live():
             self.kill(node)
         for number, data_centre in self.size.node_locations():
-            self._begin(self.fleet.start(number, data_centre, knows_all=False))
+            self.begin(self.fleet.start(number, data_centre, knows_all=False))
 
     def stop(self) -> None:
         """Kill all live nodes."""
