A completed roll-out stays completed after the store lost its record and the holder crashed

The successor read the older copy's share and sent most requests back to the version that had been replaced, for the rest of the roll-out's time. It now keeps to an end that the nodes know of. A holder that lives writes the record again with its progress (test of it beside).

--- a/plumarch/gateway/duties/rollout_duty.py
+++ b/plumarch/gateway/duties/rollout_duty.py
@@ -140,11 +140,21 @@
         if recorded is not None and recorded.version == order.version:
             plan.began_ms, plan.stage = recorded.began_ms, rollout.Stage(recorded.stage)
             plan.share, plan.reason = recorded.share, "taken over"
+        self._resume_verdict(plan)
         if order.state is not None and order.state is not rollouts.RolloutState.RUNNING:
             plan.stage = rollout.Stage(order.state.value)
             plan.share = 1.0 if plan.stage is rollout.Stage.COMPLETED else 0.0
         return plan
 
+    def _resume_verdict(self, plan: rollout.RolloutPlan) -> None:
+        """Keep to an end that nodes know of, also if the store lost its record."""
+        split = self.state.splits.of(plan.order.service)
+        if split is None or split.version != plan.order.version:
+            return
+        if split.state is not rollouts.RolloutState.RUNNING:
+            plan.stage, plan.share = rollout.Stage(split.state.value), split.share
+            plan.reason = "ended before"
+
     def _observe(self, plan: rollout.RolloutPlan) -> rollout.Observation:
         state, order = self.state, plan.order
         ready = state.registry.ready(order.service)
--- a/plumarch/gateway/duties/rollout_duty_test.py
+++ b/plumarch/gateway/duties/rollout_duty_test.py
@@ -9,7 +9,7 @@
 from hypothesis import strategies
 
 from plumarch.config import routing_table
-from plumarch.core import clock, errors, records, rollouts, traffic
+from plumarch.core import clock, errors, records, revisions, rollouts, traffic
 from plumarch.fleet import rollout, version_tally
 from plumarch.gateway import ports
 from plumarch.gateway.duties import duty_holder
@@ -36,7 +36,8 @@
 
     def __init__(self) -> None:
         self.record: records.Record | None = None
-        self.revision = 0
+        self.number = 0
+        self.era = 0
         self.down = False
         self.changed = 0
         self.states: list[str] = []
@@ -53,10 +54,20 @@
         self._reach()
         if record.revision != (self.record.revision if self.record else 0):
             raise errors.PlatformConflict("changed")
-        self.revision += 1
-        self.record = records.Record(record.name, record.value, self.revision)
+        self.number += 1
+        revision = revisions.of(self.era, self.number)
+        self.record = records.Record(record.name, record.value, revision)
         return self.record
 
+    def restore(self, number: int, record: records.Record | None) -> None:
+        """Return to a copy; its record has the same number in the new era."""
+        self.era += 1
+        self.number = number
+        if record is not None:
+            revision = revisions.of(self.era, revisions.number(record.revision))
+            record = records.Record(record.name, record.value, revision)
+        self.record = record
+
     async def report_rollout(
         self, order: rollouts.RolloutOrder, state: rollouts.RolloutState
     ) -> None:
@@ -259,6 +270,59 @@
     assert world.got <= allowed(world)
 
 
+def test_a_version_stays_rolled_back_after_the_store_lost_the_verdict_and_the_holder_crashed():
+    world = World(new_bad=0.5)
+    world.pass_time(4_000)
+    world.begin()
+    world.pass_time(2_000)
+    copy = world.store.number, world.store.record
+    world.pass_time(DURATION_MS)
+    assert world.shares() == {0.0}
+    holder = world.holder()
+    world.alive[world.nodes.index(holder)] = False
+    world.store.restore(*copy)
+    for node in world.nodes:
+        node.state.note_store_era(revisions.of(world.store.era, 1), "store")
+    got = world.got
+    world.pass_time(DURATION_MS)
+    assert world.holder() is not holder
+    assert (world.got, world.shares()) == (got, {0.0})
+
+
+def test_a_version_stays_completed_after_the_store_lost_the_verdict_and_the_holder_crashed():
+    world = World()
+    world.pass_time(4_000)
+    world.begin()
+    world.pass_time(4_000)
+    copy = world.store.number, world.store.record
+    world.pass_time(DURATION_MS)
+    assert world.shares() == {1.0}
+    world.alive[world.nodes.index(world.holder())] = False
+    world.store.restore(*copy)
+    for node in world.nodes:
+        node.state.note_store_era(revisions.of(world.store.era, 1), "store")
+    for _ in range(DURATION_MS // TICK_MS):
+        world.pass_time(TICK_MS)
+        assert world.shares() == {1.0}
+    assert world.store.states[-1] == "completed"
+
+
+def test_a_holder_records_a_roll_out_again_that_the_store_lost():
+    world = World()
+    world.pass_time(4_000)
+    copy = world.store.number, world.store.record
+    world.begin()
+    world.pass_time(DURATION_MS // 2)
+    token = world.holder().duties.status.token
+    share = world.store.kept_share()
+    world.store.restore(*copy)
+    for node in world.nodes:
+        node.state.note_store_era(revisions.of(world.store.era, 1), "store")
+    world.pass_time(1_000)
+    assert world.holder().duties.status.token > token
+    assert world.store.kept_share() >= share > 0.0
+
+
 def test_a_larger_share_is_recorded_before_any_node_uses_it():
     world = settled(new_bad=0.01)
     for _ in range(DURATION_MS // TICK_MS):
