An endpoint that restarted under its name keeps what its new process runs

A run belongs to the process that its connection was opened to: one that was first used before the new start, less a second for clocks, is closed; the others count under the new identifier.

--- a/plumarch/gateway/connections/exchange.py
+++ b/plumarch/gateway/connections/exchange.py
@@ -52,6 +52,7 @@
         self.is_paused = False
         self.nothing_accepted = False
         self.peer_restarted = False
+        self.first_sent_ms: int | None = None
         self.outgoing: outgoing.Outgoing | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
--- a/plumarch/gateway/dispatch/attempts.py
+++ b/plumarch/gateway/dispatch/attempts.py
@@ -369,7 +369,7 @@
                     admitted.units,
                 )
             )
-    state.runs.begin(endpoint.id, opened)
+    state.runs.begin(endpoint.id, opened, state.wall.now())
     sent_request = endpoint_outcomes.record_send(state, admitted, choice)
     beyond_ms = state.distances.beyond_region_ms(endpoint.data_centre)
     return Attempt(choice, opened, sent_request, state.clock.now(), round_trip_ms=beyond_ms)
@@ -593,7 +593,7 @@
 def end(state: fleet_state.FleetState, attempt: Attempt) -> None:
     """Close the connection, which cancels a request that still runs."""
     attempt.exchange.close()
-    state.runs.end(attempt.choice.endpoint.id, attempt.exchange)
+    state.runs.end(attempt.exchange)
     if attempt.saw_first_token and not was_suspended(state, attempt):
         run_ms = state.clock.now() - attempt.sent_ms - attempt.round_trip_ms
         state.chooser.speed(attempt.choice.endpoint.service).ended(max(0.0, run_ms))
--- a/plumarch/gateway/fleet_state.py
+++ b/plumarch/gateway/fleet_state.py
@@ -269,8 +269,8 @@
         for change in changes:
             endpoint = change.endpoint
             lost_runs = 0
-            if change.is_restarted:
-                lost_runs = self.runs.close_all(change.id)
+            if change.successor is not None:
+                lost_runs = self.runs.close_former(change.id, change.successor)
                 self.endpoint_restarted(change.id)
             self.log.write(
                 "endpoint",
--- a/plumarch/membership/registry.py
+++ b/plumarch/membership/registry.py
@@ -27,6 +27,7 @@
       revision: the source's.
       is_unreadable: whether its entry exists but can't be decoded.
       is_restarted: whether its entry exists with another incarnation.
+      successor: that incarnation.
     """
 
     id: str
@@ -34,6 +35,7 @@
     endpoint: traffic.Endpoint | None
     is_unreadable: bool = False
     is_restarted: bool = False
+    successor: traffic.Endpoint | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -107,8 +109,14 @@
         for endpoint in self.endpoints.values():
             if endpoint.id not in fresh:
                 name = endpoint.stable_name()
+                successor = fresh.get(by_name.get(name, ""))
                 change = EndpointChange(
-                    endpoint.id, revision, None, name in unreadable, name in by_name
+                    endpoint.id,
+                    revision,
+                    None,
+                    name in unreadable,
+                    successor is not None,
+                    successor,
                 )
                 changes.append(change)
                 self._note_end(endpoint, change)
@@ -157,7 +165,12 @@
         now = endpoint.id if endpoint is not None else None
         if before is not None and before != now:
             change = EndpointChange(
-                before, received.revision, None, received.is_unreadable, endpoint is not None
+                before,
+                received.revision,
+                None,
+                received.is_unreadable,
+                endpoint is not None,
+                endpoint,
             )
             changes.append(change)
             del self.by_name[received.id]
