A reload while the gateway starts does not end its process

A SIGHUP in the first 0.3 s, before the handler is installed, ended the process: its callers' connections were reset until it ran again.

--- a/tests/start_test.py
+++ b/tests/start_test.py
@@ -92,3 +92,25 @@
         assert listening.bind_first(str(path), "listen", "callers") is None
         with pytest.raises(errors.SettingsError, match="choose another port"):
             listening.bind(f"127.0.0.1:{port}")
+
+
+HANG_UP_WHILE_STARTING = """
+import os, signal, sys
+sys.path[:0] = ["platform", "."]
+import start
+from plumarch.daemon import listening
+listening.bind_first = lambda *_: os.kill(os.getpid(), signal.SIGHUP)
+sys.argv = ["start.py", sys.argv[1]]
+start.main()
+"""
+
+
+def test_a_reload_while_the_gateway_starts_does_not_end_it(tmp_path: pathlib.Path):
+    found = subprocess.run(
+        [sys.executable, "-c", HANG_UP_WHILE_STARTING, str(tmp_path / "absent.ini")],
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+        check=False,
+    )
+    assert found.returncode == 2, found.stderr
