--- a/plumarch/gateway/duties/rollout_duty_test.py
+++ b/plumarch/gateway/duties/rollout_duty_test.py
@@ -172,6 +172,12 @@
         old, new = endpoints("v1", 10), endpoints("v2", self.new_count)
         node.state.registry.replace(old + new, node.state.registry.revision + 1, "store")
 
+    def roll_back(self, number: int, record: records.Record | None) -> None:
+        """Have the store come back from a copy, which all nodes notice."""
+        self.store.restore(number, record)
+        for node in self.nodes:
+            node.state.note_store_era(revisions.of(self.store.era, 1), "store")
+
     def restart(self, number: int) -> None:
         self.nodes[number] = Node(self, number)
         self.alive[number] = True
@@ -280,9 +286,7 @@
     assert world.shares() == {0.0}
     holder = world.holder()
     world.alive[world.nodes.index(holder)] = False
-    world.store.restore(*copy)
-    for node in world.nodes:
-        node.state.note_store_era(revisions.of(world.store.era, 1), "store")
+    world.roll_back(*copy)
     got = world.got
     world.pass_time(DURATION_MS)
     assert world.holder() is not holder
@@ -298,9 +302,7 @@
     world.pass_time(DURATION_MS)
     assert world.shares() == {1.0}
     world.alive[world.nodes.index(world.holder())] = False
-    world.store.restore(*copy)
-    for node in world.nodes:
-        node.state.note_store_era(revisions.of(world.store.era, 1), "store")
+    world.roll_back(*copy)
     for _ in range(DURATION_MS // TICK_MS):
         world.pass_time(TICK_MS)
         assert world.shares() == {1.0}
@@ -315,9 +317,7 @@
     world.pass_time(DURATION_MS // 2)
     token = world.holder().duties.status.token
     share = world.store.kept_share()
-    world.store.restore(*copy)
-    for node in world.nodes:
-        node.state.note_store_era(revisions.of(world.store.era, 1), "store")
+    world.roll_back(*copy)
     world.pass_time(1_000)
     assert world.holder().duties.status.token > token
     assert world.store.kept_share() >= share > 0.0
--- a/plumarch/gateway/gossip/snapshots.py
+++ b/plumarch/gateway/gossip/snapshots.py
@@ -111,9 +111,7 @@
             self._adopt_configuration(snapshot.node, encoded)
         if snapshot.with_endpoints:
             registry = self.state.registry
-            revision = revisions.of(
-                snapshot.store_era, snapshot.registry_revision - snapshot.renumbered
-            )
+            revision = gossip.revision_of(snapshot)
             self.state.note_store_era(revision, snapshot.node)
             self.state.note_stale_endpoints(revision, snapshot.node)
             changes = registry.replace(
@@ -207,8 +205,7 @@
         if not request.store_era:
             # Builds that don't know eras compare the numbers sent.
             return known.sent_number(known.changed_revision) > request.registry_revision
-        requested = revisions.of(request.store_era, request.registry_revision - request.renumbered)
-        return known.changed_revision > requested
+        return known.changed_revision > gossip.revision_of(request)
 
     def _full(self, request: gossip.SnapshotRequest) -> gossip.FullSnapshot:
         """Return a snapshot for earlier builds."""
--- a/plumarch/membership/rollback.py
+++ b/plumarch/membership/rollback.py
@@ -63,8 +63,9 @@
         """Record that an endpoint's entry was removed."""
         now = self.clock.now()
         self.ended[endpoint.id] = Ended(endpoint, now)
-        for name in [id for id, one in self.ended.items() if now - one.at_ms > RETENTION_MS]:
-            del self.ended[name]
+        for known, one in list(self.ended.items()):
+            if now - one.at_ms > RETENTION_MS:
+                del self.ended[known]
 
     def note_listed(self, identifiers: Iterable[str]) -> None:
         """Record that entries of endpoints exist, though they were removed before."""
--- a/plumarch/peers/gossip.py
+++ b/plumarch/peers/gossip.py
@@ -590,17 +590,12 @@
     registry_revision: int
 
 
-class Versions(Protocol):
-    """A sender's versions of configuration and endpoints."""
-
-    @property
-    def configuration(self) -> int:
-        """Return the configuration's version, or -1."""
-        ...
+class ReportedRevision(Protocol):
+    """A sender's revision of the endpoints."""
 
     @property
     def registry_revision(self) -> int:
-        """Return the renumbered revision of the endpoints' last change."""
+        """Return the renumbered revision."""
         ...
 
     @property
@@ -614,13 +609,22 @@
         ...
 
 
-def revision_of(versions: Versions) -> int:
+class Versions(ReportedRevision, Protocol):
+    """A sender's versions of configuration and endpoints."""
+
+    @property
+    def configuration(self) -> int:
+        """Return the configuration's version, or -1."""
+        ...
+
+
+def revision_of(reported: ReportedRevision) -> int:
     """Return the revision that a sender reports.
 
     The number that is sent rises also when the store begins a new era and counts from a lower one,
     for builds that compare just this number.
     """
-    return revisions.of(versions.store_era, versions.registry_revision - versions.renumbered)
+    return revisions.of(reported.store_era, reported.registry_revision - reported.renumbered)
 
 
 Datagram = (
