Own records and messages that can't be decoded end no task and name no node

- A record of the duties, the nodes or the quarantine whose text holds a lone surrogate raised UnicodeEncodeError, one nested too deep RecursionError.
Neither is a DecodeError, so it ended the reading task, again at each restart: no holder of the duties, no discovery of nodes, no shared quarantine.
- A node record, or a message, whose address is no IP:port was kept as a peer; each heartbeat after it raised ValueError, so that the node fell silent to all its peers.

Fix: core.decoding raises msgspec.DecodeError only, and all readers of records and messages use it; the view of the fleet takes nodes with a valid IP:port only. Logged values of records are bounded.

Tests fail without the fix: test_heartbeats_go_on_beside_node_records_of_other_writers (UnicodeEncodeError), test_a_datagram_nested_too_deep_is_counted_and_dropped (RecursionError), test_a_message_with_an_invalid_address_adds_no_node (ValueError at the next heartbeat).

--- a/plumarch/fleet/duty_lease.py
+++ b/plumarch/fleet/duty_lease.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from plumarch.core import records, revisions
+from plumarch.core import decoding, records, revisions
 
 KIND = "plumarch-duties"
 NAME = "holder"
@@ -73,7 +73,7 @@
     """
     if found is None:
         return None
-    return StoredRecord(msgspec.json.decode(found.value, type=DutyRecord), found.revision)
+    return StoredRecord(decoding.json_text(found.value, DutyRecord), found.revision)
 
 
 def encode(stored: StoredRecord) -> records.Record:
--- a/plumarch/gateway/connections/tunneled.py
+++ b/plumarch/gateway/connections/tunneled.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from plumarch.core import addresses
+from plumarch.core import addresses, decoding
 from plumarch.core import errors as core_errors
 from plumarch.gateway import errors
 from plumarch.gateway.connections import exchange
@@ -44,7 +44,7 @@
         if self.outcome is None:
             if isinstance(frame, tunnels.Ending):
                 raise core_errors.PeerProtocolError("The tunnel ended before its answer.")
-            answer = tunnels.answer_decoder.decode(frame)
+            answer = decoding.message(tunnels.answer_decoder, frame)
             self.outcome = tunnels.OUTCOMES.get(answer.outcome, tunnels.Outcome.DECLINED)
         elif frame is tunnels.Ending.CLOSED:
             self.end_answer()
--- a/plumarch/gateway/gossip/gossiper.py
+++ b/plumarch/gateway/gossip/gossiper.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from plumarch.core import addresses
+from plumarch.core import addresses, decoding
 from plumarch.gateway import fleet_state
 from plumarch.gateway.gossip import (
     bootstrap,
@@ -327,7 +327,7 @@
     def datagram_received(self, data: bytes, addr: tuple[str | Any, int]) -> None:
         """Dispatch a datagram by type."""
         try:
-            message = gossip.datagram_decoder.decode(data)
+            message = decoding.message(gossip.datagram_decoder, data)
         except msgspec.DecodeError as error:
             self.unreadable.note(str(addr[0]), data, error)
             readable = self.unreadable.readable_part(data)
@@ -405,7 +405,7 @@
 
     def _handle_member_update(self, message: gossip.MemberUpdate, sender: str) -> None:
         try:
-            update = gossip.fleet_update_decoder.decode(message.update)
+            update = decoding.message(gossip.fleet_update_decoder, message.update)
         except msgspec.DecodeError as error:
             self.unreadable.note(sender, bytes(message.update), error)
             return
--- a/plumarch/gateway/gossip/gossiper_test.py
+++ b/plumarch/gateway/gossip/gossiper_test.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 
+import msgspec
 import pytest
 
 from plumarch.config import routing_table
@@ -111,6 +112,34 @@
     play(test)
 
 
+NESTED = b"\x91" * 1_300 + b"\x01"
+"""A message nested deeper than its decoder follows."""
+
+
+def test_a_datagram_nested_too_deep_is_counted_and_dropped():
+    async def test(pair: Pair) -> None:
+        await pair.until(lambda: bool(pair.one.view.live()))
+        heartbeat = msgspec.msgpack.decode(gossip.encoder.encode(pair.two.composer.next(False, {})))
+        for data in (NESTED, msgspec.msgpack.encode([*heartbeat, msgspec.Raw(NESTED)])):
+            pair.one.datagram_received(data, ("127.0.0.2", 9))
+        counted = pair.one.state.measures.unreadable_messages.counts
+        assert sum(counted.values()) == 2
+
+    play(test)
+
+
+def test_a_message_with_an_invalid_address_adds_no_node():
+    async def test(pair: Pair) -> None:
+        await pair.until(lambda: bool(pair.one.view.live()))
+        odd = msgspec.structs.replace(pair.two.composer.next(False, {}), node="odd", address="x")
+        pair.one.apply_heartbeat(odd)
+        pair.one.view.learn("odder", "10.0.0.1:none")
+        assert set(pair.one.view.peers) & {"odd", "odder"} == set()
+        pair.one.tick()
+
+    play(test)
+
+
 def test_loads_spending_and_usage_reach_the_other_node():
     async def test(pair: Pair) -> None:
         for one in (pair.one, pair.two):
--- a/plumarch/gateway/gossip/peer_server.py
+++ b/plumarch/gateway/gossip/peer_server.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from plumarch.core import errors
+from plumarch.core import decoding, errors
 from plumarch.gateway.gossip import snapshots, tunnel_server
 from plumarch.peers import frames, gossip, tunnels
 
@@ -52,6 +52,6 @@
       msgspec.DecodeError: it can't be decoded.
     """
     try:
-        return gossip.request_decoder.decode(request)
+        return decoding.message(gossip.request_decoder, request)
     except msgspec.DecodeError:
-        return tunnels.request_decoder.decode(request)
+        return decoding.message(tunnels.request_decoder, request)
--- a/plumarch/gateway/gossip/snapshots.py
+++ b/plumarch/gateway/gossip/snapshots.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from plumarch.config import routing_table
-from plumarch.core import addresses, errors, revisions, traffic
+from plumarch.core import addresses, decoding, errors, revisions, traffic
 from plumarch.gateway import fleet_state
 from plumarch.peers import frames, gossip
 
@@ -121,7 +121,7 @@
 
     def _adopt_configuration(self, peer: str, encoded: msgspec.Raw) -> None:
         try:
-            configuration = gossip.configuration_decoder.decode(encoded)
+            configuration = decoding.message(gossip.configuration_decoder, encoded)
         except msgspec.DecodeError as error:
             self.state.log.write("bad_snapshot", peer=peer, what="configuration", error=str(error))
             return
@@ -132,7 +132,7 @@
         found = []
         for one in encoded:
             try:
-                found.append(gossip.endpoint_decoder.decode(one))
+                found.append(decoding.message(gossip.endpoint_decoder, one))
             except msgspec.DecodeError as error:
                 self.state.log.write("bad_snapshot", peer=peer, what="endpoint", error=str(error))
         return found
--- a/plumarch/gateway/gossip/unreadable_messages.py
+++ b/plumarch/gateway/gossip/unreadable_messages.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from plumarch.core import decoding
 from plumarch.gateway import fleet_state
 from plumarch.membership import fleet_view
 from plumarch.peers import gossip, tolerant
@@ -69,7 +70,7 @@
 def _kind(data: bytes) -> str:
     """Return a message's kind, the number that it starts with, as text."""
     try:
-        first = msgspec.msgpack.decode(data)[0]
+        first = decoding.message(tolerant.ANY_DECODER, data)[0]
     except (msgspec.DecodeError, TypeError, IndexError, KeyError):
         return NO_KIND
     return str(first) if isinstance(first, int) and 0 <= first < KINDS else NO_KIND
--- a/plumarch/gateway/store/quarantine_record.py
+++ b/plumarch/gateway/store/quarantine_record.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from plumarch.core import errors, records, revisions
+from plumarch.core import decoding, errors, records, revisions
 from plumarch.gateway import fleet_state, ports
 from plumarch.gateway.gossip import suspect_updates
 from plumarch.gateway.store import follower
@@ -290,7 +290,7 @@
 def decode(value: str) -> list[quarantine.Suspect] | None:
     """Decode a record's value, or return None if it is malformed."""
     try:
-        entries = msgspec.json.decode(value, type=list[suspect_entries.ReportedSuspect])
+        entries = decoding.json_text(value, list[suspect_entries.ReportedSuspect])
     except msgspec.DecodeError:
         return None
     return [suspect_entries.from_message(one) for one in entries]
--- a/plumarch/gateway/store/registration.py
+++ b/plumarch/gateway/store/registration.py
@@ -21,6 +21,9 @@
 ISOLATED_READ_INTERVAL_MS = 3_000
 """Interval at which a node without live peers reads again."""
 
+MAX_LOGGED_CHARS = 300
+"""Maximum characters of a logged value."""
+
 MIN_LIVE_NODES = 2
 """A data centre's record is rewritten when fewer of its nodes are alive."""
 
@@ -103,7 +106,9 @@
         for record in found.found:
             nodes = node_record.decode(record)
             if nodes is None:
-                self.state.log.write("bad_node_record", name=record.name, value=record.value)
+                self.state.log.write(
+                    "bad_node_record", name=record.name, value=record.value[:MAX_LOGGED_CHARS]
+                )
             for node in nodes or ():
                 self.view.learn(node.address, node.address, node.data_centre)
         self.gossip.send_heartbeat_soon()
--- a/plumarch/gateway/store/registration_test.py
+++ b/plumarch/gateway/store/registration_test.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from plumarch.core import errors, records
+from plumarch.core import addresses, errors, records
 from plumarch.gateway import ports
 from plumarch.gateway.store import registration
 from plumarch.membership import node_record, tiers
@@ -126,6 +126,27 @@
     assert not now_named & named
 
 
+def test_heartbeats_go_on_beside_node_records_of_other_writers():
+    """An address that is no IP:port ended every heartbeat of the node that read it."""
+    fleet = gossip_fleet.GossipFleet(gossip_fleet.Size(1, 2))
+    store = Store()
+    values = [
+        '[{"address": "nonsense", "data_centre": "z"}]',
+        '[{"address": "10.0.0.1:99999", "data_centre": "z"}, {"address": "", "data_centre": ""}]',
+        '"\ud800"',
+        '{"x": ' + "[" * 3_000 + "]" * 3_000 + "}",
+        "nobody's text",
+    ]
+    for number, value in enumerate(values):
+        store.old[f"foreign-{number}"] = records.Record(f"foreign-{number}", value, 1)
+    entries = register_all(fleet, store)
+    run(fleet, entries)
+    assert {"dc-a-0", "dc-a-1"} <= set(store.found)
+    for node in fleet.live():
+        assert len(node.view.live()) == 1
+        assert all(addresses.is_ip_port(one.address) for one in node.view.peers.values())
+
+
 def test_a_write_without_an_answer_is_read_back_and_not_repeated():
     fleet = gossip_fleet.GossipFleet(gossip_fleet.Size(2, 3))
     store = Store(lose=2)
--- a/plumarch/membership/fleet_view.py
+++ b/plumarch/membership/fleet_view.py
@@ -7,7 +7,7 @@
 import dataclasses
 from collections.abc import Iterable
 
-from plumarch.core import clock
+from plumarch.core import addresses, clock
 from plumarch.membership import known_centres, peer_node, store_followers, tiers
 
 ALIVE_TIMEOUT_MS = 1_200
@@ -86,7 +86,7 @@
         """
         if name == self.node or address == self.address or name in self.peers:
             return
-        if address in self.names:
+        if address in self.names or not addresses.is_ip_port(address):
             return
         self._keep(peer_node.Peer(name, address, self.clock.now(), data_centre=data_centre))
 
@@ -102,7 +102,11 @@
     def mark_seen(
         self, name: str, incarnation: int, address: str, data_centre: str
     ) -> peer_node.Peer | None:
-        """Record a node's message; return the peer, or None if it is a replaced incarnation."""
+        """Record a node's message.
+
+        Returns:
+          The peer, or None if it is a replaced incarnation or its address is invalid.
+        """
         if name == self.node:
             return None
         now = self.clock.now()
@@ -112,6 +116,8 @@
         peer = self.peers.get(name)
         if peer is not None and peer.incarnation > incarnation:
             return None
+        if (peer is None or peer.address != address) and not addresses.is_ip_port(address):
+            return None
         if peer is None:
             peer = peer_node.Peer(name, address, now)
         elif peer.address != address:
--- a/plumarch/membership/node_record.py
+++ b/plumarch/membership/node_record.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from plumarch.core import records
+from plumarch.core import addresses, decoding, records
 
 KIND = "plumarch-members"
 CENTRE_PREFIX = "centre-"
@@ -30,8 +30,9 @@
 
 
 def decode(found: records.Record) -> list[NodeRecord] | None:
-    """Return a record's nodes, or None if it can't be decoded."""
+    """Return a record's nodes that have a valid address, or None if it can't be decoded."""
     try:
-        return msgspec.json.decode(found.value, type=list[NodeRecord])
+        nodes = decoding.json_text(found.value, list[NodeRecord])
     except msgspec.DecodeError:
         return None
+    return [node for node in nodes if addresses.is_ip_port(node.address)]
--- a/plumarch/peers/gossip.py
+++ b/plumarch/peers/gossip.py
@@ -12,7 +12,7 @@
 import msgspec
 
 from plumarch.config import routing_table
-from plumarch.core import revisions, traffic
+from plumarch.core import decoding, revisions, traffic
 from plumarch.peers import suspect_entries
 
 DATAGRAM_LIMIT = 1_400
@@ -667,9 +667,9 @@
       msgspec.DecodeError: it can't be decoded.
     """
     try:
-        return snapshot_decoder.decode(encoded)
+        return decoding.message(snapshot_decoder, encoded)
     except msgspec.DecodeError:
-        full = full_snapshot_decoder.decode(encoded)
+        full = decoding.message(full_snapshot_decoder, encoded)
     return Snapshot(
         full.node,
         [raw(full.configuration)] if full.configuration is not None else [],
--- a/plumarch/peers/tolerant.py
+++ b/plumarch/peers/tolerant.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from plumarch.core import decoding
 from plumarch.peers import gossip
 
 KINDS: dict[int, type[msgspec.Struct]] = {
@@ -16,6 +17,8 @@
 }
 """Datagram types by tag."""
 
+ANY_DECODER: msgspec.msgpack.Decoder[Any] = msgspec.msgpack.Decoder()
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PartialDatagram:
@@ -37,7 +40,7 @@
     Raises:
       msgspec.DecodeError: the type is unknown, or a required field is unreadable.
     """
-    parts = msgspec.msgpack.decode(data)
+    parts = decoding.message(ANY_DECODER, data)
     number = parts[0] if isinstance(parts, list) and parts else None
     kind = KINDS.get(number) if isinstance(number, int) else None
     if kind is None:
