Unforeseen errors of tasks and callbacks are counted, logged with the line that raised them, and bounded

A task that ended by an error was restarted with a `fault` line, but nothing counted it, the line didn't say where the error arose, and quoted other writers' text in full. Errors in callbacks (a datagram) and in tasks that nobody awaits went to asyncio's own log. daemon.task_supervisor is the one place that keeps tasks running; it also handles the event loop's errors, within the log's limit. plumarch_gateway_faults_total by task.

--- a/plumarch/daemon/gateway.py
+++ b/plumarch/daemon/gateway.py
@@ -7,10 +7,9 @@
 import random
 import signal
 import socket
-from collections.abc import Awaitable, Callable
 
 from plumarch.core import addresses, build, clock, errors, suspension
-from plumarch.daemon import gateway_settings, listening, status_pages
+from plumarch.daemon import gateway_settings, listening, status_pages, task_supervisor
 from plumarch.fleet import engine_demand, rollout, usage, version_tally
 from plumarch.gateway import (
     decision_log,
@@ -118,7 +117,7 @@
         pages = status_pages.StatusPages(self.state, self.ready, self.view)
         self.pages = caller_connection.CallerServer(self.clock, pages, memory=self.state.memory)
         self.stopping = False
-        self.tasks: list[asyncio.Task[None]] = []
+        self.supervisor = task_supervisor.TaskSupervisor(self.state)
         self.listeners: list[asyncio.Server] = []
 
     def _new_state(self, names: dialect.Dialect) -> fleet_state.FleetState:
@@ -191,6 +190,7 @@
     async def start(self) -> None:
         """Open all listeners and start the periodic tasks."""
         listen = self.settings.listen
+        asyncio.get_running_loop().set_exception_handler(self.supervisor.handle_loop_error)
         await self.gossiper.start()
         callers_socket = self.opened or listening.bind(listen.callers)
         await self._listen(callers_socket, self.callers, serving=False)
@@ -211,7 +211,7 @@
             self._run_housekeeping,
             self._watch_settings,
         ):
-            self.tasks.append(asyncio.get_running_loop().create_task(self._guard(work)))
+            self.supervisor.start(work)
         self.state.log.write(
             "start",
             urgent=True,
@@ -223,21 +223,6 @@
         )
         self.state.log.flush()
 
-    async def _guard(self, work: Callable[[], Awaitable[None]]) -> None:
-        """Run a task; log its exceptions and restart it."""
-        while True:
-            try:
-                await work()
-                return
-            except Exception as error:
-                self.state.log.write(
-                    "fault",
-                    urgent=True,
-                    part=getattr(work, "__name__", ""),
-                    error=f"{type(error).__name__}: {error}",
-                )
-                await asyncio.sleep(0.5)
-
     async def _listen(
         self, sock: socket.socket, server: caller_connection.CallerServer, serving: bool = True
     ) -> None:
@@ -319,8 +304,7 @@
         for listener in self.listeners:
             listener.close()
         self.callers.close_all()
-        for task in self.tasks:
-            task.cancel()
+        self.supervisor.cancel()
         self.gossiper.close()
 
 
--- a/plumarch/gateway/measures.py
+++ b/plumarch/gateway/measures.py
@@ -200,6 +200,11 @@
             "Messages of other nodes that this build can't read, by kind and the sender's build.",
             ("kind", "build"),
         )
+        self.faults = Counter(
+            "plumarch_gateway_faults",
+            "Unforeseen errors, by the task that was restarted after them.",
+            ("part",),
+        )
         self.stale_answers = Counter(
             "plumarch_gateway_stale_answers",
             "Answers of the store and of other nodes that were ignored as stale.",
@@ -263,6 +268,7 @@
             self.slot_leases,
             self.tunnels,
             self.unreadable_messages,
+            self.faults,
             self.stale_answers,
             self.store_rollbacks,
             self.quarantined,
