--- a/plumarch/daemon/task_supervisor.py
+++ b/plumarch/daemon/task_supervisor.py
@@ -1,6 +1,6 @@
 """Keeps the gateway's tasks running: an unforeseen error is logged, counted, and ends no task.
 
-A task keeps what it knows in the shared state, and begins anew with a list of all entries or with
+A task keeps what it knows in the shared state, and starts again with a list of all entries or with
 its next step; see docs/design/following-tasks.md.
 """
 
