--- a/review/4/case.py
+++ b/review/4/case.py
@@ -172,7 +172,9 @@
         try:
             await self.fleet.start(CONFIG)
             await asyncio.sleep(2.0)
-            calls = [asyncio.ensure_future(self.call(number)) for number in range(len(STREAM_EVENTS))]
+            calls = [
+                asyncio.ensure_future(self.call(number)) for number in range(len(STREAM_EVENTS))
+            ]
             await asyncio.sleep(TERM_AT_S)
             if self.trouble:
                 self.term_s = self.record.now()
--- a/review/harness_2/fleet.py
+++ b/review/harness_2/fleet.py
@@ -131,7 +131,9 @@
                 stop_s=self.grace_s,
             )
         )
-        environment = {name: os.environ[name] for name in ("PATH", "HOME", "LANG") if name in os.environ}
+        environment = {
+            name: os.environ[name] for name in ("PATH", "HOME", "LANG") if name in os.environ
+        }
         environment["PYTHONPATH"] = str(ROOT / "target" / "deps")
         environment[SETTINGS_VARIABLE] = str(path)
         with (self.folder / f"front-{number}.log").open("ab") as log:
--- a/review/harness_2/http.py
+++ b/review/harness_2/http.py
@@ -70,9 +70,7 @@
         return Answer(status, headers, body, False)
 
 
-def encode_request(
-    method: str, target: str, headers: dict[str, str], body: bytes = b""
-) -> bytes:
+def encode_request(method: str, target: str, headers: dict[str, str], body: bytes = b"") -> bytes:
     """Return a request's bytes."""
     lines = [f"{method} {target} HTTP/1.1"]
     lines += [f"{name}: {value}" for name, value in headers.items()]
