Review case 5: after all gateways were killed, resumed streams are refused

Cause: what nodes know of streams stands in their processes, and a sole version counts as evidence only once a node has watched the entries for 30 s.

--- a/review/harness_2/fleet.py
+++ b/review/harness_2/fleet.py
@@ -29,7 +29,7 @@
 [node]
 name = front-{number}
 data_centre = {zone}
-first_start = true
+first_start = {first_start}
 [regions]
 data_centres = {zones}
 [memory]
@@ -123,6 +123,7 @@
         path.write_text(
             SETTINGS.format(
                 number=number,
+                first_start=str(number not in self.processes).lower(),
                 zone=self.zone(number),
                 zones=", ".join(f"{zone}:one" for zone in self.zones),
                 port=self.port,
