--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,15 +1,13 @@
-"""An entry with fields missing overwrites that of a worker that drains; it gets requests again.
+"""After all gateways were killed and are back, streams that clients take up again are refused.
 
-Exits with 1 if rule DRAIN was broken, 0 if it held, 2 if the case couldn't run.
+Exits with 1 if rule LOST (issue 55) was broken, 0 if it held, 2 if the case couldn't run.
 """
 
 import asyncio
-import contextlib
 import os
 import pathlib
-import random
+import signal
 import sys
-import time
 
 FOLDER = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent))
@@ -17,109 +15,41 @@
 from harness_2 import fleet, http  # noqa: E402
 
 NODES = 3
-CLIENTS_PER_NODE = 12
-WORK_S = (0.2, 0.8)
-"""Range of a request's work."""
+WORKERS = 4
+STREAMS = 18
+EVENTS = 120
+EVENT_GAP_S = 0.1
+DEADLINE_MS = 15_000
+KILL_AT_S = 2.0
+"""From the start of the streams until all gateways are killed."""
 
-MAX_PAUSE_S = 0.2
-"""Pauses of a client are random up to this, so that clients don't run in step."""
+DOWN_S = 1.0
+CONTACT_S = 3.0
+"""contact_ms of the site: so long after its start a machine is in touch."""
 
-DRAIN_S = 2.0
-"""drain_ms of the site."""
-
-FOREIGN_AFTER_S = 2.4
-"""From the acknowledgement until another writer's entry comes."""
-
-END_AFTER_S = 3.4
-"""From the acknowledgement until the worker ends, before its next heartbeat."""
-
-MISSING = ("cold_remaining_ms", "sequence", "born")
-"""Fields that the other writer's entry lacks."""
-
-MARGIN_S = 0.05
-"""For the measurement of times in this process."""
+MARGIN_S = 0.3
 
 CONFIG = {
     "version": 1,
     "routes": [
         {
-            "name": "sign",
+            "name": "chat",
             "host": "h.example",
-            "path_prefix": "/sign/",
-            "kind": "unsafe",
-            "timeout_ms": 2_000,
-            "target_latency_ms": 1_000,
-            "service": "api",
-            "max_attempts": 1,
+            "path_prefix": "/chat/",
+            "kind": "streaming",
+            "timeout_ms": DEADLINE_MS,
+            "target_latency_ms": 800,
+            "target_gap_ms": 500,
+            "service": "llm",
+            "max_attempts": 2,
+            "resume_streams": True,
         }
     ],
-    "services": [{"name": "api"}],
+    "services": [{"name": "llm"}],
     "tenants": [{"name": "t", "access_keys": ["k"]}],
 }
 
 
-class Worker:
-    """A worker with its arrivals."""
-
-    def __init__(self, case: "Case", name: str) -> None:
-        self.case = case
-        self.name = name
-        self.server = http.Server(self.serve)
-        self.arrivals: list[tuple[float, str]] = []
-        self.running: set[str] = set()
-        self.tasks: set[asyncio.Task[None]] = set()
-        self.born_ms = time.time_ns() // 1_000_000
-
-    async def serve(self, request: http.Request, writer: asyncio.StreamWriter) -> None:
-        """Answer after the request's work, unless the worker ends before."""
-        name = request.headers["request-id"]
-        self.arrivals.append((self.case.record.now(), name))
-        self.running.add(name)
-        task = asyncio.current_task()
-        assert task is not None
-        self.tasks.add(task)
-        try:
-            await asyncio.sleep(random.Random(name).uniform(*WORK_S))
-            writer.write(http.encode_answer(request, b"signed"))
-        finally:
-            self.running.discard(name)
-            self.tasks.discard(task)
-
-    def entry(self, state: str) -> dict[str, object]:
-        """Return the worker's entry."""
-        return {
-            "service": "api",
-            "address": self.server.address,
-            "zone": "a",
-            "version": "v1",
-            "slots": 32,
-            "state": state,
-            "cold_remaining_ms": 0,
-            "sequence": 1,
-            "born": self.born_ms,
-        }
-
-    async def register(self, state: str) -> None:
-        """Write the worker's entry."""
-        await self.case.fleet.platform.put("servers", self.name, self.entry(state))
-        self.case.record.write(f"the store acknowledges that {self.name} is {state}")
-
-    async def spoil(self) -> None:
-        """Overwrite the worker's entry as another writer, with fields missing."""
-        entry = {key: value for key, value in self.entry("ready").items() if key not in MISSING}
-        await self.case.fleet.platform.put("servers", self.name, entry)
-        self.case.record.write(f"another writer's entry of {self.name}: {entry}")
-
-    async def end(self) -> None:
-        """End: stop listening, cut off what runs, and remove the entry."""
-        cut = sorted(self.running)
-        self.case.record.write(f"{self.name} ends; it still ran {cut}")
-        self.server.stop()
-        for task in list(self.tasks):
-            task.cancel()
-        await self.case.fleet.platform.remove("servers", self.name)
-
-
 class Case:
     """Clients, workers and the outcome."""
 
@@ -127,96 +57,152 @@
         self.trouble = os.environ.get("TROUBLE", "1") != "0"
         self.record = fleet.Record(FOLDER)
         self.fleet = fleet.Fleet(self.record, nodes=NODES, zones=("a", "b", "c"))
-        self.over = False
-        self.rng = random.Random(1)
-        self.sent_at: dict[str, float] = {}
-        self.statuses: dict[str, str] = {}
+        self.broken_off = asyncio.Event()
+        self.in_touch = asyncio.Event()
+        self.went_on = 0
+        self.began = 0
+        self.tried = 0
+        self.ready = 0
+
+    async def serve(self, request: http.Request, writer: asyncio.StreamWriter) -> None:
+        """Stream the events after the one that the request names."""
+        first = int(request.headers.get("last-event-id") or "0") + 1
+        self.record.write(f"a worker runs {request.headers['request-id']} from event {first}")
+        writer.write(http.encode_stream_head(request))
+        for number in range(first, EVENTS + 1):
+            writer.write(http.encode_chunk(http.encode_event(number)))
+            await writer.drain()
+            await asyncio.sleep(EVENT_GAP_S)
+        writer.write(http.encode_chunk(b""))
+
+    def _headers(self, name: str, deadline_ms: float) -> dict[str, str]:
+        return {
+            "Host": "h.example",
+            "Authorization": "Bearer k",
+            "Request-Id": name,
+            "Model": "m",
+            "Token-Counts": "700,240",
+            "Prompt-Prefix": f"5c1e07a2:100,{abs(hash(name)) % 2**32:08x}:600",
+            "Deadline-Milliseconds": str(round(deadline_ms)),
+        }
 
-    async def call_forever(self, client: int) -> None:
-        """Send one request after the other through one gateway, on one connection."""
+    async def call(self, client: int) -> None:
+        """Read a stream until it breaks off, then take it up again."""
         number = 1 + client % NODES
-        reader = writer = None
-        calls = 0
-        while not self.over:
-            calls += 1
-            name = f"c{client}-{calls}"
-            headers = {
-                "Host": "h.example",
-                "Authorization": "Bearer k",
-                "Request-Id": name,
-                "Deadline-Milliseconds": "2000",
-            }
-            try:
-                if writer is None:
-                    reader, writer = await asyncio.open_connection(
-                        f"127.0.1.{number}", self.fleet.port
-                    )
-                self.sent_at[name] = self.record.now()
-                writer.write(http.encode_request("POST", "/sign/x", headers, b"firmware"))
-                answer = await http.read_answer(reader)
-                self.statuses[name] = str(answer.status)
-                if answer.closes:
-                    writer.close()
-                    writer = None
-            except (OSError, EOFError) as error:
-                self.statuses[name] = repr(error)
-                if writer is not None:
-                    writer.close()
-                writer = None
-            await asyncio.sleep(self.rng.uniform(0.0, MAX_PAUSE_S))
+        reader, writer = await asyncio.open_connection("127.0.1." + str(number), self.fleet.port)
+        began_s = self.record.now()
+        first = f"first-{client}"
+        headers = self._headers(first, DEADLINE_MS)
+        parts = headers["Prompt-Prefix"]
+        body = f"question of {client}".encode()
+        writer.write(http.encode_request("POST", "/chat/x", headers, body))
+        reading = asyncio.ensure_future(http.read_answer(reader))
+        if not self.trouble:
+            # The client itself breaks its stream off.
+            await self.broken_off.wait()
+            writer.close()
+        answer = await reading
+        last = answer.body.count(b"id: ")
+        self.record.write(f"client {client}: its stream broke off after event {last}")
+        writer.close()
+        await self.in_touch.wait()
+        left_ms = DEADLINE_MS - (self.record.now() - began_s) * 1000.0
+        again = self._headers(f"again-{client}", left_ms)
+        again |= {"Prompt-Prefix": parts, "Resumes": first, "Last-Event-Id": str(last)}
+        status, events = await self._send(1 + (client + 1) % NODES, again, body)
+        self.tried += 1
+        goes_on = status == 200 and events[:1] == [last + 1]
+        self.went_on += goes_on
+        self.record.write(
+            f"client {client}: takes it up again after event {last}, {left_ms:.0f} ms left:"
+            f" status {status}, goes on {goes_on}"
+        )
+
+    async def begin_new(self, client: int) -> None:
+        """Begin another stream at the same time."""
+        await self.in_touch.wait()
+        headers = self._headers(f"new-{client}", DEADLINE_MS)
+        status, events = await self._send(
+            1 + client % NODES, headers, b"new " + str(client).encode()
+        )
+        self.began += status == 200 and events[:1] == [1]
+
+    async def _send(
+        self, number: int, headers: dict[str, str], body: bytes
+    ) -> tuple[int, list[int]]:
+        """Send a request; return the answer's status and its first events."""
+        reader, writer = await asyncio.open_connection("127.0.1." + str(number), self.fleet.port)
+        writer.write(http.encode_request("POST", "/chat/x", headers, body))
+        events: list[int] = []
+        status = 0
+        try:
+            async with asyncio.timeout(3.0):
+                head = await reader.readuntil(http.HEAD_END)
+                status = int(head.split()[1])
+                while status == 200 and len(events) < 3:
+                    line = await reader.readline()
+                    if not line:
+                        raise EOFError
+                    if line.startswith(b"id: "):
+                        events.append(int(line[4:]))
+        except (TimeoutError, EOFError, OSError) as error:
+            self.record.write(f"{headers['Request-Id']}: {error!r}")
+        writer.close()
+        return status, events
 
     async def run(self) -> int:
         """Play the case and return its exit code."""
-        workers = [Worker(self, f"i-{number}") for number in range(1, 4)]
-        for worker in workers:
-            await worker.server.start()
-            await worker.register("ready")
+        workers = [await http.Server(self.serve).start() for _ in range(WORKERS)]
+        for number, worker in enumerate(workers, 1):
+            entry = {
+                "service": "llm",
+                "address": worker.address,
+                "zone": "abc"[number % 3],
+                "version": "v1",
+                "slots": 64,
+                "state": "ready",
+                "cold_remaining_ms": 0,
+                "sequence": 1,
+                "born": 1_700_000_000_000 + number,
+            }
+            await self.fleet.platform.put("servers", f"i-{number}", entry)
         try:
             await self.fleet.start(CONFIG)
-            clients = [
-                asyncio.ensure_future(self.call_forever(client))
-                for client in range(NODES * CLIENTS_PER_NODE)
-            ]
-            await asyncio.sleep(5.0)
-            outcome = await self._play(workers[0])
-            self.over = True
-            await asyncio.wait(clients, timeout=5.0)
-            return outcome
+            await asyncio.sleep(3.0)
+            calls = [asyncio.ensure_future(self.call(client)) for client in range(STREAMS)]
+            calls += [asyncio.ensure_future(self.begin_new(client)) for client in range(STREAMS)]
+            await asyncio.sleep(KILL_AT_S)
+            await self._break_off()
+            await asyncio.sleep(CONTACT_S + MARGIN_S)
+            self.record.write("all machines are in touch")
+            self.in_touch.set()
+            await asyncio.wait_for(asyncio.gather(*calls), 30.0)
         finally:
-            self.over = True
             await self.fleet.end()
             for worker in workers:
-                with contextlib.suppress(Exception):
-                    worker.server.stop()
-
-    async def _play(self, leaving: Worker) -> int:
-        await leaving.register("draining")
-        drained_s = self.record.now()
-        await asyncio.sleep(FOREIGN_AFTER_S)
-        before = len([at for at, _ in leaving.arrivals if at >= drained_s + DRAIN_S])
-        if self.trouble:
-            await leaving.spoil()
-        await asyncio.sleep(END_AFTER_S - FOREIGN_AFTER_S)
-        await leaving.end()
-        await asyncio.sleep(2.0)
-        first_s = drained_s + DRAIN_S + MARGIN_S
-        late = [(at, name) for at, name in leaving.arrivals if self.sent_at[name] >= first_s]
-        for at, name in late:
-            self.record.write(
-                f"{name}: sent by its client at {self.sent_at[name]:.3f} s, reached"
-                f" {leaving.name} at {at:.3f} s, {at - drained_s:.2f} s after the acknowledgement;"
-                f" client got {self.statuses.get(name)}"
-            )
-        lost = [name for _, name in late if self.statuses.get(name) != "200"]
-        served = sum(1 for status in self.statuses.values() if status == "200")
-        self.record.write(f"{served} of {len(self.statuses)} requests were served")
+                worker.stop()
         self.record.write(
-            f"{len(late)} requests broke the bound ({before} before the entry),"
-            f" {len(lost)} of them were lost"
+            f"{self.went_on} of {self.tried} streams went on,"
+            f" {self.began} of {STREAMS} new ones began"
         )
-        if served < len(self.statuses) / 2:
+        if self.tried < 12 or self.began < STREAMS / 2:
             return fleet.NOT_RUN
-        return fleet.BROKEN if late else fleet.HELD
+        share, new_share = self.went_on / self.tried, self.began / STREAMS
+        return fleet.BROKEN if share < new_share / 2 else fleet.HELD
+
+    async def _break_off(self) -> None:
+        if self.trouble:
+            for number in range(1, NODES + 1):
+                self.fleet.signal(number, signal.SIGKILL)
+            await asyncio.sleep(DOWN_S)
+            for number in range(1, NODES + 1):
+                await self.fleet.processes[number].wait()
+                await self.fleet.launch(number)
+            for number in range(1, NODES + 1):
+                await self.fleet.wait_until_ready(number)
+        else:
+            self.broken_off.set()
+            await asyncio.sleep(DOWN_S)
 
 
 if __name__ == "__main__":
