A stopping node takes no request that may end after it

Cause: idle connections were closed once, 2.6 s after the SIGTERM; one that was busy then, with a head from before the SIGTERM, stayed open. And a plain request was admitted until 1.5 s before the end, whatever time it had.

Now a connection is closed as soon as it is idle from that moment on (a request received behind a stream is answered first), and a request is refused as not run, for another node at once, if its deadline or its route's timeout ends after the process. So nothing is passed on later than 2.6 s that can still run at the end. The wait for the balancer ends with the time to stop.

Ruled out: saying Connection: close earlier; the heads of the streams were sent before the SIGTERM. Bounding by the work that is expected: a request that may not run twice has to be answered, not likely to be.

One assertion of relay_test is replaced by a stricter pair: a request with 20 s to its deadline was expected to be served 10 s before the end, which is the fault; it is now expected to be refused there, and to be served if the node outlives it.

--- a/plumarch/daemon/gateway.py
+++ b/plumarch/daemon/gateway.py
@@ -292,7 +292,7 @@
         self.gossiper.send_heartbeat_soon()
         self.state.log.write("stop", urgent=True, busy=self.callers.busy())
         ends = begun + grace_ms - ABORT_BEFORE_KILL_MS
-        while self.clock.now() < begun + NOT_READY_MS:
+        while self.clock.now() < min(begun + NOT_READY_MS, ends):
             await asyncio.sleep(0.05)
         self.state.stops_at_ms = round(ends)
         self.listeners[0].close()
--- a/plumarch/gateway/callers/admission.py
+++ b/plumarch/gateway/callers/admission.py
@@ -13,8 +13,8 @@
 
 RETRY_WITHOUT_CONFIGURATION_MS = 500.0
 RETRY_ELSEWHERE_MS = 10.0
-PLAIN_ANSWER_MS = 1_500.0
-"""Plain requests are refused in this last time before the process stops."""
+STOP_MARGIN_MS = 100.0
+"""Time between a request's deadline and the end of the process, in which its answer is written."""
 
 DEFAULT_DEADLINE_MS = 30_000.0
 
@@ -125,7 +125,8 @@
         workspace = table.workspaces_by_key.get(key)
         if workspace is None:
             return Refusal(401, "unknown_key")
-    if _stops_too_soon(state, route):
+    ends_ms = request.began_ms + _timeout_ms(request, names, route)
+    if _stops_before(state, ends_ms):
         return Refusal(503, "stopping", RETRY_ELSEWHERE_MS)
     workspace_name = workspace.name if workspace else ""
     fingerprint = request_identity.fingerprint(workspace_name, request)
@@ -157,7 +158,7 @@
         service=_service_of(route, request.header(names.resumes) or request_id),
         workspace=workspace,
         units=units,
-        ends_ms=request.began_ms + _timeout_ms(request, names, route),
+        ends_ms=ends_ms,
         parts=parts,
         prompt_tokens=prompt_tokens,
         version=table.version,
@@ -198,13 +199,12 @@
     return max(0, route.priority - table.most_urgent_stream)
 
 
-def _stops_too_soon(state: fleet_state.FleetState, route: traffic.Route) -> bool:
-    """Return whether this process stops before a request is likely to be answered."""
-    if state.stops_at_ms is None:
-        return False
-    if route.kind is traffic.RouteKind.STREAMING:
-        return True
-    return state.stops_at_ms - state.clock.now() < PLAIN_ANSWER_MS
+def _stops_before(state: fleet_state.FleetState, ends_ms: float) -> bool:
+    """Return whether this process may end before a request does.
+
+    Another node can serve it; here it would be cut off, though it may have run.
+    """
+    return state.stops_at_ms is not None and ends_ms + STOP_MARGIN_MS > state.stops_at_ms
 
 
 def _key_of(authorization: str, scheme: str) -> str:
--- a/plumarch/gateway/callers/caller_connection.py
+++ b/plumarch/gateway/callers/caller_connection.py
@@ -38,7 +38,8 @@
     """State shared by callers' connections.
 
     Attributes:
-      draining: whether connections are closed after each answer.
+      draining: whether answers that begin now close their connections.
+      closes_idle: whether a connection is closed as soon as it has no request.
       on_disconnect: called with the reason and the number of unread bytes.
       back_in_ms: returns the expected time until so many bytes are free.
     """
@@ -47,6 +48,7 @@
     handler: caller_requests.RequestHandler
     limits: traffic.CallerLimits = dataclasses.field(default_factory=traffic.CallerLimits)
     draining: bool = False
+    closes_idle: bool = False
     connections: set["CallerConnection"] = dataclasses.field(default_factory=set)
     memory: memory_account.MemoryAccount = dataclasses.field(
         default_factory=lambda: memory_account.from_limit(memory_account.DEFAULT_LIMIT_MB)
@@ -65,7 +67,8 @@
         return sum(1 for one in self.connections if one.task is not None or one.unread.size)
 
     def close_idle(self) -> None:
-        """Close idle connections."""
+        """Close idle connections, and busy ones once they are idle."""
+        self.closes_idle = True
         for connection in list(self.connections):
             connection.close_if_idle()
 
@@ -277,6 +280,8 @@
             self.transport.resume_reading()
             if self.ahead.size:
                 self._process_received()
+            elif self.server.closes_idle:
+                self.close_if_idle()
         elif self.http.our_state is h11.MUST_CLOSE:
             self._linger()
         else:
--- a/plumarch/gateway/relay_test.py
+++ b/plumarch/gateway/relay_test.py
@@ -703,6 +703,8 @@
             assert (found.status, found.headers["connection"]) == (200, "close")
             gateway.state.stops_at_ms = gateway.state.clock.now() + 10_000
             assert (await gateway.ask("/chat/")).status == 503
+            assert (await gateway.ask("/safe/")).status == 503
+            gateway.state.stops_at_ms = gateway.state.clock.now() + LONG_MS + 10_000
             assert (await gateway.ask("/safe/")).status == 200
             gateway.state.stops_at_ms = gateway.state.clock.now() + 100
             assert (await gateway.ask("/safe/")).status == 503
