Streams of a split route are reported to other nodes

Cause: a stream was reported unless its service has one version; its origin was deduced only if its route also leads to one service, and has done so for 30 s. Streams of split routes, and of routes whose services had just changed, were neither reported nor deduced. Reports and deduction now ask the same function, by route: what can't be deduced is reported.

Ruled out: deducing the service of a split route by the hash that chooses it. It holds while the shares stay, but a node that just started, or that has another configuration than the one that asks, would guess.

--- a/bench/stream_reports.py
+++ b/bench/stream_reports.py
@@ -67,7 +67,7 @@
             for _ in range(int(expected) + (fleet.rng.random() < expected % 1.0)):
                 number += 1
                 stream = stream_origins.Stream(fleet.rng.getrandbits(64), fleet.rng.getrandbits(64))
-                node.state.streams.begin(stream, endpoint(VERSIONS[number % 2]))
+                node.state.streams.begin(stream, endpoint(VERSIONS[number % 2]), "chat")
         fleet.run(STEP_MS)
     by_role: dict[str, list[int]] = {}
     for node in fleet.live():
--- a/plumarch/gateway/gossip/stream_exchange.py
+++ b/plumarch/gateway/gossip/stream_exchange.py
@@ -1,9 +1,9 @@
 """Exchanges where event streams began, so that they can be resumed after their node is gone.
 
-While a service runs several software versions, each node reports its streams in rounds to a few
-others: two of its data centre and two elsewhere. In a large fleet these are its coordinators, and
-the senior one forwards to another data centre's. To resume a stream that it doesn't know, a node
-asks all others, in a large fleet through its coordinators.
+Where the streams of a route may begin at several services or software versions, each node reports
+its own in rounds to a few others: two of its data centre and two elsewhere. In a large fleet these
+are its coordinators, and the senior one forwards to another data centre's. To resume a stream that
+it doesn't know, a node asks all others, in a large fleet through its coordinators.
 """
 
 import dataclasses
@@ -64,19 +64,23 @@
     # Reports.
 
     def step(self) -> None:
-        """Report own streams of services in several versions, and forward members' reports."""
+        """Report own streams whose origin others can't deduce, and forward members' reports."""
         streams = self.state.streams
         streams.step()
-        mixed = [one for one in streams.unreported if self.state.sole_version(one) is None]
-        keepers = self._keepers() if mixed else []
+        doubtful = [one for one in streams.unreported if self._is_doubtful(one)]
+        keepers = self._keepers() if doubtful else []
         # A node that has just started knows no keepers yet; its reports wait for them.
-        reports = [one for service in mixed if keepers for one in streams.take_reports(service)]
+        reports = [one for began in doubtful if keepers for one in streams.take_reports(began)]
         own = _grouped(reports)
         to_forward, self.to_forward = own + self.to_forward, []
         self._send_report(own, keepers, hops=0)
         if to_forward and self.view.role is tiers.Role.COORDINATOR:
             self._send_report(to_forward, self._remote_keepers(), hops=1)
 
+    def _is_doubtful(self, began: stream_origins.RouteOrigin) -> bool:
+        """Return whether others can't deduce this origin of a route's streams."""
+        return self.state.sole_origin(began.origin.service, began.route) is None
+
     def _send_report(self, groups: list[gossip.ReportedStreams], to: list[str], hops: int) -> None:
         for batch in _batches(groups):
             self.send(gossip.StreamReport(self.view.node, self.view.data_centre, batch, hops), to)
--- a/plumarch/gateway/gossip/stream_exchange_test.py
+++ b/plumarch/gateway/gossip/stream_exchange_test.py
@@ -8,6 +8,7 @@
 import msgspec
 import pytest
 
+from plumarch.config import routing_table
 from plumarch.core import traffic
 from plumarch.gateway.gossip import stream_exchange
 from plumarch.peers import gossip
@@ -23,12 +24,27 @@
 """Time that a resumption waits for other nodes."""
 
 VERSIONS = ("v1", "v2")
+SPLIT = ("s", "t")
+"""Services between which a route is split."""
 
 
-def endpoint(version: str) -> traffic.Endpoint:
+def route(name: str, *services: str) -> traffic.Route:
+    shares = tuple(traffic.ServiceShare(one, 1.0) for one in services)
+    kind = traffic.RouteKind.STREAMING
+    return traffic.Route(name, "h", f"/{name}/", kind, 15_000, 500, shares, resumable=True)
+
+
+TABLE = routing_table.build(
+    routing_table.Configuration(
+        2, (route("chat", "s"), route("split", *SPLIT)), (), (), traffic.CallerLimits()
+    )
+)
+
+
+def endpoint(version: str, service: str = "s") -> traffic.Endpoint:
     return traffic.Endpoint(
-        f"e-{version}",
-        "s",
+        f"e-{service}-{version}",
+        service,
         "10.0.0.1:80",
         "dc-a",
         8,
@@ -47,20 +63,21 @@
         self.run(SETTLE_MS)
 
     def list_endpoints(self, node: gossip_fleet.Node) -> None:
+        node.state.adopt_table(TABLE, "store")
         node.state.registry.replace([endpoint(version) for version in VERSIONS], 1, "store")
 
     def begin(self, node: gossip_fleet.Node, number: int) -> stream_origins.Stream:
         """Relay the first event of a stream at a node."""
         stream = stream_origins.Stream(2 * number + 1, 2 * number + 2)
-        node.state.streams.begin(stream, endpoint(VERSIONS[number % 2]))
+        node.state.streams.begin(stream, endpoint(VERSIONS[number % 2]), "chat")
         return stream
 
     def origin(
-        self, node: gossip_fleet.Node, stream: stream_origins.Stream
+        self, node: gossip_fleet.Node, stream: stream_origins.Stream, route: str = "chat"
     ) -> stream_origins.Origin | None:
         """Return where a stream began, as a node finds out within the time of a resumption."""
         if node.state.streams.find(stream) is None and node.state.ask_origin is not None:
-            node.state.ask_origin(stream, "s", "chat")
+            node.state.ask_origin(stream, "s", route)
             self.run(ANSWER_MS)
         known = node.state.streams.find(stream)
         return known.origin if known is not None else None
@@ -84,6 +101,27 @@
         fleet.run(SETTLE_MS)
 
 
+def test_streams_of_a_split_route_are_known_after_their_node_was_killed():
+    """Each service had one version, so they were not reported; nor can a split be deduced."""
+    fleet = Fleet(SMALL, seed=1)
+    for number in range(2 * stream_origins.MIN_RETENTION_MS // 1_000):
+        fleet.run(1_000)
+        for node in fleet.live():
+            listed = [endpoint("v1", service) for service in SPLIT]
+            node.state.registry.replace(listed, 2 + number, "store")
+    began = fleet.live()[0]
+    streams = {}
+    for number in range(20):
+        stream = stream_origins.Stream(2 * number + 1, 2 * number + 2)
+        service = SPLIT[number % 2]
+        began.state.streams.begin(stream, endpoint("v1", service), "split")
+        streams[stream] = stream_origins.Origin(service, "v1")
+    fleet.run(150)
+    began.alive = False
+    taker = fleet.live()[-1]
+    assert {one: fleet.origin(taker, one, "split") for one in streams} == streams
+
+
 @pytest.mark.parametrize("seed", range(3))
 def test_streams_of_a_killed_data_centre_are_known_in_the_others(seed: int):
     fleet = Fleet(LARGE, seed)
--- a/plumarch/routing/stream_origins.py
+++ b/plumarch/routing/stream_origins.py
@@ -37,6 +37,14 @@
         return [one for one in found if one.version == self.version]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RouteOrigin:
+    """An origin of a route's streams."""
+
+    route: str
+    origin: Origin
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Stream:
     """A stream as its caller identifies it.
@@ -85,13 +93,14 @@
     """A stream that this node relays, or relayed lately.
 
     Attributes:
+      began: its route and where it began.
       endpoint: stable name of the last one.
       until_ms: when it can no longer be resumed, unless it runs.
       check_ms: when it is to be reported again if it runs, or forgotten.
       running: answers that relay it now.
     """
 
-    origin: Origin
+    began: RouteOrigin
     endpoint: str
     until_ms: int = 0
     check_ms: int = 0
@@ -115,7 +124,7 @@
       by_attempt: by the hash of the first attempt, next to expire first.
       by_fingerprint: by the hash of the request, in the same order.
       own: streams that this node relays or relayed, next to be checked first.
-      unreported: those that other nodes were not sent yet, by service.
+      unreported: those that other nodes were not sent yet, by route and origin.
     """
 
     clock: clock.Clock
@@ -123,15 +132,15 @@
     by_attempt: dict[int, KnownOrigin] = dataclasses.field(default_factory=dict)
     by_fingerprint: dict[int, KnownOrigin] = dataclasses.field(default_factory=dict)
     own: dict[Stream, OwnStream] = dataclasses.field(default_factory=dict)
-    unreported: dict[str, dict[Stream, None]] = dataclasses.field(default_factory=dict)
+    unreported: dict[RouteOrigin, dict[Stream, None]] = dataclasses.field(default_factory=dict)
 
-    def begin(self, stream: Stream, endpoint: traffic.Endpoint) -> None:
+    def begin(self, stream: Stream, endpoint: traffic.Endpoint, route: str) -> None:
         """Record that this node relays a stream's first event, here or of a resumption."""
         origin = of_endpoint(endpoint)
         self.add(stream, origin)
         known = self.own.get(stream)
         if known is None:
-            known = OwnStream(origin, endpoint.stable_name())
+            known = OwnStream(RouteOrigin(route, origin), endpoint.stable_name())
             self._report(stream, known)
         known.endpoint = endpoint.stable_name()
         known.running += 1
@@ -144,7 +153,7 @@
             return
         known.running = max(0, known.running - 1)
         self._keep(stream, known)
-        self.add(stream, known.origin)
+        self.add(stream, known.began.origin)
 
     def _keep(self, stream: Stream, known: OwnStream) -> None:
         now = self.clock.now()
@@ -160,10 +169,13 @@
 
     def _forget(self, stream: Stream) -> None:
         known = self.own.pop(stream)
-        self.unreported.get(known.origin.service, {}).pop(stream, None)
+        waiting = self.unreported.get(known.began, {})
+        waiting.pop(stream, None)
+        if not waiting:
+            self.unreported.pop(known.began, None)
 
     def _report(self, stream: Stream, known: OwnStream) -> None:
-        self.unreported.setdefault(known.origin.service, {})[stream] = None
+        self.unreported.setdefault(known.began, {})[stream] = None
 
     def add(self, stream: Stream, origin: Origin | None) -> None:
         """Record an origin, as seen here or reported; contradictions leave none."""
@@ -201,8 +213,8 @@
           versions: of restarted endpoints, by stable name.
         """
         for stream, known in self.own.items():
-            version = versions.get(known.endpoint, known.origin.version)
-            if version != known.origin.version:
+            began_at = known.began.origin.version
+            if versions.get(known.endpoint, began_at) != began_at:
                 self.add(stream, None)
                 self._report(stream, known)
 
@@ -221,15 +233,15 @@
                 continue
             if known.running:
                 known.until_ms = now + self.retention_ms
-                self.add(stream, known.origin)
+                self.add(stream, known.began.origin)
                 self._report(stream, known)
             known.check_ms = now + self.retention_ms // 2
             self.own[stream] = self.own.pop(stream)
 
-    def take_reports(self, service: str) -> list[Report]:
-        """Return what other nodes were not sent yet of own streams of a service."""
+    def take_reports(self, began: RouteOrigin) -> list[Report]:
+        """Return what other nodes were not sent yet of a route's own streams from one origin."""
         found = []
-        for stream in self.unreported.pop(service, {}):
+        for stream in self.unreported.pop(began, {}):
             known = self.find(stream)
             found.append(Report(stream, known.origin if known is not None else None))
         return found
--- a/plumarch/routing/stream_origins_test.py
+++ b/plumarch/routing/stream_origins_test.py
@@ -3,7 +3,9 @@
 from plumarch.core import clock, traffic
 from plumarch.routing import stream_origins
 
+ROUTE = "chat"
 V1, V2 = stream_origins.Origin("s", "v1"), stream_origins.Origin("s", "v2")
+BEGAN = stream_origins.RouteOrigin(ROUTE, V1)
 
 
 def stream(number: int) -> stream_origins.Stream:
@@ -24,7 +26,7 @@
 def test_an_origin_is_known_while_its_stream_can_be_resumed_and_not_longer():
     now = clock.ManualClock(1_000)
     known = stream_origins.StreamOrigins(now)
-    known.begin(stream(1), endpoint("e", "v1"))
+    known.begin(stream(1), endpoint("e", "v1"), ROUTE)
     now.advance_to(now.now() + 10 * known.retention_ms)
     known.step()
     assert origin_of(known, 1) == V1
@@ -42,10 +44,10 @@
 def test_a_running_stream_is_reported_again_before_others_forget_it():
     now = clock.ManualClock(1_000)
     own, other = stream_origins.StreamOrigins(now), stream_origins.StreamOrigins(now)
-    own.begin(stream(1), endpoint("e", "v1"))
+    own.begin(stream(1), endpoint("e", "v1"), ROUTE)
     for _ in range(100):
         own.step()
-        for report in own.take_reports("s"):
+        for report in own.take_reports(BEGAN):
             other.add(report.stream, report.origin)
         other.step()
         assert origin_of(other, 1) == V1
@@ -77,24 +79,24 @@
 
 def test_an_endpoint_that_restarted_in_another_version_leaves_its_streams_without_origin():
     known = stream_origins.StreamOrigins(clock.ManualClock(1_000))
-    known.begin(stream(1), endpoint("e", "v1"))
-    known.begin(stream(2), endpoint("other", "v1"))
-    known.take_reports("s")
+    known.begin(stream(1), endpoint("e", "v1"), ROUTE)
+    known.begin(stream(2), endpoint("other", "v1"), ROUTE)
+    known.take_reports(BEGAN)
     known.doubt_restarted({"e": "v2", "other": "v1"})
     assert origin_of(known, 1) is None
     assert origin_of(known, 2) == V1
-    assert known.take_reports("s") == [stream_origins.Report(stream(1), None)]
+    assert known.take_reports(BEGAN) == [stream_origins.Report(stream(1), None)]
 
 
 def test_memory_is_bounded_by_the_number_of_streams():
     known = stream_origins.StreamOrigins(clock.ManualClock(1_000))
     count = 2 * stream_origins.MAX_STREAMS
     for number in range(count):
-        known.begin(stream(number), endpoint("e", "v1"))
+        known.begin(stream(number), endpoint("e", "v1"), ROUTE)
         known.end(stream(number))
     sizes = [len(known.own), len(known.by_attempt), len(known.by_fingerprint)]
     assert max(sizes) == stream_origins.MAX_STREAMS
-    assert len(known.unreported["s"]) <= stream_origins.MAX_STREAMS
+    assert len(known.unreported[BEGAN]) <= stream_origins.MAX_STREAMS
     assert origin_of(known, count - 1) == V1
 
 
