The store lists where streams begin, for a fleet whose nodes were all killed

Callers saw: three nodes were killed at once and started again; 18 of 18 streams that were resumed 3.3 s after the nodes were ready were refused (503, unknown_stream), for 30 s, while 18 of 18 new ones began.

Cause: what a node knows of streams stands in processes alone, and the one deduction without such memory, that a service had a single version, needs 30 s of history that a new process doesn't have.

Now one object in the store lists, for each route that streams began on, the services and versions at which they may begin, and when each ceased to be listed. It is written when that changes, by the most senior node, or by any node that uses an origin that it doesn't find there. A resumption that no node knows reads it. It is complete from the fleet's first start on, or else trusted once it is older than a stream can be resumed; one of an earlier era of the store isn't trusted; what a node has seen since its read counts too.

Ruled out: trusting the only version that is listed (one may have come and gone while no node ran); watching the record at each node (a billed call every 20 s for what is needed after a kill); reading it at each start (a fourth call of all nodes of a fleet that starts: store_calls_test failed).

--- a/plumarch/daemon/gateway.py
+++ b/plumarch/daemon/gateway.py
@@ -23,7 +23,12 @@
 from plumarch.gateway.callers import caller_connection
 from plumarch.gateway.duties import duty_holder
 from plumarch.gateway.gossip import gossiper, heartbeats
-from plumarch.gateway.store import follower, quarantine_record, registration
+from plumarch.gateway.store import (
+    follower,
+    origin_record,
+    quarantine_record,
+    registration,
+)
 from plumarch.limits import (
     attempt_budget,
     memory_account,
@@ -98,6 +103,12 @@
         self.quarantine = quarantine_record.QuarantineRecord(
             self.state, store, self.view.is_most_senior_candidate
         )
+        self.origins = origin_record.OriginRecord(
+            self.state,
+            store,
+            self.view.is_most_senior_candidate,
+            settings.node.first_start,
+        )
         self.duties = duty_holder.Duties(
             self.state,
             self.view,
@@ -207,6 +218,7 @@
             self.registration.run,
             self.quarantine.follow_forever,
             self.quarantine.write_forever,
+            self.origins.run,
             self.suspension_watch.watch_forever,
             self._run_housekeeping,
             self._watch_settings,
--- a/plumarch/gateway/dispatch/resumptions.py
+++ b/plumarch/gateway/dispatch/resumptions.py
@@ -16,12 +16,17 @@
 """Last event ids of a caller that holds no event."""
 
 
+RECORD_WAIT_MS = 500.0
+"""Wait for the store's record."""
+
+
 class Found(enum.Enum):
     """How an origin was found, or why not."""
 
     HERE = "here"
     SOLE_VERSION = "sole_version"
     ASKED = "asked"
+    RECORDED = "recorded"
     CONTRADICTED = "contradicted"
     UNKNOWN = "unknown"
 
@@ -58,13 +63,15 @@
 async def find_origin(
     state: fleet_state.FleetState, admitted: admission.Admitted, stream: stream_origins.Stream
 ) -> Resumption:
-    """Find where a resumed stream began: here, by a service's sole version, or at other nodes."""
+    """Find where a resumed stream began: here, by its route's sole origin, or at other nodes."""
     began_ms = state.clock.now()
     found = _look_up(state, stream, Found.HERE)
     if found is None:
-        found = _by_sole_version(state, admitted)
+        found = _by_sole_origin(state, admitted, Found.SOLE_VERSION)
     if found is None:
         found = await _ask(state, admitted, stream)
+    if found.found is Found.UNKNOWN:
+        found = await _read_record(state, admitted, found)
     state.measures.resumptions.add(admitted.service, found.found.value)
     state.log.write(
         "resumption",
@@ -93,11 +100,22 @@
     return Resumption(how, known.origin, asked)
 
 
-def _by_sole_version(
-    state: fleet_state.FleetState, admitted: admission.Admitted
+def _by_sole_origin(
+    state: fleet_state.FleetState, admitted: admission.Admitted, how: Found, asked: int = 0
 ) -> Resumption | None:
     origin = state.sole_origin(admitted.service, admitted.route.name)
-    return Resumption(Found.SOLE_VERSION, origin) if origin is not None else None
+    return Resumption(how, origin, asked) if origin is not None else None
+
+
+async def _read_record(
+    state: fleet_state.FleetState, admitted: admission.Admitted, unknown: Resumption
+) -> Resumption:
+    """Find an origin in the store's record, since all nodes that knew it may be gone."""
+    if state.read_origins is None:
+        return unknown
+    left_ms = admitted.ends_ms - state.clock.now()
+    await state.read_origins(min(RECORD_WAIT_MS, left_ms))
+    return _by_sole_origin(state, admitted, Found.RECORDED, unknown.asked) or unknown
 
 
 async def _ask(
--- a/plumarch/gateway/dispatch/software_version_test.py
+++ b/plumarch/gateway/dispatch/software_version_test.py
@@ -11,7 +11,7 @@
 from plumarch.gateway import relay_test
 from plumarch.gateway.dispatch import request_run
 from plumarch.limits import attempt_budget
-from plumarch.routing import endpoint_limits
+from plumarch.routing import endpoint_limits, origin_uses, stream_origins
 from plumarch.standins import scripted_endpoint as scripted
 
 EVENTS = 6
@@ -148,6 +148,32 @@
     relay_test.play(test)
 
 
+@pytest.mark.parametrize(("listed", "status"), [(("v1",), 200), (("v1", "v2"), 503)])
+def test_a_stream_that_no_node_knows_goes_on_by_the_stores_record_of_origins(
+    listed: tuple[str, ...], status: int
+):
+    """All nodes that knew it were killed; the record names one origin, or two."""
+
+    async def test() -> None:
+        async with MixedGateway(writes("v1"), versions=("v1",)) as gateway:
+            state = gateway.state
+            used = [
+                stream_origins.RouteOrigin("chat", stream_origins.Origin("s", version))
+                for version in listed
+            ]
+
+            async def read(wait_ms: float) -> None:
+                uses = origin_uses.OriginUses(0, 0).with_begun(used)
+                state.recorded_origins = origin_uses.KnownUses(uses, state.clock.now())
+
+            state.read_origins = read
+            began = relay_test.Answer(200, {}, b"id: 1\ndata: v1\n\n", whole=False)
+            found = await gateway.resume("second", "first", began)
+            assert found.status == status
+
+    relay_test.play(test)
+
+
 def test_a_caller_without_events_may_begin_at_any_software_version():
     """It names its first attempt, which brought nothing, or says that it holds no event."""
 
--- a/plumarch/gateway/dispatch/stream_relay.py
+++ b/plumarch/gateway/dispatch/stream_relay.py
@@ -156,7 +156,9 @@
         if self.progress.origin is None:
             self.progress.origin = stream_origins.of_endpoint(endpoint)
         if self.admitted.route.repeatable():
-            self.state.streams.begin(self.progress.stream, endpoint, self.admitted.route.name)
+            route, origin = self.admitted.route.name, stream_origins.of_endpoint(endpoint)
+            self.state.streams.begin(self.progress.stream, endpoint, route)
+            self.state.stream_began(stream_origins.RouteOrigin(route, origin))
             if not endpoint.version and self.state.registry.versions.announces(endpoint.service):
                 self.state.streams.add(self.progress.stream, None)
 
--- a/plumarch/gateway/fleet_state.py
+++ b/plumarch/gateway/fleet_state.py
@@ -43,6 +43,7 @@
     endpoint_choice,
     endpoint_health,
     endpoint_limits,
+    origin_uses,
     stream_origins,
     version_split,
 )
@@ -113,6 +114,9 @@
       streams: the software versions at which streams began that can be resumed.
       ask_origin: asks other nodes where a stream of a service and a route began, and returns how
         many; None on a single node.
+      recorded_origins: the store's record of where streams begin; None while it is unknown.
+      stream_began: called with the route and the origin of a stream that can be resumed.
+      read_origins: reads the record for a resumption, within a time in ms; None without a store.
       origin_answers: resumptions that wait for them, by the stream's hash.
       knows_endpoints: whether this node would know of an endpoint that others use.
       reaches_store: whether the store answered the last call.
@@ -155,6 +159,9 @@
     announce_prompt: Callable[[SentPrompt], None] | None = None
     publish_suspects: Callable[[Sequence[str]], None] | None = None
     send_update_soon: Callable[[], None] = lambda: None
+    recorded_origins: origin_uses.KnownUses | None = None
+    stream_began: Callable[[stream_origins.RouteOrigin], None] = lambda _: None
+    read_origins: Callable[[float], Awaitable[None]] | None = None
     endpoint_restarted: Callable[[str], None] = lambda _: None
     request_permits: Callable[[Endpoint, rate_allocator.PermitRequest], None] | None = None
     request_slots: Callable[[Endpoint, allocation.SlotRequest], None] | None = None
@@ -237,15 +244,34 @@
         }
 
     def sole_origin(self, service: str, route: str) -> stream_origins.Origin | None:
-        """Return where all resumable streams of a route began, if that is one place."""
-        version = self.sole_version(service)
+        """Return where all resumable streams of a route began, if that is one place.
+
+        It is known from what this node has seen for long enough, or from the store's record.
+        """
         known = self.route_services.get(route)
-        if version is None or known is None:
-            return None
-        if [one.service for one in known.shares] != [service]:
+        if known is None or [one.service for one in known.shares] != [service]:
             return None
+        version = self.sole_version(service)
         is_old = self.clock.now() - known.since_ms >= self.streams.retention_ms
-        return stream_origins.Origin(service, version) if is_old else None
+        if version is not None and is_old:
+            return stream_origins.Origin(service, version)
+        return self._recorded_origin(service, route, known)
+
+    def _recorded_origin(
+        self, service: str, route: str, known: RouteServices
+    ) -> stream_origins.Origin | None:
+        """Return a route's sole origin by the record, unless this node has seen others since."""
+        recorded, versions = self.recorded_origins, self.registry.versions
+        if recorded is None or versions.since_ms is None or not self.knows_endpoints():
+            return None
+        if max(known.since_ms, versions.since_ms) > recorded.read_ms:
+            return None
+        retention_ms = self.streams.retention_ms
+        origin = recorded.uses.sole(route, self.wall.now(), retention_ms)
+        if origin is None or origin.service != service:
+            return None
+        seen = versions.recent(service, retention_ms)
+        return origin if seen <= {origin.version} else None
 
     def adopt_split(self, split: rollouts.VersionSplit) -> bool:
         """Adopt a version's share if it is newer, and return whether it was."""
--- a/plumarch/membership/version_history.py
+++ b/plumarch/membership/version_history.py
@@ -58,7 +58,12 @@
         now = self.clock.now()
         if self.since_ms is None or now - self.since_ms < within_ms or within_ms > RETENTION_MS:
             return None
-        ended = self.ended_ms.get(service, {})
-        versions = {version for version, at in ended.items() if now - at <= within_ms}
-        versions |= self.listed.get(service, set())
+        versions = self.recent(service, within_ms)
         return next(iter(versions)) if len(versions) == 1 else None
+
+    def recent(self, service: str, within_ms: float) -> set[str]:
+        """Return the versions that were listed within a time, as far as the history goes."""
+        now = self.clock.now()
+        ended = self.ended_ms.get(service, {})
+        found = {version for version, at in ended.items() if now - at <= within_ms}
+        return found | self.listed.get(service, set())
--- a/plumarch/standins/store_replay.py
+++ b/plumarch/standins/store_replay.py
@@ -13,7 +13,12 @@
 from plumarch.core import errors, records, revisions, traffic
 from plumarch.gateway import ports
 from plumarch.gateway.gossip import snapshots
-from plumarch.gateway.store import follower, quarantine_record, registration
+from plumarch.gateway.store import (
+    follower,
+    origin_record,
+    quarantine_record,
+    registration,
+)
 from plumarch.membership import registry
 from plumarch.standins import gossip_fleet
 
@@ -42,6 +47,7 @@
       era: number of times that the store came back from a backup.
       refused: nodes whose calls fail at once.
       unresponsive: nodes whose calls, watches included, time out.
+      routes: of the configuration.
       kept: records, by kind and name.
       reads: read calls per second, failed ones included.
       writes: write calls per second, failed ones included.
@@ -52,8 +58,10 @@
     configured_at: int = 1
     revision: int = 1
     endpoints: dict[str, tuple[int, traffic.Endpoint]] = dataclasses.field(default_factory=dict)
+    routes: tuple[traffic.Route, ...] = ()
     kept: dict[tuple[str, str], records.Record] = dataclasses.field(default_factory=dict)
     removed: dict[tuple[str, str], int] = dataclasses.field(default_factory=dict)
+    withdrawn: dict[str, int] = dataclasses.field(default_factory=dict)
     refused: set[str] = dataclasses.field(default_factory=set)
     unresponsive: set[str] = dataclasses.field(default_factory=set)
     down: bool = False
@@ -75,6 +83,13 @@
         self.endpoints[endpoint.id] = (self.revision, endpoint)
         self.notify_watchers()
 
+    def withdraw(self, endpoint: str) -> None:
+        """Remove an endpoint's entry."""
+        del self.endpoints[endpoint]
+        self.revision += 1
+        self.withdrawn[endpoint] = self.revision
+        self.notify_watchers()
+
     def remove(self, kind: str, name: str) -> None:
         """Remove a record."""
         del self.kept[(kind, name)]
@@ -165,7 +180,8 @@
         found = None
         if self.store.configured_at > after:
             limits = traffic.CallerLimits()
-            found = routing_table.Configuration(self.store.version, (), (), (), limits)
+            version, routes = self.store.version, self.store.routes
+            found = routing_table.Configuration(version, routes, (), (), limits)
         return ports.ConfigurationUpdate(found, self._revision(self.store.revision))
 
     async def list_configuration(self) -> ports.ConfigurationUpdate:
@@ -189,12 +205,19 @@
         """Watch for changes of endpoints."""
         await self._call("watch endpoints", wait_ms + WATCH_MARGIN_MS)
         entries = self.store.endpoints
-        newest = lambda: max((at for at, _ in entries.values()), default=0)  # noqa: E731
+        withdrawn = self.store.withdrawn
+        newest = lambda: max([0, *(at for at, _ in entries.values()), *withdrawn.values()])  # noqa: E731
         await self._wait(newest, revision, wait_ms)
+        number = revisions.number(revision)
         changes = [
             registry.EndpointChange(one.stable_name(), self._revision(at), one)
             for at, one in entries.values()
-            if at > revisions.number(revision)
+            if at > number
+        ]
+        changes += [
+            registry.EndpointChange(name, self._revision(at), None)
+            for name, at in withdrawn.items()
+            if at > number and name not in entries
         ]
         return ports.EndpointUpdate(tuple(changes), self._revision(self.store.revision))
 
@@ -257,16 +280,19 @@
     Attributes:
       tasks: tasks of live nodes, by node name.
       quarantines: quarantine records, by node name.
+      first_start: whether nodes start as the whole fleet's first ones.
     """
 
     def __init__(self, size: gossip_fleet.Size, store: CountedStore, seed: int = 1) -> None:
         self.size = size
+        self.first_start = True
         self.store = store
         self.fleet = gossip_fleet.GossipFleet(size, seed, knows_all=False)
         self.tasks: dict[str, list[asyncio.Task[None]]] = {}
         self.quarantines: dict[str, quarantine_record.QuarantineRecord] = {}
         for node in self.fleet.live():
             self.begin(node)
+        self.first_start = False
 
     def begin(self, node: gossip_fleet.Node) -> None:
         """Start the tasks of a node."""
@@ -286,12 +312,16 @@
             node.state, reached, node.view.is_most_senior_candidate
         )
         self.quarantines[node.name] = record
+        origins = origin_record.OriginRecord(
+            node.state, reached, node.view.is_most_senior_candidate, self.first_start
+        )
         self.tasks[node.name] = [
             asyncio.ensure_future(record.follow_forever()),
             asyncio.ensure_future(record.write_forever()),
             asyncio.ensure_future(following.follow_configuration()),
             asyncio.ensure_future(following.follow_endpoints()),
             asyncio.ensure_future(entry.run()),
+            asyncio.ensure_future(origins.run()),
         ]
 
     def _fetch(self, node: gossip_fleet.Node, address: str) -> None:
