Streams of several versions are recorded in the store, for a kill of all nodes

Cause: reports of streams whose origin can't be deduced went to other nodes only, and all of them were killed.

A resumption that no node knows reads them with the list of origins, in one call.

Ruled out: each node writing its own streams (32 calls a second at 8 nodes); recording all streams; choosing versions by a hash of the first attempt.

--- a/plumarch/daemon/gateway.py
+++ b/plumarch/daemon/gateway.py
@@ -28,6 +28,7 @@
     origin_record,
     quarantine_record,
     registration,
+    stream_segments,
 )
 from plumarch.limits import (
     attempt_budget,
@@ -103,9 +104,11 @@
         self.quarantine = quarantine_record.QuarantineRecord(
             self.state, store, self.view.is_most_senior_candidate
         )
+        self.segments = stream_segments.StreamSegments(self.state, store)
         self.origins = origin_record.OriginRecord(
             self.state,
             store,
+            self.segments,
             self.view.is_most_senior_candidate,
             settings.node.first_start,
         )
@@ -219,6 +222,7 @@
             self.quarantine.follow_forever,
             self.quarantine.write_forever,
             self.origins.run,
+            self.segments.run,
             self.suspension_watch.watch_forever,
             self._run_housekeeping,
             self._watch_settings,
--- a/plumarch/gateway/dispatch/resumptions.py
+++ b/plumarch/gateway/dispatch/resumptions.py
@@ -71,7 +71,7 @@
     if found is None:
         found = await _ask(state, admitted, stream)
     if found.found is Found.UNKNOWN:
-        found = await _read_record(state, admitted, found)
+        found = await _read_record(state, admitted, stream, found)
     state.measures.resumptions.add(admitted.service, found.found.value)
     state.log.write(
         "resumption",
@@ -108,14 +108,18 @@
 
 
 async def _read_record(
-    state: fleet_state.FleetState, admitted: admission.Admitted, unknown: Resumption
+    state: fleet_state.FleetState,
+    admitted: admission.Admitted,
+    stream: stream_origins.Stream,
+    unknown: Resumption,
 ) -> Resumption:
-    """Find an origin in the store's record, since all nodes that knew it may be gone."""
+    """Find an origin in the store, since all nodes that knew it may be gone."""
     if state.read_origins is None:
         return unknown
     left_ms = admitted.ends_ms - state.clock.now()
     await state.read_origins(min(RECORD_WAIT_MS, left_ms))
-    return _by_sole_origin(state, admitted, Found.RECORDED, unknown.asked) or unknown
+    found = _look_up(state, stream, Found.RECORDED, unknown.asked)
+    return found or _by_sole_origin(state, admitted, Found.RECORDED, unknown.asked) or unknown
 
 
 async def _ask(
--- a/plumarch/gateway/fleet_state.py
+++ b/plumarch/gateway/fleet_state.py
@@ -3,7 +3,7 @@
 import asyncio
 import dataclasses
 import random
-from collections.abc import Awaitable, Callable, Sequence
+from collections.abc import Awaitable, Callable, Iterable, Sequence
 
 from plumarch.config import routing_table
 from plumarch.core import revisions, rollouts, suspension
@@ -116,6 +116,7 @@
         many; None on a single node.
       recorded_origins: the store's record of where streams begin; None while it is unknown.
       stream_began: called with the route and the origin of a stream that can be resumed.
+      record_streams: records in the store where streams began.
       read_origins: reads the record for a resumption, within a time in ms; None without a store.
       origin_answers: resumptions that wait for them, by the stream's hash.
       knows_endpoints: whether this node would know of an endpoint that others use.
@@ -161,6 +162,7 @@
     send_update_soon: Callable[[], None] = lambda: None
     recorded_origins: origin_uses.KnownUses | None = None
     stream_began: Callable[[stream_origins.RouteOrigin], None] = lambda _: None
+    record_streams: Callable[[Iterable[stream_origins.Report]], None] = lambda _: None
     read_origins: Callable[[float], Awaitable[None]] | None = None
     endpoint_restarted: Callable[[str], None] = lambda _: None
     request_permits: Callable[[Endpoint, rate_allocator.PermitRequest], None] | None = None
--- a/plumarch/gateway/gossip/gossiper.py
+++ b/plumarch/gateway/gossip/gossiper.py
@@ -368,6 +368,8 @@
                 self.streams.handle_request(message)
             case gossip.OriginAnswer():
                 self.streams.handle_answer(message)
+            case gossip.RecordRequest():
+                self.streams.handle_record_request(message)
 
     def handle_notice(self, notice: gossip.LoadNotice) -> None:
         """Apply a peer's load and charge at one endpoint."""
--- a/plumarch/gateway/gossip/readable_tags.py
+++ b/plumarch/gateway/gossip/readable_tags.py
@@ -9,7 +9,7 @@
 COMMON_TAG = 6
 """Highest tag that all builds in service read."""
 
-NEWEST_TAGS = (9, 11, 14)
+NEWEST_TAGS = (9, 11, 14, 15)
 """Highest tags of the builds that added kinds, ascending; a build reads all kinds up to its own."""
 
 MAX_PROCESSES = 1_024
--- a/plumarch/gateway/gossip/stream_exchange.py
+++ b/plumarch/gateway/gossip/stream_exchange.py
@@ -2,8 +2,9 @@
 
 Where the streams of a route may begin at several services or software versions, each node reports
 its own in rounds to a few others: two of its data centre and two elsewhere. In a large fleet these
-are its coordinators, and the senior one forwards to another data centre's. To resume a stream that
-it doesn't know, a node asks all others, in a large fleet through its coordinators.
+are its coordinators, and the senior one forwards to another data centre's. One node, in a large
+fleet the senior coordinator of each data centre, records them in the store as well. To resume a
+stream that it doesn't know, a node asks all others, in a large fleet through its coordinators.
 """
 
 import dataclasses
@@ -70,12 +71,48 @@
         doubtful = [one for one in streams.unreported if self._is_doubtful(one)]
         keepers = self._keepers() if doubtful else []
         # A node that has just started knows no keepers yet; its reports wait for them.
-        reports = [one for began in doubtful if keepers for one in streams.take_reports(began)]
+        can_report = keepers or not self.view.peers
+        reports = [one for began in doubtful if can_report for one in streams.take_reports(began)]
         own = _grouped(reports)
         to_forward, self.to_forward = own + self.to_forward, []
         self._send_report(own, keepers, hops=0)
-        if to_forward and self.view.role is tiers.Role.COORDINATOR:
+        if self.view.role is tiers.Role.FLAT:
+            self._have_recorded(own)
+        elif to_forward and self.view.role is tiers.Role.COORDINATOR:
             self._send_report(to_forward, self._remote_keepers(), hops=1)
+            if self._is_senior():
+                self._record(to_forward)
+
+    def _have_recorded(self, groups: list[gossip.ReportedStreams]) -> None:
+        """Have streams recorded by the most senior node that can, maybe this one."""
+        recorder = self._recorder() if groups else None
+        if recorder is None:
+            return
+        if recorder == self.view.address:
+            self._record(groups)
+            return
+        for batch in _batches(groups):
+            self.send(gossip.RecordRequest(self.view.node, batch), [recorder])
+
+    def _recorder(self) -> str | None:
+        """Return the address of the node that records the streams of a small fleet."""
+        able = {
+            one.seniority(): one.address
+            for one in self.view.live()
+            if one.reaches_store and self.readable.reads(one.address, gossip.RECORD_REQUEST_TAG)
+        }
+        if self.state.reaches_store:
+            able[self.view.seniority()] = self.view.address
+        return able[min(able)] if able else None
+
+    def handle_record_request(self, message: gossip.RecordRequest) -> None:
+        """Remember and record where another node's streams began."""
+        for group in message.streams:
+            self._remember(group)
+        self._record(message.streams)
+
+    def _record(self, groups: Iterable[gossip.ReportedStreams]) -> None:
+        self.state.record_streams(report for group in groups for report in _reports(group))
 
     def _is_doubtful(self, began: stream_origins.RouteOrigin) -> bool:
         """Return whether others can't deduce this origin of a route's streams."""
@@ -125,9 +162,8 @@
             self.to_forward += message.streams
 
     def _remember(self, group: gossip.ReportedStreams) -> None:
-        origin = stream_origins.Origin(group.service, group.version[0]) if group.version else None
-        for attempt, fingerprint in zip(group.attempts, group.fingerprints, strict=False):
-            self.state.streams.add(stream_origins.Stream(attempt, fingerprint), origin)
+        for report in _reports(group):
+            self.state.streams.add(report.stream, report.origin)
 
     # Questions.
 
@@ -231,6 +267,14 @@
             self.state.origin_answers.answered(stream.name())
 
 
+def _reports(group: gossip.ReportedStreams) -> list[stream_origins.Report]:
+    origin = stream_origins.Origin(group.service, group.version[0]) if group.version else None
+    return [
+        stream_origins.Report(stream_origins.Stream(attempt, fingerprint), origin)
+        for attempt, fingerprint in zip(group.attempts, group.fingerprints, strict=False)
+    ]
+
+
 def _grouped(reports: Iterable[stream_origins.Report]) -> list[gossip.ReportedStreams]:
     """Return reports as messages hold them, by origin."""
     groups: dict[stream_origins.Origin | None, list[stream_origins.Stream]] = {}
--- a/plumarch/gateway/gossip/stream_exchange_test.py
+++ b/plumarch/gateway/gossip/stream_exchange_test.py
@@ -3,6 +3,7 @@
 import collections
 import dataclasses
 import random
+from collections.abc import Iterable
 from typing import Any, cast
 
 import msgspec
@@ -283,6 +284,30 @@
     assert not unreadable
 
 
+def test_streams_are_recorded_by_the_most_senior_node_that_can():
+    """Nodes of an earlier build can't, nor can those that the store rejects."""
+    fleet = Fleet(SMALL, seed=1)
+    by_seniority = sorted(fleet.live(), key=lambda node: node.view.seniority())
+    earlier, rejected, recorder = by_seniority[:3]
+    fleet.list_endpoints(fleet.start(earlier.number, earlier.data_centre))
+    earlier = fleet.nodes[earlier.name]
+    earlier.view.incarnation = by_seniority[0].view.incarnation - 1
+    record(earlier, fleet, 14)
+    rejected.state.reaches_store = False
+    fleet.run(SETTLE_MS)
+    recorded: dict[str, list[stream_origins.Stream]] = collections.defaultdict(list)
+    for node in fleet.live():
+
+        def keep(reports: Iterable[stream_origins.Report], name: str = node.name) -> None:
+            recorded[name] += [one.stream for one in reports]
+
+        node.state.record_streams = keep
+    began = [fleet.begin(node, number) for number, node in enumerate(by_seniority[2:])]
+    fleet.run(300)
+    assert set(recorded) == {recorder.name}
+    assert sorted(recorded[recorder.name], key=began.index) == began
+
+
 def test_services_of_one_version_cost_no_reports():
     fleet = Fleet(SMALL, seed=1)
     for node in fleet.live():
--- a/plumarch/gateway/store/origin_record.py
+++ b/plumarch/gateway/store/origin_record.py
@@ -11,10 +11,10 @@
 
 from plumarch.core import decoding, errors, records, revisions, traffic
 from plumarch.gateway import fleet_state, ports
-from plumarch.gateway.store import follower
+from plumarch.gateway.store import follower, stream_segments
 from plumarch.routing import origin_uses, stream_origins
 
-KIND = "plumarch-streams"
+KIND = stream_segments.KIND
 NAME = "origins"
 
 CHECK_MS = 100.0
@@ -68,17 +68,20 @@
         self,
         state: fleet_state.FleetState,
         store: ports.Store,
+        segments: stream_segments.StreamSegments,
         follows: Callable[[], bool] = lambda: True,
         first_start: bool = False,
     ) -> None:
         """Create the copy.
 
         Args:
+          segments: read together with the record.
           follows: returns whether this node has to keep the record now.
           first_start: whether the whole deployment starts for the first time.
         """
         self.state = state
         self.store = store
+        self.segments = segments
         self.follows = follows
         self.first_start = first_start
         self.dependency = follower.Dependency(state, "store-origins")
@@ -171,7 +174,7 @@
             self.reading = None
 
     async def _read(self) -> None:
-        """Read the record.
+        """Read the record, and the recorded streams.
 
         Raises:
           PlatformError: the store did not answer.
@@ -190,6 +193,7 @@
         if uses is not None and uses.era < revisions.era(found.revision):
             uses = None
         self._adopt(uses, began_ms)
+        self.segments.load(found.found)
 
     def _decode(self, record: records.Record) -> origin_uses.OriginUses | None:
         uses = decode(record.value)
--- a/plumarch/peers/gossip.py
+++ b/plumarch/peers/gossip.py
@@ -538,10 +538,17 @@
     forwarded: int = 0
 
 
+class RecordRequest(msgspec.Struct, array_like=True, frozen=True, tag=15):
+    """Asks a node to record in the store where streams began."""
+
+    node: str
+    streams: list[ReportedStreams]
+
+
 SLOT_REQUEST_TAG = 10
 ORIGIN_REQUEST_TAG = 13
-
-NEWEST_TAG = 14
+RECORD_REQUEST_TAG = 15
+NEWEST_TAG = RECORD_REQUEST_TAG
 """Highest tag of the datagrams that this build reads."""
 
 
@@ -642,6 +649,7 @@
     | StreamReport
     | OriginRequest
     | OriginAnswer
+    | RecordRequest
 )
 
 
--- a/plumarch/standins/store_replay.py
+++ b/plumarch/standins/store_replay.py
@@ -18,6 +18,7 @@
     origin_record,
     quarantine_record,
     registration,
+    stream_segments,
 )
 from plumarch.membership import registry
 from plumarch.standins import gossip_fleet
@@ -280,6 +281,7 @@
     Attributes:
       tasks: tasks of live nodes, by node name.
       quarantines: quarantine records, by node name.
+      segments: writers of streams, by node name.
       first_start: whether nodes start as the whole fleet's first ones.
     """
 
@@ -290,6 +292,7 @@
         self.fleet = gossip_fleet.GossipFleet(size, seed, knows_all=False)
         self.tasks: dict[str, list[asyncio.Task[None]]] = {}
         self.quarantines: dict[str, quarantine_record.QuarantineRecord] = {}
+        self.segments: dict[str, stream_segments.StreamSegments] = {}
         for node in self.fleet.live():
             self.begin(node)
         self.first_start = False
@@ -312,8 +315,10 @@
             node.state, reached, node.view.is_most_senior_candidate
         )
         self.quarantines[node.name] = record
+        segments = stream_segments.StreamSegments(node.state, reached)
+        self.segments[node.name] = segments
         origins = origin_record.OriginRecord(
-            node.state, reached, node.view.is_most_senior_candidate, self.first_start
+            node.state, reached, segments, node.view.is_most_senior_candidate, self.first_start
         )
         self.tasks[node.name] = [
             asyncio.ensure_future(record.follow_forever()),
@@ -322,6 +327,7 @@
             asyncio.ensure_future(following.follow_endpoints()),
             asyncio.ensure_future(entry.run()),
             asyncio.ensure_future(origins.run()),
+            asyncio.ensure_future(segments.run()),
         ]
 
     def _fetch(self, node: gossip_fleet.Node, address: str) -> None:
