--- a/tests/docs_test.py
+++ b/tests/docs_test.py
@@ -53,6 +53,8 @@
     assert days
     for path in days:
         assert path.read_text().startswith("# Looks for: "), path.name
-        (day,) = tomllib.loads(path.read_text())["day"]
+        loaded = tomllib.loads(path.read_text())
+        # The bench takes a day as a table of its own as well.
+        (day,) = loaded.get("day", [loaded])
         assert day["name"] == path.stem
         assert len(day["faults"]) >= 2
