Interim answers without end are given up after 64 kB

Callers saw: an endpoint that sends 1xx answers and never a final one held its request until the deadline (8 MB parsed in 3 s), then 504, also where another endpoint was free.

Cause: interim answers were skipped in a loop without a bound; the parser bounds only what is incomplete. Now their heads count, and an endpoint that exceeds the limit has broken its answer: the request goes to another one if it may, else 502. What may pass as an answer stands in core/answer_limits.

Evidence: invalid_answers_test plays each part of an answer without end on two routes, 26 cases; the 4 of interim answers failed before, the other 22 held already (64 kB in a head, 16 MB in a body, 1 MB in an event).

Ruled out: a bound in time alone (the deadline is one); a bound in number (one byte of a limit serves heads of any size).

--- a/plumarch/gateway/connections/exchange.py
+++ b/plumarch/gateway/connections/exchange.py
@@ -8,7 +8,7 @@
 
 import h11
 
-from plumarch.core import addresses
+from plumarch.core import addresses, answer_limits
 from plumarch.gateway import errors
 from plumarch.gateway.connections import keepalive, outgoing
 from plumarch.limits import memory_account
@@ -23,6 +23,9 @@
 READ_AHEAD_BYTES = 65_536
 """Unparsed bytes above which reading is paused."""
 
+STATUS_LINE_BYTES = 17
+"""Bytes of a status line without its reason, and of the blank line that ends a head."""
+
 REQUEST_STALL_MS = 3_000.0
 """An endpoint that accepts no byte of a request for this long is given up."""
 
@@ -36,6 +39,7 @@
     Attributes:
       is_tunneled: whether it goes through another node.
       unparsed: upper bound of received, unparsed bytes.
+      interim_bytes: size of the interim answers before the final one.
       nothing_accepted: whether it was closed before the endpoint accepted a byte of the request.
       peer_restarted: whether it was closed because the endpoint has restarted.
     """
@@ -50,6 +54,7 @@
         self.at_eof = False
         self.unparsed = 0
         self.is_paused = False
+        self.interim_bytes = 0
         self.nothing_accepted = False
         self.peer_restarted = False
         self.first_sent_ms: int | None = None
@@ -230,13 +235,21 @@
         try:
             while True:
                 event = self.http.next_event()
+                if isinstance(event, h11.InformationalResponse):
+                    self._count_interim(event)
+                    continue
                 if isinstance(event, h11.Response | h11.Data | h11.EndOfMessage):
                     return event
-                if not isinstance(event, h11.InformationalResponse):
-                    return None
+                return None
         except h11.RemoteProtocolError as error:
             raise errors.ConnectionBroken(f"the answer is not HTTP: {error}") from error
 
+    def _count_interim(self, head: h11.InformationalResponse) -> None:
+        headers = sum(len(name) + len(value) + 4 for name, value in head.headers)
+        self.interim_bytes += STATUS_LINE_BYTES + len(head.reason) + headers
+        if self.interim_bytes > answer_limits.MAX_INTERIM_BYTES:
+            raise errors.ConnectionBroken("the endpoint sends interim answers without end")
+
     async def read_body(self, limit: int) -> bytes:
         """Read the rest of an answer's body.
 
--- a/plumarch/gateway/dispatch/buffered_answers.py
+++ b/plumarch/gateway/dispatch/buffered_answers.py
@@ -4,15 +4,13 @@
 
 import h11
 
+from plumarch.core import answer_limits
 from plumarch.gateway import dialect, errors
 from plumarch.gateway.callers import admission
 from plumarch.gateway.connections import exchange
 from plumarch.gateway.dispatch import attempts
 from plumarch.limits import memory_account
 
-MAX_ANSWER_BYTES = 16 * 1024 * 1024
-"""Limit of a buffered answer."""
-
 ROOM_WAIT_MS = 2_000.0
 """Time that an answer waits for memory; endpoints abort unread answers after some seconds."""
 
@@ -44,14 +42,14 @@
     a length without a body.
 
     Raises:
-      ConnectionBroken: the connection ended early, or the answer exceeds MAX_ANSWER_BYTES.
+      ConnectionBroken: the connection ended early, or the body exceeds its limit.
       NoMemory: no memory became free in time.
     """
     content_length = int(dialect.header_value(head.headers, b"content-length") or 0)
     if method == b"HEAD":
         content_length = 0
-    if content_length > MAX_ANSWER_BYTES:
-        raise errors.ConnectionBroken(f"answer exceeds {MAX_ANSWER_BYTES} bytes")
+    if content_length > answer_limits.MAX_BODY_BYTES:
+        raise errors.ConnectionBroken(f"answer exceeds {answer_limits.MAX_BODY_BYTES} bytes")
     await _reserve(memory, source, reservation, content_length + HEAD_RESERVATION_BYTES)
     body = bytearray()
     while True:
@@ -59,8 +57,10 @@
         if isinstance(event, h11.EndOfMessage):
             return bytes(body)
         if isinstance(event, h11.Data):
-            if len(body) + len(event.data) > MAX_ANSWER_BYTES:
-                raise errors.ConnectionBroken(f"answer exceeds {MAX_ANSWER_BYTES} bytes")
+            if len(body) + len(event.data) > answer_limits.MAX_BODY_BYTES:
+                raise errors.ConnectionBroken(
+                    f"answer exceeds {answer_limits.MAX_BODY_BYTES} bytes"
+                )
             needed = len(body) + len(event.data) + HEAD_RESERVATION_BYTES
             if needed > reservation.size:
                 await _reserve(memory, source, reservation, needed)
--- a/plumarch/gateway/dispatch/stream_relay.py
+++ b/plumarch/gateway/dispatch/stream_relay.py
@@ -5,7 +5,7 @@
 
 import h11
 
-from plumarch.core import traffic
+from plumarch.core import answer_limits, traffic
 from plumarch.gateway import errors, fleet_state
 from plumarch.gateway.callers import admission, caller_requests
 from plumarch.gateway.dispatch import (
@@ -21,9 +21,6 @@
 PAUSE_LIMIT_MS = 5_000.0
 """Longest pause; an endpoint aborts an unread answer after some seconds."""
 
-MAX_EVENT_BYTES = 1_048_576
-"""Limit of an event in bytes."""
-
 
 class RunAbandoned(errors.ExchangeError):
     """The caller doesn't read; the stream may be resumed."""
@@ -98,8 +95,8 @@
                 await self._pause(attempt)
             self._relay_event(attempt, head, event)
         buffered = len(splitter.buffered)
-        if buffered > MAX_EVENT_BYTES:
-            raise errors.ConnectionBroken(f"event exceeds {MAX_EVENT_BYTES} bytes")
+        if buffered > answer_limits.MAX_EVENT_BYTES:
+            raise errors.ConnectionBroken(f"event exceeds {answer_limits.MAX_EVENT_BYTES} bytes")
         if buffered or reservation.size:
             self._reserve(reservation, buffered)
 
