A status that is none of HTTP is a broken answer

Callers saw: an endpoint's status from 600 to 999 was handed to them as its answer, signature and all, also where another endpoint could have served the request (MIXED). 000, as another operator reported, was not: 502, as for 099, 20, +20, 2000, 20x, -12 and an empty one.

Cause: the range was left to the parser, which takes all of three digits from 200 on. Now the connection checks it, for plain requests, streams and tunnels alike, before anything else sees the head.

Evidence: invalid_answers_test; of 36 cases of odd statuses on three routes the 9 of 600, 601 and 999 failed before. Valid statuses are handed on.

--- a/plumarch/core/answer_limits.py
+++ b/plumarch/core/answer_limits.py
@@ -3,6 +3,9 @@
 An endpoint in trouble may send bytes that are no answer, and send them without end.
 """
 
+FINAL_STATUSES = range(200, 600)
+"""Status codes of final answers (RFC 9110, section 15)."""
+
 MAX_INTERIM_BYTES = 65_536
 """Limit of the heads of interim (1xx) answers before a final one."""
 
--- a/plumarch/gateway/connections/exchange.py
+++ b/plumarch/gateway/connections/exchange.py
@@ -238,6 +238,8 @@
                 if isinstance(event, h11.InformationalResponse):
                     self._count_interim(event)
                     continue
+                if isinstance(event, h11.Response):
+                    self._check_status(event)
                 if isinstance(event, h11.Response | h11.Data | h11.EndOfMessage):
                     return event
                 return None
@@ -250,6 +252,11 @@
         if self.interim_bytes > answer_limits.MAX_INTERIM_BYTES:
             raise errors.ConnectionBroken("the endpoint sends interim answers without end")
 
+    def _check_status(self, head: h11.Response) -> None:
+        self.interim_bytes = 0
+        if head.status_code not in answer_limits.FINAL_STATUSES:
+            raise errors.ConnectionBroken(f"{head.status_code} is no status of HTTP")
+
     async def read_body(self, limit: int) -> bytes:
         """Read the rest of an answer's body.
 
--- a/plumarch/gateway/dispatch/invalid_answers_test.py
+++ b/plumarch/gateway/dispatch/invalid_answers_test.py
@@ -8,6 +8,8 @@
 from plumarch.gateway import relay_test
 from plumarch.standins import scripted_endpoint as scripted
 
+STATUSES = ("000", "099", "199", "600", "601", "999", "20", "2000", "+20", "20x", "-12", "")
+ROUTES = ("/safe/", "/unsafe/", "/chat/")
 PIECE = b"x" * 4_000
 
 
@@ -58,6 +60,43 @@
 """What an endpoint can send before its connection is closed, with what the kernel holds."""
 
 
+@pytest.mark.parametrize("status", STATUSES)
+@pytest.mark.parametrize("path", ROUTES)
+def test_a_status_that_is_none_of_http_is_not_handed_to_the_caller(path: str, status: str):
+    """Statuses from 600 to 999 were handed on as the endpoint's answer."""
+
+    async def test() -> None:
+        answering = relay_test.answers(f"{status} Odd")
+        async with relay_test.Gateway(answering) as gateway:
+            found = await gateway.ask(path)
+            assert found.status == 502
+            assert "x-signature" not in found.headers
+
+    relay_test.play(test)
+
+
+@pytest.mark.parametrize("status", ["000", "600", "999"])
+def test_a_repeatable_request_goes_to_another_endpoint_after_an_invalid_status(status: str):
+    async def test() -> None:
+        odd = relay_test.answers(f"{status} Odd")
+        async with relay_test.Gateway(odd, relay_test.answers()) as gateway:
+            found = await gateway.ask("/safe/")
+            assert (found.status, found.body) == (200, b"whole")
+
+    relay_test.play(test)
+
+
+@pytest.mark.parametrize("status", [200, 204, 301, 404, 451, 500, 599])
+def test_an_endpoints_valid_status_is_handed_to_the_caller(status: int):
+    async def test() -> None:
+        body = b"" if status == 204 else b"body"
+        answering = relay_test.answers(f"{status} Some", body=body)
+        async with relay_test.Gateway(answering) as gateway:
+            assert (await gateway.ask("/unsafe/")).status == status
+
+    relay_test.play(test)
+
+
 @pytest.mark.parametrize("kind", FLOODS)
 @pytest.mark.parametrize("path", ["/unsafe/", "/chat/"])
 def test_an_answer_without_end_is_given_up_after_a_bounded_number_of_bytes(path: str, kind: str):
