Numbers in texts of other writers are read in one way

Token counts below zero were charged as they stood, which refilled the workspace's quota. An endpoint's version with such digits failed every request of its service while another version was listed; such an event id failed its stream.

Cause: str.isdigit takes more than int does, int takes signs and no more than 4,300 digits. core/numerals reads whole numbers now: ASCII digits, at most 15. A request whose admission fails by an error is answered (502) and logged.

Ruled out: catching ValueError at each place; it would leave the sign.

--- a/plumarch/daemon/callers.py
+++ b/plumarch/daemon/callers.py
@@ -11,7 +11,7 @@
 from litestar.handlers import HTTPRouteHandler
 from litestar.response import Stream
 
-from plumarch.core import data, events, hashing
+from plumarch.core import data, events, hashing, numerals
 from plumarch.daemon import chat, problems, shell, streams
 from plumarch.recovery import keys
 
@@ -80,7 +80,7 @@
         """
         limit = self.limits.body_bytes
         announced = request.headers.get("content-length", "0")
-        if announced.isdigit() and int(announced) > limit:
+        if (numerals.whole_number(announced) or 0) > limit:
             raise _too_long(limit)
         parts = []
         size = 0
@@ -416,11 +416,12 @@
     text = request.headers.get(header)
     if text is None:
         return default
-    if not text.strip().isdigit() or not least <= int(text) <= most:
+    number = numerals.whole_number(text.strip())
+    if number is None or not least <= number <= most:
         raise problems.CallerFault(
             400, f"Bad {header}", f"{header}: {text!r}", f"Send {least} to {most}."
         )
-    return int(text)
+    return number
 
 
 def _fault(_: AnyRequest, fault: problems.CallerFault) -> Response[bytes]:
--- a/plumarch/gateway/callers/admission.py
+++ b/plumarch/gateway/callers/admission.py
@@ -5,7 +5,7 @@
 from collections.abc import Sequence
 
 from plumarch.config import routing_table
-from plumarch.core import hashing, traffic
+from plumarch.core import hashing, numerals, traffic
 from plumarch.gateway import dialect, fleet_state
 from plumarch.gateway.callers import caller_requests, request_identity
 from plumarch.limits import memory_admission, quarantine
@@ -144,7 +144,7 @@
     if back_in_ms is not None:
         back_in_ms = return_times.spread(back_in_ms, state.rng)
         return Refusal(503, "memory", back_in_ms, workspace_name)
-    prompt_tokens, max_output_tokens = _token_counts(request.header(names.token_counts))
+    prompt_tokens, max_output_tokens = token_counts(request.header(names.token_counts))
     units = _units(workspace, prompt_tokens + max_output_tokens)
     if workspace is not None:
         wait_ms = state.quota.admit(workspace, units, _quota_rank(table, route))
@@ -212,12 +212,12 @@
     return key.strip() if given.lower() == scheme.lower() else ""
 
 
-def _token_counts(value: str) -> tuple[int, int]:
+def token_counts(value: str) -> tuple[int, int]:
+    """Parse prompt and maximum output tokens; both are 0 if either is no number."""
     first, _, second = value.partition(",")
-    try:
-        return int(first), int(second)
-    except ValueError:
-        return 0, 0
+    prompt = numerals.whole_number(first.strip())
+    output = numerals.whole_number(second.strip())
+    return (prompt, output) if prompt is not None and output is not None else (0, 0)
 
 
 def _units(workspace: traffic.Workspace | None, tokens: int) -> float:
@@ -265,10 +265,11 @@
     """Parse prompt parts, comma-separated ID:TOKENS, up to the first malformed one."""
     parts = []
     for word in value.split(","):
-        name, _, tokens = word.strip().partition(":")
-        if not name or not tokens.isdigit():
+        name, _, size = word.strip().partition(":")
+        tokens = numerals.whole_number(size)
+        if not name or tokens is None:
             break
-        parts.append(traffic.PromptPart(name, int(tokens)))
+        parts.append(traffic.PromptPart(name, tokens))
     return tuple(parts)
 
 
--- a/plumarch/gateway/dispatch/event_stream.py
+++ b/plumarch/gateway/dispatch/event_stream.py
@@ -5,6 +5,8 @@
 
 import dataclasses
 
+from plumarch.core import numerals
+
 SEPARATORS = (b"\n\n", b"\r\n\r\n")
 
 
@@ -52,6 +54,5 @@
     Args:
       previous: the id relayed last, or "" at the start.
     """
-    if not previous.isdigit() or not current.isdigit():
-        return True
-    return int(current) == int(previous) + 1
+    before, after = numerals.whole_number(previous), numerals.whole_number(current)
+    return before is None or after is None or after == before + 1
--- a/plumarch/gateway/dispatch/stream_relay.py
+++ b/plumarch/gateway/dispatch/stream_relay.py
@@ -5,7 +5,7 @@
 
 import h11
 
-from plumarch.core import answer_limits, traffic
+from plumarch.core import answer_limits, numerals, traffic
 from plumarch.gateway import errors, fleet_state
 from plumarch.gateway.callers import admission, caller_requests
 from plumarch.gateway.dispatch import (
@@ -111,7 +111,9 @@
         This spends the retry budget, which bounds the sends that a slow caller can cause.
         """
         route = self.admitted.route
-        if not route.repeatable() or not self.progress.last_event_id.isdigit():
+        if not route.repeatable():
+            return False
+        if numerals.whole_number(self.progress.last_event_id) is None:
             return False
         if self.progress.sends >= route.max_attempts:
             return False
--- a/plumarch/gateway/relay.py
+++ b/plumarch/gateway/relay.py
@@ -19,7 +19,7 @@
         self, request: caller_requests.CallerRequest, reply: caller_requests.Reply
     ) -> None:
         """Answer one request."""
-        admitted = admission.admit(self.state, request)
+        admitted = self._admit(request)
         if isinstance(admitted, admission.Refusal):
             self._refuse(request, reply, admitted)
             return
@@ -31,9 +31,7 @@
         try:
             outcome = await run.serve()
         except Exception as error:
-            self.state.log.write(
-                "fault", urgent=True, request=admitted.id, error=f"{type(error).__name__}: {error}"
-            )
+            self._log_fault(admitted.id, error)
             outcome = request_run.Outcome(502, "internal_fault")
             run.fail(outcome)
         finally:
@@ -41,6 +39,20 @@
                 outcome = request_run.Outcome(outcome.status, reply.disconnect_reason)
             self._record(admitted, run, outcome)
 
+    def _admit(
+        self, request: caller_requests.CallerRequest
+    ) -> admission.Admitted | admission.Refusal:
+        try:
+            return admission.admit(self.state, request)
+        except Exception as error:
+            self._log_fault(request.header(self.state.names.request_id), error)
+            return admission.Refusal(502, "internal_fault")
+
+    def _log_fault(self, request: str, error: Exception) -> None:
+        self.state.log.write(
+            "fault", urgent=True, request=request, error=f"{type(error).__name__}: {error}"
+        )
+
     def time_allowed_ms(self, headers: caller_requests.Headers) -> float:
         """Return a request's time limit by its headers, or the default, in ms."""
         return admission.requested_timeout_ms(self.state.names, headers)
--- a/plumarch/routing/version_split.py
+++ b/plumarch/routing/version_split.py
@@ -7,7 +7,7 @@
 import math
 from collections.abc import Sequence
 
-from plumarch.core import clock, hashing, rollouts, traffic
+from plumarch.core import clock, hashing, numerals, rollouts, traffic
 
 NEW_VERSION_DELAY_MS = 3_000
 """A version new to a service gets no requests for this long, unless it is the only one: its
@@ -137,7 +137,7 @@
 def _version_order(version: str) -> tuple[int, str]:
     """Return a sort key for versions: v10 comes after v9."""
     digits = "".join(letter for letter in version if letter.isdigit())
-    return int(digits or 0), version
+    return numerals.whole_number(digits) or 0, version
 
 
 def _is_chosen(split: rollouts.VersionSplit, request: str) -> bool:
