The own interface's client of endpoints keeps to the same limits of an answer

Callers saw: a status of 000 of a repeatable service, or of 600 and more of any service, as their answer. A body or an event without end was read into the daemon's memory until the time limit.

Cause: the HTTP libraries take any status that parses, and read whole bodies. Now statuses, bodies and events are checked against core/answer_limits as in the gateway; what breaks them is a failure after which the request may have run.

--- a/plumarch/endpoints/client.py
+++ b/plumarch/endpoints/client.py
@@ -11,7 +11,7 @@
 import msgspec
 import yarl
 
-from plumarch.core import data, errors, events, request_rate, retry_after
+from plumarch.core import answer_limits, data, errors, events, request_rate, retry_after
 from plumarch.endpoints import protocol
 
 CONNECT_S = 2.0
@@ -158,12 +158,15 @@
     async def _run_once(self, order: events.HandOver, sink: protocol.Sink) -> None:
         request = order.request
         url = order.endpoint.address + request.path
-        answer = await self.once.request(
+        call = self.once.stream(
             request.method, url, content=request.body, headers=_service_headers(order)
         )
-        self._report_rate(order, sink, answer.status_code, answer.headers)
-        content_type = answer.headers.get("content-type", OCTETS)
-        _report_reply(order, sink, answer.status_code, content_type, answer.content)
+        async with call as answer:
+            _check_status(answer.status_code)
+            self._report_rate(order, sink, answer.status_code, answer.headers)
+            content = await _read_body(answer.aiter_bytes())
+            content_type = answer.headers.get("content-type", OCTETS)
+            _report_reply(order, sink, answer.status_code, content_type, content)
 
     async def _run_service(self, order: events.HandOver, sink: protocol.Sink) -> None:
         request = order.request
@@ -176,8 +179,9 @@
             allow_redirects=False,
         )
         async with call as answer:
+            _check_status(answer.status)
             self._report_rate(order, sink, answer.status, answer.headers)
-            content = await answer.read()
+            content = await _read_body(answer.content.iter_any())
             content_type = answer.headers.get("content-type", OCTETS)
             _report_reply(order, sink, answer.status, content_type, content)
 
@@ -264,8 +268,14 @@
         """Return an endpoint's load. Raises EndpointError."""
         try:
             async with self.repeatable().get(endpoint.address + "/load") as answer:
-                found = msgspec.json.decode(await answer.read(), type=LoadAnswer)
-        except (aiohttp.ClientError, TimeoutError, msgspec.MsgspecError) as error:
+                content = await _read_body(answer.content.iter_any())
+                found = msgspec.json.decode(content, type=LoadAnswer)
+        except (
+            aiohttp.ClientError,
+            TimeoutError,
+            msgspec.MsgspecError,
+            errors.EndpointError,
+        ) as error:
             raise errors.EndpointError(f"{endpoint.name} reports no load: {error!r}.") from error
         return data.LoadReport(endpoint.name, found.running, found.queued)
 
@@ -286,6 +296,25 @@
     }
 
 
+def _check_status(status: int) -> None:
+    if status not in answer_limits.FINAL_STATUSES:
+        raise errors.EndpointError(f"{status} is no status of HTTP.")
+
+
+async def _read_body(parts: AsyncIterator[bytes]) -> bytes:
+    """Read an answer's body.
+
+    Raises:
+      EndpointError: it is too long.
+    """
+    body = bytearray()
+    async for part in parts:
+        body += part
+        if len(body) > answer_limits.MAX_BODY_BYTES:
+            raise errors.EndpointError(f"The answer exceeds {answer_limits.MAX_BODY_BYTES} bytes.")
+    return bytes(body)
+
+
 def _report_reply(
     order: events.HandOver, sink: protocol.Sink, status: int, content_type: str, body: bytes
 ) -> None:
@@ -313,6 +342,8 @@
     remainder = b""
     async for part in answer.content.iter_any():
         *complete, remainder = (remainder + part).split(EVENT_END)
+        if len(remainder) > answer_limits.MAX_EVENT_BYTES:
+            raise errors.EndpointError(f"An event exceeds {answer_limits.MAX_EVENT_BYTES} bytes.")
         batch = [
             STREAM_DECODER.decode(text[len(DATA) :])
             for text in complete
