A malformed segment, or a stream with an invalid hash, costs no other stream

Found by reading the change as a newcomer, before it was in service: a segment of another writer whose text is not ASCII raised a ValueError that ended each read of the record; a peer's report with a hash below zero or of more than 64 bits ended each flush of the recorder, as it stayed pending.

The decoder passes over the segment, and such a stream is not recorded. Evidence: both tests failed before (2 of 11 of stream_segments_test).

--- a/plumarch/gateway/store/stream_segments.py
+++ b/plumarch/gateway/store/stream_segments.py
@@ -7,7 +7,6 @@
 
 import asyncio
 import base64
-import binascii
 import dataclasses
 import struct
 from collections.abc import Iterable, Sequence
@@ -35,6 +34,8 @@
 STREAM = struct.Struct("<QQ")
 """First attempt and fingerprint of a stream."""
 
+MAX_HASH = 2**64 - 1
+
 
 class RecordedStreams(msgspec.Struct, array_like=True, frozen=True):
     """Streams that began at one origin.
@@ -98,8 +99,8 @@
         state.record_streams = self.add
 
     def add(self, reports: Iterable[stream_origins.Report]) -> None:
-        """Have streams recorded."""
-        self.pending.update(dict.fromkeys(reports))
+        """Have streams recorded; those that other nodes report with invalid hashes are left out."""
+        self.pending.update(dict.fromkeys(one for one in reports if _is_valid(one.stream)))
         while len(self.pending) > MAX_PENDING:
             del self.pending[next(iter(self.pending))]
 
@@ -239,11 +240,15 @@
         for group in found.origins:
             if len(base64.b64decode(group.streams, validate=True)) % STREAM.size:
                 return None
-    except (msgspec.DecodeError, binascii.Error):
+    except (msgspec.DecodeError, ValueError):
         return None
     return found
 
 
+def _is_valid(stream: stream_origins.Stream) -> bool:
+    return all(0 <= one <= MAX_HASH for one in (stream.first_attempt, stream.fingerprint))
+
+
 def _reports(group: RecordedStreams) -> list[stream_origins.Report]:
     origin = None
     if group.version is not None:
--- a/plumarch/gateway/store/stream_segments_test.py
+++ b/plumarch/gateway/store/stream_segments_test.py
@@ -212,10 +212,25 @@
         "[]",
         '{"at":1,"origins":[["s","v1","AAAA"]]}',
         '{"at":1,"origins":[["s","v1","%"]]}',
+        '{"at":1,"origins":[["s","v1","\u00e9"]]}',
     ):
         assert stream_segments.decode(text) is None
 
 
+def test_a_stream_that_no_segment_can_hold_keeps_no_other_from_being_recorded():
+    async def test(replay: store_replay.StoreReplay) -> None:
+        node = replay.fleet.live()[0]
+        odd = [stream_origins.Stream(-1, 5), stream_origins.Stream(5, 2**64)]
+        node.state.record_streams(stream_origins.Report(one, origin(0)) for one in odd)
+        node.state.record_streams([stream_origins.Report(stream(0), origin(0))])
+        await replay.run(RECORDED_MS)
+        replay.restart_all()
+        await replay.run(SETTLE_MS)
+        assert await found(replay, range(1)) == 1.0
+
+    play(test)
+
+
 def test_no_stream_waits_without_bound_for_the_store():
     async def test(replay: store_replay.StoreReplay) -> None:
         node = replay.fleet.live()[0]
